Add the design page, the build and the first aggregates

Cause: the project is empty. The design page fixes modules, state, messages, fault handling and house style before code is written; errors, registry, configuration, timeline, steering and membership follow it.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: install demo test bench capacity lint format clean
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+demo: install
+	$(BIN)/python -m tests.demo.main
+
+test: install
+	$(BIN)/python -m pytest
+
+bench: install
+	$(BIN)/python -m tests.bench.main
+
+capacity: install
+	$(BIN)/python -m tests.capacity.main
+
+lint: install
+	$(BIN)/black --check --quiet src tests
+	$(BIN)/ruff check --quiet src tests
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+format: install
+	$(BIN)/ruff check --fix --quiet src tests
+	$(BIN)/black --quiet src tests
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache .pytest_cache
--- /dev/null
+++ b/src/briarfork/configuration/documents.py
@@ -0,0 +1,178 @@
+"""The operators' documents: the base, its services, and one overlay for each site."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from briarfork.configuration.model import ClientBlock
+from briarfork.configuration.model import Link
+from briarfork.configuration.model import Plan
+from briarfork.configuration.model import RequestClass
+from briarfork.configuration.model import Route
+from briarfork.configuration.model import Service
+from briarfork.configuration.model import ShiftLimits
+from briarfork.configuration.model import Site
+from briarfork.configuration.model import SiteCapacity
+from briarfork.errors import InvalidConfiguration
+
+BASE = "base"
+SERVICE_PREFIX = "services/"
+SITE_PREFIX = "sites/"
+
+Document = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Documents:
+    """The aggregate of the base document, its services and all overlays.
+
+    Operators write the services inside the base file. Each is a document of its own here, so that
+    changes to different services do not clash and a team may own one of them. A document is a
+    plain map that a border model has checked for types. The rules here are those that need more
+    than one document: references resolve, and weights and overlays fit the base.
+
+    Attributes:
+        by_name: Documents by name: "base", "services/<service>" and "sites/<site>".
+    """
+
+    by_name: dict[str, Document] = field(default_factory=dict)
+
+    def apply(self, edits: dict[str, Document | None]) -> Documents:
+        """Returns the documents after edits; an edit of None removes a document."""
+        merged = {**self.by_name, **edits}
+        return Documents({name: body for name, body in merged.items() if body is not None})
+
+    def render(self) -> Plan:
+        """Merges the overlays into the base.
+
+        Raises:
+            InvalidConfiguration: Lists every broken rule with document and key.
+        """
+        faults = self.find_faults()
+        if faults:
+            raise InvalidConfiguration(faults)
+        base = self.by_name[BASE]
+        overlays = self._select(SITE_PREFIX)
+        return Plan(
+            entry_vms=base["entry_vms"],
+            lookup_ttl_s=base["lookup_ttl_s"],
+            approval_required=base.get("approval", "none") == "required",
+            regions={name: tuple(body["zones"]) for name, body in base["regions"].items()},
+            links=tuple(_build_link(link) for link in base.get("links", [])),
+            client_blocks=tuple(
+                ClientBlock(block["prefix"], block["region"])
+                for block in base.get("client_blocks", [])
+            ),
+            sites={
+                name: Site(name, overlay["zone"], overlay.get("drain", False))
+                for name, overlay in overlays.items()
+            },
+            services={
+                name: _build_service(name, body, overlays)
+                for name, body in self._select(SERVICE_PREFIX).items()
+            },
+        )
+
+    def find_faults(self) -> list[str]:
+        """Returns one line for each broken rule."""
+        base = self.by_name.get(BASE)
+        if base is None:
+            return ["base: expected a base document"]
+        services = self._select(SERVICE_PREFIX)
+        overlays = self._select(SITE_PREFIX)
+        zones = {zone for region in base["regions"].values() for zone in region["zones"]}
+        faults = _find_base_faults(base)
+        for name, service in services.items():
+            faults += _find_service_faults(name, service, set(overlays))
+        for name, overlay in overlays.items():
+            faults += _find_overlay_faults(name, overlay, zones, set(services))
+        return faults
+
+    def _select(self, prefix: str) -> dict[str, Document]:
+        return {
+            name.removeprefix(prefix): body
+            for name, body in sorted(self.by_name.items())
+            if name.startswith(prefix)
+        }
+
+
+def merge_overlay(service: Document, overlay: Document) -> Document:
+    """Returns the settings of a service at a site: the overlay's where it states them.
+
+    Example:
+        >>> merge_overlay({"slots": 3, "connections": 400}, {"slots": 2})
+        {'slots': 2, 'connections': 400}
+    """
+    return {**service, **{key: value for key, value in overlay.items() if value is not None}}
+
+
+def _find_base_faults(base: Document) -> list[str]:
+    faults = []
+    regions = set(base["regions"])
+    zones = [zone for region in base["regions"].values() for zone in region["zones"]]
+    for zone in sorted({zone for zone in zones if zones.count(zone) > 1}):
+        faults.append(f"base: regions: zone {zone!r} is listed twice")
+    for index, block in enumerate(base.get("client_blocks", [])):
+        if block["region"] not in regions:
+            faults.append(f"base: client_blocks[{index}].region: expected one of {sorted(regions)}")
+    for index, link in enumerate(base.get("links", [])):
+        if not set(link["between"]) <= regions or len(set(link["between"])) != 2:
+            faults.append(f"base: links[{index}].between: expected two of {sorted(regions)}")
+    return faults
+
+
+def _find_service_faults(name: str, service: Document, sites: set[str]) -> list[str]:
+    place = f"services/{name}: spread"
+    spread = service["spread"]
+    faults = [
+        f"{place}.{site}: expected a site with an overlay" for site in sorted(set(spread) - sites)
+    ]
+    if not any(weight > 0 for weight in spread.values()):
+        faults.append(f"{place}: expected a weight above 0")
+    return faults
+
+
+def _find_overlay_faults(
+    name: str, overlay: Document, zones: set[str], services: set[str]
+) -> list[str]:
+    faults = []
+    if overlay["site"] != name:
+        faults.append(f"sites/{name}: site: expected {name!r}, an overlay changes only its own site")
+    if overlay["zone"] not in zones:
+        faults.append(f"sites/{name}: zone: expected one of {sorted(zones)}")
+    for service in sorted(set(overlay.get("services", {})) - services):
+        faults.append(f"sites/{name}: services.{service}: expected a service of the base")
+    return faults
+
+
+def _build_link(body: Document) -> Link:
+    first, second = sorted(body["between"])
+    return Link((first, second), body["gbit_s"], body["latency_ms"])
+
+
+def _build_service(name: str, body: Document, overlays: dict[str, Document]) -> Service:
+    capacity = {}
+    for site in body["spread"]:
+        merged = merge_overlay(body, overlays[site].get("services", {}).get(name, {}))
+        capacity[site] = SiteCapacity(merged["slots"], merged["connections"])
+    routes = tuple(
+        Route(
+            route["prefix"],
+            RequestClass(route.get("request_class", body["request_class"])),
+            route.get("deadline_ms", body["deadline_ms"]),
+        )
+        for route in body.get("routes", [])
+    )
+    return Service(
+        name=name,
+        idempotent=body["idempotent"],
+        request_class=RequestClass(body["request_class"]),
+        deadline_ms=body["deadline_ms"],
+        spread=dict(body["spread"]),
+        capacity=capacity,
+        shift=ShiftLimits(body["shift"]["cap_rps"], body["shift"]["slope_percent_per_minute"]),
+        routes=routes,
+        selection=body.get("selection", "permits"),
+    )
--- /dev/null
+++ b/src/briarfork/membership/__init__.py
@@ -0,0 +1,8 @@
+"""Membership: the entry VMs that take part."""
+
+from briarfork.membership.member import Member
+from briarfork.membership.member import MemberState
+from briarfork.membership.roster import Roster
+from briarfork.membership.roster import rank_members
+
+__all__ = ["Member", "MemberState", "Roster", "rank_members"]
--- /dev/null
+++ b/src/briarfork/membership/member.py
@@ -0,0 +1,58 @@
+"""A VM that runs the programs of briarfork."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+
+
+class MemberState(Enum):
+    """Condition of a member; within one incarnation it only moves forward in this order."""
+
+    LIVE = "live"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+# A leaving VM stays leaving until it is gone; only a new incarnation is live again.
+STATE_ORDER = {
+    MemberState.LIVE: 0,
+    MemberState.SUSPECT: 1,
+    MemberState.LEAVING: 2,
+    MemberState.DEAD: 3,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One entry VM as others know it.
+
+    Attributes:
+        vm: Name of the VM.
+        address: IP address.
+        zone: Availability zone.
+        incarnation: Start time of its control process in milliseconds; a restart raises it.
+        version: Raised by the member itself when it refutes a suspicion.
+        state: Condition.
+        ports: Port numbers by name: "entry", "permits", "control".
+    """
+
+    vm: str
+    address: str
+    zone: str
+    incarnation: int
+    version: int
+    state: MemberState
+    ports: dict[str, int]
+
+    def supersedes(self, other: Member) -> bool:
+        """Returns whether this record is newer evidence than another one of the same VM."""
+        if (self.incarnation, self.version) != (other.incarnation, other.version):
+            return (self.incarnation, self.version) > (other.incarnation, other.version)
+        return STATE_ORDER[self.state] > STATE_ORDER[other.state]
+
+    def with_state(self, state: MemberState) -> Member:
+        """Returns the record with another state."""
+        return replace(self, state=state)
