--- /dev/null
+++ b/src/briarfork/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API, through which operators submit changes."""
--- /dev/null
+++ b/src/briarfork/admin/main.py
@@ -0,0 +1,47 @@
+"""The program `briarfork-admin`."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+
+from briarfork.admin.changes import ChangeDesk
+from briarfork.admin.http import build_app
+from briarfork.border.events import Event
+from briarfork.border.program import run_service
+from briarfork.border.store import Store
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from briarfork.border.events import EventLog
+    from briarfork.border.settings import Settings
+
+PROGRAM = "briarfork-admin"
+DESCRIPTION = "Serves the administration API, through which operators submit changes."
+
+
+async def run(settings: Settings, events: EventLog, stopping: asyncio.Event) -> None:
+    """Runs the administration API until a planned stop."""
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.timeouts.connect_s)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        desk = ChangeDesk(Store(settings, session), events)
+        runner = web.AppRunner(
+            build_app(desk, events), access_log=None, shutdown_timeout=settings.timeouts.stop_s
+        )
+        await runner.setup()
+        await web.TCPSite(runner, settings.address, settings.ports.admin).start()
+        events.record(Event.STARTED, admin=settings.ports.admin)
+        await stopping.wait()
+        await runner.cleanup()
+
+
+def main() -> None:
+    """Entry point."""
+    run_service(PROGRAM, DESCRIPTION, run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/briarfork/border/documents.py
@@ -0,0 +1,197 @@
+"""Models that check operators' documents and the bodies of the administration API."""
+
+from __future__ import annotations
+
+from ipaddress import IPv4Network
+from ipaddress import IPv6Network
+from typing import TYPE_CHECKING
+from typing import Annotated
+from typing import Any
+from typing import Literal
+from typing import TypeVar
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import ValidationError
+
+from briarfork.configuration import BASE
+from briarfork.configuration import SERVICE_PREFIX
+from briarfork.configuration import SITE_PREFIX
+from briarfork.errors import InvalidConfiguration
+
+if TYPE_CHECKING:
+    from briarfork.configuration import Document
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Weight = Annotated[float, Field(ge=0, le=1e9, allow_inf_nan=False)]
+Positive = Annotated[float, Field(gt=0, le=1e9, allow_inf_nan=False)]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+Milliseconds = Annotated[int, Field(ge=1, le=86_400_000)]
+RequestClassName = Literal["short", "long"]
+Checked = TypeVar("Checked", bound=BaseModel)
+
+
+class Model(BaseModel):
+    """Base of the models; unknown keys are faults."""
+
+    model_config = ConfigDict(extra="forbid", strict=False, frozen=True)
+
+
+class RegionModel(Model):
+    """A region and its availability zones."""
+
+    zones: Annotated[list[Name], Field(min_length=1)]
+
+
+class LinkModel(Model):
+    """A link between two regions."""
+
+    between: Annotated[list[Name], Field(min_length=2, max_length=2)]
+    gbit_s: Positive
+    latency_ms: Weight
+
+
+class ClientBlockModel(Model):
+    """A block of client addresses and its nearest region."""
+
+    prefix: IPv4Network | IPv6Network
+    region: Name
+
+
+class TeamModel(Model):
+    """A team that may change some documents."""
+
+    token_sha256: Annotated[list[Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]], Field()]
+    documents: list[str]
+    changes_per_minute: Count = 60
+
+
+class RouteModel(Model):
+    """Requests of a service whose path begins with a prefix."""
+
+    prefix: Annotated[str, Field(pattern=r"^/")]
+    request_class: RequestClassName | None = None
+    deadline_ms: Milliseconds | None = None
+
+
+class ShiftModel(Model):
+    """Limits of a traffic shift."""
+
+    cap_rps: Positive
+    slope_percent_per_minute: Positive
+
+
+class ServiceModel(Model):
+    """A service of the base file."""
+
+    idempotent: bool = False
+    request_class: RequestClassName = "short"
+    deadline_ms: Milliseconds
+    slots: Count
+    connections: Count
+    spread: Annotated[dict[Name, Weight], Field(min_length=1)]
+    regional_spread: dict[Name, Annotated[dict[Name, Weight], Field(min_length=1)]] = {}
+    shift: ShiftModel
+    claims: Literal["store", "none"] = "store"
+    routes: list[RouteModel] = []
+
+
+class BaseDocumentModel(Model):
+    """The base file without its services."""
+
+    format: Literal[1]
+    approval: Literal["required", "none"] = "none"
+    entry_vms: Count
+    lookup_ttl_s: Annotated[float, Field(gt=0, le=3600)]
+    regions: Annotated[dict[Name, RegionModel], Field(min_length=1)]
+    links: list[LinkModel] = []
+    client_blocks: list[ClientBlockModel] = []
+    teams: dict[Name, TeamModel] = {}
+
+
+class SiteServiceModel(Model):
+    """What differs for a service at a site."""
+
+    slots: Count | None = None
+    connections: Count | None = None
+
+
+class OverlayModel(Model):
+    """The overlay of a site."""
+
+    site: Name
+    zone: Name
+    drain: bool = False
+    services: dict[Name, SiteServiceModel] = {}
+
+
+class ChangeRequestModel(Model):
+    """A change that an operator submits."""
+
+    change_id: Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+    author: Annotated[str, Field(min_length=1, max_length=64)]
+    reason: Annotated[str, Field(min_length=1, max_length=1000)]
+    start_at: float | None = None
+    edits: dict[str, dict[str, Any] | None]
+    based_on: Annotated[int, Field(ge=0)]
+
+
+class ApprovalModel(Model):
+    """The approval of a draft."""
+
+    approver: Annotated[str, Field(min_length=1, max_length=64)]
+
+
+class WithdrawalModel(Model):
+    """The withdrawal of a scheduled change."""
+
+    change_id: Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+    author: Annotated[str, Field(min_length=1, max_length=64)]
+    reason: Annotated[str, Field(min_length=1, max_length=1000)]
+
+
+def check_document(name: str, body: Any, place: str | None = None) -> Document:
+    """Checks one document and returns it with defaults filled in.
+
+    Args:
+        name: Name of the document, which tells its model.
+        body: The document as parsed.
+        place: File to name in faults, instead of the document.
+
+    Raises:
+        InvalidConfiguration: Lists every fault with file, key and what was expected.
+    """
+    model = _find_model(name)
+    if model is None:
+        raise InvalidConfiguration([f"{name}: expected base, services/NAME or sites/NAME"])
+    checked = check_model(model, body, place or name)
+    return checked.model_dump(mode="json", exclude_none=True)
+
+
+def check_model(model: type[Checked], body: Any, place: str) -> Checked:
+    """Checks a body against a model.
+
+    Raises:
+        InvalidConfiguration: Lists every fault with place, key and what was expected.
+    """
+    try:
+        return model.model_validate(body)
+    except ValidationError as error:
+        raise InvalidConfiguration(
+            [
+                f"{place}: {'.'.join(str(part) for part in fault['loc']) or 'top level'}: "
+                f"{fault['msg']}, found {str(fault['input'])[:60]!r}"
+                for fault in error.errors()
+            ]
+        ) from error
+
+
+def _find_model(name: str) -> type[Model] | None:
+    if name == BASE:
+        return BaseDocumentModel
+    if name.startswith(SERVICE_PREFIX):
+        return ServiceModel
+    if name.startswith(SITE_PREFIX):
+        return OverlayModel
+    return None
--- /dev/null
+++ b/src/briarfork/border/events.py
@@ -0,0 +1,97 @@
+"""Numbered log events; docs/events.md is their catalogue."""
+
+from __future__ import annotations
+
+import sys
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import logbook
+
+if TYPE_CHECKING:
+    from briarfork.border.settings import Settings
+
+FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.channel} {record.message}"
+
+
+@dataclass(frozen=True, slots=True)
+class EventDefinition:
+    """Number, level and meaning of an event."""
+
+    number: int
+    level: str
+    meaning: str
+
+
+class Event(Enum):
+    """All events; a number is never given to another meaning."""
+
+    STARTED = EventDefinition(1001, "notice", "The program has started and accepts work.")
+    STOPPING = EventDefinition(1002, "notice", "A planned stop has begun.")
+    STOPPED = EventDefinition(1003, "notice", "The program has stopped; nothing was cut.")
+    TASK_FAILED = EventDefinition(1004, "error", "A task failed in a way that is not expected.")
+    CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
+    CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
+    CONFIGURATION_IN_FORCE = EventDefinition(
+        2003, "notice", "A new configuration is in force on this VM."
+    )
+    STORE_BEHIND = EventDefinition(
+        2004, "error", "The store is older than this VM or differs from it; the VM keeps its own."
+    )
+    TIMELINE_FORKED = EventDefinition(
+        2005, "error", "A peer offered a change that contradicts the timeline; it was ignored."
+    )
+    CONFIGURATION_UNUSABLE = EventDefinition(
+        2006, "error", "An accepted change could not be rendered; the previous plan stays in use."
+    )
+    STORE_LOST = EventDefinition(3001, "warning", "The store does not answer.")
+    STORE_BACK = EventDefinition(3002, "notice", "The store answers again.")
+    FOLLOWING = EventDefinition(3003, "info", "This VM follows the store for its zone.")
+    NOT_FOLLOWING = EventDefinition(3004, "info", "This VM no longer follows the store.")
+    PEER_CONNECTED = EventDefinition(4001, "info", "A stream to another process is open.")
+    PEER_LOST = EventDefinition(4002, "info", "A stream to another process has ended.")
+    PEER_PROTOCOL_ERROR = EventDefinition(
+        4003, "warning", "Another process sent bytes that are not a valid message."
+    )
+    MEMBER_CHANGED = EventDefinition(4004, "info", "The state of a member has changed.")
+    REQUEST_FAILED = EventDefinition(5001, "info", "A request was answered with an error.")
+    ANSWER_CUT = EventDefinition(
+        5002, "warning", "A backend server ended an answer early; the caller's stream was reset."
+    )
+    OUTCOME_UNKNOWN = EventDefinition(
+        5003, "warning", "A non-idempotent request was sent and brought no answer."
+    )
+    CLAIM_LEFT = EventDefinition(
+        5004, "warning", "A claim could not be updated; repeats of the request are refused."
+    )
+    OWNER_UNREACHABLE = EventDefinition(
+        5005, "info", "The owner of a site's slots does not answer; the local share is used."
+    )
+
+
+class EventLog:
+    """Writes the events of one program on one VM."""
+
+    def __init__(self, program: str, settings: Settings | None = None) -> None:
+        self._logger = logbook.Logger(program)
+        self._vm = settings.vm if settings else "-"
+
+    def record(self, event: Event, **fields: object) -> None:
+        """Writes an event with its fields as key=value pairs."""
+        definition = event.value
+        details = " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
+        self._logger.log(
+            definition.level.upper(),
+            f"event={definition.number} name={event.name.lower()} vm={self._vm} {details}".rstrip(),
+        )
+
+
+def install_log_handler() -> None:
+    """Sends events to standard error, one line each."""
+    logbook.StreamHandler(sys.stderr, level="INFO", format_string=FORMAT).push_application()
+
+
+def _quote(value: object) -> str:
+    text = str(value)
+    return repr(text) if " " in text or "=" in text or not text else text
--- /dev/null
+++ b/src/briarfork/border/messages.py
@@ -0,0 +1,247 @@
+"""Messages between the system's own processes."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import ClassVar
+
+import msgspec
+
+from briarfork.configuration import RequestClass
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+from briarfork.membership import Member
+from briarfork.pools import Release
+from briarfork.registry import Registry
+from briarfork.timeline import Change
+
+TYPE_KEY = "type"
+
+
+class Message(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of all messages."""
+
+    name: ClassVar[str] = ""
+
+
+MESSAGES: Registry[type[Message]] = Registry("message type")
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Load of a service's slots at a site, as the owner of the slots reports it."""
+
+    service: str
+    site: str
+    in_progress: int
+    slots: int
+    waiting: int
+    age_s: float = 0.0
+
+
+class ListedVm(msgspec.Struct, frozen=True):
+    """A VM on the platform's list."""
+
+    vm: str
+    address: str
+    zone: str
+    role: str
+    state: str
+    ports: dict[str, int]
+    site: str = ""
+    service: str = ""
+
+
+@MESSAGES.register("hello")
+class Hello(Message):
+    """Opens every stream in both directions."""
+
+    name = "hello"
+    vm: str
+    zone: str
+
+
+@MESSAGES.register("heartbeat")
+class Heartbeat(Message):
+    """Shows that the sender is alive, and what it knows.
+
+    Attributes:
+        generation: Generation of the sender's timeline.
+        members: Member records that changed since the last heartbeat on this stream.
+        load: Loads that the sender has learned since the last heartbeat on this stream.
+        listed_at: Time at which the sender's list of VMs last changed, seconds since the epoch.
+    """
+
+    name = "heartbeat"
+    generation: int = 0
+    listed_at: float = 0.0
+    members: list[Member] = []
+    load: list[Load] = []
+
+
+@MESSAGES.register("pull")
+class Pull(Message):
+    """Asks for the changes after a generation."""
+
+    name = "pull"
+    after: int
+
+
+@MESSAGES.register("pull_list")
+class PullList(Message):
+    """Asks for the list of VMs."""
+
+    name = "pull_list"
+
+
+@MESSAGES.register("changes")
+class Changes(Message):
+    """Accepted changes in order of generation."""
+
+    name = "changes"
+    changes: list[Change]
+
+
+@MESSAGES.register("members")
+class Members(Message):
+    """The roster of the control process, for the entry process of the same VM."""
+
+    name = "members"
+    members: list[Member]
+
+
+@MESSAGES.register("follow")
+class Follow(Message):
+    """Asks the entry process to follow the store and the list of VMs, or to stop."""
+
+    name = "follow"
+    enabled: bool
+    generation: int
+
+
+@MESSAGES.register("vm_list")
+class VmList(Message):
+    """The platform's list of VMs, as a follower read it.
+
+    Attributes:
+        vms: All live and leaving VMs.
+        listed_at: Time at which the list last changed, seconds since the epoch.
+    """
+
+    name = "vm_list"
+    vms: list[ListedVm]
+    listed_at: float
+
+
+@MESSAGES.register("store_state")
+class StoreState(Message):
+    """Whether the store answers."""
+
+    name = "store_state"
+    reachable: bool
+    generation: int = 0
+
+
+@MESSAGES.register("load_report")
+class LoadReport(Message):
+    """Loads of the slots that the sending entry process owns."""
+
+    name = "load_report"
+    load: list[Load]
+
+
+@MESSAGES.register("leaving")
+class Leaving(Message):
+    """Tells the control process that its VM has begun a planned stop."""
+
+    name = "leaving"
+
+
+@MESSAGES.register("permit_request")
+class PermitRequest(Message):
+    """Asks the owner of a site's slots for a permit."""
+
+    name = "permit_request"
+    permit: str
+    service: str
+    site: str
+    request_class: RequestClass
+    wait_ms: int
+    avoid: list[str] = []
+
+
+@MESSAGES.register("permit_grant")
+class PermitGrant(Message):
+    """Allows one request to one server."""
+
+    name = "permit_grant"
+    permit: str
+    vm: str
+    address: str
+    port: int
+
+
+@MESSAGES.register("permit_refusal")
+class PermitRefusal(Message):
+    """No permit; nothing was sent to a server."""
+
+    name = "permit_refusal"
+    permit: str
+    reason: str
+
+
+@MESSAGES.register("permit_release")
+class PermitRelease(Message):
+    """Returns a permit."""
+
+    name = "permit_release"
+    permit: str
+    service: str
+    site: str
+    how: Release
+    elapsed_ms: float
+
+
+@MESSAGES.register("permit_cancel")
+class PermitCancel(Message):
+    """Withdraws a request for a permit."""
+
+    name = "permit_cancel"
+    permit: str
+    service: str
+    site: str
+
+
+@MESSAGES.register("permit_held")
+class PermitHeld(Message):
+    """Declares a permit that a former owner granted."""
+
+    name = "permit_held"
+    permit: str
+    service: str
+    site: str
+    vm: str
+    request_class: RequestClass
+
+
+def to_map(message: Message) -> dict[str, Any]:
+    """Returns a message as a plain map for the encoder."""
+    body: dict[str, Any] = msgspec.to_builtins(message)
+    body[TYPE_KEY] = message.name
+    return body
+
+
+def from_map(body: object) -> Message:
+    """Checks a decoded map and returns the message.
+
+    Raises:
+        BriarforkError: With kind `peer_protocol`, naming the fault and the place.
+    """
+    if not isinstance(body, dict) or not isinstance(body.get(TYPE_KEY), str):
+        raise BriarforkError(ErrorKind.PEER_PROTOCOL, "expected a map with a message type")
+    name = body.pop(TYPE_KEY)
+    try:
+        return msgspec.convert(body, MESSAGES.get(name))
+    except msgspec.ValidationError as error:
+        raise BriarforkError(ErrorKind.PEER_PROTOCOL, f"message {name!r}: {error}") from error
+    except BriarforkError as error:
+        raise BriarforkError(ErrorKind.PEER_PROTOCOL, error.detail) from error
--- /dev/null
+++ b/src/briarfork/border/platform.py
@@ -0,0 +1,52 @@
+"""Client of the platform's list of VMs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from briarfork.border.messages import ListedVm
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+
+if TYPE_CHECKING:
+    from briarfork.border.settings import Settings
+
+
+class _VmListBody(msgspec.Struct, frozen=True):
+    vms: list[ListedVm]
+
+
+class Platform:
+    """Reads the list of VMs, which lags."""
+
+    def __init__(self, settings: Settings, session: aiohttp.ClientSession) -> None:
+        self._url = settings.platform_url
+        self._timeouts = settings.timeouts
+        self._session = session
+
+    async def list_vms(self) -> list[ListedVm]:
+        """Returns the live and leaving VMs.
+
+        Raises:
+            BriarforkError: With kind `store_unavailable` if the platform does not answer.
+        """
+        try:
+            async with asyncio.timeout(self._timeouts.store_s):
+                async with self._session.get(f"{self._url}/vms") as answer:
+                    answer.raise_for_status()
+                    body = await answer.read()
+            return msgspec.json.decode(body, type=_VmListBody).vms
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            msgspec.ValidationError,
+            msgspec.DecodeError,
+        ) as error:
+            raise BriarforkError(
+                ErrorKind.STORE_UNAVAILABLE, f"GET /vms: {error or type(error).__name__}"
+            ) from error
--- /dev/null
+++ b/src/briarfork/border/store.py
@@ -0,0 +1,147 @@
+"""Client of the platform's key-value service."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+
+if TYPE_CHECKING:
+    from briarfork.border.settings import Settings
+
+ABSENT = 0
+
+
+class StoreUnavailable(BriarforkError):
+    """The store did not answer; a write may have taken effect."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, detail)
+
+
+class StoreConflict(BriarforkError):
+    """A compare-and-swap found another revision than expected."""
+
+    def __init__(self, key: str, expected: int, found: int) -> None:
+        super().__init__(ErrorKind.CONFLICT, f"{key}: expected revision {expected}, found {found}")
+        self.found = found
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key with its value and the revision of its last write."""
+
+    key: str
+    value: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Entries of a prefix, and the revision of the store at which they were read."""
+
+    entries: list[Entry]
+    revision: int
+
+
+class Store:
+    """Calls to the key-value service; every call has a deadline."""
+
+    def __init__(self, settings: Settings, session: aiohttp.ClientSession) -> None:
+        self._url = settings.store_url
+        self._timeouts = settings.timeouts
+        self._session = session
+        self.calls = 0
+
+    async def get(self, key: str) -> Entry | None:
+        """Returns an entry, or None if the key is absent.
+
+        Raises:
+            StoreUnavailable: If the store does not answer.
+        """
+        status, body = await self._call("GET", f"/kv/{key}")
+        if status == HTTPStatus.NOT_FOUND:
+            return None
+        return Entry(key, body["value"], body["revision"])
+
+    async def put(self, key: str, value: str, expect: int, lease: str | None = None) -> int:
+        """Writes a value if the key has the expected revision; returns the new revision.
+
+        Raises:
+            StoreConflict: If it has another one.
+            StoreUnavailable: If the store does not answer; the write may have taken effect.
+        """
+        request = {"value": value, "expect": expect, "lease": lease}
+        status, body = await self._call("PUT", f"/kv/{key}", json=request)
+        if status == HTTPStatus.CONFLICT:
+            raise StoreConflict(key, expect, body["revision"])
+        return int(body["revision"])
+
+    async def delete(self, key: str, expect: int) -> None:
+        """Deletes a key if it has the expected revision.
+
+        Raises:
+            StoreConflict: If it has another one.
+            StoreUnavailable: If the store does not answer; the delete may have taken effect.
+        """
+        params = {"expect": str(expect)}
+        status, body = await self._call("DELETE", f"/kv/{key}", params=params)
+        if status == HTTPStatus.CONFLICT:
+            raise StoreConflict(key, expect, body["revision"])
+
+    async def list_range(self, prefix: str, after: str = "", limit: int = 100) -> Listing:
+        """Returns entries of a prefix in order of key, beginning after a key.
+
+        Raises:
+            StoreUnavailable: If the store does not answer.
+        """
+        params = {"prefix": prefix, "after": after, "limit": str(limit)}
+        _, body = await self._call("GET", "/range", params=params)
+        return _read_listing(body)
+
+    async def watch(self, prefix: str, after: int) -> Listing:
+        """Waits for writes to a prefix after a revision; returns an empty listing if none comes.
+
+        Raises:
+            StoreUnavailable: If the store does not answer.
+        """
+        wait_s = self._timeouts.watch_s
+        params = {"prefix": prefix, "after": str(after), "timeout_s": str(wait_s)}
+        limit_s = wait_s + self._timeouts.store_s
+        _, body = await self._call("GET", "/watch", limit_s=limit_s, params=params)
+        return _read_listing(body)
+
+    async def create_lease(self, ttl_s: float) -> str:
+        """Creates a lease and returns its name.
+
+        Raises:
+            StoreUnavailable: If the store does not answer.
+        """
+        _, body = await self._call("POST", "/leases", json={"ttl_s": ttl_s})
+        return str(body["lease"])
+
+    async def _call(
+        self, method: str, path: str, limit_s: float | None = None, **options: Any
+    ) -> tuple[int, dict[str, Any]]:
+        self.calls += 1
+        try:
+            async with asyncio.timeout(limit_s or self._timeouts.store_s):
+                async with self._session.request(method, self._url + path, **options) as answer:
+                    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                        raise StoreUnavailable(f"{method} {path}: status {answer.status}")
+                    return answer.status, await answer.json()
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            detail = str(error) or type(error).__name__
+            raise StoreUnavailable(f"{method} {path}: {detail}") from error
+
+
+def _read_listing(body: dict[str, Any]) -> Listing:
+    entries = [Entry(item["key"], item["value"], item["revision"]) for item in body["entries"]]
+    return Listing(entries, body["revision"])
--- /dev/null
+++ b/src/briarfork/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line, one small module for each command."""
--- /dev/null
+++ b/src/briarfork/commands/withdraw.py
@@ -0,0 +1,41 @@
+"""`briarfork withdraw`."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+from briarfork.commands.client import AdminClient
+from briarfork.commands.client import add_client_arguments
+from briarfork.commands.command import COMMANDS
+from briarfork.commands.command import Command
+
+if TYPE_CHECKING:
+    import argparse
+
+
+@COMMANDS.register("withdraw")
+class Withdraw(Command):
+    """Withdraws a scheduled change before its start."""
+
+    summary = "Withdraw a scheduled change, at least 12 s before its start."
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Declares the arguments of this command."""
+        parser.add_argument("generation", type=int)
+        parser.add_argument("--author", required=True)
+        parser.add_argument("--reason", required=True)
+        add_client_arguments(parser)
+
+    def run(self) -> None:
+        """Runs the command."""
+        body = {
+            "change_id": f"withdrawal-{uuid.uuid4().hex[:12]}",
+            "author": self.arguments.author,
+            "reason": self.arguments.reason,
+        }
+        generation = self.arguments.generation
+        answer = AdminClient(self.arguments).post(f"/v1/changes/{generation}/withdraw", body)
+        line = f"withdrawn: generation {generation}, by generation {answer['generation']}"
+        self.show(answer, [line])
--- a/src/briarfork/configuration/documents.py
+++ b/src/briarfork/configuration/documents.py
@@ -85,7 +85,7 @@
         zones = {zone for region in base["regions"].values() for zone in region["zones"]}
         faults = _find_base_faults(base)
         for name, service in services.items():
-            faults += _find_service_faults(name, service, set(overlays))
+            faults += _find_service_faults(name, service, base, set(overlays))
         for name, overlay in overlays.items():
             faults += _find_overlay_faults(name, overlay, zones, set(services))
         return faults
@@ -123,9 +123,24 @@
     return faults
 
 
-def _find_service_faults(name: str, service: Document, sites: set[str]) -> list[str]:
-    place = f"services/{name}: spread"
-    spread = service["spread"]
+def _find_service_faults(
+    name: str, service: Document, base: Document, sites: set[str]
+) -> list[str]:
+    faults = _find_spread_faults(f"services/{name}: spread", service["spread"], sites)
+    for region, spread in service.get("regional_spread", {}).items():
+        place = f"services/{name}: regional_spread.{region}"
+        if region not in base["regions"]:
+            faults.append(f"{place}: expected one of {sorted(base['regions'])}")
+        faults += _find_spread_faults(place, spread, sites)
+    if service["shift"]["cap_rps"] < base["entry_vms"]:
+        faults.append(
+            f"services/{name}: shift.cap_rps: expected at least entry_vms ({base['entry_vms']}), "
+            "because each VM moves whole requests"
+        )
+    return faults
+
+
+def _find_spread_faults(place: str, spread: dict[str, float], sites: set[str]) -> list[str]:
     faults = [
         f"{place}.{site}: expected a site with an overlay" for site in sorted(set(spread) - sites)
     ]
@@ -139,7 +154,9 @@
 ) -> list[str]:
     faults = []
     if overlay["site"] != name:
-        faults.append(f"sites/{name}: site: expected {name!r}, an overlay changes only its own site")
+        faults.append(
+            f"sites/{name}: site: expected {name!r}, an overlay changes only its own site"
+        )
     if overlay["zone"] not in zones:
         faults.append(f"sites/{name}: zone: expected one of {sorted(zones)}")
     for service in sorted(set(overlay.get("services", {})) - services):
@@ -154,7 +171,8 @@
 
 def _build_service(name: str, body: Document, overlays: dict[str, Document]) -> Service:
     capacity = {}
-    for site in body["spread"]:
+    spreads = [body["spread"], *body.get("regional_spread", {}).values()]
+    for site in sorted({site for spread in spreads for site in spread}):
         merged = merge_overlay(body, overlays[site].get("services", {}).get(name, {}))
         capacity[site] = SiteCapacity(merged["slots"], merged["connections"])
     routes = tuple(
@@ -173,6 +191,8 @@
         spread=dict(body["spread"]),
         capacity=capacity,
         shift=ShiftLimits(body["shift"]["cap_rps"], body["shift"]["slope_percent_per_minute"]),
+        regional_spread=body.get("regional_spread", {}),
+        claims=body.get("claims", "store") == "store",
         routes=routes,
         selection=body.get("selection", "permits"),
     )
--- a/src/briarfork/configuration/model.py
+++ b/src/briarfork/configuration/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 
 
@@ -80,6 +81,8 @@
         idempotent: Whether methods other than GET and HEAD are idempotent.
         spread: Weight for each site.
         capacity: Capacity of one backend server, for each site.
+        regional_spread: Weights for the clients of one region, where they differ from `spread`.
+        claims: Whether requests with an idempotency key are claimed in the store.
         selection: Name of the server selection policy.
     """
 
@@ -90,6 +93,8 @@
     spread: dict[str, float]
     capacity: dict[str, SiteCapacity]
     shift: ShiftLimits
+    regional_spread: dict[str, dict[str, float]] = field(default_factory=dict)
+    claims: bool = True
     routes: tuple[Route, ...] = ()
     selection: str = "permits"
 
@@ -100,6 +105,12 @@
             return max(matching, key=lambda route: len(route.prefix))
         return Route("/", self.request_class, self.deadline_ms)
 
+    @property
+    def is_mixed(self) -> bool:
+        """Whether the service has both short and long requests."""
+        classes = {self.request_class} | {route.request_class for route in self.routes}
+        return len(classes) > 1
+
     def is_idempotent(self, method: str) -> bool:
         """Returns whether a request with this method may run more than once."""
         return self.idempotent or method in ("GET", "HEAD", "OPTIONS")
@@ -125,7 +136,6 @@
     client_blocks: tuple[ClientBlock, ...]
     sites: dict[str, Site]
     services: dict[str, Service]
-    hop_ms: float = 4.0
 
     def find_region(self, zone: str) -> str | None:
         """Returns the region of an availability zone, or None for an unknown zone."""
--- /dev/null
+++ b/src/briarfork/entry/control_link.py
@@ -0,0 +1,132 @@
+"""The stream to the control process of the same VM."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import Any
+
+from briarfork.border.events import Event
+from briarfork.border.messages import Changes
+from briarfork.border.messages import Follow
+from briarfork.border.messages import Heartbeat
+from briarfork.border.messages import Hello
+from briarfork.border.messages import Leaving
+from briarfork.border.messages import LoadReport
+from briarfork.border.messages import Members
+from briarfork.border.messages import Message
+from briarfork.border.messages import VmList
+from briarfork.border.streams import StreamClosed
+from briarfork.border.streams import dial
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+from briarfork.registry import Registry
+
+if TYPE_CHECKING:
+    from briarfork.border.messages import Load
+    from briarfork.border.streams import MessageStream
+    from briarfork.entry.process import EntryProcess
+
+HANDLERS: Registry[Callable[[Any, Any], None]] = Registry("message for an entry process")
+
+
+@HANDLERS.register(Changes.name)
+def handle_changes(process: EntryProcess, message: Changes) -> None:
+    """Takes accepted changes."""
+    process.view.accept_changes(message.changes)
+    process.refresh_slots()
+
+
+@HANDLERS.register(Members.name)
+def handle_members(process: EntryProcess, message: Members) -> None:
+    """Takes the roster."""
+    process.view.accept_members(message.members)
+    process.refresh_slots()
+
+
+@HANDLERS.register(VmList.name)
+def handle_vm_list(process: EntryProcess, message: VmList) -> None:
+    """Takes the platform's list of VMs."""
+    process.view.accept_list(message.vms)
+    process.refresh_slots()
+
+
+@HANDLERS.register(Follow.name)
+def handle_follow(process: EntryProcess, message: Follow) -> None:
+    """Begins or ends following the store."""
+    process.follower.set_enabled(message.enabled, message.generation)
+
+
+@HANDLERS.register(Heartbeat.name)
+def handle_heartbeat(process: EntryProcess, message: Heartbeat) -> None:
+    """Takes the loads that other VMs have reported."""
+    process.accept_load(message.load)
+
+
+class ControlLink:
+    """Keeps the stream to the control process; while it is lost the last view stays in use."""
+
+    def __init__(self, process: EntryProcess) -> None:
+        self._process = process
+        self._stream: MessageStream | None = None
+        self._leaving = False
+
+    def send(self, message: Message) -> None:
+        """Sends a message if the stream is open."""
+        if self._stream is None:
+            return
+        try:
+            self._stream.send(message)
+        except StreamClosed:
+            self._stream = None
+
+    def leave(self) -> None:
+        """Tells the control process that this VM has begun a planned stop."""
+        self._leaving = True
+        self.send(Leaving())
+
+    async def run(self) -> None:
+        """Dials the control process and takes its messages, again after every loss."""
+        settings = self._process.settings
+        while True:
+            try:
+                stream = await dial(
+                    settings.address, settings.ports.local, settings.timeouts.connect_s
+                )
+                await self._converse(stream)
+            except StreamClosed:
+                pass
+            self._stream = None
+            await asyncio.sleep(settings.timeouts.reconnect_s)
+
+    async def _converse(self, stream: MessageStream) -> None:
+        settings = self._process.settings
+        self._stream = stream
+        stream.send(Hello(settings.vm, settings.zone))
+        if self._leaving:
+            stream.send(Leaving())
+        try:
+            async with asyncio.TaskGroup() as group:
+                sender = group.create_task(self._report(stream))
+                try:
+                    while True:
+                        self._handle(await stream.receive(settings.timeouts.silence_s))
+                finally:
+                    sender.cancel()
+        except* BriarforkError as group_error:
+            reason = group_error.exceptions[0]
+            self._process.events.record(Event.PEER_LOST, peer="control", reason=reason)
+        finally:
+            stream.abort()
+
+    def _handle(self, message: Message) -> None:
+        if message.name not in HANDLERS.names():
+            raise BriarforkError(ErrorKind.PEER_PROTOCOL, f"unexpected message {message.name!r}")
+        HANDLERS.get(message.name)(self._process, message)
+
+    async def _report(self, stream: MessageStream) -> None:
+        while True:
+            loads: list[Load] = self._process.slots.list_load()
+            stream.send(LoadReport(loads) if loads else Heartbeat())
+            await asyncio.sleep(self._process.settings.timeouts.heartbeat_s)
--- /dev/null
+++ b/src/briarfork/entry/http.py
@@ -0,0 +1,122 @@
+"""HTTP towards callers: routes and the form of errors."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from briarfork.border.events import Event
+from briarfork.border.metrics import Metric
+from briarfork.entry.proxy import Proxy
+from briarfork.errors import ANSWERS
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+from briarfork.errors import NotRun
+
+if TYPE_CHECKING:
+    from aiohttp.typedefs import Handler
+
+    from briarfork.entry.process import EntryProcess
+
+ERROR_HEADER = "Briarfork-Error"
+OUTCOME_HEADER = "Briarfork-Outcome"
+
+
+def build_app(process: EntryProcess) -> web.Application:
+    """Returns the HTTP application of an entry process."""
+    proxy = Proxy(process)
+    front = CallerFront(process)
+    app = web.Application(middlewares=[front.answer_errors])
+    app.router.add_get("/lookup", front.look_up)
+    app.router.add_get("/healthz", front.report_health)
+    app.router.add_route("*", "/services/{service}/{path:.*}", proxy.handle)
+    return app
+
+
+class CallerFront:
+    """Lookups, health and the answers to errors."""
+
+    def __init__(self, process: EntryProcess) -> None:
+        self._process = process
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Answers which entry VMs a client should use for a service, the best first.
+
+        Raises:
+            NotRun: If the service is unknown or the client is not an address.
+        """
+        self._process.metrics.count(Metric.LOOKUPS)
+        service = request.query.get("service")
+        if not service:
+            raise NotRun(ErrorKind.BAD_REQUEST, "service: expected a query parameter")
+        view = self._process.view
+        steering = view.require_steering()
+        client = request.query.get("client") or request.remote or ""
+        site = steering.assign(service, client, time.time())
+        by_name = {entry.vm: entry for entry in view.list_entries()}
+        order = steering.order_entries(site, list(by_name.values()), client)
+        return web.json_response(
+            {
+                "service": service,
+                "generation": view.timeline.generation,
+                "ttl_s": steering.plan.lookup_ttl_s,
+                "entries": [
+                    {
+                        "vm": vm,
+                        "address": by_name[vm].address,
+                        "port": by_name[vm].port,
+                        "zone": by_name[vm].zone,
+                    }
+                    for vm in order
+                ],
+            }
+        )
+
+    async def report_health(self, request: web.Request) -> web.Response:
+        """Answers whether this VM takes new callers."""
+        if self._process.leaving:
+            return web.Response(status=503, text="leaving\n")
+        return web.Response(text="serving\n")
+
+    @web.middleware
+    async def answer_errors(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Turns errors into answers by the table."""
+        try:
+            self._check_headers(request)
+            response = await handler(request)
+        except BriarforkError as error:
+            return self._build_answer(request, error)
+        except web.HTTPNotFound:
+            error = NotRun(ErrorKind.UNKNOWN_PATH, f"{request.path}: no such path")
+            return self._build_answer(request, error)
+        except web.HTTPMethodNotAllowed as error:
+            wrong = NotRun(ErrorKind.BAD_REQUEST, f"{request.path}: {error.reason}")
+            return self._build_answer(request, wrong)
+        if self._process.leaving and not response.prepared:
+            response.force_close()
+        return response
+
+    def _check_headers(self, request: web.Request) -> None:
+        size = sum(len(name) + len(value) for name, value in request.raw_headers)
+        limit = self._process.settings.limits.header_bytes
+        if size > limit:
+            raise NotRun(
+                ErrorKind.HEADER_TOO_LARGE, f"headers: expected at most {limit} bytes, found {size}"
+            )
+
+    def _build_answer(self, request: web.Request, error: BriarforkError) -> web.Response:
+        answer = ANSWERS[error.kind]
+        self._process.metrics.count(Metric.ERRORS, error.kind.value)
+        self._process.events.record(
+            Event.REQUEST_FAILED, kind=error.kind.value, path=request.path, detail=error.detail
+        )
+        body = {
+            "error": error.kind.value,
+            "detail": error.detail,
+            "outcome": answer.outcome.value,
+            "retryable": answer.retryable,
+        }
+        headers = {ERROR_HEADER: error.kind.value, OUTCOME_HEADER: answer.outcome.value}
+        return web.json_response(body, status=answer.status, headers=headers)
--- /dev/null
+++ b/src/briarfork/entry/process.py
@@ -0,0 +1,110 @@
+"""The parts of an entry process and their tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+
+from briarfork.border.events import Event
+from briarfork.border.metrics import Metrics
+from briarfork.border.platform import Platform
+from briarfork.border.store import Store
+from briarfork.border.streams import serve
+from briarfork.entry.claims import ClaimBook
+from briarfork.entry.control_link import ControlLink
+from briarfork.entry.follower import Follower
+from briarfork.entry.forward import Forwarder
+from briarfork.entry.http import build_app
+from briarfork.entry.permits import PermitClient
+from briarfork.entry.slots import SlotDesk
+from briarfork.entry.view import EntryView
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from briarfork.border.events import EventLog
+    from briarfork.border.messages import Load
+    from briarfork.border.settings import Settings
+
+
+class EntryProcess:
+    """Holds the parts together; each part has one job and one or more tasks."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        events: EventLog,
+        platform_session: aiohttp.ClientSession,
+        server_session: aiohttp.ClientSession,
+    ) -> None:
+        self.settings = settings
+        self.events = events
+        self.metrics = Metrics(settings)
+        self.leaving = False
+        self.view = EntryView(settings, events)
+        self.slots = SlotDesk(settings, events, self.view)
+        self.permits = PermitClient(self.view, self.slots)
+        self.control = ControlLink(self)
+        store = Store(settings, platform_session)
+        self.follower = Follower(self, store, Platform(settings, platform_session))
+        self.claims = ClaimBook(store, events)
+        self.forwarder = Forwarder(settings, server_session)
+        self.load: dict[tuple[str, str], Load] = {}
+
+    def refresh_slots(self) -> None:
+        """Applies a change of the view to the slots that this VM owns."""
+        if self.view.timeline.generation:
+            self.slots.refresh()
+
+    def accept_load(self, loads: Iterable[Load]) -> None:
+        """Takes the loads that other VMs have reported."""
+        for load in loads:
+            self.load[load.service, load.site] = load
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serves until a planned stop has ended."""
+        settings = self.settings
+        runner = web.AppRunner(
+            build_app(self),
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            shutdown_timeout=settings.timeouts.stop_s,
+        )
+        await runner.setup()
+        await web.TCPSite(runner, settings.address, settings.ports.entry).start()
+        permits = await serve(settings.address, settings.ports.permits, self.slots.serve)
+        self.events.record(Event.STARTED, entry=settings.ports.entry)
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(work)
+                for work in (
+                    self.control.run(),
+                    self.follower.follow_changes(),
+                    self.follower.follow_list(),
+                    self.slots.poll(),
+                    self.permits.keep_links(),
+                )
+            ]
+            await stopping.wait()
+            await self._leave(runner)
+            for task in tasks:
+                task.cancel()
+        permits.close()
+
+    async def _leave(self, runner: web.AppRunner) -> None:
+        """Stops without cutting a request.
+
+        Callers cache lookups, so requests arrive until the time-to-live is over.
+        """
+        timeouts = self.settings.timeouts
+        self.leaving = True
+        self.control.leave()
+        if self.view.timeline.generation:
+            ttl_s = self.view.require_steering().plan.lookup_ttl_s
+            await asyncio.sleep(ttl_s + timeouts.spread_s)
+        # Closes the listening socket and idle connections, then waits for requests in progress.
+        await runner.cleanup()
--- /dev/null
+++ b/src/briarfork/entry/view.py
@@ -0,0 +1,130 @@
+"""What an entry process knows of configuration, members and servers."""
+
+from __future__ import annotations
+
+import math
+import time
+from typing import TYPE_CHECKING
+
+from briarfork.border.events import Event
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+from briarfork.errors import NotRun
+from briarfork.membership import MemberState
+from briarfork.membership import rank_members
+from briarfork.pools import ServerAddress
+from briarfork.steering import EntryAddress
+from briarfork.steering import Steering
+from briarfork.steering import build_ramps
+from briarfork.timeline import Timeline
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from briarfork.border.events import EventLog
+    from briarfork.border.messages import ListedVm
+    from briarfork.border.settings import Settings
+    from briarfork.membership import Member
+    from briarfork.timeline import Change
+
+BACKEND_ROLE = "backend"
+LIVE_STATE = "live"
+
+
+class EntryView:
+    """The entry process's copy of what its control process sends; it survives a loss of control."""
+
+    def __init__(self, settings: Settings, events: EventLog) -> None:
+        self.settings = settings
+        self.timeline = Timeline()
+        self.members: dict[str, Member] = {}
+        self.listed: list[ListedVm] = []
+        self._events = events
+        self._steering: Steering | None = None
+        self._next_start = math.inf
+
+    def accept_changes(self, changes: Iterable[Change]) -> None:
+        """Adds changes to the timeline and renders what is in force now."""
+        for change in changes:
+            self.timeline.append(change)
+        self._render(time.time())
+
+    def accept_members(self, members: Iterable[Member]) -> None:
+        """Replaces the roster."""
+        self.members = {member.vm: member for member in members}
+
+    def accept_list(self, listed: list[ListedVm]) -> None:
+        """Replaces the platform's list of VMs."""
+        self.listed = listed
+
+    def require_steering(self) -> Steering:
+        """Returns the steering in force now.
+
+        Raises:
+            NotRun: If this VM has no configuration.
+        """
+        wall_now = time.time()
+        if wall_now >= self._next_start:
+            self._render(wall_now)
+        if self._steering is None:
+            raise NotRun(ErrorKind.NO_CONFIGURATION, "this VM has no configuration yet")
+        return self._steering
+
+    def list_entries(self) -> list[EntryAddress]:
+        """Returns the entry VMs that callers may use."""
+        return [
+            EntryAddress(member.vm, member.address, member.ports["entry"], member.zone)
+            for member in self.members.values()
+            if member.state is MemberState.LIVE and member.serving
+        ]
+
+    def list_servers(self, service: str, site: str) -> list[ServerAddress]:
+        """Returns the backend servers of a service at a site that the platform lists as live."""
+        return [
+            ServerAddress(vm.vm, vm.address, vm.ports["http"])
+            for vm in self.listed
+            if vm.role == BACKEND_ROLE
+            and vm.service == service
+            and vm.site == site
+            and vm.state == LIVE_STATE
+        ]
+
+    def list_zone_entries(self, zone: str) -> list[Member]:
+        """Returns the entry VMs of a zone that can own slots."""
+        return [
+            member
+            for member in self.members.values()
+            if member.zone == zone and member.state is MemberState.LIVE and member.serving
+        ]
+
+    def find_owner(self, service: str, site: str) -> Member | None:
+        """Returns the entry VM that owns the slots of a service at a site.
+
+        It is in the site's zone; if none serves there, one of the site's region takes over.
+        """
+        plan = self.require_steering().plan
+        zone = plan.sites[site].zone
+        region = plan.find_region(zone)
+        candidates = self.list_zone_entries(zone)
+        if not candidates:
+            zones = plan.regions.get(region or "", ())
+            candidates = [member for name in zones for member in self.list_zone_entries(name)]
+        ranked = rank_members(f"{service}|{site}", candidates)
+        return ranked[0] if ranked else None
+
+    def _render(self, wall_now: float) -> None:
+        self._next_start = self.timeline.find_next_start(wall_now) or math.inf
+        if self.timeline.generation == 0:
+            return
+        try:
+            plan = self.timeline.find_documents(wall_now).render()
+        except BriarforkError as error:
+            self._events.record(Event.CONFIGURATION_UNUSABLE, fault=error.detail)
+            return
+        steering = Steering(plan, build_ramps(self.timeline, wall_now), time.monotonic())
+        if self._steering is not None:
+            steering.inherit(self._steering)
+        self._steering = steering
+        self._events.record(
+            Event.CONFIGURATION_IN_FORCE, generation=self.timeline.generation, at=f"{wall_now:.3f}"
+        )
--- a/src/briarfork/membership/member.py
+++ b/src/briarfork/membership/member.py
@@ -34,9 +34,10 @@
         address: IP address.
         zone: Availability zone.
         incarnation: Start time of its control process in milliseconds; a restart raises it.
-        version: Raised by the member itself when it refutes a suspicion.
+        version: Raised by the member itself with every change of its record.
         state: Condition.
         ports: Port numbers by name: "entry", "permits", "control".
+        serving: Whether its entry process runs, so that it may get callers and follow the store.
     """
 
     vm: str
@@ -46,6 +47,7 @@
     version: int
     state: MemberState
     ports: dict[str, int]
+    serving: bool = False
 
     def supersedes(self, other: Member) -> bool:
         """Returns whether this record is newer evidence than another one of the same VM."""
--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -5,8 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import xxhash
-
+from briarfork.hashing import hash_text
 from briarfork.membership.member import Member
 from briarfork.membership.member import MemberState
 
@@ -23,7 +22,7 @@
     """Orders members for a key by rendezvous hashing, the owner first."""
     return sorted(
         members,
-        key=lambda member: (xxhash.xxh3_64_intdigest(f"{key}|{member.vm}"), member.vm),
+        key=lambda member: (hash_text(f"{key}|{member.vm}"), member.vm),
     )
 
 
@@ -52,25 +51,26 @@
             if record.vm == self.own.vm:
                 if record.incarnation > self.own.incarnation:
                     continue
-                record = replace(self.own, version=record.version + 1)
-                self.own = record
+                record = self._replace_own(version=record.version + 1)
             self._members[record.vm] = record
             changed.append(record)
         return changed
 
     def leave(self) -> Member:
         """Marks this VM as leaving."""
-        self.own = self.own.with_state(MemberState.LEAVING)
-        self._members[self.own.vm] = self.own
-        return self.own
+        return self._replace_own(state=MemberState.LEAVING, version=self.own.version + 1)
+
+    def set_serving(self, serving: bool) -> Member:
+        """Records whether the entry process of this VM runs."""
+        if serving == self.own.serving:
+            return self.own
+        return self._replace_own(serving=serving, version=self.own.version + 1)
 
     def hear(self, vm: str, now: float) -> None:
         """Records direct evidence that a member is alive."""
         self._heard_at[vm] = now
 
-    def suspect_silent(
-        self, peers: Sequence[str], silence_s: float, now: float
-    ) -> list[Member]:
+    def suspect_silent(self, peers: Sequence[str], silence_s: float, now: float) -> list[Member]:
         """Marks peers that were not heard within the silence limit.
 
         If most of the peers are silent at the same time, this VM is more likely the one that is
@@ -100,6 +100,10 @@
             self._heard_at.pop(vm, None)
         return absent
 
+    def find(self, vm: str) -> Member | None:
+        """Returns the record of a VM, or None if it is unknown."""
+        return self._members.get(vm)
+
     def list_all(self) -> list[Member]:
         """Returns all members, sorted by name."""
         return [self._members[vm] for vm in sorted(self._members)]
@@ -112,9 +116,14 @@
             if member.state is MemberState.LIVE and zone in (None, member.zone)
         ]
 
+    def list_serving(self) -> list[Member]:
+        """Returns the live members whose entry process runs."""
+        return [member for member in self.list_live() if member.serving]
+
     def list_followers(self, zone: str) -> list[Member]:
         """Returns the members of a zone that follow the store."""
-        return rank_members(f"follow|{zone}", self.list_live(zone))[:FOLLOWERS_PER_ZONE]
+        candidates = [member for member in self.list_serving() if member.zone == zone]
+        return rank_members(f"follow|{zone}", candidates)[:FOLLOWERS_PER_ZONE]
 
     def is_follower(self) -> bool:
         """Returns whether this VM follows the store for its zone."""
@@ -124,9 +133,15 @@
         """Returns the members to which this VM keeps a stream.
 
         The next member in the ring of the zone and of all members keeps the graph connected; the
-        others, chosen by rendezvous hashing, keep the paths short.
+        others, chosen by rendezvous hashing, keep the paths short. Suspect members are included,
+        so that the streams return after a partition.
         """
-        others = [member for member in self.list_live() if member.vm != self.own.vm]
+        reachable = (MemberState.LIVE, MemberState.SUSPECT)
+        others = [
+            member
+            for member in self.list_all()
+            if member.state in reachable and member.vm != self.own.vm
+        ]
         mates = [member for member in others if member.zone == self.own.zone]
         remote = [member for member in others if member.zone != self.own.zone]
         chosen = rank_members(self.own.vm, mates)[:ZONE_NEIGHBOURS]
@@ -134,6 +149,11 @@
         chosen += _find_next(self.own.vm, mates) + _find_next(self.own.vm, others)
         return [self._members[vm] for vm in sorted({member.vm for member in chosen})]
 
+    def _replace_own(self, **fields: object) -> Member:
+        self.own = replace(self.own, **fields)  # type: ignore[arg-type]
+        self._members[self.own.vm] = self.own
+        return self.own
+
 
 def _find_next(vm: str, members: Sequence[Member]) -> list[Member]:
     """Returns the member that follows a name in the sorted ring, as a list of at most one."""
--- /dev/null
+++ b/src/briarfork/pools/__init__.py
@@ -0,0 +1,21 @@
+"""Pools of backend servers: slots, permits and server selection."""
+
+from briarfork.pools.queue import Grant
+from briarfork.pools.queue import PermitDemand
+from briarfork.pools.queue import PermitQueue
+from briarfork.pools.queue import Refusal
+from briarfork.pools.queue import Release
+from briarfork.pools.selection import SELECTION
+from briarfork.pools.server import Server
+from briarfork.pools.server import ServerAddress
+
+__all__ = [
+    "SELECTION",
+    "Grant",
+    "PermitDemand",
+    "PermitQueue",
+    "Refusal",
+    "Release",
+    "Server",
+    "ServerAddress",
+]
--- /dev/null
+++ b/src/briarfork/pools/selection.py
@@ -0,0 +1,45 @@
+"""Server selection policies.
+
+A policy chooses among servers that have room. "permits" is the product's policy, used by the
+owner of the slots; the others are baselines that requesters apply on their own knowledge.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from random import Random
+
+from briarfork.pools.server import Server
+from briarfork.registry import Registry
+
+Policy = Callable[[Sequence[Server], Random], Server]
+
+SELECTION: Registry[Policy] = Registry("selection policy")
+POWER_OF_TWO = 2
+
+
+@SELECTION.register("permits")
+def select_fastest_free(servers: Sequence[Server], random: Random) -> Server:
+    """Chooses the server with the fewest requests in progress, then the shortest run time."""
+    return min(servers, key=lambda server: (server.in_progress, server.run_time_s))
+
+
+@SELECTION.register("random")
+def select_random(servers: Sequence[Server], random: Random) -> Server:
+    """Chooses any server with equal probability."""
+    return random.choice(servers)
+
+
+@SELECTION.register("least_outstanding")
+def select_least_outstanding(servers: Sequence[Server], random: Random) -> Server:
+    """Chooses a server with the fewest requests in progress; ties are broken at random."""
+    fewest = min(server.in_progress for server in servers)
+    return random.choice([server for server in servers if server.in_progress == fewest])
+
+
+@SELECTION.register("power_of_two")
+def select_power_of_two(servers: Sequence[Server], random: Random) -> Server:
+    """Chooses the less loaded of two servers drawn at random."""
+    drawn = random.sample(list(servers), min(POWER_OF_TWO, len(servers)))
+    return min(drawn, key=lambda server: server.in_progress)
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -6,11 +6,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import xxhash
-
-from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.hashing import hash_text
 from briarfork.steering.blocks import BlockTable
 from briarfork.steering.shift import Ramp
 from briarfork.steering.shift import ShiftCap
@@ -20,6 +18,7 @@
     from collections.abc import Sequence
 
     from briarfork.configuration import Plan
+    from briarfork.steering.history import RampKey
     from briarfork.steering.shift import Shares
 
 HASH_RANGE = 2.0**64
@@ -39,7 +38,7 @@
 
 def hash_unit(text: str) -> float:
     """Returns a hash of the text, uniform in (0, 1)."""
-    return (xxhash.xxh3_64_intdigest(text) + 0.5) / HASH_RANGE
+    return (hash_text(text) + 0.5) / HASH_RANGE
 
 
 def choose_site(shares: Shares, key: str) -> str:
@@ -57,13 +56,17 @@
     )
 
 
+def _name_group(service: str, client: str) -> str:
+    return f"{service}|{hash_text(client) % CLIENT_GROUPS}"
+
+
 class Steering:
     """Assigns clients to sites under one plan and its ramps.
 
     A new instance is built when the plan changes; the caps of shifts that go on are carried over.
     """
 
-    def __init__(self, plan: Plan, ramps: Mapping[str, Ramp], now: float) -> None:
+    def __init__(self, plan: Plan, ramps: Mapping[RampKey, Ramp], now: float) -> None:
         self.plan = plan
         self._ramps = dict(ramps)
         self._blocks = BlockTable(plan.client_blocks)
@@ -88,28 +91,34 @@
                 ErrorKind.BAD_REQUEST, f"client: expected an IP address, found {address!r}"
             ) from error
 
-    def find_shares(self, service: str, now: float) -> Shares:
-        """Returns the shares of a service's sites at a time, without drained sites.
+    def find_shares(self, service: str, region: str | None, now: float) -> Shares:
+        """Returns the shares of a service's sites for clients of a region, without drained sites.
 
         Raises:
-            BriarforkError: If the service is unknown.
+            NotRun: If the service is unknown or all its sites are drained.
         """
-        ramp = self._find_ramp(service)
-        return self._drop_drained(ramp.find_shares(now))
+        return self._drop_drained(self._find_ramp(service, region).find_shares(now))
 
     def assign(self, service: str, client: str, now: float) -> str:
-        """Returns the site to which a client's look-ups are directed."""
-        return choose_site(self.find_shares(service, now), self._group(service, client))
+        """Returns the site to which a client's lookups are directed."""
+        shares = self.find_shares(service, self.find_region(client), now)
+        return choose_site(shares, _name_group(service, client))
 
-    def assign_request(self, service: str, client: str, now: float) -> str:
+    def assign_request(self, service: str, client: str, wall_now: float, now: float) -> str:
         """Returns the site for one request, with the cap of a shift applied.
 
         A request that the shift moves goes to the receiving site only within the cap; else it
         stays at the site that it had before the shift.
+
+        Args:
+            service: Name of the service.
+            client: Address of the client.
+            wall_now: Time of day, on which the timeline is scheduled.
+            now: Monotonic time, on which the cap is counted.
         """
-        ramp = self._find_ramp(service)
-        group = self._group(service, client)
-        site = choose_site(self._drop_drained(ramp.find_shares(now)), group)
+        ramp = self._find_ramp(service, self.find_region(client))
+        group = _name_group(service, client)
+        site = choose_site(self._drop_drained(ramp.find_shares(wall_now)), group)
         if ramp.origin == ramp.target:
             return site
         previous = choose_site(ramp.origin, group)
@@ -135,8 +144,8 @@
 
         return [entry.vm for entry in sorted(entries, key=rank)]
 
-    def _find_ramp(self, service: str) -> Ramp:
-        ramp = self._ramps.get(service)
+    def _find_ramp(self, service: str, region: str | None) -> Ramp:
+        ramp = self._ramps.get((service, region)) or self._ramps.get((service, None))
         if ramp is None:
             raise NotRun(ErrorKind.UNKNOWN_SERVICE, f"service {service!r} is not configured")
         return ramp
@@ -144,16 +153,13 @@
     def _drop_drained(self, shares: Shares) -> Shares:
         kept = {site: share for site, share in shares.items() if not self._is_drained(site)}
         if not any(share > 0 for share in kept.values()):
-            raise BriarforkError(ErrorKind.NO_SERVER, "every site of the service is drained")
+            raise NotRun(ErrorKind.NO_SERVER, "every site of the service is drained")
         return kept
 
     def _is_drained(self, site: str) -> bool:
         known = self.plan.sites.get(site)
         return known is None or known.drain
 
-    def _group(self, service: str, client: str) -> str:
-        return f"{service}|{xxhash.xxh3_64_intdigest(client) % CLIENT_GROUPS}"
-
     def _find_cap(self, service: str, site: str, ramp: Ramp) -> ShiftCap:
         key = (service, site, ramp.start_at)
         cap = self._caps.get(key)
--- a/src/briarfork/timeline/change.py
+++ b/src/briarfork/timeline/change.py
@@ -6,11 +6,9 @@
 import json
 from dataclasses import asdict
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 from typing import Any
 
-if TYPE_CHECKING:
-    from briarfork.configuration import Document
+from briarfork.configuration import Document
 
 FIRST_GENERATION = 1
 NO_HASH = ""
--- /dev/null
+++ b/tests/standins/store.py
@@ -0,0 +1,228 @@
+"""Stand-in for the platform's key-value service.
+
+`POST /fault` sets the behaviour: `mode` is "up", "down" (no answer), "refuse" (connection closed),
+"slow" (`delay_s`) or "lose" (the next `count` answers to writes are lost after the write took
+effect). `GET /calls` counts calls; a waiting watch counts as one.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass
+from dataclasses import field
+
+from aiohttp import web
+
+HANG_S = 60.0
+
+
+@dataclass(slots=True)
+class Item:
+    value: str
+    revision: int
+    lease: str | None
+
+
+@dataclass(slots=True)
+class StoreState:
+    items: dict[str, Item] = field(default_factory=dict)
+    leases: dict[str, tuple[float, float]] = field(default_factory=dict)
+    revision: int = 0
+    calls: dict[str, int] = field(default_factory=dict)
+    mode: str = "up"
+    delay_s: float = 0.0
+    lose: int = 0
+    written: asyncio.Condition = field(default_factory=asyncio.Condition)
+    lease_names: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+
+    def drop_lapsed(self) -> None:
+        now = time.monotonic()
+        lapsed = {name for name, (_, expires_at) in self.leases.items() if expires_at <= now}
+        for name in lapsed:
+            del self.leases[name]
+        for key in [key for key, item in self.items.items() if item.lease in lapsed]:
+            del self.items[key]
+
+    def select(
+        self, prefix: str, after_key: str = "", after_revision: int = 0
+    ) -> list[dict[str, object]]:
+        return [
+            {"key": key, "value": item.value, "revision": item.revision}
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix) and key > after_key and item.revision > after_revision
+        ]
+
+
+STATE = web.AppKey("state", StoreState)
+routes = web.RouteTableDef()
+
+
+@routes.get("/kv/{key:.+}")
+async def get_key(request: web.Request) -> web.Response:
+    item = request.app[STATE].items.get(request.match_info["key"])
+    if item is None:
+        return web.json_response({}, status=404)
+    return web.json_response({"value": item.value, "revision": item.revision})
+
+
+@routes.put("/kv/{key:.+}")
+async def put_key(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    body = await request.json()
+    key = request.match_info["key"]
+    known = state.items.get(key)
+    found = known.revision if known else 0
+    if body["expect"] != found:
+        return web.json_response({"revision": found}, status=409)
+    if body.get("lease") and body["lease"] not in state.leases:
+        return web.json_response({"error": "no such lease"}, status=400)
+    async with state.written:
+        state.revision += 1
+        state.items[key] = Item(body["value"], state.revision, body.get("lease"))
+        state.written.notify_all()
+    return web.json_response({"revision": state.revision})
+
+
+@routes.delete("/kv/{key:.+}")
+async def delete_key(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    known = state.items.get(request.match_info["key"])
+    found = known.revision if known else 0
+    if int(request.query["expect"]) != found:
+        return web.json_response({"revision": found}, status=409)
+    state.items.pop(request.match_info["key"], None)
+    return web.json_response({})
+
+
+@routes.get("/range")
+async def list_range(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    entries = state.select(request.query["prefix"], request.query.get("after", ""))
+    limit = int(request.query.get("limit", "100"))
+    return web.json_response({"entries": entries[:limit], "revision": state.revision})
+
+
+@routes.get("/watch")
+async def watch(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    prefix, after = request.query["prefix"], int(request.query["after"])
+    try:
+        async with asyncio.timeout(float(request.query["timeout_s"])), state.written:
+            await state.written.wait_for(lambda: state.select(prefix, after_revision=after))
+    except TimeoutError:
+        pass
+    entries = state.select(prefix, after_revision=after)
+    return web.json_response({"entries": entries, "revision": state.revision})
+
+
+@routes.post("/leases")
+async def create_lease(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    ttl_s = float((await request.json())["ttl_s"])
+    name = f"lease-{next(state.lease_names)}"
+    state.leases[name] = (ttl_s, time.monotonic() + ttl_s)
+    return web.json_response({"lease": name})
+
+
+@routes.put("/leases/{name}")
+async def renew_lease(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    name = request.match_info["name"]
+    if name not in state.leases:
+        return web.json_response({}, status=404)
+    ttl_s, _ = state.leases[name]
+    state.leases[name] = (ttl_s, time.monotonic() + ttl_s)
+    return web.json_response({})
+
+
+@routes.delete("/leases/{name}")
+async def delete_lease(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    name = request.match_info["name"]
+    if name in state.leases:
+        state.leases[name] = (0.0, 0.0)
+    state.drop_lapsed()
+    return web.json_response({})
+
+
+@routes.post("/fault")
+async def set_fault(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    body = await request.json()
+    state.mode = body.get("mode", "up")
+    state.delay_s = float(body.get("delay_s", 0.0))
+    state.lose = int(body.get("count", 1)) if state.mode == "lose" else 0
+    return web.json_response({})
+
+
+@routes.get("/calls")
+async def count_calls(request: web.Request) -> web.Response:
+    return web.json_response(request.app[STATE].calls)
+
+
+@routes.post("/dump")
+async def dump(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    items = {key: [item.value, item.revision] for key, item in state.items.items()}
+    return web.json_response({"items": items, "revision": state.revision})
+
+
+@routes.post("/restore")
+async def restore(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    body = await request.json()
+    state.items = {
+        key: Item(value, revision, None) for key, (value, revision) in body["items"].items()
+    }
+    state.revision = body["revision"]
+    return web.json_response({})
+
+
+@web.middleware
+async def inject_faults(request: web.Request, handler: web.Handler) -> web.StreamResponse:  # type: ignore[name-defined]
+    state = request.app[STATE]
+    if request.path in ("/fault", "/calls", "/dump", "/restore"):
+        return await handler(request)
+    name = f"{request.method} {request.path.split('/')[1]}"
+    state.calls[name] = state.calls.get(name, 0) + 1
+    if state.mode == "down":
+        await asyncio.sleep(HANG_S)
+    if state.mode in ("down", "refuse"):
+        _cut(request)
+    if state.mode == "slow":
+        await asyncio.sleep(state.delay_s)
+    state.drop_lapsed()
+    answer = await handler(request)
+    if state.lose > 0 and request.method in ("PUT", "DELETE"):
+        state.lose -= 1
+        _cut(request)
+    return answer
+
+
+def _cut(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def build_app() -> web.Application:
+    app = web.Application(middlewares=[inject_faults], client_max_size=4 * 1024 * 1024)
+    app[STATE] = StoreState()
+    app.add_routes(routes)
+    return app
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    web.run_app(
+        build_app(), host=arguments.address, port=arguments.port, print=None, shutdown_timeout=0.2
+    )
+
+
+if __name__ == "__main__":
+    main()
