--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -52,7 +52,7 @@
 
 
 @MESSAGES.register("hello")
-class Hello(Message):
+class Hello(Message, frozen=True):
     """Opens every stream in both directions."""
 
     name = "hello"
@@ -61,7 +61,7 @@
 
 
 @MESSAGES.register("heartbeat")
-class Heartbeat(Message):
+class Heartbeat(Message, frozen=True):
     """Shows that the sender is alive, and what it knows.
 
     Attributes:
@@ -79,7 +79,7 @@
 
 
 @MESSAGES.register("pull")
-class Pull(Message):
+class Pull(Message, frozen=True):
     """Asks for the changes after a generation."""
 
     name = "pull"
@@ -87,14 +87,14 @@
 
 
 @MESSAGES.register("pull_list")
-class PullList(Message):
+class PullList(Message, frozen=True):
     """Asks for the list of VMs."""
 
     name = "pull_list"
 
 
 @MESSAGES.register("changes")
-class Changes(Message):
+class Changes(Message, frozen=True):
     """Accepted changes in order of generation."""
 
     name = "changes"
@@ -102,7 +102,7 @@
 
 
 @MESSAGES.register("members")
-class Members(Message):
+class Members(Message, frozen=True):
     """The roster of the control process, for the entry process of the same VM."""
 
     name = "members"
@@ -110,7 +110,7 @@
 
 
 @MESSAGES.register("follow")
-class Follow(Message):
+class Follow(Message, frozen=True):
     """Asks the entry process to follow the store and the list of VMs, or to stop."""
 
     name = "follow"
@@ -119,7 +119,7 @@
 
 
 @MESSAGES.register("vm_list")
-class VmList(Message):
+class VmList(Message, frozen=True):
     """The platform's list of VMs, as a follower read it.
 
     Attributes:
@@ -133,7 +133,7 @@
 
 
 @MESSAGES.register("store_state")
-class StoreState(Message):
+class StoreState(Message, frozen=True):
     """Whether the store answers."""
 
     name = "store_state"
@@ -142,7 +142,7 @@
 
 
 @MESSAGES.register("load_report")
-class LoadReport(Message):
+class LoadReport(Message, frozen=True):
     """Loads of the slots that the sending entry process owns."""
 
     name = "load_report"
@@ -150,14 +150,14 @@
 
 
 @MESSAGES.register("leaving")
-class Leaving(Message):
+class Leaving(Message, frozen=True):
     """Tells the control process that its VM has begun a planned stop."""
 
     name = "leaving"
 
 
 @MESSAGES.register("permit_request")
-class PermitRequest(Message):
+class PermitRequest(Message, frozen=True):
     """Asks the owner of a site's slots for a permit."""
 
     name = "permit_request"
@@ -170,7 +170,7 @@
 
 
 @MESSAGES.register("permit_grant")
-class PermitGrant(Message):
+class PermitGrant(Message, frozen=True):
     """Allows one request to one server."""
 
     name = "permit_grant"
@@ -181,7 +181,7 @@
 
 
 @MESSAGES.register("permit_refusal")
-class PermitRefusal(Message):
+class PermitRefusal(Message, frozen=True):
     """No permit; nothing was sent to a server."""
 
     name = "permit_refusal"
@@ -190,7 +190,7 @@
 
 
 @MESSAGES.register("permit_release")
-class PermitRelease(Message):
+class PermitRelease(Message, frozen=True):
     """Returns a permit."""
 
     name = "permit_release"
@@ -202,7 +202,7 @@
 
 
 @MESSAGES.register("permit_cancel")
-class PermitCancel(Message):
+class PermitCancel(Message, frozen=True):
     """Withdraws a request for a permit."""
 
     name = "permit_cancel"
@@ -212,7 +212,7 @@
 
 
 @MESSAGES.register("permit_held")
-class PermitHeld(Message):
+class PermitHeld(Message, frozen=True):
     """Declares a permit that a former owner granted."""
 
     name = "permit_held"
--- a/src/briarfork/commands/command.py
+++ b/src/briarfork/commands/command.py
@@ -26,6 +26,7 @@
     summary: ClassVar[str]
 
     @classmethod
+    @abstractmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
         """Declares the arguments of this command."""
 
--- a/src/briarfork/control/handlers.py
+++ b/src/briarfork/control/handlers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -22,6 +21,8 @@
 from briarfork.registry import Registry
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briarfork.control.node import ControlNode
     from briarfork.control.node import Link
 
--- a/src/briarfork/control/main.py
+++ b/src/briarfork/control/main.py
@@ -43,8 +43,7 @@
     await asyncio.sleep(node.settings.timeouts.heartbeat_s)
     try:
         async with asyncio.timeout(node.settings.timeouts.stop_s):
-            while node.roster.own.serving:
-                await asyncio.sleep(node.settings.timeouts.heartbeat_s)
+            await node.entry_absent.wait()
     except TimeoutError:
         return
 
--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -64,6 +64,8 @@
         self.listed_at = 0.0
         self.links: set[Link] = set()
         self.roster_changed = asyncio.Event()
+        self.entry_absent = asyncio.Event()
+        self.entry_absent.set()
         self._load: dict[tuple[str, str], tuple[Load, float]] = {}
 
     def add_link(self, link: Link) -> None:
@@ -121,6 +123,10 @@
 
     def set_serving(self, serving: bool) -> None:
         """Records whether the entry process of this VM is connected."""
+        if serving:
+            self.entry_absent.clear()
+        else:
+            self.entry_absent.set()
         if serving != self.roster.own.serving:
             self._announce([self.roster.set_serving(serving)])
 
--- a/src/briarfork/entry/control_link.py
+++ b/src/briarfork/entry/control_link.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -24,6 +23,8 @@
 from briarfork.registry import Registry
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from briarfork.border.messages import Load
     from briarfork.border.streams import MessageStream
     from briarfork.entry.process import EntryProcess
--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -89,10 +89,10 @@
         except BriarforkError as error:
             return self._build_answer(request, error)
         except web.HTTPNotFound:
-            error = NotRun(ErrorKind.UNKNOWN_PATH, f"{request.path}: no such path")
-            return self._build_answer(request, error)
-        except web.HTTPMethodNotAllowed as error:
-            wrong = NotRun(ErrorKind.BAD_REQUEST, f"{request.path}: {error.reason}")
+            missing = NotRun(ErrorKind.UNKNOWN_PATH, f"{request.path}: no such path")
+            return self._build_answer(request, missing)
+        except web.HTTPMethodNotAllowed:
+            wrong = NotRun(ErrorKind.BAD_REQUEST, f"{request.path}: method not allowed")
             return self._build_answer(request, wrong)
         if self._process.leaving and not response.prepared:
             response.force_close()
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -10,7 +10,7 @@
 
 # Weight of the newest run time in the moving mean.
 RUN_TIME_WEIGHT: Final = 0.2
-# A server that refused or drained gets no new work for this time, unless the list names it live again.
+# A server that refused a request gets no new work for this time.
 REFUSAL_PAUSE_S: Final = 2.0
 
 
--- a/src/briarfork/registry.py
+++ b/src/briarfork/registry.py
@@ -25,10 +25,10 @@
         ... class Square: ...
         >>> shapes.get("square") is Square
         True
-        >>> shapes.get("circle")
+        >>> shapes.get("circle")  # doctest: +ELLIPSIS
         Traceback (most recent call last):
         ...
-        briarfork.errors.BriarforkError: bad_request: unknown shape 'circle', expected one of: square
+        briarfork.errors.BriarforkError: bad_request: unknown shape 'circle', expected one of: ...
     """
 
     def __init__(self, noun: str) -> None:
--- a/src/briarfork/requests/deadline.py
+++ b/src/briarfork/requests/deadline.py
@@ -50,4 +50,4 @@
 
     def remaining_ms(self, now: float) -> int:
         """Returns the time left in whole milliseconds, at least 0."""
-        return int(round(self.remaining_s(now) * MILLISECONDS))
+        return round(self.remaining_s(now) * MILLISECONDS)
--- a/src/briarfork/steering/blocks.py
+++ b/src/briarfork/steering/blocks.py
@@ -27,9 +27,10 @@
 
     Example:
         >>> from briarfork.configuration import ClientBlock
-        >>> table = BlockTable([ClientBlock("10.0.0.0/8", "north"), ClientBlock("10.1.0.0/16", "west")])
-        >>> table.find_region("10.1.2.3"), table.find_region("10.2.0.1"), table.find_region("11.0.0.1")
-        ('west', 'north', None)
+        >>> blocks = [ClientBlock("10.0.0.0/8", "north"), ClientBlock("10.1.0.0/16", "west")]
+        >>> table = BlockTable(blocks)
+        >>> [table.find_region(address) for address in ("10.1.2.3", "10.2.0.1", "11.0.0.1")]
+        ['west', 'north', None]
     """
 
     def __init__(self, blocks: Iterable[ClientBlock]) -> None:
--- a/src/briarfork/timeline/timeline.py
+++ b/src/briarfork/timeline/timeline.py
@@ -144,8 +144,8 @@
         if target.start_at < now + WITHDRAWAL_MARGIN_S:
             raise BriarforkError(
                 ErrorKind.CONFLICT,
-                f"generation {target.generation} starts in less than {WITHDRAWAL_MARGIN_S:.0f} s or "
-                "has started; book a change that reverses it",
+                f"generation {target.generation} has started or starts within "
+                f"{WITHDRAWAL_MARGIN_S:.0f} s; schedule a change that reverses it",
             )
 
     def _check_overwrites(self, change: Change, now: float) -> None:
@@ -154,8 +154,8 @@
             if overlap:
                 raise BriarforkError(
                     ErrorKind.CONFLICT,
-                    f"change {change.change_id} edits {sorted(overlap)}, which the scheduled change "
-                    f"{scheduled.change_id} (generation {scheduled.generation}) would overwrite later",
+                    f"change {change.change_id} edits {sorted(overlap)}, to be overwritten "
+                    f"by change {scheduled.change_id} (generation {scheduled.generation})",
                 )
 
     def _check_renders(self, change: Change, now: float) -> None:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,12 @@
+"""Settings shared by all tests."""
+
+from __future__ import annotations
+
+import os
+
+from hypothesis import settings
+
+# The verdict of a run must not depend on the run: examples are derived from the test alone.
+settings.register_profile("ci", derandomize=True, deadline=None, max_examples=100)
+settings.register_profile("fuzz", deadline=None, max_examples=5000)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
