Separate the choice of a site from the request path

Cause: the request path chose the site itself, so a change to steering and one to retries met in one function. Conclusion: Router decides where a request goes; Proxy decides what happens around it.

--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -19,6 +19,7 @@
 from briarfork.entry.forward import Forwarder
 from briarfork.entry.http import build_app
 from briarfork.entry.permits import PermitClient
+from briarfork.entry.routing import Router
 from briarfork.entry.slots import SlotDesk
 from briarfork.entry.view import EntryView
 
@@ -47,6 +48,7 @@
         self.view = EntryView(settings, events)
         self.slots = SlotDesk(settings, events, self.view)
         self.permits = PermitClient(self.view, self.slots)
+        self.router = Router(self.view, self.permits)
         self.control = ControlLink(self)
         store = Store(settings, platform_session)
         self.follower = Follower(self, store, Platform(settings, platform_session))
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -141,7 +141,7 @@
         self._retries.earn()
         avoid: frozenset[str] = frozenset()
         for number in range(1, MAX_ATTEMPTS + 1):
-            permit = await self._acquire(call, service, avoid)
+            permit = await self._process.router.acquire(call, service, avoid)
             started_at = time.monotonic()
             how = Release.FAILED
             try:
@@ -159,15 +159,6 @@
                 self._process.metrics.time(Metric.REQUEST_TIME, elapsed_s, service.name)
         raise NotRun(ErrorKind.OVERLOADED, "every attempt was refused")
 
-    async def _acquire(self, call: Call, service: Service, avoid: frozenset[str]):  # type: ignore[no-untyped-def]
-        steering = self._process.view.require_steering()
-        client = call.request.remote or "0.0.0.0"
-        site = steering.assign_request(service.name, client, time.time(), time.monotonic())
-        route = service.find_route(call.path)
-        return await self._process.permits.acquire(
-            service.name, site, route.request_class, call.deadline, avoid
-        )
-
     def _decide_after(
         self, failure: AttemptFailed, call: Call, service: Service, number: int
     ) -> None:
