--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -71,7 +71,8 @@
             if not changes:
                 return self._timeline
             for change in changes:
-                if self._timeline.append(change) is not Appended.ADDED:
+                # Another request may have read the same change in the meantime.
+                if self._timeline.append(change) not in (Appended.ADDED, Appended.KNOWN):
                     raise BriarforkError(
                         ErrorKind.INTERNAL,
                         f"the store's change {change.generation} does not continue the timeline",
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -19,6 +19,7 @@
 
 from briarfork.border.files import load_documents
 
+ROOT = Path(__file__).parent.parent
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.05
@@ -33,6 +34,25 @@
         return int(probe.getsockname()[1])
 
 
+def restrict_example(example: str, zones: list[str], folder: Path) -> Path:
+    """Copies an example with only some of its zones, so that every site has its VMs."""
+    source = ROOT / "examples" / example
+    base = yaml.safe_load((source / "base.yaml").read_text())
+    for service in base["services"].values():
+        service["spread"] = {zone: 1 for zone in zones}
+        service["regional_spread"] = {
+            region: kept
+            for region, weights in service["regional_spread"].items()
+            if (kept := {zone: weight for zone, weight in weights.items() if zone in zones})
+        }
+    (folder / "sites").mkdir(parents=True)
+    (folder / "base.yaml").write_text(yaml.safe_dump(base, sort_keys=False))
+    for zone in zones:
+        overlay = (source / "sites" / f"{zone}.yaml").read_text()
+        (folder / "sites" / f"{zone}.yaml").write_text(overlay)
+    return folder
+
+
 @dataclass
 class Pool:
     """Backend servers of one service in one zone."""
@@ -196,6 +216,17 @@
                 while await self.read_generation(vm) < generation:
                     await asyncio.sleep(POLL_S)
 
+    async def wait_for_members(self, timeout_s: float = 15.0) -> None:
+        """Waits until every VM names all VMs in its lookups."""
+        service = self.services()[0]
+        async with asyncio.timeout(timeout_s):
+            for vm in self.vms:
+                while True:
+                    answer = await self.get(f"{vm.url}/lookup", service=service)
+                    if len(answer["entries"]) == len(self.vms):
+                        break
+                    await asyncio.sleep(POLL_S)
+
     async def read_generation(self, vm: Vm) -> int:
         service = next(iter(self.services()))
         try:
@@ -274,15 +305,14 @@
     def _spawn(
         self, name: str, command: list[str], append: bool = False
     ) -> subprocess.Popen[bytes]:
-        root = Path(__file__).parent.parent
         with (self.work / f"{name}.log").open("ab" if append else "wb") as log:
             return subprocess.Popen(
                 [sys.executable, "-m", *command],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
-                cwd=root,
-                env={**os.environ, "PYTHONPATH": f"{root / 'src'}:{root}"},
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
             )
 
     async def _wait_ready(self) -> None:
