--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: install demo test bench capacity lint format clean
+.PHONY: install demo test bench break fuzz capacity lint format clean
 
 install: $(VENV)/.installed
 
@@ -20,6 +20,12 @@
 bench: install
 	$(BIN)/python -m tests.bench.main
 
+break: install
+	$(BIN)/python -m tests.mutations.main
+
+fuzz: install
+	HYPOTHESIS_PROFILE=fuzz $(BIN)/python -m pytest -k "not TestScenarios"
+
 capacity: install
 	$(BIN)/python -m tests.capacity.main
 
--- /dev/null
+++ b/tests/border/test_process.py
@@ -0,0 +1,32 @@
+"""What the platform forbids to a process: io_uring, child processes."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import psutil
+
+from tests.cluster import Cluster
+from tests.cluster import Pool
+from tests.cluster import restrict_example
+
+
+class TestPlatformRules:
+    async def test_no_program_uses_io_uring_or_starts_a_process(self, tmp_path: Path) -> None:
+        """Guards against an event loop that uses io_uring, and against helper processes."""
+        zones = ["north-a", "south-a"]
+        folder = restrict_example("estonia", zones, tmp_path / "configuration")
+        pools = [Pool("results", zone, 1) for zone in zones]
+        async with Cluster(folder, tmp_path, zones, pools=pools, network=3) as cluster:
+            answer = await cluster.submit()
+            await cluster.wait_for_generation(answer["generation"])
+            async with cluster.session.get(f"{cluster.vms[0].url}/services/results/x") as reply:
+                assert reply.status == 200
+            for program, process in cluster.vms[0].processes.items():
+                descriptors = Path(f"/proc/{process.pid}/fd")
+                targets = [os.readlink(descriptor) for descriptor in descriptors.iterdir()]
+                assert not [
+                    target for target in targets if target == "anon_inode:[io_uring]"
+                ], program
+                assert psutil.Process(process.pid).children(recursive=True) == [], program
