--- a/tests/border/test_process.py
+++ b/tests/border/test_process.py
@@ -12,6 +12,10 @@
 from tests.cluster import restrict_example
 
 
+def list_descriptors(pid: int) -> list[str]:
+    return [os.readlink(descriptor) for descriptor in Path(f"/proc/{pid}/fd").iterdir()]
+
+
 class TestPlatformRules:
     async def test_no_program_uses_io_uring_or_starts_a_process(self, tmp_path: Path) -> None:
         """Guards against an event loop that uses io_uring, and against helper processes."""
@@ -24,9 +28,5 @@
             async with cluster.session.get(f"{cluster.vms[0].url}/services/results/x") as reply:
                 assert reply.status == 200
             for program, process in cluster.vms[0].processes.items():
-                descriptors = Path(f"/proc/{process.pid}/fd")
-                targets = [os.readlink(descriptor) for descriptor in descriptors.iterdir()]
-                assert not [
-                    target for target in targets if target == "anon_inode:[io_uring]"
-                ], program
+                assert "anon_inode:[io_uring]" not in list_descriptors(process.pid), program
                 assert psutil.Process(process.pid).children(recursive=True) == [], program
