Test membership and replication with random histories

The rings were sorted anew with every call and could end at suspect members.

Ruled out: ordering by time; clocks of VMs differ.

Change: the rings are kept sorted and go to the next live member as well as to the next reachable one.

--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from bisect import bisect_right
+from bisect import insort
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -43,6 +45,8 @@
         self.digest = Digest()
         self.revision = 0
         self._members: dict[str, Member] = {}
+        self._names: list[str] = []
+        self._zones: dict[str, list[str]] = {}
         self._heard_at: dict[str, float] = {}
         self._patience: dict[str, int] = {}
         self._neighbours: tuple[int, list[Member]] = (-1, [])
@@ -122,9 +126,7 @@
     def list_all(self, buckets: set[int] | None = None) -> list[Member]:
         """Returns all members, or those in some buckets of the digest, sorted by name."""
         return [
-            self._members[vm]
-            for vm in sorted(self._members)
-            if buckets is None or find_bucket(vm) in buckets
+            self._members[vm] for vm in self._names if buckets is None or find_bucket(vm) in buckets
         ]
 
     def list_live(self, zone: str | None = None) -> list[Member]:
@@ -161,6 +163,28 @@
             self._neighbours = (self.revision, self._choose_neighbours())
         return self._neighbours[1]
 
+    def list_ring(self, vm: str) -> list[Member]:
+        """Returns the members that follow a VM in the rings of its zone and of all members.
+
+        In each ring these are the next reachable and the next live one.
+        """
+        zone = self._members[vm].zone
+        chosen = []
+        for names in (self._zones[zone], self._names):
+            for states in (REACHABLE, (MemberState.LIVE,)):
+                chosen += self._find_next(vm, names, states)
+        return chosen
+
+    def _find_next(
+        self, vm: str, names: Sequence[str], states: Sequence[MemberState]
+    ) -> list[Member]:
+        start = bisect_right(names, vm)
+        for offset in range(len(names)):
+            member = self._members[names[(start + offset) % len(names)]]
+            if member.vm != vm and member.state in states:
+                return [member]
+        return []
+
     def _choose_neighbours(self) -> list[Member]:
         others = [
             member
@@ -171,9 +195,7 @@
         remote = [member for member in others if member.zone != self.own.zone]
         chosen = rank_members(self.own.vm, mates)[:ZONE_NEIGHBOURS]
         chosen += rank_members(self.own.vm, remote)[:REMOTE_NEIGHBOURS]
-        for ring in (mates, others):
-            live = [member for member in ring if member.state is MemberState.LIVE]
-            chosen += _find_next(self.own.vm, ring) + _find_next(self.own.vm, live)
+        chosen += self.list_ring(self.own.vm)
         return [self._members[vm] for vm in sorted({member.vm for member in chosen})]
 
     def _raise_patience(self, known: Member | None, record: Member) -> None:
@@ -208,12 +230,17 @@
     def _put(self, member: Member) -> None:
         self._drop(member.vm, keep_evidence=True)
         self._members[member.vm] = member
+        insort(self._names, member.vm)
+        insort(self._zones.setdefault(member.zone, []), member.vm)
         self.digest.toggle(member.vm, _describe(member))
         self.revision += 1
 
     def _drop(self, vm: str, keep_evidence: bool = False) -> None:
         known = self._members.pop(vm, None)
         if known is not None:
+            del self._names[bisect_left(self._names, vm)]
+            mates = self._zones[known.zone]
+            del mates[bisect_left(mates, vm)]
             self.digest.toggle(vm, _describe(known))
             self.revision += 1
         if not keep_evidence:
@@ -223,12 +250,3 @@
 
 def _describe(member: Member) -> str:
     return f"{member.incarnation}|{member.version}|{member.state.value}|{member.serving}"
-
-
-def _find_next(vm: str, members: Sequence[Member]) -> list[Member]:
-    """Returns the member that follows a name in the sorted ring, as a list of at most one."""
-    if not members:
-        return []
-    ordered = sorted(members, key=lambda member: member.vm)
-    names = [member.vm for member in ordered]
-    return [ordered[bisect_right(names, vm) % len(ordered)]]
--- /dev/null
+++ b/tests/membership/test_directory.py
@@ -0,0 +1,95 @@
+"""The platform's list of VMs as followers with different lag read it."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarfork.membership import Directory
+from briarfork.membership import ListedVm
+from briarfork.membership import ListRecord
+from briarfork.membership.directory import GONE
+from briarfork.membership.directory import HOLD_S
+from briarfork.membership.directory import LEAVING
+from briarfork.membership.directory import LIVE
+
+VM = ListedVm("server-1", "127.0.0.1", "a", "backend", LIVE, {"http": 80})
+OTHER = replace(VM, vm="server-2")
+records = st.builds(
+    ListRecord,
+    st.integers(1, 4),
+    st.builds(
+        replace,
+        st.sampled_from([VM, OTHER]),
+        state=st.sampled_from([LIVE, LEAVING, GONE]),
+        address=st.sampled_from(["127.0.0.1", "127.0.0.2"]),
+    ),
+)
+
+
+class TestMerge:
+    @given(st.lists(records), st.integers(0, 9))
+    def test_does_not_depend_on_order_or_duplicates(
+        self, news: list[ListRecord], seed: int
+    ) -> None:
+        """Guards against VMs that hold different lists for ever after the same news."""
+        one, other = Directory(), Directory()
+        one.merge(news, 0.0)
+        for record in random.Random(seed).sample(news + news, 2 * len(news)):
+            other.merge([record], 0.0)
+        assert {r.listed.vm: r for r in one.list_records()} == {
+            r.listed.vm: r for r in other.list_records()
+        }
+        assert one.digest.buckets == other.digest.buckets
+
+
+class TestRead:
+    def test_followers_with_different_lag_do_not_flap(self) -> None:
+        """Guards against a backend server that comes back because an older list arrives later."""
+        history = [[VM, OTHER], [replace(VM, state=LEAVING), OTHER], [OTHER], [OTHER], [OTHER]]
+        fast, slow = Directory(), Directory()
+        seen = []
+        for now in range(40):
+            fast.read(history[min(now, 4)], None, now)
+            slow.read(history[min(max(0, now - 6), 4)], None, now)
+            for one, other in ((fast, slow), (slow, fast)):
+                one.settle(now)
+                other.merge(one.list_records(), now)
+            for directory in (fast, slow):
+                found = directory.find(VM.vm)
+                seen.append(found.state if found else GONE)
+        changes = [seen[0]] + [b for a, b in itertools.pairwise(seen) if a != b]
+        assert changes == [LIVE, LEAVING, GONE]
+        assert fast.digest.total == slow.digest.total
+
+    def test_entry_that_the_platform_brings_back_returns_after_the_hold_time(self) -> None:
+        """Guards against a backend server that is lost for good once it was leaving."""
+        directory = Directory()
+        directory.read([VM], None, 0.0)
+        directory.read([replace(VM, state=LEAVING)], None, 1.0)
+        directory.read([VM], None, 2.0)
+        directory.settle(1.0 + HOLD_S - 0.1)
+        assert directory.find(VM.vm) == replace(VM, state=LEAVING)
+        directory.settle(1.0 + HOLD_S)
+        assert directory.find(VM.vm) == VM
+
+    def test_empty_list_is_ignored(self) -> None:
+        """Guards against a platform fault that takes all backend servers away."""
+        directory = Directory()
+        directory.read([VM], None, 0.0)
+        directory.read([], None, 1.0)
+        assert directory.list_present() == [VM]
+
+    def test_differences_give_the_same_as_the_whole_list(self) -> None:
+        """Guards against a difference that is applied to the wrong list."""
+        whole, parts = Directory(), Directory()
+        for directory in (whole, parts):
+            directory.read([VM, OTHER], None, 0.0)
+        whole.read([replace(OTHER, state=LEAVING)], None, 1.0)
+        parts.read([replace(OTHER, state=LEAVING)], [VM.vm], 1.0)
+        assert whole.list_present() == parts.list_present()
+        assert whole.digest.total == parts.digest.total
