Keep chains of shifts, drains and removed sites under one cap

Cause: a second shift took the shares reached as its origin, so requests that the first shift held back jumped. A drained site was dropped from the shares without ramp or cap. An origin could name a site that was gone, and a site outside the new spread had no slots, so traffic above the cap was refused. Caps counted for each ramp and region, not for the site.

Ruled out: ending the cap on one VM's evidence, because its clients may move to a VM that has held nothing back; ending it by time, because the requests held back would jump then.

Change: Shift keeps the ramps that are not settled, and a request follows them under one cap for each service and receiving site. Operators settle shifts by generation. Drains are shifts. Assignment computes the winners of a client group for a whole ramp, and unchanged blocks and assignments are carried over to a new Steering.

--- a/src/briarfork/border/documents.py
+++ b/src/briarfork/border/documents.py
@@ -80,6 +80,7 @@
 
     cap_rps: Positive
     slope_percent_per_minute: Positive
+    settled_generation: Annotated[int, Field(ge=0)] = 0
 
 
 class ServiceModel(Model):
--- a/src/briarfork/configuration/documents.py
+++ b/src/briarfork/configuration/documents.py
@@ -86,6 +86,7 @@
         faults = _find_base_faults(base)
         for name, service in services.items():
             faults += _find_service_faults(name, service, base, set(overlays))
+        faults += _find_drain_faults(name, service, overlays)
         for name, overlay in overlays.items():
             faults += _find_overlay_faults(name, overlay, zones, set(services))
         return faults
@@ -149,6 +150,13 @@
     return faults
 
 
+def _find_drain_faults(name: str, service: Document, overlays: dict[str, Document]) -> list[str]:
+    weighted = [site for site, weight in service["spread"].items() if weight > 0]
+    if not weighted or any(not overlays.get(s, {}).get("drain", False) for s in weighted):
+        return []
+    return [f"services/{name}: spread: expected a site with a weight above 0 that is not drained"]
+
+
 def _find_overlay_faults(
     name: str, overlay: Document, zones: set[str], services: set[str]
 ) -> list[str]:
@@ -171,9 +179,9 @@
 
 def _build_service(name: str, body: Document, overlays: dict[str, Document]) -> Service:
     capacity = {}
-    spreads = [body["spread"], *body.get("regional_spread", {}).values()]
-    for site in sorted({site for spread in spreads for site in spread}):
-        merged = merge_overlay(body, overlays[site].get("services", {}).get(name, {}))
+    # A site that a shift has left keeps its slots: traffic above the cap stays there.
+    for site, overlay in overlays.items():
+        merged = merge_overlay(body, overlay.get("services", {}).get(name, {}))
         capacity[site] = SiteCapacity(merged["slots"], merged["connections"])
     routes = tuple(
         Route(
@@ -190,7 +198,7 @@
         deadline_ms=body["deadline_ms"],
         spread=dict(body["spread"]),
         capacity=capacity,
-        shift=ShiftLimits(body["shift"]["cap_rps"], body["shift"]["slope_percent_per_minute"]),
+        shift=ShiftLimits(**body["shift"]),
         regional_spread=body.get("regional_spread", {}),
         claims=body.get("claims", "store") == "store",
         routes=routes,
--- a/src/briarfork/configuration/model.py
+++ b/src/briarfork/configuration/model.py
@@ -54,10 +54,12 @@
     Attributes:
         cap_rps: Requests a second that a shift may move to one receiving site, over all VMs.
         slope_percent_per_minute: How fast the share of a site may change, in percentage points.
+        settled_generation: Shifts up to this generation are settled: the cap ends for them.
     """
 
     cap_rps: float
     slope_percent_per_minute: float
+    settled_generation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -48,7 +48,7 @@
         self.view = EntryView(settings, events)
         self.slots = SlotDesk(settings, events, self.view)
         self.permits = PermitClient(self.view, self.slots)
-        self.router = Router(self.view, self.permits)
+        self.router = Router(self.view, self.permits, self.metrics)
         self.control = ControlLink(self)
         store = Store(settings, platform_session)
         self.follower = Follower(self, store, Platform(settings, platform_session))
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -5,12 +5,21 @@
 import time
 from typing import TYPE_CHECKING
 
+from briarfork.border.metrics import Metric
+from briarfork.errors import ErrorKind
+from briarfork.errors import NotRun
+from briarfork.pools import Release
+from briarfork.requests import Deadline
+from briarfork.steering import MOVE_DELAY_S
+
 if TYPE_CHECKING:
+    from briarfork.border.metrics import Metrics
     from briarfork.configuration import Service
     from briarfork.entry.forward import Call
     from briarfork.entry.permits import Permit
     from briarfork.entry.permits import PermitClient
     from briarfork.entry.view import EntryView
+    from briarfork.steering import Assigned
 
 UNKNOWN_CLIENT = "0.0.0.0"
 
@@ -18,9 +27,10 @@
 class Router:
     """Decides where a request goes."""
 
-    def __init__(self, view: EntryView, permits: PermitClient) -> None:
+    def __init__(self, view: EntryView, permits: PermitClient, metrics: Metrics) -> None:
         self._view = view
         self._permits = permits
+        self._metrics = metrics
 
     async def acquire(self, call: Call, service: Service, avoid: frozenset[str]) -> Permit:
         """Returns a permit for one attempt.
@@ -35,6 +45,43 @@
         """
         steering = self._view.require_steering()
         client = call.request.remote or UNKNOWN_CLIENT
-        site = steering.assign_request(service.name, client, time.time(), time.monotonic())
+        assigned = steering.assign_request(service.name, client, time.time(), time.monotonic())
+        if assigned.held_back:
+            self._metrics.count(Metric.SHIFT_HELD_BACK, service.name)
+        if assigned.moved:
+            return await self._acquire_moved(call, service, avoid, assigned)
+        return await self._acquire_at(assigned.site, call, service, avoid, call.deadline)
+
+    async def _acquire_moved(
+        self, call: Call, service: Service, avoid: frozenset[str], assigned: Assigned
+    ) -> Permit:
+        """Acquires a permit at a receiving site at once, or at the site before the shift.
+
+        A moved request that waited longer could start together with requests that the cap admits
+        later, and the receiving site would get more than the cap in one second.
+        """
+        admitted_at = time.monotonic()
+        soon = Deadline(min(call.deadline.expires_at, admitted_at + MOVE_DELAY_S))
+        try:
+            permit = await self._acquire_at(assigned.site, call, service, avoid, soon)
+        except NotRun as refused:
+            if assigned.home is None:
+                raise refused
+            return await self._acquire_at(assigned.home, call, service, avoid, call.deadline)
+        if time.monotonic() - admitted_at <= MOVE_DELAY_S:
+            return permit
+        self._permits.release(permit, Release.UNUSED, 0.0)
+        if assigned.home is None:
+            raise NotRun(ErrorKind.OVERLOADED, "the permit of a moved request came too late")
+        return await self._acquire_at(assigned.home, call, service, avoid, call.deadline)
+
+    async def _acquire_at(
+        self,
+        site: str,
+        call: Call,
+        service: Service,
+        avoid: frozenset[str],
+        deadline: Deadline,
+    ) -> Permit:
         request_class = service.find_route(call.path).request_class
-        return await self._permits.acquire(service.name, site, request_class, call.deadline, avoid)
+        return await self._permits.acquire(service.name, site, request_class, deadline, avoid)
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -15,7 +15,7 @@
 from briarfork.pools import ServerAddress
 from briarfork.steering import EntryAddress
 from briarfork.steering import Steering
-from briarfork.steering import build_ramps
+from briarfork.steering import build_shifts
 from briarfork.timeline import Timeline
 
 if TYPE_CHECKING:
@@ -121,10 +121,8 @@
         except BriarforkError as error:
             self._events.record(Event.CONFIGURATION_UNUSABLE, fault=error.detail)
             return
-        steering = Steering(plan, build_ramps(self.timeline, wall_now), time.monotonic())
-        if self._steering is not None:
-            steering.inherit(self._steering)
-        self._steering = steering
+        shifts = build_shifts(self.timeline, wall_now)
+        self._steering = Steering(plan, shifts, time.monotonic(), self._steering)
         self._events.record(
             Event.CONFIGURATION_IN_FORCE, generation=self.timeline.generation, at=f"{wall_now:.3f}"
         )
--- a/src/briarfork/steering/__init__.py
+++ b/src/briarfork/steering/__init__.py
@@ -1,27 +1,37 @@
 """Steering: blocks of clients, assignment to sites, shifts."""
 
+from briarfork.steering.assignment import Assignment
+from briarfork.steering.assignment import choose_site
+from briarfork.steering.assignment import find_group
+from briarfork.steering.assignment import hash_unit
 from briarfork.steering.blocks import BlockTable
-from briarfork.steering.history import build_ramps
+from briarfork.steering.history import build_shifts
+from briarfork.steering.shift import MOVE_DELAY_S
 from briarfork.steering.shift import Ramp
+from briarfork.steering.shift import Shift
 from briarfork.steering.shift import ShiftCap
 from briarfork.steering.shift import SpreadChange
-from briarfork.steering.shift import build_ramp
+from briarfork.steering.shift import build_shift
 from briarfork.steering.shift import normalize
+from briarfork.steering.steering import Assigned
 from briarfork.steering.steering import EntryAddress
 from briarfork.steering.steering import Steering
-from briarfork.steering.steering import choose_site
-from briarfork.steering.steering import hash_unit
 
 __all__ = [
+    "MOVE_DELAY_S",
+    "Assigned",
+    "Assignment",
     "BlockTable",
     "EntryAddress",
     "Ramp",
+    "Shift",
     "ShiftCap",
     "SpreadChange",
     "Steering",
-    "build_ramp",
-    "build_ramps",
+    "build_shift",
+    "build_shifts",
     "choose_site",
+    "find_group",
     "hash_unit",
     "normalize",
 ]
--- /dev/null
+++ b/src/briarfork/steering/assignment.py
@@ -0,0 +1,94 @@
+"""Assignment of client groups to sites by weighted rendezvous hashing."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+from typing import TYPE_CHECKING
+from typing import Final
+
+from briarfork.hashing import hash_text
+
+if TYPE_CHECKING:
+    from briarfork.steering.shift import Shares
+
+HASH_RANGE: Final = 2.0**64
+# Neighbouring clients share a point, so a shift moves whole groups and lookups stay cacheable.
+CLIENT_GROUPS: Final = 4096
+
+
+def hash_unit(text: str) -> float:
+    """Returns a hash of the text, uniform in (0, 1)."""
+    # The largest hashes round up to 2**64; the logarithm of 1 would be no valid divisor.
+    return min((hash_text(text) + 0.5) / HASH_RANGE, 1.0 - 2.0**-53)
+
+
+def choose_site(shares: Shares, key: str) -> str:
+    """Chooses a site by weighted rendezvous hashing.
+
+    When shares change, a key moves only from a site whose share fell to one whose share rose.
+
+    Example:
+        >>> choose_site({"a": 0.0, "b": 1.0}, "10.0.0.0")
+        'b'
+    """
+    return max(
+        (site for site, share in shares.items() if share > 0),
+        key=lambda site: shares[site] / -math.log(hash_unit(f"{site}|{key}")),
+    )
+
+
+def find_group(client: str) -> int:
+    """Returns the client group of an address."""
+    return hash_text(client) % CLIENT_GROUPS
+
+
+class Assignment:
+    """Sites of the client groups of one service while shares move from origin to target.
+
+    The score of a site is its share divided by a constant for site and group, so it is linear
+    in the progress of the ramp. The winners of a group are therefore the upper envelope of
+    lines, which is computed once for each group that is asked for and serves the whole ramp.
+    """
+
+    __slots__ = ("_groups", "_service", "_sites", "origin", "target")
+
+    def __init__(self, service: str, origin: Shares, target: Shares) -> None:
+        self.origin = origin
+        self.target = target
+        self._service = service
+        self._sites = [
+            (site, origin.get(site, 0.0), target.get(site, 0.0))
+            for site in sorted(origin.keys() | target.keys())
+        ]
+        self._groups: dict[int, tuple[tuple[float, ...], tuple[str, ...]]] = {}
+
+    def find_site(self, group: int, progress: float) -> str:
+        """Returns the site of a group at a progress from 0 to 1."""
+        steps = self._groups.get(group)
+        if steps is None:
+            steps = self._groups[group] = self._find_steps(group)
+        starts, sites = steps
+        return sites[bisect_right(starts, progress) - 1] if len(starts) > 1 else sites[0]
+
+    def _find_steps(self, group: int) -> tuple[tuple[float, ...], tuple[str, ...]]:
+        key = f"|{self._service}|{group}"
+        lines = []
+        for site, first, last in self._sites:
+            divisor = -math.log(hash_unit(site + key))
+            lines.append((first / divisor, (last - first) / divisor, site))
+        level, slope, site = max(lines)
+        starts, sites = [0.0], [site]
+        while True:
+            crossings = [
+                ((level - other[0]) / (other[1] - slope), -other[1], other)
+                for other in lines
+                if other[1] > slope
+            ]
+            following = min(crossings, default=None)
+            if following is None or following[0] >= 1.0:
+                break
+            start, _, (level, slope, site) = following
+            starts.append(max(start, starts[-1]))
+            sites.append(site)
+        return tuple(starts), tuple(sites)
--- a/src/briarfork/steering/history.py
+++ b/src/briarfork/steering/history.py
@@ -1,51 +1,89 @@
-"""Ramps of all services, worked out from the timeline."""
+"""Shifts of all services, worked out from the timeline."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from briarfork.configuration import SERVICE_PREFIX
+from briarfork.configuration import SITE_PREFIX
 from briarfork.configuration import ShiftLimits
 from briarfork.steering.shift import SpreadChange
-from briarfork.steering.shift import build_ramp
+from briarfork.steering.shift import build_shift
 from briarfork.steering.shift import normalize
 
 if TYPE_CHECKING:
     from briarfork.configuration import Document
-    from briarfork.steering.shift import Ramp
+    from briarfork.steering.shift import Shift
     from briarfork.timeline import Timeline
 
 
-RampKey = tuple[str, str | None]
+ShiftKey = tuple[str, str | None]
 
 
-def build_ramps(timeline: Timeline, now: float) -> dict[RampKey, Ramp]:
-    """Returns the ramp in force for each service and client region.
+@dataclass(frozen=True, slots=True)
+class _Version:
+    """A service's document from a time on, with the sites that are drained then."""
+
+    start_at: float
+    generation: int
+    body: Document
+    drained: frozenset[str]
+
+
+def build_shifts(timeline: Timeline, now: float) -> dict[ShiftKey, Shift]:
+    """Returns the shift in force for each service and client region.
 
     The key with region None is for clients of regions without weights of their own. A region that
-    gets its own weights later starts from the weights that applied to it before.
+    gets its own weights later starts from the weights that applied to it before. A drain is a
+    shift like any other: the site's share goes to 0 along a ramp and under the cap.
     """
-    histories: dict[str, list[tuple[float, Document]]] = {}
+    shifts: dict[ShiftKey, Shift] = {}
+    for service, versions in _list_versions(timeline, now).items():
+        regions = {name for item in versions for name in item.body.get("regional_spread", {})}
+        for region in (None, *sorted(regions)):
+            shifts[service, region] = build_shift([_read(v, region) for v in versions], now)
+    return shifts
+
+
+def _list_versions(timeline: Timeline, now: float) -> dict[str, list[_Version]]:
+    bodies: dict[str, Document] = {}
+    versions: dict[str, list[_Version]] = {}
+    drained: frozenset[str] = frozenset()
     for change in timeline.list_effective(now):
+        edited = {}
+        before = drained
         for name, body in change.edits.items():
-            if not name.startswith(SERVICE_PREFIX):
-                continue
-            service = name.removeprefix(SERVICE_PREFIX)
+            if name.startswith(SERVICE_PREFIX):
+                edited[name.removeprefix(SERVICE_PREFIX)] = body
+            elif name.startswith(SITE_PREFIX):
+                site = frozenset({name.removeprefix(SITE_PREFIX)})
+                out = body is not None and body.get("drain", False)
+                drained = drained | site if out else drained - site
+        for service, body in edited.items():
             if body is None:
-                histories.pop(service, None)
+                bodies.pop(service, None)
+                versions.pop(service, None)
             else:
-                histories.setdefault(service, []).append((change.start_at, body))
-    ramps: dict[RampKey, Ramp] = {}
-    for service, history in histories.items():
-        regions = {region for _, body in history for region in body.get("regional_spread", {})}
-        for region in (None, *sorted(regions)):
-            changes = [_read(start_at, body, region) for start_at, body in history]
-            ramps[service, region] = build_ramp(changes, now)
-    return ramps
+                bodies[service] = body
+        changed = bodies if drained != before else bodies.keys() & edited.keys()
+        for service in changed:
+            version = _Version(change.start_at, change.generation, bodies[service], drained)
+            history = versions.setdefault(service, [])
+            if history and history[-1].start_at == change.start_at:
+                history.pop()
+            history.append(version)
+    return versions
 
 
-def _read(start_at: float, body: Document, region: str | None) -> SpreadChange:
-    limits = ShiftLimits(body["shift"]["cap_rps"], body["shift"]["slope_percent_per_minute"])
-    regional = body.get("regional_spread", {})
-    weights = regional.get(region, body["spread"]) if region else body["spread"]
-    return SpreadChange(start_at, normalize(weights), limits)
+def _read(version: _Version, region: str | None) -> SpreadChange:
+    body = version.body
+    limits = ShiftLimits(**body["shift"])
+    weights = body["spread"]
+    regional = body.get("regional_spread", {}).get(region)
+    for candidate in (regional, body["spread"]):
+        kept = {s: w for s, w in (candidate or {}).items() if s not in version.drained}
+        if any(weight > 0 for weight in kept.values()):
+            weights = kept
+            break
+    return SpreadChange(version.start_at, normalize(weights), limits, version.generation)
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
-import math
+import heapq
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Final
 
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
-from briarfork.hashing import hash_text
+from briarfork.steering.assignment import Assignment
+from briarfork.steering.assignment import find_group
+from briarfork.steering.assignment import hash_unit
 from briarfork.steering.blocks import BlockTable
-from briarfork.steering.shift import Ramp
 from briarfork.steering.shift import ShiftCap
 
 if TYPE_CHECKING:
@@ -18,12 +20,12 @@
     from collections.abc import Sequence
 
     from briarfork.configuration import Plan
-    from briarfork.steering.history import RampKey
+    from briarfork.steering.history import ShiftKey
     from briarfork.steering.shift import Shares
+    from briarfork.steering.shift import Shift
 
-HASH_RANGE = 2.0**64
-# Neighbouring clients share a point, so a shift moves whole groups and look-ups stay cacheable.
-CLIENT_GROUPS = 4096
+# An answer to a lookup names at most this many entry VMs.
+MAX_ENTRIES: Final = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,47 +38,50 @@
     zone: str
 
 
-def hash_unit(text: str) -> float:
-    """Returns a hash of the text, uniform in (0, 1)."""
-    return (hash_text(text) + 0.5) / HASH_RANGE
-
-
-def choose_site(shares: Shares, key: str) -> str:
-    """Chooses a site by weighted rendezvous hashing.
-
-    When shares change, a key moves only from a site whose share fell to one whose share rose.
-
-    Example:
-        >>> choose_site({"a": 0.0, "b": 1.0}, "10.0.0.0")
-        'b'
+@dataclass(frozen=True, slots=True)
+class Assigned:
+    """The site for one request.
+
+    Attributes:
+        site: Where it goes.
+        moved: Whether a shift moved it there, so that it has to start within `MOVE_DELAY_S`.
+        home: Where it belonged before the shifts, or None if that site is gone.
+        held_back: Whether a cap kept it from the site to which a shift would move it.
     """
-    return min(
-        (site for site, share in shares.items() if share > 0),
-        key=lambda site: -math.log(hash_unit(f"{site}|{key}")) / shares[site],
-    )
-
 
-def _name_group(service: str, client: str) -> str:
-    return f"{service}|{hash_text(client) % CLIENT_GROUPS}"
+    site: str
+    moved: bool = False
+    home: str | None = None
+    held_back: bool = False
 
 
 class Steering:
-    """Assigns clients to sites under one plan and its ramps.
+    """Assigns clients to sites under one plan and its shifts.
 
-    A new instance is built when the plan changes; the caps of shifts that go on are carried over.
+    A new instance is built when the plan changes. Caps, assignments and the table of blocks are
+    carried over as far as they are unchanged.
     """
 
-    def __init__(self, plan: Plan, ramps: Mapping[RampKey, Ramp], now: float) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        shifts: Mapping[ShiftKey, Shift],
+        now: float,
+        previous: Steering | None = None,
+    ) -> None:
         self.plan = plan
-        self._ramps = dict(ramps)
-        self._blocks = BlockTable(plan.client_blocks)
-        self._caps: dict[tuple[str, str, float], ShiftCap] = {}
-        self._started_at = now
-
-    def inherit(self, previous: Steering) -> None:
-        """Takes over the caps of the steering that this one replaces."""
-        self._caps = previous._caps
-        self._started_at = previous._started_at
+        self._shifts = dict(shifts)
+        self._started_at: float = previous._started_at if previous else now
+        self._caps: dict[tuple[str, str], ShiftCap] = previous._caps if previous else {}
+        if previous is not None and previous.plan.client_blocks == plan.client_blocks:
+            blocks = previous._blocks
+        else:
+            blocks = BlockTable(plan.client_blocks)
+        self._blocks: BlockTable = blocks
+        self._assignments: dict[ShiftKey, list[Assignment]] = {}
+        known = previous._assignments if previous else {}
+        for key, shift in self._shifts.items():
+            self._assignments[key] = _build_assignments(key[0], shift, known.get(key, []))
 
     def find_region(self, address: str) -> str | None:
         """Returns the region of a client address.
@@ -92,39 +97,59 @@
             ) from error
 
     def find_shares(self, service: str, region: str | None, now: float) -> Shares:
-        """Returns the shares of a service's sites for clients of a region, without drained sites.
+        """Returns the shares of a service's sites for clients of a region.
 
         Raises:
-            NotRun: If the service is unknown or all its sites are drained.
+            NotRun: If the service is unknown.
         """
-        return self._drop_drained(self._find_ramp(service, region).find_shares(now))
+        return self._shifts[self._find_key(service, region)].find_shares(now)
 
     def assign(self, service: str, client: str, now: float) -> str:
         """Returns the site to which a client's lookups are directed."""
-        shares = self.find_shares(service, self.find_region(client), now)
-        return choose_site(shares, _name_group(service, client))
+        key = self._find_key(service, self.find_region(client))
+        progress = self._shifts[key].current.find_progress(now)
+        return self._assignments[key][-1].find_site(find_group(client), progress)
 
-    def assign_request(self, service: str, client: str, wall_now: float, now: float) -> str:
-        """Returns the site for one request, with the cap of a shift applied.
+    def assign_request(self, service: str, client: str, wall_now: float, now: float) -> Assigned:
+        """Returns the site for one request, with the cap of shifts applied.
 
-        A request that the shift moves goes to the receiving site only within the cap; else it
-        stays at the site that it had before the shift.
+        The request follows the unsettled shifts in order. Each that would move it needs the cap
+        of the receiving site; without it the request stays where the shift found it.
 
         Args:
             service: Name of the service.
             client: Address of the client.
             wall_now: Time of day, on which the timeline is scheduled.
             now: Monotonic time, on which the cap is counted.
+
+        Raises:
+            NotRun: If the service is unknown, or the request's former site is gone and no cap
+                admits it elsewhere.
         """
-        ramp = self._find_ramp(service, self.find_region(client))
-        group = _name_group(service, client)
-        site = choose_site(self._drop_drained(ramp.find_shares(wall_now)), group)
-        if ramp.origin == ramp.target:
-            return site
-        previous = choose_site(ramp.origin, group)
-        if site == previous:
-            return site
-        return site if self._find_cap(service, site, ramp).admit(now) else previous
+        key = self._find_key(service, self.find_region(client))
+        group = find_group(client)
+        shift = self._shifts[key]
+        progress = shift.current.find_progress(wall_now)
+        current = self._assignments[key][-1].find_site(group, progress)
+        if not shift.list_origins(wall_now):
+            return Assigned(current)
+        stages = [item.find_site(group, 0.0) for item in self._assignments[key]]
+        home = self._keep_known(stages[0])
+        site, spent = home, None
+        for stage in (*stages[1:], current):
+            if stage == site or self._keep_known(stage) is None:
+                continue
+            cap = self._find_cap(service, stage)
+            if self._admit(service, cap, now):
+                if spent is not None:
+                    spent.take_back()
+                site, spent = stage, cap
+        if site is None:
+            raise NotRun(
+                ErrorKind.OVERLOADED,
+                f"the former site {stages[0]!r} is gone and the cap of the shift is spent",
+            )
+        return Assigned(site, spent is not None, home, site != current)
 
     def order_entries(self, site: str, entries: Sequence[EntryAddress], client: str) -> list[str]:
         """Returns names of entry VMs, the best first.
@@ -142,28 +167,34 @@
                 distance = 1 if self.plan.find_region(entry.zone) == region else 2
             return distance, hash_unit(f"{entry.vm}|{client}")
 
-        return [entry.vm for entry in sorted(entries, key=rank)]
-
-    def _find_ramp(self, service: str, region: str | None) -> Ramp:
-        ramp = self._ramps.get((service, region)) or self._ramps.get((service, None))
-        if ramp is None:
-            raise NotRun(ErrorKind.UNKNOWN_SERVICE, f"service {service!r} is not configured")
-        return ramp
+        return [entry.vm for entry in heapq.nsmallest(MAX_ENTRIES, entries, key=rank)]
 
-    def _drop_drained(self, shares: Shares) -> Shares:
-        kept = {site: share for site, share in shares.items() if not self._is_drained(site)}
-        if not any(share > 0 for share in kept.values()):
-            raise NotRun(ErrorKind.NO_SERVER, "every site of the service is drained")
-        return kept
+    def _find_key(self, service: str, region: str | None) -> ShiftKey:
+        for key in ((service, region), (service, None)):
+            if key in self._shifts:
+                return key
+        raise NotRun(ErrorKind.UNKNOWN_SERVICE, f"service {service!r} is not configured")
 
-    def _is_drained(self, site: str) -> bool:
-        known = self.plan.sites.get(site)
-        return known is None or known.drain
+    def _keep_known(self, site: str) -> str | None:
+        return site if site in self.plan.sites else None
 
-    def _find_cap(self, service: str, site: str, ramp: Ramp) -> ShiftCap:
-        key = (service, site, ramp.start_at)
-        cap = self._caps.get(key)
+    def _find_cap(self, service: str, site: str) -> ShiftCap:
+        cap = self._caps.get((service, site))
         if cap is None:
-            cap = ShiftCap(ramp.limits.cap_rps, self.plan.entry_vms, self._started_at)
-            self._caps[key] = cap
+            cap = self._caps[service, site] = ShiftCap(self._started_at)
         return cap
+
+    def _admit(self, service: str, cap: ShiftCap, now: float) -> bool:
+        limits = self.plan.services[service].shift
+        return cap.admit(limits.cap_rps, self.plan.entry_vms, now)
+
+
+def _build_assignments(service: str, shift: Shift, known: Sequence[Assignment]) -> list[Assignment]:
+    """Returns one assignment for each ramp; only the last one moves."""
+    wanted = [(ramp.origin, ramp.origin) for ramp in shift.ramps[:-1]]
+    wanted.append((shift.current.origin, shift.current.target))
+    built = []
+    for origin, target in wanted:
+        same = (item for item in known if item.origin == origin and item.target == target)
+        built.append(next(same, None) or Assignment(service, origin, target))
+    return built
