Add the bench of server selection with open-loop arrivals

Cause: no figure showed how permits compare with local choice or with an ideal shared queue. A service may state a selection policy, so every policy runs on the same processes; random, round robin, least outstanding and power of two choices choose among all servers on local knowledge and repeat refusals. The local share moved from permits.py to local.py.

--- a/src/briarfork/border/documents.py
+++ b/src/briarfork/border/documents.py
@@ -10,6 +10,7 @@
 from typing import Literal
 from typing import TypeVar
 
+from pydantic import AfterValidator
 from pydantic import BaseModel
 from pydantic import ConfigDict
 from pydantic import Field
@@ -19,6 +20,7 @@
 from briarfork.configuration import SERVICE_PREFIX
 from briarfork.configuration import SITE_PREFIX
 from briarfork.errors import InvalidConfiguration
+from briarfork.pools import SELECTION
 
 if TYPE_CHECKING:
     from briarfork.configuration import Document
@@ -29,6 +31,15 @@
 Count = Annotated[int, Field(ge=1, le=1_000_000)]
 Milliseconds = Annotated[int, Field(ge=1, le=86_400_000)]
 RequestClassName = Literal["short", "long"]
+
+
+def _check_selection(name: str) -> str:
+    if name not in SELECTION.names():
+        raise ValueError(f"expected one of {', '.join(SELECTION.names())}")
+    return name
+
+
+SelectionName = Annotated[str, AfterValidator(_check_selection)]
 Checked = TypeVar("Checked", bound=BaseModel)
 
 
@@ -94,6 +105,7 @@
     regional_spread: dict[Name, Annotated[dict[Name, Weight], Field(min_length=1)]] = {}
     shift: ShiftModel
     claims: Literal["store", "none"] = "store"
+    selection: SelectionName = "permits"
     routes: list[RouteModel] = []
 
 
--- /dev/null
+++ b/src/briarfork/entry/local.py
@@ -0,0 +1,89 @@
+"""Permits that this entry VM grants to itself, without the owner of the slots."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING
+
+from briarfork.configuration import SiteCapacity
+from briarfork.errors import ErrorKind
+from briarfork.errors import NotRun
+from briarfork.pools import Grant
+from briarfork.pools import LocalPool
+from briarfork.pools import PermitQueue
+
+if TYPE_CHECKING:
+    from briarfork.entry.slots import SlotKey
+    from briarfork.entry.view import EntryView
+    from briarfork.pools import PermitDemand
+    from briarfork.pools import Release
+    from briarfork.pools import ServerAddress
+
+
+class LocalShares:
+    """This VM's share of the slots of its own zone, for times without a reachable owner."""
+
+    def __init__(self, view: EntryView) -> None:
+        self._view = view
+        self._queues: dict[SlotKey, PermitQueue] = {}
+
+    def take(self, key: SlotKey, demand: PermitDemand) -> ServerAddress:
+        """Grants a permit from the share.
+
+        Raises:
+            NotRun: If the site is in another zone or the share is taken.
+        """
+        service, site = key
+        plan = self._view.require_steering().plan
+        own_zone = self._view.settings.zone
+        if plan.sites[site].zone != own_zone:
+            raise NotRun(ErrorKind.OVERLOADED, f"the owner of the slots of {site!r} is unreachable")
+        capacity = plan.services[service].capacity[site]
+        sharers = max(1, len(self._view.list_zone_entries(own_zone)))
+        share = SiteCapacity(max(1, capacity.slots // sharers), capacity.connections)
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = PermitQueue(share, plan.services[service].is_mixed, random.Random())
+            self._queues[key] = queue
+        queue.set_capacity(share, plan.services[service].is_mixed)
+        queue.set_servers(self._view.list_servers(service, site))
+        now = time.monotonic()
+        for decision in queue.demand(demand, now):
+            if isinstance(decision, Grant) and decision.demand is demand:
+                return decision.server
+        queue.cancel(demand.permit, now)
+        raise NotRun(ErrorKind.OVERLOADED, "the local share of the slots is taken")
+
+    def release(self, key: SlotKey, permit: str, how: Release, elapsed_s: float) -> None:
+        """Returns a permit of the share."""
+        self._queues[key].release(permit, how, elapsed_s, time.monotonic())
+
+
+class LocalChoice:
+    """Choice of servers for services that the plan gives a policy without an owner."""
+
+    def __init__(self, view: EntryView) -> None:
+        self._view = view
+        self._pools: dict[SlotKey, LocalPool] = {}
+
+    def take(self, key: SlotKey, demand: PermitDemand, policy: str) -> ServerAddress:
+        """Chooses a server by the policy.
+
+        Raises:
+            NotRun: If the site has no server.
+        """
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = LocalPool(random.Random())
+            self._pools[key] = pool
+        pool.set_servers(self._view.list_servers(*key))
+        server = pool.choose(policy, demand.permit, demand.request_class, demand.avoid)
+        if server is None:
+            raise NotRun(ErrorKind.NO_SERVER, f"site {key[1]!r} has no server")
+        return server
+
+    def release(self, key: SlotKey, permit: str) -> None:
+        """Counts the end of a request; a permit of another kind is ignored."""
+        if key in self._pools:
+            self._pools[key].release(permit)
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -20,14 +19,15 @@
 from briarfork.border.messages import PermitRequest
 from briarfork.border.streams import StreamClosed
 from briarfork.border.streams import dial
-from briarfork.configuration import SiteCapacity
+from briarfork.entry.local import LocalChoice
+from briarfork.entry.local import LocalShares
 from briarfork.entry.slots import send_heartbeats
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.pools import PERMITS
 from briarfork.pools import Grant
 from briarfork.pools import PermitDemand
-from briarfork.pools import PermitQueue
 from briarfork.pools import Refusal
 from briarfork.pools import ServerAddress
 
@@ -41,6 +41,9 @@
     from briarfork.pools import Release
     from briarfork.requests import Deadline
 
+# Names of VMs begin with a letter or a digit, so these cannot be owners.
+LOCAL_SHARE = "-share"
+LOCAL_CHOICE = "-choice"
 Decision = Grant | Refusal
 HeldPermits = Callable[[str], "list[PermitHeld]"]
 
@@ -50,7 +53,7 @@
     """The right to send one request to one server.
 
     Attributes:
-        owner: Entry VM that granted it; empty for a permit from the local share.
+        owner: Entry VM that granted it, or the kind of a permit that needs no owner.
     """
 
     name: str
@@ -181,7 +184,8 @@
         self._held: dict[str, Permit] = {}
         self._numbers = itertools.count(1)
         self._prefix = f"{view.settings.vm}-{time.time_ns():x}"
-        self._shares: dict[tuple[str, str], PermitQueue] = {}
+        self._shares = LocalShares(view)
+        self._choice = LocalChoice(view)
 
     async def acquire(
         self,
@@ -201,6 +205,10 @@
         demand = PermitDemand(
             name, self._view.settings.vm, request_class, time.monotonic() + wait_s, avoid
         )
+        policy = self._view.require_steering().plan.services[service].selection
+        if policy != PERMITS:
+            chosen = self._choice.take((service, site), demand, policy)
+            return self._build(service, site, demand, chosen, LOCAL_CHOICE)
         owner = self._view.find_owner(service, site)
         if owner is None:
             raise NotRun(ErrorKind.NO_SERVER, f"no entry VM serves site {site!r}")
@@ -211,7 +219,8 @@
                 permit = await self._ask_owner(owner, service, site, demand, wait_s)
         except OwnerUnreachable as error:
             self._desk.events.record(Event.OWNER_UNREACHABLE, owner=owner.vm, reason=error.detail)
-            permit = self._take_share(service, site, demand)
+            server = self._shares.take((service, site), demand)
+            permit = self._build(service, site, demand, server, LOCAL_SHARE)
         except TimeoutError as error:
             raise NotRun(ErrorKind.OVERLOADED, "no slot became free in time") from error
         self._held[name] = permit
@@ -221,8 +230,11 @@
         """Returns a permit."""
         self._held.pop(permit.name, None)
         key = (permit.service, permit.site)
-        if not permit.owner:
-            self._shares[key].release(permit.name, how, elapsed_s, time.monotonic())
+        if permit.owner == LOCAL_CHOICE:
+            self._choice.release(key, permit.name)
+            return
+        if permit.owner == LOCAL_SHARE:
+            self._shares.release(key, permit.name, how, elapsed_s)
             return
         owner = self._view.find_owner(*key)
         if owner is None or owner.vm == self._view.settings.vm:
@@ -308,32 +320,6 @@
         reason = answer.reason if isinstance(answer, PermitRefusal) else "no decision"
         raise NotRun(ErrorKind.OVERLOADED, reason)
 
-    def _take_share(self, service: str, site: str, demand: PermitDemand) -> Permit:
-        """Grants a permit from this VM's share of the slots of its own zone.
-
-        Raises:
-            NotRun: If the site is in another zone or the share is taken.
-        """
-        plan = self._view.require_steering().plan
-        own_zone = self._view.settings.zone
-        if plan.sites[site].zone != own_zone:
-            raise NotRun(ErrorKind.OVERLOADED, f"the owner of the slots of {site!r} is unreachable")
-        capacity = plan.services[service].capacity[site]
-        sharers = max(1, len(self._view.list_zone_entries(own_zone)))
-        share = SiteCapacity(max(1, capacity.slots // sharers), capacity.connections)
-        queue = self._shares.get((service, site))
-        if queue is None:
-            queue = PermitQueue(share, plan.services[service].is_mixed, random.Random())
-            self._shares[service, site] = queue
-        queue.set_capacity(share, plan.services[service].is_mixed)
-        queue.set_servers(self._view.list_servers(service, site))
-        now = time.monotonic()
-        for decision in queue.demand(demand, now):
-            if isinstance(decision, Grant) and decision.demand is demand:
-                return self._build(service, site, demand, decision.server, "")
-        queue.cancel(demand.permit, now)
-        raise NotRun(ErrorKind.OVERLOADED, "the local share of the slots is taken")
-
     def _build(
         self, service: str, site: str, demand: PermitDemand, server: ServerAddress, owner: str
     ) -> Permit:
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -1,17 +1,21 @@
 """Pools of backend servers: slots, permits and server selection."""
 
+from briarfork.pools.local import LocalPool
 from briarfork.pools.queue import Grant
 from briarfork.pools.queue import PermitDemand
 from briarfork.pools.queue import PermitQueue
 from briarfork.pools.queue import Refusal
 from briarfork.pools.queue import Release
+from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
 from briarfork.pools.server import Server
 from briarfork.pools.server import ServerAddress
 
 __all__ = [
+    "PERMITS",
     "SELECTION",
     "Grant",
+    "LocalPool",
     "PermitDemand",
     "PermitQueue",
     "Refusal",
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.configuration import RequestClass
+from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
 from briarfork.pools.server import Server
 
@@ -212,10 +213,11 @@
             for vm, server in self._servers.items()
             if vm not in demand.avoid and server.has_room(demand.request_class, now)
         ]
-        return SELECTION.get("permits")(free, self._random) if free else None
+        return SELECTION.get(PERMITS)(free, self._random) if free else None
 
     def _grant(self, demand: PermitDemand, server: Server) -> Grant:
         server.permits[demand.permit] = demand.request_class
+        server.chosen += 1
         self._holders[demand.permit] = (demand.requester, server.address.vm)
         return Grant(demand, server.address)
 
--- a/src/briarfork/pools/selection.py
+++ b/src/briarfork/pools/selection.py
@@ -17,9 +17,11 @@
 
 SELECTION: Registry[Policy] = Registry("selection policy")
 POWER_OF_TWO = 2
+# The policy that needs an owner of the slots.
+PERMITS = "permits"
 
 
-@SELECTION.register("permits")
+@SELECTION.register(PERMITS)
 def select_fastest_free(servers: Sequence[Server], random: Random) -> Server:
     """Chooses the server with the fewest requests in progress, then the shortest run time."""
     return min(servers, key=lambda server: (server.in_progress, server.run_time_s))
@@ -31,6 +33,12 @@
     return random.choice(servers)
 
 
+@SELECTION.register("round_robin")
+def select_in_turn(servers: Sequence[Server], random: Random) -> Server:
+    """Chooses the server that was chosen least often so far."""
+    return min(servers, key=lambda server: server.chosen)
+
+
 @SELECTION.register("least_outstanding")
 def select_least_outstanding(servers: Sequence[Server], random: Random) -> Server:
     """Chooses a server with the fewest requests in progress; ties are broken at random."""
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -35,6 +35,7 @@
         paused_until: End of the pause after a refusal.
         permits: Class of each request in progress, by permit.
         run_time_s: Moving mean of the run time of short requests.
+        chosen: Permits granted so far.
     """
 
     address: ServerAddress
@@ -44,6 +45,7 @@
     paused_until: float = 0.0
     permits: dict[str, RequestClass] = field(default_factory=dict)
     run_time_s: float = 0.0
+    chosen: int = 0
 
     @property
     def in_progress(self) -> int:
--- /dev/null
+++ b/tests/bench/deployments.py
@@ -0,0 +1,85 @@
+"""The deployments of examples/, scaled down to one region of three, with their mix of services.
+
+Servers and offered load are a third of the deployment; slots, run times, mix and the 12 entry VMs
+are kept. The examples state no run times, so the mean run times are set here.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from briarfork.registry import Registry
+from tests.cluster import Pool
+
+SCALE = "1/3"
+ENTRY_VMS_PER_ZONE = 6
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """One service: its servers at each of the two sites and the requests that callers send.
+
+    `load` is the share of slots in use on average; a workload without `run_ms` is a download.
+    """
+
+    service: str
+    servers_per_site: int
+    slots: int
+    run_ms: float
+    load: float = 0.8
+    method: str = "GET"
+    path: str = "/item"
+    deadline_s: float = 5.0
+
+    @property
+    def total_slots(self) -> int:
+        return 2 * self.servers_per_site * self.slots
+
+    @property
+    def rate(self) -> float:
+        return self.load * self.total_slots / (self.run_ms / 1000.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """A deployment of examples/ and the region of it that runs."""
+
+    name: str
+    zones: tuple[str, str]
+    workloads: tuple[Workload, ...]
+
+    def list_pools(self) -> list[Pool]:
+        return [
+            Pool(item.service, zone, item.servers_per_site, item.slots, item.run_ms)
+            for zone in self.zones
+            for item in self.workloads
+        ]
+
+
+DEPLOYMENTS: Registry[Deployment] = Registry("deployment")
+
+DEPLOYMENTS.register("estonia")(
+    Deployment(
+        "estonia",
+        ("north-a", "north-b"),
+        (
+            Workload("results", 3, 3, 60.0, deadline_s=2.0),
+            Workload("scoring", 2, 3, 100.0, method="POST"),
+            Workload("schedule", 2, 3, 80.0, method="POST"),
+            Workload("archive", 2, 3, 1000.0, load=0.6, path="/drawings", deadline_s=30.0),
+        ),
+    )
+)
+DEPLOYMENTS.register("chile")(
+    Deployment(
+        "chile",
+        ("far-north-a", "far-north-b"),
+        (
+            # 20 servers in three regions; a third is rounded down to 3 for each site.
+            Workload("hearing-status", 3, 9, 150.0, deadline_s=2.0),
+            Workload("ordering", 2, 8, 200.0, method="POST"),
+            Workload("transcripts", 2, 3, 100.0),
+            Workload("recordings", 2, 3, 1000.0, load=0.6, path="/recordings", deadline_s=30.0),
+        ),
+    )
+)
--- /dev/null
+++ b/tests/bench/generator.py
@@ -0,0 +1,89 @@
+"""Load generator: a process that sends its part of the arrivals at their intended times.
+
+Reads a plan from the file named on the command line and writes the outcomes next to it. A refusal
+as not run is sent again after a pause until the deadline, as callers do; latency counts from the
+intended start of the first attempt.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import uvloop
+
+REFUSAL_PAUSE_S = 0.02
+
+
+class Generator:
+    def __init__(self, plan: dict[str, Any]) -> None:
+        self._plan = plan
+        self._sessions: dict[str, aiohttp.ClientSession] = {}
+        self.outcomes: list[dict[str, Any]] = []
+
+    async def run(self) -> None:
+        for client in self._plan["urls"]:
+            connector = aiohttp.TCPConnector(limit=0, local_addr=(client, 0))
+            self._sessions[client] = aiohttp.ClientSession(connector=connector)
+        async with asyncio.TaskGroup() as group:
+            for arrival in self._plan["arrivals"]:
+                start_at = self._plan["start_at"] + arrival["at_s"]
+                await asyncio.sleep(max(0.0, start_at - time.time()))
+                group.create_task(self._send(arrival, start_at))
+        for session in self._sessions.values():
+            await session.close()
+
+    async def _send(self, arrival: dict[str, Any], start_at: float) -> None:
+        refusals = 0
+        late_s = time.time() - start_at
+        give_up_at = start_at + arrival["deadline_s"]
+        while True:
+            result = await self._attempt(arrival, give_up_at - time.time())
+            if result != "not-run" or time.time() + REFUSAL_PAUSE_S >= give_up_at:
+                break
+            refusals += 1
+            await asyncio.sleep(REFUSAL_PAUSE_S)
+        self.outcomes.append(
+            {
+                "service": arrival["service"],
+                "path": arrival["path"],
+                "result": result,
+                "refusals": refusals + (result == "not-run"),
+                "latency_s": time.time() - start_at,
+                "late_s": late_s,
+            }
+        )
+
+    async def _attempt(self, arrival: dict[str, Any], remaining_s: float) -> str:
+        session = self._sessions[arrival["client"]]
+        url = self._plan["urls"][arrival["client"]][arrival["service"]]
+        headers = {
+            "Test-Request": arrival["name"],
+            "Test-Run-Ms": f"{arrival['run_ms']:.3f}",
+            "Briarfork-Deadline-Ms": str(max(1, int(remaining_s * 1000))),
+        }
+        try:
+            async with session.request(
+                arrival["method"], url + arrival["path"], headers=headers
+            ) as answer:
+                await answer.read()
+                if answer.status < 300:
+                    return "done"
+                return answer.headers.get("Briarfork-Outcome", "error")
+        except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError, OSError):
+            return "cut"
+
+
+def main(path: Path) -> None:
+    generator = Generator(json.loads(path.read_text()))
+    uvloop.run(generator.run())
+    path.with_suffix(".out").write_text(json.dumps(generator.outcomes))
+
+
+if __name__ == "__main__":
+    main(Path(sys.argv[1]))
--- /dev/null
+++ b/tests/bench/runner.py
@@ -0,0 +1,132 @@
+"""Runs arrivals against a cluster, with load generators in processes of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import shutil
+import sys
+import time
+from dataclasses import asdict
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import yaml
+
+from tests.bench.arrivals import CLIENT_PREFIX
+from tests.bench.arrivals import list_clients
+from tests.bench.deployments import ENTRY_VMS_PER_ZONE
+from tests.cluster import Cluster
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from tests.bench.arrivals import Arrival
+    from tests.bench.deployments import Deployment
+
+ROOT = Path(__file__).parent.parent.parent
+GENERATORS = 2
+START_DELAY_S = 1.5
+LOCAL_CLIENT = f"{CLIENT_PREFIX}.0.1"
+
+
+class Bench:
+    """A running deployment; measures arrivals and changes the selection policy."""
+
+    def __init__(self, deployment: Deployment, work: Path, network: int) -> None:
+        self.deployment = deployment
+        self._work = work
+        self._folder = work / "files"
+        shutil.copytree(ROOT / "examples" / deployment.name, self._folder)
+        self._urls: dict[str, dict[str, str]] = {}
+        self.cluster = Cluster(
+            self._folder,
+            work,
+            list(deployment.zones),
+            vms_per_zone=ENTRY_VMS_PER_ZONE,
+            pools=deployment.list_pools(),
+            network=network,
+            client=LOCAL_CLIENT,
+        )
+
+    async def __aenter__(self) -> Bench:
+        await self.cluster.__aenter__()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.cluster.__aexit__()
+
+    async def use_policy(self, policy: str) -> None:
+        """Submits a change that selects the policy for every service."""
+        path = self._folder / "base.yaml"
+        base = yaml.safe_load(path.read_text())
+        for service in base["services"].values():
+            service["selection"] = policy
+        path.write_text(yaml.safe_dump(base, sort_keys=False))
+        answer = await self.cluster.submit()
+        await self.cluster.wait_for_generation(answer["generation"])
+        if not self._urls:
+            await self._look_up()
+
+    async def measure(self, arrivals: Sequence[Arrival], label: str) -> list[dict[str, Any]]:
+        """Sends the arrivals and returns the outcome of each."""
+        processes = []
+        plans = []
+        start_at = time.time() + START_DELAY_S
+        for index in range(GENERATORS):
+            plan = self._work / f"{label}-{index}.json"
+            body = {
+                "start_at": start_at,
+                "urls": self._urls,
+                "arrivals": [asdict(item) for item in arrivals[index::GENERATORS]],
+            }
+            plan.write_text(json.dumps(body))
+            plans.append(plan)
+            processes.append(
+                await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "tests.bench.generator",
+                    str(plan),
+                    cwd=ROOT,
+                    env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
+                )
+            )
+        try:
+            for process in processes:
+                if await process.wait() != 0:
+                    raise RuntimeError(f"the load generator failed in run {label}")
+        finally:
+            for process in processes:
+                if process.returncode is None:
+                    process.kill()
+        return [item for plan in plans for item in json.loads(plan.with_suffix(".out").read_text())]
+
+    async def read_ledgers(self) -> list[dict[str, Any]]:
+        """Returns what the backend servers have recorded."""
+        return [
+            await self.cluster.get(f"http://{address}:{port}/ledger")
+            for address, port in self.cluster.backends.values()
+        ]
+
+    async def count_duplicates(self, label: str, service: str) -> int:
+        """Counts requests that ran more than once."""
+        runs: dict[str, int] = {}
+        for server in await self.read_ledgers():
+            for name, count in server["ledger"].items():
+                if name.startswith(f"{label}-{service}-"):
+                    runs[name] = runs.get(name, 0) + count
+        return sum(1 for count in runs.values() if count > 1)
+
+    async def _look_up(self) -> None:
+        url = f"{self.cluster.vms[0].url}/lookup"
+        for client in list_clients():
+            self._urls[client] = {}
+            for item in self.deployment.workloads:
+                answer = await self.cluster.get(url, service=item.service, client=client)
+                entry = answer["entries"][0]
+                self._urls[client][
+                    item.service
+                ] = f"http://{entry['address']}:{entry['port']}/services/{item.service}"
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -4,7 +4,8 @@
 and serves long downloads with a strong entity tag. `POST /control` sets: `state` ("live" or
 "draining"), `slow_factor`, `fault` ("", "close-before", "close-after", "short", "hang",
 "endless-chunk") and `load` (a fixed report, for reports that mislead). The ledger counts runs by
-idempotency key, or by the header Test-Request.
+idempotency key, or by the header Test-Request. The header Test-Run-Ms sets the run time of a
+request, so that a bench can offer the same work to every policy.
 """
 
 from __future__ import annotations
@@ -113,9 +114,10 @@
     if server.fault == "hang":
         await asyncio.sleep(HANG_S)
     server.ledger[name] = server.ledger.get(name, 0) + 1
-    if request.path.startswith(("/videos", "/recordings", "/drawings")):
+    timed = "Test-Run-Ms" in request.headers
+    if not timed and request.path.startswith(("/videos", "/recordings", "/drawings")):
         return await _download(server, request)
-    await asyncio.sleep(server.choose_run_s())
+    await asyncio.sleep(_find_run_s(server, request))
     if server.fault == "close-after":
         return _cut(request)
     if server.fault == "short":
@@ -125,6 +127,11 @@
     )
 
 
+def _find_run_s(server: Server, request: web.Request) -> float:
+    fixed_ms = request.headers.get("Test-Run-Ms")
+    return float(fixed_ms) / 1000.0 * server.slow_factor if fixed_ms else server.choose_run_s()
+
+
 async def _download(server: Server, request: web.Request) -> web.StreamResponse:
     total = int(request.query.get("bytes", server.download_bytes))
     start = 0
