--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -182,11 +182,16 @@
 
 @MESSAGES.register("permit_refusal")
 class PermitRefusal(Message, frozen=True):
-    """No permit; nothing was sent to a server."""
+    """No permit; nothing was sent to a server.
+
+    Attributes:
+        moved: Whether the sender is not, or no longer, the owner of the slots.
+    """
 
     name = "permit_refusal"
     permit: str
     reason: str
+    moved: bool = False
 
 
 @MESSAGES.register("permit_release")
--- a/src/briarfork/border/settings.py
+++ b/src/briarfork/border/settings.py
@@ -60,6 +60,8 @@
         heartbeat_s: Pause between heartbeats on a stream.
         silence_s: Silence after which a stream counts as dead.
         reconnect_s: Pause before a stream is dialled again.
+        permit_heartbeat_s: Pause between heartbeats on a stream for permits.
+        permit_silence_s: Silence after which a stream for permits counts as dead.
         progress_s: Longest pause between two parts of an answer.
         connection_age_s: Age at which an idle connection to a backend server is closed.
         spread_s: Time in which the news of a leaving VM reaches all others.
@@ -73,6 +75,8 @@
     heartbeat_s: Seconds = 1.0
     silence_s: Seconds = 3.0
     reconnect_s: Seconds = 0.5
+    permit_heartbeat_s: Seconds = 0.1
+    permit_silence_s: Seconds = 0.5
     progress_s: Seconds = 10.0
     connection_age_s: Seconds = 60.0
     spread_s: Seconds = 2.0
--- a/src/briarfork/border/streams.py
+++ b/src/briarfork/border/streams.py
@@ -30,6 +30,10 @@
         super().__init__(ErrorKind.PEER_PROTOCOL, detail)
 
 
+class StreamSilent(StreamClosed):
+    """A stream on which nothing arrived within the silence limit; the peer may still run."""
+
+
 class MessageStream:
     """One connection that carries messages in both directions.
 
@@ -89,7 +93,7 @@
             async with asyncio.timeout(silence_s):
                 data = await self._reader.read(READ_BYTES)
         except TimeoutError as error:
-            raise StreamClosed(f"{self.peer}: silent for {silence_s:g} s") from error
+            raise StreamSilent(f"{self.peer}: silent for {silence_s:g} s") from error
         except OSError as error:
             raise StreamClosed(f"{self.peer}: {error}") from error
         if not data:
--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from briarfork.configuration import SiteCapacity
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.pools import Grant
@@ -21,6 +20,25 @@
     from briarfork.pools import ServerAddress
 
 
+def divide_slots(servers: list[str], slots: int, sharers: list[str], vm: str) -> dict[str, int]:
+    """Returns the slots of each server that one VM may use without the owner.
+
+    The slots of all servers are dealt to the VMs in turn, so the shares add up to the slots.
+
+    Example:
+        >>> [divide_slots(["s", "t"], 3, ["a", "b"], vm) for vm in ("a", "b")]
+        [{'s': 2, 't': 1}, {'s': 1, 't': 2}]
+    """
+    if vm not in sharers:
+        return {}
+    own = sharers.index(vm)
+    share = dict.fromkeys(servers, 0)
+    for number, server in enumerate(server for server in servers for _ in range(slots)):
+        if number % len(sharers) == own:
+            share[server] += 1
+    return share
+
+
 class LocalShares:
     """This VM's share of the slots of its own zone, for times without a reachable owner."""
 
@@ -40,14 +58,23 @@
         if plan.sites[site].zone != own_zone:
             raise NotRun(ErrorKind.OVERLOADED, f"the owner of the slots of {site!r} is unreachable")
         capacity = plan.services[service].capacity[site]
-        sharers = max(1, len(self._view.list_zone_entries(own_zone)))
-        share = SiteCapacity(max(1, capacity.slots // sharers), capacity.connections)
+        mixed = plan.services[service].is_mixed
         queue = self._queues.get(key)
         if queue is None:
-            queue = PermitQueue(share, plan.services[service].is_mixed, random.Random())
+            queue = PermitQueue(capacity, mixed, random.Random())
             self._queues[key] = queue
-        queue.set_capacity(share, plan.services[service].is_mixed)
-        queue.set_servers(self._view.list_servers(service, site))
+        queue.set_capacity(capacity, mixed)
+        servers = self._view.list_servers(service, site)
+        queue.set_servers(servers)
+        sharers = sorted({member.vm for member in self._view.list_zone_entries(own_zone)})
+        queue.set_shares(
+            divide_slots(
+                sorted(server.vm for server in servers),
+                capacity.slots,
+                sharers,
+                self._view.settings.vm,
+            )
+        )
         now = time.monotonic()
         for decision in queue.demand(demand, now):
             if isinstance(decision, Grant) and decision.demand is demand:
@@ -78,7 +105,9 @@
             pool = LocalPool(random.Random())
             self._pools[key] = pool
         pool.set_servers(self._view.list_servers(*key))
-        server = pool.choose(policy, demand.permit, demand.request_class, demand.avoid)
+        server = pool.choose(
+            policy, demand.permit, demand.request_class, demand.avoid, time.monotonic()
+        )
         if server is None:
             raise NotRun(ErrorKind.NO_SERVER, f"site {key[1]!r} has no server")
         return server
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -5,47 +5,48 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
-from briarfork.border.messages import Hello
-from briarfork.border.messages import PermitCancel
 from briarfork.border.messages import PermitGrant
 from briarfork.border.messages import PermitHeld
 from briarfork.border.messages import PermitRefusal
 from briarfork.border.messages import PermitRelease
 from briarfork.border.messages import PermitRequest
-from briarfork.border.streams import StreamClosed
-from briarfork.border.streams import dial
 from briarfork.entry.local import LocalChoice
 from briarfork.entry.local import LocalShares
-from briarfork.entry.slots import send_heartbeats
-from briarfork.errors import BriarforkError
+from briarfork.entry.owner_link import OwnerLink
+from briarfork.entry.owner_link import OwnerUnreachable
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.pools import PERMITS
 from briarfork.pools import Grant
 from briarfork.pools import PermitDemand
 from briarfork.pools import Refusal
+from briarfork.pools import Release
+from briarfork.pools import Requester
 from briarfork.pools import ServerAddress
 
 if TYPE_CHECKING:
-    from briarfork.border.messages import Message
-    from briarfork.border.streams import MessageStream
+    from collections.abc import Iterable
+
     from briarfork.configuration import RequestClass
     from briarfork.entry.slots import SlotDesk
+    from briarfork.entry.slots import SlotKey
     from briarfork.entry.view import EntryView
     from briarfork.membership import Member
-    from briarfork.pools import Release
     from briarfork.requests import Deadline
 
 # Names of VMs begin with a letter or a digit, so these cannot be owners.
 LOCAL_SHARE = "-share"
 LOCAL_CHOICE = "-choice"
-Decision = Grant | Refusal
-HeldPermits = Callable[[str], "list[PermitHeld]"]
+# A request that gets no slot in its own site within the round-trip time to another zone of the
+# region also waits there.
+OVERFLOW_AFTER_S = 0.004
+# Pause before the new owner of moved slots is asked; views of the roster differ for a moment.
+MOVED_PAUSE_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,114 +64,15 @@
     server: ServerAddress
     owner: str
 
+    @property
+    def key(self) -> SlotKey:
+        """The slots that it belongs to."""
+        return self.service, self.site
 
-class OwnerUnreachable(BriarforkError):
-    """The owner of the slots did not decide; it is not known to have refused."""
-
-    def __init__(self, detail: str) -> None:
-        super().__init__(ErrorKind.OVERLOADED, detail)
-
-
-class OwnerLink:
-    """The stream to one owner; one task keeps it."""
-
-    def __init__(self, owner: Member, view: EntryView) -> None:
-        self.owner = owner
-        self._view = view
-        self._stream: MessageStream | None = None
-        self._opened = asyncio.Event()
-        self._pending: dict[str, asyncio.Future[Message]] = {}
-
-    async def run(self, list_held: HeldPermits) -> None:
-        """Dials the owner, declares held permits and takes decisions, again after every loss."""
-        settings = self._view.settings
-        timeouts = settings.timeouts
-        while True:
-            try:
-                stream = await dial(
-                    self.owner.address, self.owner.ports["permits"], timeouts.connect_s
-                )
-                await self._converse(stream, list_held)
-            except StreamClosed:
-                pass
-            self._close()
-            await asyncio.sleep(timeouts.reconnect_s)
-
-    async def ask(self, message: PermitRequest, wait_s: float) -> Message:
-        """Sends a request for a permit and returns the decision.
-
-        Raises:
-            OwnerUnreachable: If the stream is not open or ends before the decision.
-        """
-        try:
-            async with asyncio.timeout(min(wait_s, self._view.settings.timeouts.connect_s)):
-                await self._opened.wait()
-        except TimeoutError as error:
-            raise OwnerUnreachable(f"no stream to {self.owner.vm}") from error
-        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
-        self._pending[message.permit] = future
-        try:
-            self.send(message)
-            async with asyncio.timeout(wait_s):
-                return await future
-        except StreamClosed as error:
-            raise OwnerUnreachable(error.detail) from error
-        except (TimeoutError, asyncio.CancelledError):
-            self.send_if_open(PermitCancel(message.permit, message.service, message.site))
-            raise
-        finally:
-            self._pending.pop(message.permit, None)
-
-    def send(self, message: Message) -> None:
-        """Sends a message.
-
-        Raises:
-            StreamClosed: If the stream is not open.
-        """
-        if self._stream is None:
-            raise StreamClosed(f"no stream to {self.owner.vm}")
-        self._stream.send(message)
-
-    def send_if_open(self, message: Message) -> None:
-        """Sends a message if the stream is open."""
-        try:
-            self.send(message)
-        except StreamClosed:
-            return
-
-    async def _converse(self, stream: MessageStream, list_held: HeldPermits) -> None:
-        settings = self._view.settings
-        stream.send(Hello(settings.vm, settings.zone))
-        for held in list_held(self.owner.vm):
-            stream.send(held)
-        self._stream = stream
-        self._opened.set()
-        try:
-            async with asyncio.TaskGroup() as group:
-                beats = group.create_task(send_heartbeats(stream, settings.timeouts.heartbeat_s))
-                try:
-                    while True:
-                        self._decide(await stream.receive(settings.timeouts.silence_s))
-                finally:
-                    beats.cancel()
-        except* BriarforkError:
-            pass
-        finally:
-            stream.abort()
-
-    def _decide(self, message: Message) -> None:
-        if not isinstance(message, PermitGrant | PermitRefusal):
-            return
-        future = self._pending.get(message.permit)
-        if future is not None and not future.done():
-            future.set_result(message)
-
-    def _close(self) -> None:
-        self._stream = None
-        self._opened.clear()
-        for future in self._pending.values():
-            if not future.done():
-                future.set_exception(OwnerUnreachable(f"the stream to {self.owner.vm} ended"))
+    @property
+    def is_local(self) -> bool:
+        """Whether this VM granted it without the owner of the slots."""
+        return self.owner in (LOCAL_SHARE, LOCAL_CHOICE)
 
 
 class PermitClient:
@@ -183,6 +85,7 @@
         self._wanted = asyncio.Event()
         self._held: dict[str, Permit] = {}
         self._numbers = itertools.count(1)
+        self._self = Requester(view.settings.vm)
         self._prefix = f"{view.settings.vm}-{time.time_ns():x}"
         self._shares = LocalShares(view)
         self._choice = LocalChoice(view)
@@ -195,53 +98,49 @@
         deadline: Deadline,
         avoid: frozenset[str],
     ) -> Permit:
-        """Waits for a permit until the deadline.
+        """Waits for a permit until the deadline, at the site first and then in its region, too.
 
         Raises:
             NotRun: If there is none in time.
         """
-        name = f"{self._prefix}-{next(self._numbers)}"
-        wait_s = deadline.remaining_s(time.monotonic())
-        demand = PermitDemand(
-            name, self._view.settings.vm, request_class, time.monotonic() + wait_s, avoid
-        )
-        policy = self._view.require_steering().plan.services[service].selection
+        steering = self._view.require_steering()
+        policy = steering.plan.services[service].selection
         if policy != PERMITS:
-            chosen = self._choice.take((service, site), demand, policy)
-            return self._build(service, site, demand, chosen, LOCAL_CHOICE)
-        owner = self._view.find_owner(service, site)
-        if owner is None:
-            raise NotRun(ErrorKind.NO_SERVER, f"no entry VM serves site {site!r}")
-        try:
-            if owner.vm == self._view.settings.vm:
-                permit = await self._ask_desk(service, site, demand, wait_s)
-            else:
-                permit = await self._ask_owner(owner, service, site, demand, wait_s)
-        except OwnerUnreachable as error:
-            self._desk.events.record(Event.OWNER_UNREACHABLE, owner=owner.vm, reason=error.detail)
-            server = self._shares.take((service, site), demand)
-            permit = self._build(service, site, demand, server, LOCAL_SHARE)
-        except TimeoutError as error:
-            raise NotRun(ErrorKind.OVERLOADED, "no slot became free in time") from error
-        self._held[name] = permit
-        return permit
+            demand = self._build_demand(request_class, deadline, avoid)
+            server = self._choice.take((service, site), demand, policy)
+            return self._keep(
+                Permit(demand.permit, service, site, request_class, server, LOCAL_CHOICE)
+            )
+        siblings = steering.find_siblings(service, site, time.time())
+        keys = [(service, name) for name in (site, *siblings)]
+        demands = {key: self._build_demand(request_class, deadline, avoid) for key in keys}
+        return await self._ask_sites(demands, deadline)
 
     def release(self, permit: Permit, how: Release, elapsed_s: float) -> None:
         """Returns a permit."""
-        self._held.pop(permit.name, None)
-        key = (permit.service, permit.site)
+        # The owner may have changed since the permit was granted.
+        permit = self._held.pop(permit.name, permit)
         if permit.owner == LOCAL_CHOICE:
-            self._choice.release(key, permit.name)
-            return
-        if permit.owner == LOCAL_SHARE:
-            self._shares.release(key, permit.name, how, elapsed_s)
-            return
-        owner = self._view.find_owner(*key)
-        if owner is None or owner.vm == self._view.settings.vm:
-            self._desk.release(key, permit.name, how, elapsed_s)
-            return
-        link = self._find_link(owner)
-        link.send_if_open(PermitRelease(permit.name, *key, how, elapsed_s * 1000.0))
+            self._choice.release(permit.key, permit.name)
+        elif permit.owner == LOCAL_SHARE:
+            self._shares.release(permit.key, permit.name, how, elapsed_s)
+        elif permit.owner == self._self.vm:
+            self._desk.release(permit.key, permit.name, how, elapsed_s)
+        elif permit.owner in self._links:
+            message = PermitRelease(permit.name, *permit.key, how, elapsed_s * 1000.0)
+            self._links[permit.owner].send_if_open(message)
+
+    def refresh(self) -> None:
+        """Declares held permits to the owners that have taken over their slots."""
+        for permit in list(self._held.values()):
+            owner = self._view.find_owner(*permit.key)
+            if permit.is_local or owner is None or owner.vm == permit.owner:
+                continue
+            self._held[permit.name] = replace(permit, owner=owner.vm)
+            if owner.vm == self._self.vm:
+                self._desk.adopt(self._self, _describe(permit))
+            else:
+                self._find_link(owner).send_if_open(_describe(permit))
 
     async def keep_links(self) -> None:
         """Runs one task for each owner that this process has asked, until the owner is gone."""
@@ -261,66 +160,148 @@
                 except TimeoutError:
                     continue
 
-    def _find_link(self, owner: Member) -> OwnerLink:
-        link = self._links.get(owner.vm)
-        if link is None:
-            link = OwnerLink(owner, self._view)
-            self._links[owner.vm] = link
-            self._wanted.set()
-        return link
+    async def _ask_sites(self, demands: dict[SlotKey, PermitDemand], deadline: Deadline) -> Permit:
+        """Asks one site after the other and takes the first permit.
 
-    def _list_held(self, owner: str) -> list[PermitHeld]:
-        return [
-            PermitHeld(
-                permit.name, permit.service, permit.site, permit.server.vm, permit.request_class
-            )
-            for permit in self._held.values()
-            if self._is_owned(permit, owner)
-        ]
+        Raises:
+            NotRun: If all refuse.
+        """
+        tasks: list[asyncio.Task[Permit | NotRun]] = []
+        try:
+            async with asyncio.TaskGroup() as group:
+                for key, demand in demands.items():
+                    tasks.append(group.create_task(self._try(key, demand, deadline)))
+                    patience_s = OVERFLOW_AFTER_S if len(tasks) < len(demands) else None
+                    await _wait_for_permit(tasks, patience_s)
+                    if _list_permits(tasks):
+                        break
+                for task in tasks:
+                    task.cancel()
+        except BaseException:
+            for permit in _list_permits(tasks):
+                self.release(permit, Release.UNUSED, 0.0)
+            raise
+        permits = _list_permits(tasks)
+        if not permits:
+            raise next(result for result in _list_results(tasks) if isinstance(result, NotRun))
+        for permit in permits[1:]:
+            self.release(permit, Release.UNUSED, 0.0)
+        return self._keep(permits[0])
+
+    async def _try(self, key: SlotKey, demand: PermitDemand, deadline: Deadline) -> Permit | NotRun:
+        """Asks the owners of one site's slots until one decides; a refusal is returned."""
+        while True:
+            owner = self._view.find_owner(*key)
+            if owner is None:
+                return NotRun(ErrorKind.NO_SERVER, f"no entry VM serves site {key[1]!r}")
+            try:
+                answer = await self._ask(owner, key, demand, deadline)
+                if isinstance(answer, ServerAddress):
+                    return Permit(demand.permit, *key, demand.request_class, answer, owner.vm)
+                if not answer.moved:
+                    return NotRun(ErrorKind.OVERLOADED, answer.reason)
+                async with asyncio.timeout(deadline.remaining_s(time.monotonic())):
+                    await asyncio.sleep(MOVED_PAUSE_S)
+            except OwnerUnreachable as error:
+                self._desk.events.record(
+                    Event.OWNER_UNREACHABLE, owner=owner.vm, reason=error.detail
+                )
+                return self._take_share(key, demand)
+            except TimeoutError:
+                return NotRun(ErrorKind.OVERLOADED, "no slot became free in time")
 
-    def _is_owned(self, permit: Permit, vm: str) -> bool:
-        owner = self._view.find_owner(permit.service, permit.site)
-        return owner is not None and owner.vm == vm
+    async def _ask(
+        self, owner: Member, key: SlotKey, demand: PermitDemand, deadline: Deadline
+    ) -> ServerAddress | Refusal:
+        wait_s = deadline.remaining_s(time.monotonic())
+        if owner.vm == self._self.vm:
+            return await self._ask_desk(key, demand, wait_s)
+        message = PermitRequest(
+            permit=demand.permit,
+            service=key[0],
+            site=key[1],
+            request_class=demand.request_class,
+            wait_ms=int(wait_s * 1000),
+            avoid=sorted(demand.avoid),
+        )
+        answer = await self._find_link(owner).ask(message, wait_s)
+        if isinstance(answer, PermitGrant):
+            return ServerAddress(answer.vm, answer.address, answer.port)
+        assert isinstance(answer, PermitRefusal)
+        return Refusal(demand, answer.reason, answer.moved)
 
     async def _ask_desk(
-        self, service: str, site: str, demand: PermitDemand, wait_s: float
-    ) -> Permit:
-        future: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
+        self, key: SlotKey, demand: PermitDemand, wait_s: float
+    ) -> ServerAddress | Refusal:
+        future: asyncio.Future[Grant | Refusal] = asyncio.get_running_loop().create_future()
 
-        def deliver(decision: Decision) -> None:
+        def deliver(decision: Grant | Refusal) -> None:
             if not future.done():
                 future.set_result(decision)
 
-        self._desk.demand((service, site), demand, deliver)
+        self._desk.demand(key, demand, deliver)
         try:
             async with asyncio.timeout(wait_s):
                 decision = await future
         except (TimeoutError, asyncio.CancelledError):
-            self._desk.cancel((service, site), demand.permit)
+            self._desk.cancel(key, demand.permit)
             raise
-        if isinstance(decision, Refusal):
-            raise NotRun(ErrorKind.OVERLOADED, decision.reason)
-        return self._build(service, site, demand, decision.server, self._view.settings.vm)
+        return decision.server if isinstance(decision, Grant) else decision
 
-    async def _ask_owner(
-        self, owner: Member, service: str, site: str, demand: PermitDemand, wait_s: float
-    ) -> Permit:
-        message = PermitRequest(
-            permit=demand.permit,
-            service=service,
-            site=site,
-            request_class=demand.request_class,
-            wait_ms=int(wait_s * 1000),
-            avoid=sorted(demand.avoid),
-        )
-        answer = await self._find_link(owner).ask(message, wait_s)
-        if isinstance(answer, PermitGrant):
-            server = ServerAddress(answer.vm, answer.address, answer.port)
-            return self._build(service, site, demand, server, owner.vm)
-        reason = answer.reason if isinstance(answer, PermitRefusal) else "no decision"
-        raise NotRun(ErrorKind.OVERLOADED, reason)
+    def _take_share(self, key: SlotKey, demand: PermitDemand) -> Permit | NotRun:
+        try:
+            server = self._shares.take(key, demand)
+        except NotRun as refusal:
+            return refusal
+        return Permit(demand.permit, *key, demand.request_class, server, LOCAL_SHARE)
 
-    def _build(
-        self, service: str, site: str, demand: PermitDemand, server: ServerAddress, owner: str
-    ) -> Permit:
-        return Permit(demand.permit, service, site, demand.request_class, server, owner)
+    def _keep(self, permit: Permit) -> Permit:
+        self._held[permit.name] = permit
+        return permit
+
+    def _build_demand(
+        self, request_class: RequestClass, deadline: Deadline, avoid: frozenset[str]
+    ) -> PermitDemand:
+        name = f"{self._prefix}-{next(self._numbers)}"
+        return PermitDemand(name, self._self, request_class, deadline.expires_at, avoid)
+
+    def _find_link(self, owner: Member) -> OwnerLink:
+        link = self._links.get(owner.vm)
+        if link is None:
+            link = OwnerLink(owner, self._view)
+            self._links[owner.vm] = link
+            self._wanted.set()
+        return link
+
+    def _list_held(self, owner: str) -> list[PermitHeld]:
+        return [_describe(permit) for permit in self._held.values() if permit.owner == owner]
+
+
+def _describe(permit: Permit) -> PermitHeld:
+    return PermitHeld(
+        permit.name, permit.service, permit.site, permit.server.vm, permit.request_class
+    )
+
+
+def _list_results(tasks: Iterable[asyncio.Task[Permit | NotRun]]) -> list[Permit | NotRun]:
+    ended = [task for task in tasks if task.done() and not task.cancelled()]
+    return [task.result() for task in ended if task.exception() is None]
+
+
+def _list_permits(tasks: Iterable[asyncio.Task[Permit | NotRun]]) -> list[Permit]:
+    return [result for result in _list_results(tasks) if isinstance(result, Permit)]
+
+
+async def _wait_for_permit(
+    tasks: list[asyncio.Task[Permit | NotRun]], patience_s: float | None
+) -> None:
+    """Waits until a task has a permit, all tasks are refused, or the patience ends."""
+    try:
+        async with asyncio.timeout(patience_s):
+            pending = set(tasks)
+            while pending:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                if _list_permits(done):
+                    return
+    except TimeoutError:
+        return
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -60,6 +60,7 @@
         """Applies a change of the view to the slots that this VM owns."""
         if self.view.timeline.generation:
             self.slots.refresh()
+            self.permits.refresh()
 
     def accept_load(self, loads: Iterable[Load]) -> None:
         """Takes the loads that other VMs have reported."""
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -143,7 +143,7 @@
         for number in range(1, MAX_ATTEMPTS + 1):
             permit = await self._process.router.acquire(call, service, avoid)
             started_at = time.monotonic()
-            how = Release.FAILED
+            how = Release.CANCELLED
             try:
                 answer = await self._process.forwarder.attempt(call, permit)
                 how = Release.DONE
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import time
 from collections.abc import Callable
@@ -21,12 +22,14 @@
 from briarfork.border.messages import PermitRelease
 from briarfork.border.messages import PermitRequest
 from briarfork.border.streams import StreamClosed
+from briarfork.border.streams import StreamSilent
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.pools import Grant
 from briarfork.pools import PermitDemand
 from briarfork.pools import PermitQueue
 from briarfork.pools import Refusal
+from briarfork.pools import Requester
 from briarfork.registry import Registry
 
 if TYPE_CHECKING:
@@ -43,9 +46,13 @@
 
 # How often waiting requests are checked for expiry and pauses of servers for their end.
 POLL_S = 0.02
-# A new owner waits this long for requesters to declare the permits of the former owner.
+# A new owner waits this long for requesters to declare the permits of the former owner. They
+# dial again after a heartbeat and a connection attempt.
 ADOPTION_S = 0.5
+# Bounds what requesters declare before this VM knows that it owns the slots.
+MAX_EARLY = 4096
 MILLISECONDS = 1000.0
+NOT_OWNER = "this VM does not own the slots"
 
 HANDLERS: Registry[Callable[[Any, Any, Any], None]] = Registry("message for an owner of slots")
 
@@ -64,30 +71,33 @@
         self._queues: dict[SlotKey, PermitQueue] = {}
         self._opens_at: dict[SlotKey, float] = {}
         self._deliveries: dict[str, Deliver] = {}
+        self._early: dict[str, tuple[Requester, PermitHeld]] = {}
+        self._streams = itertools.count(1)
 
     def refresh(self) -> None:
         """Applies the plan, the roster and the list of servers."""
         plan = self._view.require_steering().plan
-        started = not self._queues
         for service in plan.services.values():
             for site, capacity in service.capacity.items():
                 key = (service.name, site)
                 owner = self._view.find_owner(*key)
                 if owner is None or owner.vm != self.settings.vm:
-                    self._queues.pop(key, None)
+                    self._close(key)
                     continue
-                if key not in self._queues:
+                opened = key not in self._queues
+                if opened:
                     self._queues[key] = PermitQueue(capacity, service.is_mixed, random.Random())
-                    delay_s = 0.0 if started else ADOPTION_S
-                    self._opens_at[key] = time.monotonic() + delay_s
+                    self._opens_at[key] = time.monotonic() + ADOPTION_S
                 self._queues[key].set_capacity(capacity, service.is_mixed)
                 self._queues[key].set_servers(self._view.list_servers(*key))
+                if opened:
+                    self._adopt_early(key)
 
     def demand(self, key: SlotKey, demand: PermitDemand, deliver: Deliver) -> None:
         """Adds a demand; its decision is delivered now or later."""
         queue = self._queues.get(key)
         if queue is None:
-            deliver(Refusal(demand, "not the owner of these slots"))
+            deliver(Refusal(demand, NOT_OWNER, moved=True))
             return
         self._deliveries[demand.permit] = deliver
         now = time.monotonic()
@@ -98,6 +108,7 @@
 
     def release(self, key: SlotKey, permit: str, how: Release, elapsed_s: float) -> None:
         """Frees a slot and grants it to the next request."""
+        self._early.pop(permit, None)
         queue = self._queues.get(key)
         if queue is not None:
             now = time.monotonic()
@@ -114,17 +125,33 @@
             queue.cancel(permit, now)
             self._deliver(queue.poll(now))
 
-    def adopt(self, key: SlotKey, requester: str, held: PermitHeld) -> None:
-        """Takes over a permit of the former owner."""
-        queue = self._queues.get(key)
+    def adopt(self, requester: Requester, held: PermitHeld) -> None:
+        """Takes over a permit of the former owner.
+
+        The requester may learn of the change of owner first; then the permit is kept until this
+        VM knows of it, too.
+        """
+        queue = self._queues.get((held.service, held.site))
         if queue is not None:
-            queue.adopt(held.permit, requester, held.vm, held.request_class)
+            queue.adopt(held.permit, requester, held.vm, held.request_class, time.monotonic())
+        elif len(self._early) < MAX_EARLY:
+            self._early[held.permit] = (requester, held)
+
+    def settle_requester(self, requester: Requester) -> None:
+        """Frees what earlier streams of a VM held and the new one has not declared."""
+        now = time.monotonic()
+        for key, queue in self._queues.items():
+            self._forget(queue.settle_requester(requester, now))
+            if now >= self._opens_at[key]:
+                self._deliver(queue.poll(now))
 
-    def drop_requester(self, requester: str) -> None:
-        """Frees what a requester held whose stream is gone."""
+    def drop_requester(self, requester: Requester, silent: bool) -> None:
+        """Removes what a requester waited for whose stream is gone, and marks what it held."""
         now = time.monotonic()
+        for permit in [p for p, (vm, _) in self._early.items() if vm == requester]:
+            del self._early[permit]
         for queue in self._queues.values():
-            queue.drop_requester(requester, now)
+            self._forget(queue.drop_requester(requester, silent, now))
 
     def list_load(self) -> list[Load]:
         """Returns the load of all owned slots."""
@@ -145,33 +172,61 @@
     async def serve(self, stream: MessageStream) -> None:
         """Serves one requester until its stream ends."""
         timeouts = self.settings.timeouts
-        requester = ""
+        requester: Requester | None = None
+        silent = False
         try:
-            hello = await stream.receive(timeouts.silence_s)
+            hello = await stream.receive(timeouts.permit_silence_s)
             if not isinstance(hello, Hello):
                 raise BriarforkError(ErrorKind.PEER_PROTOCOL, "expected hello")
-            requester = hello.vm
+            requester = Requester(hello.vm, next(self._streams))
             async with asyncio.TaskGroup() as group:
-                beats = group.create_task(send_heartbeats(stream, timeouts.heartbeat_s))
+                beats = group.create_task(send_heartbeats(stream, timeouts.permit_heartbeat_s))
                 try:
-                    while True:
-                        message = await stream.receive(timeouts.silence_s)
-                        self._handle(requester, stream, message)
+                    await self._receive_all(requester, stream)
                 finally:
                     beats.cancel()
-        except* StreamClosed:
-            pass
+        except* StreamClosed as closed:
+            silent = closed.subgroup(StreamSilent) is not None
         except* BriarforkError as wrong:
-            self.events.record(Event.PEER_PROTOCOL_ERROR, peer=requester, fault=wrong.exceptions[0])
+            self.events.record(
+                Event.PEER_PROTOCOL_ERROR, peer=stream.peer, fault=wrong.exceptions[0]
+            )
         finally:
-            if requester:
-                self.drop_requester(requester)
+            if requester is not None:
+                self.drop_requester(requester, silent)
 
-    def _handle(self, requester: str, stream: MessageStream, message: Message) -> None:
+    async def _receive_all(self, requester: Requester, stream: MessageStream) -> None:
+        """Handles the messages of a stream; the first heartbeat ends the declaration of permits."""
+        settled = False
+        while True:
+            message = await stream.receive(self.settings.timeouts.permit_silence_s)
+            self._handle(requester, stream, message)
+            if not settled and isinstance(message, Heartbeat):
+                settled = True
+                self.settle_requester(requester)
+
+    def _handle(self, requester: Requester, stream: MessageStream, message: Message) -> None:
         if message.name not in HANDLERS.names():
             raise BriarforkError(ErrorKind.PEER_PROTOCOL, f"unexpected message {message.name!r}")
         HANDLERS.get(message.name)(self, (requester, stream), message)
 
+    def _close(self, key: SlotKey) -> None:
+        """Gives up the slots of a site; who waits for them asks the new owner."""
+        queue = self._queues.pop(key, None)
+        if queue is not None:
+            moved = [Refusal(item, NOT_OWNER, moved=True) for item in queue.withdraw_all()]
+            self._deliver(moved)
+
+    def _adopt_early(self, key: SlotKey) -> None:
+        for permit, (requester, held) in list(self._early.items()):
+            if (held.service, held.site) == key:
+                del self._early[permit]
+                self.adopt(requester, held)
+
+    def _forget(self, dropped: Iterable[PermitDemand]) -> None:
+        for demand in dropped:
+            self._deliveries.pop(demand.permit, None)
+
     def _deliver(self, decisions: Iterable[Grant | Refusal]) -> None:
         for decision in decisions:
             deliver = self._deliveries.pop(decision.demand.permit, None)
@@ -186,21 +241,21 @@
         await asyncio.sleep(pause_s)
 
 
-Requester = tuple[str, "MessageStream"]
+Sender = tuple[Requester, "MessageStream"]
 
 
 @HANDLERS.register(Heartbeat.name)
-def handle_heartbeat(desk: SlotDesk, requester: Requester, message: Heartbeat) -> None:
+def handle_heartbeat(desk: SlotDesk, sender: Sender, message: Heartbeat) -> None:
     """Only keeps the stream alive."""
 
 
 @HANDLERS.register(PermitRequest.name)
-def handle_request(desk: SlotDesk, requester: Requester, message: PermitRequest) -> None:
+def handle_request(desk: SlotDesk, sender: Sender, message: PermitRequest) -> None:
     """Adds a demand whose decision goes back on the stream."""
-    vm, stream = requester
+    requester, stream = sender
     demand = PermitDemand(
         permit=message.permit,
-        requester=vm,
+        requester=requester,
         request_class=message.request_class,
         expires_at=time.monotonic() + message.wait_ms / MILLISECONDS,
         avoid=frozenset(message.avoid),
@@ -216,22 +271,22 @@
 
 
 @HANDLERS.register(PermitRelease.name)
-def handle_release(desk: SlotDesk, requester: Requester, message: PermitRelease) -> None:
+def handle_release(desk: SlotDesk, sender: Sender, message: PermitRelease) -> None:
     """Frees the slot of a permit."""
     key = (message.service, message.site)
     desk.release(key, message.permit, message.how, message.elapsed_ms / MILLISECONDS)
 
 
 @HANDLERS.register(PermitCancel.name)
-def handle_cancel(desk: SlotDesk, requester: Requester, message: PermitCancel) -> None:
+def handle_cancel(desk: SlotDesk, sender: Sender, message: PermitCancel) -> None:
     """Withdraws a demand."""
     desk.cancel((message.service, message.site), message.permit)
 
 
 @HANDLERS.register(PermitHeld.name)
-def handle_held(desk: SlotDesk, requester: Requester, message: PermitHeld) -> None:
+def handle_held(desk: SlotDesk, sender: Sender, message: PermitHeld) -> None:
     """Takes over a permit of the former owner."""
-    desk.adopt((message.service, message.site), requester[0], message)
+    desk.adopt(sender[0], message)
 
 
 def _describe(decision: Grant | Refusal) -> PermitGrant | PermitRefusal:
@@ -239,4 +294,4 @@
     if isinstance(decision, Grant):
         server = decision.server
         return PermitGrant(permit, server.vm, server.address, server.port)
-    return PermitRefusal(permit, decision.reason)
+    return PermitRefusal(permit, decision.reason, decision.moved)
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -1,11 +1,12 @@
 """Pools of backend servers: slots, permits and server selection."""
 
 from briarfork.pools.local import LocalPool
-from briarfork.pools.queue import Grant
-from briarfork.pools.queue import PermitDemand
+from briarfork.pools.permit import Grant
+from briarfork.pools.permit import PermitDemand
+from briarfork.pools.permit import Refusal
+from briarfork.pools.permit import Release
+from briarfork.pools.permit import Requester
 from briarfork.pools.queue import PermitQueue
-from briarfork.pools.queue import Refusal
-from briarfork.pools.queue import Release
 from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
 from briarfork.pools.server import Server
@@ -20,6 +21,7 @@
     "PermitQueue",
     "Refusal",
     "Release",
+    "Requester",
     "Server",
     "ServerAddress",
 ]
--- a/src/briarfork/pools/local.py
+++ b/src/briarfork/pools/local.py
@@ -37,7 +37,12 @@
                 self._servers[vm] = Server(address, 0, 0)
 
     def choose(
-        self, policy: str, permit: str, request_class: RequestClass, avoid: frozenset[str]
+        self,
+        policy: str,
+        permit: str,
+        request_class: RequestClass,
+        avoid: frozenset[str],
+        now: float,
     ) -> ServerAddress | None:
         """Returns the server for a request, or None if the site has no server.
 
@@ -48,8 +53,7 @@
         if not servers:
             return None
         server = SELECTION.get(policy)(servers, self._random)
-        server.permits[permit] = request_class
-        server.chosen += 1
+        server.start(permit, request_class, now)
         self._holders[permit] = server.address.vm
         return server.address
 
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -2,72 +2,36 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
-from dataclasses import dataclass
-from enum import Enum
+import math
 from typing import TYPE_CHECKING
 
 from briarfork.configuration import RequestClass
+from briarfork.pools.permit import Grant
+from briarfork.pools.permit import Holding
+from briarfork.pools.permit import Refusal
+from briarfork.pools.permit import Release
+from briarfork.pools.run_times import RunTimes
 from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
 from briarfork.pools.server import Server
+from briarfork.pools.waiting import WaitingLine
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
     from random import Random
 
     from briarfork.configuration import SiteCapacity
+    from briarfork.pools.permit import PermitDemand
+    from briarfork.pools.permit import Requester
     from briarfork.pools.server import ServerAddress
 
 # Bounds the memory of the queue and the work of a burst; the expected wait refuses long before.
 MAX_WAITING = 4096
-# Expected run time before the first measurement.
-INITIAL_RUN_TIME_S = 0.01
-
-
-class Release(Enum):
-    """How a request ended at the server, as far as the owner of the slots needs to know."""
-
-    DONE = "done"
-    NOT_RUN = "not-run"
-    DRAINING = "draining"
-    FAILED = "failed"
-    UNUSED = "unused"
-
-
-@dataclass(frozen=True, slots=True)
-class PermitDemand:
-    """A request that asks for a slot.
-
-    Attributes:
-        permit: Unique name of the permit.
-        requester: Entry VM that asks.
-        request_class: Short or long.
-        expires_at: When the requester stops waiting, seconds.
-        avoid: Servers that refused this request before.
-    """
-
-    permit: str
-    requester: str
-    request_class: RequestClass
-    expires_at: float
-    avoid: frozenset[str] = frozenset()
-
-
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """A permit to send one request to one server."""
-
-    demand: PermitDemand
-    server: ServerAddress
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """A demand that gets no permit; nothing was sent."""
-
-    demand: PermitDemand
-    reason: str
+# A requester whose stream closed declares its permits again within this time, unless it died; a
+# dead one has closed its connections to the servers, so its requests are cancelled there.
+ORPHAN_GRACE_S = 2.0
 
 
 class PermitQueue:
@@ -83,22 +47,20 @@
         self._mixed = mixed
         self._random = random
         self._servers: dict[str, Server] = {}
-        self._waiting: dict[RequestClass, OrderedDict[str, PermitDemand]] = {
-            RequestClass.SHORT: OrderedDict(),
-            RequestClass.LONG: OrderedDict(),
-        }
-        self._holders: dict[str, tuple[str, str]] = {}
-        self._run_time_s = INITIAL_RUN_TIME_S
+        self._lines = {request_class: WaitingLine() for request_class in RequestClass}
+        self._run_times = {request_class: RunTimes() for request_class in RequestClass}
+        self._holdings: dict[str, Holding] = {}
+        self._next_orphan = math.inf
 
     @property
     def in_progress(self) -> int:
         """Number of permits granted and not released."""
-        return len(self._holders)
+        return len(self._holdings)
 
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
-        return sum(len(queue) for queue in self._waiting.values())
+        return sum(len(line) for line in self._lines.values())
 
     @property
     def slots(self) -> int:
@@ -111,7 +73,13 @@
         self._mixed = mixed
         for server in self._servers.values():
             server.slots = capacity.slots
-            server.long_slots = self._long_slots()
+            server.long_slots = self._find_long_slots(capacity.slots)
+
+    def set_shares(self, slots: Mapping[str, int]) -> None:
+        """Limits each server to a part of its slots; long requests leave one of the part free."""
+        for vm, server in self._servers.items():
+            server.slots = slots.get(vm, 0)
+            server.long_slots = max(0, server.slots - 1) if self._mixed else server.slots
 
     def set_servers(self, live: Iterable[ServerAddress]) -> None:
         """Applies the list of live servers; servers that are missing get no new work."""
@@ -123,7 +91,8 @@
         for vm, address in listed.items():
             if vm not in self._servers or self._servers[vm].address != address:
                 held = self._servers[vm].permits if vm in self._servers else {}
-                server = Server(address, self._capacity.slots, self._long_slots())
+                slots = self._capacity.slots
+                server = Server(address, slots, self._find_long_slots(slots))
                 server.permits = held
                 self._servers[vm] = server
 
@@ -134,92 +103,161 @@
         if not self._servers:
             return [Refusal(demand, "the site has no server")]
         wait_s = self.estimate_wait_s(demand.request_class)
-        if now + wait_s > demand.expires_at:
+        if wait_s and now + wait_s > demand.expires_at:
             return [Refusal(demand, f"the expected wait is {wait_s * 1000:.0f} ms")]
         self.enqueue(demand)
         return self.poll(now)
 
     def enqueue(self, demand: PermitDemand) -> None:
         """Adds a demand that the next poll decides."""
-        self._waiting[demand.request_class][demand.permit] = demand
+        self._lines[demand.request_class].add(demand)
 
     def estimate_wait_s(self, request_class: RequestClass) -> float:
-        """Returns the expected wait of a new demand."""
-        ahead = len(self._waiting[RequestClass.SHORT])
-        if request_class is RequestClass.LONG:
-            ahead += len(self._waiting[RequestClass.LONG])
-        return ahead * self._run_time_s / max(1, self.slots)
+        """Returns the expected wait of a new demand, 0 while no run time is known."""
+        wait_s = 0.0
+        for ahead in (RequestClass.SHORT, RequestClass.LONG):
+            wait_s += len(self._lines[ahead]) * self._run_times[ahead].mean_s
+            if ahead is request_class:
+                break
+        return wait_s / max(1, self.slots)
 
     def poll(self, now: float) -> list[Grant | Refusal]:
-        """Expires waiting requests and grants free slots."""
+        """Frees orphaned permits, expires waiting requests and grants free slots."""
         decided: list[Grant | Refusal] = []
+        self._free_orphans(now)
         for request_class in (RequestClass.SHORT, RequestClass.LONG):
-            queue = self._waiting[request_class]
-            for demand in [item for item in queue.values() if item.expires_at <= now]:
-                del queue[demand.permit]
+            line = self._lines[request_class]
+            for demand in line.expire(now):
                 decided.append(Refusal(demand, "no slot became free in time"))
-            for demand in list(queue.values()):
-                server = self._select(demand, now)
-                if server is None:
-                    break
-                del queue[demand.permit]
-                decided.append(self._grant(demand, server))
+            decided += self._grant_waiting(line, now)
         return decided
 
+    def withdraw_all(self) -> list[PermitDemand]:
+        """Removes and returns all waiting demands, because the slots have another owner."""
+        return self._remove_demands(lambda _: True)
+
     def release(self, permit: str, how: Release, elapsed_s: float, now: float) -> None:
         """Frees the slot of a permit; an unknown permit is ignored."""
-        holder = self._holders.pop(permit, None)
-        if holder is None:
+        holding = self._holdings.pop(permit, None)
+        if holding is None:
             return
-        server = self._servers[holder[1]]
-        request_class = server.permits.pop(permit)
-        if how is Release.DONE and request_class is RequestClass.SHORT:
-            server.record_run_time(elapsed_s)
-            self._run_time_s += 0.05 * (elapsed_s - self._run_time_s)
-        if how is Release.NOT_RUN:
+        server = self._servers[holding.vm]
+        server.permits.pop(permit)
+        if how is Release.DONE:
+            server.resume()
+            self._run_times[holding.request_class].record(elapsed_s)
+            if holding.request_class is RequestClass.SHORT:
+                server.record_run_time(elapsed_s)
+        elif how is Release.DRAINING:
+            server.drain(now)
+        elif how in (Release.NOT_RUN, Release.FAILED):
             server.pause(now)
-        if how is Release.DRAINING:
-            server.leaving = True
         if server.leaving and not server.permits:
-            del self._servers[holder[1]]
+            del self._servers[holding.vm]
 
     def cancel(self, permit: str, now: float) -> None:
         """Removes a waiting demand, or frees a permit that the requester no longer wants.
 
         A grant may be on its way while the requester gives up, so both cases occur.
         """
-        for queue in self._waiting.values():
-            queue.pop(permit, None)
+        for line in self._lines.values():
+            line.remove(permit)
         self.release(permit, Release.UNUSED, 0.0, now)
 
-    def adopt(self, permit: str, requester: str, vm: str, request_class: RequestClass) -> None:
-        """Takes over a permit that a former owner granted."""
+    def adopt(
+        self,
+        permit: str,
+        requester: Requester,
+        vm: str,
+        request_class: RequestClass,
+        now: float,
+    ) -> None:
+        """Takes over a permit that a former owner granted, or that a lost stream held."""
         server = self._servers.get(vm)
-        if server is not None and permit not in self._holders:
-            server.permits[permit] = request_class
-            self._holders[permit] = (requester, vm)
-
-    def drop_requester(self, requester: str, now: float) -> None:
-        """Frees all permits and demands of a requester whose stream is gone."""
-        for queue in self._waiting.values():
-            for permit in [p for p, item in queue.items() if item.requester == requester]:
-                del queue[permit]
-        for permit in [p for p, holder in self._holders.items() if holder[0] == requester]:
-            self.release(permit, Release.FAILED, 0.0, now)
+        if permit in self._holdings:
+            self._holdings[permit].requester = requester
+            self._holdings[permit].orphaned_until = math.inf
+        elif server is not None:
+            server.start(permit, request_class, now)
+            self._holdings[permit] = Holding(requester, vm, request_class)
+
+    def settle_requester(self, requester: Requester, now: float) -> list[PermitDemand]:
+        """Frees what earlier streams of a VM held, after the new stream has declared the rest.
+
+        Returns:
+            The demands of the earlier streams, which no longer wait.
+        """
+        earlier = {
+            holding.requester
+            for holding in self._holdings.values()
+            if holding.requester.vm == requester.vm and holding.requester != requester
+        }
+        for permit in [p for p, item in self._holdings.items() if item.requester in earlier]:
+            self.release(permit, Release.CANCELLED, 0.0, now)
+        return self._remove_demands(
+            lambda item: item.requester.vm == requester.vm and item.requester != requester
+        )
+
+    def drop_requester(self, requester: Requester, silent: bool, now: float) -> list[PermitDemand]:
+        """Removes the demands of a requester whose stream is gone and returns them.
+
+        Its permits are kept as orphans, because its requests may still run: until it declares
+        them again, for a short time if the stream was closed, and until the request has ended at
+        the latest if the stream went silent, because a process that is paused or cut off keeps
+        its connections to the servers.
+        """
+        for holding in self._holdings.values():
+            if holding.requester == requester:
+                grace_end = now + ORPHAN_GRACE_S
+                known_end = holding.expires_at if holding.expires_at < math.inf else grace_end
+                holding.orphaned_until = max(known_end, grace_end) if silent else grace_end
+                self._next_orphan = min(self._next_orphan, holding.orphaned_until)
+        return self._remove_demands(lambda item: item.requester == requester)
+
+    def _free_orphans(self, now: float) -> None:
+        if now < self._next_orphan:
+            return
+        ended = [p for p, holding in self._holdings.items() if holding.orphaned_until <= now]
+        for permit in ended:
+            self.release(permit, Release.CANCELLED, 0.0, now)
+        ends = (holding.orphaned_until for holding in self._holdings.values())
+        self._next_orphan = min(ends, default=math.inf)
+
+    def _remove_demands(self, match: Callable[[PermitDemand], bool]) -> list[PermitDemand]:
+        removed = [demand for line in self._lines.values() for demand in line if match(demand)]
+        for demand in removed:
+            self._lines[demand.request_class].remove(demand.permit)
+        return removed
+
+    def _grant_waiting(self, line: WaitingLine, now: float) -> list[Grant | Refusal]:
+        granted: list[Grant | Refusal] = []
+        for demand in line:
+            server = self._select(demand, now)
+            if server is not None:
+                granted.append(self._grant(demand, server, now))
+            elif not demand.avoid:
+                break
+        for decision in granted:
+            line.remove(decision.demand.permit)
+        return granted
 
     def _select(self, demand: PermitDemand, now: float) -> Server | None:
-        free = [
-            server
-            for vm, server in self._servers.items()
-            if vm not in demand.avoid and server.has_room(demand.request_class, now)
-        ]
-        return SELECTION.get(PERMITS)(free, self._random) if free else None
-
-    def _grant(self, demand: PermitDemand, server: Server) -> Grant:
-        server.permits[demand.permit] = demand.request_class
-        server.chosen += 1
-        self._holders[demand.permit] = (demand.requester, server.address.vm)
+        takers = [server for server in self._servers.values() if not server.leaving]
+        fresh = [server for server in takers if server.address.vm not in demand.avoid]
+        free = [s for s in fresh or takers if s.has_room(demand.request_class, now)]
+        if not free:
+            return None
+        overdue_s = self._run_times[RequestClass.SHORT].overdue_s
+        for server in free:
+            server.count_overdue(now, overdue_s)
+        return SELECTION.get(PERMITS)(free, self._random)
+
+    def _grant(self, demand: PermitDemand, server: Server, now: float) -> Grant:
+        server.start(demand.permit, demand.request_class, now)
+        self._holdings[demand.permit] = Holding(
+            demand.requester, server.address.vm, demand.request_class, demand.expires_at
+        )
         return Grant(demand, server.address)
 
-    def _long_slots(self) -> int:
-        return max(1, self._capacity.slots - 1) if self._mixed else self._capacity.slots
+    def _find_long_slots(self, slots: int) -> int:
+        return max(1, slots - 1) if self._mixed else slots
--- a/src/briarfork/pools/selection.py
+++ b/src/briarfork/pools/selection.py
@@ -23,8 +23,11 @@
 
 @SELECTION.register(PERMITS)
 def select_fastest_free(servers: Sequence[Server], random: Random) -> Server:
-    """Chooses the server with the fewest requests in progress, then the shortest run time."""
-    return min(servers, key=lambda server: (server.in_progress, server.run_time_s))
+    """Chooses the server with the fewest overdue requests, then the fewest in progress.
+
+    A server that has slowed down shows by requests that do not end, before its report does.
+    """
+    return min(servers, key=lambda server: (server.overdue, server.in_progress, server.run_time_s))
 
 
 @SELECTION.register("random")
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -126,6 +126,25 @@
             return site
         return site if self._find_cap(service, site, ramp).admit(now) else previous
 
+    def find_siblings(self, service: str, site: str, wall_now: float) -> list[str]:
+        """Returns the other sites of the region that may take a request assigned to a site.
+
+        There are none after a shift: its cap bounds the requests that leave their earlier site,
+        and a request that overflows would count as moved.
+        """
+        region = self.plan.find_region(self.plan.sites[site].zone)
+        ramp = self._find_ramp(service, region)
+        if ramp.origin != ramp.target:
+            return []
+        return [
+            other
+            for other, share in ramp.find_shares(wall_now).items()
+            if share > 0
+            and other != site
+            and not self._is_drained(other)
+            and self.plan.find_region(self.plan.sites[other].zone) == region
+        ]
+
     def order_entries(self, site: str, entries: Sequence[EntryAddress], client: str) -> list[str]:
         """Returns names of entry VMs, the best first.
 
--- a/tests/pools/test_local.py
+++ b/tests/pools/test_local.py
@@ -29,14 +29,14 @@
         """Guards against a baseline that repeats a refusal at the same server."""
         for number in range(20):
             avoid = frozenset({"s-0", "s-1"})
-            server = build_pool().choose(policy, str(number), RequestClass.SHORT, avoid)
+            server = build_pool().choose(policy, str(number), RequestClass.SHORT, avoid, 0.0)
             assert server == SERVERS[2]
 
     def test_round_robin_uses_all_servers_equally(self) -> None:
         """Guards against a round robin that skips a server."""
         pool = build_pool()
         chosen = Counter(
-            pool.choose("round_robin", str(number), RequestClass.SHORT, frozenset())
+            pool.choose("round_robin", str(number), RequestClass.SHORT, frozenset(), 0.0)
             for number in range(9)
         )
         assert set(chosen.values()) == {3}
@@ -45,9 +45,11 @@
         """Guards against counts that grow and turn the choice away from a free server."""
         pool = build_pool()
         for number in range(3):
-            pool.choose("least_outstanding", str(number), RequestClass.SHORT, frozenset())
+            pool.choose("least_outstanding", str(number), RequestClass.SHORT, frozenset(), 0.0)
         pool.release("1")
-        freed = pool.choose("least_outstanding", "next", RequestClass.SHORT, frozenset())
+        freed = pool.choose("least_outstanding", "next", RequestClass.SHORT, frozenset(), 0.0)
         assert freed is not None
         pool.release("next")
-        assert pool.choose("least_outstanding", "last", RequestClass.SHORT, frozenset()) == freed
+        assert (
+            pool.choose("least_outstanding", "last", RequestClass.SHORT, frozenset(), 0.0) == freed
+        )
--- /dev/null
+++ b/tests/pools/test_queue.py
@@ -0,0 +1,276 @@
+"""Slot accounting of the permit queue, by rules and by a state machine."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from briarfork.configuration import RequestClass
+from briarfork.configuration import SiteCapacity
+from briarfork.pools import Grant
+from briarfork.pools import PermitDemand
+from briarfork.pools import PermitQueue
+from briarfork.pools import Refusal
+from briarfork.pools import Release
+from briarfork.pools import Requester
+from briarfork.pools import ServerAddress
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SERVERS = [ServerAddress(f"s-{index}", "127.0.0.1", 1000 + index) for index in range(3)]
+CLASSES = st.sampled_from(RequestClass)
+REQUESTERS = [Requester(vm, stream) for vm in ("a", "b") for stream in (1, 2)]
+A = REQUESTERS[0]
+
+
+def build_queue(slots: int = 2, mixed: bool = False, servers: int = 1) -> PermitQueue:
+    queue = PermitQueue(SiteCapacity(slots, 400), mixed, Random(1))
+    queue.set_servers(SERVERS[:servers])
+    return queue
+
+
+def ask(
+    name: str,
+    request_class: RequestClass = RequestClass.SHORT,
+    expires_at: float = 100.0,
+    avoid: frozenset[str] = frozenset(),
+) -> PermitDemand:
+    return PermitDemand(name, A, request_class, expires_at, avoid)
+
+
+def list_granted(decisions: Iterable[Grant | Refusal]) -> list[str]:
+    return [item.demand.permit for item in decisions if isinstance(item, Grant)]
+
+
+class TestPermitQueue:
+    def test_blocked_repeat_does_not_hold_up_those_behind_it(self) -> None:
+        """Guards against a repeat that avoids the only free server and blocks the queue."""
+        queue = build_queue(slots=1, servers=2)
+        for name in ("first", "second"):
+            queue.demand(ask(name), 0.0)
+        queue.demand(ask("repeat", avoid=frozenset({"s-0"})), 0.0)
+        queue.demand(ask("next"), 0.0)
+        queue.release("first", Release.DONE, 0.01, 1.0)
+        assert list_granted(queue.poll(1.0)) == ["next"]
+
+    def test_repeat_uses_the_only_server_again(self) -> None:
+        """Guards against a repeat that waits for a second server until its deadline."""
+        queue = build_queue()
+        assert list_granted(queue.demand(ask("r", avoid=frozenset({"s-0"})), 0.0)) == ["r"]
+
+    def test_expected_wait_needs_a_measured_run_time(self) -> None:
+        """Guards against refusals by an assumed run time before anything was measured."""
+        queue = build_queue(slots=1)
+        for number in range(100):
+            refused = queue.demand(ask(str(number), expires_at=0.5), 0.0)
+            assert not any(isinstance(item, Refusal) for item in refused)
+
+    def test_refuses_when_the_expected_wait_exceeds_the_time_left(self) -> None:
+        """Guards against requests that wait for a slot which comes too late."""
+        queue = build_queue(slots=1)
+        queue.demand(ask("0"), 0.0)
+        queue.release("0", Release.DONE, 1.0, 1.0)
+        for number in range(1, 4):
+            queue.demand(ask(str(number)), 1.0)
+        decided = queue.demand(ask("late", expires_at=2.5), 1.0)
+        assert [type(item) for item in decided] == [Refusal]
+
+    def test_failing_server_does_not_attract_requests(self) -> None:
+        """Guards against a dead server that is always the one with the fewest requests."""
+        queue = build_queue(servers=2)
+        (grant,) = queue.demand(ask("0"), 0.0)
+        assert isinstance(grant, Grant)
+        queue.release("0", Release.FAILED, 0.0, 0.0)
+        (other,) = queue.demand(ask("1"), 0.01)
+        assert isinstance(other, Grant)
+        assert other.server != grant.server
+
+    def test_draining_server_stays_out_while_the_list_still_shows_it(self) -> None:
+        """Guards against new work for a leaving server at each read of a list that lags."""
+        queue = build_queue(servers=1)
+        queue.demand(ask("0"), 0.0)
+        queue.release("0", Release.DRAINING, 0.0, 0.0)
+        queue.set_servers(SERVERS[:1])
+        assert queue.demand(ask("1"), 2.0) == []
+
+    def test_prefers_a_server_without_overdue_requests(self) -> None:
+        """Guards against more work for a server that has slowed down."""
+        queue = build_queue(slots=3, servers=2)
+        for number in range(64):
+            queue.demand(ask(str(number)), 0.0)
+            queue.release(str(number), Release.DONE, 0.01, 0.0)
+        grants = [queue.demand(ask(f"slow-{number}"), 0.0)[0] for number in range(3)]
+        servers = [item.server.vm for item in grants if isinstance(item, Grant)]
+        single = min(servers, key=servers.count)
+        queue.release(f"slow-{servers.index(single)}", Release.DONE, 0.01, 1.0)
+        queue.demand(ask("new"), 1.0)
+        (grant,) = queue.demand(ask("newer"), 1.0)
+        assert isinstance(grant, Grant)
+        assert grant.server.vm == single
+
+
+class TestLostRequester:
+    def test_silent_requester_keeps_its_slots_until_its_requests_have_ended(self) -> None:
+        """Guards against slots granted again while a paused VM's requests still run."""
+        queue = build_queue(slots=1)
+        queue.demand(ask("0", expires_at=50.0), 0.0)
+        queue.demand(ask("1"), 0.0)
+        queue.drop_requester(A, silent=True, now=1.0)
+        queue.demand(PermitDemand("2", REQUESTERS[2], RequestClass.SHORT, 100.0), 1.0)
+        assert list_granted(queue.poll(49.0)) == []
+        assert list_granted(queue.poll(50.0)) == ["2"]
+
+    def test_new_stream_keeps_only_what_it_declares(self) -> None:
+        """Guards against slots lost with a release that a broken stream did not carry."""
+        queue = build_queue(slots=2)
+        queue.demand(ask("kept"), 0.0)
+        queue.demand(ask("released"), 0.0)
+        queue.drop_requester(A, silent=True, now=1.0)
+        queue.adopt("kept", REQUESTERS[1], "s-0", RequestClass.SHORT, 1.5)
+        queue.settle_requester(REQUESTERS[1], 1.5)
+        assert queue.in_progress == 1
+        queue.drop_requester(A, silent=False, now=1.6)
+        queue.poll(90.0)
+        assert queue.in_progress == 1
+
+
+class PermitQueueMachine(RuleBasedStateMachine):
+    """Compares the queue with the sets of waiting and granted permits."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.slots = 3
+        self.queue = build_queue(self.slots, mixed=True, servers=3)
+        self.live = set(range(3))
+        self.waiting: dict[str, PermitDemand] = {}
+        self.granted: dict[str, tuple[str, RequestClass]] = {}
+        self.count = 0
+
+    def name(self) -> str:
+        self.count += 1
+        return f"p{self.count}"
+
+    def apply(self, decisions: list[Grant | Refusal]) -> None:
+        for decision in decisions:
+            permit = decision.demand.permit
+            demand = self.waiting.pop(permit)
+            if isinstance(decision, Refusal):
+                continue
+            vm = decision.server.vm
+            assert int(vm[-1]) in self.live
+            held = [item for item in self.granted.values() if item[0] == vm]
+            assert len(held) < self.slots
+            if demand.request_class is RequestClass.LONG:
+                long = [item for item in held if item[1] is RequestClass.LONG]
+                assert len(long) < max(1, self.slots - 1)
+            earlier = [
+                item
+                for item in self.waiting.values()
+                if item.request_class is demand.request_class
+                and not item.avoid
+                and int(item.permit[1:]) < int(permit[1:])
+            ]
+            assert not earlier
+            self.granted[permit] = (vm, demand.request_class)
+
+    @rule(
+        request_class=CLASSES,
+        left_s=st.floats(0.1, 5.0),
+        avoid=st.sets(st.sampled_from(["s-0", "s-1", "s-2"]), max_size=2),
+        requester=st.sampled_from(REQUESTERS),
+    )
+    def demand(
+        self, request_class: RequestClass, left_s: float, avoid: set[str], requester: Requester
+    ) -> None:
+        item = PermitDemand(
+            self.name(), requester, request_class, self.now + left_s, frozenset(avoid)
+        )
+        self.waiting[item.permit] = item
+        self.apply(self.queue.demand(item, self.now))
+
+    @precondition(lambda self: self.granted)
+    @rule(
+        data=st.data(),
+        how=st.sampled_from([Release.DONE, Release.NOT_RUN, Release.CANCELLED]),
+        elapsed_s=st.floats(0.0, 2.0),
+    )
+    def release(self, data: st.DataObject, how: Release, elapsed_s: float) -> None:
+        permit = data.draw(st.sampled_from(sorted(self.granted)))
+        del self.granted[permit]
+        self.queue.release(permit, how, elapsed_s, self.now)
+        self.queue.release(permit, how, elapsed_s, self.now)
+        self.apply(self.queue.poll(self.now))
+
+    @precondition(lambda self: self.waiting or self.granted)
+    @rule(data=st.data())
+    def cancel(self, data: st.DataObject) -> None:
+        permit = data.draw(st.sampled_from(sorted([*self.waiting, *self.granted])))
+        self.waiting.pop(permit, None)
+        self.granted.pop(permit, None)
+        self.queue.cancel(permit, self.now)
+        self.apply(self.queue.poll(self.now))
+
+    @rule(request_class=CLASSES, server=st.integers(0, 2), requester=st.sampled_from(REQUESTERS))
+    def adopt(self, request_class: RequestClass, server: int, requester: Requester) -> None:
+        if server in self.live:
+            permit = self.name()
+            self.queue.adopt(permit, requester, f"s-{server}", request_class, self.now)
+            self.granted[permit] = (f"s-{server}", request_class)
+
+    @rule(live=st.sets(st.integers(0, 2), min_size=1))
+    def list_servers(self, live: set[int]) -> None:
+        self.live = live
+        self.queue.set_servers([SERVERS[index] for index in sorted(live)])
+        self.apply(self.queue.poll(self.now))
+
+    @rule(slots=st.integers(1, 4))
+    def change_capacity(self, slots: int) -> None:
+        self.slots = slots
+        self.queue.set_capacity(SiteCapacity(slots, 400), True)
+        self.apply(self.queue.poll(self.now))
+
+    @rule(requester=st.sampled_from(REQUESTERS))
+    def reconnect(self, requester: Requester) -> None:
+        """A new stream of the VM declares every permit that it holds."""
+        for demand in self.queue.drop_requester(requester, True, self.now):
+            del self.waiting[demand.permit]
+        stream = Requester(requester.vm, 100 + self.count)
+        self.count += 1
+        for permit, (vm, request_class) in self.granted.items():
+            if self.queue._holdings[permit].requester.vm == requester.vm:
+                self.queue.adopt(permit, stream, vm, request_class, self.now)
+        for demand in self.queue.settle_requester(stream, self.now):
+            del self.waiting[demand.permit]
+
+    @rule(passed_s=st.floats(0.0, 3.0))
+    def wait(self, passed_s: float) -> None:
+        self.now += passed_s
+        self.apply(self.queue.poll(self.now))
+        assert all(item.expires_at > self.now for item in self.waiting.values())
+        short = [item for item in self.waiting.values() if not item.avoid]
+        if any(item.request_class is RequestClass.SHORT for item in short):
+            servers = self.queue._servers.values()
+            assert not any(item.has_room(RequestClass.SHORT, self.now) for item in servers)
+
+    @invariant()
+    def counts_match(self) -> None:
+        assert self.queue.waiting == len(self.waiting)
+        assert self.queue.in_progress == len(self.granted)
+        counted = {p: vm for vm, item in self.queue._servers.items() for p in item.permits}
+        assert counted == {permit: vm for permit, (vm, _) in self.granted.items()}
+
+
+# Guards against slots that are lost, granted twice or granted beyond the capacity.
+TestPermitQueueMachine = PermitQueueMachine.TestCase
+TestPermitQueueMachine.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
+)
