--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -1,21 +1,27 @@
 """Pools of backend servers: slots, permits and server selection."""
 
-from briarfork.pools.queue import Grant
-from briarfork.pools.queue import PermitDemand
+from briarfork.pools.local import LocalPool
+from briarfork.pools.permit import Grant
+from briarfork.pools.permit import PermitDemand
+from briarfork.pools.permit import Refusal
+from briarfork.pools.permit import Release
+from briarfork.pools.permit import Requester
 from briarfork.pools.queue import PermitQueue
-from briarfork.pools.queue import Refusal
-from briarfork.pools.queue import Release
+from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
 from briarfork.pools.server import Server
 from briarfork.pools.server import ServerAddress
 
 __all__ = [
+    "PERMITS",
     "SELECTION",
     "Grant",
+    "LocalPool",
     "PermitDemand",
     "PermitQueue",
     "Refusal",
     "Release",
+    "Requester",
     "Server",
     "ServerAddress",
 ]
