Make submissions exact through faults of the store

Cause: several faults left a submitter with a wrong answer. Two requests in one admin process that read at the same time failed as internal, because the second found its changes appended already. A store restored to an older state was extended with a gap. A lost response to the creation or deletion of a draft was reported as a failure. A change id repeated with other content was answered with the first generation. A paused process wrote a change that it had checked long before. Drafts beyond the first 100 were not listed.

Ruled out: a lock around reads (it hides the fault within one process only) and leases on changes (an entry with a lease is deleted when the lease lapses).

Change: every read begins with the last known change, and a store that contradicts it is reported and refused. The store stand-in can hold answers back.

A pause between the last look at the clock and the write to the socket remains possible; it lasts microseconds of running time.

--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -6,40 +6,30 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from briarfork.admin.drafts import Draft
+from briarfork.admin.drafts import DraftBox
+from briarfork.admin.reader import TimelineReader
 from briarfork.border.changelog import ChangeLog
 from briarfork.border.documents import check_document
 from briarfork.border.events import Event
-from briarfork.border.store import ABSENT
 from briarfork.configuration import BASE
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
-from briarfork.timeline import Appended
+from briarfork.timeline import WITHDRAWAL_MARGIN_S
 from briarfork.timeline import Change
-from briarfork.timeline import Timeline
 
 if TYPE_CHECKING:
     from briarfork.border.documents import ChangeRequestModel
     from briarfork.border.documents import WithdrawalModel
     from briarfork.border.events import EventLog
     from briarfork.border.store import Store
+    from briarfork.timeline import Timeline
 
-DRAFT_PREFIX = "drafts/"
 # A change that only lost the race for a generation is offered again for the next one.
 SUBMIT_ATTEMPTS = 20
-
-
-class Draft(msgspec.Struct, frozen=True):
-    """A submitted change that waits for approval."""
-
-    change_id: str
-    author: str
-    team: str
-    reason: str
-    start_at: float | None
-    edits: dict[str, dict[str, object] | None]
-    based_on: int
+# Longest time between the check of a change and its write. A process that was paused in between
+# checks again, so no ramp begins further in the past than this.
+ACCEPT_WINDOW_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +44,10 @@
     """Checks changes against the whole timeline and writes them to the store."""
 
     def __init__(self, store: Store, events: EventLog) -> None:
-        self._store = store
         self._log = ChangeLog(store)
+        self._reader = TimelineReader(self._log, events)
+        self._drafts = DraftBox(store, events)
         self._events = events
-        self._timeline = Timeline()
 
     async def read_timeline(self) -> Timeline:
         """Returns the timeline as the store has it now.
@@ -66,16 +56,7 @@
             StoreUnavailable: If the store does not answer.
             BriarforkError: If the store contradicts what was read before.
         """
-        while True:
-            changes, _ = await self._log.read_after(self._timeline.generation)
-            if not changes:
-                return self._timeline
-            for change in changes:
-                if self._timeline.append(change) is not Appended.ADDED:
-                    raise BriarforkError(
-                        ErrorKind.INTERNAL,
-                        f"the store's change {change.generation} does not continue the timeline",
-                    )
+        return await self._reader.read()
 
     async def submit(self, request: ChangeRequestModel, team: str, dry_run: bool) -> Submitted:
         """Accepts a change, or keeps it as a draft where approval is required.
@@ -97,41 +78,49 @@
             based_on=request.based_on,
         )
         timeline = await self.read_timeline()
-        known = _find(timeline, request.change_id)
+        known = _find_accepted(timeline, draft)
         if known is not None:
-            return Submitted(known.generation, None)
+            return Submitted(known, None)
         self._check(timeline, draft, approver=None)
         if dry_run:
             return Submitted(timeline.generation + 1, None)
         if self._needs_approval(timeline):
-            value = msgspec.json.encode(draft).decode()
-            await self._store.put(f"{DRAFT_PREFIX}{draft.change_id}", value, ABSENT)
+            await self._drafts.create(draft)
             return Submitted(None, draft.change_id)
         return Submitted(await self._accept(draft, approver=None), None)
 
     async def approve(self, change_id: str, approver: str) -> int:
-        """Accepts a draft; returns its generation.
+        """Accepts a draft; returns its generation, also if it was accepted before.
 
         Raises:
             BriarforkError: If there is no such draft, the approver is its author, or the change is
                 no longer valid.
         """
-        entry = await self._store.get(f"{DRAFT_PREFIX}{change_id}")
-        if entry is None:
-            raise BriarforkError(ErrorKind.UNKNOWN_PATH, f"no draft {change_id!r}")
-        draft = msgspec.json.decode(entry.value, type=Draft)
+        draft = await self._drafts.find(change_id)
+        if draft is None:
+            known = (await self.read_timeline()).find_change(change_id)
+            if known is None:
+                raise BriarforkError(ErrorKind.UNKNOWN_PATH, f"no draft {change_id!r}")
+            return known.generation
         if draft.author == approver:
             raise BriarforkError(
                 ErrorKind.FORBIDDEN, "approver: expected somebody other than the author"
             )
         generation = await self._accept(draft, approver)
-        await self._store.delete(entry.key, entry.revision)
+        await self._drafts.delete_accepted(change_id)
         return generation
 
     async def list_drafts(self) -> list[Draft]:
-        """Returns the drafts that wait for approval."""
-        listing = await self._store.list_range(DRAFT_PREFIX)
-        return [msgspec.json.decode(entry.value, type=Draft) for entry in listing.entries]
+        """Returns the drafts that wait for approval; deletes those of accepted changes."""
+        drafts = await self._drafts.list_all()
+        timeline = await self.read_timeline()
+        waiting = []
+        for draft in drafts:
+            if timeline.find_change(draft.change_id) is None:
+                waiting.append(draft)
+            else:
+                await self._drafts.delete_accepted(draft.change_id)
+        return waiting
 
     async def withdraw(self, generation: int, request: WithdrawalModel, team: str) -> int:
         """Cancels a scheduled change; returns the generation of the withdrawal.
@@ -141,6 +130,11 @@
         """
         for _ in range(SUBMIT_ATTEMPTS):
             timeline = await self.read_timeline()
+            known = timeline.find_change(request.change_id)
+            if known is not None:
+                if (known.withdraws, known.author) == (generation, request.author):
+                    return known.generation
+                raise _taken(known)
             now = time.time()
             change = Change(
                 generation=timeline.generation + 1,
@@ -156,18 +150,19 @@
                 previous_hash=timeline.last_hash,
             )
             timeline.check(change, now)
-            if await self._append(change):
+            latest = timeline.get(generation).start_at - WITHDRAWAL_MARGIN_S
+            if await self._append(change, min(ACCEPT_WINDOW_S, latest - now)):
                 return change.generation
         raise _too_many_races()
 
     async def _accept(self, draft: Draft, approver: str | None) -> int:
         for _ in range(SUBMIT_ATTEMPTS):
             timeline = await self.read_timeline()
-            known = _find(timeline, draft.change_id)
+            known = _find_accepted(timeline, draft)
             if known is not None:
-                return known.generation
+                return known
             change = self._check(timeline, draft, approver)
-            if await self._append(change):
+            if await self._append(change, ACCEPT_WINDOW_S):
                 return change.generation
         raise _too_many_races()
 
@@ -203,14 +198,12 @@
         timeline.check(change, now)
         return change
 
-    async def _append(self, change: Change) -> bool:
-        """Writes a change; returns False if another one took the generation."""
-        try:
-            await self._log.append(change)
-        except BriarforkError as error:
-            if error.kind is ErrorKind.CONFLICT:
-                return False
-            raise
+    async def _append(self, change: Change, window_s: float) -> bool:
+        """Writes a change; returns False if it has to be checked again."""
+        written = await self._log.append(change, time.monotonic() + window_s)
+        if written is None:
+            return False
+        self._reader.accept(written)
         self._events.record(
             Event.CHANGE_ACCEPTED, generation=change.generation, change=change.change_id
         )
@@ -221,9 +214,22 @@
         return base.get("approval") == "required"
 
 
-def _find(timeline: Timeline, change_id: str) -> Change | None:
-    changes = timeline.list_after(0, timeline.generation)
-    return next((change for change in changes if change.change_id == change_id), None)
+def _find_accepted(timeline: Timeline, draft: Draft) -> int | None:
+    """Returns the generation of a change that was submitted before, under the same name."""
+    known = timeline.find_change(draft.change_id)
+    if known is None:
+        return None
+    if not draft.matches(known):
+        raise _taken(known)
+    return known.generation
+
+
+def _taken(known: Change) -> BriarforkError:
+    return BriarforkError(
+        ErrorKind.CONFLICT,
+        f"change_id: expected a new one, found {known.change_id!r} with other content as "
+        f"generation {known.generation}",
+    )
 
 
 def _too_many_races() -> BriarforkError:
--- /dev/null
+++ b/src/briarfork/admin/reader.py
@@ -0,0 +1,69 @@
+"""The timeline as the store has it, checked against all that was read before."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from briarfork.border.changelog import READ_LIMIT
+from briarfork.border.events import Event
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+from briarfork.timeline import Appended
+from briarfork.timeline import Timeline
+
+if TYPE_CHECKING:
+    from briarfork.border.changelog import ChangeLog
+    from briarfork.border.events import EventLog
+    from briarfork.timeline import Change
+
+
+class TimelineReader:
+    """Keeps a timeline up to date with the store.
+
+    Every read begins with the last change that is known, so a store that was restored to an older
+    state or holds another history is noticed before anything is built on it.
+    """
+
+    def __init__(self, log: ChangeLog, events: EventLog) -> None:
+        self._log = log
+        self._events = events
+        self._timeline = Timeline()
+
+    async def read(self) -> Timeline:
+        """Returns the timeline as the store has it now.
+
+        Raises:
+            StoreUnavailable: If the store does not answer.
+            BriarforkError: With kind `conflict` if the store contradicts what was read before.
+        """
+        while True:
+            known = self._timeline.generation
+            changes, _ = await self._log.read_after(max(0, known - 1))
+            found = changes[0].generation if changes else 0
+            if known and found != known:
+                raise self._refuse(known, found)
+            self._append(changes)
+            if len(changes) < READ_LIMIT:
+                return self._timeline
+
+    def accept(self, change: Change) -> None:
+        """Remembers a change that this process has written.
+
+        A read that was under way during the write may have brought it, and others after it.
+        """
+        self._timeline.append(change)
+
+    def _append(self, changes: list[Change]) -> None:
+        # Another request of this process may have appended the same changes during the read.
+        for change in changes:
+            if self._timeline.append(change) not in (Appended.ADDED, Appended.KNOWN):
+                raise self._refuse(self._timeline.generation, change.generation)
+
+    def _refuse(self, known: int, found: int) -> BriarforkError:
+        self._events.record(Event.STORE_BEHIND, store=found or "empty", own=known)
+        return BriarforkError(
+            ErrorKind.CONFLICT,
+            f"the store contradicts what was read before: expected its history to go on from "
+            f"generation {known}, found {f'another generation {found}' if found else 'none'}; "
+            "nothing is accepted until the store has its full history again",
+        )
--- a/src/briarfork/border/changelog.py
+++ b/src/briarfork/border/changelog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -75,34 +76,50 @@
         listing = await self._store.watch(PREFIX, revision)
         return [_decode(entry.value) for entry in listing.entries], listing.revision
 
-    async def append(self, change: Change) -> None:
+    async def append(self, change: Change, deadline: float) -> Change | None:
         """Creates the entry of a change; this is the commit.
 
+        Args:
+            change: The change, checked against all changes before it.
+            deadline: Monotonic time after which the check is too old to write the change, because
+                this process was paused or the store is slow.
+
+        Returns:
+            The change as the store has it: an earlier write of the same name, or this one. None if
+            another change has its generation, or the deadline has passed before it was written;
+            then it has to be checked again.
+
         Raises:
-            BriarforkError: With kind `conflict` if another change has taken the generation.
             StoreUnavailable: If the store does not tell whether the change was accepted.
         """
         key = name_change(change.generation)
         value = msgspec.json.encode(change).decode()
-        for attempt in range(APPEND_ATTEMPTS):
+        unsettled: StoreUnavailable | None = None
+        for _ in range(APPEND_ATTEMPTS):
+            if time.monotonic() > deadline:
+                break
             try:
                 await self._store.put(key, value, expect=ABSENT)
-                return
-            except StoreConflict as error:
+                return change
+            except StoreConflict:
                 # An earlier attempt may have taken effect although its answer was lost.
-                if not await self._holds(change):
-                    raise BriarforkError(
-                        ErrorKind.CONFLICT,
-                        f"expected generation {change.generation} to be free, found another change",
-                    ) from error
-                return
+                return await self._find_written(change)
+            except StoreUnavailable as error:
+                unsettled = error
+        if unsettled is not None:
+            raise unsettled
+        return None
+
+    async def _find_written(self, change: Change) -> Change | None:
+        for attempt in range(APPEND_ATTEMPTS):
+            try:
+                entry = await self._store.get(name_change(change.generation))
+                written = None if entry is None else _decode(entry.value)
+                return written if written and written.change_id == change.change_id else None
             except StoreUnavailable:
                 if attempt == APPEND_ATTEMPTS - 1:
                     raise
-
-    async def _holds(self, change: Change) -> bool:
-        entry = await self._store.get(name_change(change.generation))
-        return entry is not None and _decode(entry.value).change_id == change.change_id
+        return None
 
 
 def _decode(value: str) -> Change:
--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -45,6 +45,9 @@
     CONFIGURATION_UNUSABLE = EventDefinition(
         2006, "error", "An accepted change could not be rendered; the previous plan stays in use."
     )
+    DRAFT_LEFT = EventDefinition(
+        2007, "warning", "The draft of an accepted change could not be deleted; it is kept for now."
+    )
     STORE_LOST = EventDefinition(3001, "warning", "The store does not answer.")
     STORE_BACK = EventDefinition(3002, "notice", "The store answers again.")
     FOLLOWING = EventDefinition(3003, "info", "This VM follows the store for its zone.")
--- a/src/briarfork/timeline/timeline.py
+++ b/src/briarfork/timeline/timeline.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self._changes: list[Change] = []
         self._hashes: list[str] = []
+        self._generations: dict[str, int] = {}
 
     @property
     def generation(self) -> int:
@@ -59,6 +60,7 @@
             return Appended.FORKED
         self._changes.append(change)
         self._hashes.append(change.compute_hash())
+        self._generations[change.change_id] = change.generation
         return Appended.ADDED
 
     def get(self, generation: int) -> Change:
@@ -74,6 +76,11 @@
             )
         return self._changes[generation - 1]
 
+    def find_change(self, change_id: str) -> Change | None:
+        """Returns the accepted change of this name, or None."""
+        generation = self._generations.get(change_id)
+        return None if generation is None else self.get(generation)
+
     def list_after(self, generation: int, limit: int) -> list[Change]:
         """Returns at most `limit` changes that follow a generation."""
         return self._changes[generation : generation + limit]
--- /dev/null
+++ b/tests/admin/desks.py
@@ -0,0 +1,109 @@
+"""Change desks in the process of the test, on a stand-in of the store."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import aiohttp
+from aiohttp.test_utils import TestServer
+
+from briarfork.admin.changes import ChangeDesk
+from briarfork.border.changelog import name_change
+from briarfork.border.documents import ChangeRequestModel
+from briarfork.border.documents import WithdrawalModel
+from briarfork.border.events import EventLog
+from briarfork.border.files import load_documents
+from briarfork.border.settings import Settings
+from briarfork.border.settings import Timeouts
+from briarfork.border.store import Store
+from tests.standins.store import STATE
+from tests.standins.store import build_app
+
+if TYPE_CHECKING:
+    from briarfork.admin.changes import Submitted
+    from briarfork.border.events import Event
+    from tests.standins.store import StoreState
+
+ADDRESS = "127.11.0.1"
+ESTONIA = Path(__file__).parent.parent.parent / "examples" / "estonia"
+# Short, so that a store that never answers costs a test little.
+STORE_S = 0.3
+
+
+class RecordedEvents(EventLog):
+    """Keeps events for the test to read."""
+
+    def __init__(self) -> None:
+        super().__init__("test")
+        self.recorded: list[Event] = []
+
+    def record(self, event: Event, **fields: object) -> None:
+        self.recorded.append(event)
+
+
+class DeskBench:
+    """A store stand-in and any number of change desks on it, as separate admin processes have."""
+
+    def __init__(self, store_s: float = STORE_S) -> None:
+        self._stack = AsyncExitStack()
+        self._store_s = store_s
+        self.events = RecordedEvents()
+        self.state: StoreState
+        self.settings: Settings
+        self.session: aiohttp.ClientSession
+
+    async def __aenter__(self) -> DeskBench:
+        app = build_app()
+        self.state = app[STATE]
+        server = TestServer(app, host=ADDRESS)
+        await self._stack.enter_async_context(server)
+        self.session = await self._stack.enter_async_context(aiohttp.ClientSession())
+        url = f"http://{ADDRESS}:{server.port}"
+        timeouts = Timeouts(store_s=self._store_s)
+        self.settings = Settings("admin-1", "north-a", ADDRESS, url, url, timeouts=timeouts)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.state.released.set()
+        await self._stack.aclose()
+
+    def open_desk(self) -> ChangeDesk:
+        return ChangeDesk(Store(self.settings, self.session), self.events)
+
+    def list_generations(self) -> list[str]:
+        return sorted(key for key in self.state.items if key.startswith("changes/"))
+
+    def expect_generations(self, count: int) -> None:
+        assert self.list_generations() == [name_change(n + 1) for n in range(count)]
+
+    async def start(self, **base: Any) -> ChangeDesk:
+        """Returns a desk whose first change was the Estonian example."""
+        desk = self.open_desk()
+        edits = dict(load_documents(ESTONIA).by_name)
+        edits["base"] = {**edits["base"], **base}
+        await submit(desk, "first", edits, based_on=0)
+        return desk
+
+
+def build_request(change_id: str, edits: dict[str, Any], **fields: Any) -> ChangeRequestModel:
+    body = {"author": "mari", "reason": "test", "based_on": 1, **fields}
+    return ChangeRequestModel(change_id=change_id, edits=edits, **body)
+
+
+async def submit(
+    desk: ChangeDesk, change_id: str, edits: dict[str, Any], team: str = "-", **fields: Any
+) -> Submitted:
+    return await desk.submit(build_request(change_id, edits, **fields), team, dry_run=False)
+
+
+async def withdraw(desk: ChangeDesk, generation: int, change_id: str) -> int:
+    body = WithdrawalModel(change_id=change_id, author="mari", reason="test")
+    return await desk.withdraw(generation, body, "-")
+
+
+def edit_site(site: str, **fields: Any) -> dict[str, Any]:
+    """Returns the edit of one overlay."""
+    return {f"sites/{site}": {"site": site, "zone": site, **fields}}
--- /dev/null
+++ b/tests/admin/test_pause.py
@@ -0,0 +1,78 @@
+"""An admin process that is stopped by the operating system and wakes later."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest_asyncio
+
+from tests.admin.desks import ESTONIA
+from tests.admin.desks import edit_site
+from tests.cluster import Cluster
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+
+@pytest_asyncio.fixture
+async def cluster(tmp_path: Path) -> AsyncIterator[Cluster]:
+    zones = ["north-a", "north-b"]
+    timeouts = {"store_s": 10.0}
+    async with Cluster(
+        ESTONIA, tmp_path, zones, timeouts=timeouts, admins=2, network=11
+    ) as running:
+        await running.submit()
+        yield running
+
+
+async def post_change(cluster: Cluster, admin: int, change_id: str, site: str) -> Any:
+    body = {
+        "change_id": change_id,
+        "author": "mari",
+        "reason": "test",
+        "edits": edit_site(site, drain=True),
+        "based_on": 1,
+    }
+    return await cluster.post(f"{cluster.vms[admin].admin_url}/v1/changes", body)
+
+
+async def race_with_paused(cluster: Cluster, method: str, site: str) -> tuple[Any, Any]:
+    """Stops the first admin process while it waits for the store; the second one writes."""
+    fault = f"{cluster.store_url}/fault"
+    await cluster.post(fault, {"mode": "hold", "method": method, "count": 1})
+    paused = asyncio.create_task(post_change(cluster, 0, "paused", "north-a"))
+    await cluster.get(f"{cluster.store_url}/held")
+    process = cluster.vms[0].processes["admin"]
+    process.send_signal(signal.SIGSTOP)
+    other = await post_change(cluster, 1, "other", site)
+    await cluster.post(fault, {"mode": "up"})
+    process.send_signal(signal.SIGCONT)
+    return await paused, other
+
+
+class TestPausedProcess:
+    async def test_change_checked_before_the_pause_does_not_overwrite(
+        self, cluster: Cluster
+    ) -> None:
+        """Guards against a process that wakes and builds on a timeline that is out of date."""
+        paused, other = await race_with_paused(cluster, "GET", "north-a")
+        assert other == {"generation": 2}
+        assert paused["error"] == "conflict"
+        assert "generation 2 (change other)" in paused["detail"]
+
+    async def test_independent_change_follows_after_the_pause(self, cluster: Cluster) -> None:
+        """Guards against a change that is lost, or takes the generation of another one."""
+        paused, other = await race_with_paused(cluster, "GET", "north-b")
+        assert (paused, other) == ({"generation": 3}, {"generation": 2})
+        await cluster.wait_for_generation(3)
+
+    async def test_write_before_the_pause_counts_once(self, cluster: Cluster) -> None:
+        """Guards against a repeated write of a change that was accepted before the pause."""
+        paused, other = await race_with_paused(cluster, "PUT", "north-b")
+        assert (paused, other) == ({"generation": 2}, {"generation": 3})
+        answer = await cluster.get(f"{cluster.vms[1].admin_url}/v1/changes")
+        assert [change["change_id"] for change in answer["changes"]][1:] == ["paused", "other"]
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,8 +1,10 @@
 """Stand-in for the platform's key-value service.
 
 `POST /fault` sets the behaviour: `mode` is "up", "down" (no answer), "refuse" (connection closed),
-"slow" (`delay_s`) or "lose" (the next `count` answers to writes are lost after the write took
-effect). `GET /calls` counts calls; a waiting watch counts as one.
+"slow" (`delay_s`), "lose" (the next `count` answers to writes are lost after the write took
+effect) or "hold" (the next `count` answers to `method` are ready but wait until the mode changes).
+`GET /calls` counts calls; a waiting watch counts as one. `GET /held` answers once an answer waits.
+`POST /dump` and `POST /restore` copy the content out and back.
 """
 
 from __future__ import annotations
@@ -39,6 +41,10 @@
     mode: str = "up"
     delay_s: float = 0.0
     lose: int = 0
+    hold: int = 0
+    hold_method: str = ""
+    held: asyncio.Event = field(default_factory=asyncio.Event)
+    released: asyncio.Event = field(default_factory=asyncio.Event)
     written: asyncio.Condition = field(default_factory=asyncio.Condition)
     lease_names: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
@@ -159,6 +165,16 @@
     state.mode = body.get("mode", "up")
     state.delay_s = float(body.get("delay_s", 0.0))
     state.lose = int(body.get("count", 1)) if state.mode == "lose" else 0
+    state.hold = int(body.get("count", 1)) if state.mode == "hold" else 0
+    state.hold_method = body.get("method", "GET")
+    state.released.set()
+    state.held, state.released = asyncio.Event(), asyncio.Event()
+    return web.json_response({})
+
+
+@routes.get("/held")
+async def wait_held(request: web.Request) -> web.Response:
+    await request.app[STATE].held.wait()
     return web.json_response({})
 
 
@@ -188,7 +204,7 @@
 @web.middleware
 async def inject_faults(request: web.Request, handler: Handler) -> web.StreamResponse:
     state = request.app[STATE]
-    if request.path in ("/fault", "/calls", "/dump", "/restore"):
+    if request.path in ("/fault", "/held", "/calls", "/dump", "/restore"):
         return await handler(request)
     name = f"{request.method} {request.path.split('/')[1]}"
     state.calls[name] = state.calls.get(name, 0) + 1
@@ -203,6 +219,10 @@
     if state.lose > 0 and request.method in ("PUT", "DELETE"):
         state.lose -= 1
         _cut(request)
+    if state.hold > 0 and request.method == state.hold_method:
+        state.hold -= 1
+        state.held.set()
+        await state.released.wait()
     return answer
 
 
