--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -9,9 +10,11 @@
 from briarfork.admin.drafts import Draft
 from briarfork.admin.drafts import DraftBox
 from briarfork.admin.reader import TimelineReader
+from briarfork.border.changelog import READ_LIMIT
 from briarfork.border.changelog import ChangeLog
 from briarfork.border.documents import check_document
 from briarfork.border.events import Event
+from briarfork.border.snapshots import SnapshotStore
 from briarfork.configuration import BASE
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
@@ -23,6 +26,7 @@
     from briarfork.border.documents import WithdrawalModel
     from briarfork.border.events import EventLog
     from briarfork.border.store import Store
+    from briarfork.timeline import Folded
     from briarfork.timeline import Timeline
 
 # A change that only lost the race for a generation is offered again for the next one.
@@ -30,6 +34,9 @@
 # Longest time between the check of a change and its write. A process that was paused in between
 # checks again, so no ramp begins further in the past than this.
 ACCEPT_WINDOW_S = 5.0
+# A start reads one snapshot and, at a page of changes for each call, at most as many pages as
+# these changes and those of the retention period fill.
+SNAPSHOT_INTERVAL = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +52,9 @@
 
     def __init__(self, store: Store, events: EventLog) -> None:
         self._log = ChangeLog(store)
-        self._reader = TimelineReader(self._log, events)
+        self._snapshots = SnapshotStore(store)
+        self._reader = TimelineReader(self._log, self._snapshots, events)
+        self._accepted = asyncio.Event()
         self._drafts = DraftBox(store, events)
         self._events = events
 
@@ -58,6 +67,37 @@
         """
         return await self._reader.read()
 
+    async def list_changes(self, after: int, limit: int) -> list[Change]:
+        """Returns at most `limit` changes after a generation, also those long in force.
+
+        Raises:
+            StoreUnavailable: If the store does not answer.
+        """
+        changes: list[Change] = []
+        while len(changes) < limit:
+            page, _ = await self._log.read_after(after + len(changes))
+            changes += page
+            if len(page) < READ_LIMIT:
+                break
+        return changes[:limit]
+
+    async def keep_snapshots(self) -> None:
+        """Writes a snapshot to the store whenever enough changes were accepted."""
+        written = 0
+        while True:
+            await self._accepted.wait()
+            self._accepted.clear()
+            try:
+                timeline = await self.read_timeline()
+                snapshot = timeline.snapshot
+                if snapshot.generation < written + SNAPSHOT_INTERVAL:
+                    continue
+                await self._snapshots.write(snapshot)
+                written = await self._snapshots.find_generation()
+            except BriarforkError as error:
+                # The next accepted change tries again; a start reads more changes until then.
+                self._events.record(Event.SNAPSHOT_FAILED, fault=error.detail)
+
     async def submit(self, request: ChangeRequestModel, team: str, dry_run: bool) -> Submitted:
         """Accepts a change, or keeps it as a draft where approval is required.
 
@@ -174,14 +214,14 @@
                 ErrorKind.CONFLICT,
                 f"based_on: expected at most {timeline.generation}, found {draft.based_on}",
             )
-        for later in timeline.list_after(draft.based_on, timeline.generation):
-            overlap = sorted(set(later.edits) & set(draft.edits))
-            if overlap:
-                raise BriarforkError(
-                    ErrorKind.CONFLICT,
-                    f"expected the configuration of generation {draft.based_on}, found that "
-                    f"generation {later.generation} (change {later.change_id}) edited {overlap}",
-                )
+        later = timeline.find_later_edit(draft.edits, draft.based_on)
+        if later is not None:
+            entry, names = later
+            raise BriarforkError(
+                ErrorKind.CONFLICT,
+                f"expected the configuration of generation {draft.based_on}, found that "
+                f"generation {_describe(entry)} edited {sorted(names)}",
+            )
         change = Change(
             generation=timeline.generation + 1,
             change_id=draft.change_id,
@@ -204,6 +244,7 @@
         if written is None:
             return False
         self._reader.accept(written)
+        self._accepted.set()
         self._events.record(
             Event.CHANGE_ACCEPTED, generation=change.generation, change=change.change_id
         )
@@ -224,6 +265,11 @@
     return known.generation
 
 
+def _describe(entry: Change | Folded) -> str:
+    name = f" (change {entry.change_id})" if isinstance(entry, Change) else ""
+    return f"{entry.generation}{name}"
+
+
 def _taken(known: Change) -> BriarforkError:
     return BriarforkError(
         ErrorKind.CONFLICT,
--- a/src/briarfork/admin/http.py
+++ b/src/briarfork/admin/http.py
@@ -67,16 +67,17 @@
         timeline = await self._desk.read_timeline()
         after = _read_number(request, "after", 0)
         limit = min(MAX_PAGE, _read_number(request, "limit", DEFAULT_PAGE))
-        withdrawn = timeline.list_withdrawn()
-        changes = [
+        changes = await self._desk.list_changes(after, limit)
+        withdrawn = timeline.list_withdrawn() | {change.withdraws for change in changes}
+        records = [
             {
                 **change.to_record(),
                 "hash": change.compute_hash(),
                 "withdrawn": change.generation in withdrawn,
             }
-            for change in timeline.list_after(after, limit)
+            for change in changes
         ]
-        return web.json_response({"changes": changes, "generation": timeline.generation})
+        return web.json_response({"changes": records, "generation": timeline.generation})
 
     async def show_documents(self, request: web.Request) -> web.Response:
         """Shows the documents in force at a time."""
--- a/src/briarfork/admin/main.py
+++ b/src/briarfork/admin/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -14,8 +15,6 @@
 from briarfork.border.store import Store
 
 if TYPE_CHECKING:
-    import asyncio
-
     from briarfork.border.events import EventLog
     from briarfork.border.settings import Settings
 
@@ -26,16 +25,18 @@
 async def run(settings: Settings, events: EventLog, stopping: asyncio.Event) -> None:
     """Runs the administration API until a planned stop."""
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.timeouts.connect_s)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with aiohttp.ClientSession(timeout=timeout) as session, asyncio.TaskGroup() as group:
         desk = ChangeDesk(Store(settings, session), events)
         runner = web.AppRunner(
             build_app(desk, events), access_log=None, shutdown_timeout=settings.timeouts.stop_s
         )
         await runner.setup()
         await web.TCPSite(runner, settings.address, settings.ports.admin).start()
+        snapshots = group.create_task(desk.keep_snapshots())
         events.record(Event.STARTED, admin=settings.ports.admin)
         await stopping.wait()
         await runner.cleanup()
+        snapshots.cancel()
 
 
 def main() -> None:
--- a/src/briarfork/admin/reader.py
+++ b/src/briarfork/admin/reader.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from briarfork.border.changelog import READ_LIMIT
 from briarfork.border.events import Event
+from briarfork.border.store import StoreUnavailable
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.timeline import Appended
@@ -14,6 +16,7 @@
 if TYPE_CHECKING:
     from briarfork.border.changelog import ChangeLog
     from briarfork.border.events import EventLog
+    from briarfork.border.snapshots import SnapshotStore
     from briarfork.timeline import Change
 
 
@@ -24,8 +27,9 @@
     state or holds another history is noticed before anything is built on it.
     """
 
-    def __init__(self, log: ChangeLog, events: EventLog) -> None:
+    def __init__(self, log: ChangeLog, snapshots: SnapshotStore, events: EventLog) -> None:
         self._log = log
+        self._snapshots = snapshots
         self._events = events
         self._timeline = Timeline()
 
@@ -36,6 +40,8 @@
             StoreUnavailable: If the store does not answer.
             BriarforkError: With kind `conflict` if the store contradicts what was read before.
         """
+        if self._timeline.generation == 0:
+            await self._read_snapshot()
         while True:
             known = self._timeline.generation
             changes, _ = await self._log.read_after(max(0, known - 1))
@@ -44,8 +50,21 @@
                 raise self._refuse(known, found)
             self._append(changes)
             if len(changes) < READ_LIMIT:
+                self._timeline.compact(time.time())
                 return self._timeline
 
+    async def _read_snapshot(self) -> None:
+        try:
+            snapshot = await self._snapshots.read()
+        except StoreUnavailable:
+            raise
+        except BriarforkError as error:
+            # The changes hold all that a snapshot does; reading them takes longer.
+            self._events.record(Event.SNAPSHOT_FAILED, fault=error.detail)
+            return
+        if snapshot is not None:
+            self._timeline.restore(snapshot)
+
     def accept(self, change: Change) -> None:
         """Remembers a change that this process has written.
 
--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -48,6 +48,9 @@
     DRAFT_LEFT = EventDefinition(
         2007, "warning", "The draft of an accepted change could not be deleted; it is kept for now."
     )
+    SNAPSHOT_FAILED = EventDefinition(
+        2008, "warning", "A snapshot of the timeline could not be read or written."
+    )
     STORE_LOST = EventDefinition(3001, "warning", "The store does not answer.")
     STORE_BACK = EventDefinition(3002, "notice", "The store answers again.")
     FOLLOWING = EventDefinition(3003, "info", "This VM follows the store for its zone.")
--- a/src/briarfork/configuration/documents.py
+++ b/src/briarfork/configuration/documents.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import Any
 
 from briarfork.configuration.model import ClientBlock
@@ -17,6 +18,9 @@
 from briarfork.configuration.model import SiteCapacity
 from briarfork.errors import InvalidConfiguration
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 BASE = "base"
 SERVICE_PREFIX = "services/"
 SITE_PREFIX = "sites/"
@@ -75,21 +79,42 @@
             },
         )
 
-    def find_faults(self) -> list[str]:
-        """Returns one line for each broken rule."""
+    def find_faults(self, edited: Collection[str] | None = None) -> list[str]:
+        """Returns one line for each broken rule.
+
+        Args:
+            edited: Names of the documents that differ from documents without faults; rules that
+                they cannot break are passed over. By default every rule is checked.
+        """
         base = self.by_name.get(BASE)
         if base is None:
             return ["base: expected a base document"]
-        services = self._select(SERVICE_PREFIX)
-        overlays = self._select(SITE_PREFIX)
+        if edited is None or BASE in edited:
+            services = overlays = set(self.by_name)
+            faults = _find_base_faults(base)
+        else:
+            # A removed document breaks rules of those that refer to it.
+            removed = [name for name in edited if name not in self.by_name]
+            site_removed = any(name.startswith(SITE_PREFIX) for name in removed)
+            service_removed = any(name.startswith(SERVICE_PREFIX) for name in removed)
+            kept = set(edited) & self.by_name.keys()
+            services = set(self.by_name) if site_removed else kept
+            overlays = set(self.by_name) if service_removed else kept
+            faults = []
+        known_sites = self._list_names(SITE_PREFIX)
+        known_services = self._list_names(SERVICE_PREFIX)
         zones = {zone for region in base["regions"].values() for zone in region["zones"]}
-        faults = _find_base_faults(base)
-        for name, service in services.items():
-            faults += _find_service_faults(name, service, base, set(overlays))
-        for name, overlay in overlays.items():
-            faults += _find_overlay_faults(name, overlay, zones, set(services))
+        for name in sorted(name for name in services if name.startswith(SERVICE_PREFIX)):
+            service = name.removeprefix(SERVICE_PREFIX)
+            faults += _find_service_faults(service, self.by_name[name], base, known_sites)
+        for name in sorted(name for name in overlays if name.startswith(SITE_PREFIX)):
+            site = name.removeprefix(SITE_PREFIX)
+            faults += _find_overlay_faults(site, self.by_name[name], zones, known_services)
         return faults
 
+    def _list_names(self, prefix: str) -> set[str]:
+        return {name.removeprefix(prefix) for name in self.by_name if name.startswith(prefix)}
+
     def _select(self, prefix: str) -> dict[str, Document]:
         return {
             name.removeprefix(prefix): body
--- a/src/briarfork/timeline/change.py
+++ b/src/briarfork/timeline/change.py
@@ -4,8 +4,8 @@
 
 import hashlib
 import json
-from dataclasses import asdict
 from dataclasses import dataclass
+from dataclasses import fields
 from typing import Any
 
 from briarfork.configuration import Document
@@ -46,12 +46,12 @@
 
     def compute_hash(self) -> str:
         """Returns the SHA-256 of all fields; the next change carries it."""
-        text = json.dumps(asdict(self), sort_keys=True, separators=(",", ":"))
+        text = json.dumps(self.to_record(), sort_keys=True, separators=(",", ":"))
         return hashlib.sha256(text.encode()).hexdigest()
 
     def to_record(self) -> dict[str, Any]:
         """Returns the fields as a plain map, the form in which stores and streams carry it."""
-        return asdict(self)
+        return {field.name: getattr(self, field.name) for field in fields(self)}
 
     def overlaps(self, other: Change) -> set[str]:
         """Returns the names of the documents that both changes edit."""
--- /dev/null
+++ b/tests/timeline/test_compaction.py
@@ -0,0 +1,204 @@
+"""Folding of old changes into a snapshot."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarfork.steering import build_ramps
+from briarfork.timeline import Appended
+from briarfork.timeline import SnapshotRequired
+from briarfork.timeline import Timeline
+from tests.timeline.test_timeline import build_change
+from tests.timeline.test_timeline import build_timeline
+
+if TYPE_CHECKING:
+    from briarfork.steering.history import RampKey
+    from briarfork.steering.shift import Ramp
+
+SITES = ["a", "b", "c"]
+HOUR_S = 3600.0
+DAY_S = 86400.0
+CHANGES_A_DAY = 3700
+
+weights = st.dictionaries(st.sampled_from(SITES), st.integers(1, 3), min_size=1)
+bodies = st.fixed_dictionaries(
+    {
+        "spread": weights,
+        "regional_spread": st.dictionaries(st.sampled_from(["north", "south"]), weights),
+        "shift": st.fixed_dictionaries(
+            {"cap_rps": st.just(12), "slope_percent_per_minute": st.sampled_from([1, 10, 500])}
+        ),
+    }
+)
+services = st.sampled_from(["services/x", "services/y"])
+steps = st.tuples(
+    st.integers(1, 1800),
+    st.sampled_from([0, 0, 0, 600, 4000]),
+    services,
+    st.one_of(st.none(), bodies, bodies, bodies),
+)
+
+
+def build_history(changes: list[tuple[int, int, str, Any]]) -> tuple[Timeline, float]:
+    timeline, now = Timeline(), 0.0
+    for pause, delay, name, body in changes:
+        now += pause
+        change = build_change(timeline, now + delay, submitted_at=now, edits={name: body})
+        timeline.append(change)
+    return timeline, now
+
+
+def describe(ramps: dict[RampKey, Ramp], service: str, region: str | None, now: float) -> Any:
+    ramp = ramps.get((service, region)) or ramps.get((service, None))
+    if ramp is None:
+        return None
+    moving = ramp.origin != ramp.target
+    return ramp.find_shares(now), ramp.target, (ramp.origin, ramp.limits) if moving else None
+
+
+class TestCompact:
+    @given(st.lists(steps, min_size=1, max_size=25), st.integers(0, 9000), st.integers(0, 9000))
+    def test_later_ramps_and_documents_are_the_same(
+        self, changes: list[tuple[int, int, str, Any]], first: int, second: int
+    ) -> None:
+        """Guards against a shift that jumps, or loses its cap, when its history is folded."""
+        full, now = build_history(changes)
+        folded = Timeline(retention_s=600)
+        for change in full.list_after(0, full.generation):
+            folded.append(change)
+        for at in sorted((now + first, now + second)):
+            folded.compact(at)
+            for later in (at, at + 700, at + 30_000):
+                assert folded.find_documents(later) == full.find_documents(later)
+                ramps, expected = build_ramps(folded, later), build_ramps(full, later)
+                for service in ("x", "y"):
+                    for region in (None, "north", "south"):
+                        assert describe(ramps, service, region, later) == describe(
+                            expected, service, region, later
+                        )
+
+    @given(st.lists(steps, min_size=1, max_size=20))
+    def test_result_does_not_depend_on_earlier_compactions(
+        self, changes: list[tuple[int, int, str, Any]]
+    ) -> None:
+        """Guards against two admin processes that write different snapshots of a generation."""
+        full, now = build_history(changes)
+        often, once = Timeline(retention_s=600), Timeline(retention_s=600)
+        for change in full.list_after(0, full.generation):
+            often.append(change)
+            often.compact(change.submitted_at)
+            once.append(change)
+        often.compact(now + 5000)
+        once.compact(now + 5000)
+        assert often.snapshot == once.snapshot
+
+    def test_keeps_scheduled_changes_and_the_hash_chain(self) -> None:
+        """Guards against a scheduled change that never starts."""
+        timeline = build_timeline(0.0, 9e9)
+        assert timeline.compact(DAY_S)
+        assert (timeline.generation, timeline.snapshot.generation) == (2, 2)
+        assert [change.generation for change in timeline.list_scheduled(DAY_S)] == [2]
+        assert timeline.find_documents(9e9).by_name["base"] == {"number": 2}
+        assert timeline.append(build_change(timeline, DAY_S)) is Appended.ADDED
+
+    def test_withdrawn_change_stays_withdrawn(self) -> None:
+        """Guards against a withdrawn change that starts after its withdrawal was folded."""
+        timeline = build_timeline(0.0, DAY_S)
+        timeline.append(build_change(timeline, 10.0, edits={}, withdraws=2))
+        timeline.compact(2 * DAY_S)
+        assert timeline.find_documents(2 * DAY_S).by_name["base"] == {"number": 1}
+
+    def test_retention_period_is_kept_in_full(self) -> None:
+        """Guards against a peer that was cut off for a moment and needs the whole snapshot."""
+        timeline = build_timeline(0.0)
+        timeline.append(build_change(timeline, DAY_S, submitted_at=DAY_S))
+        timeline.compact(DAY_S + HOUR_S - 1)
+        assert [change.generation for change in timeline.list_after(1, 9)] == [2]
+        with pytest.raises(SnapshotRequired) as caught:
+            timeline.list_after(0, 9)
+        assert caught.value.snapshot.generation == 1
+
+
+class TestRestore:
+    def test_takes_a_snapshot_that_is_ahead(self) -> None:
+        """Guards against a VM that cannot catch up when the changes it lacks are folded."""
+        source = build_timeline(0.0, 0.0, 9e9)
+        source.compact(DAY_S)
+        source.append(build_change(source, DAY_S, submitted_at=DAY_S))
+        timeline = build_timeline(0.0)
+        assert timeline.restore(source.snapshot) is Appended.ADDED
+        assert timeline.append(source.get(4)) is Appended.ADDED
+        assert timeline.find_documents(9e9) == source.find_documents(9e9)
+
+    def test_generation_never_falls(self) -> None:
+        """Guards against an older snapshot that arrives late and takes effect."""
+        source = build_timeline(0.0)
+        source.compact(DAY_S)
+        timeline = build_timeline(0.0, 0.0)
+        assert timeline.restore(source.snapshot) is Appended.KNOWN
+        assert timeline.generation == 2
+
+    def test_refuses_another_history(self) -> None:
+        """Guards against a snapshot of a store that was restored from a different state."""
+        source = build_timeline(0.0)
+        source.append(build_change(source, 9e9, reason="other"))
+        source.compact(DAY_S)
+        timeline = build_timeline(0.0, 9e9)
+        assert timeline.restore(source.snapshot) is Appended.FORKED
+        later = build_timeline(0.0, 9e9, 0.0)
+        assert later.restore(source.snapshot) is Appended.FORKED
+
+
+class TestMemory:
+    def test_stays_within_a_few_megabytes(self) -> None:
+        """Guards against a control process that outgrows its 32 MB with the age of the system."""
+        timeline = Timeline()
+        tracemalloc.start()
+        try:
+            now = 0.0
+            for number in range(CHANGES_A_DAY):
+                now += DAY_S / CHANGES_A_DAY
+                name = f"services/service-{number % 40}"
+                body = {
+                    "spread": {f"site-{n}": float(n + number % 7) for n in range(1, 26)},
+                    "shift": {"cap_rps": 1000.0, "slope_percent_per_minute": 10.0},
+                }
+                start_at = now + (HOUR_S if number % 4 == 0 else 0)
+                edits = {name: body} if number % 2 else {f"sites/s-{number % 1000}": {"zone": "z"}}
+                timeline.append(build_change(timeline, start_at, submitted_at=now, edits=edits))
+                if number % 150 == 0:
+                    timeline.compact(now)
+            used = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        assert used < 4e6
+
+
+class TestCheckTime:
+    def test_thousand_sites_and_thousand_scheduled_changes(self) -> None:
+        """Guards against a check that is quadratic and holds up every other submission."""
+        timeline = Timeline()
+        sites = {f"sites/s-{n}": {"site": f"s-{n}", "zone": "z"} for n in range(1000)}
+        spread = {f"s-{n}": 1.0 for n in range(1000)}
+        shift = {"cap_rps": 1000.0, "slope_percent_per_minute": 10.0}
+        base = {"regions": {"r": {"zones": ["z"]}}, "entry_vms": 12}
+        edits: dict[str, Any] = {"base": base, **sites}
+        edits |= {f"services/x-{n}": {"spread": spread, "shift": shift} for n in range(20)}
+        timeline.append(build_change(timeline, edits=edits))
+        for n in range(1000):
+            body = {"site": f"s-{n}", "zone": "z", "drain": True}
+            edits = {f"sites/s-{n}": body}
+            timeline.append(build_change(timeline, 1e6 + n, edits=edits))
+        name = "services/x-1"
+        change = build_change(timeline, 10.0, edits={name: {"spread": spread, "shift": shift}})
+        started = time.perf_counter()
+        timeline.check(change, now=5.0)
+        # One core takes 3,700 checks a day; a submission waits for those before it.
+        assert time.perf_counter() - started < 1.0
