--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -2,44 +2,43 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from briarfork.admin.drafts import Draft
+from briarfork.admin.drafts import DraftBox
+from briarfork.admin.reader import TimelineReader
+from briarfork.admin.teams import find_team
+from briarfork.border.changelog import READ_LIMIT
 from briarfork.border.changelog import ChangeLog
 from briarfork.border.documents import check_document
 from briarfork.border.events import Event
-from briarfork.border.store import ABSENT
+from briarfork.border.snapshots import SnapshotStore
 from briarfork.configuration import BASE
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
-from briarfork.timeline import Appended
+from briarfork.timeline import WITHDRAWAL_MARGIN_S
 from briarfork.timeline import Change
-from briarfork.timeline import Timeline
 
 if TYPE_CHECKING:
+    from briarfork.admin.teams import Team
     from briarfork.border.documents import ChangeRequestModel
     from briarfork.border.documents import WithdrawalModel
     from briarfork.border.events import EventLog
     from briarfork.border.store import Store
+    from briarfork.timeline import Folded
+    from briarfork.timeline import Timeline
 
-DRAFT_PREFIX = "drafts/"
 # A change that only lost the race for a generation is offered again for the next one.
 SUBMIT_ATTEMPTS = 20
-
-
-class Draft(msgspec.Struct, frozen=True):
-    """A submitted change that waits for approval."""
-
-    change_id: str
-    author: str
-    team: str
-    reason: str
-    start_at: float | None
-    edits: dict[str, dict[str, object] | None]
-    based_on: int
+# Longest time between the check of a change and its write. A process that was paused in between
+# checks again, so no ramp begins further in the past than this.
+ACCEPT_WINDOW_S = 5.0
+# A start reads one snapshot and, at a page of changes for each call, at most as many pages as
+# these changes and those of the retention period fill.
+SNAPSHOT_INTERVAL = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,10 +53,12 @@
     """Checks changes against the whole timeline and writes them to the store."""
 
     def __init__(self, store: Store, events: EventLog) -> None:
-        self._store = store
         self._log = ChangeLog(store)
+        self._snapshots = SnapshotStore(store)
+        self._reader = TimelineReader(self._log, self._snapshots, events)
+        self._accepted = asyncio.Event()
+        self._drafts = DraftBox(store, events)
         self._events = events
-        self._timeline = Timeline()
 
     async def read_timeline(self) -> Timeline:
         """Returns the timeline as the store has it now.
@@ -66,24 +67,56 @@
             StoreUnavailable: If the store does not answer.
             BriarforkError: If the store contradicts what was read before.
         """
+        return await self._reader.read()
+
+    async def find_team(self, authorization: str | None) -> Team:
+        """Returns the team of an `Authorization` header, by documents at most a second old.
+
+        Raises:
+            StoreUnavailable: If the store does not answer.
+            BriarforkError: With kind `unauthorized` if the token belongs to no team.
+        """
+        timeline = await self._reader.read_recent()
+        return find_team(timeline.find_documents(time.time()), authorization)
+
+    async def list_changes(self, after: int, limit: int) -> list[Change]:
+        """Returns at most `limit` changes after a generation, also those long in force.
+
+        Raises:
+            StoreUnavailable: If the store does not answer.
+        """
+        changes: list[Change] = []
+        while len(changes) < limit:
+            page, _ = await self._log.read_after(after + len(changes))
+            changes += page
+            if len(page) < READ_LIMIT:
+                break
+        return changes[:limit]
+
+    async def keep_snapshots(self) -> None:
+        """Writes a snapshot to the store whenever enough changes were accepted."""
+        written = 0
         while True:
-            changes, _ = await self._log.read_after(self._timeline.generation)
-            if not changes:
-                return self._timeline
-            for change in changes:
-                # Another request may have read the same change in the meantime.
-                if self._timeline.append(change) not in (Appended.ADDED, Appended.KNOWN):
-                    raise BriarforkError(
-                        ErrorKind.INTERNAL,
-                        f"the store's change {change.generation} does not continue the timeline",
-                    )
-
-    async def submit(self, request: ChangeRequestModel, team: str, dry_run: bool) -> Submitted:
+            await self._accepted.wait()
+            self._accepted.clear()
+            try:
+                timeline = await self.read_timeline()
+                snapshot = timeline.snapshot
+                if snapshot.generation < written + SNAPSHOT_INTERVAL:
+                    continue
+                await self._snapshots.write(snapshot)
+                written = await self._snapshots.find_generation()
+            except BriarforkError as error:
+                # The next accepted change tries again; a start reads more changes until then.
+                self._events.record(Event.SNAPSHOT_FAILED, fault=error.detail)
+
+    async def submit(self, request: ChangeRequestModel, team: Team, dry_run: bool) -> Submitted:
         """Accepts a change, or keeps it as a draft where approval is required.
 
         Raises:
             BriarforkError: If the change is not valid or clashes with another one.
         """
+        team.check_documents(request.edits)
         edits = {
             name: None if body is None else check_document(name, body)
             for name, body in request.edits.items()
@@ -91,50 +124,65 @@
         draft = Draft(
             change_id=request.change_id,
             author=request.author,
-            team=team,
+            team=team.name,
             reason=request.reason,
             start_at=request.start_at,
             edits=edits,
             based_on=request.based_on,
         )
         timeline = await self.read_timeline()
-        known = _find(timeline, request.change_id)
+        known = _find_accepted(timeline, draft)
         if known is not None:
-            return Submitted(known.generation, None)
+            return Submitted(known, None)
         self._check(timeline, draft, approver=None)
         if dry_run:
             return Submitted(timeline.generation + 1, None)
         if self._needs_approval(timeline):
-            value = msgspec.json.encode(draft).decode()
-            await self._store.put(f"{DRAFT_PREFIX}{draft.change_id}", value, ABSENT)
+            await self._drafts.create(draft)
             return Submitted(None, draft.change_id)
         return Submitted(await self._accept(draft, approver=None), None)
 
-    async def approve(self, change_id: str, approver: str) -> int:
-        """Accepts a draft; returns its generation.
+    async def approve(self, change_id: str, approver: str, team: Team, dry_run: bool) -> int:
+        """Accepts a draft; returns its generation, also if it was accepted before.
 
         Raises:
             BriarforkError: If there is no such draft, the approver is its author, or the change is
                 no longer valid.
         """
-        entry = await self._store.get(f"{DRAFT_PREFIX}{change_id}")
-        if entry is None:
-            raise BriarforkError(ErrorKind.UNKNOWN_PATH, f"no draft {change_id!r}")
-        draft = msgspec.json.decode(entry.value, type=Draft)
+        draft = await self._drafts.find(change_id)
+        if draft is None:
+            known = (await self.read_timeline()).find_change(change_id)
+            if known is None:
+                raise BriarforkError(ErrorKind.UNKNOWN_PATH, f"no draft {change_id!r}")
+            return known.generation
         if draft.author == approver:
             raise BriarforkError(
                 ErrorKind.FORBIDDEN, "approver: expected somebody other than the author"
             )
+        team.check_documents(draft.edits)
+        if dry_run:
+            timeline = await self.read_timeline()
+            known_generation = _find_accepted(timeline, draft)
+            return known_generation or self._check(timeline, draft, approver).generation
         generation = await self._accept(draft, approver)
-        await self._store.delete(entry.key, entry.revision)
+        await self._drafts.delete_accepted(change_id)
         return generation
 
     async def list_drafts(self) -> list[Draft]:
-        """Returns the drafts that wait for approval."""
-        listing = await self._store.list_range(DRAFT_PREFIX)
-        return [msgspec.json.decode(entry.value, type=Draft) for entry in listing.entries]
-
-    async def withdraw(self, generation: int, request: WithdrawalModel, team: str) -> int:
+        """Returns the drafts that wait for approval; deletes those of accepted changes."""
+        drafts = await self._drafts.list_all()
+        timeline = await self.read_timeline()
+        waiting = []
+        for draft in drafts:
+            if timeline.find_change(draft.change_id) is None:
+                waiting.append(draft)
+            else:
+                await self._drafts.delete_accepted(draft.change_id)
+        return waiting
+
+    async def withdraw(
+        self, generation: int, request: WithdrawalModel, team: Team, dry_run: bool
+    ) -> int:
         """Cancels a scheduled change; returns the generation of the withdrawal.
 
         Raises:
@@ -142,12 +190,17 @@
         """
         for _ in range(SUBMIT_ATTEMPTS):
             timeline = await self.read_timeline()
+            known = timeline.find_change(request.change_id)
+            if known is not None:
+                if (known.withdraws, known.author) == (generation, request.author):
+                    return known.generation
+                raise _taken(known)
             now = time.time()
             change = Change(
                 generation=timeline.generation + 1,
                 change_id=request.change_id,
                 author=request.author,
-                team=team,
+                team=team.name,
                 reason=request.reason,
                 approver=None,
                 submitted_at=now,
@@ -157,18 +210,23 @@
                 previous_hash=timeline.last_hash,
             )
             timeline.check(change, now)
-            if await self._append(change):
+            target = timeline.get(generation)
+            team.check_documents(target.edits)
+            if dry_run:
+                return change.generation
+            latest = target.start_at - WITHDRAWAL_MARGIN_S
+            if await self._append(change, min(ACCEPT_WINDOW_S, latest - now)):
                 return change.generation
         raise _too_many_races()
 
     async def _accept(self, draft: Draft, approver: str | None) -> int:
         for _ in range(SUBMIT_ATTEMPTS):
             timeline = await self.read_timeline()
-            known = _find(timeline, draft.change_id)
+            known = _find_accepted(timeline, draft)
             if known is not None:
-                return known.generation
+                return known
             change = self._check(timeline, draft, approver)
-            if await self._append(change):
+            if await self._append(change, ACCEPT_WINDOW_S):
                 return change.generation
         raise _too_many_races()
 
@@ -180,14 +238,14 @@
                 ErrorKind.CONFLICT,
                 f"based_on: expected at most {timeline.generation}, found {draft.based_on}",
             )
-        for later in timeline.list_after(draft.based_on, timeline.generation):
-            overlap = sorted(set(later.edits) & set(draft.edits))
-            if overlap:
-                raise BriarforkError(
-                    ErrorKind.CONFLICT,
-                    f"expected the configuration of generation {draft.based_on}, found that "
-                    f"generation {later.generation} (change {later.change_id}) edited {overlap}",
-                )
+        later = timeline.find_later_edit(draft.edits, draft.based_on)
+        if later is not None:
+            entry, names = later
+            raise BriarforkError(
+                ErrorKind.CONFLICT,
+                f"expected the configuration of generation {draft.based_on}, found that "
+                f"generation {_describe(entry)} edited {sorted(names)}",
+            )
         change = Change(
             generation=timeline.generation + 1,
             change_id=draft.change_id,
@@ -204,14 +262,13 @@
         timeline.check(change, now)
         return change
 
-    async def _append(self, change: Change) -> bool:
-        """Writes a change; returns False if another one took the generation."""
-        try:
-            await self._log.append(change)
-        except BriarforkError as error:
-            if error.kind is ErrorKind.CONFLICT:
-                return False
-            raise
+    async def _append(self, change: Change, window_s: float) -> bool:
+        """Writes a change; returns False if it has to be checked again."""
+        written = await self._log.append(change, time.monotonic() + window_s)
+        if written is None:
+            return False
+        self._reader.accept(written)
+        self._accepted.set()
         self._events.record(
             Event.CHANGE_ACCEPTED, generation=change.generation, change=change.change_id
         )
@@ -222,9 +279,27 @@
         return base.get("approval") == "required"
 
 
-def _find(timeline: Timeline, change_id: str) -> Change | None:
-    changes = timeline.list_after(0, timeline.generation)
-    return next((change for change in changes if change.change_id == change_id), None)
+def _find_accepted(timeline: Timeline, draft: Draft) -> int | None:
+    """Returns the generation of a change that was submitted before, under the same name."""
+    known = timeline.find_change(draft.change_id)
+    if known is None:
+        return None
+    if not draft.matches(known):
+        raise _taken(known)
+    return known.generation
+
+
+def _describe(entry: Change | Folded) -> str:
+    name = f" (change {entry.change_id})" if isinstance(entry, Change) else ""
+    return f"{entry.generation}{name}"
+
+
+def _taken(known: Change) -> BriarforkError:
+    return BriarforkError(
+        ErrorKind.CONFLICT,
+        f"change_id: expected a new one, found {known.change_id!r} with other content as "
+        f"generation {known.generation}",
+    )
 
 
 def _too_many_races() -> BriarforkError:
--- a/src/briarfork/configuration/documents.py
+++ b/src/briarfork/configuration/documents.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import Any
 
 from briarfork.configuration.model import ClientBlock
@@ -17,6 +18,9 @@
 from briarfork.configuration.model import SiteCapacity
 from briarfork.errors import InvalidConfiguration
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 BASE = "base"
 SERVICE_PREFIX = "services/"
 SITE_PREFIX = "sites/"
@@ -24,6 +28,15 @@
 Document = dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class _Index:
+    """Names of the services, the sites and the drained sites."""
+
+    services: set[str] = field(default_factory=set)
+    sites: set[str] = field(default_factory=set)
+    drained: set[str] = field(default_factory=set)
+
+
 @dataclass(frozen=True, slots=True)
 class Documents:
     """The aggregate of the base document, its services and all overlays.
@@ -75,22 +88,61 @@
             },
         )
 
-    def find_faults(self) -> list[str]:
-        """Returns one line for each broken rule."""
+    def find_faults(self, edited: Collection[str] | None = None) -> list[str]:
+        """Returns one line for each broken rule.
+
+        Args:
+            edited: Names of the documents that differ from documents without faults; rules that
+                they cannot break are passed over. By default every rule is checked.
+        """
         base = self.by_name.get(BASE)
         if base is None:
             return ["base: expected a base document"]
-        services = self._select(SERVICE_PREFIX)
-        overlays = self._select(SITE_PREFIX)
+        index = self._build_index()
         zones = {zone for region in base["regions"].values() for zone in region["zones"]}
-        faults = _find_base_faults(base)
-        for name, service in services.items():
-            faults += _find_service_faults(name, service, base, set(overlays))
-        faults += _find_drain_faults(name, service, overlays)
-        for name, overlay in overlays.items():
-            faults += _find_overlay_faults(name, overlay, zones, set(services))
+        services, sites = self._select_affected(edited, index)
+        faults = _find_base_faults(base) if edited is None or BASE in edited else []
+        for name in sorted(services):
+            body = self.by_name[f"{SERVICE_PREFIX}{name}"]
+            faults += _find_service_faults(name, body, base, index.sites)
+        for name in sorted(sites):
+            body = self.by_name[f"{SITE_PREFIX}{name}"]
+            faults += _find_overlay_faults(name, body, zones, index.services)
+        # A site that is drained concerns every service.
+        drain_edited = any(name.removeprefix(SITE_PREFIX) in index.drained for name in edited or ())
+        for name in sorted(index.services if drain_edited else services):
+            body = self.by_name[f"{SERVICE_PREFIX}{name}"]
+            faults += _find_drain_faults(name, body, index.drained)
         return faults
 
+    def _select_affected(
+        self, edited: Collection[str] | None, index: _Index
+    ) -> tuple[set[str], set[str]]:
+        """Returns the services and sites whose own rules the edits can break."""
+        if edited is None or BASE in edited:
+            return index.services, index.sites
+        services = {name.removeprefix(SERVICE_PREFIX) for name in edited} & index.services
+        sites = {name.removeprefix(SITE_PREFIX) for name in edited} & index.sites
+        # A removed document breaks rules of those that refer to it.
+        removed = [name for name in edited if name not in self.by_name]
+        if any(name.startswith(SITE_PREFIX) for name in removed):
+            services = index.services
+        if any(name.startswith(SERVICE_PREFIX) for name in removed):
+            sites = index.sites
+        return services, sites
+
+    def _build_index(self) -> _Index:
+        index = _Index()
+        for name, body in self.by_name.items():
+            kind, _, part = name.partition("/")
+            if kind == "sites":
+                index.sites.add(part)
+                if body.get("drain"):
+                    index.drained.add(part)
+            elif kind == "services":
+                index.services.add(part)
+        return index
+
     def _select(self, prefix: str) -> dict[str, Document]:
         return {
             name.removeprefix(prefix): body
@@ -150,9 +202,9 @@
     return faults
 
 
-def _find_drain_faults(name: str, service: Document, overlays: dict[str, Document]) -> list[str]:
-    weighted = [site for site, weight in service["spread"].items() if weight > 0]
-    if not weighted or any(not overlays.get(s, {}).get("drain", False) for s in weighted):
+def _find_drain_faults(name: str, service: Document, drained: set[str]) -> list[str]:
+    spread = service["spread"]
+    if any(spread[site] > 0 for site in spread.keys() - drained):
         return []
     return [f"services/{name}: spread: expected a site with a weight above 0 that is not drained"]
 
--- a/src/briarfork/steering/__init__.py
+++ b/src/briarfork/steering/__init__.py
@@ -6,6 +6,7 @@
 from briarfork.steering.assignment import hash_unit
 from briarfork.steering.blocks import BlockTable
 from briarfork.steering.history import build_shifts
+from briarfork.steering.history import compact_timeline
 from briarfork.steering.shift import MOVE_DELAY_S
 from briarfork.steering.shift import Ramp
 from briarfork.steering.shift import Shift
@@ -31,6 +32,7 @@
     "build_shift",
     "build_shifts",
     "choose_site",
+    "compact_timeline",
     "find_group",
     "hash_unit",
     "normalize",
--- a/src/briarfork/steering/shift.py
+++ b/src/briarfork/steering/shift.py
@@ -135,11 +135,11 @@
     """
     first = history[0]
     ramps = [Ramp(first.start_at, first.shares, first.shares, first.limits, first.generation)]
-    settled = 0
+    settled = first.limits.settled_generation
     for change in history[1:]:
         if change.start_at > now:
             break
-        settled = max(settled, change.limits.settled_generation)
+        settled = change.limits.settled_generation
         if change.shares != ramps[-1].target:
             origin = ramps[-1].find_shares(change.start_at)
             ramps.append(
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -158,15 +158,14 @@
         and a request that overflows would count as moved.
         """
         region = self.plan.find_region(self.plan.sites[site].zone)
-        ramp = self._find_ramp(service, region)
-        if ramp.origin != ramp.target:
+        shift = self._shifts[self._find_key(service, region)]
+        if shift.list_origins(wall_now):
             return []
         return [
             other
-            for other, share in ramp.find_shares(wall_now).items()
+            for other, share in shift.find_shares(wall_now).items()
             if share > 0
             and other != site
-            and not self._is_drained(other)
             and self.plan.find_region(self.plan.sites[other].zone) == region
         ]
 
