Write each request to a connection at most once

aiohttp sends GET, PUT and DELETE again by itself when a kept connection turns out to be closed, so a PUT to a non-idempotent service ran twice. What counted as sent came from the type of the exception. A caller that disconnected cancelled its keyed request, and an outage of the store at the end of a request left the claim open until it expired.

A retry switch of the library was ruled out, because it is private. The trace hook for sent headers now asks the attempt before the first byte is written. The attempt allows it once and only before the deadline. Writes to the store use the same hook. Non-idempotent requests get a fresh connection. Claimed requests run in tasks of their own, and updates of claims that the store did not confirm are repeated in the background. Downloads with a strong entity tag continue on another server. Answers that end by closing are not taken as whole.

A deadline header of "--1" ended as an internal fault; tests/requests/test_attempt.py covers it.

--- a/src/briarfork/admin/main.py
+++ b/src/briarfork/admin/main.py
@@ -11,6 +11,7 @@
 from briarfork.admin.http import build_app
 from briarfork.border.events import Event
 from briarfork.border.program import run_service
+from briarfork.border.sending import trace_sends
 from briarfork.border.store import Store
 
 if TYPE_CHECKING:
@@ -26,7 +27,7 @@
 async def run(settings: Settings, events: EventLog, stopping: asyncio.Event) -> None:
     """Runs the administration API until a planned stop."""
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.timeouts.connect_s)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with aiohttp.ClientSession(timeout=timeout, trace_configs=[trace_sends()]) as session:
         desk = ChangeDesk(Store(settings, session), events)
         runner = web.AppRunner(
             build_app(desk, events), access_log=None, shutdown_timeout=settings.timeouts.stop_s
--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from briarfork.border.sending import SendOnce
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 
@@ -17,6 +18,7 @@
     from briarfork.border.settings import Settings
 
 ABSENT = 0
+EXPECTED_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT})
 
 
 class StoreUnavailable(BriarforkError):
@@ -133,8 +135,10 @@
         self.calls += 1
         try:
             async with asyncio.timeout(limit_s or self._timeouts.store_s):
-                async with self._session.request(method, self._url + path, **options) as answer:
-                    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                async with self._session.request(
+                    method, self._url + path, trace_request_ctx=SendOnce(), **options
+                ) as answer:
+                    if answer.status not in EXPECTED_STATUSES:
                         raise StoreUnavailable(f"{method} {path}: status {answer.status}")
                     return answer.status, await answer.json()
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
--- /dev/null
+++ b/src/briarfork/entry/connections.py
@@ -0,0 +1,150 @@
+"""Connections to backend servers: kept ones, fresh ones, and when they are given up."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from briarfork.border.sending import trace_sends
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from aiohttp.client_reqrep import ClientRequest
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
+
+    from briarfork.border.settings import Settings
+    from briarfork.pools import ServerAddress
+
+SWEEP_S = 1.0
+
+
+class CleanConnector(aiohttp.TCPConnector):
+    """Never hands out a kept connection on which bytes arrived that nobody asked for.
+
+    The library would take them as the response to the next request.
+    """
+
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
+    ) -> Connection:
+        """Returns a connection without unread bytes."""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            if connection.protocol is None or not connection.protocol.should_close:
+                return connection
+            connection.close()
+
+
+@dataclass(slots=True)
+class Generation:
+    """Kept connections to one server that were opened in the same period.
+
+    A generation is given up as a whole: no new request uses it, and it is closed when its last
+    request has ended. So no connection takes a request after its age.
+    """
+
+    session: aiohttp.ClientSession
+    opened_at: float
+    in_use: int = 0
+
+
+class ServerConnections:
+    """Sessions to backend servers, one generation of kept connections for each server."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._current: dict[tuple[str, int], Generation] = {}
+        self._retired: list[Generation] = []
+        self._swept = asyncio.Event()
+        self._fresh = Generation(self._open_session(force_close=True), time.monotonic())
+
+    @contextmanager
+    def use(self, server: ServerAddress, fresh: bool) -> Iterator[aiohttp.ClientSession]:
+        """Gives the session for one request.
+
+        Args:
+            server: The backend server.
+            fresh: Whether the request gets a connection of its own. A kept connection may have
+                been closed by the server at the same moment, and a non-idempotent request on it
+                would end as unknown without need; a new connection costs about 1 ms.
+        """
+        generation = self._fresh if fresh else self._find(server)
+        generation.in_use += 1
+        try:
+            yield generation.session
+        finally:
+            generation.in_use -= 1
+            if not generation.in_use and generation in self._retired:
+                self._swept.set()
+
+    def give_up(self, server: ServerAddress) -> None:
+        """Stops the use of all kept connections to a server after one of them went silent."""
+        self._retire((server.address, server.port))
+
+    async def run(self) -> None:
+        """Closes connections that are given up or have reached their age."""
+        try:
+            while True:
+                limit = time.monotonic() - self._settings.timeouts.connection_age_s
+                for key, generation in list(self._current.items()):
+                    if generation.opened_at <= limit:
+                        self._retire(key)
+                await self._close_unused()
+                self._swept.clear()
+                try:
+                    async with asyncio.timeout(SWEEP_S):
+                        await self._swept.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            await self._close_all()
+
+    def _find(self, server: ServerAddress) -> Generation:
+        key = (server.address, server.port)
+        now = time.monotonic()
+        generation = self._current.get(key)
+        if generation is not None:
+            if now - generation.opened_at < self._settings.timeouts.connection_age_s:
+                return generation
+            self._retire(key)
+        generation = Generation(self._open_session(force_close=False), now)
+        self._current[key] = generation
+        return generation
+
+    def _retire(self, key: tuple[str, int]) -> None:
+        generation = self._current.pop(key, None)
+        if generation is not None:
+            self._retired.append(generation)
+            self._swept.set()
+
+    async def _close_unused(self) -> None:
+        for generation in [item for item in self._retired if not item.in_use]:
+            self._retired.remove(generation)
+            await generation.session.close()
+
+    async def _close_all(self) -> None:
+        for generation in [self._fresh, *self._current.values(), *self._retired]:
+            await generation.session.close()
+
+    def _open_session(self, force_close: bool) -> aiohttp.ClientSession:
+        timeouts = self._settings.timeouts
+        if force_close:
+            connector = CleanConnector(limit=0, force_close=True)
+        else:
+            connector = CleanConnector(limit=0, keepalive_timeout=timeouts.connection_age_s)
+        return aiohttp.ClientSession(
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=timeouts.connect_s),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept-Encoding", "Content-Type", "Accept"),
+            read_bufsize=self._settings.limits.chunk_bytes,
+            trace_configs=[trace_sends()],
+        )
--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -2,27 +2,33 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import aiohttp
-from aiohttp import web
 from multidict import CIMultiDict
+from yarl import URL
 
+from briarfork.entry.delivery import ProgressTimer
+from briarfork.errors import OutcomeUnknown
 from briarfork.pools import Release
+from briarfork.requests import Attempt
 from briarfork.requests import AttemptResult
+from briarfork.requests import SendForbidden
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from aiohttp import web
     from multidict import CIMultiDictProxy
 
     from briarfork.border.settings import Settings
+    from briarfork.entry.connections import ServerConnections
+    from briarfork.entry.delivery import Call
+    from briarfork.entry.delivery import Delivery
     from briarfork.entry.permits import Permit
-    from briarfork.requests import Deadline
 
 DEADLINE_HEADER = "Briarfork-Deadline-Ms"
 OUTCOME_HEADER = "Briarfork-Outcome"
@@ -44,31 +50,12 @@
     }
 )
 REQUEST_HEADERS = HOP_HEADERS | {"content-length", "expect", DEADLINE_HEADER.lower()}
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """A caller's request, ready to be sent.
-
-    Attributes:
-        request: The request as the caller sent it.
-        path: Path and query at the backend server.
-        body: The whole body, or None if it is streamed from the request.
-        deadline: When the caller stops waiting.
-        keep_answer: Whether the answer is held back until it is complete, to be stored.
-    """
-
-    request: web.Request
-    path: str
-    body: bytes | None
-    deadline: Deadline
-    generation: int
-    keep_answer: bool = False
-
-    @property
-    def is_replayable(self) -> bool:
-        """Whether the body can be sent again."""
-        return self.body is not None
+# The caller's own conditions are settled by the answer that a resumed one continues.
+CONDITION_HEADERS = frozenset(
+    {"if-match", "if-modified-since", "if-none-match", "if-range", "if-unmodified-since", "range"}
+)
+# Answers that have no body whatever their headers say (RFC 9112, section 6.3).
+EMPTY_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
 class AttemptFailed(Exception):
@@ -85,6 +72,10 @@
         self.release = release
 
 
+class EndUnknown(aiohttp.ClientPayloadError):
+    """An answer whose end cannot be told from a lost connection."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeptAnswer:
     """A complete answer that was held back."""
@@ -94,90 +85,140 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptGuard:
+    """Tells an attempt that the client library is about to write its request."""
+
+    attempt: Attempt
+
+    def approve(self) -> None:
+        """Raises SendForbidden if the request must not be written now."""
+        self.attempt.mark_sent(time.monotonic())
+
+
 class Forwarder:
     """Sends requests to backend servers."""
 
-    def __init__(self, settings: Settings, session: aiohttp.ClientSession) -> None:
+    def __init__(self, settings: Settings, connections: ServerConnections) -> None:
         self._settings = settings
-        self._session = session
+        self._connections = connections
 
-    async def attempt(self, call: Call, permit: Permit) -> web.StreamResponse | KeptAnswer:
+    async def attempt(self, delivery: Delivery, permit: Permit) -> web.StreamResponse | KeptAnswer:
         """Sends a request under a permit and passes the answer on as it arrives.
 
         Raises:
             AttemptFailed: If the caller did not get a whole answer.
         """
-        server = permit.server
-        url = f"http://{server.address}:{server.port}{call.path}"
-        remaining_s = call.deadline.remaining_s(time.monotonic())
+        call = delivery.call
+        attempt = Attempt(call.deadline)
+        timer = ProgressTimer(call.deadline, self._settings.timeouts.progress_s)
         try:
-            async with asyncio.timeout(remaining_s):
-                async with self._session.request(
-                    call.request.method,
-                    url,
-                    headers=_build_request_headers(call),
-                    data=call.request.content if call.body is None else call.body or None,
-                    allow_redirects=False,
-                ) as answer:
-                    _raise_if_refused(answer)
-                    return await self._pass_on(call, permit, answer)
-        except aiohttp.ClientConnectorError as error:
-            raise AttemptFailed(AttemptResult.NOT_SENT, Release.FAILED, str(error)) from error
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            with self._connections.use(permit.server, fresh=not call.idempotent) as session:
+                async with timer:
+                    return await self._exchange(session, delivery, permit, attempt, timer)
+        except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden) as error:
+            release = Release.FAILED
+            if timer.blames_caller or isinstance(error, SendForbidden):
+                release = Release.UNUSED
+            elif isinstance(error, TimeoutError) and attempt.result is not AttemptResult.NOT_SENT:
+                # Connections become unresponsive for good while new ones work.
+                self._connections.give_up(permit.server)
+                release = Release.UNUSED
             detail = str(error) or type(error).__name__
-            raise AttemptFailed(
-                AttemptResult.SENT_WITHOUT_ANSWER, Release.FAILED, detail
-            ) from error
-
-    async def _pass_on(
-        self, call: Call, permit: Permit, answer: aiohttp.ClientResponse
+            raise AttemptFailed(attempt.result, release, detail) from error
+
+    async def _exchange(
+        self,
+        session: aiohttp.ClientSession,
+        delivery: Delivery,
+        permit: Permit,
+        attempt: Attempt,
+        timer: ProgressTimer,
     ) -> web.StreamResponse | KeptAnswer:
-        headers = _build_answer_headers(answer.headers)
-        headers[SERVER_HEADER] = permit.server.vm
-        headers[GENERATION_HEADER] = str(call.generation)
-        if call.keep_answer:
-            body = b"".join([chunk async for chunk in self._read(answer)])
-            return KeptAnswer(answer.status, headers, body)
-        response = web.StreamResponse(status=answer.status, headers=headers)
-        try:
-            await response.prepare(call.request)
-            async for chunk in self._read(answer):
-                await response.write(chunk)
-            await response.write_eof()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            # A closed connection in the middle of the body is the only sign that the caller
-            # cannot take for the end of the answer.
-            if call.request.transport is not None:
-                call.request.transport.abort()
-            raise AttemptFailed(
-                AttemptResult.ANSWER_STARTED, Release.FAILED, str(error) or type(error).__name__
-            ) from error
-        return response
-
-    async def _read(self, answer: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-        """Yields parts of the body; each part has the progress deadline."""
+        call, server = delivery.call, permit.server
+        async with session.request(
+            call.request.method,
+            URL(f"http://{server.address}:{server.port}{call.path}", encoded=True),
+            headers=_build_request_headers(delivery),
+            data=_stream_body(call, timer) if call.body is None else call.body or None,
+            allow_redirects=False,
+            trace_request_ctx=AttemptGuard(attempt),
+        ) as answer:
+            if _is_refusal(answer):
+                attempt.mark_refused()
+                draining = answer.headers.get(STATE_HEADER) == "draining"
+                release = Release.DRAINING if draining else Release.NOT_RUN
+                raise AttemptFailed(attempt.result, release, "the server refused the request")
+            _check_end(call, answer)
+            headers = _build_answer_headers(answer.headers)
+            headers[SERVER_HEADER] = server.vm
+            headers[GENERATION_HEADER] = str(call.generation)
+            if call.keep_answer:
+                return await self._keep(answer, headers, timer)
+            if not delivery.accepts(answer):
+                raise EndUnknown("the server has no answer that continues the one of the caller")
+            attempt.mark_started()
+            return await delivery.pass_on(answer, headers, timer)
+
+    async def _keep(
+        self, answer: aiohttp.ClientResponse, headers: CIMultiDict[str], timer: ProgressTimer
+    ) -> KeptAnswer:
+        limit = self._settings.limits.keyed_body_bytes
+        parts: list[bytes] = []
+        size = 0
         while True:
-            async with asyncio.timeout(self._settings.timeouts.progress_s):
-                chunk = await answer.content.readany()
+            timer.touch()
+            chunk = await answer.content.readany()
             if not chunk:
-                return
-            yield chunk
-
-
-def _raise_if_refused(answer: aiohttp.ClientResponse) -> None:
+                return KeptAnswer(answer.status, headers, b"".join(parts))
+            parts.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                raise OutcomeUnknown(
+                    f"the request ran with status {answer.status}; its answer is over {limit} bytes"
+                )
+
+
+async def _stream_body(call: Call, timer: ProgressTimer) -> AsyncIterator[bytes]:
+    while True:
+        timer.blames_caller = True
+        chunk = await call.request.content.readany()
+        timer.blames_caller = False
+        if not chunk:
+            return
+        timer.touch()
+        yield chunk
+
+
+def _is_refusal(answer: aiohttp.ClientResponse) -> bool:
     refused = answer.status == HTTPStatus.SERVICE_UNAVAILABLE
-    if refused and answer.headers.get(OUTCOME_HEADER) == "not-run":
-        draining = answer.headers.get(STATE_HEADER) == "draining"
-        release = Release.DRAINING if draining else Release.NOT_RUN
-        raise AttemptFailed(AttemptResult.REFUSED, release, "the server refused the request")
+    return refused and answer.headers.get(OUTCOME_HEADER) == "not-run"
 
 
-def _build_request_headers(call: Call) -> CIMultiDict[str]:
+def _check_end(call: Call, answer: aiohttp.ClientResponse) -> None:
+    """Checks that a lost connection cannot look like the end of the answer.
+
+    Raises:
+        EndUnknown: If the body ends by closing the connection, or is no answer at all.
+    """
+    if answer.status < HTTPStatus.OK:
+        raise EndUnknown(f"the server sent status {answer.status}")
+    if call.request.method == "HEAD" or answer.status in EMPTY_STATUSES:
+        return
+    codings = answer.headers.get("Transfer-Encoding", "").lower()
+    if not codings.endswith("chunked") and (codings or "Content-Length" not in answer.headers):
+        raise EndUnknown("the answer states neither its length nor chunks")
+
+
+def _build_request_headers(delivery: Delivery) -> CIMultiDict[str]:
+    call = delivery.call
+    dropped = REQUEST_HEADERS | CONDITION_HEADERS if delivery.started else REQUEST_HEADERS
     headers = CIMultiDict(
-        (name, value)
-        for name, value in call.request.headers.items()
-        if name.lower() not in REQUEST_HEADERS
+        (name, value) for name, value in call.request.headers.items() if name.lower() not in dropped
     )
+    headers.update(delivery.build_range_headers())
+    if call.body is None and call.request.content_length is not None:
+        headers["Content-Length"] = str(call.request.content_length)
     headers[DEADLINE_HEADER] = str(call.deadline.remaining_ms(time.monotonic()))
     return headers
 
--- a/src/briarfork/entry/main.py
+++ b/src/briarfork/entry/main.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from briarfork.border.program import run_service
+from briarfork.border.sending import trace_sends
 from briarfork.entry.process import EntryProcess
 
 if TYPE_CHECKING:
@@ -21,22 +22,9 @@
 
 async def run(settings: Settings, events: EventLog, stopping: asyncio.Event) -> None:
     """Runs the entry process until a planned stop."""
-    timeouts = settings.timeouts
-    connect = aiohttp.ClientTimeout(total=None, sock_connect=timeouts.connect_s)
-    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=timeouts.connection_age_s)
-    async with (
-        aiohttp.ClientSession(timeout=connect) as platform_session,
-        aiohttp.ClientSession(
-            connector=connector,
-            timeout=connect,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept-Encoding", "Content-Type", "Accept"),
-            read_bufsize=settings.limits.chunk_bytes,
-        ) as server_session,
-    ):
-        process = EntryProcess(settings, events, platform_session, server_session)
-        await process.run(stopping)
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.timeouts.connect_s)
+    async with aiohttp.ClientSession(timeout=timeout, trace_configs=[trace_sends()]) as session:
+        await EntryProcess(settings, events, session).run(stopping)
 
 
 def main() -> None:
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -14,12 +14,14 @@
 from briarfork.border.store import Store
 from briarfork.border.streams import serve
 from briarfork.entry.claims import ClaimBook
+from briarfork.entry.connections import ServerConnections
 from briarfork.entry.control_link import ControlLink
 from briarfork.entry.follower import Follower
 from briarfork.entry.forward import Forwarder
 from briarfork.entry.http import build_app
 from briarfork.entry.permits import PermitClient
 from briarfork.entry.routing import Router
+from briarfork.entry.runs import RunningClaims
 from briarfork.entry.slots import SlotDesk
 from briarfork.entry.view import EntryView
 
@@ -39,7 +41,6 @@
         settings: Settings,
         events: EventLog,
         platform_session: aiohttp.ClientSession,
-        server_session: aiohttp.ClientSession,
     ) -> None:
         self.settings = settings
         self.events = events
@@ -53,7 +54,9 @@
         store = Store(settings, platform_session)
         self.follower = Follower(self, store, Platform(settings, platform_session))
         self.claims = ClaimBook(store, events)
-        self.forwarder = Forwarder(settings, server_session)
+        self.connections = ServerConnections(settings)
+        self.forwarder = Forwarder(settings, self.connections)
+        self.runs = RunningClaims()
         self.load: dict[tuple[str, str], Load] = {}
 
     def refresh_slots(self) -> None:
@@ -89,6 +92,9 @@
                     self.follower.follow_list(),
                     self.slots.poll(),
                     self.permits.keep_links(),
+                    self.connections.run(),
+                    self.claims.run(),
+                    self.runs.run(),
                 )
             ]
             await stopping.wait()
@@ -110,3 +116,4 @@
             await asyncio.sleep(ttl_s + timeouts.spread_s)
         # Closes the listening socket and idle connections, then waits for requests in progress.
         await runner.cleanup()
+        await self.runs.wait_until_ended(timeouts.stop_s)
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+import itertools
 import time
 import uuid
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 from aiohttp import web
 
 from briarfork.border.events import Event
 from briarfork.border.metrics import Metric
+from briarfork.entry.delivery import Call
+from briarfork.entry.delivery import Delivery
 from briarfork.entry.forward import DEADLINE_HEADER
 from briarfork.entry.forward import AttemptFailed
-from briarfork.entry.forward import Call
 from briarfork.entry.forward import KeptAnswer
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
@@ -31,6 +35,7 @@
 
 if TYPE_CHECKING:
     from briarfork.configuration import Service
+    from briarfork.entry.permits import Permit
     from briarfork.entry.process import EntryProcess
 
 KEY_HEADER = "Idempotency-Key"
@@ -65,26 +70,33 @@
             answer = await self._send(call, service)
             assert isinstance(answer, web.StreamResponse)
             return answer
-        return await self._send_claimed(call, service, claim)
+        return await self._process.runs.finish(self._send_claimed(call, service, claim))
 
     async def _read_call(self, request: web.Request, service: Service) -> Call:
-        path = "/" + request.match_info["path"]
+        path = read_path(request)
         route = service.find_route(path)
         now = time.monotonic()
         deadline = Deadline.read(request.headers.get(DEADLINE_HEADER), route.deadline_ms, now)
-        keyed = KEY_HEADER in request.headers
-        if keyed:
-            check_key(request.headers[KEY_HEADER])
-        query = f"?{request.query_string}" if request.query_string else ""
+        keys = request.headers.getall(KEY_HEADER, [])
+        if keys:
+            check_key(*keys)
+        idempotent = service.is_idempotent(request.method)
+        claimed = bool(keys) and service.claims and not idempotent
+        try:
+            async with asyncio.timeout(deadline.remaining_s(now)):
+                body = await self._read_body(request, claimed)
+        except TimeoutError as error:
+            raise NotRun(
+                ErrorKind.DEADLINE_EXPIRED, "the deadline was over before the body arrived"
+            ) from error
         return Call(
             request=request,
-            path=path + query,
-            body=await self._read_body(
-                request, keyed and not service.is_idempotent(request.method)
-            ),
+            path=path,
+            body=body,
             deadline=deadline,
             generation=self._process.view.timeline.generation,
-            keep_answer=keyed and service.claims and not service.is_idempotent(request.method),
+            idempotent=idempotent,
+            keep_answer=claimed,
         )
 
     async def _read_body(self, request: web.Request, whole: bool) -> bytes | None:
@@ -125,8 +137,12 @@
             )
         try:
             answer = await self._send(call, service)
-        except NotRun:
-            await self._process.claims.abandon(claim)
+        except NotRun as error:
+            if not await self._process.claims.abandon(claim):
+                # A repeat would find the claim and be told "unknown", so this caller is too.
+                raise OutcomeUnknown(
+                    f"the request did not run ({error}), but its key could not be released"
+                ) from error
             raise
         assert isinstance(answer, KeptAnswer)
         content_type = answer.headers.get("Content-Type", "application/octet-stream")
@@ -139,39 +155,66 @@
     async def _send(self, call: Call, service: Service) -> web.StreamResponse | KeptAnswer:
         """Makes attempts until one succeeds or the rules allow no more."""
         self._retries.earn()
+        delivery = Delivery(call, self._process.leaving)
         avoid: frozenset[str] = frozenset()
-        for number in range(1, MAX_ATTEMPTS + 1):
-            permit = await self._process.router.acquire(call, service, avoid)
-            started_at = time.monotonic()
-            how = Release.FAILED
-            try:
-                answer = await self._process.forwarder.attempt(call, permit)
-                how = Release.DONE
-                return answer
-            except AttemptFailed as failure:
-                how = failure.release
-                self._decide_after(failure, call, service, number)
+        try:
+            for number in itertools.count(1):
+                permit = await self._process.router.acquire(call, service, avoid)
+                try:
+                    return await self._try_once(delivery, permit)
+                except AttemptFailed as failure:
+                    self._decide_after(failure, delivery, service, number)
                 avoid |= {permit.server.vm}
                 self._process.metrics.count(Metric.RETRIES, service.name)
-            finally:
-                elapsed_s = time.monotonic() - started_at
-                self._process.permits.release(permit, how, elapsed_s)
-                self._process.metrics.time(Metric.REQUEST_TIME, elapsed_s, service.name)
-        raise NotRun(ErrorKind.OVERLOADED, "every attempt was refused")
+            raise AssertionError("unreachable")
+        finally:
+            if delivery.cut():
+                self._process.events.record(Event.ANSWER_CUT, service=service.name, path=call.path)
+
+    async def _try_once(
+        self, delivery: Delivery, permit: Permit
+    ) -> web.StreamResponse | KeptAnswer:
+        started_at = time.monotonic()
+        how = Release.UNUSED
+        try:
+            answer = await self._process.forwarder.attempt(delivery, permit)
+            how = Release.DONE
+            return answer
+        except AttemptFailed as failure:
+            how = failure.release
+            raise
+        finally:
+            elapsed_s = time.monotonic() - started_at
+            self._process.permits.release(permit, how, elapsed_s)
+            self._process.metrics.time(Metric.REQUEST_TIME, elapsed_s, permit.service)
 
     def _decide_after(
-        self, failure: AttemptFailed, call: Call, service: Service, number: int
+        self, failure: AttemptFailed, delivery: Delivery, service: Service, number: int
     ) -> None:
         """Returns if another attempt is allowed, else raises what the caller is told."""
-        attempt = FailedAttempt(
-            failure.result, service.is_idempotent(call.request.method), call.is_replayable
-        )
-        if failure.result is AttemptResult.ANSWER_STARTED:
-            self._process.events.record(Event.ANSWER_CUT, service=service.name, reason=failure)
-            raise OutcomeUnknown("the answer was cut short") from failure
-        if number < MAX_ATTEMPTS and attempt.may_repeat() and self._retries.spend():
+        call = delivery.call
+        result = AttemptResult.ANSWER_STARTED if delivery.started else failure.result
+        attempt = FailedAttempt(result, call.idempotent, call.is_replayable, delivery.may_resume)
+        expired = call.deadline.is_over(time.monotonic())
+        allowed = number < MAX_ATTEMPTS and not expired and attempt.may_repeat()
+        if allowed and self._retries.spend():
             return
         if attempt.may_have_run:
             self._process.events.record(Event.OUTCOME_UNKNOWN, service=service.name, reason=failure)
             raise OutcomeUnknown(f"the request was sent and brought no answer: {failure}")
-        raise NotRun(ErrorKind.OVERLOADED, str(failure)) from failure
+        kind = ErrorKind.DEADLINE_EXPIRED if expired else ErrorKind.OVERLOADED
+        raise NotRun(kind, str(failure)) from failure
+
+
+def read_path(request: web.Request) -> str:
+    """Returns path and query for the backend server, exactly as the caller encoded them.
+
+    Raises:
+        NotRun: If the path has dot segments, which servers resolve in different ways.
+    """
+    raw = request.rel_url.raw_path.split("/", 3)
+    path = "/" + (raw[3] if len(raw) > 3 else "")
+    if any(unquote(part) in (".", "..") for part in path.split("/")):
+        raise NotRun(ErrorKind.BAD_REQUEST, "path: expected no segments '.' or '..'")
+    query = request.rel_url.raw_query_string
+    return f"{path}?{query}" if query else path
--- a/src/briarfork/requests/__init__.py
+++ b/src/briarfork/requests/__init__.py
@@ -1,8 +1,10 @@
-"""Requests: deadlines, retries, budgets and claims."""
+"""Requests: deadlines, retries, budgets, claims and downloads."""
 
 from briarfork.requests.attempt import RETRY_RULES
+from briarfork.requests.attempt import Attempt
 from briarfork.requests.attempt import AttemptResult
 from briarfork.requests.attempt import FailedAttempt
+from briarfork.requests.attempt import SendForbidden
 from briarfork.requests.budget import HEDGE_RATIO
 from briarfork.requests.budget import RETRY_RATIO
 from briarfork.requests.budget import Budget
@@ -13,17 +15,23 @@
 from briarfork.requests.claim import digest_body
 from briarfork.requests.claim import digest_request
 from briarfork.requests.deadline import Deadline
+from briarfork.requests.download import AnswerHead
+from briarfork.requests.download import Download
 
 __all__ = [
     "HEDGE_RATIO",
     "RETRY_RATIO",
     "RETRY_RULES",
+    "AnswerHead",
+    "Attempt",
     "AttemptResult",
     "Budget",
     "Claim",
     "ClaimState",
     "Deadline",
+    "Download",
     "FailedAttempt",
+    "SendForbidden",
     "StoredAnswer",
     "check_key",
     "digest_body",
--- a/src/briarfork/requests/claim.py
+++ b/src/briarfork/requests/claim.py
@@ -87,13 +87,13 @@
         return self.answer
 
 
-def check_key(key: str) -> None:
+def check_key(key: str, *others: str) -> None:
     """Checks the form of an idempotency key.
 
     Raises:
-        NotRun: If the key is empty, too long or not printable ASCII.
+        NotRun: If the key is empty, too long, not printable ASCII or not the only one.
     """
-    if not (0 < len(key) <= MAX_KEY_LENGTH and key.isascii() and key.isprintable()):
+    if others or not (0 < len(key) <= MAX_KEY_LENGTH and key.isascii() and key.isprintable()):
         raise NotRun(
             ErrorKind.BAD_REQUEST,
             f"Idempotency-Key: expected 1 to {MAX_KEY_LENGTH} printable ASCII characters",
--- a/src/briarfork/requests/deadline.py
+++ b/src/briarfork/requests/deadline.py
@@ -35,7 +35,7 @@
         """
         if header is None:
             return cls.after_ms(limit_ms, now)
-        if not (header.isascii() and header.lstrip("-").isdigit() and len(header) <= 12):
+        if not (header.isascii() and header.removeprefix("-").isdigit() and len(header) <= 12):
             raise NotRun(
                 ErrorKind.BAD_REQUEST,
                 f"Briarfork-Deadline-Ms: expected milliseconds, found {header[:40]!r}",
@@ -44,6 +44,10 @@
             raise NotRun(ErrorKind.DEADLINE_EXPIRED, "the deadline had expired on arrival")
         return cls.after_ms(min(int(header), limit_ms), now)
 
+    def is_over(self, now: float) -> bool:
+        """Returns whether no time is left."""
+        return now >= self.expires_at
+
     def remaining_s(self, now: float) -> float:
         """Returns the time left in seconds, at least 0."""
         return max(0.0, self.expires_at - now)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -33,6 +33,14 @@
         return int(probe.getsockname()[1])
 
 
+def find_ports(address: str) -> dict[str, int]:
+    """Returns a port for each name; probed one by one, two could be the same."""
+    ports: dict[str, int] = {}
+    while len(set(ports.values())) < len(PORT_NAMES):
+        ports = {name: find_port(address) for name in PORT_NAMES}
+    return ports
+
+
 @dataclass
 class Pool:
     """Backend servers of one service in one zone."""
@@ -164,6 +172,21 @@
         ]
         await self.post(f"{self.platform_url}/vms", {"vms": vms})
 
+    def list_server(self, vm: str, service: str, zone: str, address: str, port: int) -> None:
+        """Adds a backend server to the list of VMs that `publish` publishes."""
+        self._listed.append(
+            {
+                "vm": vm,
+                "address": address,
+                "zone": zone,
+                "role": "backend",
+                "site": zone,
+                "service": service,
+                "state": "live",
+                "ports": {"http": port},
+            }
+        )
+
     async def post(self, url: str, body: Any) -> Any:
         async with self.session.post(url, json=body) as answer:
             return await answer.json()
@@ -232,18 +255,7 @@
                 port = find_port(address)
                 listens.append(f"{address}:{port}")
                 self.backends[f"{name}-{index + 1}"] = (address, port)
-                self._listed.append(
-                    {
-                        "vm": f"{name}-{index + 1}",
-                        "address": address,
-                        "zone": pool.zone,
-                        "role": "backend",
-                        "site": pool.zone,
-                        "service": pool.service,
-                        "state": "live",
-                        "ports": {"http": port},
-                    }
-                )
+                self.list_server(f"{name}-{index + 1}", pool.service, pool.zone, address, port)
             command = ["tests.standins.backend", "--name", name, "--slots", str(pool.slots)]
             command += ["--run-ms", str(pool.run_ms), *pool.options, "--listen", *listens]
             self._processes[name] = self._spawn(name, command)
@@ -252,7 +264,7 @@
 
     def _add_vm(self, index: int, zone: str, number: int) -> None:
         address = f"127.{self._network}.{index + 1}.{number}"
-        ports = {name: find_port(address) for name in PORT_NAMES}
+        ports = find_ports(address)
         name = f"entry-{zone}-{number}"
         self.vms.append(Vm(name, zone, address, ports, self.work / f"{name}.yaml"))
 
--- /dev/null
+++ b/tests/standins/scripted.py
@@ -0,0 +1,210 @@
+"""Stand-in for a backend server that breaks off an exchange at a chosen point.
+
+It speaks HTTP on the bare socket, so that it can send what no library would. The first part of the
+path names the script. A script with a fault applies to the first run of a request; a later run is
+answered whole, so that a request that is sent twice shows in the ledger and not as a second fault.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from briarfork.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+HANG_S = 60.0
+SCRIPTS: Registry[Callable[[Exchange], Awaitable[None]]] = Registry("script")
+
+
+@dataclass
+class Exchange:
+    server: Scripted
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+    @property
+    def name(self) -> str:
+        return self.headers.get("idempotency-key") or self.headers.get("test-request", "-")
+
+    async def send(self, data: bytes) -> None:
+        self.writer.write(data)
+        await self.writer.drain()
+
+    async def answer(self, body: bytes, head: str = "HTTP/1.1 200 OK") -> None:
+        await self.send(f"{head}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+@dataclass
+class Scripted:
+    """One server; several may share a ledger."""
+
+    address: str
+    ledger: Counter[str] = field(default_factory=Counter)
+    connections: int = 0
+    lost: int = 0
+    seen: list[Exchange] = field(default_factory=list)
+    port: int = 0
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, self.address, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        self._server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self.writers.add(writer)
+        try:
+            while await self._take_request(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            self.lost += 1
+        except asyncio.CancelledError:
+            # The end of the test; the stream server would report it as a fault.
+            return
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _take_request(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        first, *lines = head.decode().rstrip().split("\r\n")
+        method, target, _ = first.split(" ")
+        headers = {name.lower(): value for name, value in (line.split(": ", 1) for line in lines)}
+        exchange = Exchange(self, reader, writer, method, target, headers)
+        script = target.split("/")[1].split("?")[0]
+        if script == "close-on-headers" and not self.ledger[f"closed {exchange.name}"]:
+            self.ledger[f"closed {exchange.name}"] += 1
+            return False
+        exchange.body = await _read_body(reader, headers)
+        self.seen.append(exchange)
+        self.ledger[exchange.name] += 1
+        if self.ledger[exchange.name] > 1 and "always" not in target:
+            script = "ok"
+        await SCRIPTS.get(script)(exchange)
+        return not writer.is_closing()
+
+
+async def _read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
+    if "content-length" in headers:
+        return await reader.readexactly(int(headers["content-length"]))
+    if "transfer-encoding" not in headers:
+        return b""
+    parts = []
+    while size := int(await reader.readline(), 16):
+        parts.append(await reader.readexactly(size))
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    return b"".join(parts)
+
+
+@SCRIPTS.register("ok")
+async def answer_whole(exchange: Exchange) -> None:
+    await exchange.answer(f"{exchange.name} {exchange.path}".encode())
+
+
+@SCRIPTS.register("close-on-headers")
+async def answer_after_close(exchange: Exchange) -> None:
+    await answer_whole(exchange)
+
+
+@SCRIPTS.register("close-after-run")
+async def close_without_answer(exchange: Exchange) -> None:
+    exchange.close()
+
+
+@SCRIPTS.register("half-head")
+async def send_half_head(exchange: Exchange) -> None:
+    await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Le")
+    exchange.close()
+
+
+@SCRIPTS.register("short")
+async def send_short_body(exchange: Exchange) -> None:
+    await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + b"x" * 500)
+    exchange.close()
+
+
+@SCRIPTS.register("open-chunks")
+async def send_chunks_without_end(exchange: Exchange) -> None:
+    await exchange.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
+    exchange.close()
+
+
+@SCRIPTS.register("until-close")
+async def end_by_closing(exchange: Exchange) -> None:
+    await exchange.send(b"HTTP/1.0 200 OK\r\n\r\nhello")
+    exchange.close()
+
+
+@SCRIPTS.register("silent")
+async def stay_silent(exchange: Exchange) -> None:
+    """Says nothing until the caller closes the connection."""
+    async with asyncio.timeout(HANG_S):
+        await exchange.reader.readexactly(1)
+
+
+@SCRIPTS.register("refuse")
+async def refuse(exchange: Exchange) -> None:
+    exchange.server.ledger[exchange.name] -= 1
+    await exchange.answer(b"", "HTTP/1.1 503 Busy\r\nBriarfork-Outcome: not-run")
+
+
+@SCRIPTS.register("slow")
+async def answer_late(exchange: Exchange) -> None:
+    await asyncio.sleep(0.5)
+    await answer_whole(exchange)
+
+
+@SCRIPTS.register("unasked")
+async def send_unasked_answer(exchange: Exchange) -> None:
+    await answer_whole(exchange)
+    await asyncio.sleep(0.05)
+    await exchange.answer(b"nobody asked for this")
+
+
+@SCRIPTS.register("informed")
+async def send_informational(exchange: Exchange) -> None:
+    await exchange.send(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+    await answer_whole(exchange)
+
+
+@SCRIPTS.register("empty")
+async def send_no_content(exchange: Exchange) -> None:
+    await exchange.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+
+@SCRIPTS.register("unchanged")
+async def send_not_modified(exchange: Exchange) -> None:
+    await exchange.send(b'HTTP/1.1 304 Not Modified\r\nETag: "a"\r\nContent-Length: 9\r\n\r\n')
+
+
+@SCRIPTS.register("head")
+async def send_head_only(exchange: Exchange) -> None:
+    await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+
+
+@SCRIPTS.register("garbage")
+async def send_garbage(exchange: Exchange) -> None:
+    await exchange.send(b"\x00\xff not HTTP\r\n\r\n")
+    exchange.close()
