Reset the caller's connection when an answer is cut

A cut answer to an HTTP/1.0 caller ended with FIN, because abort() of the event loop closes without a reset, and looked whole. Padding the answer or holding it back were ruled out: the caller has no length to compare. The connection now ends with RST (SO_LINGER of 0).

--- a/src/briarfork/entry/delivery.py
+++ b/src/briarfork/entry/delivery.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -20,6 +22,9 @@
 
     from briarfork.requests import Deadline
 
+# struct linger: on, 0 seconds. The connection ends with RST.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 @dataclass(frozen=True, slots=True)
 class Call:
@@ -149,8 +154,12 @@
         """
         if not self.started or self._finished:
             return False
-        if self.call.request.transport is not None:
-            self.call.request.transport.abort()
+        transport = self.call.request.transport
+        if transport is not None:
+            # abort() alone sends FIN, which ends an HTTP/1.0 answer without a length as if whole.
+            connection = transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            transport.abort()
         return True
 
     async def _start(
--- a/tests/standins/scripted.py
+++ b/tests/standins/scripted.py
@@ -14,12 +14,16 @@
 from typing import TYPE_CHECKING
 
 from briarfork.registry import Registry
+from tests.standins.backend import make_content
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
 HANG_S = 60.0
+DOWNLOAD_BYTES = 2_000_000
+DOWNLOAD_PART_BYTES = 500_003
+DOWNLOAD_BREAKS = 2
 SCRIPTS: Registry[Callable[[Exchange], Awaitable[None]]] = Registry("script")
 
 
@@ -99,7 +103,7 @@
         exchange.body = await _read_body(reader, headers)
         self.seen.append(exchange)
         self.ledger[exchange.name] += 1
-        if self.ledger[exchange.name] > 1 and "always" not in target:
+        if self.ledger[exchange.name] > 1 and not target.endswith("/always"):
             script = "ok"
         await SCRIPTS.get(script)(exchange)
         return not writer.is_closing()
@@ -208,3 +212,31 @@
 async def send_garbage(exchange: Exchange) -> None:
     await exchange.send(b"\x00\xff not HTTP\r\n\r\n")
     exchange.close()
+
+
+@SCRIPTS.register("changed")
+@SCRIPTS.register("download")
+async def send_download(exchange: Exchange) -> None:
+    """Sends numbered bytes; the server that sends the first part breaks off in the middle.
+
+    With the script "changed" every server has a version of its own.
+    """
+    server = exchange.server
+    changed = exchange.path.startswith("/changed")
+    tag = f'"{server.address if changed else 1}"'
+    first, total = 0, DOWNLOAD_BYTES
+    wanted = exchange.headers.get("range", "")
+    if wanted and exchange.headers.get("if-range") == tag:
+        first = int(wanted.removeprefix("bytes=").split("-")[0])
+    head = f"HTTP/1.1 {206 if first else 200} OK\r\nETag: {tag}\r\n"
+    if first:
+        head += f"Content-Range: bytes {first}-{total - 1}/{total}\r\n"
+    await exchange.send(f"{head}Content-Length: {total - first}\r\n\r\n".encode())
+    content = make_content(first, total - first)
+    if server.ledger[exchange.name] > DOWNLOAD_BREAKS:
+        await exchange.send(content)
+        return
+    await exchange.send(content[:DOWNLOAD_PART_BYTES])
+    # The client acknowledges by taking the bytes; a close at once could drop them.
+    await asyncio.sleep(0.1)
+    exchange.close()
