Test limits, silent connections and planned stops of the request path

Callers with cached lookups got "not the owner of these slots" while an entry VM stopped, because the views of requester and owner differ for a moment when slots move. A longer drain was ruled out: the refusal came from a VM that stays. The refusal now counts as an unreachable owner, so the requester takes a slot of its local share.

--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -21,6 +21,7 @@
 from briarfork.border.streams import StreamClosed
 from briarfork.border.streams import dial
 from briarfork.configuration import SiteCapacity
+from briarfork.entry.slots import NOT_OWNER
 from briarfork.entry.slots import send_heartbeats
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
@@ -287,7 +288,7 @@
             self._desk.cancel((service, site), demand.permit)
             raise
         if isinstance(decision, Refusal):
-            raise NotRun(ErrorKind.OVERLOADED, decision.reason)
+            raise _read_refusal(decision.reason)
         return self._build(service, site, demand, decision.server, self._view.settings.vm)
 
     async def _ask_owner(
@@ -305,8 +306,7 @@
         if isinstance(answer, PermitGrant):
             server = ServerAddress(answer.vm, answer.address, answer.port)
             return self._build(service, site, demand, server, owner.vm)
-        reason = answer.reason if isinstance(answer, PermitRefusal) else "no decision"
-        raise NotRun(ErrorKind.OVERLOADED, reason)
+        raise _read_refusal(answer.reason if isinstance(answer, PermitRefusal) else "no decision")
 
     def _take_share(self, service: str, site: str, demand: PermitDemand) -> Permit:
         """Grants a permit from this VM's share of the slots of its own zone.
@@ -338,3 +338,10 @@
         self, service: str, site: str, demand: PermitDemand, server: ServerAddress, owner: str
     ) -> Permit:
         return Permit(demand.permit, service, site, demand.request_class, server, owner)
+
+
+def _read_refusal(reason: str) -> BriarforkError:
+    # The views of two VMs differ while slots move to another owner.
+    if reason == NOT_OWNER:
+        return OwnerUnreachable(reason)
+    return NotRun(ErrorKind.OVERLOADED, reason)
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -39,6 +39,7 @@
     from briarfork.pools import Release
 
 SlotKey = tuple[str, str]
+NOT_OWNER = "not the owner of these slots"
 Deliver = Callable[[Grant | Refusal], None]
 
 # How often waiting requests are checked for expiry and pauses of servers for their end.
@@ -87,7 +88,7 @@
         """Adds a demand; its decision is delivered now or later."""
         queue = self._queues.get(key)
         if queue is None:
-            deliver(Refusal(demand, "not the owner of these slots"))
+            deliver(Refusal(demand, NOT_OWNER))
             return
         self._deliveries[demand.permit] = deliver
         now = time.monotonic()
--- a/tests/standins/scripted.py
+++ b/tests/standins/scripted.py
@@ -24,6 +24,7 @@
 DOWNLOAD_BYTES = 2_000_000
 DOWNLOAD_PART_BYTES = 500_003
 DOWNLOAD_BREAKS = 2
+FLOOD_BYTES = 40_000_000
 SCRIPTS: Registry[Callable[[Exchange], Awaitable[None]]] = Registry("script")
 
 
@@ -240,3 +241,17 @@
     # The client acknowledges by taking the bytes; a close at once could drop them.
     await asyncio.sleep(0.1)
     exchange.close()
+
+
+@SCRIPTS.register("flood")
+async def send_without_pause(exchange: Exchange) -> None:
+    await exchange.send(f"HTTP/1.1 200 OK\r\nContent-Length: {FLOOD_BYTES}\r\n\r\n".encode())
+    for _ in range(FLOOD_BYTES // DOWNLOAD_BYTES):
+        await exchange.send(bytes(DOWNLOAD_BYTES))
+
+
+@SCRIPTS.register("drain")
+async def refuse_as_draining(exchange: Exchange) -> None:
+    exchange.server.ledger[exchange.name] -= 1
+    head = "HTTP/1.1 503 Leaving\r\nBriarfork-Outcome: not-run\r\nBackend-State: draining"
+    await exchange.answer(b"", head)
