Send a second attempt of late idempotent requests and reset answers cut by the deadline

Cause: a request at a server that had slowed down waited for it; and a deadline that ended within the body of a download left the caller's stream open without an end, because the cancelled read was taken for a request without an answer. Change: after 1.5 times the 95th percentile of recent latency, an idempotent short request with a buffered body gets a second attempt at another server, if the owner grants it at once below 90% load and the budget of 4% allows it. The attempt that begins to answer first cancels the other. A deadline within the body resets the caller's stream.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -167,6 +167,7 @@
     request_class: RequestClass
     wait_ms: int
     avoid: list[str] = []
+    hedge: bool = False
 
 
 @MESSAGES.register("permit_grant")
--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from multidict import CIMultiDictProxy
 
@@ -84,6 +85,18 @@
         self.result = result
         self.release = release
 
+    @property
+    def caller_has_part(self) -> bool:
+        """Whether the caller got the beginning of an answer."""
+        return self.result is AttemptResult.ANSWER_STARTED
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far an attempt has come; the deadline may end it anywhere."""
+
+    answer_started: bool = False
+
 
 @dataclass(frozen=True, slots=True)
 class KeptAnswer:
@@ -101,15 +114,23 @@
         self._settings = settings
         self._session = session
 
-    async def attempt(self, call: Call, permit: Permit) -> web.StreamResponse | KeptAnswer:
+    async def attempt(
+        self, call: Call, permit: Permit, on_answer: Callable[[], None] | None = None
+    ) -> web.StreamResponse | KeptAnswer:
         """Sends a request under a permit and passes the answer on as it arrives.
 
+        Args:
+            call: The request.
+            permit: Names the server.
+            on_answer: Called when the server has begun to answer, before the caller gets a part.
+
         Raises:
             AttemptFailed: If the caller did not get a whole answer.
         """
         server = permit.server
         url = f"http://{server.address}:{server.port}{call.path}"
         remaining_s = call.deadline.remaining_s(time.monotonic())
+        progress = Progress()
         try:
             async with asyncio.timeout(remaining_s):
                 async with self._session.request(
@@ -120,17 +141,28 @@
                     allow_redirects=False,
                 ) as answer:
                     _raise_if_refused(answer)
-                    return await self._pass_on(call, permit, answer)
+                    if on_answer is not None:
+                        on_answer()
+                    return await self._pass_on(call, permit, answer, progress)
         except aiohttp.ClientConnectorError as error:
             raise AttemptFailed(AttemptResult.NOT_SENT, Release.FAILED, str(error)) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             detail = str(error) or type(error).__name__
-            raise AttemptFailed(
-                AttemptResult.SENT_WITHOUT_ANSWER, Release.FAILED, detail
-            ) from error
+            result = AttemptResult.SENT_WITHOUT_ANSWER
+            if progress.answer_started:
+                # A closed connection in the middle of the body is the only sign that the caller
+                # cannot take for the end of the answer.
+                result = AttemptResult.ANSWER_STARTED
+                if call.request.transport is not None:
+                    call.request.transport.abort()
+            raise AttemptFailed(result, Release.FAILED, detail) from error
 
     async def _pass_on(
-        self, call: Call, permit: Permit, answer: aiohttp.ClientResponse
+        self,
+        call: Call,
+        permit: Permit,
+        answer: aiohttp.ClientResponse,
+        progress: Progress,
     ) -> web.StreamResponse | KeptAnswer:
         headers = _build_answer_headers(answer.headers)
         headers[SERVER_HEADER] = permit.server.vm
@@ -139,19 +171,11 @@
             body = b"".join([chunk async for chunk in self._read(answer)])
             return KeptAnswer(answer.status, headers, body)
         response = web.StreamResponse(status=answer.status, headers=headers)
-        try:
-            await response.prepare(call.request)
-            async for chunk in self._read(answer):
-                await response.write(chunk)
-            await response.write_eof()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            # A closed connection in the middle of the body is the only sign that the caller
-            # cannot take for the end of the answer.
-            if call.request.transport is not None:
-                call.request.transport.abort()
-            raise AttemptFailed(
-                AttemptResult.ANSWER_STARTED, Release.FAILED, str(error) or type(error).__name__
-            ) from error
+        progress.answer_started = True
+        await response.prepare(call.request)
+        async for chunk in self._read(answer):
+            await response.write(chunk)
+        await response.write_eof()
         return response
 
     async def _read(self, answer: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -13,6 +13,8 @@
 from briarfork.pools import PermitQueue
 
 if TYPE_CHECKING:
+    from collections import Counter
+
     from briarfork.entry.slots import SlotKey
     from briarfork.entry.view import EntryView
     from briarfork.pools import PermitDemand
@@ -46,9 +48,14 @@
         self._view = view
         self._queues: dict[SlotKey, PermitQueue] = {}
 
-    def take(self, key: SlotKey, demand: PermitDemand) -> ServerAddress:
+    def take(self, key: SlotKey, demand: PermitDemand, held: Counter[str]) -> ServerAddress:
         """Grants a permit from the share.
 
+        Args:
+            key: The slots.
+            demand: The request.
+            held: Permits of owners that this VM holds at each server; they count in the share.
+
         Raises:
             NotRun: If the site is in another zone or the share is taken.
         """
@@ -67,14 +74,13 @@
         servers = self._view.list_servers(service, site)
         queue.set_servers(servers)
         sharers = sorted({member.vm for member in self._view.list_zone_entries(own_zone)})
-        queue.set_shares(
-            divide_slots(
-                sorted(server.vm for server in servers),
-                capacity.slots,
-                sharers,
-                self._view.settings.vm,
-            )
+        share = divide_slots(
+            sorted(server.vm for server in servers),
+            capacity.slots,
+            sharers,
+            self._view.settings.vm,
         )
+        queue.set_shares({vm: max(0, slots - held[vm]) for vm, slots in share.items()})
         now = time.monotonic()
         for decision in queue.demand(demand, now):
             if isinstance(decision, Grant) and decision.demand is demand:
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import time
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -116,6 +117,23 @@
         demands = {key: self._build_demand(request_class, deadline, avoid) for key in keys}
         return await self._ask_sites(demands, deadline)
 
+    async def acquire_hedge(self, first: Permit, deadline: Deadline) -> Permit:
+        """Acquires a permit for a second attempt at another server, without a wait for a slot.
+
+        Raises:
+            NotRun: If the load is too high or no other server of the region has a free slot.
+        """
+        steering = self._view.require_steering()
+        siblings = steering.find_siblings(first.service, first.site, time.time())
+        avoid = frozenset({first.server.vm})
+        demands = {
+            (first.service, site): replace(
+                self._build_demand(first.request_class, deadline, avoid), hedge=True
+            )
+            for site in (first.site, *siblings)
+        }
+        return await self._ask_sites(demands, deadline)
+
     def release(self, permit: Permit, how: Release, elapsed_s: float) -> None:
         """Returns a permit."""
         # The owner may have changed since the permit was granted.
@@ -203,6 +221,8 @@
                 async with asyncio.timeout(deadline.remaining_s(time.monotonic())):
                     await asyncio.sleep(MOVED_PAUSE_S)
             except OwnerUnreachable as error:
+                if demand.hedge:
+                    return NotRun(error.kind, error.detail)
                 self._desk.events.record(
                     Event.OWNER_UNREACHABLE, owner=owner.vm, reason=error.detail
                 )
@@ -223,6 +243,7 @@
             request_class=demand.request_class,
             wait_ms=int(wait_s * 1000),
             avoid=sorted(demand.avoid),
+            hedge=demand.hedge,
         )
         answer = await self._find_link(owner).ask(message, wait_s)
         if isinstance(answer, PermitGrant):
@@ -249,8 +270,13 @@
         return decision.server if isinstance(decision, Grant) else decision
 
     def _take_share(self, key: SlotKey, demand: PermitDemand) -> Permit | NotRun:
+        held = Counter(
+            permit.server.vm
+            for permit in self._held.values()
+            if permit.key == key and not permit.is_local
+        )
         try:
-            server = self._shares.take(key, demand)
+            server = self._shares.take(key, demand, held)
         except NotRun as refusal:
             return refusal
         return Permit(demand.permit, *key, demand.request_class, server, LOCAL_SHARE)
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -17,6 +17,7 @@
 from briarfork.entry.control_link import ControlLink
 from briarfork.entry.follower import Follower
 from briarfork.entry.forward import Forwarder
+from briarfork.entry.hedging import Hedger
 from briarfork.entry.http import build_app
 from briarfork.entry.permits import PermitClient
 from briarfork.entry.routing import Router
@@ -54,6 +55,7 @@
         self.follower = Follower(self, store, Platform(settings, platform_session))
         self.claims = ClaimBook(store, events)
         self.forwarder = Forwarder(settings, server_session)
+        self.hedger = Hedger(self)
         self.load: dict[tuple[str, str], Load] = {}
 
     def refresh_slots(self) -> None:
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -17,7 +17,6 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.errors import OutcomeUnknown
-from briarfork.pools import Release
 from briarfork.requests import RETRY_RATIO
 from briarfork.requests import AttemptResult
 from briarfork.requests import Budget
@@ -142,21 +141,12 @@
         avoid: frozenset[str] = frozenset()
         for number in range(1, MAX_ATTEMPTS + 1):
             permit = await self._process.router.acquire(call, service, avoid)
-            started_at = time.monotonic()
-            how = Release.CANCELLED
             try:
-                answer = await self._process.forwarder.attempt(call, permit)
-                how = Release.DONE
-                return answer
+                return await self._process.hedger.send(call, service, permit)
             except AttemptFailed as failure:
-                how = failure.release
                 self._decide_after(failure, call, service, number)
                 avoid |= {permit.server.vm}
                 self._process.metrics.count(Metric.RETRIES, service.name)
-            finally:
-                elapsed_s = time.monotonic() - started_at
-                self._process.permits.release(permit, how, elapsed_s)
-                self._process.metrics.time(Metric.REQUEST_TIME, elapsed_s, service.name)
         raise NotRun(ErrorKind.OVERLOADED, "every attempt was refused")
 
     def _decide_after(
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -102,7 +102,10 @@
         self._deliveries[demand.permit] = deliver
         now = time.monotonic()
         if now < self._opens_at[key]:
-            queue.enqueue(demand)
+            if demand.hedge:
+                self._deliver([Refusal(demand, "the slots have a new owner")])
+            else:
+                queue.enqueue(demand)
             return
         self._deliver(queue.demand(demand, now))
 
@@ -259,6 +262,7 @@
         request_class=message.request_class,
         expires_at=time.monotonic() + message.wait_ms / MILLISECONDS,
         avoid=frozenset(message.avoid),
+        hedge=message.hedge,
     )
 
     def deliver(decision: Grant | Refusal) -> None:
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -7,6 +7,7 @@
 from briarfork.pools.permit import Release
 from briarfork.pools.permit import Requester
 from briarfork.pools.queue import PermitQueue
+from briarfork.pools.run_times import RunTimes
 from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
 from briarfork.pools.server import Server
@@ -22,6 +23,7 @@
     "Refusal",
     "Release",
     "Requester",
+    "RunTimes",
     "Server",
     "ServerAddress",
 ]
--- a/src/briarfork/pools/permit.py
+++ b/src/briarfork/pools/permit.py
@@ -46,6 +46,7 @@
         expires_at: When the requester stops waiting, seconds.
         avoid: Servers that the request has used before; they are used again only if the site
             has no other.
+        hedge: Whether it is a second attempt, which never waits and never repeats a server.
     """
 
     permit: str
@@ -53,6 +54,7 @@
     request_class: RequestClass
     expires_at: float
     avoid: frozenset[str] = frozenset()
+    hedge: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -27,6 +27,8 @@
     from briarfork.pools.permit import Requester
     from briarfork.pools.server import ServerAddress
 
+# Share of the slots in use above which a second attempt would delay first ones.
+HEDGE_LOAD = 0.9
 # Bounds the memory of the queue and the work of a burst; the expected wait refuses long before.
 MAX_WAITING = 4096
 # A requester whose stream closed declares its permits again within this time, unless it died; a
@@ -102,12 +104,22 @@
             return [Refusal(demand, "the queue is full")]
         if not self._servers:
             return [Refusal(demand, "the site has no server")]
+        if demand.hedge:
+            return [self._decide_hedge(demand, now)]
         wait_s = self.estimate_wait_s(demand.request_class)
         if wait_s and now + wait_s > demand.expires_at:
             return [Refusal(demand, f"the expected wait is {wait_s * 1000:.0f} ms")]
         self.enqueue(demand)
         return self.poll(now)
 
+    def _decide_hedge(self, demand: PermitDemand, now: float) -> Grant | Refusal:
+        if self.waiting or self.in_progress >= HEDGE_LOAD * self.slots:
+            return Refusal(demand, "no second attempts at this load")
+        server = self._select(demand, now)
+        if server is None:
+            return Refusal(demand, "no other server has a free slot")
+        return self._grant(demand, server, now)
+
     def enqueue(self, demand: PermitDemand) -> None:
         """Adds a demand that the next poll decides."""
         self._lines[demand.request_class].add(demand)
@@ -244,7 +256,8 @@
     def _select(self, demand: PermitDemand, now: float) -> Server | None:
         takers = [server for server in self._servers.values() if not server.leaving]
         fresh = [server for server in takers if server.address.vm not in demand.avoid]
-        free = [s for s in fresh or takers if s.has_room(demand.request_class, now)]
+        allowed = fresh if fresh or demand.hedge else takers
+        free = [s for s in allowed if s.has_room(demand.request_class, now)]
         if not free:
             return None
         overdue_s = self._run_times[RequestClass.SHORT].overdue_s
--- a/src/briarfork/requests/__init__.py
+++ b/src/briarfork/requests/__init__.py
@@ -6,6 +6,7 @@
 from briarfork.requests.budget import HEDGE_RATIO
 from briarfork.requests.budget import RETRY_RATIO
 from briarfork.requests.budget import Budget
+from briarfork.requests.budget import HedgeBudget
 from briarfork.requests.claim import Claim
 from briarfork.requests.claim import ClaimState
 from briarfork.requests.claim import StoredAnswer
@@ -24,6 +25,7 @@
     "ClaimState",
     "Deadline",
     "FailedAttempt",
+    "HedgeBudget",
     "StoredAnswer",
     "check_key",
     "digest_body",
--- a/tests/bench/arrivals.py
+++ b/tests/bench/arrivals.py
@@ -51,7 +51,7 @@
                     service=item.service,
                     method=item.method,
                     path=item.path,
-                    run_ms=source.expovariate(1.0 / item.run_ms),
+                    run_ms=0.0 if item.download_bytes else source.expovariate(1.0 / item.run_ms),
                     deadline_s=item.deadline_s,
                     client=source.choice(clients),
                 )
--- a/tests/bench/deployments.py
+++ b/tests/bench/deployments.py
@@ -13,13 +13,18 @@
 
 SCALE = "1/3"
 ENTRY_VMS_PER_ZONE = 6
+DOWNLOAD_BYTES = 1_000_000
+DOWNLOAD_RATE_BYTES_S = 2_000_000
+DOWNLOAD_MS = 1000.0 * DOWNLOAD_BYTES / DOWNLOAD_RATE_BYTES_S
+RATE_OPTIONS = ("--rate-bytes-s", str(DOWNLOAD_RATE_BYTES_S))
 
 
 @dataclass(frozen=True, slots=True)
 class Workload:
     """One service: its servers at each of the two sites and the requests that callers send.
 
-    `load` is the share of slots in use on average; a workload without `run_ms` is a download.
+    `load` is the share of slots in use on average. A workload with `download_bytes` is a download
+    whose run time follows from the rate of the server.
     """
 
     service: str
@@ -30,6 +35,7 @@
     method: str = "GET"
     path: str = "/item"
     deadline_s: float = 5.0
+    download_bytes: int = 0
 
     @property
     def total_slots(self) -> int:
@@ -42,20 +48,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """A deployment of examples/ and the region of it that runs."""
+    """A deployment of examples/ and the region of it that runs.
+
+    `short` and `downloads` are the requests of the comparison with saturating downloads.
+    """
 
     name: str
     zones: tuple[str, str]
     workloads: tuple[Workload, ...]
+    short: tuple[Workload, ...]
+    downloads: tuple[Workload, ...]
 
     def list_pools(self) -> list[Pool]:
         return [
-            Pool(item.service, zone, item.servers_per_site, item.slots, item.run_ms)
+            Pool(item.service, zone, item.servers_per_site, item.slots, item.run_ms, RATE_OPTIONS)
             for zone in self.zones
             for item in self.workloads
         ]
 
 
+def build_download(service: str, prefix: str) -> Workload:
+    """Returns downloads that offer 1.2 times the slots of all servers."""
+    path = f"{prefix}/item?bytes={DOWNLOAD_BYTES}"
+    return Workload(
+        service, 2, 3, DOWNLOAD_MS, 1.2, path=path, deadline_s=3.0, download_bytes=DOWNLOAD_BYTES
+    )
+
+
 DEPLOYMENTS: Registry[Deployment] = Registry("deployment")
 
 DEPLOYMENTS.register("estonia")(
@@ -68,6 +87,12 @@
             Workload("schedule", 2, 3, 80.0, method="POST"),
             Workload("archive", 2, 3, 1000.0, load=0.6, path="/drawings", deadline_s=30.0),
         ),
+        # Downloads hold two of three slots; short requests use 60% of the slots that remain.
+        short=(
+            Workload("results", 3, 3, 60.0, deadline_s=2.0),
+            Workload("scoring", 2, 3, 100.0, load=0.2, method="POST"),
+        ),
+        downloads=(build_download("scoring", "/videos"), build_download("archive", "/drawings")),
     )
 )
 DEPLOYMENTS.register("chile")(
@@ -81,5 +106,7 @@
             Workload("transcripts", 2, 3, 100.0),
             Workload("recordings", 2, 3, 1000.0, load=0.6, path="/recordings", deadline_s=30.0),
         ),
+        short=(Workload("hearing-status", 3, 9, 150.0, deadline_s=2.0),),
+        downloads=(build_download("recordings", "/recordings"),),
     )
 )
--- a/tests/bench/generator.py
+++ b/tests/bench/generator.py
@@ -18,6 +18,8 @@
 import uvloop
 
 REFUSAL_PAUSE_S = 0.02
+# An answer that is still missing at this time after the deadline counts as stalled.
+STALL_S = 1.0
 
 
 class Generator:
@@ -64,17 +66,23 @@
         url = self._plan["urls"][arrival["client"]][arrival["service"]]
         headers = {
             "Test-Request": arrival["name"],
-            "Test-Run-Ms": f"{arrival['run_ms']:.3f}",
             "Briarfork-Deadline-Ms": str(max(1, int(remaining_s * 1000))),
         }
+        if arrival["run_ms"]:
+            headers["Test-Run-Ms"] = f"{arrival['run_ms']:.3f}"
         try:
-            async with session.request(
-                arrival["method"], url + arrival["path"], headers=headers
-            ) as answer:
+            async with (
+                asyncio.timeout(max(0.0, remaining_s) + STALL_S),
+                session.request(
+                    arrival["method"], url + arrival["path"], headers=headers
+                ) as answer,
+            ):
                 await answer.read()
                 if answer.status < 300:
                     return "done"
                 return answer.headers.get("Briarfork-Outcome", "error")
+        except TimeoutError:
+            return "stalled"
         except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError, OSError):
             return "cut"
 
--- a/tests/bench/runner.py
+++ b/tests/bench/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import shutil
@@ -29,6 +30,9 @@
 ROOT = Path(__file__).parent.parent.parent
 GENERATORS = 2
 START_DELAY_S = 1.5
+SLOW_EVERY_S = 5.0
+SLOW_S = 1.5
+SLOW_FACTOR = 10.0
 LOCAL_CLIENT = f"{CLIENT_PREFIX}.0.1"
 
 
@@ -120,6 +124,27 @@
                     runs[name] = runs.get(name, 0) + count
         return sum(1 for count in runs.values() if count > 1)
 
+    async def sum_ledgers(self, service: str) -> dict[str, int]:
+        """Returns how many requests of a service have run and were cancelled so far."""
+        servers = [item for item in await self.read_ledgers() if item["vm"].startswith(service)]
+        return {
+            "runs": sum(sum(server["ledger"].values()) for server in servers),
+            "cancelled": sum(server["cancelled"] for server in servers),
+        }
+
+    async def slow_in_turn(self, service: str) -> None:
+        """Makes one server after the other slow for moments, until it is cancelled."""
+        names = [name for name in sorted(self.cluster.backends) if name.startswith(service)]
+        for name in itertools.cycle(names):
+            address, port = self.cluster.backends[name]
+            url = f"http://{address}:{port}/control"
+            await asyncio.sleep(SLOW_EVERY_S - SLOW_S)
+            await self.cluster.post(url, {"slow_factor": SLOW_FACTOR})
+            try:
+                await asyncio.sleep(SLOW_S)
+            finally:
+                await self.cluster.post(url, {"slow_factor": 1.0})
+
     async def _look_up(self) -> None:
         url = f"{self.cluster.vms[0].url}/lookup"
         for client in list_clients():
