Queue for the local share and ask again for second attempts that were refused

Cause: when an owner was stopped, the requests of its 0.5 s of silence came to the local share at once; 16 of 240 were refused. Change: requests queue for the share for up to 0.5 s and then look for an owner again; permits that a VM still holds count in its share. A refused second attempt is asked for again after each mean latency.

--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -22,7 +22,7 @@
     from multidict import CIMultiDictProxy
 
     from briarfork.border.settings import Settings
-    from briarfork.entry.permits import Permit
+    from briarfork.entry.overflow import Permit
     from briarfork.requests import Deadline
 
 DEADLINE_HEADER = "Briarfork-Deadline-Ms"
--- a/src/briarfork/entry/hedging.py
+++ b/src/briarfork/entry/hedging.py
@@ -23,7 +23,7 @@
     from briarfork.configuration import Service
     from briarfork.entry.forward import Call
     from briarfork.entry.forward import KeptAnswer
-    from briarfork.entry.permits import Permit
+    from briarfork.entry.overflow import Permit
     from briarfork.entry.process import EntryProcess
 
     Result = web.StreamResponse | KeptAnswer
@@ -32,6 +32,8 @@
 # At the 95th percentile itself the usual tail alone asks for more than the budget, so nothing is
 # left for a server that has slowed down.
 PATIENCE_FACTOR = 1.5
+# Shortest pause before a refused second attempt is asked for again.
+SHORTEST_PAUSE_S = 0.01
 
 
 class Hedger:
@@ -54,40 +56,47 @@
         budget.earn()
         latencies = self._latencies.setdefault(service.name, RunTimes())
         started_at = time.monotonic()
-        result = await self._race(call, permit, PATIENCE_FACTOR * latencies.overdue_s, budget)
+        result = await self._race(call, permit, latencies, budget)
         if isinstance(result, AttemptFailed):
             raise result
         latencies.record(time.monotonic() - started_at)
         return result
 
     async def _race(
-        self, call: Call, permit: Permit, patience_s: float, budget: HedgeBudget
+        self, call: Call, permit: Permit, latencies: RunTimes, budget: HedgeBudget
     ) -> Result | AttemptFailed:
-        """Runs one or two attempts; the first that begins to answer cancels the other."""
+        """Runs one or two attempts; the first that begins to answer cancels the other.
+
+        A second attempt that is not allowed yet is asked for again while the first one is late.
+        """
         race = Race()
+        patience_s = PATIENCE_FACTOR * latencies.overdue_s
         async with asyncio.TaskGroup() as group:
 
             def start(number: int, under: Permit) -> None:
                 work = self._try(call, under, lambda: race.win(number))
-                race.tasks.append(group.create_task(work))
+                race.add(group.create_task(work))
 
             start(0, permit)
-            if not await race.wait_for_answer(patience_s) and budget.spend():
-                second = await self._acquire(call, permit)
-                if second is None:
-                    budget.return_unused()
-                elif race.is_decided:
+            while not await race.wait_for_answer(patience_s):
+                second = await self._acquire(call, permit, budget)
+                if second is not None and race.is_decided:
                     budget.return_unused()
                     self._process.permits.release(second, Release.UNUSED, 0.0)
-                else:
+                elif second is not None:
                     self._process.metrics.count(Metric.HEDGES, permit.service)
                     start(1, second)
+                    break
+                patience_s = max(SHORTEST_PAUSE_S, latencies.mean_s)
         return race.find_result()
 
-    async def _acquire(self, call: Call, first: Permit) -> Permit | None:
+    async def _acquire(self, call: Call, first: Permit, budget: HedgeBudget) -> Permit | None:
+        if not budget.spend():
+            return None
         try:
             return await self._process.permits.acquire_hedge(first, call.deadline)
         except NotRun:
+            budget.return_unused()
             return None
 
     async def _try(
@@ -128,6 +137,11 @@
         """Whether an attempt has begun to answer or the only one has ended."""
         return self._answered.is_set() or all(task.done() for task in self.tasks)
 
+    def add(self, task: asyncio.Task[Result | AttemptFailed]) -> None:
+        """Adds an attempt."""
+        task.add_done_callback(lambda _: self._answered.set())
+        self.tasks.append(task)
+
     def win(self, number: int) -> None:
         """Cancels all attempts but the one that has begun to answer."""
         self._answered.set()
@@ -137,7 +151,6 @@
 
     async def wait_for_answer(self, patience_s: float) -> bool:
         """Waits until the first attempt answers or fails; returns whether it did in time."""
-        self.tasks[0].add_done_callback(lambda _: self._answered.set())
         try:
             async with asyncio.timeout(None if patience_s == math.inf else patience_s):
                 await self._answered.wait()
--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from typing import TYPE_CHECKING
@@ -11,6 +12,7 @@
 from briarfork.pools import Grant
 from briarfork.pools import LocalPool
 from briarfork.pools import PermitQueue
+from briarfork.pools import Refusal
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -47,18 +49,51 @@
     def __init__(self, view: EntryView) -> None:
         self._view = view
         self._queues: dict[SlotKey, PermitQueue] = {}
+        self._deliveries: dict[str, asyncio.Future[Grant | Refusal]] = {}
 
-    def take(self, key: SlotKey, demand: PermitDemand, held: Counter[str]) -> ServerAddress:
-        """Grants a permit from the share.
+    async def take(
+        self, key: SlotKey, demand: PermitDemand, held: Counter[str], wait_s: float
+    ) -> ServerAddress | None:
+        """Waits for a permit from the share; returns None if there was none in time.
+
+        Requests that waited for the owner come all at once when it is found unreachable, so they
+        queue for the share.
 
         Args:
             key: The slots.
             demand: The request.
             held: Permits of owners that this VM holds at each server; they count in the share.
+            wait_s: How long to wait.
 
         Raises:
-            NotRun: If the site is in another zone or the share is taken.
+            NotRun: If the site is in another zone or the expected wait is too long.
         """
+        queue = self._refresh_queue(key, held)
+        future: asyncio.Future[Grant | Refusal] = asyncio.get_running_loop().create_future()
+        self._deliveries[demand.permit] = future
+        try:
+            self._deliver(queue.demand(demand, time.monotonic()))
+            async with asyncio.timeout(wait_s):
+                decision = await future
+        except TimeoutError:
+            queue.cancel(demand.permit, time.monotonic())
+            return None
+        except asyncio.CancelledError:
+            queue.cancel(demand.permit, time.monotonic())
+            raise
+        finally:
+            self._deliveries.pop(demand.permit, None)
+        if isinstance(decision, Refusal):
+            raise NotRun(ErrorKind.OVERLOADED, decision.reason)
+        return decision.server
+
+    def release(self, key: SlotKey, permit: str, how: Release, elapsed_s: float) -> None:
+        """Returns a permit of the share."""
+        now = time.monotonic()
+        self._queues[key].release(permit, how, elapsed_s, now)
+        self._deliver(self._queues[key].poll(now))
+
+    def _refresh_queue(self, key: SlotKey, held: Counter[str]) -> PermitQueue:
         service, site = key
         plan = self._view.require_steering().plan
         own_zone = self._view.settings.zone
@@ -81,16 +116,13 @@
             self._view.settings.vm,
         )
         queue.set_shares({vm: max(0, slots - held[vm]) for vm, slots in share.items()})
-        now = time.monotonic()
-        for decision in queue.demand(demand, now):
-            if isinstance(decision, Grant) and decision.demand is demand:
-                return decision.server
-        queue.cancel(demand.permit, now)
-        raise NotRun(ErrorKind.OVERLOADED, "the local share of the slots is taken")
+        return queue
 
-    def release(self, key: SlotKey, permit: str, how: Release, elapsed_s: float) -> None:
-        """Returns a permit of the share."""
-        self._queues[key].release(permit, how, elapsed_s, time.monotonic())
+    def _deliver(self, decisions: list[Grant | Refusal]) -> None:
+        for decision in decisions:
+            future = self._deliveries.get(decision.demand.permit)
+            if future is not None and not future.done():
+                future.set_result(decision)
 
 
 class LocalChoice:
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -6,8 +6,8 @@
 import itertools
 import time
 from collections import Counter
-from dataclasses import dataclass
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
@@ -18,6 +18,10 @@
 from briarfork.border.messages import PermitRequest
 from briarfork.entry.local import LocalChoice
 from briarfork.entry.local import LocalShares
+from briarfork.entry.overflow import LOCAL_CHOICE
+from briarfork.entry.overflow import LOCAL_SHARE
+from briarfork.entry.overflow import Permit
+from briarfork.entry.overflow import ask_in_turn
 from briarfork.entry.owner_link import OwnerLink
 from briarfork.entry.owner_link import OwnerUnreachable
 from briarfork.errors import ErrorKind
@@ -31,8 +35,6 @@
 from briarfork.pools import ServerAddress
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from briarfork.configuration import RequestClass
     from briarfork.entry.slots import SlotDesk
     from briarfork.entry.slots import SlotKey
@@ -40,42 +42,10 @@
     from briarfork.membership import Member
     from briarfork.requests import Deadline
 
-# Names of VMs begin with a letter or a digit, so these cannot be owners.
-LOCAL_SHARE = "-share"
-LOCAL_CHOICE = "-choice"
-# A request that gets no slot in its own site within the round-trip time to another zone of the
-# region also waits there.
-OVERFLOW_AFTER_S = 0.004
 # Pause before the new owner of moved slots is asked; views of the roster differ for a moment.
 MOVED_PAUSE_S = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class Permit:
-    """The right to send one request to one server.
-
-    Attributes:
-        owner: Entry VM that granted it, or the kind of a permit that needs no owner.
-    """
-
-    name: str
-    service: str
-    site: str
-    request_class: RequestClass
-    server: ServerAddress
-    owner: str
-
-    @property
-    def key(self) -> SlotKey:
-        """The slots that it belongs to."""
-        return self.service, self.site
-
-    @property
-    def is_local(self) -> bool:
-        """Whether this VM granted it without the owner of the slots."""
-        return self.owner in (LOCAL_SHARE, LOCAL_CHOICE)
-
-
 class PermitClient:
     """Acquires and releases permits, from this process or from owners elsewhere."""
 
@@ -184,28 +154,15 @@
         Raises:
             NotRun: If all refuse.
         """
-        tasks: list[asyncio.Task[Permit | NotRun]] = []
-        try:
-            async with asyncio.TaskGroup() as group:
-                for key, demand in demands.items():
-                    tasks.append(group.create_task(self._try(key, demand, deadline)))
-                    patience_s = OVERFLOW_AFTER_S if len(tasks) < len(demands) else None
-                    await _wait_for_permit(tasks, patience_s)
-                    if _list_permits(tasks):
-                        break
-                for task in tasks:
-                    task.cancel()
-        except BaseException:
-            for permit in _list_permits(tasks):
-                self.release(permit, Release.UNUSED, 0.0)
-            raise
-        permits = _list_permits(tasks)
-        if not permits:
-            raise next(result for result in _list_results(tasks) if isinstance(result, NotRun))
+        asks = [partial(self._try, key, demand, deadline) for key, demand in demands.items()]
+        permits = await ask_in_turn(asks, self._return_unused)
         for permit in permits[1:]:
-            self.release(permit, Release.UNUSED, 0.0)
+            self._return_unused(permit)
         return self._keep(permits[0])
 
+    def _return_unused(self, permit: Permit) -> None:
+        self.release(permit, Release.UNUSED, 0.0)
+
     async def _try(self, key: SlotKey, demand: PermitDemand, deadline: Deadline) -> Permit | NotRun:
         """Asks the owners of one site's slots until one decides; a refusal is returned."""
         while True:
@@ -226,7 +183,11 @@
                 self._desk.events.record(
                     Event.OWNER_UNREACHABLE, owner=owner.vm, reason=error.detail
                 )
-                return self._take_share(key, demand)
+                share = await self._take_share(key, demand, deadline)
+                if share is not None:
+                    return share
+                if not deadline.remaining_s(time.monotonic()):
+                    return NotRun(ErrorKind.OVERLOADED, "no slot became free in time")
             except TimeoutError:
                 return NotRun(ErrorKind.OVERLOADED, "no slot became free in time")
 
@@ -269,16 +230,23 @@
             raise
         return decision.server if isinstance(decision, Grant) else decision
 
-    def _take_share(self, key: SlotKey, demand: PermitDemand) -> Permit | NotRun:
+    async def _take_share(
+        self, key: SlotKey, demand: PermitDemand, deadline: Deadline
+    ) -> Permit | NotRun | None:
+        """Waits for a permit of the local share until it is time to look for an owner again."""
         held = Counter(
             permit.server.vm
             for permit in self._held.values()
             if permit.key == key and not permit.is_local
         )
+        silence_s = self._view.settings.timeouts.permit_silence_s
+        wait_s = min(silence_s, deadline.remaining_s(time.monotonic()))
         try:
-            server = self._shares.take(key, demand, held)
+            server = await self._shares.take(key, demand, held, wait_s)
         except NotRun as refusal:
             return refusal
+        if server is None:
+            return None
         return Permit(demand.permit, *key, demand.request_class, server, LOCAL_SHARE)
 
     def _keep(self, permit: Permit) -> Permit:
@@ -307,27 +275,3 @@
     return PermitHeld(
         permit.name, permit.service, permit.site, permit.server.vm, permit.request_class
     )
-
-
-def _list_results(tasks: Iterable[asyncio.Task[Permit | NotRun]]) -> list[Permit | NotRun]:
-    ended = [task for task in tasks if task.done() and not task.cancelled()]
-    return [task.result() for task in ended if task.exception() is None]
-
-
-def _list_permits(tasks: Iterable[asyncio.Task[Permit | NotRun]]) -> list[Permit]:
-    return [result for result in _list_results(tasks) if isinstance(result, Permit)]
-
-
-async def _wait_for_permit(
-    tasks: list[asyncio.Task[Permit | NotRun]], patience_s: float | None
-) -> None:
-    """Waits until a task has a permit, all tasks are refused, or the patience ends."""
-    try:
-        async with asyncio.timeout(patience_s):
-            pending = set(tasks)
-            while pending:
-                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-                if _list_permits(done):
-                    return
-    except TimeoutError:
-        return
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from briarfork.configuration import Service
     from briarfork.entry.forward import Call
-    from briarfork.entry.permits import Permit
+    from briarfork.entry.overflow import Permit
     from briarfork.entry.permits import PermitClient
     from briarfork.entry.view import EntryView
 
