--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
 
     from aiohttp import web
     from multidict import CIMultiDictProxy
@@ -28,7 +29,7 @@
     from briarfork.entry.connections import ServerConnections
     from briarfork.entry.delivery import Call
     from briarfork.entry.delivery import Delivery
-    from briarfork.entry.permits import Permit
+    from briarfork.entry.overflow import Permit
 
 DEADLINE_HEADER = "Briarfork-Deadline-Ms"
 OUTCOME_HEADER = "Briarfork-Outcome"
@@ -71,6 +72,11 @@
         self.result = result
         self.release = release
 
+    @property
+    def caller_has_part(self) -> bool:
+        """Whether the caller got the beginning of an answer."""
+        return self.result is AttemptResult.ANSWER_STARTED
+
 
 class EndUnknown(aiohttp.ClientPayloadError):
     """An answer whose end cannot be told from a lost connection."""
@@ -103,9 +109,16 @@
         self._settings = settings
         self._connections = connections
 
-    async def attempt(self, delivery: Delivery, permit: Permit) -> web.StreamResponse | KeptAnswer:
+    async def attempt(
+        self, delivery: Delivery, permit: Permit, on_answer: Callable[[], None] | None = None
+    ) -> web.StreamResponse | KeptAnswer:
         """Sends a request under a permit and passes the answer on as it arrives.
 
+        Args:
+            delivery: The call, and what its caller has of the answer.
+            permit: Names the server.
+            on_answer: Called when the server has begun to answer, before the caller gets a part.
+
         Raises:
             AttemptFailed: If the caller did not get a whole answer.
         """
@@ -115,7 +128,8 @@
         try:
             with self._connections.use(permit.server, fresh=not call.idempotent) as session:
                 async with timer:
-                    return await self._exchange(session, delivery, permit, attempt, timer)
+                    answered = on_answer or _ignore_answer
+                    return await self._exchange(session, delivery, permit, attempt, timer, answered)
         except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden) as error:
             release = Release.FAILED
             if timer.blames_caller or isinstance(error, SendForbidden):
@@ -134,6 +148,7 @@
         permit: Permit,
         attempt: Attempt,
         timer: ProgressTimer,
+        on_answer: Callable[[], None],
     ) -> web.StreamResponse | KeptAnswer:
         call, server = delivery.call, permit.server
         async with session.request(
@@ -150,6 +165,7 @@
                 release = Release.DRAINING if draining else Release.NOT_RUN
                 raise AttemptFailed(attempt.result, release, "the server refused the request")
             _check_end(call, answer)
+            on_answer()
             headers = _build_answer_headers(answer.headers)
             headers[SERVER_HEADER] = server.vm
             headers[GENERATION_HEADER] = str(call.generation)
@@ -179,6 +195,10 @@
                 )
 
 
+def _ignore_answer() -> None:
+    """Takes the place of a callback for attempts that compete with no other."""
+
+
 async def _stream_body(call: Call, timer: ProgressTimer) -> AsyncIterator[bytes]:
     while True:
         timer.blames_caller = True
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -18,6 +18,7 @@
 from briarfork.entry.control_link import ControlLink
 from briarfork.entry.follower import Follower
 from briarfork.entry.forward import Forwarder
+from briarfork.entry.hedging import Hedger
 from briarfork.entry.http import build_app
 from briarfork.entry.permits import PermitClient
 from briarfork.entry.routing import Router
@@ -56,6 +57,7 @@
         self.claims = ClaimBook(store, events)
         self.connections = ServerConnections(settings)
         self.forwarder = Forwarder(settings, self.connections)
+        self.hedger = Hedger(self)
         self.runs = RunningClaims()
         self.load: dict[tuple[str, str], Load] = {}
 
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -21,7 +21,6 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.errors import OutcomeUnknown
-from briarfork.pools import Release
 from briarfork.requests import RETRY_RATIO
 from briarfork.requests import AttemptResult
 from briarfork.requests import Budget
@@ -35,7 +34,6 @@
 
 if TYPE_CHECKING:
     from briarfork.configuration import Service
-    from briarfork.entry.permits import Permit
     from briarfork.entry.process import EntryProcess
 
 KEY_HEADER = "Idempotency-Key"
@@ -161,7 +159,7 @@
             for number in itertools.count(1):
                 permit = await self._process.router.acquire(call, service, avoid)
                 try:
-                    return await self._try_once(delivery, permit)
+                    return await self._process.hedger.send(delivery, service, permit)
                 except AttemptFailed as failure:
                     self._decide_after(failure, delivery, service, number)
                 avoid |= {permit.server.vm}
@@ -171,23 +169,6 @@
             if delivery.cut():
                 self._process.events.record(Event.ANSWER_CUT, service=service.name, path=call.path)
 
-    async def _try_once(
-        self, delivery: Delivery, permit: Permit
-    ) -> web.StreamResponse | KeptAnswer:
-        started_at = time.monotonic()
-        how = Release.CANCELLED
-        try:
-            answer = await self._process.forwarder.attempt(delivery, permit)
-            how = Release.DONE
-            return answer
-        except AttemptFailed as failure:
-            how = failure.release
-            raise
-        finally:
-            elapsed_s = time.monotonic() - started_at
-            self._process.permits.release(permit, how, elapsed_s)
-            self._process.metrics.time(Metric.REQUEST_TIME, elapsed_s, permit.service)
-
     def _decide_after(
         self, failure: AttemptFailed, delivery: Delivery, service: Service, number: int
     ) -> None:
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -16,7 +16,7 @@
     from briarfork.border.metrics import Metrics
     from briarfork.configuration import Service
     from briarfork.entry.delivery import Call
-    from briarfork.entry.permits import Permit
+    from briarfork.entry.overflow import Permit
     from briarfork.entry.permits import PermitClient
     from briarfork.entry.view import EntryView
     from briarfork.steering import Assigned
--- a/src/briarfork/requests/__init__.py
+++ b/src/briarfork/requests/__init__.py
@@ -8,6 +8,7 @@
 from briarfork.requests.budget import HEDGE_RATIO
 from briarfork.requests.budget import RETRY_RATIO
 from briarfork.requests.budget import Budget
+from briarfork.requests.budget import HedgeBudget
 from briarfork.requests.claim import Claim
 from briarfork.requests.claim import ClaimState
 from briarfork.requests.claim import StoredAnswer
@@ -31,6 +32,7 @@
     "Deadline",
     "Download",
     "FailedAttempt",
+    "HedgeBudget",
     "SendForbidden",
     "StoredAnswer",
     "check_key",
