Move traffic of sites that cannot take it within headroom

Cause: a request whose site had no server, no reachable owner or a full queue was refused although other sites were free, and reports of load were kept and never read.

Ruled out: a part for each live VM, because a VM that is cut off sees fewer VMs and takes more; whole slots for each VM, because 12 VMs share 9 slots and each part would be 0; counting a refusal of the queue as loss of the site, because an overloaded site would then lose its own traffic.

Change: Headroom counts this VM's part of reported free slots in slot seconds and of links in bytes. Overflow uses it for requests and lookups, sites of the same region first. Recovery gives a lost site its traffic back over 30 s. The view indexes servers and owners by service and site.

The sum of slot seconds over all VMs is bounded by a property; the slots asked for at one moment are bounded by the owner.

--- a/src/briarfork/border/documents.py
+++ b/src/briarfork/border/documents.py
@@ -96,6 +96,7 @@
     shift: ShiftModel
     claims: Literal["store", "none"] = "store"
     routes: list[RouteModel] = []
+    answer_bytes: Annotated[int, Field(ge=1)] | None = None
 
 
 class BaseDocumentModel(Model):
--- a/src/briarfork/border/metrics.py
+++ b/src/briarfork/border/metrics.py
@@ -22,6 +22,7 @@
     HEDGES = "hedges"
     PERMIT_WAIT = "permit_wait"
     SHIFT_HELD_BACK = "shift_held_back"
+    OVERFLOWS = "overflows"
     GENERATION = "generation"
     MEMBERS_LIVE = "members_live"
     STORE_CALLS = "store_calls"
--- a/src/briarfork/configuration/documents.py
+++ b/src/briarfork/configuration/documents.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
+from typing import Final
 
 from briarfork.configuration.model import ClientBlock
 from briarfork.configuration.model import Link
@@ -21,6 +22,9 @@
 SERVICE_PREFIX = "services/"
 SITE_PREFIX = "sites/"
 
+# Estimates for services that state none.
+ANSWER_BYTES: Final = {"short": 16 * 1024, "long": 4 * 1024 * 1024}
+
 Document = dict[str, Any]
 
 
@@ -203,4 +207,5 @@
         claims=body.get("claims", "store") == "store",
         routes=routes,
         selection=body.get("selection", "permits"),
+        answer_bytes=body.get("answer_bytes") or ANSWER_BYTES[body["request_class"]],
     )
--- a/src/briarfork/configuration/model.py
+++ b/src/briarfork/configuration/model.py
@@ -86,6 +86,7 @@
         regional_spread: Weights for the clients of one region, where they differ from `spread`.
         claims: Whether requests with an idempotency key are claimed in the store.
         selection: Name of the server selection policy.
+        answer_bytes: Estimated size of an answer, for the share of links.
     """
 
     name: str
@@ -99,6 +100,7 @@
     claims: bool = True
     routes: tuple[Route, ...] = ()
     selection: str = "permits"
+    answer_bytes: int = 0
 
     def find_route(self, path: str) -> Route:
         """Returns the route with the longest prefix that matches the path."""
--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -54,7 +53,7 @@
         view = self._process.view
         steering = view.require_steering()
         client = request.query.get("client") or request.remote or ""
-        site = steering.assign(service, client, time.time())
+        site = self._process.router.find_lookup_site(service, client)
         by_name = {entry.vm: entry for entry in view.list_entries()}
         order = steering.order_entries(site, list(by_name.values()), client)
         return web.json_response(
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -25,10 +25,12 @@
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.errors import SiteUnreachable
 from briarfork.pools import Grant
 from briarfork.pools import PermitDemand
 from briarfork.pools import PermitQueue
 from briarfork.pools import Refusal
+from briarfork.pools import Release
 from briarfork.pools import ServerAddress
 
 if TYPE_CHECKING:
@@ -38,10 +40,11 @@
     from briarfork.entry.slots import SlotDesk
     from briarfork.entry.view import EntryView
     from briarfork.membership import Member
-    from briarfork.pools import Release
     from briarfork.requests import Deadline
 
 Decision = Grant | Refusal
+# Weight of the newest run time in the moving mean of a service.
+RUN_TIME_WEIGHT = 0.1
 HeldPermits = Callable[[str], "list[PermitHeld]"]
 
 
@@ -182,6 +185,11 @@
         self._numbers = itertools.count(1)
         self._prefix = f"{view.settings.vm}-{time.time_ns():x}"
         self._shares: dict[tuple[str, str], PermitQueue] = {}
+        self.run_times: dict[str, float] = {}
+
+    def count_held(self, service: str, site: str) -> int:
+        """Returns how many permits of a service at a site this process holds."""
+        return sum((held.service, held.site) == (service, site) for held in self._held.values())
 
     async def acquire(
         self,
@@ -221,6 +229,9 @@
         """Returns a permit."""
         self._held.pop(permit.name, None)
         key = (permit.service, permit.site)
+        if how is Release.DONE:
+            known = self.run_times.get(permit.service, elapsed_s)
+            self.run_times[permit.service] = known + RUN_TIME_WEIGHT * (elapsed_s - known)
         if not permit.owner:
             self._shares[key].release(permit.name, how, elapsed_s, time.monotonic())
             return
@@ -317,7 +328,7 @@
         plan = self._view.require_steering().plan
         own_zone = self._view.settings.zone
         if plan.sites[site].zone != own_zone:
-            raise NotRun(ErrorKind.OVERLOADED, f"the owner of the slots of {site!r} is unreachable")
+            raise SiteUnreachable(f"the owner of the slots of {site!r} is unreachable")
         capacity = plan.services[service].capacity[site]
         sharers = max(1, len(self._view.list_zone_entries(own_zone)))
         share = SiteCapacity(max(1, capacity.slots // sharers), capacity.connections)
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -54,7 +54,6 @@
         self.follower = Follower(self, store, Platform(settings, platform_session))
         self.claims = ClaimBook(store, events)
         self.forwarder = Forwarder(settings, server_session)
-        self.load: dict[tuple[str, str], Load] = {}
 
     def refresh_slots(self) -> None:
         """Applies a change of the view to the slots that this VM owns."""
@@ -63,8 +62,7 @@
 
     def accept_load(self, loads: Iterable[Load]) -> None:
         """Takes the loads that other VMs have reported."""
-        for load in loads:
-            self.load[load.service, load.site] = load
+        self.router.accept_load(loads)
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until a planned stop has ended."""
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -6,13 +6,19 @@
 from typing import TYPE_CHECKING
 
 from briarfork.border.metrics import Metric
+from briarfork.entry.overflow import Overflow
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.errors import SiteUnreachable
 from briarfork.pools import Release
 from briarfork.requests import Deadline
 from briarfork.steering import MOVE_DELAY_S
+from briarfork.steering import Recovery
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from briarfork.border.messages import Load
     from briarfork.border.metrics import Metrics
     from briarfork.configuration import Service
     from briarfork.entry.forward import Call
@@ -22,15 +28,38 @@
     from briarfork.steering import Assigned
 
 UNKNOWN_CLIENT = "0.0.0.0"
+# Refusals that another site may make good.
+REFUSED_BY_SITE = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_SERVER})
 
 
 class Router:
-    """Decides where a request goes."""
+    """Decides where a request goes.
+
+    The assigned site comes first, then other sites within this VM's part of their headroom. What
+    none of them takes is refused as not run.
+    """
 
     def __init__(self, view: EntryView, permits: PermitClient, metrics: Metrics) -> None:
         self._view = view
         self._permits = permits
         self._metrics = metrics
+        self._overflow = Overflow(view, permits)
+        self._recoveries: dict[tuple[str, str], Recovery] = {}
+
+    def accept_load(self, loads: Iterable[Load]) -> None:
+        """Takes the loads that owners of slots have reported."""
+        self._overflow.accept_load(loads)
+
+    def find_lookup_site(self, service: str, client: str) -> str:
+        """Returns the site to which a lookup directs a client.
+
+        Raises:
+            NotRun: If the service is unknown or the client is not an address.
+        """
+        site = self._view.require_steering().assign(service, client, time.time())
+        if not self._is_lost(service, site):
+            return site
+        return self._overflow.choose_for_lookup(service, site, client) or site
 
     async def acquire(self, call: Call, service: Service, avoid: frozenset[str]) -> Permit:
         """Returns a permit for one attempt.
@@ -48,6 +77,39 @@
         assigned = steering.assign_request(service.name, client, time.time(), time.monotonic())
         if assigned.held_back:
             self._metrics.count(Metric.SHIFT_HELD_BACK, service.name)
+        recovery = self._recoveries.setdefault((service.name, assigned.site), Recovery())
+        refused: NotRun | None = None
+        if recovery.admit():
+            try:
+                permit = await self._acquire_assigned(call, service, avoid, assigned)
+            except NotRun as error:
+                if error.kind not in REFUSED_BY_SITE:
+                    raise
+                refused = error
+                if isinstance(error, SiteUnreachable) or self._is_lost(service.name, assigned.site):
+                    recovery.record_loss(time.monotonic())
+            else:
+                recovery.record_success(time.monotonic())
+                return permit
+        permit_elsewhere = await self._overflow.acquire(call, service, avoid, assigned.site)
+        if permit_elsewhere is not None:
+            self._metrics.count(Metric.OVERFLOWS, service.name)
+            return permit_elsewhere
+        if refused is None and not self._is_lost(service.name, assigned.site):
+            return await self._acquire_assigned(call, service, avoid, assigned)
+        reason = refused.detail if refused else f"site {assigned.site!r} is lost"
+        raise NotRun(ErrorKind.OVERLOADED, f"{reason}; no other site has headroom")
+
+    def _is_lost(self, service: str, site: str) -> bool:
+        """Returns whether a site has no server, or no entry VM that could own its slots."""
+        return (
+            not self._view.list_servers(service, site)
+            or self._view.find_owner(service, site) is None
+        )
+
+    async def _acquire_assigned(
+        self, call: Call, service: Service, avoid: frozenset[str], assigned: Assigned
+    ) -> Permit:
         if assigned.moved:
             return await self._acquire_moved(call, service, avoid, assigned)
         return await self._acquire_at(assigned.site, call, service, avoid, call.deadline)
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -24,6 +24,7 @@
     from briarfork.border.events import EventLog
     from briarfork.border.messages import ListedVm
     from briarfork.border.settings import Settings
+    from briarfork.configuration import Plan
     from briarfork.membership import Member
     from briarfork.timeline import Change
 
@@ -39,6 +40,8 @@
         self.timeline = Timeline()
         self.members: dict[str, Member] = {}
         self.listed: list[ListedVm] = []
+        self._servers: dict[tuple[str, str], list[ServerAddress]] = {}
+        self._owners: dict[tuple[str, str], Member | None] = {}
         self._events = events
         self._steering: Steering | None = None
         self._next_start = math.inf
@@ -52,10 +55,16 @@
     def accept_members(self, members: Iterable[Member]) -> None:
         """Replaces the roster."""
         self.members = {member.vm: member for member in members}
+        self._owners.clear()
 
     def accept_list(self, listed: list[ListedVm]) -> None:
         """Replaces the platform's list of VMs."""
         self.listed = listed
+        self._servers = {}
+        for vm in listed:
+            if vm.role == BACKEND_ROLE and vm.state == LIVE_STATE:
+                address = ServerAddress(vm.vm, vm.address, vm.ports["http"])
+                self._servers.setdefault((vm.service, vm.site), []).append(address)
 
     def require_steering(self) -> Steering:
         """Returns the steering in force now.
@@ -80,14 +89,7 @@
 
     def list_servers(self, service: str, site: str) -> list[ServerAddress]:
         """Returns the backend servers of a service at a site that the platform lists as live."""
-        return [
-            ServerAddress(vm.vm, vm.address, vm.ports["http"])
-            for vm in self.listed
-            if vm.role == BACKEND_ROLE
-            and vm.service == service
-            and vm.site == site
-            and vm.state == LIVE_STATE
-        ]
+        return list(self._servers.get((service, site), ()))
 
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the entry VMs of a zone that can own slots."""
@@ -103,6 +105,11 @@
         It is in the site's zone; if none serves there, one of the site's region takes over.
         """
         plan = self.require_steering().plan
+        if (service, site) not in self._owners:
+            self._owners[service, site] = self._choose_owner(plan, service, site)
+        return self._owners[service, site]
+
+    def _choose_owner(self, plan: Plan, service: str, site: str) -> Member | None:
         zone = plan.sites[site].zone
         region = plan.find_region(zone)
         candidates = self.list_zone_entries(zone)
@@ -122,6 +129,7 @@
             self._events.record(Event.CONFIGURATION_UNUSABLE, fault=error.detail)
             return
         shifts = build_shifts(self.timeline, wall_now)
+        self._owners.clear()
         self._steering = Steering(plan, shifts, time.monotonic(), self._steering)
         self._events.record(
             Event.CONFIGURATION_IN_FORCE, generation=self.timeline.generation, at=f"{wall_now:.3f}"
--- a/src/briarfork/errors.py
+++ b/src/briarfork/errors.py
@@ -129,6 +129,13 @@
     """A request that is refused and provably did not run."""
 
 
+class SiteUnreachable(NotRun):
+    """A request that no VM able to grant a slot of its site could be asked for."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ErrorKind.OVERLOADED, detail)
+
+
 class OutcomeUnknown(BriarforkError):
     """A request that may or may not have run."""
 
--- a/src/briarfork/steering/__init__.py
+++ b/src/briarfork/steering/__init__.py
@@ -1,11 +1,14 @@
-"""Steering: blocks of clients, assignment to sites, shifts."""
+"""Steering: blocks of clients, assignment to sites, shifts, headroom."""
 
 from briarfork.steering.assignment import Assignment
 from briarfork.steering.assignment import choose_site
 from briarfork.steering.assignment import find_group
 from briarfork.steering.assignment import hash_unit
 from briarfork.steering.blocks import BlockTable
+from briarfork.steering.headroom import Headroom
+from briarfork.steering.headroom import SiteLoad
 from briarfork.steering.history import build_shifts
+from briarfork.steering.recovery import Recovery
 from briarfork.steering.shift import MOVE_DELAY_S
 from briarfork.steering.shift import Ramp
 from briarfork.steering.shift import Shift
@@ -23,9 +26,12 @@
     "Assignment",
     "BlockTable",
     "EntryAddress",
+    "Headroom",
     "Ramp",
+    "Recovery",
     "Shift",
     "ShiftCap",
+    "SiteLoad",
     "SpreadChange",
     "Steering",
     "build_shift",
--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -51,3 +51,43 @@
             assert count_worst_second(arrivals) <= CAP_RPS
             # Four parts of 10 requests in 1.25 s; the rest stays at the site before the shift.
             assert load.result()["north-a"] > load.result()["south-a"]
+
+
+class TestLostRegion:
+    async def test_traffic_moves_within_headroom_and_returns_slowly(self, tmp_path: Path) -> None:
+        """Guards against a lost region whose traffic is refused, or overloads the others."""
+        zones = ["north-a", "south-a", "west-a"]
+        regions = {zone.removesuffix("-a"): [zone] for zone in zones}
+        folder = write_files(
+            tmp_path / "files",
+            regions,
+            spread={zone: 1 for zone in zones},
+            regional_spread={"north": {"north-a": 1}},
+        )
+        pools = [Pool(SERVICE, zone, 3, slots=3, run_ms=20) for zone in zones]
+        async with Cluster(folder, tmp_path, zones, pools=pools, network=NETWORK) as cluster:
+            answer = await cluster.submit()
+            await cluster.wait_for_generation(answer["generation"])
+            lost, *others = cluster.vms
+            answers = await run_load(cluster, others, 60, 2.0)
+            assert answers == {"north-a": 120}
+            await cluster.stop(lost, signal.SIGKILL)
+            await run_load(cluster, others, 60, 6.0)
+            # 60 requests of 20 ms a second need 1.2 slots; each of the two sites has 9.
+            answers = await run_load(cluster, others, 60, 3.0)
+            assert answers["south-a"] + answers["west-a"] >= 0.95 * 180
+            lookup = await cluster.get(f"{others[0].url}/lookup", service=SERVICE)
+            assert lookup["entries"][0]["zone"] in ("south-a", "west-a")
+            # Far above the headroom: the rest is refused, and no server gets more than its slots.
+            answers = await run_load(cluster, others, 700, 2.0)
+            assert set(answers) == {"south-a", "west-a", "overloaded"}
+            for address, port in cluster.backends.values():
+                ledger = await cluster.get(f"http://{address}:{port}/ledger")
+                assert (ledger["shed"], ledger["peak"] <= 3) == (0, True)
+            cluster.start(lost, PROGRAMS[:2])
+            returned = [
+                (await run_load(cluster, others, 60, 3.0))["north-a"] / 180 for _ in range(4)
+            ]
+            # All of the traffic returns in 30 s at the earliest.
+            assert all(part <= (number + 1) * 0.1 + 0.05 for number, part in enumerate(returned))
+            assert returned[-1] > returned[0]
