Start cold servers slowly

Cause: the owner of the slots prefers the server with the fewest requests in progress, so a server with cold caches got as much as the warm ones.

Change: Server has a SlowStart that bounds its slots by time and by answers. Reports of load and expected waits count only the open slots.

--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -10,6 +10,7 @@
 from briarfork.configuration import RequestClass
 from briarfork.pools.selection import SELECTION
 from briarfork.pools.server import Server
+from briarfork.pools.slow_start import SlowStart
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -88,6 +89,7 @@
         }
         self._holders: dict[str, tuple[str, str]] = {}
         self._run_time_s = INITIAL_RUN_TIME_S
+        self._listed = False
 
     @property
     def in_progress(self) -> int:
@@ -102,7 +104,11 @@
     @property
     def slots(self) -> int:
         """Slots of all servers that take new work."""
-        return sum(server.slots for server in self._servers.values() if not server.leaving)
+        return sum(
+            min(server.slots, server.slow_start.bound or server.slots)
+            for server in self._servers.values()
+            if not server.leaving
+        )
 
     def set_capacity(self, capacity: SiteCapacity, mixed: bool) -> None:
         """Applies the capacity of one server from the plan."""
@@ -124,7 +130,10 @@
                 held = self._servers[vm].permits if vm in self._servers else {}
                 server = Server(address, self._capacity.slots, self._long_slots())
                 server.permits = held
+                # The first list shows servers that have run all along; later ones are new.
+                server.slow_start = SlowStart(cold=self._listed)
                 self._servers[vm] = server
+        self._listed = self._listed or bool(self._servers)
 
     def demand(self, demand: PermitDemand, now: float) -> list[Grant | Refusal]:
         """Adds a demand and returns what can be decided now."""
@@ -172,6 +181,8 @@
             return
         server = self._servers[holder[1]]
         request_class = server.permits.pop(permit)
+        if how is Release.DONE:
+            server.slow_start.record_answer(now)
         if how is Release.DONE and request_class is RequestClass.SHORT:
             server.record_run_time(elapsed_s)
             self._run_time_s += 0.05 * (elapsed_s - self._run_time_s)
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from briarfork.configuration import RequestClass
+from briarfork.pools.slow_start import SlowStart
 
 # Weight of the newest run time in the moving mean.
 RUN_TIME_WEIGHT: Final = 0.2
@@ -35,6 +36,7 @@
         paused_until: End of the pause after a refusal.
         permits: Class of each request in progress, by permit.
         run_time_s: Moving mean of the run time of short requests.
+        slow_start: Bounds the slots while the server warms up.
     """
 
     address: ServerAddress
@@ -44,6 +46,7 @@
     paused_until: float = 0.0
     permits: dict[str, RequestClass] = field(default_factory=dict)
     run_time_s: float = 0.0
+    slow_start: SlowStart = field(default_factory=lambda: SlowStart(cold=False))
 
     @property
     def in_progress(self) -> int:
@@ -52,7 +55,9 @@
 
     def has_room(self, request_class: RequestClass, now: float) -> bool:
         """Returns whether a request of this class may start now."""
-        if self.leaving or now < self.paused_until or self.in_progress >= self.slots:
+        if self.leaving or now < self.paused_until:
+            return False
+        if self.in_progress >= self.slow_start.limit(self.slots, now):
             return False
         if request_class is RequestClass.SHORT:
             return True
