Serve a cut-off zone with its own servers

Cause: a stream to an owner counted as open once the connection was accepted, which the kernel does for a stopped process too. Requests then waited for their deadline instead of using another site. The free slots of the own zone were divided among VMs that could not reach it.

Change: a stream is open from the first message of the owner on. While no report from outside the zone counts, the parts of its own sites are worked out for the VMs of the zone.

The 3 s of silence are lost.

--- a/src/briarfork/entry/overflow.py
+++ b/src/briarfork/entry/overflow.py
@@ -104,7 +104,8 @@
         run_time_s = self._permits.run_times.get(service.name, INITIAL_RUN_TIME_S)
         run_time_s = max(SHORTEST_RUN_TIME_S, run_time_s)
         outstanding = self._permits.count_held(*key)
-        if not self._headroom.admit(key, free, outstanding, plan.entry_vms, run_time_s, now):
+        sharers = self._count_sharers(plan, site, now)
+        if not self._headroom.admit(key, free, outstanding, sharers, run_time_s, now):
             return False
         own, other = self._find_regions(plan, site)
         if own == other:
@@ -114,6 +115,19 @@
             (other, own), link.gbit_s, service.answer_bytes, plan.entry_vms, now
         )
 
+    def _count_sharers(self, plan: Plan, site: str, now: float) -> int:
+        """Returns how many VMs may use the free slots of a site.
+
+        While nothing is heard from outside the zone, the zone is cut off and only its own VMs can
+        reach its sites.
+        """
+        zone = self._view.settings.zone
+        outside = {name for name, item in plan.sites.items() if item.zone != zone}
+        if plan.sites[site].zone != zone or self._headroom.has_report(outside, now):
+            return plan.entry_vms
+        mates = sum(member.zone == zone for member in self._view.members.values())
+        return max(1, min(plan.entry_vms, mates))
+
     def _find_free(self, plan: Plan, service: str, site: str) -> float:
         if self._view.find_owner(service, site) is None:
             return 0.0
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -143,12 +143,15 @@
         stream.send(Hello(settings.vm, settings.zone))
         for held in list_held(self.owner.vm):
             stream.send(held)
-        self._stream = stream
-        self._opened.set()
         try:
             async with asyncio.TaskGroup() as group:
                 beats = group.create_task(send_heartbeats(stream, settings.timeouts.heartbeat_s))
                 try:
+                    # A stopped or cut-off VM still accepts connections; only a message shows
+                    # that the owner is there.
+                    self._decide(await stream.receive(settings.timeouts.silence_s))
+                    self._stream = stream
+                    self._opened.set()
                     while True:
                         self._decide(await stream.receive(settings.timeouts.silence_s))
                 finally:
--- a/src/briarfork/steering/headroom.py
+++ b/src/briarfork/steering/headroom.py
@@ -4,10 +4,14 @@
 
 import math
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 from typing import Final
 
 from briarfork.steering.assignment import hash_unit
 
+if TYPE_CHECKING:
+    from collections.abc import Container
+
 # A report counts less the older it is, and not at all from this age on. Reports are sent every
 # second and may pass a few VMs on the way.
 REPORT_LIFETIME_S: Final = 5.0
@@ -108,17 +112,33 @@
         used = max(load.in_progress + load.waiting, outstanding)
         return max(0.0, weight) * max(0.0, usable - used)
 
+    def has_report(self, sites: Container[str], now: float) -> bool:
+        """Returns whether a report of one of the sites still counts."""
+        return any(
+            key[1] in sites and now - load.measured_at < REPORT_LIFETIME_S
+            for key, load in self._loads.items()
+        )
+
     def admit(
         self,
         key: SiteKey,
         free: float,
         outstanding: int,
-        entry_vms: int,
+        sharers: int,
         run_time_s: float,
         now: float,
     ) -> bool:
-        """Returns whether one request may go to a site, and counts it if so."""
-        part = free / entry_vms
+        """Returns whether one request may go to a site, and counts it if so.
+
+        Args:
+            key: Service and site.
+            free: Slots that are free over all VMs.
+            outstanding: Requests that this VM itself has in progress there.
+            sharers: Number of VMs that may use the free slots at the same time.
+            run_time_s: Mean run time of the service.
+            now: Monotonic time.
+        """
+        part = free / sharers
         credit = self._find_credit(key, now)
         credit.grow(part / run_time_s, run_time_s, 1.0, now)
         if credit.level < 1.0 or now < credit.paused_until or outstanding >= max(1.0, part):
--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -91,3 +91,32 @@
             # All of the traffic returns in 30 s at the earliest.
             assert all(part <= (number + 1) * 0.1 + 0.05 for number, part in enumerate(returned))
             assert returned[-1] > returned[0]
+
+
+class TestCutOff:
+    async def test_zone_serves_with_its_own_servers_and_heals(self, tmp_path: Path) -> None:
+        """Guards against a cut-off zone that waits for owners whose silence it cannot see."""
+        zones = ["north-a", "south-a", "west-a"]
+        regions = {zone.removesuffix("-a"): [zone] for zone in zones}
+        folder = write_files(tmp_path / "files", regions, spread={"south-a": 1, "north-a": 1e-9})
+        pools = [Pool(SERVICE, zone, 3, slots=3) for zone in zones]
+        async with Cluster(folder, tmp_path, zones, pools=pools, network=NETWORK) as cluster:
+            answer = await cluster.submit()
+            await cluster.wait_for_generation(answer["generation"])
+            own, *others = cluster.vms
+            assert await run_load(cluster, [own], 60, 2.0) == {"south-a": 120}
+            elsewhere = [p for vm in others for p in vm.processes.values()]
+            elsewhere += cluster._processes.values()
+            elsewhere = [p for p in elsewhere if p is not cluster._processes[f"{SERVICE}-north-a"]]
+            for process in elsewhere:
+                process.send_signal(signal.SIGSTOP)
+            # Silence is noticed after 3 s, and reports from outside end after 5 s.
+            await run_load(cluster, [own], 60, 8.0)
+            answers = await run_load(cluster, [own], 60, 4.0)
+            assert answers["north-a"] >= 0.95 * 240
+            for process in elsewhere:
+                process.send_signal(signal.SIGCONT)
+            await run_load(cluster, [own], 60, 4.0)
+            answers = await run_load(cluster, [own], 60, 4.0)
+            assert answers["north-a"] + answers["south-a"] >= 0.95 * 240
+            assert 0 < answers["south-a"] < 0.5 * 240
