--- a/src/briarfork/configuration/__init__.py
+++ b/src/briarfork/configuration/__init__.py
@@ -6,7 +6,7 @@
 from briarfork.configuration.documents import Document
 from briarfork.configuration.documents import Documents
 from briarfork.configuration.documents import merge_overlay
-from briarfork.configuration.model import ClientBlock
+from briarfork.configuration.model import ClientBlocks
 from briarfork.configuration.model import Link
 from briarfork.configuration.model import Plan
 from briarfork.configuration.model import RequestClass
@@ -20,7 +20,7 @@
     "BASE",
     "SERVICE_PREFIX",
     "SITE_PREFIX",
-    "ClientBlock",
+    "ClientBlocks",
     "Document",
     "Documents",
     "Link",
--- a/src/briarfork/configuration/documents.py
+++ b/src/briarfork/configuration/documents.py
@@ -7,7 +7,7 @@
 from typing import Any
 from typing import Final
 
-from briarfork.configuration.model import ClientBlock
+from briarfork.configuration.model import ClientBlocks
 from briarfork.configuration.model import Link
 from briarfork.configuration.model import Plan
 from briarfork.configuration.model import RequestClass
@@ -25,6 +25,9 @@
 # Estimates for services that state none.
 ANSWER_BYTES: Final = {"short": 16 * 1024, "long": 4 * 1024 * 1024}
 
+# The table of blocks keeps 64 bits of an IPv6 address.
+IPV6_BLOCK_BITS: Final = 64
+
 Document = dict[str, Any]
 
 
@@ -48,13 +51,16 @@
         merged = {**self.by_name, **edits}
         return Documents({name: body for name, body in merged.items() if body is not None})
 
-    def render(self) -> Plan:
+    def render(self, previous: Plan | None = None) -> Plan:
         """Merges the overlays into the base.
 
+        Args:
+            previous: A plan whose blocks, if they are the same object, are not checked again.
+
         Raises:
             InvalidConfiguration: Lists every broken rule with document and key.
         """
-        faults = self.find_faults()
+        faults = self.find_faults(previous.client_blocks if previous else None)
         if faults:
             raise InvalidConfiguration(faults)
         base = self.by_name[BASE]
@@ -65,10 +71,7 @@
             approval_required=base.get("approval", "none") == "required",
             regions={name: tuple(body["zones"]) for name, body in base["regions"].items()},
             links=tuple(_build_link(link) for link in base.get("links", [])),
-            client_blocks=tuple(
-                ClientBlock(block["prefix"], block["region"])
-                for block in base.get("client_blocks", [])
-            ),
+            client_blocks=ClientBlocks(base.get("client_blocks", ())),
             sites={
                 name: Site(name, overlay["zone"], overlay.get("drain", False))
                 for name, overlay in overlays.items()
@@ -79,8 +82,8 @@
             },
         )
 
-    def find_faults(self) -> list[str]:
-        """Returns one line for each broken rule."""
+    def find_faults(self, checked: ClientBlocks | None = None) -> list[str]:
+        """Returns one line for each broken rule; blocks that are checked already are left out."""
         base = self.by_name.get(BASE)
         if base is None:
             return ["base: expected a base document"]
@@ -88,6 +91,9 @@
         overlays = self._select(SITE_PREFIX)
         zones = {zone for region in base["regions"].values() for zone in region["zones"]}
         faults = _find_base_faults(base)
+        blocks = ClientBlocks(base.get("client_blocks", ()))
+        if checked is None or blocks.records is not checked.records:
+            faults += _find_block_faults(blocks, set(base["regions"]))
         for name, service in services.items():
             faults += _find_service_faults(name, service, base, set(overlays))
         faults += _find_drain_faults(name, service, overlays)
@@ -119,15 +125,27 @@
     zones = [zone for region in base["regions"].values() for zone in region["zones"]]
     for zone in sorted({zone for zone in zones if zones.count(zone) > 1}):
         faults.append(f"base: regions: zone {zone!r} is listed twice")
-    for index, block in enumerate(base.get("client_blocks", [])):
-        if block["region"] not in regions:
-            faults.append(f"base: client_blocks[{index}].region: expected one of {sorted(regions)}")
     for index, link in enumerate(base.get("links", [])):
         if not set(link["between"]) <= regions or len(set(link["between"])) != 2:
             faults.append(f"base: links[{index}].between: expected two of {sorted(regions)}")
     return faults
 
 
+def _find_block_faults(blocks: ClientBlocks, regions: set[str]) -> list[str]:
+    faults = []
+    seen: set[str] = set()
+    for index, (prefix, region) in enumerate(blocks):
+        place = f"base: client_blocks[{index}]"
+        if region not in regions:
+            faults.append(f"{place}.region: expected one of {sorted(regions)}")
+        if prefix in seen:
+            faults.append(f"{place}.prefix: {prefix} is listed twice")
+        if ":" in prefix and int(prefix.partition("/")[2] or 128) > IPV6_BLOCK_BITS:
+            faults.append(f"{place}.prefix: expected at most {IPV6_BLOCK_BITS} bits with IPv6")
+        seen.add(prefix)
+    return faults
+
+
 def _find_service_faults(
     name: str, service: Document, base: Document, sites: set[str]
 ) -> list[str]:
--- a/src/briarfork/configuration/model.py
+++ b/src/briarfork/configuration/model.py
@@ -5,6 +5,12 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+    from collections.abc import Sequence
 
 
 class RequestClass(Enum):
@@ -120,12 +126,28 @@
         return self.idempotent or method in ("GET", "HEAD", "OPTIONS")
 
 
-@dataclass(frozen=True, slots=True)
-class ClientBlock:
-    """A block of client addresses and the region nearest to it."""
+@dataclass(frozen=True, slots=True, eq=False)
+class ClientBlocks:
+    """Blocks of client addresses and the region nearest to each.
 
-    prefix: str
-    region: str
+    They stay in the form of the document: at 2.2 million blocks, one more object for each would
+    take longer to build than the rest of the plan.
+
+    Attributes:
+        records: Maps with `prefix` and `region`.
+    """
+
+    records: Sequence[Mapping[str, str]] = ()
+
+    def __iter__(self) -> Iterator[tuple[str, str]]:
+        return ((record["prefix"], record["region"]) for record in self.records)
+
+    def __len__(self) -> int:
+        return len(self.records)
+
+    def is_same(self, other: ClientBlocks) -> bool:
+        """Returns whether two sets of blocks are equal; quick for those of one document."""
+        return self.records is other.records or self.records == other.records
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +159,7 @@
     approval_required: bool
     regions: dict[str, tuple[str, ...]]
     links: tuple[Link, ...]
-    client_blocks: tuple[ClientBlock, ...]
+    client_blocks: ClientBlocks
     sites: dict[str, Site]
     services: dict[str, Service]
 
--- a/src/briarfork/entry/overflow.py
+++ b/src/briarfork/entry/overflow.py
@@ -63,19 +63,23 @@
         return None
 
     async def acquire(
-        self, call: Call, service: Service, avoid: frozenset[str], refused: str
+        self, call: Call, service: Service, client: str, avoid: frozenset[str], refused: str
     ) -> Permit | None:
         """Returns a permit of a site with headroom, or None.
 
         Sites of the same region as the one that refused come first, then those of others.
         """
-        plan = self._view.require_steering().plan
+        steering = self._view.require_steering()
+        plan = steering.plan
         tried = 0
         for sites in self._list_by_distance(plan, service, refused):
             free = {site: self._find_free(plan, service.name, site) for site in sites}
             for site in sorted(free, key=lambda name: -free[name]):
                 if not self._admit(plan, service, site, free[site]):
                     continue
+                wall_now, now = time.time(), time.monotonic()
+                if not steering.admit_overflow(service.name, client, site, wall_now, now):
+                    continue
                 permit = await self._ask(plan, call, service, avoid, site)
                 tried += 1
                 if permit is not None or tried == MAX_SITES:
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -91,7 +91,7 @@
             else:
                 recovery.record_success(time.monotonic())
                 return permit
-        permit_elsewhere = await self._overflow.acquire(call, service, avoid, assigned.site)
+        permit_elsewhere = await self._overflow.acquire(call, service, client, avoid, assigned.site)
         if permit_elsewhere is not None:
             self._metrics.count(Metric.OVERFLOWS, service.name)
             return permit_elsewhere
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -124,7 +124,8 @@
         if self.timeline.generation == 0:
             return
         try:
-            plan = self.timeline.find_documents(wall_now).render()
+            known = self._steering.plan if self._steering else None
+            plan = self.timeline.find_documents(wall_now).render(known)
         except BriarforkError as error:
             self._events.record(Event.CONFIGURATION_UNUSABLE, fault=error.detail)
             return
--- a/src/briarfork/steering/shift.py
+++ b/src/briarfork/steering/shift.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -55,6 +56,7 @@
         target: Shares at the end.
         limits: Slope and cap that were scheduled.
         generation: Generation of the change that scheduled it.
+        duration_s: Time in which the largest difference of a share is covered at the slope.
     """
 
     start_at: float
@@ -62,14 +64,14 @@
     target: Shares
     limits: ShiftLimits
     generation: int = 0
+    duration_s: float = field(init=False)
 
-    @property
-    def duration_s(self) -> float:
-        """Time in which the largest difference of a share is covered at the scheduled slope."""
+    def __post_init__(self) -> None:
         sites = self.origin.keys() | self.target.keys()
         largest = max(abs(self.target.get(s, 0.0) - self.origin.get(s, 0.0)) for s in sites)
         slope = self.limits.slope_percent_per_minute / PERCENT_PER_SHARE / SECONDS_PER_MINUTE
-        return largest / slope
+        # Worked out once: it takes all sites, and each lookup needs it.
+        object.__setattr__(self, "duration_s", largest / slope)
 
     def find_progress(self, now: float) -> float:
         """Returns how much of the change is done at a time, from 0 to 1."""
@@ -120,7 +122,7 @@
     def list_origins(self, now: float) -> tuple[Shares, ...]:
         """Returns the shares before each unsettled shift, oldest first."""
         current = self.current
-        if current.origin == current.target and len(self.ramps) == 1:
+        if current.duration_s == 0 and len(self.ramps) == 1:
             return ()
         if current.generation <= self.settled and current.find_progress(now) == 1.0:
             return ()
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -73,7 +73,7 @@
         self._shifts = dict(shifts)
         self._started_at: float = previous._started_at if previous else now
         self._caps: dict[tuple[str, str], ShiftCap] = previous._caps if previous else {}
-        if previous is not None and previous.plan.client_blocks == plan.client_blocks:
+        if previous is not None and plan.client_blocks.is_same(previous.plan.client_blocks):
             blocks = previous._blocks
         else:
             blocks = BlockTable(plan.client_blocks)
@@ -151,6 +151,23 @@
             )
         return Assigned(site, spent is not None, home, site != current)
 
+    def admit_overflow(
+        self, service: str, client: str, site: str, wall_now: float, now: float
+    ) -> bool:
+        """Returns whether a request may go to a site because its own cannot take it.
+
+        A site to which a shift moves traffic takes all additional requests under one cap: its
+        caches are as cold for these as for those of the shift.
+        """
+        key = self._find_key(service, self.find_region(client))
+        shift = self._shifts[key]
+        if not shift.list_origins(wall_now):
+            return True
+        before = shift.ramps[0].origin.get(site, 0.0)
+        if shift.find_shares(wall_now).get(site, 0.0) <= before:
+            return True
+        return self._admit(service, self._find_cap(service, site), now)
+
     def order_entries(self, site: str, entries: Sequence[EntryAddress], client: str) -> list[str]:
         """Returns names of entry VMs, the best first.
 
--- /dev/null
+++ b/tests/steering/measure.py
@@ -0,0 +1,101 @@
+"""Prints size and speed of steering: `python -m tests.steering.measure`."""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+from typing import TYPE_CHECKING
+
+from briarfork.steering import BlockTable
+from briarfork.steering import Steering
+from briarfork.steering import build_shifts
+from briarfork.timeline import Timeline
+from tests.steering.plans import SERVICE
+from tests.steering.plans import build_base
+from tests.steering.plans import build_service
+from tests.steering.plans import build_sites
+from tests.steering.plans import schedule
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SEED = 11
+COUNTS = (220_000, 550_000, 1_100_000, 2_200_000)
+SITES = [f"site-{number}" for number in range(1000)]
+LOOKUPS = 20_000
+NAME = f"services/{SERVICE}"
+
+
+def build_blocks(count: int, rng: random.Random) -> list[dict[str, str]]:
+    """Returns random blocks; some lie inside others, one in ten is IPv6."""
+    prefixes: set[str] = set()
+    while len(prefixes) < count:
+        if rng.random() < 0.1:
+            prefixes.add(f"2{rng.randrange(4096):03x}:{rng.randrange(65536):x}::/32")
+        length = rng.choice((20, 22, 23, 24, 24))
+        number = rng.getrandbits(length) << (32 - length)
+        octets = ".".join(str(number >> shift & 255) for shift in (24, 16, 8, 0))
+        prefixes.add(f"{octets}/{length}")
+    return [{"prefix": p, "region": f"r{rng.randrange(3)}"} for p in sorted(prefixes)[:count]]
+
+
+def measure(work: Callable[[], object]) -> float:
+    """Returns the median time of three runs in seconds."""
+    times = []
+    for _ in range(3):
+        started = time.perf_counter()
+        work()
+        times.append(time.perf_counter() - started)
+    return statistics.median(times)
+
+
+def measure_lookup(steering: Steering, rng: random.Random) -> tuple[float, float]:
+    """Returns the mean time of a lookup of new client groups and of known ones, in µs."""
+    clients = [f"{rng.randrange(224)}.{rng.randrange(256)}.1.{n % 250}" for n in range(LOOKUPS)]
+    results = []
+    for _ in range(2):
+        started = time.perf_counter()
+        for client in clients:
+            steering.assign(SERVICE, client, 30.0)
+        results.append((time.perf_counter() - started) / LOOKUPS * 1e6)
+    return results[0], results[1]
+
+
+def apply_change(timeline: Timeline, steering: Steering, wall_now: float) -> Steering:
+    """Renders the timeline as an entry process does."""
+    plan = timeline.find_documents(wall_now).render(steering.plan)
+    return Steering(plan, build_shifts(timeline, wall_now), 0.0, steering)
+
+
+def measure_size(count: int) -> None:
+    """Prints one line for one number of blocks."""
+    rng = random.Random(SEED)
+    blocks = build_blocks(count, rng)
+    timeline = Timeline()
+    base = build_base(SITES, 6200, client_blocks=blocks)
+    service = build_service(dict.fromkeys(SITES, 1.0), 6200, 10)
+    schedule(timeline, 0.0, {"base": base, NAME: service, **build_sites(*SITES)})
+    changed = build_service({**dict.fromkeys(SITES, 1.0), SITES[0]: 2.0}, 6200, 10)
+    schedule(timeline, 20.0, {NAME: changed})
+    build_s = measure(lambda: BlockTable((b["prefix"], b["region"]) for b in blocks))
+    table = BlockTable((b["prefix"], b["region"]) for b in blocks)
+    plan = timeline.find_documents(10.0).render()
+    steering = Steering(plan, build_shifts(timeline, 10.0), 0.0)
+    apply_s = measure(lambda: apply_change(timeline, steering, 30.0))
+    first_us, known_us = measure_lookup(apply_change(timeline, steering, 30.0), rng)
+    print(
+        f"{count:>9,} {len(table):>10,} {table.count_bytes() / count:>12.2f} {build_s:>8.2f} "
+        f"{apply_s * 1000:>9.0f} {first_us:>16.1f} {known_us:>16.1f}"
+    )
+
+
+def main() -> None:
+    print(f"seed {SEED}, {len(SITES)} sites, {LOOKUPS:,} lookups, medians of 3")
+    print("   blocks     ranges bytes/block  build s  apply ms first lookups µs known groups µs")
+    for count in COUNTS:
+        measure_size(count)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/steering/test_shift.py
+++ b/tests/steering/test_shift.py
@@ -213,3 +213,14 @@
         with pytest.raises(NotRun) as caught:
             steering.assign_request(SERVICE, CLIENTS[0], 300, 10)
         assert caught.value.kind is ErrorKind.OVERLOADED
+
+    def test_overflow_to_a_receiving_site_shares_its_cap(self) -> None:
+        """Guards against a lost site whose traffic passes the cap as overflow."""
+        timeline = Timeline()
+        edits = {"base": build_base(SITES, 1), NAME: build_service({"a": 1}, 10, 60)}
+        schedule(timeline, 0, {**edits, **build_sites(*SITES)})
+        schedule(timeline, 100, {NAME: build_service({"a": 1, "b": 1}, 10, 60)})
+        steering = render(timeline, 300, 0)
+        arguments = (SERVICE, CLIENTS[0])
+        assert sum(steering.admit_overflow(*arguments, "b", 300, 10) for _ in range(99)) == 10
+        assert all(steering.admit_overflow(*arguments, "a", 300, 10) for _ in range(99))
