Answer at most 8 entry VMs, spread evenly over the site's zone

Cause: each lookup ranked all entry VMs and answered all of them. At 6,200 VMs that takes several thousand hashes.

The view builds it again when members or the plan change.

--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -54,8 +54,6 @@
         steering = view.require_steering()
         client = request.query.get("client") or request.remote or ""
         site = self._process.router.find_lookup_site(service, client)
-        by_name = {entry.vm: entry for entry in view.list_entries()}
-        order = steering.order_entries(site, list(by_name.values()), client)
         return web.json_response(
             {
                 "service": service,
@@ -63,12 +61,12 @@
                 "ttl_s": steering.plan.lookup_ttl_s,
                 "entries": [
                     {
-                        "vm": vm,
-                        "address": by_name[vm].address,
-                        "port": by_name[vm].port,
-                        "zone": by_name[vm].zone,
+                        "vm": entry.vm,
+                        "address": entry.address,
+                        "port": entry.port,
+                        "zone": entry.zone,
                     }
-                    for vm in order
+                    for entry in view.order_entries(site, client)
                 ],
             }
         )
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -14,8 +14,10 @@
 from briarfork.membership import rank_members
 from briarfork.pools import ServerAddress
 from briarfork.steering import EntryAddress
+from briarfork.steering import EntryDirectory
 from briarfork.steering import Steering
 from briarfork.steering import build_shifts
+from briarfork.steering import find_group
 from briarfork.timeline import Timeline
 
 if TYPE_CHECKING:
@@ -45,6 +47,7 @@
         self._events = events
         self._steering: Steering | None = None
         self._next_start = math.inf
+        self._directory: EntryDirectory | None = None
 
     def accept_changes(self, changes: Iterable[Change]) -> None:
         """Adds changes to the timeline and renders what is in force now."""
@@ -56,6 +59,7 @@
         """Replaces the roster."""
         self.members = {member.vm: member for member in members}
         self._owners.clear()
+        self._directory = None
 
     def accept_list(self, listed: list[ListedVm]) -> None:
         """Replaces the platform's list of VMs."""
@@ -79,13 +83,17 @@
             raise NotRun(ErrorKind.NO_CONFIGURATION, "this VM has no configuration yet")
         return self._steering
 
-    def list_entries(self) -> list[EntryAddress]:
-        """Returns the entry VMs that callers may use."""
-        return [
-            EntryAddress(member.vm, member.address, member.ports["entry"], member.zone)
-            for member in self.members.values()
-            if member.state is MemberState.LIVE and member.serving
-        ]
+    def order_entries(self, site: str, client: str) -> tuple[EntryAddress, ...]:
+        """Returns the entry VMs that a client directed to a site may use, the best first."""
+        plan = self.require_steering().plan
+        if self._directory is None:
+            entries = [
+                EntryAddress(member.vm, member.address, member.ports["entry"], member.zone)
+                for member in self.members.values()
+                if member.state is MemberState.LIVE and member.serving
+            ]
+            self._directory = EntryDirectory(entries, plan.regions)
+        return self._directory.order(plan.sites[site].zone, find_group(client))
 
     def list_servers(self, service: str, site: str) -> list[ServerAddress]:
         """Returns the backend servers of a service at a site that the platform lists as live."""
@@ -131,6 +139,7 @@
             return
         shifts = build_shifts(self.timeline, wall_now)
         self._owners.clear()
+        self._directory = None
         self._steering = Steering(plan, shifts, time.monotonic(), self._steering)
         self._events.record(
             Event.CONFIGURATION_IN_FORCE, generation=self.timeline.generation, at=f"{wall_now:.3f}"
--- a/src/briarfork/hashing.py
+++ b/src/briarfork/hashing.py
@@ -13,3 +13,8 @@
         True
     """
     return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def hash_bytes(key: bytes) -> int:
+    """Returns the 64-bit hash of a text that is encoded already."""
+    return xxhash.xxh3_64_intdigest(key)
--- a/src/briarfork/steering/__init__.py
+++ b/src/briarfork/steering/__init__.py
@@ -5,6 +5,9 @@
 from briarfork.steering.assignment import find_group
 from briarfork.steering.assignment import hash_unit
 from briarfork.steering.blocks import BlockTable
+from briarfork.steering.entries import MAX_ENTRIES
+from briarfork.steering.entries import EntryAddress
+from briarfork.steering.entries import EntryDirectory
 from briarfork.steering.headroom import Headroom
 from briarfork.steering.headroom import SiteLoad
 from briarfork.steering.history import build_shifts
@@ -17,15 +20,16 @@
 from briarfork.steering.shift import build_shift
 from briarfork.steering.shift import normalize
 from briarfork.steering.steering import Assigned
-from briarfork.steering.steering import EntryAddress
 from briarfork.steering.steering import Steering
 
 __all__ = [
+    "MAX_ENTRIES",
     "MOVE_DELAY_S",
     "Assigned",
     "Assignment",
     "BlockTable",
     "EntryAddress",
+    "EntryDirectory",
     "Headroom",
     "Ramp",
     "Recovery",
--- a/src/briarfork/steering/assignment.py
+++ b/src/briarfork/steering/assignment.py
@@ -7,20 +7,23 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from briarfork.hashing import hash_bytes
 from briarfork.hashing import hash_text
 
 if TYPE_CHECKING:
     from briarfork.steering.shift import Shares
 
 HASH_RANGE: Final = 2.0**64
+LOG_RANGE: Final = math.log(HASH_RANGE)
+# The largest hashes round up to the range, which would give 0.
+SMALLEST_DIVISOR: Final = 2.0**-53
 # Neighbouring clients share a point, so a shift moves whole groups and lookups stay cacheable.
 CLIENT_GROUPS: Final = 4096
 
 
 def hash_unit(text: str) -> float:
-    """Returns a hash of the text, uniform in (0, 1)."""
-    # The largest hashes round up to 2**64; the logarithm of 1 would be no valid divisor.
-    return min((hash_text(text) + 0.5) / HASH_RANGE, 1.0 - 2.0**-53)
+    """Returns a hash of the text, uniform in (0, 1]."""
+    return (hash_text(text) + 0.5) / HASH_RANGE
 
 
 def choose_site(shares: Shares, key: str) -> str:
@@ -34,10 +37,15 @@
     """
     return max(
         (site for site, share in shares.items() if share > 0),
-        key=lambda site: shares[site] / -math.log(hash_unit(f"{site}|{key}")),
+        key=lambda site: shares[site] / _find_divisor(f"{site}|{key}".encode()),
     )
 
 
+def _find_divisor(key: bytes) -> float:
+    """Returns an exponentially distributed constant for a site and a key."""
+    return max(LOG_RANGE - math.log(hash_bytes(key) + 0.5), SMALLEST_DIVISOR)
+
+
 def find_group(client: str) -> int:
     """Returns the client group of an address."""
     return hash_text(client) % CLIENT_GROUPS
@@ -51,16 +59,17 @@
     lines, which is computed once for each group that is asked for and serves the whole ramp.
     """
 
-    __slots__ = ("_groups", "_service", "_sites", "origin", "target")
+    __slots__ = ("_groups", "_moves", "_service", "_sites", "origin", "target")
 
     def __init__(self, service: str, origin: Shares, target: Shares) -> None:
         self.origin = origin
         self.target = target
         self._service = service
         self._sites = [
-            (site, origin.get(site, 0.0), target.get(site, 0.0))
+            (site, site.encode(), origin.get(site, 0.0), target.get(site, 0.0))
             for site in sorted(origin.keys() | target.keys())
         ]
+        self._moves = origin != target
         self._groups: dict[int, tuple[tuple[float, ...], tuple[str, ...]]] = {}
 
     def find_site(self, group: int, progress: float) -> str:
@@ -72,10 +81,15 @@
         return sites[bisect_right(starts, progress) - 1] if len(starts) > 1 else sites[0]
 
     def _find_steps(self, group: int) -> tuple[tuple[float, ...], tuple[str, ...]]:
-        key = f"|{self._service}|{group}"
+        key = f"|{self._service}|{group}".encode()
+        if not self._moves:
+            scores = [
+                (share / _find_divisor(name + key), site) for site, name, share, _ in self._sites
+            ]
+            return (0.0,), (max(scores)[1],)
         lines = []
-        for site, first, last in self._sites:
-            divisor = -math.log(hash_unit(site + key))
+        for site, name, first, last in self._sites:
+            divisor = _find_divisor(name + key)
             lines.append((first / divisor, (last - first) / divisor, site))
         level, slope, site = max(lines)
         starts, sites = [0.0], [site]
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import heapq
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from typing import Final
 
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.steering.assignment import Assignment
 from briarfork.steering.assignment import find_group
-from briarfork.steering.assignment import hash_unit
 from briarfork.steering.blocks import BlockTable
 from briarfork.steering.shift import ShiftCap
 
@@ -24,19 +21,6 @@
     from briarfork.steering.shift import Shares
     from briarfork.steering.shift import Shift
 
-# An answer to a lookup names at most this many entry VMs.
-MAX_ENTRIES: Final = 8
-
-
-@dataclass(frozen=True, slots=True)
-class EntryAddress:
-    """An entry VM as a look-up answers it."""
-
-    vm: str
-    address: str
-    port: int
-    zone: str
-
 
 @dataclass(frozen=True, slots=True)
 class Assigned:
@@ -168,24 +152,6 @@
             return True
         return self._admit(service, self._find_cap(service, site), now)
 
-    def order_entries(self, site: str, entries: Sequence[EntryAddress], client: str) -> list[str]:
-        """Returns names of entry VMs, the best first.
-
-        VMs in the site's zone come first, then those of its region, then all others. Within each
-        class the order differs by client, which spreads clients over the VMs.
-        """
-        zone = self.plan.sites[site].zone
-        region = self.plan.find_region(zone)
-
-        def rank(entry: EntryAddress) -> tuple[int, float]:
-            if entry.zone == zone:
-                distance = 0
-            else:
-                distance = 1 if self.plan.find_region(entry.zone) == region else 2
-            return distance, hash_unit(f"{entry.vm}|{client}")
-
-        return [entry.vm for entry in heapq.nsmallest(MAX_ENTRIES, entries, key=rank)]
-
     def _find_key(self, service: str, region: str | None) -> ShiftKey:
         for key in ((service, region), (service, None)):
             if key in self._shifts:
