Return lookups and shifted requests to a lost site slowly

Cause: lookups named a site again as soon as it had a server, so all of its clients came back within one time-to-live. Requests that a shift moved to a receiving site whose owner was silent asked it each time and waited up to 0.25 s before they went to their former site.

Change: the client groups of a lost site return within 30 s, the same ones first at every lookup. A refused move counts as a loss of the receiving site, and 2% of the moved requests go on trying it.

Conclusion: requests and lookups both return slowly.

--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -13,7 +13,10 @@
 from briarfork.pools import Release
 from briarfork.requests import Deadline
 from briarfork.steering import MOVE_DELAY_S
+from briarfork.steering import Assigned
 from briarfork.steering import Recovery
+from briarfork.steering import find_group
+from briarfork.steering import hash_unit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,7 +28,6 @@
     from briarfork.entry.permits import Permit
     from briarfork.entry.permits import PermitClient
     from briarfork.entry.view import EntryView
-    from briarfork.steering import Assigned
 
 UNKNOWN_CLIENT = "0.0.0.0"
 # Refusals that another site may make good.
@@ -44,6 +46,7 @@
         self._permits = permits
         self._metrics = metrics
         self._overflow = Overflow(view, permits)
+        self._returned: dict[tuple[str, str], Recovery] = {}
         self._recoveries: dict[tuple[str, str], Recovery] = {}
 
     def accept_load(self, loads: Iterable[Load]) -> None:
@@ -57,8 +60,14 @@
             NotRun: If the service is unknown or the client is not an address.
         """
         site = self._view.require_steering().assign(service, client, time.time())
-        if not self._is_lost(service, site):
-            return site
+        returned = self._returned.setdefault((service, site), Recovery())
+        if self._is_lost(service, site):
+            returned.record_loss(time.monotonic())
+        else:
+            returned.record_success(time.monotonic())
+            # The same client groups return first at every lookup, so no client goes to and fro.
+            if returned.level == 1.0 or hash_unit(f"{find_group(client)}") <= returned.level:
+                return site
         return self._overflow.choose_for_lookup(service, site, client) or site
 
     async def acquire(self, call: Call, service: Service, avoid: frozenset[str]) -> Permit:
@@ -77,19 +86,24 @@
         assigned = steering.assign_request(service.name, client, time.time(), time.monotonic())
         if assigned.held_back:
             self._metrics.count(Metric.SHIFT_HELD_BACK, service.name)
-        recovery = self._recoveries.setdefault((service.name, assigned.site), Recovery())
+        recovery = self._find_recovery(service.name, assigned.site)
+        admitted = recovery.admit()
+        if assigned.moved and assigned.home is not None and not admitted:
+            assigned = Assigned(assigned.home)
+            recovery = self._find_recovery(service.name, assigned.site)
+            admitted = recovery.admit()
         refused: NotRun | None = None
-        if recovery.admit():
+        if admitted:
             try:
                 permit = await self._acquire_assigned(call, service, avoid, assigned)
             except NotRun as error:
                 if error.kind not in REFUSED_BY_SITE:
                     raise
                 refused = error
-                if isinstance(error, SiteUnreachable) or self._is_lost(service.name, assigned.site):
-                    recovery.record_loss(time.monotonic())
+                self._note_refusal(error, service.name, assigned.site)
             else:
-                recovery.record_success(time.monotonic())
+                if permit.site == assigned.site:
+                    recovery.record_success(time.monotonic())
                 return permit
         permit_elsewhere = await self._overflow.acquire(call, service, client, avoid, assigned.site)
         if permit_elsewhere is not None:
@@ -100,6 +114,13 @@
         reason = refused.detail if refused else f"site {assigned.site!r} is lost"
         raise NotRun(ErrorKind.OVERLOADED, f"{reason}; no other site has headroom")
 
+    def _find_recovery(self, service: str, site: str) -> Recovery:
+        return self._recoveries.setdefault((service, site), Recovery())
+
+    def _note_refusal(self, error: NotRun, service: str, site: str) -> None:
+        if isinstance(error, SiteUnreachable) or self._is_lost(service, site):
+            self._find_recovery(service, site).record_loss(time.monotonic())
+
     def _is_lost(self, service: str, site: str) -> bool:
         """Returns whether a site has no server, or no entry VM that could own its slots."""
         return (
@@ -129,6 +150,7 @@
         except NotRun as refused:
             if assigned.home is None:
                 raise refused
+            self._note_refusal(refused, service.name, assigned.site)
             return await self._acquire_at(assigned.home, call, service, avoid, call.deadline)
         if time.monotonic() - admitted_at <= MOVE_DELAY_S:
             return permit
