--- a/src/briarfork/border/documents.py
+++ b/src/briarfork/border/documents.py
@@ -108,6 +108,7 @@
     claims: Literal["store", "none"] = "store"
     selection: SelectionName = "permits"
     routes: list[RouteModel] = []
+    answer_bytes: Annotated[int, Field(ge=1)] | None = None
 
 
 class BaseDocumentModel(Model):
--- a/src/briarfork/configuration/documents.py
+++ b/src/briarfork/configuration/documents.py
@@ -6,8 +6,9 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Final
 
-from briarfork.configuration.model import ClientBlock
+from briarfork.configuration.model import ClientBlocks
 from briarfork.configuration.model import Link
 from briarfork.configuration.model import Plan
 from briarfork.configuration.model import RequestClass
@@ -25,17 +26,47 @@
 SERVICE_PREFIX = "services/"
 SITE_PREFIX = "sites/"
 
+# Estimates for services that state none.
+ANSWER_BYTES: Final = {"short": 16 * 1024, "long": 4 * 1024 * 1024}
+
+# The table of blocks keeps 64 bits of an IPv6 address.
+IPV6_BLOCK_BITS: Final = 64
+
 Document = dict[str, Any]
 
 
 @dataclass(frozen=True, slots=True)
 class _Index:
-    """Names of the services, the sites and the drained sites."""
+    """Names of the services, the sites and the drained sites.
+
+    It is kept up to date with each edit, because a check of the timeline looks at the documents
+    of every scheduled start.
+    """
 
     services: set[str] = field(default_factory=set)
     sites: set[str] = field(default_factory=set)
     drained: set[str] = field(default_factory=set)
 
+    def copy(self) -> _Index:
+        """Returns an index that can be updated on its own."""
+        return _Index(self.services.copy(), self.sites.copy(), self.drained.copy())
+
+    def update(self, name: str, body: Document | None) -> None:
+        """Takes an edit of a document."""
+        kind, _, part = name.partition("/")
+        if f"{kind}/" == SERVICE_PREFIX:
+            _put(self.services, part, body is not None)
+        elif f"{kind}/" == SITE_PREFIX:
+            _put(self.sites, part, body is not None)
+            _put(self.drained, part, body is not None and body.get("drain", False))
+
+
+def _put(names: set[str], name: str, present: bool) -> None:
+    if present:
+        names.add(name)
+    else:
+        names.discard(name)
+
 
 @dataclass(frozen=True, slots=True)
 class Documents:
@@ -51,19 +82,36 @@
     """
 
     by_name: dict[str, Document] = field(default_factory=dict)
+    _index: _Index = field(default_factory=_Index, init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        for name, body in self.by_name.items():
+            self._index.update(name, body)
 
     def apply(self, edits: dict[str, Document | None]) -> Documents:
         """Returns the documents after edits; an edit of None removes a document."""
-        merged = {**self.by_name, **edits}
-        return Documents({name: body for name, body in merged.items() if body is not None})
-
-    def render(self) -> Plan:
+        by_name, index = self.by_name.copy(), self._index.copy()
+        for name, body in edits.items():
+            index.update(name, body)
+            if body is None:
+                by_name.pop(name, None)
+            else:
+                by_name[name] = body
+        edited = Documents()
+        object.__setattr__(edited, "by_name", by_name)
+        object.__setattr__(edited, "_index", index)
+        return edited
+
+    def render(self, previous: Plan | None = None) -> Plan:
         """Merges the overlays into the base.
 
+        Args:
+            previous: A plan whose blocks, if they are the same object, are not checked again.
+
         Raises:
             InvalidConfiguration: Lists every broken rule with document and key.
         """
-        faults = self.find_faults()
+        faults = self.find_faults(checked=previous.client_blocks if previous else None)
         if faults:
             raise InvalidConfiguration(faults)
         base = self.by_name[BASE]
@@ -74,10 +122,7 @@
             approval_required=base.get("approval", "none") == "required",
             regions={name: tuple(body["zones"]) for name, body in base["regions"].items()},
             links=tuple(_build_link(link) for link in base.get("links", [])),
-            client_blocks=tuple(
-                ClientBlock(block["prefix"], block["region"])
-                for block in base.get("client_blocks", [])
-            ),
+            client_blocks=ClientBlocks(base.get("client_blocks", ())),
             sites={
                 name: Site(name, overlay["zone"], overlay.get("drain", False))
                 for name, overlay in overlays.items()
@@ -88,20 +133,28 @@
             },
         )
 
-    def find_faults(self, edited: Collection[str] | None = None) -> list[str]:
+    def find_faults(
+        self, edited: Collection[str] | None = None, checked: ClientBlocks | None = None
+    ) -> list[str]:
         """Returns one line for each broken rule.
 
         Args:
             edited: Names of the documents that differ from documents without faults; rules that
                 they cannot break are passed over. By default every rule is checked.
+            checked: Client blocks that are known to have no faults.
         """
         base = self.by_name.get(BASE)
         if base is None:
             return ["base: expected a base document"]
-        index = self._build_index()
+        index = self._index
         zones = {zone for region in base["regions"].values() for zone in region["zones"]}
         services, sites = self._select_affected(edited, index)
-        faults = _find_base_faults(base) if edited is None or BASE in edited else []
+        faults = []
+        if edited is None or BASE in edited:
+            faults += _find_base_faults(base)
+            blocks = ClientBlocks(base.get("client_blocks", ()))
+            if checked is None or blocks.records is not checked.records:
+                faults += _find_block_faults(blocks, set(base["regions"]))
         for name in sorted(services):
             body = self.by_name[f"{SERVICE_PREFIX}{name}"]
             faults += _find_service_faults(name, body, base, index.sites)
@@ -131,18 +184,6 @@
             sites = index.sites
         return services, sites
 
-    def _build_index(self) -> _Index:
-        index = _Index()
-        for name, body in self.by_name.items():
-            kind, _, part = name.partition("/")
-            if kind == "sites":
-                index.sites.add(part)
-                if body.get("drain"):
-                    index.drained.add(part)
-            elif kind == "services":
-                index.services.add(part)
-        return index
-
     def _select(self, prefix: str) -> dict[str, Document]:
         return {
             name.removeprefix(prefix): body
@@ -167,15 +208,27 @@
     zones = [zone for region in base["regions"].values() for zone in region["zones"]]
     for zone in sorted({zone for zone in zones if zones.count(zone) > 1}):
         faults.append(f"base: regions: zone {zone!r} is listed twice")
-    for index, block in enumerate(base.get("client_blocks", [])):
-        if block["region"] not in regions:
-            faults.append(f"base: client_blocks[{index}].region: expected one of {sorted(regions)}")
     for index, link in enumerate(base.get("links", [])):
         if not set(link["between"]) <= regions or len(set(link["between"])) != 2:
             faults.append(f"base: links[{index}].between: expected two of {sorted(regions)}")
     return faults
 
 
+def _find_block_faults(blocks: ClientBlocks, regions: set[str]) -> list[str]:
+    faults = []
+    seen: set[str] = set()
+    for index, (prefix, region) in enumerate(blocks):
+        place = f"base: client_blocks[{index}]"
+        if region not in regions:
+            faults.append(f"{place}.region: expected one of {sorted(regions)}")
+        if prefix in seen:
+            faults.append(f"{place}.prefix: {prefix} is listed twice")
+        if ":" in prefix and int(prefix.partition("/")[2] or 128) > IPV6_BLOCK_BITS:
+            faults.append(f"{place}.prefix: expected at most {IPV6_BLOCK_BITS} bits with IPv6")
+        seen.add(prefix)
+    return faults
+
+
 def _find_service_faults(
     name: str, service: Document, base: Document, sites: set[str]
 ) -> list[str]:
@@ -255,4 +308,5 @@
         claims=body.get("claims", "store") == "store",
         routes=routes,
         selection=body.get("selection", "permits"),
+        answer_bytes=body.get("answer_bytes") or ANSWER_BYTES[body["request_class"]],
     )
--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -54,9 +53,7 @@
         view = self._process.view
         steering = view.require_steering()
         client = request.query.get("client") or request.remote or ""
-        site = steering.assign(service, client, time.time())
-        by_name = {entry.vm: entry for entry in view.list_entries()}
-        order = steering.order_entries(site, list(by_name.values()), client)
+        site = self._process.router.find_lookup_site(service, client)
         return web.json_response(
             {
                 "service": service,
@@ -64,12 +61,12 @@
                 "ttl_s": steering.plan.lookup_ttl_s,
                 "entries": [
                     {
-                        "vm": vm,
-                        "address": by_name[vm].address,
-                        "port": by_name[vm].port,
-                        "zone": by_name[vm].zone,
+                        "vm": entry.vm,
+                        "address": entry.address,
+                        "port": entry.port,
+                        "zone": entry.zone,
                     }
-                    for vm in order
+                    for entry in view.order_entries(site, client)
                 ],
             }
         )
--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -9,6 +9,7 @@
 
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.errors import SiteUnreachable
 from briarfork.pools import Grant
 from briarfork.pools import LocalPool
 from briarfork.pools import PermitQueue
@@ -98,7 +99,7 @@
         plan = self._view.require_steering().plan
         own_zone = self._view.settings.zone
         if plan.sites[site].zone != own_zone:
-            raise NotRun(ErrorKind.OVERLOADED, f"the owner of the slots of {site!r} is unreachable")
+            raise SiteUnreachable(f"the owner of the slots of {site!r} is unreachable")
         capacity = plan.services[service].capacity[site]
         mixed = plan.services[service].is_mixed
         queue = self._queues.get(key)
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -44,6 +44,8 @@
 
 # Pause before the new owner of moved slots is asked; views of the roster differ for a moment.
 MOVED_PAUSE_S = 0.05
+# Weight of the newest run time in the moving mean of a service.
+RUN_TIME_WEIGHT = 0.1
 
 
 class PermitClient:
@@ -60,6 +62,11 @@
         self._prefix = f"{view.settings.vm}-{time.time_ns():x}"
         self._shares = LocalShares(view)
         self._choice = LocalChoice(view)
+        self.run_times: dict[str, float] = {}
+
+    def count_held(self, service: str, site: str) -> int:
+        """Returns how many permits of a service at a site this process holds."""
+        return sum(permit.key == (service, site) for permit in self._held.values())
 
     async def acquire(
         self,
@@ -106,6 +113,9 @@
 
     def release(self, permit: Permit, how: Release, elapsed_s: float) -> None:
         """Returns a permit."""
+        if how is Release.DONE:
+            known = self.run_times.get(permit.service, elapsed_s)
+            self.run_times[permit.service] = known + RUN_TIME_WEIGHT * (elapsed_s - known)
         # The owner may have changed since the permit was granted.
         permit = self._held.pop(permit.name, permit)
         if permit.owner == LOCAL_CHOICE:
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -59,7 +59,6 @@
         self.forwarder = Forwarder(settings, self.connections)
         self.hedger = Hedger(self)
         self.runs = RunningClaims()
-        self.load: dict[tuple[str, str], Load] = {}
 
     def refresh_slots(self) -> None:
         """Applies a change of the view to the slots that this VM owns."""
@@ -69,8 +68,7 @@
 
     def accept_load(self, loads: Iterable[Load]) -> None:
         """Takes the loads that other VMs have reported."""
-        for load in loads:
-            self.load[load.service, load.site] = load
+        self.router.accept_load(loads)
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until a planned stop has ended."""
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -14,8 +14,10 @@
 from briarfork.membership import rank_members
 from briarfork.pools import ServerAddress
 from briarfork.steering import EntryAddress
+from briarfork.steering import EntryDirectory
 from briarfork.steering import Steering
 from briarfork.steering import build_shifts
+from briarfork.steering import find_group
 from briarfork.timeline import Timeline
 
 if TYPE_CHECKING:
@@ -24,6 +26,7 @@
     from briarfork.border.events import EventLog
     from briarfork.border.messages import ListedVm
     from briarfork.border.settings import Settings
+    from briarfork.configuration import Plan
     from briarfork.membership import Member
     from briarfork.timeline import Change
 
@@ -39,9 +42,12 @@
         self.timeline = Timeline()
         self.members: dict[str, Member] = {}
         self.listed: list[ListedVm] = []
+        self._servers: dict[tuple[str, str], list[ServerAddress]] = {}
+        self._owners: dict[tuple[str, str], Member | None] = {}
         self._events = events
         self._steering: Steering | None = None
         self._next_start = math.inf
+        self._directory: EntryDirectory | None = None
 
     def accept_changes(self, changes: Iterable[Change]) -> None:
         """Adds changes to the timeline and renders what is in force now."""
@@ -52,10 +58,17 @@
     def accept_members(self, members: Iterable[Member]) -> None:
         """Replaces the roster."""
         self.members = {member.vm: member for member in members}
+        self._owners.clear()
+        self._directory = None
 
     def accept_list(self, listed: list[ListedVm]) -> None:
         """Replaces the platform's list of VMs."""
         self.listed = listed
+        self._servers = {}
+        for vm in listed:
+            if vm.role == BACKEND_ROLE and vm.state == LIVE_STATE:
+                address = ServerAddress(vm.vm, vm.address, vm.ports["http"])
+                self._servers.setdefault((vm.service, vm.site), []).append(address)
 
     def require_steering(self) -> Steering:
         """Returns the steering in force now.
@@ -70,24 +83,21 @@
             raise NotRun(ErrorKind.NO_CONFIGURATION, "this VM has no configuration yet")
         return self._steering
 
-    def list_entries(self) -> list[EntryAddress]:
-        """Returns the entry VMs that callers may use."""
-        return [
-            EntryAddress(member.vm, member.address, member.ports["entry"], member.zone)
-            for member in self.members.values()
-            if member.state is MemberState.LIVE and member.serving
-        ]
+    def order_entries(self, site: str, client: str) -> tuple[EntryAddress, ...]:
+        """Returns the entry VMs that a client directed to a site may use, the best first."""
+        plan = self.require_steering().plan
+        if self._directory is None:
+            entries = [
+                EntryAddress(member.vm, member.address, member.ports["entry"], member.zone)
+                for member in self.members.values()
+                if member.state is MemberState.LIVE and member.serving
+            ]
+            self._directory = EntryDirectory(entries, plan.regions)
+        return self._directory.order(plan.sites[site].zone, find_group(client))
 
     def list_servers(self, service: str, site: str) -> list[ServerAddress]:
         """Returns the backend servers of a service at a site that the platform lists as live."""
-        return [
-            ServerAddress(vm.vm, vm.address, vm.ports["http"])
-            for vm in self.listed
-            if vm.role == BACKEND_ROLE
-            and vm.service == service
-            and vm.site == site
-            and vm.state == LIVE_STATE
-        ]
+        return list(self._servers.get((service, site), ()))
 
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the entry VMs of a zone that can own slots."""
@@ -103,6 +113,11 @@
         It is in the site's zone; if none serves there, one of the site's region takes over.
         """
         plan = self.require_steering().plan
+        if (service, site) not in self._owners:
+            self._owners[service, site] = self._choose_owner(plan, service, site)
+        return self._owners[service, site]
+
+    def _choose_owner(self, plan: Plan, service: str, site: str) -> Member | None:
         zone = plan.sites[site].zone
         region = plan.find_region(zone)
         candidates = self.list_zone_entries(zone)
@@ -117,11 +132,14 @@
         if self.timeline.generation == 0:
             return
         try:
-            plan = self.timeline.find_documents(wall_now).render()
+            known = self._steering.plan if self._steering else None
+            plan = self.timeline.find_documents(wall_now).render(known)
         except BriarforkError as error:
             self._events.record(Event.CONFIGURATION_UNUSABLE, fault=error.detail)
             return
         shifts = build_shifts(self.timeline, wall_now)
+        self._owners.clear()
+        self._directory = None
         self._steering = Steering(plan, shifts, time.monotonic(), self._steering)
         self._events.record(
             Event.CONFIGURATION_IN_FORCE, generation=self.timeline.generation, at=f"{wall_now:.3f}"
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -14,6 +14,7 @@
 from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
 from briarfork.pools.server import Server
+from briarfork.pools.slow_start import SlowStart
 from briarfork.pools.waiting import WaitingLine
 
 if TYPE_CHECKING:
@@ -53,6 +54,7 @@
         self._run_times = {request_class: RunTimes() for request_class in RequestClass}
         self._holdings: dict[str, Holding] = {}
         self._next_orphan = math.inf
+        self._listed = False
 
     @property
     def in_progress(self) -> int:
@@ -67,7 +69,11 @@
     @property
     def slots(self) -> int:
         """Slots of all servers that take new work."""
-        return sum(server.slots for server in self._servers.values() if not server.leaving)
+        return sum(
+            min(server.slots, server.slow_start.bound or server.slots)
+            for server in self._servers.values()
+            if not server.leaving
+        )
 
     def set_capacity(self, capacity: SiteCapacity, mixed: bool) -> None:
         """Applies the capacity of one server from the plan."""
@@ -96,7 +102,10 @@
                 slots = self._capacity.slots
                 server = Server(address, slots, self._find_long_slots(slots))
                 server.permits = held
+                # The first list shows servers that have run all along; later ones are new.
+                server.slow_start = SlowStart(cold=self._listed)
                 self._servers[vm] = server
+        self._listed = self._listed or bool(self._servers)
 
     def demand(self, demand: PermitDemand, now: float) -> list[Grant | Refusal]:
         """Adds a demand and returns what can be decided now."""
@@ -157,6 +166,7 @@
         server.permits.pop(permit)
         if how is Release.DONE:
             server.resume()
+            server.slow_start.record_answer(now)
             self._run_times[holding.request_class].record(elapsed_s)
             if holding.request_class is RequestClass.SHORT:
                 server.record_run_time(elapsed_s)
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from briarfork.configuration import RequestClass
+from briarfork.pools.slow_start import SlowStart
 
 # Weight of the newest run time in the moving mean.
 RUN_TIME_WEIGHT: Final = 0.2
@@ -50,6 +51,7 @@
         overdue: Requests in progress beyond the usual run time, at the last count.
         run_time_s: Moving mean of the run time of short requests.
         chosen: Permits granted so far.
+        slow_start: Bounds the slots while the server warms up.
     """
 
     address: ServerAddress
@@ -62,6 +64,7 @@
     overdue: int = 0
     run_time_s: float = 0.0
     chosen: int = 0
+    slow_start: SlowStart = field(default_factory=lambda: SlowStart(cold=False))
 
     @property
     def in_progress(self) -> int:
@@ -70,7 +73,9 @@
 
     def has_room(self, request_class: RequestClass, now: float) -> bool:
         """Returns whether a request of this class may start now."""
-        if self.leaving or now < self.paused_until or self.in_progress >= self.slots:
+        if self.leaving or now < self.paused_until:
+            return False
+        if self.in_progress >= self.slow_start.limit(self.slots, now):
             return False
         if request_class is RequestClass.SHORT:
             return True
--- a/src/briarfork/steering/__init__.py
+++ b/src/briarfork/steering/__init__.py
@@ -1,12 +1,18 @@
-"""Steering: blocks of clients, assignment to sites, shifts."""
+"""Steering: blocks of clients, assignment to sites, shifts, headroom."""
 
 from briarfork.steering.assignment import Assignment
 from briarfork.steering.assignment import choose_site
 from briarfork.steering.assignment import find_group
 from briarfork.steering.assignment import hash_unit
 from briarfork.steering.blocks import BlockTable
+from briarfork.steering.entries import MAX_ENTRIES
+from briarfork.steering.entries import EntryAddress
+from briarfork.steering.entries import EntryDirectory
+from briarfork.steering.headroom import Headroom
+from briarfork.steering.headroom import SiteLoad
 from briarfork.steering.history import build_shifts
 from briarfork.steering.history import compact_timeline
+from briarfork.steering.recovery import Recovery
 from briarfork.steering.shift import MOVE_DELAY_S
 from briarfork.steering.shift import Ramp
 from briarfork.steering.shift import Shift
@@ -15,18 +21,22 @@
 from briarfork.steering.shift import build_shift
 from briarfork.steering.shift import normalize
 from briarfork.steering.steering import Assigned
-from briarfork.steering.steering import EntryAddress
 from briarfork.steering.steering import Steering
 
 __all__ = [
+    "MAX_ENTRIES",
     "MOVE_DELAY_S",
     "Assigned",
     "Assignment",
     "BlockTable",
     "EntryAddress",
+    "EntryDirectory",
+    "Headroom",
     "Ramp",
+    "Recovery",
     "Shift",
     "ShiftCap",
+    "SiteLoad",
     "SpreadChange",
     "Steering",
     "build_shift",
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import heapq
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from typing import Final
 
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.steering.assignment import Assignment
 from briarfork.steering.assignment import find_group
-from briarfork.steering.assignment import hash_unit
 from briarfork.steering.blocks import BlockTable
 from briarfork.steering.shift import ShiftCap
 
@@ -24,19 +21,6 @@
     from briarfork.steering.shift import Shares
     from briarfork.steering.shift import Shift
 
-# An answer to a lookup names at most this many entry VMs.
-MAX_ENTRIES: Final = 8
-
-
-@dataclass(frozen=True, slots=True)
-class EntryAddress:
-    """An entry VM as a look-up answers it."""
-
-    vm: str
-    address: str
-    port: int
-    zone: str
-
 
 @dataclass(frozen=True, slots=True)
 class Assigned:
@@ -73,15 +57,16 @@
         self._shifts = dict(shifts)
         self._started_at: float = previous._started_at if previous else now
         self._caps: dict[tuple[str, str], ShiftCap] = previous._caps if previous else {}
-        if previous is not None and previous.plan.client_blocks == plan.client_blocks:
+        if previous is not None and plan.client_blocks.is_same(previous.plan.client_blocks):
             blocks = previous._blocks
         else:
             blocks = BlockTable(plan.client_blocks)
         self._blocks: BlockTable = blocks
         self._assignments: dict[ShiftKey, list[Assignment]] = {}
-        known = previous._assignments if previous else {}
         for key, shift in self._shifts.items():
-            self._assignments[key] = _build_assignments(key[0], shift, known.get(key, []))
+            before = previous._shifts.get(key) if previous else None
+            known = previous._assignments[key] if previous and before else []
+            self._assignments[key] = _build_assignments(key[0], shift, before, known)
 
     def find_region(self, address: str) -> str | None:
         """Returns the region of a client address.
@@ -169,23 +154,22 @@
             and self.plan.find_region(self.plan.sites[other].zone) == region
         ]
 
-    def order_entries(self, site: str, entries: Sequence[EntryAddress], client: str) -> list[str]:
-        """Returns names of entry VMs, the best first.
+    def admit_overflow(
+        self, service: str, client: str, site: str, wall_now: float, now: float
+    ) -> bool:
+        """Returns whether a request may go to a site because its own cannot take it.
 
-        VMs in the site's zone come first, then those of its region, then all others. Within each
-        class the order differs by client, which spreads clients over the VMs.
+        A site to which a shift moves traffic takes all additional requests under one cap: its
+        caches are as cold for these as for those of the shift.
         """
-        zone = self.plan.sites[site].zone
-        region = self.plan.find_region(zone)
-
-        def rank(entry: EntryAddress) -> tuple[int, float]:
-            if entry.zone == zone:
-                distance = 0
-            else:
-                distance = 1 if self.plan.find_region(entry.zone) == region else 2
-            return distance, hash_unit(f"{entry.vm}|{client}")
-
-        return [entry.vm for entry in heapq.nsmallest(MAX_ENTRIES, entries, key=rank)]
+        key = self._find_key(service, self.find_region(client))
+        shift = self._shifts[key]
+        if not shift.list_origins(wall_now):
+            return True
+        before = shift.ramps[0].origin.get(site, 0.0)
+        if shift.find_shares(wall_now).get(site, 0.0) <= before:
+            return True
+        return self._admit(service, self._find_cap(service, site), now)
 
     def _find_key(self, service: str, region: str | None) -> ShiftKey:
         for key in ((service, region), (service, None)):
@@ -207,12 +191,36 @@
         return cap.admit(limits.cap_rps, self.plan.entry_vms, now)
 
 
-def _build_assignments(service: str, shift: Shift, known: Sequence[Assignment]) -> list[Assignment]:
-    """Returns one assignment for each ramp; only the last one moves."""
+def _build_assignments(
+    service: str, shift: Shift, before: Shift | None, known: Sequence[Assignment]
+) -> list[Assignment]:
+    """Returns one assignment for each ramp; only the last one moves.
+
+    Args:
+        service: Name of the service.
+        shift: The shift in force.
+        before: The shift that it replaces.
+        known: The assignments of that shift, whose winners are used as far as they apply.
+    """
     wanted = [(ramp.origin, ramp.origin) for ramp in shift.ramps[:-1]]
     wanted.append((shift.current.origin, shift.current.target))
     built = []
     for origin, target in wanted:
-        same = (item for item in known if item.origin == origin and item.target == target)
-        built.append(next(same, None) or Assignment(service, origin, target))
+        same = next((a for a in known if a.origin == origin and a.target == target), None)
+        built.append(
+            same or Assignment(service, origin, target, _find_winners(origin, shift, before, known))
+        )
     return built
+
+
+def _find_winners(
+    origin: Shares, shift: Shift, before: Shift | None, known: Sequence[Assignment]
+) -> dict[int, str]:
+    """Returns the winners under some shares, as far as earlier assignments know them."""
+    for assignment in known:
+        if assignment.origin == origin:
+            return assignment.list_winners(0.0)
+    start_at = shift.current.start_at
+    if before is not None and before.find_shares(start_at) == origin:
+        return known[-1].list_winners(before.current.find_progress(start_at))
+    return {}
