Show the effect of a change and prove the audit trail

Cause: a submission showed edits only, so an operator could not see how much traffic a change moves, for how long, or whether its cap holds it back. The audit trail had no filters, and nothing checked its hashes. Approvals and withdrawals had no dry run, drafts could not be listed, and a submission of unknown outcome did not tell how to repeat it.

Ruled out: a flat yes or no for the cap.

--- a/src/briarfork/admin/http.py
+++ b/src/briarfork/admin/http.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import web
 
+from briarfork.admin.queries import find_shares
 from briarfork.admin.queries import list_page
 from briarfork.admin.queries import read_filter
 from briarfork.admin.queries import read_number
@@ -98,10 +99,13 @@
         """Shows the documents in force at a time."""
         timeline = await self._desk.read_timeline()
         at = read_time(request.query, "at", time.time())
-        documents = timeline.find_documents(at)
-        return web.json_response(
-            {"documents": documents.by_name, "generation": timeline.generation, "at": at}
-        )
+        body = {
+            "documents": timeline.find_documents(at).by_name,
+            "shares": find_shares(timeline, at),
+            "generation": timeline.generation,
+            "at": at,
+        }
+        return web.json_response(body)
 
     async def show_status(self, request: web.Request) -> web.Response:
         """Shows the generation and what is scheduled."""
@@ -117,7 +121,13 @@
             }
             for change in timeline.list_scheduled(time.time())
         ]
-        return web.json_response({"generation": timeline.generation, "scheduled": scheduled})
+        return web.json_response(
+            {
+                "generation": timeline.generation,
+                "hash": timeline.last_hash,
+                "scheduled": scheduled,
+            }
+        )
 
     @web.middleware
     async def answer_errors(self, request: web.Request, handler: Handler) -> web.StreamResponse:
--- a/src/briarfork/admin/queries.py
+++ b/src/briarfork/admin/queries.py
@@ -10,12 +10,15 @@
 
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
+from briarfork.steering import build_ramps
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from briarfork.admin.changes import ChangeDesk
+    from briarfork.steering.shift import Shares
     from briarfork.timeline import Change
+    from briarfork.timeline import Timeline
 
 # Changes that one request looks at; a filter that matches few of them must not hold up others.
 SCAN_LIMIT = 1000
@@ -100,6 +103,17 @@
     return value
 
 
+def find_shares(timeline: Timeline, at: float) -> dict[str, dict[str, Shares]]:
+    """Returns the shares at a time by service and client region, also in the middle of a ramp.
+
+    The region "" is for clients of regions without weights of their own.
+    """
+    shares: dict[str, dict[str, Shares]] = {}
+    for (service, region), ramp in build_ramps(timeline, at).items():
+        shares.setdefault(service, {})[region or ""] = ramp.find_shares(at)
+    return shares
+
+
 async def list_page(
     desk: ChangeDesk, after: int, limit: int, wanted: ChangeFilter
 ) -> dict[str, Any]:
--- a/src/briarfork/commands/approve.py
+++ b/src/briarfork/commands/approve.py
@@ -24,11 +24,23 @@
         """Declares the arguments of this command."""
         parser.add_argument("change_id")
         parser.add_argument("--approver", required=True)
+        parser.add_argument("--dry-run", action="store_true", help="check only")
         add_client_arguments(parser)
 
     def run(self) -> None:
         """Runs the command."""
         change_id = self.arguments.change_id
         path = f"/v1/drafts/{change_id}/approve"
-        answer = AdminClient(self.arguments).post(path, {"approver": self.arguments.approver})
-        self.show(answer, [f"accepted: {change_id} is generation {answer['generation']}"])
+        params = {"dry_run": "1"} if self.arguments.dry_run else {}
+        body = {"approver": self.arguments.approver}
+        answer = AdminClient(self.arguments).post(path, body, **params)
+        self.show(
+            {**answer, "dry_run": self.arguments.dry_run},
+            [
+                (
+                    f"valid: {change_id} would be generation {answer['generation']}"
+                    if self.arguments.dry_run
+                    else f"accepted: {change_id} is generation {answer['generation']}"
+                )
+            ],
+        )
--- a/src/briarfork/commands/drafting.py
+++ b/src/briarfork/commands/drafting.py
@@ -7,9 +7,18 @@
 
 import yaml
 
+from briarfork.commands.effects import find_effects
+from briarfork.configuration import BASE
+from briarfork.configuration import Documents
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+
 if TYPE_CHECKING:
+    import argparse
+
+    from briarfork.commands.effects import Effect
+    from briarfork.commands.effects import SharesInForce
     from briarfork.configuration import Document
-    from briarfork.configuration import Documents
 
 Edits = dict[str, "Document | None"]
 
@@ -42,5 +51,42 @@
     return lines
 
 
+def preview(
+    current: dict[str, Document], wanted: Documents, in_force: SharesInForce
+) -> list[Effect]:
+    """Returns what wanted documents do to the traffic."""
+    before = Documents(current).render() if BASE in current else None
+    return find_effects(before, wanted.render(), in_force)
+
+
+def add_rate_argument(parser: argparse.ArgumentParser) -> None:
+    """Declares the argument that states rates, which the configuration does not have."""
+    parser.add_argument(
+        "--rate",
+        action="append",
+        default=[],
+        metavar="SERVICE=RPS",
+        help="requests a second of a service, to tell whether the shift exceeds its cap",
+    )
+
+
+def read_rates(texts: list[str]) -> dict[str, float]:
+    """Returns rates by service.
+
+    Raises:
+        BriarforkError: With kind `bad_request` if a text is no rate.
+    """
+    rates = {}
+    for text in texts:
+        service, _, rate = text.partition("=")
+        try:
+            rates[service] = float(rate)
+        except ValueError as error:
+            raise BriarforkError(
+                ErrorKind.BAD_REQUEST, f"--rate: expected SERVICE=RPS, found {text!r}"
+            ) from error
+    return rates
+
+
 def _dump(body: Document | None) -> list[str]:
     return yaml.safe_dump(body, sort_keys=True).splitlines() if body is not None else []
--- a/src/briarfork/commands/history.py
+++ b/src/briarfork/commands/history.py
@@ -11,30 +11,85 @@
 from briarfork.commands.client import add_client_arguments
 from briarfork.commands.command import COMMANDS
 from briarfork.commands.command import Command
+from briarfork.commands.times import read_time
+from briarfork.commands.verification import ChainVerifier
+from briarfork.commands.verification import read_anchor
+from briarfork.errors import InvalidConfiguration
 
 if TYPE_CHECKING:
     import argparse
+    from collections.abc import Iterator
+
+PAGE = 1000
 
 
 @COMMANDS.register("history")
 class History(Command):
-    """Reads the audit trail."""
+    """Reads the audit trail and proves that it is complete."""
 
-    summary = "Show the audit trail: who changed what, when and why."
+    summary = "Show the audit trail: who changed what, when and why; --verify checks it."
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
         """Declares the arguments of this command."""
         parser.add_argument("--after", type=int, default=0, metavar="GENERATION")
-        parser.add_argument("--limit", type=int, default=100)
+        parser.add_argument("--limit", type=int, default=100, help="changes to show")
+        parser.add_argument("--author", help="only changes of this author")
+        parser.add_argument("--team", help="only changes of this team")
+        parser.add_argument("--document", metavar="PATTERN", help="only edits of documents like it")
+        parser.add_argument("--since", metavar="TIME", help="submitted at or after, ISO 8601")
+        parser.add_argument("--until", metavar="TIME", help="submitted before, ISO 8601")
+        parser.add_argument(
+            "--verify",
+            action="store_true",
+            help="check that no entry is missing or altered, and show the last hash",
+        )
+        parser.add_argument(
+            "--anchor",
+            metavar="GENERATION:HASH",
+            help="with --verify: an entry noted earlier, which proves that the trail is the same",
+        )
         add_client_arguments(parser)
 
     def run(self) -> None:
         """Runs the command."""
-        answer = AdminClient(self.arguments).get(
-            "/v1/changes", after=str(self.arguments.after), limit=str(self.arguments.limit)
-        )
-        self.show(answer, [_format(change) for change in answer["changes"]])
+        if self.arguments.verify:
+            self._verify()
+            return
+        changes: list[dict[str, Any]] = []
+        for change in self._read_pages(self.arguments.after, self._read_filters()):
+            if len(changes) == self.arguments.limit:
+                break
+            changes.append(change)
+        self.show({"changes": changes}, [_format(change) for change in changes])
+
+    def _verify(self) -> None:
+        verifier = ChainVerifier(read_anchor(self.arguments.anchor))
+        for change in self._read_pages(0, {}):
+            verifier.add(change)
+        status = AdminClient(self.arguments).get("/v1/status")
+        faults = verifier.finish(status["generation"], status["hash"])
+        if faults:
+            raise InvalidConfiguration(faults)
+        body = {"verified": verifier.generation, "hash": verifier.hash}
+        line = f"verified: {verifier.generation} changes, none missing or altered"
+        self.show(body, [line, f"anchor: {verifier.generation}:{verifier.hash}"])
+
+    def _read_filters(self) -> dict[str, str]:
+        arguments = self.arguments
+        filters = {name: getattr(arguments, name) for name in ("author", "team", "document")}
+        for name in ("since", "until"):
+            time = read_time(f"--{name}", getattr(arguments, name))
+            filters[name] = None if time is None else str(time)
+        return {name: value for name, value in filters.items() if value is not None}
+
+    def _read_pages(self, after: int | None, filters: dict[str, str]) -> Iterator[dict[str, Any]]:
+        client = AdminClient(self.arguments)
+        while after is not None:
+            params = {"after": str(after), "limit": str(PAGE), **filters}
+            page = client.get("/v1/changes", **params)
+            yield from page["changes"]
+            after = page["next"]
 
 
 def _format(change: dict[str, Any]) -> str:
@@ -42,7 +97,8 @@
     what = f"withdraws {change['withdraws']}" if change["withdraws"] else ", ".join(change["edits"])
     state = " (withdrawn)" if change["withdrawn"] else ""
     approval = f", approved by {change['approver']}" if change["approver"] else ""
+    team = f" ({change['team']})" if change["team"] != "-" else ""
     return (
-        f"{change['generation']:>6}  {start}  {change['author']}{approval}  {what}{state}\n"
+        f"{change['generation']:>6}  {start}  {change['author']}{team}{approval}  {what}{state}\n"
         f"        {change['reason']}"
     )
--- a/src/briarfork/commands/status.py
+++ b/src/briarfork/commands/status.py
@@ -17,9 +17,9 @@
 
 @COMMANDS.register("status")
 class Status(Command):
-    """Shows the generation accepted and what is scheduled."""
+    """Shows the generation accepted, what is scheduled and what waits for approval."""
 
-    summary = "Show the accepted generation and the scheduled changes."
+    summary = "Show the accepted generation, the scheduled changes and the drafts."
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -28,7 +28,9 @@
 
     def run(self) -> None:
         """Runs the command."""
-        status = AdminClient(self.arguments).get("/v1/status")
+        client = AdminClient(self.arguments)
+        status = client.get("/v1/status")
+        drafts = client.get("/v1/drafts")["drafts"]
         lines = [f"generation {status['generation']}"]
         for change in status["scheduled"]:
             start = datetime.fromtimestamp(change["start_at"], UTC).isoformat(timespec="seconds")
@@ -36,4 +38,7 @@
                 f"scheduled: generation {change['generation']} {change['change_id']} "
                 f"by {change['author']}, starts {start}"
             )
-        self.show(status, lines)
+        for draft in drafts:
+            documents = ", ".join(sorted(draft["edits"]))
+            lines.append(f"draft: {draft['change_id']} by {draft['author']}, edits {documents}")
+        self.show({**status, "drafts": drafts}, lines)
--- a/src/briarfork/commands/submit.py
+++ b/src/briarfork/commands/submit.py
@@ -3,17 +3,22 @@
 from __future__ import annotations
 
 import uuid
-from datetime import datetime
 from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import Any
 
 from briarfork.border.files import load_documents
 from briarfork.commands.client import AdminClient
 from briarfork.commands.client import add_client_arguments
 from briarfork.commands.command import COMMANDS
 from briarfork.commands.command import Command
+from briarfork.commands.drafting import add_rate_argument
 from briarfork.commands.drafting import find_edits
 from briarfork.commands.drafting import format_edits
+from briarfork.commands.drafting import preview
+from briarfork.commands.drafting import read_rates
+from briarfork.commands.effects import format_effects
+from briarfork.commands.times import read_time
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 
@@ -38,11 +43,13 @@
         )
         parser.add_argument("--change-id", help="name of the change; default: a new one")
         parser.add_argument("--dry-run", action="store_true", help="check only")
+        add_rate_argument(parser)
         add_client_arguments(parser)
 
     def run(self) -> None:
         """Runs the command."""
-        start_at = _read_start(self.arguments.start)
+        start_at = read_time("--start", self.arguments.start)
+        rates = read_rates(self.arguments.rate)
         wanted = load_documents(self.arguments.folder)
         client = AdminClient(self.arguments)
         now = client.get("/v1/documents", **({"at": str(start_at)} if start_at else {}))
@@ -58,11 +65,30 @@
             "edits": edits,
             "based_on": now["generation"],
         }
-        params = {"dry_run": "1"} if self.arguments.dry_run else {}
-        answer = client.post("/v1/changes", body, **params)
+        effects = preview(now["documents"], wanted, now["shares"])
+        answer = self._post(client, body)
         lines = format_edits(now["documents"], edits) if self.arguments.dry_run else []
-        lines.append(self._describe(answer, body["change_id"]))
-        self.show({**answer, "change_id": body["change_id"]}, lines)
+        lines += [*format_effects(effects, rates), self._describe(answer, body["change_id"])]
+        result = {
+            **answer,
+            "change_id": body["change_id"],
+            "dry_run": self.arguments.dry_run,
+            "effects": [effect.to_record() for effect in effects],
+        }
+        self.show(result, lines)
+
+    def _post(self, client: AdminClient, body: dict[str, Any]) -> dict[str, Any]:
+        params = {"dry_run": "1"} if self.arguments.dry_run else {}
+        try:
+            return client.post("/v1/changes", body, **params)
+        except BriarforkError as error:
+            if error.kind is not ErrorKind.STORE_UNAVAILABLE or self.arguments.dry_run:
+                raise
+            raise BriarforkError(
+                error.kind,
+                f"{error.detail}; the change may have been accepted: repeat the command with "
+                f"--change-id {body['change_id']}, it is accepted at most once",
+            ) from error
 
     def _describe(self, answer: dict[str, int], change_id: object) -> str:
         if self.arguments.dry_run:
@@ -70,17 +96,3 @@
         if "draft" in answer:
             return f"draft {change_id} waits for approval: briarfork approve {change_id}"
         return f"accepted: {change_id} is generation {answer['generation']}"
-
-
-def _read_start(text: str | None) -> float | None:
-    if text is None:
-        return None
-    try:
-        start = datetime.fromisoformat(text)
-    except ValueError as error:
-        raise BriarforkError(
-            ErrorKind.BAD_REQUEST, f"--start: expected ISO 8601, found {text!r}"
-        ) from error
-    if start.tzinfo is None:
-        raise BriarforkError(ErrorKind.BAD_REQUEST, f"--start: expected a zone, found {text!r}")
-    return start.timestamp()
--- a/src/briarfork/commands/withdraw.py
+++ b/src/briarfork/commands/withdraw.py
@@ -26,16 +26,23 @@
         parser.add_argument("generation", type=int)
         parser.add_argument("--author", required=True)
         parser.add_argument("--reason", required=True)
+        parser.add_argument("--change-id", help="name of the withdrawal; default: a new one")
+        parser.add_argument("--dry-run", action="store_true", help="check only")
         add_client_arguments(parser)
 
     def run(self) -> None:
         """Runs the command."""
         body = {
-            "change_id": f"withdrawal-{uuid.uuid4().hex[:12]}",
+            "change_id": self.arguments.change_id or f"withdrawal-{uuid.uuid4().hex[:12]}",
             "author": self.arguments.author,
             "reason": self.arguments.reason,
         }
         generation = self.arguments.generation
-        answer = AdminClient(self.arguments).post(f"/v1/changes/{generation}/withdraw", body)
-        line = f"withdrawn: generation {generation}, by generation {answer['generation']}"
-        self.show(answer, [line])
+        params = {"dry_run": "1"} if self.arguments.dry_run else {}
+        path = f"/v1/changes/{generation}/withdraw"
+        answer = AdminClient(self.arguments).post(path, body, **params)
+        what = "would be withdrawn" if self.arguments.dry_run else "withdrawn"
+        self.show(
+            {**answer, "dry_run": self.arguments.dry_run},
+            [f"{what}: generation {generation}, by generation {answer['generation']}"],
+        )
