--- a/src/briarfork/admin/queries.py
+++ b/src/briarfork/admin/queries.py
@@ -29,6 +29,7 @@
     """Which changes to list.
 
     Attributes:
+        change_id: Name of the change, or None for any.
         author: Name of the author, or None for any.
         team: Name of the team, or None for any.
         document: Glob pattern that an edited document matches, or None for any.
@@ -36,6 +37,7 @@
         until: Time before which it was submitted, seconds since the epoch.
     """
 
+    change_id: str | None = None
     author: str | None = None
     team: str | None = None
     document: str | None = None
@@ -45,7 +47,8 @@
     def matches(self, change: Change) -> bool:
         """Returns whether a change is to be listed."""
         return (
-            self.author in (None, change.author)
+            self.change_id in (None, change.change_id)
+            and self.author in (None, change.author)
             and self.team in (None, change.team)
             and self.since <= change.submitted_at < self.until
             and self._edits_document(change)
@@ -63,6 +66,7 @@
         BriarforkError: With kind `bad_request`, naming the parameter.
     """
     return ChangeFilter(
+        query.get("change_id"),
         query.get("author"),
         query.get("team"),
         query.get("document"),
--- a/src/briarfork/admin/reader.py
+++ b/src/briarfork/admin/reader.py
@@ -53,7 +53,7 @@
             changes, _ = await self._log.read_after(max(0, known - 1))
             found = changes[0].generation if changes else 0
             if known and found != known:
-                raise self._refuse(known, found)
+                raise self._refuse(known, found or await self._log.find_generation(known))
             self._append(changes)
             if len(changes) < READ_LIMIT:
                 self._timeline.compact(time.time())
@@ -100,10 +100,11 @@
                 raise self._refuse(self._timeline.generation, change.generation)
 
     def _refuse(self, known: int, found: int) -> BriarforkError:
-        self._events.record(Event.STORE_BEHIND, store=found or "empty", own=known)
+        self._events.record(Event.STORE_BEHIND, store=found, own=known)
+        history = "another history" if found >= known else f"only {found} generations"
         return BriarforkError(
             ErrorKind.CONFLICT,
             f"the store contradicts what was read before: expected its history to go on from "
-            f"generation {known}, found {f'another generation {found}' if found else 'none'}; "
-            "nothing is accepted until the store has its full history again",
+            f"generation {known}, found {history}; nothing is accepted until the store has its "
+            "full history again",
         )
--- a/src/briarfork/commands/client.py
+++ b/src/briarfork/commands/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -19,13 +20,26 @@
 
 CALL_TIMEOUT_S = 30.0
 PROGRESS_AFTER_S = 2.0
+ADMIN_VARIABLE = "BRIARFORK_ADMIN"
+TOKEN_VARIABLE = "BRIARFORK_TOKEN"
 DEFAULT_URL = "http://127.0.0.1:8081"
 
 
 def add_client_arguments(parser: argparse.ArgumentParser) -> None:
     """Declares the arguments that say where the administration API is."""
-    parser.add_argument("--admin", default=DEFAULT_URL, metavar="URL", help="administration API")
-    parser.add_argument("--token", metavar="TOKEN", help="token of your team")
+    parser.add_argument(
+        "--admin",
+        default=os.environ.get(ADMIN_VARIABLE, DEFAULT_URL),
+        metavar="URL",
+        help=f"administration API; default: {ADMIN_VARIABLE} of the environment",
+    )
+    # Other users of the computer can read the arguments of a command, but not its environment.
+    parser.add_argument(
+        "--token",
+        default=os.environ.get(TOKEN_VARIABLE),
+        metavar="TOKEN",
+        help=f"token of your team; default: {TOKEN_VARIABLE} of the environment",
+    )
 
 
 class AdminClient:
--- a/src/briarfork/commands/submit.py
+++ b/src/briarfork/commands/submit.py
@@ -25,6 +25,9 @@
 if TYPE_CHECKING:
     import argparse
 
+# A change of unknown outcome is repeated soon; one request looks at this many changes.
+RECENT_CHANGES = 1000
+
 
 @COMMANDS.register("submit")
 class Submit(Command):
@@ -55,7 +58,7 @@
         now = client.get("/v1/documents", **({"at": str(start_at)} if start_at else {}))
         edits = find_edits(now["documents"], wanted)
         if not edits:
-            self.show({"generation": now["generation"]}, ["no difference, nothing submitted"])
+            self._show_no_difference(client, now["generation"])
             return
         body = {
             "change_id": self.arguments.change_id or f"change-{uuid.uuid4().hex[:12]}",
@@ -77,6 +80,18 @@
         }
         self.show(result, lines)
 
+    def _show_no_difference(self, client: AdminClient, generation: int) -> None:
+        """Tells whether the files are in force because this change was accepted before."""
+        change_id = self.arguments.change_id
+        if change_id is not None:
+            after = str(max(0, generation - RECENT_CHANGES))
+            page = client.get("/v1/changes", after=after, change_id=change_id)
+            for change in page["changes"]:
+                line = f"accepted before: {change_id} is generation {change['generation']}"
+                self.show({"generation": change["generation"], "change_id": change_id}, [line])
+                return
+        self.show({"generation": generation}, ["no difference, nothing submitted"])
+
     def _post(self, client: AdminClient, body: dict[str, Any]) -> dict[str, Any]:
         params = {"dry_run": "1"} if self.arguments.dry_run else {}
         try:
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -186,7 +186,7 @@
         desk = await bench.start()
         await submit(desk, "lost", edit_site("north-a", drain=True))
         del bench.state.items["changes/0000000002"]
-        with pytest.raises(BriarforkError, match="contradicts") as caught:
+        with pytest.raises(BriarforkError, match="found only 1 generations") as caught:
             await submit(desk, "next", edit_site("north-b", drain=True))
         assert caught.value.kind is ErrorKind.CONFLICT
         assert Event.STORE_BEHIND in bench.events.recorded
@@ -200,7 +200,7 @@
         await submit(desk, "mine", edit_site("north-a", drain=True))
         del bench.state.items["changes/0000000002"]
         await submit(other, "theirs", edit_site("north-b", drain=True))
-        with pytest.raises(BriarforkError, match="contradicts"):
+        with pytest.raises(BriarforkError, match="found another history"):
             await submit(desk, "next", edit_site("south-a", drain=True))
         assert Event.STORE_BEHIND in bench.events.recorded
         bench.expect_generations(2)
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -7,6 +7,7 @@
 import shutil
 import sys
 import time
+from hashlib import sha256
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -179,6 +180,20 @@
         assert "contradicts" in terminal.errors
 
 
+class TestToken:
+    async def test_is_read_from_the_environment(
+        self, terminal: Terminal, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a token that other users can read in the list of processes."""
+        team = {"token_sha256": [sha256(b"secret").hexdigest()], "documents": ["*"]}
+        body = {**terminal.bench.start_base, "teams": {"steering": team}}
+        await submit(terminal.bench.open_desk(), "teams", {"base": body})
+        monkeypatch.setenv("BRIARFORK_TOKEN", "secret")
+        assert await terminal.run("status") == 0
+        monkeypatch.setenv("BRIARFORK_TOKEN", "other")
+        assert await terminal.run("status") == 1
+
+
 class TestExitStatus:
     async def test_success_and_no_difference(self, terminal: Terminal) -> None:
         """Guards against a script that takes nothing to do as a failure."""
@@ -218,6 +233,10 @@
         terminal.bench.state.lose = 100
         assert await terminal.run("submit", str(terminal.folder), *WHO, "--change-id", "mine") == 4
         assert "--change-id mine" in terminal.errors
+        terminal.bench.state.lose = 0
+        assert await terminal.run("submit", str(terminal.folder), *WHO, "--change-id", "mine") == 0
+        assert "accepted before: mine is generation 2" in terminal.output
+        terminal.bench.expect_generations(2)
 
     @pytest.mark.parametrize("as_json", [True, False])
     async def test_dry_runs_change_nothing(self, terminal: Terminal, as_json: bool) -> None:
