Share names and weights between changes in memory

Writes that take effect after the submitter has given up were not tested.

Ruled out: keeping the edits as JSON text. It is smaller, but the entry process would parse every body at each change.

Change: a timeline interns names and shares equal weights of a change; 0.0 and -0.0 stay apart, because their hashes differ. The store stand-in can let writes take effect late.

--- a/src/briarfork/timeline/change.py
+++ b/src/briarfork/timeline/change.py
@@ -4,8 +4,10 @@
 
 import hashlib
 import json
+import sys
 from dataclasses import dataclass
 from dataclasses import fields
+from dataclasses import replace
 from typing import Any
 
 from briarfork.configuration import Document
@@ -53,6 +55,28 @@
         """Returns the fields as a plain map, the form in which stores and streams carry it."""
         return {field.name: getattr(self, field.name) for field in fields(self)}
 
+    def share_values(self) -> Change:
+        """Returns an equal change that shares names and weights with others.
+
+        A spread over 1,000 sites otherwise has 1,000 names and weights of its own.
+        """
+        weights: dict[float, float] = {}
+        edits = {name: _share(body, weights) for name, body in self.edits.items()}
+        return replace(self, edits=edits)
+
     def overlaps(self, other: Change) -> set[str]:
         """Returns the names of the documents that both changes edit."""
         return set(self.edits) & set(other.edits)
+
+
+def _share(value: Any, weights: dict[float, float]) -> Any:
+    if isinstance(value, dict):
+        return {sys.intern(key): _share(item, weights) for key, item in value.items()}
+    if isinstance(value, list):
+        return [_share(item, weights) for item in value]
+    if type(value) is str:
+        return sys.intern(value)
+    # Both zeros are equal but have different hashes of the change.
+    if type(value) is float and value != 0.0:
+        return weights.setdefault(value, value)
+    return value
--- a/src/briarfork/timeline/timeline.py
+++ b/src/briarfork/timeline/timeline.py
@@ -90,11 +90,7 @@
             return Appended.KNOWN if known in (None, change.compute_hash()) else Appended.FORKED
         if change.previous_hash != self.last_hash:
             return Appended.FORKED
-        self._changes.append(change)
-        self._hashes.append(change.compute_hash())
-        self._by_id[change.change_id] = change
-        if change.withdraws is not None:
-            self._withdrawn.add(change.withdraws)
+        self._add(change.share_values(), change.compute_hash())
         return Appended.ADDED
 
     def restore(self, snapshot: Snapshot) -> Appended:
@@ -130,11 +126,7 @@
         changes, hashes = self._changes[count:], self._hashes[count:]
         self._replace(base)
         for change, digest in zip(changes, hashes, strict=True):
-            self._changes.append(change)
-            self._hashes.append(digest)
-            self._by_id[change.change_id] = change
-            if change.withdraws is not None:
-                self._withdrawn.add(change.withdraws)
+            self._add(change, digest)
         return True
 
     def get(self, generation: int) -> Change:
@@ -231,6 +223,13 @@
         """
         check_change(self, change, now)
 
+    def _add(self, change: Change, digest: str) -> None:
+        self._changes.append(change)
+        self._hashes.append(digest)
+        self._by_id[change.change_id] = change
+        if change.withdraws is not None:
+            self._withdrawn.add(change.withdraws)
+
     def _replace(self, snapshot: Snapshot) -> None:
         self._base = snapshot
         self._changes = []
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -15,6 +15,7 @@
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.timeline import WITHDRAWAL_MARGIN_S
+from tests.admin.desks import STORE_S
 from tests.admin.desks import DeskBench
 from tests.admin.desks import approve
 from tests.admin.desks import edit_site
@@ -72,6 +73,40 @@
         assert (await submit(desk, "slow", edit_site("north-a", drain=True))).generation == 2
         bench.expect_generations(2)
 
+    @pytest.mark.parametrize("late", [1, 5])
+    async def test_write_that_takes_effect_late_counts_once(
+        self, bench: DeskBench, late: int
+    ) -> None:
+        """Guards against a duplicate of a write that was given up and takes effect later."""
+        desk = await bench.start()
+        bench.state.late, bench.state.delay_s = late, STORE_S * 2
+        try:
+            await submit(desk, "late", edit_site("north-a", drain=True))
+        except StoreUnavailable:
+            assert late == 5
+        async with asyncio.timeout(5):
+            while bench.state.late_handled < late:
+                await asyncio.sleep(0.01)
+        repeated = await submit(bench.open_desk(), "late", edit_site("north-a", drain=True))
+        assert repeated.generation == 2
+        bench.expect_generations(2)
+
+    async def test_late_write_does_not_replace_another_change(self, bench: DeskBench) -> None:
+        """Guards against a write that was given up and overwrites what came after it."""
+        desk = await bench.start()
+        bench.state.late, bench.state.delay_s = 5, STORE_S * 2
+        task = asyncio.create_task(submit(desk, "late", edit_site("north-a", drain=True)))
+        async with asyncio.timeout(5):
+            while bench.state.late == 5:
+                await asyncio.sleep(0.01)
+        bench.state.late = 0
+        other = await submit(bench.open_desk(), "other", edit_site("north-b", drain=True))
+        assert (other.generation, (await task).generation) == (2, 3)
+        async with asyncio.timeout(5):
+            while bench.state.late_handled < 1:
+                await asyncio.sleep(0.01)
+        bench.expect_generations(3)
+
 
 class TestLostResponse:
     @pytest.mark.parametrize("lost", [1, 2, 4])
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,8 +1,15 @@
 """Stand-in for the platform's key-value service.
 
-`POST /fault` sets the behaviour: `mode` is "up", "down" (no answer), "refuse" (connection closed),
-"slow" (`delay_s`), "lose" (the next `count` answers to writes are lost after the write took
-effect) or "hold" (the next `count` answers to `method` are ready but wait until the mode changes).
+`POST /fault` sets the behaviour, `mode`:
+
+- "up"
+- "down": no answer
+- "refuse": connection closed
+- "slow": every call waits for `delay_s`
+- "lose": the next `count` answers to writes are lost after the write took effect
+- "late": the next `count` writes take effect only after `delay_s`, also if the caller has given up
+- "hold": the next `count` answers to `method` are ready but wait until the mode changes
+
 `GET /calls` counts calls; a waiting watch counts as one. `GET /held` answers once an answer waits.
 `POST /dump` and `POST /restore` copy the content out and back.
 """
@@ -41,6 +48,8 @@
     mode: str = "up"
     delay_s: float = 0.0
     lose: int = 0
+    late: int = 0
+    late_handled: int = 0
     hold: int = 0
     hold_method: str = ""
     held: asyncio.Event = field(default_factory=asyncio.Event)
@@ -165,6 +174,7 @@
     state.mode = body.get("mode", "up")
     state.delay_s = float(body.get("delay_s", 0.0))
     state.lose = int(body.get("count", 1)) if state.mode == "lose" else 0
+    state.late = int(body.get("count", 1)) if state.mode == "late" else 0
     state.hold = int(body.get("count", 1)) if state.mode == "hold" else 0
     state.hold_method = body.get("method", "GET")
     state.released.set()
@@ -214,6 +224,11 @@
         _cut(request)
     if state.mode == "slow":
         await asyncio.sleep(state.delay_s)
+    if state.late > 0 and request.method in ("PUT", "DELETE"):
+        state.late -= 1
+        await request.read()
+        # The write goes on although the caller gives up and closes its connection.
+        return await asyncio.shield(_handle_late(request, handler))
     state.drop_lapsed()
     answer = await handler(request)
     if state.lose > 0 and request.method in ("PUT", "DELETE"):
@@ -226,6 +241,15 @@
     return answer
 
 
+async def _handle_late(request: web.Request, handler: Handler) -> web.StreamResponse:
+    state = request.app[STATE]
+    await asyncio.sleep(state.delay_s)
+    try:
+        return await handler(request)
+    finally:
+        state.late_handled += 1
+
+
 def _cut(request: web.Request) -> None:
     if request.transport is not None:
         request.transport.abort()
--- a/tests/timeline/test_timeline.py
+++ b/tests/timeline/test_timeline.py
@@ -66,6 +66,24 @@
         assert timeline.list_after(0, timeline.generation) == expected
 
 
+class TestSharedValues:
+    @given(
+        st.dictionaries(
+            st.sampled_from("abc"),
+            st.recursive(
+                st.one_of(st.none(), st.booleans(), st.integers(), st.just(-0.0), st.floats(0, 3)),
+                lambda inner: st.one_of(
+                    st.lists(inner, max_size=3), st.dictionaries(st.text(max_size=2), inner)
+                ),
+            ),
+        )
+    )
+    def test_hash_stays_the_same(self, body: dict[str, Any]) -> None:
+        """Guards against 0.0, -0.0, 0 and False, which are equal but hash to other changes."""
+        change = build_change(Timeline(), edits={"base": body, "sites/a": None})
+        assert change.share_values().compute_hash() == change.compute_hash()
+
+
 class TestScheduledStart:
     def test_follows_from_the_timeline_alone(self) -> None:
         """Guards against a start that needs the store at its time."""
