--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -10,6 +9,7 @@
 from briarfork.admin.drafts import Draft
 from briarfork.admin.drafts import DraftBox
 from briarfork.admin.reader import TimelineReader
+from briarfork.admin.snapshots import SnapshotKeeper
 from briarfork.admin.teams import find_team
 from briarfork.border.changelog import READ_LIMIT
 from briarfork.border.changelog import ChangeLog
@@ -36,9 +36,6 @@
 # Longest time between the check of a change and its write. A process that was paused in between
 # checks again, so no ramp begins further in the past than this.
 ACCEPT_WINDOW_S = 5.0
-# A start reads one snapshot and, at a page of changes for each call, at most as many pages as
-# these changes and those of the retention period fill.
-SNAPSHOT_INTERVAL = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,9 +51,9 @@
 
     def __init__(self, store: Store, events: EventLog) -> None:
         self._log = ChangeLog(store)
-        self._snapshots = SnapshotStore(store)
-        self._reader = TimelineReader(self._log, self._snapshots, events)
-        self._accepted = asyncio.Event()
+        snapshots = SnapshotStore(store)
+        self._reader = TimelineReader(self._log, snapshots, events)
+        self.keeper = SnapshotKeeper(self._reader, snapshots, events)
         self._drafts = DraftBox(store, events)
         self._events = events
 
@@ -93,23 +90,6 @@
                 break
         return changes[:limit]
 
-    async def keep_snapshots(self) -> None:
-        """Writes a snapshot to the store whenever enough changes were accepted."""
-        written = 0
-        while True:
-            await self._accepted.wait()
-            self._accepted.clear()
-            try:
-                timeline = await self.read_timeline()
-                snapshot = timeline.snapshot
-                if snapshot.generation < written + SNAPSHOT_INTERVAL:
-                    continue
-                await self._snapshots.write(snapshot)
-                written = await self._snapshots.find_generation()
-            except BriarforkError as error:
-                # The next accepted change tries again; a start reads more changes until then.
-                self._events.record(Event.SNAPSHOT_FAILED, fault=error.detail)
-
     async def submit(self, request: ChangeRequestModel, team: Team, dry_run: bool) -> Submitted:
         """Accepts a change, or keeps it as a draft where approval is required.
 
@@ -134,13 +114,14 @@
         known = _find_accepted(timeline, draft)
         if known is not None:
             return Submitted(known, None)
+        needs_approval = self._needs_approval(timeline)
+        if not dry_run and not needs_approval:
+            return Submitted(await self._accept(draft, approver=None), None)
         self._check(timeline, draft, approver=None)
         if dry_run:
             return Submitted(timeline.generation + 1, None)
-        if self._needs_approval(timeline):
-            await self._drafts.create(draft)
-            return Submitted(None, draft.change_id)
-        return Submitted(await self._accept(draft, approver=None), None)
+        await self._drafts.create(draft)
+        return Submitted(None, draft.change_id)
 
     async def approve(self, change_id: str, approver: str, team: Team, dry_run: bool) -> int:
         """Accepts a draft; returns its generation, also if it was accepted before.
@@ -268,7 +249,7 @@
         if written is None:
             return False
         self._reader.accept(written)
-        self._accepted.set()
+        self.keeper.notice_change()
         self._events.record(
             Event.CHANGE_ACCEPTED, generation=change.generation, change=change.change_id
         )
--- a/src/briarfork/admin/main.py
+++ b/src/briarfork/admin/main.py
@@ -32,7 +32,7 @@
         )
         await runner.setup()
         await web.TCPSite(runner, settings.address, settings.ports.admin).start()
-        snapshots = group.create_task(desk.keep_snapshots())
+        snapshots = group.create_task(desk.keeper.run())
         events.record(Event.STARTED, admin=settings.ports.admin)
         await stopping.wait()
         await runner.cleanup()
--- a/src/briarfork/border/documents.py
+++ b/src/briarfork/border/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from fnmatch import fnmatchcase
 from ipaddress import IPv4Network
 from ipaddress import IPv6Network
 from typing import TYPE_CHECKING
@@ -14,6 +15,7 @@
 from pydantic import ConfigDict
 from pydantic import Field
 from pydantic import ValidationError
+from pydantic import model_validator
 
 from briarfork.configuration import BASE
 from briarfork.configuration import SERVICE_PREFIX
@@ -62,7 +64,7 @@
 class TeamModel(Model):
     """A team that may change some documents."""
 
-    token_sha256: Annotated[list[Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]], Field()]
+    token_sha256: list[Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]]
     documents: list[str]
     changes_per_minute: Count = 60
 
@@ -109,6 +111,17 @@
     client_blocks: list[ClientBlockModel] = []
     teams: dict[Name, TeamModel] = {}
 
+    @model_validator(mode="after")
+    def check_teams(self) -> BaseDocumentModel:
+        """Checks that some team can change the teams again and that a token tells its team."""
+        patterns = [pattern for team in self.teams.values() for pattern in team.documents]
+        if self.teams and not any(fnmatchcase(BASE, pattern) for pattern in patterns):
+            raise ValueError(f"teams: expected one team with documents that match {BASE!r}")
+        tokens = [token for team in self.teams.values() for token in set(team.token_sha256)]
+        if len(set(tokens)) < len(tokens):
+            raise ValueError("teams: expected a token to belong to one team only")
+        return self
+
 
 class SiteServiceModel(Model):
     """What differs for a service at a site."""
--- a/src/briarfork/timeline/timeline.py
+++ b/src/briarfork/timeline/timeline.py
@@ -195,7 +195,18 @@
         ]
 
     def list_effective(self, now: float) -> list[Change | Folded]:
-        """Returns the changes in force at a time, in the order in which they apply."""
+        """Returns the changes in force at a time, in the order in which they apply.
+
+        Raises:
+            BriarforkError: With kind `bad_request` if the time is before what is folded.
+        """
+        folded = self._base.folded
+        if folded and now < folded[-1].start_at:
+            raise BriarforkError(
+                ErrorKind.BAD_REQUEST,
+                f"expected a time not before {folded[-1].start_at:.0f}, found {now:.0f}: earlier "
+                "changes are folded; the history has them",
+            )
         entries: list[Change | Folded] = [*self._base.folded, *self._base.kept, *self._changes]
         effective = [
             entry
@@ -205,7 +216,11 @@
         return sorted(effective, key=lambda entry: (entry.start_at, entry.generation))
 
     def find_documents(self, now: float) -> Documents:
-        """Returns the documents in force at a time."""
+        """Returns the documents in force at a time.
+
+        Raises:
+            BriarforkError: With kind `bad_request` if the time is before what is folded.
+        """
         edits: dict[str, Any] = {}
         for entry in self.list_effective(now):
             edits.update(entry.edits)
--- a/tests/admin/test_http.py
+++ b/tests/admin/test_http.py
@@ -118,6 +118,22 @@
         assert "north-token" not in str(body)
         assert all("north-token" not in item.value for item in api.bench.state.items.values())
 
+    @pytest.mark.parametrize(
+        ("teams", "fault"),
+        [
+            ({"north": build_team("a", ["sites/*"])}, "match 'base'"),
+            ({"north": build_team("a", ["*"]), "south": build_team("a", ["*"])}, "one team only"),
+        ],
+    )
+    async def test_teams_that_lock_everybody_out_are_refused(
+        self, api: Api, teams: dict[str, Any], fault: str
+    ) -> None:
+        """Guards against teams that nobody can change again, and a token with two teams."""
+        edits = {"base": {**api.bench.start_base, "teams": teams}}
+        status, body = await api.submit("teams", "-", "steering-token", edits=edits)
+        assert (status, body["error"]) == (422, "invalid_configuration")
+        assert fault in body["detail"]
+
 
 class TestRateLimit:
     async def test_flood_is_refused_and_others_are_in_time(self, api: Api) -> None:
--- a/tests/admin/test_snapshots.py
+++ b/tests/admin/test_snapshots.py
@@ -17,6 +17,7 @@
 from briarfork.border.snapshots import name_part
 from briarfork.border.store import Store
 from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
 from briarfork.timeline import RETENTION_S
 from tests.admin.desks import DeskBench
 from tests.admin.desks import edit_site
@@ -33,7 +34,7 @@
 
 @pytest_asyncio.fixture
 async def bench(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[DeskBench]:
-    monkeypatch.setattr("briarfork.admin.changes.SNAPSHOT_INTERVAL", INTERVAL)
+    monkeypatch.setattr("briarfork.admin.snapshots.SNAPSHOT_INTERVAL", INTERVAL)
     async with DeskBench(store_s=5.0) as running:
         yield running
 
@@ -47,13 +48,13 @@
         edits = edit_site("north-a", drain=number % 2 == 0)
         await submit(desk, f"change-{number}", edits, based_on=number - 1)
     monkeypatch.undo()
-    monkeypatch.setattr("briarfork.admin.changes.SNAPSHOT_INTERVAL", INTERVAL)
+    monkeypatch.setattr("briarfork.admin.snapshots.SNAPSHOT_INTERVAL", INTERVAL)
     return desk
 
 
 async def write_snapshot(bench: DeskBench, desk: ChangeDesk) -> None:
     """Lets the desk write its snapshot after one more change."""
-    keeper = asyncio.create_task(desk.keep_snapshots())
+    keeper = asyncio.create_task(desk.keeper.run())
     generation = (await desk.read_timeline()).generation
     edits = edit_site("north-b", drain=True)
     await submit(desk, f"change-{generation + 1}", edits, based_on=generation)
@@ -144,6 +145,16 @@
         changes = await desk.list_changes(0, 100)
         assert [change.generation for change in changes] == list(range(1, CHANGES + 1))
 
+    async def test_time_before_the_snapshot_is_refused(
+        self, bench: DeskBench, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against documents of the past that were worked out from a folded history."""
+        desk = await fill(bench, monkeypatch, CHANGES)
+        timeline = await desk.read_timeline()
+        with pytest.raises(BriarforkError, match="folded") as caught:
+            timeline.find_documents(time.time() - 3 * RETENTION_S)
+        assert caught.value.kind is ErrorKind.BAD_REQUEST
+
     async def test_change_based_on_an_old_generation_conflicts_by_document(
         self, bench: DeskBench, monkeypatch: pytest.MonkeyPatch
     ) -> None:
