Show the effect on services that are left without a site

Cause: a drain of the last site of a region, and a removed service, moved no share to another site, so submit and diff showed no effect, although every request is refused afterwards.

Ruled out: refusing such a change; taking a service out of use is a change that operators may want.

Change: requests that find no site count as moved, removed services are listed, and the commands say that every request is refused.

Conclusion: every change of shares is shown, also that to nothing.

--- a/src/briarfork/commands/effects.py
+++ b/src/briarfork/commands/effects.py
@@ -66,8 +66,9 @@
         in_force: Shares at the start of the change, which differ from the plan during a ramp.
     """
     effects = []
-    for name, service in after.services.items():
-        known = before.services.get(name) if before else None
+    old_services = before.services if before else {}
+    for name, service in {**old_services, **after.services}.items():
+        known = old_services.get(name)
         regions = {*service.regional_spread, *(known.regional_spread if known else ())}
         for region in (OTHER_CLIENTS, *sorted(regions)):
             origin = in_force.get(name, {}).get(region)
@@ -94,11 +95,13 @@
             old, new = effect.before.get(site, 0.0), effect.after.get(site, 0.0)
             if abs(old - new) > SMALLEST_SHARE:
                 lines.append(f"  {site}: {old:.1%} -> {new:.1%}")
-        if not effect.before:
+        if not effect.after:
+            lines.append("  no site is left: every request is refused")
+        elif not effect.before:
             lines.append("  new service: no ramp and no cap")
         elif effect.at_once:
             lines.append("  a drain moves its requests at once, without ramp and cap")
-        if effect.before and effect.ramp_s:
+        if effect.before and effect.after and effect.ramp_s:
             lines.append(f"  ramp: {effect.ramp_s:.0f} s")
         lines += _format_cap(effect, rates.get(effect.service))
     return lines
@@ -118,15 +121,17 @@
 def _find_effect(
     service: Service, region: str, origin: Shares, before: Plan | None, after: Plan
 ) -> Effect | None:
-    target = _find_shares(service, region)
+    target = _find_shares(service, region) if service.name in after.services else {}
     old = _drop_drained(origin, before) if before else {}
     new = _drop_drained(target, after)
     sites = old.keys() | new.keys()
-    moved = sum(max(0.0, new.get(site, 0.0) - old.get(site, 0.0)) for site in sites)
+    # Requests that find no site any more count as moved.
+    change = sum(abs(new.get(site, 0.0) - old.get(site, 0.0)) for site in sites)
+    moved = change / 2 if old and new else change
     if moved <= SMALLEST_SHARE:
         return None
     ramp = Ramp(0.0, origin or target, target, service.shift)
-    gain = max(target.get(s, 0.0) - ramp.origin.get(s, 0.0) for s in target)
+    gain = max((target[site] - ramp.origin.get(site, 0.0) for site in target), default=0.0)
     drained = before is not None and any(
         _is_drained(before, site) != _is_drained(after, site) for site in {*origin, *target}
     )
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -69,6 +69,12 @@
         body["services"][service].update(fields)
         path.write_text(yaml.safe_dump(body))
 
+    def remove_service(self, service: str) -> None:
+        path = self.folder / "base.yaml"
+        body = yaml.safe_load(path.read_text())
+        del body["services"][service]
+        path.write_text(yaml.safe_dump(body))
+
     def drain(self, site: str) -> None:
         body = {"site": site, "zone": site, "drain": True}
         (self.folder / "sites" / f"{site}.yaml").write_text(yaml.safe_dump(body))
@@ -126,6 +132,19 @@
         assert "a drain moves its requests at once, without ramp and cap" in terminal.output
         assert "  north-a: 50.0% -> 0.0%" in terminal.output
 
+    async def test_warns_of_a_service_without_a_site(self, terminal: Terminal) -> None:
+        """Guards against a drain of the last site, or a removed service, that shows no effect."""
+        terminal.edit_service("results", regional_spread={"north": {"north-a": 1}})
+        assert await terminal.run("submit", str(terminal.folder), *WHO) == 0
+        terminal.drain("north-a")
+        terminal.remove_service("archive")
+        assert await terminal.run("diff", str(terminal.folder)) == 0
+        for service, clients in (("results", "clients of north"), ("archive", "clients of west")):
+            effect = terminal.output.partition(f"{service}, {clients}: 100% of the requests move")[
+                2
+            ]
+            assert "no site is left: every request is refused" in effect.partition(", clients")[0]
+
 
 class TestHistory:
     async def test_filters(self, terminal: Terminal) -> None:
