Read the history again after each write

Cause: a store that lost changes between the check of a change and its write took the change with a gap before it. The submitter was told that it was accepted, and later reads began at the new change and saw no fault.

Ruled out: deleting the change again. VMs that hold the lost changes take it as the next one, and a configuration must never go back.

Change: the admin process reads from the last change before the write. If that one is gone, it reports store_behind and answers outcome_unknown, and refuses what follows. One more read of the store for each change; the test that counts reads of a repeated check expects it.

--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -16,9 +16,11 @@
 from briarfork.border.documents import check_document
 from briarfork.border.events import Event
 from briarfork.border.snapshots import SnapshotStore
+from briarfork.border.store import StoreUnavailable
 from briarfork.configuration import BASE
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
+from briarfork.errors import OutcomeUnknown
 from briarfork.timeline import WITHDRAWAL_MARGIN_S
 from briarfork.timeline import Change
 
@@ -244,11 +246,24 @@
         return change
 
     async def _append(self, change: Change, window_s: float) -> bool:
-        """Writes a change; returns False if it has to be checked again."""
+        """Writes a change; returns False if it has to be checked again.
+
+        Raises:
+            StoreUnavailable: If the store does not tell whether the change was accepted.
+            OutcomeUnknown: If it was written to a store that had lost earlier changes.
+        """
         written = await self._log.append(change, time.monotonic() + window_s)
         if written is None:
             return False
-        self._reader.accept(written)
+        try:
+            # The store may have lost earlier changes between the check and the write.
+            await self._reader.read()
+        except StoreUnavailable:
+            self._reader.accept(written)
+        except BriarforkError as error:
+            raise OutcomeUnknown(
+                f"generation {change.generation} was written, but {error.detail}"
+            ) from error
         self.keeper.notice_change()
         self._events.record(
             Event.CHANGE_ACCEPTED, generation=change.generation, change=change.change_id
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -14,6 +14,7 @@
 from briarfork.border.store import StoreUnavailable
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
+from briarfork.errors import OutcomeUnknown
 from briarfork.timeline import WITHDRAWAL_MARGIN_S
 from tests.admin.desks import STORE_S
 from tests.admin.desks import DeskBench
@@ -196,7 +197,8 @@
         monkeypatch.setattr("briarfork.border.changelog.time", clock)
         reads = bench.state.calls["GET range"]
         await submit(desk, "paused", edit_site("north-a", drain=True))
-        assert bench.state.calls["GET range"] == reads + 3
+        # One read for the submission, one for each of two checks, one after the write.
+        assert bench.state.calls["GET range"] == reads + 4
         bench.expect_generations(2)
 
     async def test_late_withdrawal_is_not_written(
@@ -240,6 +242,26 @@
         assert Event.STORE_BEHIND in bench.events.recorded
         bench.expect_generations(2)
 
+    async def test_older_state_between_check_and_write_is_reported(self, bench: DeskBench) -> None:
+        """Guards against a gap in the store that no later read begins early enough to see."""
+        desk = await bench.start()
+        await submit(desk, "lost", edit_site("north-a", drain=True))
+        await desk.read_timeline()
+        bench.state.hold, bench.state.hold_method = 2, "GET"
+        task = asyncio.create_task(submit(desk, "next", edit_site("north-b", drain=True)))
+        for _ in range(2):  # the read of the submission, then the one of its check
+            await bench.state.held.wait()
+            if bench.state.hold == 0:
+                del bench.state.items["changes/0000000002"]
+            bench.state.held.clear()
+            released, bench.state.released = bench.state.released, asyncio.Event()
+            released.set()
+        with pytest.raises(OutcomeUnknown, match="was written, but the store contradicts"):
+            await task
+        assert Event.STORE_BEHIND in bench.events.recorded
+        with pytest.raises(BriarforkError, match="contradicts"):
+            await submit(desk, "after", edit_site("south-a", drain=True))
+
     async def test_store_that_has_its_history_again_is_used_again(self, bench: DeskBench) -> None:
         """Guards against an admin process that has to be restarted after a repair."""
         desk = await bench.start()
