Page the audit trail by generation

Cause: the next page of the store was asked for by the number of entries read so far. After a missing entry this is too low, and an entry was listed twice.

Ruled out: nothing else reads the changes by count.

Change: the next page begins after the last entry read.

Conclusion: the trail of a tampered store is listed as it is.

--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -86,7 +86,8 @@
         """
         changes: list[Change] = []
         while len(changes) < limit:
-            page, _ = await self._log.read_after(after + len(changes))
+            last = changes[-1].generation if changes else after
+            page, _ = await self._log.read_after(last)
             changes += page
             if len(page) < READ_LIMIT:
                 break
--- a/tests/admin/test_snapshots.py
+++ b/tests/admin/test_snapshots.py
@@ -145,6 +145,15 @@
         changes = await desk.list_changes(0, 100)
         assert [change.generation for change in changes] == list(range(1, CHANGES + 1))
 
+    async def test_pages_go_on_after_a_missing_entry(
+        self, bench: DeskBench, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an audit that lists entries twice after one that is missing."""
+        desk = await fill(bench, monkeypatch, READ_LIMIT + 5)
+        del bench.state.items["changes/0000000002"]
+        generations = [change.generation for change in await desk.list_changes(0, 1000)]
+        assert generations == [1, *range(3, READ_LIMIT + 6)]
+
     async def test_time_before_the_snapshot_is_refused(
         self, bench: DeskBench, monkeypatch: pytest.MonkeyPatch
     ) -> None:
