--- a/src/briarfork/timeline/snapshot.py
+++ b/src/briarfork/timeline/snapshot.py
@@ -139,7 +139,8 @@
         for region in regions
     ]
     first = _find_settled(history, changed, min(last_changes))
-    needed = {first, len(history) - 1, *changed}
+    # The last body before each change is what a later call may keep the history from.
+    needed = {first, len(history) - 1, *changed, *(index - 1 for index in changed)}
     return [history[index] for index in range(first, len(history)) if index in needed]
 
 
--- a/tests/timeline/test_compaction.py
+++ b/tests/timeline/test_compaction.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -63,6 +64,14 @@
     return ramp.find_shares(now), ramp.target, (ramp.origin, ramp.limits) if moving else None
 
 
+def build_body(site: str, slope: int = 1, **regions: str) -> dict[str, Any]:
+    return {
+        "spread": {site: 1},
+        "regional_spread": {region: {name: 1} for region, name in regions.items()},
+        "shift": {"cap_rps": 12, "slope_percent_per_minute": slope},
+    }
+
+
 class TestCompact:
     @given(st.lists(steps, min_size=1, max_size=25), st.integers(0, 9000), st.integers(0, 9000))
     def test_later_ramps_and_documents_are_the_same(
@@ -85,6 +94,19 @@
                         )
 
     @given(st.lists(steps, min_size=1, max_size=20))
+    @example(
+        [
+            (1, 4000, "services/x", build_body("b", north="a")),
+            (172, 0, "services/x", None),
+            (261, 0, "services/x", None),
+            (1026, 0, "services/x", build_body("a")),
+            (1333, 0, "services/x", build_body("b", slope=10)),
+            (517, 0, "services/x", build_body("b")),
+            (691, 0, "services/y", None),
+            (261, 0, "services/x", build_body("a")),
+            (339, 0, "services/y", None),
+        ]
+    )
     def test_result_does_not_depend_on_earlier_compactions(
         self, changes: list[tuple[int, int, str, Any]]
     ) -> None:
