--- a/src/briarfork/admin/queries.py
+++ b/src/briarfork/admin/queries.py
@@ -10,12 +10,15 @@
 
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
+from briarfork.steering import build_shifts
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from briarfork.admin.changes import ChangeDesk
+    from briarfork.steering.shift import Shares
     from briarfork.timeline import Change
+    from briarfork.timeline import Timeline
 
 # Changes that one request looks at; a filter that matches few of them must not hold up others.
 SCAN_LIMIT = 1000
@@ -26,6 +29,7 @@
     """Which changes to list.
 
     Attributes:
+        change_id: Name of the change, or None for any.
         author: Name of the author, or None for any.
         team: Name of the team, or None for any.
         document: Glob pattern that an edited document matches, or None for any.
@@ -33,6 +37,7 @@
         until: Time before which it was submitted, seconds since the epoch.
     """
 
+    change_id: str | None = None
     author: str | None = None
     team: str | None = None
     document: str | None = None
@@ -42,7 +47,8 @@
     def matches(self, change: Change) -> bool:
         """Returns whether a change is to be listed."""
         return (
-            self.author in (None, change.author)
+            self.change_id in (None, change.change_id)
+            and self.author in (None, change.author)
             and self.team in (None, change.team)
             and self.since <= change.submitted_at < self.until
             and self._edits_document(change)
@@ -60,6 +66,7 @@
         BriarforkError: With kind `bad_request`, naming the parameter.
     """
     return ChangeFilter(
+        query.get("change_id"),
         query.get("author"),
         query.get("team"),
         query.get("document"),
@@ -100,6 +107,17 @@
     return value
 
 
+def find_shares(timeline: Timeline, at: float) -> dict[str, dict[str, Shares]]:
+    """Returns the shares at a time by service and client region, also in the middle of a ramp.
+
+    The region "" is for clients of regions without weights of their own.
+    """
+    shares: dict[str, dict[str, Shares]] = {}
+    for (service, region), shift in build_shifts(timeline, at).items():
+        shares.setdefault(service, {})[region or ""] = shift.find_shares(at)
+    return shares
+
+
 async def list_page(
     desk: ChangeDesk, after: int, limit: int, wanted: ChangeFilter
 ) -> dict[str, Any]:
--- a/src/briarfork/timeline/timeline.py
+++ b/src/briarfork/timeline/timeline.py
@@ -93,11 +93,7 @@
             return Appended.KNOWN if known in (None, change.compute_hash()) else Appended.FORKED
         if change.previous_hash != self.last_hash:
             return Appended.FORKED
-        self._changes.append(change)
-        self._hashes.append(change.compute_hash())
-        self._by_id[change.change_id] = change
-        if change.withdraws is not None:
-            self._withdrawn.add(change.withdraws)
+        self._add(change.share_values(), change.compute_hash())
         return Appended.ADDED
 
     def restore(self, snapshot: Snapshot) -> Appended:
@@ -142,11 +138,7 @@
         changes, hashes = self._changes[count:], self._hashes[count:]
         self._replace(base)
         for change, digest in zip(changes, hashes, strict=True):
-            self._changes.append(change)
-            self._hashes.append(digest)
-            self._by_id[change.change_id] = change
-            if change.withdraws is not None:
-                self._withdrawn.add(change.withdraws)
+            self._add(change, digest)
         return True
 
     def get(self, generation: int) -> Change:
@@ -215,7 +207,18 @@
         ]
 
     def list_effective(self, now: float) -> list[Change | Folded]:
-        """Returns the changes in force at a time, in the order in which they apply."""
+        """Returns the changes in force at a time, in the order in which they apply.
+
+        Raises:
+            BriarforkError: With kind `bad_request` if the time is before what is folded.
+        """
+        folded = self._base.folded
+        if folded and now < folded[-1].start_at:
+            raise BriarforkError(
+                ErrorKind.BAD_REQUEST,
+                f"expected a time not before {folded[-1].start_at:.0f}, found {now:.0f}: earlier "
+                "changes are folded; the history has them",
+            )
         entries: list[Change | Folded] = [*self._base.folded, *self._base.kept, *self._changes]
         effective = [
             entry
@@ -225,7 +228,11 @@
         return sorted(effective, key=lambda entry: (entry.start_at, entry.generation))
 
     def find_documents(self, now: float) -> Documents:
-        """Returns the documents in force at a time."""
+        """Returns the documents in force at a time.
+
+        Raises:
+            BriarforkError: With kind `bad_request` if the time is before what is folded.
+        """
         edits: dict[str, Any] = {}
         for entry in self.list_effective(now):
             edits.update(entry.edits)
@@ -243,6 +250,13 @@
         """
         check_change(self, change, now)
 
+    def _add(self, change: Change, digest: str) -> None:
+        self._changes.append(change)
+        self._hashes.append(digest)
+        self._by_id[change.change_id] = change
+        if change.withdraws is not None:
+            self._withdrawn.add(change.withdraws)
+
     def _replace(self, snapshot: Snapshot) -> None:
         self._base = snapshot
         self._changes = []
