Test faults of processes, links, store and list on real processes

Cause: a control process that was stopped and woken called members suspect that had been heard all the time by others. A store restored to an older state was noticed only at the end of a watch of 20 s, above the 12 s of a change.

Ruled out: a watch that the store ends by itself on a restore; its protocol has no such answer.

Change: after a pause of more than two heartbeats the silence of all members begins again. A watch lasts 5 s, which makes 16 calls a second at 80 followers.

--- a/src/briarfork/border/settings.py
+++ b/src/briarfork/border/settings.py
@@ -56,7 +56,8 @@
 
     Attributes:
         store_s: One call to the store, watches aside.
-        watch_s: One waiting watch.
+        watch_s: One waiting watch. A store that was restored to an older state ends no watch, so
+            this bounds the time until it is noticed; 80 followers make 16 calls a second.
         list_s: Pause between reads of the list of VMs.
         connect_s: One connection attempt.
         heartbeat_s: Pause between heartbeats on a stream.
@@ -69,7 +70,7 @@
     """
 
     store_s: Seconds = 1.0
-    watch_s: Seconds = 20.0
+    watch_s: Seconds = 5.0
     list_s: Seconds = 1.0
     connect_s: Seconds = 1.0
     heartbeat_s: Seconds = 1.0
--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -31,6 +31,9 @@
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
 MILLISECONDS = 1000
+# Members are checked every heartbeat. After a longer gap this process itself was paused, and the
+# silence of the others says nothing.
+PAUSE_HEARTBEATS = 2
 
 
 class ControlNode:
@@ -48,6 +51,7 @@
         self.roster_changed = asyncio.Event()
         self.entry_absent = asyncio.Event()
         self.entry_absent.set()
+        self._checked_at = time.monotonic()
         self._settled_at = time.monotonic() + settings.timeouts.silence_s
         if not settings.peers:
             self._settled_at = 0.0
@@ -126,6 +130,9 @@
     def check_members(self) -> None:
         """Marks silent neighbours, and drops members that are neither live nor listed."""
         now = time.monotonic()
+        if now - self._checked_at > PAUSE_HEARTBEATS * self.settings.timeouts.heartbeat_s:
+            self.roster.forget_evidence()
+        self._checked_at = now
         peers = [member.vm for member in self.roster.list_neighbours()]
         self._announce(self.roster.suspect_silent(peers, self.settings.timeouts.silence_s, now))
         self._spread_list(self.directory.settle(now))
--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -87,6 +87,10 @@
         self._heard_at[vm] = now
         self._patience.pop(vm, None)
 
+    def forget_evidence(self) -> None:
+        """Begins the time of every member again, after this VM itself was paused."""
+        self._heard_at.clear()
+
     def suspect_silent(self, peers: Sequence[str], silence_s: float, now: float) -> list[Member]:
         """Marks peers that were not heard within the silence limit.
 
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -31,13 +31,23 @@
 class LinkedCluster(Cluster):
     """Links between zones, and from each zone to the store and the list of VMs."""
 
-    def __init__(self, work: Path, zones: list[str], vms_per_zone: int = 1, **options: Any) -> None:
+    def __init__(
+        self,
+        work: Path,
+        zones: list[str],
+        vms_per_zone: int = 1,
+        lag_s: dict[str, float] | None = None,
+        **options: Any,
+    ) -> None:
+        """Starts a list of VMs of its own for each zone of `lag_s`, which lags by that time."""
         options.setdefault("network", NETWORK)
         super().__init__(FOLDER, work, zones, vms_per_zone, **options)
         self.between: dict[tuple[str, str], Conditions] = {}
         self.platform: dict[str, Conditions] = {zone: Conditions() for zone in zones}
         self.links: list[Link] = []
         self.control_links: dict[str, Link] = {}
+        self.lists: dict[str, str] = {}
+        self._lag_s = lag_s or {}
         self._submitted = 0
 
     def choose(self, source: str, target: str) -> Conditions:
@@ -60,6 +70,34 @@
         if not self.links:
             await self._start_links()
         await super().publish(leaving)
+        body = await self.get(f"{self.platform_url}/vms")
+        for url in self.lists.values():
+            await self.post(f"{url}/vms", body)
+
+    async def wait_for_lag(self, zone: str) -> None:
+        """Waits until the list of a zone is the same as the list of the other zones."""
+        while await self.get(f"{self.lists[zone]}/vms") != await self.get(
+            f"{self.platform_url}/vms"
+        ):
+            await asyncio.sleep(POLL_S)
+
+    async def wait_for_reads(self, count: int) -> None:
+        """Waits until every list has been read some more times."""
+        for url in [self.platform_url, *self.lists.values()]:
+            calls = (await self.get(f"{url}/calls"))["GET vms"]
+            while (await self.get(f"{url}/calls"))["GET vms"] < calls + count:
+                await asyncio.sleep(POLL_S)
+
+    async def _start_platform(self) -> None:
+        await super()._start_platform()
+        for zone, lag_s in self._lag_s.items():
+            address = f"127.{self._network}.0.1"
+            port = find_port(address)
+            command = ["tests.standins.platform", "--address", address, "--port", str(port)]
+            name = f"platform-{zone}"
+            self._processes[name] = self._spawn(name, [*command, "--lag-s", str(lag_s)])
+            self.lists[zone] = f"http://{address}:{port}"
+            await self._wait_for_port(address, port)
 
     async def __aenter__(self) -> LinkedCluster:
         await super().__aenter__()
@@ -146,7 +184,10 @@
             self.control_links[vm.name] = link
             self.links.append(link)
             for key in ("store_url", "platform_url"):
-                host, _, port = getattr(self, key).removeprefix("http://").rpartition(":")
+                url = getattr(self, key)
+                if key == "platform_url":
+                    url = self.lists.get(vm.zone, url)
+                host, _, port = url.removeprefix("http://").rpartition(":")
                 link = Link((host, int(port)), choose_platform, seed)
                 await link.start(vm.address, vm.ports[f"{key}_link"])
                 self.links.append(link)
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -72,27 +72,35 @@
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         conditions = self._choose(str(writer.get_extra_info("peername")[0]))
-        self._open.add(writer)
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
-        far_writer: asyncio.StreamWriter | None = None
+        self._open.add(writer)
+        try:
+            if not conditions.cut:
+                await self._join(conditions, reader, writer)
+        except* (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            self._open.discard(writer)
+            writer.transport.abort()
+
+    async def _join(
+        self,
+        conditions: Conditions,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(*self._target)
+        self._open.add(far_writer)
         try:
-            if conditions.cut:
-                return
-            far_reader, far_writer = await asyncio.open_connection(*self._target)
-            self._open.add(far_writer)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._carry(conditions, reader, far_writer, True))
                 group.create_task(self._carry(conditions, far_reader, writer, False))
-        except* OSError:
-            pass
         finally:
-            self._tasks.discard(task)
-            for end in (writer, far_writer):
-                if end is not None:
-                    self._open.discard(end)
-                    end.transport.abort()
+            self._open.discard(far_writer)
+            far_writer.transport.abort()
 
     async def _carry(
         self,
