Measure what the control process of a node costs

Cause: the budgets of 2.9% of a core, 32 MB and 10 KB/s at 6,200 nodes had no measurement behind them.

Ruled out: full VMs at 6,200; only the neighbours of the measured process run, with the same code, and the other members are records.

Streams count their bytes.

--- a/src/briarfork/border/streams.py
+++ b/src/briarfork/border/streams.py
@@ -41,6 +41,8 @@
         self._unpacker = _build_unpacker()
         self._buffer = bytearray()
         self._taken = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self.peer = str(writer.get_extra_info("peername"))
 
     def send(self, message: Message) -> None:
@@ -54,7 +56,9 @@
         if self._writer.transport.get_write_buffer_size() > MAX_MESSAGE_BYTES:
             self.abort()
             raise StreamClosed(f"{self.peer}: the peer does not read")
-        self._writer.write(encode(message))
+        data = encode(message)
+        self.bytes_sent += len(data)
+        self._writer.write(data)
 
     async def receive(self, silence_s: float) -> Message:
         """Returns the next message.
@@ -110,6 +114,7 @@
                 ErrorKind.PEER_PROTOCOL,
                 f"{self.peer}: expected a message of at most {MAX_MESSAGE_BYTES} bytes",
             )
+        self.bytes_received += len(data)
         self._buffer += data
         self._unpacker.feed(data)
 
--- /dev/null
+++ b/tests/capacity/fleet.py
@@ -0,0 +1,192 @@
+"""One control process among light peers, which run the same code in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import psutil
+import yaml
+
+from briarfork.border.events import EventLog
+from briarfork.border.messages import Heartbeat
+from briarfork.border.messages import Hello
+from briarfork.border.messages import VmList
+from briarfork.border.settings import Ports
+from briarfork.border.settings import Settings
+from briarfork.border.streams import MessageStream
+from briarfork.border.streams import StreamClosed
+from briarfork.border.streams import dial
+from briarfork.border.streams import serve
+from briarfork.control.node import ControlNode
+from briarfork.control.peers import converse
+from briarfork.control.peers import keep_peers
+from briarfork.membership import ListedVm
+from briarfork.membership import Member
+from briarfork.membership import MemberState
+from briarfork.membership import Roster
+from tests.cluster import find_port
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+ROOT = Path(__file__).parent.parent.parent
+NETWORK = 21
+CONTROL_PORT = 7100
+ZONES = 40
+STEADY_SHARE = 0.2
+SAMPLE_S = 2.0
+STEADY_TIMEOUT_S = 30.0
+URL = "http://127.0.0.1:1"
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Use of a control process: processor share in percent, bytes a second, resident MB."""
+
+    cpu_percent: float
+    bytes_s: float
+    resident_mb: float
+
+
+def describe_member(number: int, zones: int) -> Member:
+    address = f"127.{NETWORK}.{100 + number // 250}.{1 + number % 250}"
+    ports = {"entry": 8080, "permits": 7101, "control": CONTROL_PORT}
+    name, zone = f"entry-{number:05d}", f"zone-{number % zones:02d}"
+    return Member(name, address, zone, 1, 1, MemberState.LIVE, ports, True)
+
+
+def describe_listed(member: Member) -> ListedVm:
+    return ListedVm(
+        member.vm, member.address, member.zone, "entry", "live", member.ports, member.zone
+    )
+
+
+class Fleet:
+    """A control process under measurement, its entry stand-in and its light peers.
+
+    Up to 100 members all are light peers with links among themselves; beyond that only the
+    neighbours of the measured process run, and the other members are records.
+    """
+
+    def __init__(self, work: Path, size: int, zones: int = ZONES) -> None:
+        self._members = [describe_member(number, zones) for number in range(size)]
+        self._full = size <= 100
+        self._settings = work / f"control-{size}.yaml"
+        self._log = work / f"control-{size}.log"
+        self._local = find_port(self._members[0].address)
+        self._streams: set[MessageStream] = set()
+        self.nodes: list[ControlNode] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._servers: list[asyncio.Server] = []
+        self._process: subprocess.Popen[bytes]
+
+    async def __aenter__(self) -> Fleet:
+        own = self._members[0]
+        roster = Roster(own)
+        roster.merge(self._members)
+        peers = self._members[1:] if self._full else roster.list_neighbours()
+        for peer in peers:
+            await self._start_peer(peer)
+        self._start_control(peers)
+        self._tasks.append(asyncio.ensure_future(self._stand_in_for_entry()))
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, _: TracebackType | None
+    ) -> None:
+        self._process.kill()
+        self._process.wait()
+        for server in self._servers:
+            server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for stream in self._streams:
+            stream.abort()
+        await asyncio.sleep(0)
+
+    async def wait_steady(self) -> None:
+        """Waits until the rate of bytes has stopped to change."""
+        before = 0.0
+        deadline = time.monotonic() + STEADY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            rate = (await self.measure(SAMPLE_S)).bytes_s
+            if before and abs(rate - before) <= STEADY_SHARE * before:
+                return
+            before = rate
+
+    async def measure(self, window_s: float) -> Usage:
+        process = psutil.Process(self._process.pid)
+        started, cpu, count = time.monotonic(), process.cpu_times(), self._count_bytes()
+        await asyncio.sleep(window_s)
+        elapsed, after = time.monotonic() - started, process.cpu_times()
+        used = after.user + after.system - cpu.user - cpu.system
+        resident_mb = process.memory_info().rss / 1e6
+        return Usage(100 * used / elapsed, (self._count_bytes() - count) / elapsed, resident_mb)
+
+    def _count_bytes(self) -> int:
+        for node in self.nodes:
+            self._streams |= {link.stream for link in node.links if link.vm == self._members[0].vm}
+        return sum(stream.bytes_sent + stream.bytes_received for stream in self._streams)
+
+    def _start_control(self, peers: list[Member]) -> None:
+        own = self._members[0]
+        seeds = [f"{peer.address}:{CONTROL_PORT}" for peer in peers[:6]]
+        body = {
+            "vm": own.vm,
+            "zone": own.zone,
+            "address": own.address,
+            "store_url": URL,
+            "platform_url": URL,
+            "peers": seeds,
+            "ports": {"control": CONTROL_PORT, "local": self._local},
+        }
+        self._settings.write_text(yaml.safe_dump(body))
+        with self._log.open("wb") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "briarfork.control.main", str(self._settings)],
+                env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def _start_peer(self, member: Member) -> None:
+        ports = Ports(control=CONTROL_PORT)
+        seeds = [f"{peer.address}:{CONTROL_PORT}" for peer in self._members[1:4]]
+        settings = Settings(member.vm, member.zone, member.address, URL, URL, seeds, ports)
+        node = ControlNode(settings, EventLog("capacity"))
+        self.nodes.append(node)
+        self._servers.append(await serve(member.address, CONTROL_PORT, partial(converse, node)))
+        if self._full:
+            self._tasks.append(asyncio.ensure_future(keep_peers(node)))
+        else:
+            node.roster.merge(other for other in self._members[1:] if other != member)
+
+    async def _stand_in_for_entry(self) -> None:
+        """Takes the part of the entry process of a follower."""
+        while True:
+            try:
+                stream = await dial(self._members[0].address, self._local, 1.0)
+                break
+            except StreamClosed:
+                await asyncio.sleep(0.05)
+        stream.send(Hello(self._members[0].vm, self._members[0].zone))
+        stream.send(VmList([describe_listed(member) for member in self._members]))
+
+        async def beat() -> None:
+            while True:
+                stream.send(Heartbeat())
+                await asyncio.sleep(1.0)
+
+        async with asyncio.TaskGroup() as group:
+            group.create_task(beat())
+            while True:
+                await stream.receive(30.0)
