Make the idle cost of control independent of the size of the fleet

Cause: every second, and with every change, the list of VMs was compared with the roster record by record. The entry process's copy of the roster was kept twice. Names, addresses and ports were stored anew in each record.

Ruled out: checking less often; a silent member must be found within 3 s.

Change: sets of members that are not live and of entries that differ are kept up to date, so a check looks at these only. The entry process is sent what changed from the same queue as peers. Records share equal texts and ports. Long lists go in parts of 500.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -9,6 +9,7 @@
 from typing import Annotated
 from typing import Any
 from typing import ClassVar
+from typing import TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -25,8 +26,11 @@
 
 TYPE_KEY = "type"
 MAX_CHANGES = 64
+# About 100 KB in one message, so that a long roster neither delays a change nor takes memory.
+MAX_RECORDS = 500
 MAX_BATCH_BYTES = 1024 * 1024
 
+Record = TypeVar("Record")
 Count = Annotated[int, Meta(ge=0)]
 
 
@@ -130,11 +134,13 @@
     Attributes:
         members: All members, or those that changed.
         removed: Names of members that are gone; None if the list is whole.
+        more: Whether another part of the same news follows.
     """
 
     name = "members"
     members: list[Member]
     removed: list[str] | None = None
+    more: bool = False
 
 
 @MESSAGES.register("follow")
@@ -153,11 +159,13 @@
     Attributes:
         vms: All live and leaving VMs, or those that changed.
         removed: Names that are no longer listed; None if the list is whole.
+        more: Whether another part of the same news follows.
     """
 
     name = "vm_list"
     vms: list[ListedVm]
     removed: list[str] | None = None
+    more: bool = False
 
 
 @MESSAGES.register("store_state")
@@ -295,6 +303,12 @@
     return batches
 
 
+def split_records(records: list[Record]) -> list[tuple[list[Record], bool]]:
+    """Splits records into parts, each with whether another part follows; at least one part."""
+    starts = range(0, max(1, len(records)), MAX_RECORDS)
+    return [(records[at : at + MAX_RECORDS], at + MAX_RECORDS < len(records)) for at in starts]
+
+
 @cache
 def _build_decoder() -> msgspec.msgpack.Decoder[Message]:
     """Returns the decoder of all registered types; built on first use, when all are known."""
--- a/src/briarfork/control/handlers.py
+++ b/src/briarfork/control/handlers.py
@@ -111,8 +111,11 @@
 
 @HANDLERS.register(VmList.name)
 def handle_vm_list(node: ControlNode, link: Link, message: VmList) -> None:
-    """Takes what the own follower read."""
-    node.accept_list(message.vms, message.removed)
+    """Takes what the own follower read, once all parts have arrived."""
+    link.parts += message.vms
+    if not message.more:
+        vms, link.parts = link.parts, []
+        node.accept_list(vms, message.removed)
 
 
 @HANDLERS.register(StoreState.name)
--- a/src/briarfork/control/link.py
+++ b/src/briarfork/control/link.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from briarfork.border.messages import MAX_RECORDS
 from briarfork.border.messages import Heartbeat
 from briarfork.border.messages import Summary
 from briarfork.control.load import find_key
@@ -16,11 +17,10 @@
     from briarfork.border.streams import MessageStream
     from briarfork.control.load import Regions
     from briarfork.control.node import ControlNode
+    from briarfork.membership import ListedVm
     from briarfork.membership import ListRecord
     from briarfork.membership import Member
 
-# About 100 KB in one message, so that a long roster does not delay a change by more than that.
-MAX_RECORDS = 500
 # News on their way make the digests differ for a moment; two heartbeats in a row are a difference.
 MISMATCHES = 2
 
@@ -38,8 +38,10 @@
         generation: Generation that the peer has named.
         news: Set when there is something to send before the next heartbeat.
         members: Member records to send, by VM.
+        removed: Names of members that were dropped, for the entry process.
         listed: Records of the list of VMs to send, by VM.
         load: Loads to send, by service and site.
+        parts: What has arrived of a list of VMs in parts.
         mismatches: Heartbeats in a row whose digests differed while nothing was on its way.
     """
 
@@ -51,12 +53,15 @@
     generation: int = 0
     news: asyncio.Event = field(default_factory=asyncio.Event)
     members: dict[str, Member] = field(default_factory=dict)
+    removed: set[str] = field(default_factory=set)
     listed: dict[str, ListRecord] = field(default_factory=dict)
     load: dict[tuple[str, str], Load] = field(default_factory=dict)
+    parts: list[ListedVm] = field(default_factory=list)
     mismatches: int = 0
 
     def send_heartbeat(self, node: ControlNode) -> None:
         """Sends what the peer lacks, in several messages if it is much."""
+        self.removed.clear()
         while True:
             members = [self.members.pop(vm) for vm in list(self.members)[:MAX_RECORDS]]
             listed = [self.listed.pop(vm) for vm in list(self.listed)[:MAX_RECORDS]]
--- a/src/briarfork/control/local.py
+++ b/src/briarfork/control/local.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from typing import TYPE_CHECKING
-from typing import TypeVar
 
 from briarfork.border.events import Event
 from briarfork.border.messages import MAX_CHANGES
@@ -13,18 +12,16 @@
 from briarfork.border.messages import Members
 from briarfork.border.messages import VmList
 from briarfork.border.messages import split_changes
+from briarfork.border.messages import split_records
 from briarfork.border.streams import StreamClosed
 from briarfork.control.handlers import handle
 from briarfork.control.link import Link
 from briarfork.errors import BriarforkError
+from briarfork.membership.directory import GONE
 
 if TYPE_CHECKING:
     from briarfork.border.streams import MessageStream
     from briarfork.control.node import ControlNode
-    from briarfork.membership import ListedVm
-    from briarfork.membership import Member
-
-Record = TypeVar("Record")
 
 
 class EntryFeed:
@@ -34,10 +31,8 @@
         self._node = node
         self._link = link
         self._generation = 0
-        self._revision = 0
-        self._members: dict[str, Member] | None = None
-        self._digest = 0
-        self._listed: dict[str, ListedVm] | None = None
+        self._members_sent = False
+        self._list_sent = False
         self._following: bool | None = None
 
     async def run(self) -> None:
@@ -45,6 +40,7 @@
         while True:
             self._send_changes()
             self._send_members()
+            self._send_list()
             self._send_follow()
             self._link.members.clear()
             self._link.listed.clear()
@@ -65,20 +61,36 @@
             self._generation = changes[-1].generation
 
     def _send_members(self) -> None:
-        """Sends what changed; first the whole roster and the whole list."""
-        roster, directory = self._node.roster, self._node.directory
-        if self._node.settled and roster.revision != self._revision:
-            self._revision = roster.revision
-            members = {member.vm: member for member in roster.list_all()}
-            known, self._members = self._members, members
-            changed, removed = _find_changes(known, members)
-            self._link.stream.send(Members(changed, removed))
-        if directory.known and directory.digest.total != self._digest:
-            self._digest = directory.digest.total
-            listed = {vm.vm: vm for vm in directory.list_present()}
-            before, self._listed = self._listed, listed
-            vms, gone = _find_changes(before, listed)
-            self._link.stream.send(VmList(vms, gone))
+        """Sends the whole roster at first, then what changed."""
+        link, roster = self._link, self._node.roster
+        if not self._node.settled:
+            return
+        if not self._members_sent:
+            self._members_sent = True
+            members, removed = roster.list_all(), None
+        elif link.members or link.removed:
+            members, removed = list(link.members.values()), sorted(link.removed)
+        else:
+            return
+        for part, more in split_records(members):
+            link.stream.send(Members(part, removed, more))
+
+    def _send_list(self) -> None:
+        """Sends the whole list of VMs at first, then what changed."""
+        link, directory = self._link, self._node.directory
+        if not directory.known:
+            return
+        if not self._list_sent:
+            self._list_sent = True
+            vms, removed = directory.list_present(), None
+        elif link.listed:
+            changed = [record.listed for record in link.listed.values()]
+            vms = [listed for listed in changed if listed.state != GONE]
+            removed = [listed.vm for listed in changed if listed.state == GONE]
+        else:
+            return
+        for part, more in split_records(vms):
+            link.stream.send(VmList(part, removed, more))
 
     def _send_follow(self) -> None:
         following = self._node.roster.is_follower() or not self._node.directory.known
@@ -89,16 +101,6 @@
             self._link.stream.send(Follow(following, self._node.timeline.generation))
 
 
-def _find_changes(
-    known: dict[str, Record] | None, records: dict[str, Record]
-) -> tuple[list[Record], list[str] | None]:
-    """Returns the new and changed records, and the names that are gone."""
-    if known is None:
-        return list(records.values()), None
-    changed = [record for name, record in records.items() if known.get(name) is not record]
-    return changed, [name for name in known if name not in records]
-
-
 async def feed_entry(node: ControlNode, stream: MessageStream) -> None:
     """Serves the entry process until its stream ends."""
     link = Link(stream, vm=node.settings.vm, zone=node.settings.zone)
--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -98,7 +98,7 @@
                 )
         if added:
             self.metrics.gauge(Metric.GENERATION, self.timeline.generation)
-            self._signal_all()
+            self._signal_links()
         return gap
 
     def accept_members(self, records: Iterable[Member], source: Link | None = None) -> None:
@@ -142,8 +142,12 @@
         self._announce(self.roster.suspect_silent(peers, self.settings.timeouts.silence_s, now))
         self._spread_list(self.directory.settle(now))
         if self.directory.known:
-            listed = {vm.vm for vm in self.directory.list_present()}
-            if self.roster.remove_absent(listed):
+            removed = self.roster.remove_absent(lambda vm: self.directory.find(vm) is not None)
+            for link in self.links:
+                for vm in removed:
+                    link.members.pop(vm, None)
+                link.removed.update(removed)
+            if removed:
                 self._signal_all()
 
     def hear(self, vm: str) -> None:
@@ -176,8 +180,9 @@
             for link in self.links:
                 if link is not source or member.vm == self.settings.vm:
                     link.members[member.vm] = member
+                    link.removed.discard(member.vm)
         if changed:
-            self.metrics.gauge(Metric.MEMBERS_LIVE, len(self.roster.list_live()))
+            self.metrics.gauge(Metric.MEMBERS_LIVE, self.roster.count_live())
             self._signal_all()
 
     def _spread_list(self, changed: list[ListRecord], source: Link | None = None) -> None:
@@ -194,6 +199,9 @@
 
     def _signal_all(self) -> None:
         self.roster_changed.set()
+        self._signal_links()
+
+    def _signal_links(self) -> None:
         for link in self.links:
             link.news.set()
 
--- a/src/briarfork/entry/control_link.py
+++ b/src/briarfork/entry/control_link.py
@@ -25,9 +25,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from briarfork.border.messages import ListedVm
     from briarfork.border.messages import Load
     from briarfork.border.streams import MessageStream
     from briarfork.entry.process import EntryProcess
+    from briarfork.membership import Member
 
 HANDLERS: Registry[Callable[[Any, Any], None]] = Registry("message for an entry process")
 
@@ -43,7 +45,10 @@
 def handle_members(process: EntryProcess, message: Members) -> None:
     """Takes the roster, or what changed in it."""
     known = {} if message.removed is None else dict(process.view.members)
-    known.update((member.vm, member) for member in message.members)
+    members = process.control.gather_members(message)
+    if members is None:
+        return
+    known.update((member.vm, member) for member in members)
     for vm in message.removed or ():
         known.pop(vm, None)
     process.view.accept_members(known.values())
@@ -54,7 +59,10 @@
 def handle_vm_list(process: EntryProcess, message: VmList) -> None:
     """Takes the platform's list of VMs, or what changed in it."""
     known = {} if message.removed is None else {vm.vm: vm for vm in process.view.listed}
-    known.update((vm.vm, vm) for vm in message.vms)
+    vms = process.control.gather_list(message)
+    if vms is None:
+        return
+    known.update((vm.vm, vm) for vm in vms)
     for vm in message.removed or ():
         known.pop(vm, None)
     process.view.accept_list(list(known.values()))
@@ -80,6 +88,24 @@
         self._process = process
         self._stream: MessageStream | None = None
         self._leaving = False
+        self._members: list[Member] = []
+        self._listed: list[ListedVm] = []
+
+    def gather_members(self, message: Members) -> list[Member] | None:
+        """Returns the members of all parts, or None while parts are missing."""
+        self._members += message.members
+        if message.more:
+            return None
+        members, self._members = self._members, []
+        return members
+
+    def gather_list(self, message: VmList) -> list[ListedVm] | None:
+        """Returns the VMs of all parts, or None while parts are missing."""
+        self._listed += message.vms
+        if message.more:
+            return None
+        listed, self._listed = self._listed, []
+        return listed
 
     def send(self, message: Message) -> None:
         """Sends a message if the stream is open."""
@@ -114,6 +140,7 @@
     async def _converse(self, stream: MessageStream) -> None:
         settings = self._process.settings
         self._stream = stream
+        self._members, self._listed = [], []
         stream.send(Hello(settings.vm, settings.zone))
         if self._leaving:
             stream.send(Leaving())
--- a/src/briarfork/entry/follower.py
+++ b/src/briarfork/entry/follower.py
@@ -12,6 +12,7 @@
 from briarfork.border.messages import StoreState
 from briarfork.border.messages import VmList
 from briarfork.border.messages import split_changes
+from briarfork.border.messages import split_records
 from briarfork.errors import BriarforkError
 
 if TYPE_CHECKING:
@@ -88,12 +89,14 @@
     def _hand_on_list(self, listed: dict[str, ListedVm]) -> None:
         known, self._listed = self._listed, listed
         if known is None:
-            self._process.control.send(VmList(list(listed.values())))
+            for part, more in split_records(list(listed.values())):
+                self._process.control.send(VmList(part, None, more))
             return
         changed = [vm for name, vm in listed.items() if known.get(name) != vm]
         removed = [name for name in known if name not in listed]
         if listed and (changed or removed):
-            self._process.control.send(VmList(changed, removed))
+            for part, more in split_records(changed):
+                self._process.control.send(VmList(part, removed, more))
 
     async def _read_and_watch(self) -> None:
         """Reads what is new and waits for more, until the store turns out to be another state."""
--- a/src/briarfork/membership/directory.py
+++ b/src/briarfork/membership/directory.py
@@ -8,6 +8,7 @@
 
 from briarfork.membership.digest import Digest
 from briarfork.membership.digest import find_bucket
+from briarfork.membership.sharing import share_values
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,6 +38,9 @@
     site: str = ""
     service: str = ""
 
+    def __post_init__(self) -> None:
+        share_values(self)
+
 
 @dataclass(frozen=True, slots=True)
 class ListRecord:
@@ -82,7 +86,11 @@
     def __init__(self) -> None:
         self.digest = Digest()
         self._records: dict[str, ListRecord] = {}
+        # Names in order of time; only those within the hold time.
         self._changed_at: dict[str, float] = {}
+        self._gone_at: dict[str, float] = {}
+        # Names that the own follower lists otherwise than their records.
+        self._unsettled: set[str] = set()
         self._read: dict[str, ListedVm] | None = None
 
     @property
@@ -97,6 +105,7 @@
             known = self._records.get(record.listed.vm)
             if known is None or record.supersedes(known):
                 self._put(record, now)
+                self._compare(record.listed.vm)
                 changed.append(record)
         return changed
 
@@ -128,25 +137,31 @@
             or (before is not None and listed.get(name) != before.get(name))
         ]
         changed = [self._move_forward(name, now) for name in moved]
+        if before is None:
+            moved = list(self._records)
+        for name in moved:
+            self._compare(name)
         return [record for record in changed if record is not None]
 
     def settle(self, now: float) -> list[ListRecord]:
         """Takes over what the own follower has listed otherwise for the hold time."""
-        for name, at in list(self._changed_at.items()):
-            if self._records[name].listed.state == GONE and now - at > TOMBSTONE_S:
-                del self._records[name], self._changed_at[name]
-        if self._read is None:
-            return []
-        changed = []
-        for name, record in list(self._records.items()):
-            wanted = self._describe(name)
-            if wanted != record.listed and now - self._changed_at[name] >= HOLD_S:
-                changed.append(self._change(name, wanted, now))
+        self._drop_old(self._changed_at, HOLD_S, now)
+        for name in self._drop_old(self._gone_at, TOMBSTONE_S, now):
+            del self._records[name]
+            self._unsettled.discard(name)
+        changed = [
+            self._change(name, self._describe(name), now)
+            for name in sorted(self._unsettled)
+            if name not in self._changed_at
+        ]
+        for record in changed:
+            self._compare(record.listed.vm)
         return changed
 
     def stop_reading(self) -> None:
         """Forgets the list of the own follower, which no longer reads."""
         self._read = None
+        self._unsettled.clear()
 
     def list_present(self) -> list[ListedVm]:
         """Returns the live and leaving VMs."""
@@ -165,6 +180,23 @@
         record = self._records.get(vm)
         return record.listed if record is not None and record.listed.state != GONE else None
 
+    @staticmethod
+    def _drop_old(times: dict[str, float], limit_s: float, now: float) -> list[str]:
+        old = []
+        for name, at in times.items():
+            if now - at < limit_s:
+                break
+            old.append(name)
+        for name in old:
+            del times[name]
+        return old
+
+    def _compare(self, name: str) -> None:
+        if self._read is not None and self._describe(name) != self._records[name].listed:
+            self._unsettled.add(name)
+        else:
+            self._unsettled.discard(name)
+
     def _describe(self, name: str) -> ListedVm:
         """Returns an entry as the own follower sees it."""
         read = self._read or {}
@@ -192,4 +224,8 @@
             if each is not None and each.listed.state != GONE:
                 self.digest.toggle(name, each.describe())
         self._records[name] = record
+        for times in (self._changed_at, self._gone_at):
+            times.pop(name, None)
         self._changed_at[name] = now
+        if record.listed.state == GONE:
+            self._gone_at[name] = now
--- a/src/briarfork/membership/member.py
+++ b/src/briarfork/membership/member.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from enum import Enum
 
+from briarfork.membership.sharing import share_values
+
 
 class MemberState(Enum):
     """Condition of a member; within one incarnation it only moves forward in this order."""
@@ -48,6 +50,9 @@
     ports: dict[str, int]
     serving: bool = False
 
+    def __post_init__(self) -> None:
+        share_values(self)
+
     def supersedes(self, other: Member) -> bool:
         """Returns whether this record is newer evidence than another one of the same VM."""
         return self.order() > other.order()
--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -15,6 +15,7 @@
 from briarfork.membership.member import MemberState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Sequence
 
@@ -46,6 +47,7 @@
         self.revision = 0
         self._members: dict[str, Member] = {}
         self._names: list[str] = []
+        self._not_live: set[str] = set()
         self._zones: dict[str, list[str]] = {}
         self._heard_at: dict[str, float] = {}
         self._patience: dict[str, int] = {}
@@ -112,13 +114,9 @@
         ]
         return self.merge(suspected)
 
-    def remove_absent(self, listed: set[str]) -> list[str]:
-        """Forgets suspect members that the platform no longer lists; returns their names."""
-        absent = [
-            vm
-            for vm, member in self._members.items()
-            if vm not in listed and vm != self.own.vm and member.state is not MemberState.LIVE
-        ]
+    def remove_absent(self, is_listed: Callable[[str], bool]) -> list[str]:
+        """Forgets members that are neither live nor listed; returns their names."""
+        absent = [vm for vm in sorted(self._not_live - {self.own.vm}) if not is_listed(vm)]
         for vm in absent:
             self._drop(vm)
         return absent
@@ -141,6 +139,10 @@
             if member.state is MemberState.LIVE and zone in (None, member.zone)
         ]
 
+    def count_live(self) -> int:
+        """Returns the number of live members."""
+        return len(self._names) - len(self._not_live)
+
     def list_serving(self) -> list[Member]:
         """Returns the live members whose entry process runs."""
         return [member for member in self.list_live() if member.serving]
@@ -235,6 +237,8 @@
         self._drop(member.vm, keep_evidence=True)
         self._members[member.vm] = member
         insort(self._names, member.vm)
+        if member.state is not MemberState.LIVE:
+            self._not_live.add(member.vm)
         insort(self._zones.setdefault(member.zone, []), member.vm)
         self.digest.toggle(member.vm, _describe(member))
         self.revision += 1
@@ -242,6 +246,7 @@
     def _drop(self, vm: str, keep_evidence: bool = False) -> None:
         known = self._members.pop(vm, None)
         if known is not None:
+            self._not_live.discard(vm)
             del self._names[bisect_left(self._names, vm)]
             mates = self._zones[known.zone]
             del mates[bisect_left(mates, vm)]
--- a/tests/capacity/fleet.py
+++ b/tests/capacity/fleet.py
@@ -19,6 +19,7 @@
 from briarfork.border.messages import Heartbeat
 from briarfork.border.messages import Hello
 from briarfork.border.messages import VmList
+from briarfork.border.messages import split_records
 from briarfork.border.settings import Ports
 from briarfork.border.settings import Settings
 from briarfork.border.streams import MessageStream
@@ -179,7 +180,9 @@
             except StreamClosed:
                 await asyncio.sleep(0.05)
         stream.send(Hello(self._members[0].vm, self._members[0].zone))
-        stream.send(VmList([describe_listed(member) for member in self._members]))
+        listed = [describe_listed(member) for member in self._members]
+        for part, more in split_records(listed):
+            stream.send(VmList(part, None, more))
 
         async def beat() -> None:
             while True:
