Do not pass on whole rosters and lists to every peer

Cause: a VM that started passed each record that it had just been sent on to all its other peers, and compared with all of them at once. The addresses of all members were collected every second to find unknown seed peers.

Ruled out: comparing with one peer only; its records may be incomplete, so the digests of all peers are still checked.

Change: more than 100 records are not passed on at once; the digests show what a peer lacks. The first stream asks for everything. Neighbours and unknown seeds are chosen again only when the roster has changed.

--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -31,6 +31,7 @@
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
 PORT_NAMES = {"entry", "permits", "control"}
+MAX_FLOODED = 100
 MILLISECONDS = 1000
 # Members are checked every heartbeat. After a longer gap this process itself was paused, and the
 # silence of the others says nothing.
@@ -177,10 +178,11 @@
                 state=member.state.value,
                 serving=member.serving,
             )
-            for link in self.links:
-                if link is not source or member.vm == self.settings.vm:
-                    link.members[member.vm] = member
-                    link.removed.discard(member.vm)
+            for link in self._choose_links(len(changed), source):
+                link.members[member.vm] = member
+                link.removed.discard(member.vm)
+            if member.vm == self.settings.vm and source is not None:
+                source.members[member.vm] = member
         if changed:
             self.metrics.gauge(Metric.MEMBERS_LIVE, self.roster.count_live())
             self._signal_all()
@@ -189,14 +191,23 @@
         if not changed:
             return
         self.events.record(Event.LIST_CHANGED, records=len(changed))
-        for link in self.links:
-            if link is not source:
-                link.listed.update((record.listed.vm, record) for record in changed)
+        for link in self._choose_links(len(changed), source):
+            link.listed.update((record.listed.vm, record) for record in changed)
         entries = [record.listed for record in changed if record.listed.role == ENTRY_ROLE]
         present = [vm for vm in entries if self.directory.find(vm.vm) is not None]
         self.accept_members([self._describe_listed(vm) for vm in present])
         self._signal_all()
 
+    def _choose_links(self, count: int, source: Link | None) -> list[Link]:
+        """Returns the links on which news are passed on at once.
+
+        Many records are a first list, a first comparison or the end of a partition. The peers have
+        most of them from others, and the digests show what they lack.
+        """
+        if count > MAX_FLOODED:
+            return [link for link in self.links if link.vm == self.settings.vm]
+        return [link for link in self.links if link is not source]
+
     def _signal_all(self) -> None:
         self.roster_changed.set()
         self._signal_links()
--- a/src/briarfork/control/peers.py
+++ b/src/briarfork/control/peers.py
@@ -32,7 +32,9 @@
     node.add_link(link)
     try:
         stream.send(Hello(settings.vm, settings.zone, node.roster.own.incarnation))
-        link.send_summary(node)
+        if not any(other.vm for other in node.links if other.vm != settings.vm):
+            # One peer is asked for everything; the digests of the others show what is missing then.
+            link.send_summary(node)
         async with asyncio.TaskGroup() as group:
             sender = group.create_task(_send_heartbeats(node, link))
             try:
@@ -52,10 +54,13 @@
 async def keep_peers(node: ControlNode) -> None:
     """Runs one task for each neighbour, and starts and ends them as the roster changes."""
     tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
+    revision = -1
+    wanted: dict[tuple[str, int], str] = {}
     async with asyncio.TaskGroup() as group:
         while True:
             node.roster_changed.clear()
-            wanted = _list_wanted(node)
+            if revision != node.roster.revision:
+                revision, wanted = node.roster.revision, _list_wanted(node)
             for target in [target for target in tasks if target not in wanted]:
                 tasks.pop(target).cancel()
             for target, vm in wanted.items():
@@ -75,15 +80,10 @@
     Seeds that are not members yet are dialled also by a VM with neighbours, so that groups which
     formed at start find each other without the platform.
     """
-    known = {
-        (member.address, member.ports["control"])
-        for member in node.roster.list_all()
-        if member.incarnation
-    }
     wanted = {}
     for peer in node.settings.peers:
         address, _, port = peer.rpartition(":")
-        if (address, int(port)) not in known:
+        if not node.roster.has_address(address, int(port)):
             wanted[address, int(port)] = ""
     for member in node.roster.list_neighbours():
         wanted[member.address, member.ports["control"]] = member.vm
--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -6,6 +6,7 @@
 from bisect import bisect_right
 from bisect import insort
 from dataclasses import replace
+from heapq import nsmallest
 from typing import TYPE_CHECKING
 
 from briarfork.hashing import hash_text
@@ -35,6 +36,11 @@
     )
 
 
+def _choose_first(key: str, members: Iterable[Member], count: int) -> list[Member]:
+    """Returns the first members by rendezvous hashing without ordering all of them."""
+    return nsmallest(count, members, lambda member: (hash_text(f"{key}|{member.vm}"), member.vm))
+
+
 class Roster:
     """All members that this VM knows, itself included.
 
@@ -125,6 +131,13 @@
         """Returns the record of a VM, or None if it is unknown."""
         return self._members.get(vm)
 
+    def has_address(self, address: str, port: int) -> bool:
+        """Returns whether a member that has been heard of by itself has a control address."""
+        return any(
+            member.incarnation and member.address == address and member.ports["control"] == port
+            for member in self._members.values()
+        )
+
     def list_all(self, buckets: set[int] | None = None) -> list[Member]:
         """Returns all members, or those in some buckets of the digest, sorted by name."""
         return [
@@ -199,8 +212,8 @@
         ]
         mates = [member for member in others if member.zone == self.own.zone]
         remote = [member for member in others if member.zone != self.own.zone]
-        chosen = rank_members(self.own.vm, mates)[:ZONE_NEIGHBOURS]
-        chosen += rank_members(self.own.vm, remote)[:REMOTE_NEIGHBOURS]
+        chosen = _choose_first(self.own.vm, mates, ZONE_NEIGHBOURS)
+        chosen += _choose_first(self.own.vm, remote, REMOTE_NEIGHBOURS)
         chosen += self.list_ring(self.own.vm)
         return [self._members[vm] for vm in sorted({member.vm for member in chosen})]
 
--- a/tests/capacity/fleet.py
+++ b/tests/capacity/fleet.py
@@ -30,6 +30,7 @@
 from briarfork.control.peers import converse
 from briarfork.control.peers import keep_peers
 from briarfork.membership import ListedVm
+from briarfork.membership import ListRecord
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.membership import Roster
@@ -169,6 +170,9 @@
         if self._full:
             self._tasks.append(asyncio.ensure_future(keep_peers(node)))
         else:
+            node.directory.merge(
+                [ListRecord(1, describe_listed(other)) for other in self._members], 0.0
+            )
             node.roster.merge(other for other in self._members[1:] if other != member)
 
     async def _stand_in_for_entry(self) -> None:
