--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -50,8 +50,11 @@
 MESSAGES: Registry[type[Message]] = Registry("message type")
 
 
-class Load(msgspec.Struct, frozen=True):
-    """Load of a service's slots at a site, as the owner of the slots reports it."""
+class Load(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a service's slots at a site, as the owner of the slots reports it.
+
+    It travels as an array: the names of the fields were more than half of the bytes.
+    """
 
     service: str
     site: str
--- a/src/briarfork/control/load.py
+++ b/src/briarfork/control/load.py
@@ -19,7 +19,9 @@
 # A summary names its region in place of a site; names of sites hold no colon.
 SUMMARY_PREFIX = "region:"
 # A load that has not changed is passed on again after this time, so that its age stays known.
-REPEAT_S = 10.0
+REPEAT_S = 30.0
+# Owners measure once a second. Ages travel rounded, so times of one measurement differ slightly.
+SAME_MEASUREMENT_S = 0.5
 # Smaller changes of the share of slots in use do not change a decision.
 NOTABLE_SHARE = 0.1
 
@@ -64,6 +66,11 @@
         self._passed: dict[Key, tuple[Load, float]] = {}
         self._regions: tuple[int, Regions] = (0, Regions())
 
+    @property
+    def regions(self) -> Regions:
+        """Regions as read last."""
+        return self._regions[1]
+
     def read_regions(self, timeline: Timeline, now: float) -> Regions:
         """Returns the regions of the documents in force, read again with each generation."""
         if self._regions[0] != timeline.generation:
@@ -87,6 +94,11 @@
                 notable.append(summary)
         return notable
 
+    def is_current(self, load: Load, now: float) -> bool:
+        """Returns whether a load that a peer sent is the newest known one."""
+        known = self._loads.get(find_key(load))
+        return known is None or now - load.age_s >= known[1] - SAME_MEASUREMENT_S
+
     def age(self, loads: Iterable[Load]) -> list[Load]:
         """Returns loads with their age as of now."""
         now = time.monotonic()
@@ -99,7 +111,7 @@
         key = find_key(load)
         measured_at = now - load.age_s
         known = self._loads.get(key)
-        if known is not None and known[1] >= measured_at:
+        if known is not None and measured_at <= known[1] + SAME_MEASUREMENT_S:
             return False
         self._loads[key] = (load, measured_at)
         passed = self._passed.get(key)
--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -10,6 +10,7 @@
 from briarfork.border.metrics import Metric
 from briarfork.border.metrics import Metrics
 from briarfork.control.load import LoadView
+from briarfork.control.load import find_key
 from briarfork.membership import Directory
 from briarfork.membership import Member
 from briarfork.membership import MemberState
@@ -128,10 +129,15 @@
     def accept_load(self, loads: Iterable[Load], source: Link) -> None:
         """Takes loads that are newer than the known ones and passes them on."""
         regions = self.load.read_regions(self.timeline, time.time())
-        for load in self.load.accept(loads, time.monotonic()):
+        now = time.monotonic()
+        loads = list(loads)
+        for load in self.load.accept(loads, now):
             for link in self.links:
                 if link is not source:
                     link.offer_load(load, regions, self.settings.zone)
+        for load in loads:
+            if self.load.is_current(load, now):
+                source.load.pop(find_key(load), None)
 
     def check_members(self) -> None:
         """Marks silent neighbours, and drops members that are neither live nor listed."""
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -28,6 +28,16 @@
 IN_FORCE = re.compile(r"name=configuration_in_force .*generation=(\d+) at=([0-9.]+)")
 
 
+def find_other_port(vm: Vm) -> int:
+    """Returns a free port that the VM has not chosen for another purpose.
+
+    Ports are chosen before any is bound, so the system may offer the same one twice.
+    """
+    while (port := find_port(vm.address)) in vm.ports.values():
+        continue
+    return port
+
+
 class LinkedCluster(Cluster):
     """Links between zones, and from each zone to the store and the list of VMs."""
 
@@ -157,14 +167,21 @@
         """Waits until the control process of a VM has the platform's list."""
         await self.wait_for_event(vm, "control", "list_changed")
 
+    def _add_vm(self, index: int, zone: str, number: int) -> None:
+        super()._add_vm(index, zone, number)
+        vm = self.vms[-1]
+        for name in list(vm.ports):
+            del vm.ports[name]
+            vm.ports[name] = find_other_port(vm)
+
     def _write_settings(self) -> None:
         super()._write_settings()
         for vm in self.vms:
             body = yaml.safe_load(vm.settings.read_text())
-            vm.ports["control_listen"] = find_port(vm.address)
+            vm.ports["control_listen"] = find_other_port(vm)
             body["ports"] = vm.ports
             for key in ("store_url", "platform_url"):
-                port = vm.ports[f"{key}_link"] = find_port(vm.address)
+                port = vm.ports[f"{key}_link"] = find_other_port(vm)
                 body[key] = f"http://{vm.address}:{port}"
             body["ports"] = {k: v for k, v in vm.ports.items() if not k.endswith("_link")}
             vm.settings.write_text(yaml.safe_dump(body))
