--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -10,6 +10,7 @@
 from briarfork.border.metrics import Metric
 from briarfork.border.metrics import Metrics
 from briarfork.control.load import LoadView
+from briarfork.control.load import find_key
 from briarfork.membership import Directory
 from briarfork.membership import Member
 from briarfork.membership import MemberState
@@ -30,7 +31,12 @@
 
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
+PORT_NAMES = {"entry", "permits", "control"}
+MAX_FLOODED = 100
 MILLISECONDS = 1000
+# Members are checked every heartbeat. After a longer gap this process itself was paused, and the
+# silence of the others says nothing.
+PAUSE_HEARTBEATS = 2
 
 
 class ControlNode:
@@ -48,6 +54,7 @@
         self.roster_changed = asyncio.Event()
         self.entry_absent = asyncio.Event()
         self.entry_absent.set()
+        self._checked_at = time.monotonic()
         self._settled_at = time.monotonic() + settings.timeouts.silence_s
         if not settings.peers:
             self._settled_at = 0.0
@@ -93,16 +100,20 @@
                 )
         if added:
             self.metrics.gauge(Metric.GENERATION, self.timeline.generation)
-            self._signal_all()
+            self._signal_links()
         return gap
 
     def accept_members(self, records: Iterable[Member], source: Link | None = None) -> None:
         """Merges member records and passes on those that are new.
 
         A record of a VM that is neither live nor listed is a remnant that another VM has not
-        dropped yet.
+        dropped yet. A record without all ports would be of no use.
         """
-        records = [record for record in records if not self._is_remnant(record)]
+        records = [
+            record
+            for record in records
+            if not self._is_remnant(record) and record.ports.keys() >= PORT_NAMES
+        ]
         if source is not None and records:
             self._settled_at = 0.0
         self._announce(self.roster.merge(records), source)
@@ -118,20 +129,32 @@
     def accept_load(self, loads: Iterable[Load], source: Link) -> None:
         """Takes loads that are newer than the known ones and passes them on."""
         regions = self.load.read_regions(self.timeline, time.time())
-        for load in self.load.accept(loads, time.monotonic()):
+        now = time.monotonic()
+        loads = list(loads)
+        for load in self.load.accept(loads, now):
             for link in self.links:
                 if link is not source:
                     link.offer_load(load, regions, self.settings.zone)
+        for load in loads:
+            if self.load.is_current(load, now):
+                source.load.pop(find_key(load), None)
 
     def check_members(self) -> None:
         """Marks silent neighbours, and drops members that are neither live nor listed."""
         now = time.monotonic()
+        if now - self._checked_at > PAUSE_HEARTBEATS * self.settings.timeouts.heartbeat_s:
+            self.roster.forget_evidence()
+        self._checked_at = now
         peers = [member.vm for member in self.roster.list_neighbours()]
         self._announce(self.roster.suspect_silent(peers, self.settings.timeouts.silence_s, now))
         self._spread_list(self.directory.settle(now))
         if self.directory.known:
-            listed = {vm.vm for vm in self.directory.list_present()}
-            if self.roster.remove_absent(listed):
+            removed = self.roster.remove_absent(lambda vm: self.directory.find(vm) is not None)
+            for link in self.links:
+                for vm in removed:
+                    link.members.pop(vm, None)
+                link.removed.update(removed)
+            if removed:
                 self._signal_all()
 
     def hear(self, vm: str) -> None:
@@ -161,27 +184,41 @@
                 state=member.state.value,
                 serving=member.serving,
             )
-            for link in self.links:
-                if link is not source or member.vm == self.settings.vm:
-                    link.members[member.vm] = member
+            for link in self._choose_links(len(changed), source):
+                link.members[member.vm] = member
+                link.removed.discard(member.vm)
+            if member.vm == self.settings.vm and source is not None:
+                source.members[member.vm] = member
         if changed:
-            self.metrics.gauge(Metric.MEMBERS_LIVE, len(self.roster.list_live()))
+            self.metrics.gauge(Metric.MEMBERS_LIVE, self.roster.count_live())
             self._signal_all()
 
     def _spread_list(self, changed: list[ListRecord], source: Link | None = None) -> None:
         if not changed:
             return
         self.events.record(Event.LIST_CHANGED, records=len(changed))
-        for link in self.links:
-            if link is not source:
-                link.listed.update((record.listed.vm, record) for record in changed)
+        for link in self._choose_links(len(changed), source):
+            link.listed.update((record.listed.vm, record) for record in changed)
         entries = [record.listed for record in changed if record.listed.role == ENTRY_ROLE]
         present = [vm for vm in entries if self.directory.find(vm.vm) is not None]
         self.accept_members([self._describe_listed(vm) for vm in present])
         self._signal_all()
 
+    def _choose_links(self, count: int, source: Link | None) -> list[Link]:
+        """Returns the links on which news are passed on at once.
+
+        Many records are a first list, a first comparison or the end of a partition. The peers have
+        most of them from others, and the digests show what they lack.
+        """
+        if count > MAX_FLOODED:
+            return [link for link in self.links if link.vm == self.settings.vm]
+        return [link for link in self.links if link is not source]
+
     def _signal_all(self) -> None:
         self.roster_changed.set()
+        self._signal_links()
+
+    def _signal_links(self) -> None:
         for link in self.links:
             link.news.set()
 
--- a/src/briarfork/entry/follower.py
+++ b/src/briarfork/entry/follower.py
@@ -11,6 +11,8 @@
 from briarfork.border.messages import Changes
 from briarfork.border.messages import StoreState
 from briarfork.border.messages import VmList
+from briarfork.border.messages import split_changes
+from briarfork.border.messages import split_records
 from briarfork.errors import BriarforkError
 
 if TYPE_CHECKING:
@@ -87,12 +89,14 @@
     def _hand_on_list(self, listed: dict[str, ListedVm]) -> None:
         known, self._listed = self._listed, listed
         if known is None:
-            self._process.control.send(VmList(list(listed.values())))
+            for part, more in split_records(list(listed.values())):
+                self._process.control.send(VmList(part, None, more))
             return
         changed = [vm for name, vm in listed.items() if known.get(name) != vm]
         removed = [name for name in known if name not in listed]
         if listed and (changed or removed):
-            self._process.control.send(VmList(changed, removed))
+            for part, more in split_records(changed):
+                self._process.control.send(VmList(part, removed, more))
 
     async def _read_and_watch(self) -> None:
         """Reads what is new and waits for more, until the store turns out to be another state."""
@@ -116,7 +120,8 @@
     def _hand_on(self, changes: list[Change]) -> None:
         if changes:
             self._generation = max(self._generation, changes[-1].generation)
-            self._process.control.send(Changes(changes))
+            for batch in split_changes(changes):
+                self._process.control.send(Changes(batch))
 
     async def _report_generation(self) -> None:
         """Lets control compare the store with what it has, which may be newer."""
--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -6,6 +6,7 @@
 from bisect import bisect_right
 from bisect import insort
 from dataclasses import replace
+from heapq import nsmallest
 from typing import TYPE_CHECKING
 
 from briarfork.hashing import hash_text
@@ -15,6 +16,7 @@
 from briarfork.membership.member import MemberState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Sequence
 
@@ -34,6 +36,11 @@
     )
 
 
+def _choose_first(key: str, members: Iterable[Member], count: int) -> list[Member]:
+    """Returns the first members by rendezvous hashing without ordering all of them."""
+    return nsmallest(count, members, lambda member: (hash_text(f"{key}|{member.vm}"), member.vm))
+
+
 class Roster:
     """All members that this VM knows, itself included.
 
@@ -46,6 +53,7 @@
         self.revision = 0
         self._members: dict[str, Member] = {}
         self._names: list[str] = []
+        self._not_live: set[str] = set()
         self._zones: dict[str, list[str]] = {}
         self._heard_at: dict[str, float] = {}
         self._patience: dict[str, int] = {}
@@ -87,6 +95,10 @@
         self._heard_at[vm] = now
         self._patience.pop(vm, None)
 
+    def forget_evidence(self) -> None:
+        """Begins the time of every member again, after this VM itself was paused."""
+        self._heard_at.clear()
+
     def suspect_silent(self, peers: Sequence[str], silence_s: float, now: float) -> list[Member]:
         """Marks peers that were not heard within the silence limit.
 
@@ -108,13 +120,9 @@
         ]
         return self.merge(suspected)
 
-    def remove_absent(self, listed: set[str]) -> list[str]:
-        """Forgets suspect members that the platform no longer lists; returns their names."""
-        absent = [
-            vm
-            for vm, member in self._members.items()
-            if vm not in listed and vm != self.own.vm and member.state is not MemberState.LIVE
-        ]
+    def remove_absent(self, is_listed: Callable[[str], bool]) -> list[str]:
+        """Forgets members that are neither live nor listed; returns their names."""
+        absent = [vm for vm in sorted(self._not_live - {self.own.vm}) if not is_listed(vm)]
         for vm in absent:
             self._drop(vm)
         return absent
@@ -123,6 +131,13 @@
         """Returns the record of a VM, or None if it is unknown."""
         return self._members.get(vm)
 
+    def has_address(self, address: str, port: int) -> bool:
+        """Returns whether a member that has been heard of by itself has a control address."""
+        return any(
+            member.incarnation and member.address == address and member.ports["control"] == port
+            for member in self._members.values()
+        )
+
     def list_all(self, buckets: set[int] | None = None) -> list[Member]:
         """Returns all members, or those in some buckets of the digest, sorted by name."""
         return [
@@ -137,6 +152,10 @@
             if member.state is MemberState.LIVE and zone in (None, member.zone)
         ]
 
+    def count_live(self) -> int:
+        """Returns the number of live members."""
+        return len(self._names) - len(self._not_live)
+
     def list_serving(self) -> list[Member]:
         """Returns the live members whose entry process runs."""
         return [member for member in self.list_live() if member.serving]
@@ -193,8 +212,8 @@
         ]
         mates = [member for member in others if member.zone == self.own.zone]
         remote = [member for member in others if member.zone != self.own.zone]
-        chosen = rank_members(self.own.vm, mates)[:ZONE_NEIGHBOURS]
-        chosen += rank_members(self.own.vm, remote)[:REMOTE_NEIGHBOURS]
+        chosen = _choose_first(self.own.vm, mates, ZONE_NEIGHBOURS)
+        chosen += _choose_first(self.own.vm, remote, REMOTE_NEIGHBOURS)
         chosen += self.list_ring(self.own.vm)
         return [self._members[vm] for vm in sorted({member.vm for member in chosen})]
 
@@ -231,6 +250,8 @@
         self._drop(member.vm, keep_evidence=True)
         self._members[member.vm] = member
         insort(self._names, member.vm)
+        if member.state is not MemberState.LIVE:
+            self._not_live.add(member.vm)
         insort(self._zones.setdefault(member.zone, []), member.vm)
         self.digest.toggle(member.vm, _describe(member))
         self.revision += 1
@@ -238,6 +259,7 @@
     def _drop(self, vm: str, keep_evidence: bool = False) -> None:
         known = self._members.pop(vm, None)
         if known is not None:
+            self._not_live.discard(vm)
             del self._names[bisect_left(self._names, vm)]
             mates = self._zones[known.zone]
             del mates[bisect_left(mates, vm)]
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -28,16 +28,36 @@
 IN_FORCE = re.compile(r"name=configuration_in_force .*generation=(\d+) at=([0-9.]+)")
 
 
+def find_other_port(vm: Vm) -> int:
+    """Returns a free port that the VM has not chosen for another purpose.
+
+    Ports are chosen before any is bound, so the system may offer the same one twice.
+    """
+    while (port := find_port(vm.address)) in vm.ports.values():
+        continue
+    return port
+
+
 class LinkedCluster(Cluster):
     """Links between zones, and from each zone to the store and the list of VMs."""
 
-    def __init__(self, work: Path, zones: list[str], vms_per_zone: int = 1, **options: Any) -> None:
+    def __init__(
+        self,
+        work: Path,
+        zones: list[str],
+        vms_per_zone: int = 1,
+        lag_s: dict[str, float] | None = None,
+        **options: Any,
+    ) -> None:
+        """Starts a list of VMs of its own for each zone of `lag_s`, which lags by that time."""
         options.setdefault("network", NETWORK)
         super().__init__(FOLDER, work, zones, vms_per_zone, **options)
         self.between: dict[tuple[str, str], Conditions] = {}
         self.platform: dict[str, Conditions] = {zone: Conditions() for zone in zones}
         self.links: list[Link] = []
         self.control_links: dict[str, Link] = {}
+        self.lists: dict[str, str] = {}
+        self._lag_s = lag_s or {}
         self._submitted = 0
 
     def choose(self, source: str, target: str) -> Conditions:
@@ -60,6 +80,34 @@
         if not self.links:
             await self._start_links()
         await super().publish(leaving)
+        body = await self.get(f"{self.platform_url}/vms")
+        for url in self.lists.values():
+            await self.post(f"{url}/vms", body)
+
+    async def wait_for_lag(self, zone: str) -> None:
+        """Waits until the list of a zone is the same as the list of the other zones."""
+        while await self.get(f"{self.lists[zone]}/vms") != await self.get(
+            f"{self.platform_url}/vms"
+        ):
+            await asyncio.sleep(POLL_S)
+
+    async def wait_for_reads(self, count: int) -> None:
+        """Waits until every list has been read some more times."""
+        for url in [self.platform_url, *self.lists.values()]:
+            calls = (await self.get(f"{url}/calls"))["GET vms"]
+            while (await self.get(f"{url}/calls"))["GET vms"] < calls + count:
+                await asyncio.sleep(POLL_S)
+
+    async def _start_platform(self) -> None:
+        await super()._start_platform()
+        for zone, lag_s in self._lag_s.items():
+            address = f"127.{self._network}.0.1"
+            port = find_port(address)
+            command = ["tests.standins.platform", "--address", address, "--port", str(port)]
+            name = f"platform-{zone}"
+            self._processes[name] = self._spawn(name, [*command, "--lag-s", str(lag_s)])
+            self.lists[zone] = f"http://{address}:{port}"
+            await self._wait_for_port(address, port)
 
     async def __aenter__(self) -> LinkedCluster:
         await super().__aenter__()
@@ -119,14 +167,21 @@
         """Waits until the control process of a VM has the platform's list."""
         await self.wait_for_event(vm, "control", "list_changed")
 
+    def _add_vm(self, index: int, zone: str, number: int) -> None:
+        super()._add_vm(index, zone, number)
+        vm = self.vms[-1]
+        for name in list(vm.ports):
+            del vm.ports[name]
+            vm.ports[name] = find_other_port(vm)
+
     def _write_settings(self) -> None:
         super()._write_settings()
         for vm in self.vms:
             body = yaml.safe_load(vm.settings.read_text())
-            vm.ports["control_listen"] = find_port(vm.address)
+            vm.ports["control_listen"] = find_other_port(vm)
             body["ports"] = vm.ports
             for key in ("store_url", "platform_url"):
-                port = vm.ports[f"{key}_link"] = find_port(vm.address)
+                port = vm.ports[f"{key}_link"] = find_other_port(vm)
                 body[key] = f"http://{vm.address}:{port}"
             body["ports"] = {k: v for k, v in vm.ports.items() if not k.endswith("_link")}
             vm.settings.write_text(yaml.safe_dump(body))
@@ -146,7 +201,10 @@
             self.control_links[vm.name] = link
             self.links.append(link)
             for key in ("store_url", "platform_url"):
-                host, _, port = getattr(self, key).removeprefix("http://").rpartition(":")
+                url = getattr(self, key)
+                if key == "platform_url":
+                    url = self.lists.get(vm.zone, url)
+                host, _, port = url.removeprefix("http://").rpartition(":")
                 link = Link((host, int(port)), choose_platform, seed)
                 await link.start(vm.address, vm.ports[f"{key}_link"])
                 self.links.append(link)
