Feed failover from summaries of regions and from own slots

Cause: control passes on one summary for each other region and repeated unchanged loads only every 30 s, while headroom read reports of single sites that count for 5 s; and an entry process no longer heard of its own slots. Failover found no headroom. tests/entry/test_routing.py: 0 of 180 requests of a lost region were served, 0 of 240 in a cut-off zone. Change: headroom of another region comes from its summary, split by slots; loads are repeated every second; the entry process takes the load of its own slots directly.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -50,6 +50,11 @@
 MESSAGES: Registry[type[Message]] = Registry("message type")
 
 
+# A load that sums up the sites of a region names the region in place of a site; names of sites hold
+# no colon.
+SUMMARY_PREFIX = "region:"
+
+
 class Load(msgspec.Struct, frozen=True, array_like=True):
     """Load of a service's slots at a site, as the owner of the slots reports it.
 
--- a/src/briarfork/control/load.py
+++ b/src/briarfork/control/load.py
@@ -10,16 +10,17 @@
 
 import msgspec
 
+from briarfork.border.messages import SUMMARY_PREFIX
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from briarfork.border.messages import Load
     from briarfork.timeline import Timeline
 
-# A summary names its region in place of a site; names of sites hold no colon.
-SUMMARY_PREFIX = "region:"
-# A load that has not changed is passed on again after this time, so that its age stays known.
-REPEAT_S = 30.0
+# A load that has not changed is passed on again after this time. Headroom counts a report less the
+# older it is, and not at all from 5 s on.
+REPEAT_S = 1.0
 # Owners measure once a second. Ages travel rounded, so times of one measurement differ slightly.
 SAME_MEASUREMENT_S = 0.5
 # Smaller changes of the share of slots in use do not change a decision.
--- a/src/briarfork/entry/control_link.py
+++ b/src/briarfork/entry/control_link.py
@@ -12,7 +12,6 @@
 from briarfork.border.messages import Heartbeat
 from briarfork.border.messages import Hello
 from briarfork.border.messages import Leaving
-from briarfork.border.messages import LoadReport
 from briarfork.border.messages import Members
 from briarfork.border.messages import Message
 from briarfork.border.messages import VmList
@@ -26,7 +25,6 @@
     from collections.abc import Callable
 
     from briarfork.border.messages import ListedVm
-    from briarfork.border.messages import Load
     from briarfork.border.streams import MessageStream
     from briarfork.entry.process import EntryProcess
     from briarfork.membership import Member
@@ -165,6 +163,5 @@
 
     async def _report(self, stream: MessageStream) -> None:
         while True:
-            loads: list[Load] = self._process.slots.list_load()
-            stream.send(LoadReport(loads) if loads else Heartbeat())
+            stream.send(Heartbeat())
             await asyncio.sleep(self._process.settings.timeouts.heartbeat_s)
--- a/src/briarfork/entry/failover.py
+++ b/src/briarfork/entry/failover.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from briarfork.border.messages import SUMMARY_PREFIX
 from briarfork.errors import NotRun
 from briarfork.requests import Deadline
 from briarfork.steering import Headroom
@@ -127,6 +128,8 @@
         """
         zone = self._view.settings.zone
         outside = {name for name, item in plan.sites.items() if item.zone != zone}
+        own = plan.find_region(zone)
+        outside |= {f"{SUMMARY_PREFIX}{region}" for region in plan.regions if region != own}
         if plan.sites[site].zone != zone or self._headroom.has_report(outside, now):
             return plan.entry_vms
         mates = sum(member.zone == zone for member in self._view.members.values())
@@ -135,10 +138,25 @@
     def _find_free(self, plan: Plan, service: str, site: str) -> float:
         if self._view.find_owner(service, site) is None:
             return 0.0
+        own, other = self._find_regions(plan, site)
+        if own == other:
+            return self._find_free_at(plan, service, [site], site)
+        # Of other regions only a summary is known; each site has the part that its slots make up.
+        sites = [name for name in plan.sites if self._find_regions(plan, name)[1] == other]
+        slots = {name: self._count_slots(plan, service, name) for name in sites}
+        free = self._find_free_at(plan, service, sites, f"{SUMMARY_PREFIX}{other}")
+        return free * slots[site] / max(1, sum(slots.values()))
+
+    def _find_free_at(self, plan: Plan, service: str, sites: list[str], report: str) -> float:
+        slots = sum(self._count_slots(plan, service, site) for site in sites)
+        outstanding = sum(self._permits.count_held(service, site) for site in sites)
+        return self._headroom.find_free((service, report), slots, outstanding, time.monotonic())
+
+    def _count_slots(self, plan: Plan, service: str, site: str) -> int:
+        """Returns the slots of the servers that the platform lists."""
+        capacity = plan.services[service].capacity.get(site)
         servers = len(self._view.list_servers(service, site))
-        slots = servers * plan.services[service].capacity[site].slots
-        outstanding = self._permits.count_held(service, site)
-        return self._headroom.find_free((service, site), slots, outstanding, time.monotonic())
+        return servers * capacity.slots if capacity else 0
 
     def _find_regions(self, plan: Plan, site: str) -> tuple[str, str]:
         """Returns the region of this VM and that of a site."""
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from briarfork.border.events import Event
+from briarfork.border.messages import LoadReport
 from briarfork.border.metrics import Metrics
 from briarfork.border.platform import Platform
 from briarfork.border.store import Store
@@ -74,6 +75,15 @@
         """Takes the loads that other VMs have reported."""
         self.router.accept_load(loads)
 
+    async def _report_load(self) -> None:
+        """Reports the slots that this VM owns, also to itself: it may be cut off from control."""
+        while True:
+            loads = self.slots.list_load()
+            self.accept_load(loads)
+            if loads:
+                self.control.send(LoadReport(loads))
+            await asyncio.sleep(self.settings.timeouts.heartbeat_s)
+
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until a planned stop has ended."""
         settings = self.settings
@@ -99,6 +109,7 @@
                     self.follower.follow_changes(),
                     self.follower.follow_list(),
                     self.slots.poll(),
+                    self._report_load(),
                     self.permits.keep_links(),
                     self.connections.run(),
                     self.claims.run(),
