Ask only the first peer for everything at start

Cause: streams that were dialled at the same time knew no peer yet, so each of up to seven peers was asked for the whole roster and list.

Ruled out: waiting for the first Hello; a peer that does not answer would hold up the start for the silence limit.

Change: the summary is sent at once only on the first stream to a peer. The digests of the others still show what is missing after two heartbeats.

--- a/src/briarfork/control/peers.py
+++ b/src/briarfork/control/peers.py
@@ -32,7 +32,8 @@
     node.add_link(link)
     try:
         stream.send(Hello(settings.vm, settings.zone, node.roster.own.incarnation))
-        if not any(other.vm for other in node.links if other.vm != settings.vm):
+        others = [other for other in node.links if other.vm != settings.vm and other is not link]
+        if not others:
             # One peer is asked for everything; the digests of the others show what is missing then.
             link.send_summary(node)
         async with asyncio.TaskGroup() as group:
