--- a/tests/steering/measure.py
+++ b/tests/steering/measure.py
@@ -5,6 +5,7 @@
 import random
 import statistics
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from briarfork.steering import BlockTable
@@ -66,8 +67,21 @@
     return Steering(plan, build_shifts(timeline, wall_now), 0.0, steering)
 
 
-def measure_size(count: int) -> None:
-    """Prints one line for one number of blocks."""
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What was measured for one number of blocks."""
+
+    ranges: int
+    table_bytes: float
+    build_s: float
+    apply_ms: float
+    first_us: float
+    known_us: float
+    changed_us: float
+
+
+def measure_size(count: int) -> Figures:
+    """Measures one number of blocks."""
     rng = random.Random(SEED)
     blocks = build_blocks(count, rng)
     timeline = Timeline()
@@ -83,9 +97,14 @@
     apply_s = measure(lambda: apply_change(timeline, steering, 30.0))
     first_us, known_us = measure_lookups(steering, 10.0), measure_lookups(steering, 10.0)
     changed_us = measure_lookups(apply_change(timeline, steering, 30.0), 30.0)
-    print(
-        f"{count:>9,} {len(table):>10,} {table.count_bytes() / count:>12.2f} {build_s:>8.2f} "
-        f"{apply_s * 1000:>9.0f} {first_us:>9.1f} {known_us:>9.1f} {changed_us:>16.1f}"
+    return Figures(
+        len(table),
+        float(table.count_bytes()),
+        build_s,
+        apply_s * 1000,
+        first_us,
+        known_us,
+        changed_us,
     )
 
 
@@ -95,7 +114,12 @@
         "   blocks     ranges bytes/block  build s  apply ms  first µs  known µs  after a change µs"
     )
     for count in COUNTS:
-        measure_size(count)
+        figures = measure_size(count)
+        print(
+            f"{count:>9,} {figures.ranges:>10,} {figures.table_bytes / count:>12.2f} "
+            f"{figures.build_s:>8.2f} {figures.apply_ms:>9.0f} {figures.first_us:>9.1f} "
+            f"{figures.known_us:>9.1f} {figures.changed_us:>16.1f}"
+        )
 
 
 if __name__ == "__main__":
