--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -82,13 +82,15 @@
             check_key(*keys)
         idempotent = service.is_idempotent(request.method)
         claimed = bool(keys) and service.claims and not idempotent
-        try:
-            async with asyncio.timeout(deadline.remaining_s(now)):
-                body = await self._read_body(request, claimed)
-        except TimeoutError as error:
-            raise NotRun(
-                ErrorKind.DEADLINE_EXPIRED, "the deadline was over before the body arrived"
-            ) from error
+        body: bytes | None = b""
+        if request.can_read_body:
+            try:
+                async with asyncio.timeout(deadline.remaining_s(now)):
+                    body = await self._read_body(request, claimed)
+            except TimeoutError as error:
+                raise NotRun(
+                    ErrorKind.DEADLINE_EXPIRED, "the deadline was over before the body arrived"
+                ) from error
         return Call(
             request=request,
             path=path,
@@ -101,8 +103,6 @@
 
     async def _read_body(self, request: web.Request, whole: bool) -> bytes | None:
         limits = self._settings.limits
-        if not request.can_read_body:
-            return b""
         length = request.content_length
         if whole:
             if length is None or length > limits.keyed_body_bytes:
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -134,3 +134,20 @@
         ]
         assert all(served), "the server of the silent connection is blamed"
         assert sum(server.connections for server in scene.servers) > opened
+
+
+class TestConnectionAge:
+    async def test_connections_retire_after_their_request(self, tmp_path: Path) -> None:
+        """Guards against connections that are kept for ever, and against a request cut by age."""
+        async with build_scene(tmp_path, servers=1, vms=1, connection_age_s=1.0) as scene:
+            long = asyncio.ensure_future(scene.ask("GET", "results/slow/x", "long"))
+            opened = scene.servers[0].connections
+            stops_at = time.monotonic() + 3.5
+            number = 0
+            while time.monotonic() < stops_at:
+                number += 1
+                reply = await scene.ask("GET", "results/slow/x", f"age-{number}")
+                assert reply.status == 200
+            assert (await long).status == 200
+            assert scene.servers[0].connections - opened >= 3
+            await scene.wait(lambda: len(scene.servers[0].writers) == 0)
