--- a/tests/scenarios/expectations.py
+++ b/tests/scenarios/expectations.py
@@ -147,9 +147,10 @@
 
 @EXPECTATIONS.register("work")
 async def count_late_work(world: World, step: Step) -> object:
-    """expect work NAME after_s=N: requests that a server has begun since N seconds after leaving"""
+    """expect work SERVER since=MARK plus_s=N: requests begun more than N seconds after a mark"""
     ledger = (await world.read_ledgers())[step.words[1]]
-    return len([at for at in ledger["arrivals"] if at > float(step.options["since"])])
+    since = world.marks[step.options["since"]] + float(step.options.get("plus_s", "0"))
+    return sum(1 for at in ledger["arrivals"] if at > since)
 
 
 @EXPECTATIONS.register("peak")
--- a/tests/scenarios/steps.py
+++ b/tests/scenarios/steps.py
@@ -14,6 +14,7 @@
 from tests.cluster import Cluster
 from tests.cluster import Pool
 from tests.cluster import restrict_example
+from tests.scenarios.world import Caller
 from tests.scenarios.world import LoadResult
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
 Verb = Callable[["World", "Step"], Awaitable[None]]
 VERBS: Registry[Verb] = Registry("scenario verb")
 CLIENT = "127.10.0.7"
+CALLERS = 8
 
 
 @VERBS.register("use")
@@ -190,6 +192,12 @@
     await world.cluster.publish(frozenset(world.leaving))
 
 
+@VERBS.register("mark")
+async def mark(world: World, step: Step) -> None:
+    """mark NAME: notes the time"""
+    world.marks[step.words[0]] = time.time()
+
+
 @VERBS.register("remember")
 async def remember(world: World, step: Step) -> None:
     """remember generations: notes the generation of each VM"""
@@ -257,16 +265,17 @@
     rate, seconds = float(step.options["rps"]), float(step.options["seconds"])
     retry = step.options.get("retry") == "yes"
     keyed = step.options.get("keyed") == "yes"
+    fixed = [world.find_vm(step.options["via"])] if "via" in step.options else []
+    callers = [Caller(world, service, fixed, number) for number in range(CALLERS)]
     started = time.monotonic()
 
     async def send(index: int) -> None:
         name = f"{step.options['as']}-{index}"
         headers = {"Idempotency-Key": name} if keyed else {"Test-Request": name}
-        vms = world.cluster.vms
-        answer = await world.call(vms[index % len(vms)], method, service, path, headers, b"")
+        caller = callers[index % CALLERS]
+        answer = await caller.call(method, path, headers, 0)
         if retry and (answer.status == 0 or answer.status >= 500):
-            other = vms[(index + 1) % len(vms)]
-            answer = await world.call(other, method, service, path, headers, b"")
+            answer = await caller.call(method, path, headers, 1)
         result.answers.append(answer)
 
     async with asyncio.TaskGroup() as group:
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -20,6 +20,7 @@
 
 TIMELINE_LINES = 80
 CALL_TIMEOUT_S = 20.0
+CLIENT_PREFIX = "127.10.0"
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +66,7 @@
         self.pending: dict[str, asyncio.Task[None]] = {}
         self.accepted: dict[str, dict[str, Any]] = {}
         self.generations: dict[str, int] = {}
+        self.marks: dict[str, float] = {}
         self.leaving: set[str] = set()
         self.cluster: Cluster
         self.group: asyncio.TaskGroup
@@ -112,3 +114,37 @@
                 if "event=" in line or "Error" in line
             ]
         return "\n".join(sorted(lines)[-TIMELINE_LINES:])
+
+
+class Caller:
+    """A caller that caches lookups for their whole time-to-live."""
+
+    def __init__(self, world: World, service: str, fixed: list[Vm], number: int) -> None:
+        self._world = world
+        self._service = service
+        self._fixed = fixed
+        self._client = f"{CLIENT_PREFIX}.{number + 1}"
+        self._entries: list[Vm] = list(world.cluster.vms)
+        self._expires_at = 0.0
+
+    async def call(self, method: str, path: str, headers: dict[str, str], choice: int) -> Answer:
+        """Sends one request to the entry VM that the lookup names first, or to a later one."""
+        entries = self._fixed or await self._look_up()
+        vm = entries[choice % len(entries)]
+        body = b"" if method in ("GET", "HEAD") else b"{}"
+        return await self._world.call(vm, method, self._service, path, headers, body)
+
+    async def _look_up(self) -> list[Vm]:
+        if time.monotonic() < self._expires_at:
+            return self._entries
+        for vm in self._entries:
+            try:
+                answer = await self._world.cluster.get(
+                    f"{vm.url}/lookup", service=self._service, client=self._client
+                )
+            except aiohttp.ClientError:
+                continue
+            self._expires_at = time.monotonic() + answer["ttl_s"]
+            self._entries = [self._world.find_vm(entry["vm"]) for entry in answer["entries"]]
+            break
+        return self._entries
