Keep second attempts away from receiving sites and repeat loads by kind

Change: no second attempt at a site to which an open shift moves requests; unchanged loads of sites are repeated every 2.5 s and summaries every second.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 
 bench: install
 	$(BIN)/python -m tests.bench.main
+	$(BIN)/python -m tests.bench.overhead
 
 break: install
 	$(BIN)/python -m tests.mutations.main
--- a/src/briarfork/control/load.py
+++ b/src/briarfork/control/load.py
@@ -19,8 +19,9 @@
     from briarfork.timeline import Timeline
 
 # A load that has not changed is passed on again after this time. Headroom counts a report less the
-# older it is, and not at all from 5 s on.
-REPEAT_S = 1.0
+# older it is, and not at all from 5 s on. Summaries are few and pass more VMs on their way.
+REPEAT_S = 2.5
+SUMMARY_REPEAT_S = 1.0
 # Owners measure once a second. Ages travel rounded, so times of one measurement differ slightly.
 SAME_MEASUREMENT_S = 0.5
 # Smaller changes of the share of slots in use do not change a decision.
@@ -116,7 +117,8 @@
             return False
         self._loads[key] = (load, measured_at)
         passed = self._passed.get(key)
-        if passed is not None and now - passed[1] < REPEAT_S and not _differs(load, passed[0]):
+        repeat_s = SUMMARY_REPEAT_S if load.site.startswith(SUMMARY_PREFIX) else REPEAT_S
+        if passed is not None and now - passed[1] < repeat_s and not _differs(load, passed[0]):
             return False
         self._passed[key] = (load, now)
         return True
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -102,6 +102,8 @@
         """
         steering = self._view.require_steering()
         siblings = steering.find_siblings(first.service, first.site, time.time())
+        if steering.is_receiving(first.service, first.site, time.time()):
+            raise NotRun(ErrorKind.OVERLOADED, "a second attempt would count as moved by a shift")
         avoid = frozenset({first.server.vm})
         demands = {
             (first.service, site): replace(
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -163,13 +163,21 @@
         caches are as cold for these as for those of the shift.
         """
         key = self._find_key(service, self.find_region(client))
+        if not self._gains(key, site, wall_now):
+            return True
+        return self._admit(service, self._find_cap(service, site), now)
+
+    def is_receiving(self, service: str, site: str, wall_now: float) -> bool:
+        """Returns whether an open shift of the service moves requests to a site."""
+        keys = [key for key in self._shifts if key[0] == service]
+        return any(self._gains(key, site, wall_now) for key in keys)
+
+    def _gains(self, key: ShiftKey, site: str, wall_now: float) -> bool:
         shift = self._shifts[key]
         if not shift.list_origins(wall_now):
-            return True
+            return False
         before = shift.ramps[0].origin.get(site, 0.0)
-        if shift.find_shares(wall_now).get(site, 0.0) <= before:
-            return True
-        return self._admit(service, self._find_cap(service, site), now)
+        return shift.find_shares(wall_now).get(site, 0.0) > before
 
     def _find_key(self, service: str, region: str | None) -> ShiftKey:
         for key in ((service, region), (service, None)):
--- a/tests/steering/test_shift.py
+++ b/tests/steering/test_shift.py
@@ -224,3 +224,12 @@
         arguments = (SERVICE, CLIENTS[0])
         assert sum(steering.admit_overflow(*arguments, "b", 300, 10) for _ in range(99)) == 10
         assert all(steering.admit_overflow(*arguments, "a", 300, 10) for _ in range(99))
+
+    def test_second_attempts_stay_away_from_a_receiving_site(self) -> None:
+        """Guards against second attempts that reach a receiving site beside its cap."""
+        timeline = Timeline()
+        edits = {"base": build_base(SITES, 1), NAME: build_service({"a": 1}, 10, 60)}
+        schedule(timeline, 0, {**edits, **build_sites(*SITES)})
+        schedule(timeline, 100, {NAME: build_service({"a": 1, "b": 1}, 10, 60)})
+        steering = render(timeline, 300, 0)
+        assert [steering.is_receiving(SERVICE, site, 300) for site in ("a", "b")] == [False, True]
