--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -81,17 +81,8 @@
         Raises:
             NotRun: If no site can take the request.
         """
-        steering = self._view.require_steering()
         client = call.request.remote or UNKNOWN_CLIENT
-        assigned = steering.assign_request(service.name, client, time.time(), time.monotonic())
-        if assigned.held_back:
-            self._metrics.count(Metric.SHIFT_HELD_BACK, service.name)
-        recovery = self._find_recovery(service.name, assigned.site)
-        admitted = recovery.admit()
-        if assigned.moved and assigned.home is not None and not admitted:
-            assigned = Assigned(assigned.home)
-            recovery = self._find_recovery(service.name, assigned.site)
-            admitted = recovery.admit()
+        assigned, admitted = self._assign(service, client)
         refused: NotRun | None = None
         if admitted:
             try:
@@ -103,6 +94,7 @@
                 self._note_refusal(error, service.name, assigned.site)
             else:
                 if permit.site == assigned.site:
+                    recovery = self._find_recovery(service.name, assigned.site)
                     recovery.record_success(time.monotonic())
                 return permit
         permit_elsewhere = await self._failover.acquire(call, service, client, avoid, assigned.site)
@@ -114,6 +106,18 @@
         reason = refused.detail if refused else f"site {assigned.site!r} is lost"
         raise NotRun(ErrorKind.OVERLOADED, f"{reason}; no other site has headroom")
 
+    def _assign(self, service: Service, client: str) -> tuple[Assigned, bool]:
+        """Returns the site of a request, and whether it may go there after a loss of the site."""
+        steering = self._view.require_steering()
+        assigned = steering.assign_request(service.name, client, time.time(), time.monotonic())
+        if assigned.held_back:
+            self._metrics.count(Metric.SHIFT_HELD_BACK, service.name)
+        admitted = self._find_recovery(service.name, assigned.site).admit()
+        if assigned.moved and assigned.home is not None and not admitted:
+            assigned = Assigned(assigned.home)
+            admitted = self._find_recovery(service.name, assigned.site).admit()
+        return assigned, admitted
+
     def _find_recovery(self, service: str, site: str) -> Recovery:
         return self._recoveries.setdefault((service, site), Recovery())
 
