--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import logbook
+import msgspec
 
 if TYPE_CHECKING:
     from briarfork.border.settings import Settings
@@ -30,6 +31,7 @@
     STARTED = EventDefinition(1001, "notice", "The program has started and accepts work.")
     STOPPING = EventDefinition(1002, "notice", "A planned stop has begun.")
     STOPPED = EventDefinition(1003, "notice", "The program has stopped; nothing was cut.")
+    RELOADED = EventDefinition(1005, "notice", "A signal to read the settings again was received.")
     TASK_FAILED = EventDefinition(1004, "error", "A task failed in a way that is not expected.")
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
@@ -62,6 +64,12 @@
     )
     MEMBER_CHANGED = EventDefinition(4004, "info", "The state of a member has changed.")
     LIST_CHANGED = EventDefinition(4005, "info", "The list of VMs has changed.")
+    HISTORY_LOST = EventDefinition(
+        3005, "notice", "The store has dropped its history; everything is read again."
+    )
+    RECORD_IGNORED = EventDefinition(
+        3006, "warning", "A record in the store could not be read and is ignored."
+    )
     REQUEST_FAILED = EventDefinition(5001, "info", "A request was answered with an error.")
     ANSWER_CUT = EventDefinition(
         5002, "warning", "A backend server ended an answer early; the caller's stream was reset."
@@ -75,6 +83,12 @@
     OWNER_UNREACHABLE = EventDefinition(
         5005, "info", "The owner of a site's slots does not answer; the local share is used."
     )
+    ATTEMPT_FAILED = EventDefinition(
+        5006, "info", "An attempt to run a request at a backend server brought no whole answer."
+    )
+    REQUEST_REFUSED = EventDefinition(
+        5007, "info", "A request was refused before it was sent to a backend server."
+    )
 
 
 class EventLog:
@@ -91,6 +105,12 @@
         self._logger.log(
             definition.level.upper(),
             f"event={definition.number} name={event.name.lower()} vm={self._vm} {details}".rstrip(),
+            extra={
+                "event": definition.number,
+                "name": event.name.lower(),
+                "vm": self._vm,
+                **fields,
+            },
         )
 
 
@@ -99,6 +119,20 @@
     logbook.StreamHandler(sys.stderr, level="INFO", format_string=FORMAT).push_application()
 
 
+class JsonHandler(logbook.StreamHandler):  # type: ignore[misc]
+    """Writes each event as one line of JSON."""
+
+    def format(self, record: logbook.LogRecord) -> str:
+        """Returns the event with its time, level and fields."""
+        line = {"time": record.time.isoformat(), "level": record.level_name.lower()}
+        return msgspec.json.encode(line | dict(record.extra), enc_hook=str).decode()
+
+
+def install_json_handler() -> None:
+    """Sends events to standard output, one JSON object a line."""
+    JsonHandler(sys.stdout, level="INFO").push_application()
+
+
 def _quote(value: object) -> str:
     text = str(value)
     return repr(text) if " " in text or "=" in text or not text else text
--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -219,6 +219,8 @@
     wait_ms: int
     avoid: list[str] = []
     hedge: bool = False
+    priority: int = 0
+    object_key: str = ""
 
 
 @MESSAGES.register("permit_grant")
@@ -238,17 +240,23 @@
 
     Attributes:
         moved: Whether the sender is not, or no longer, the owner of the slots.
+        wait_s: Expected time until the queue has room, 0 if unknown.
     """
 
     name = "permit_refusal"
     permit: str
     reason: str
     moved: bool = False
+    wait_s: float = 0.0
 
 
 @MESSAGES.register("permit_release")
 class PermitRelease(Message, frozen=True):
-    """Returns a permit."""
+    """Returns a permit.
+
+    Attributes:
+        slowness: Run time on the server's machine relative to the usual, 0 if unknown.
+    """
 
     name = "permit_release"
     permit: str
@@ -256,6 +264,7 @@
     site: str
     how: Release
     elapsed_ms: float
+    slowness: float = 0.0
 
 
 @MESSAGES.register("permit_cancel")
--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -6,6 +6,7 @@
 import random
 import time
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
@@ -18,8 +19,11 @@
 if TYPE_CHECKING:
     from collections import Counter
 
+    from briarfork.border.settings import Settings
+    from briarfork.configuration import SiteCapacity
     from briarfork.entry.slots import SlotKey
     from briarfork.entry.view import EntryView
+    from briarfork.membership import Member
     from briarfork.pools import PermitDemand
     from briarfork.pools import Release
     from briarfork.pools import ServerAddress
@@ -44,10 +48,30 @@
     return share
 
 
+class ShareView(Protocol):
+    """What a VM must know to use its share of slots without their owner."""
+
+    @property
+    def settings(self) -> Settings:
+        """Settings of this VM."""
+
+    def find_zone(self, site: str) -> str:
+        """Returns the availability zone of a site."""
+
+    def find_capacity(self, key: SlotKey) -> tuple[SiteCapacity, bool]:
+        """Returns what a server of a service takes at a site, and if classes are mixed."""
+
+    def list_servers(self, service: str, site: str) -> list[ServerAddress]:
+        """Returns the servers that take new requests."""
+
+    def list_zone_entries(self, zone: str) -> list[Member]:
+        """Returns the entry VMs of a zone that can own slots."""
+
+
 class LocalShares:
     """This VM's share of the slots of its own zone, for times without a reachable owner."""
 
-    def __init__(self, view: EntryView) -> None:
+    def __init__(self, view: ShareView) -> None:
         self._view = view
         self._queues: dict[SlotKey, PermitQueue] = {}
         self._deliveries: dict[str, asyncio.Future[Grant | Refusal]] = {}
@@ -96,12 +120,10 @@
 
     def _refresh_queue(self, key: SlotKey, held: Counter[str]) -> PermitQueue:
         service, site = key
-        plan = self._view.require_steering().plan
         own_zone = self._view.settings.zone
-        if plan.sites[site].zone != own_zone:
+        if self._view.find_zone(site) != own_zone:
             raise SiteUnreachable(f"the owner of the slots of {site!r} is unreachable")
-        capacity = plan.services[service].capacity[site]
-        mixed = plan.services[service].is_mixed
+        capacity, mixed = self._view.find_capacity(key)
         queue = self._queues.get(key)
         if queue is None:
             queue = PermitQueue(capacity, mixed, random.Random())
--- a/src/briarfork/entry/owner_link.py
+++ b/src/briarfork/entry/owner_link.py
@@ -20,8 +20,8 @@
 
 if TYPE_CHECKING:
     from briarfork.border.messages import Message
+    from briarfork.border.settings import Settings
     from briarfork.border.streams import MessageStream
-    from briarfork.entry.view import EntryView
     from briarfork.membership import Member
 
 HeldPermits = Callable[[str], "list[PermitHeld]"]
@@ -37,9 +37,9 @@
 class OwnerLink:
     """The stream to one owner; one task keeps it."""
 
-    def __init__(self, owner: Member, view: EntryView) -> None:
+    def __init__(self, owner: Member, settings: Settings) -> None:
         self.owner = owner
-        self._view = view
+        self._settings = settings
         self._stream: MessageStream | None = None
         # Set after the first attempt to reach the owner; requests never wait for a later one.
         self._tried = asyncio.Event()
@@ -47,7 +47,7 @@
 
     async def run(self, list_held: HeldPermits) -> None:
         """Dials the owner, declares held permits and takes decisions, again after every loss."""
-        timeouts = self._view.settings.timeouts
+        timeouts = self._settings.timeouts
         while True:
             try:
                 stream = await dial(
@@ -66,7 +66,7 @@
             OwnerUnreachable: If the stream is not open or ends before the decision.
         """
         try:
-            async with asyncio.timeout(min(wait_s, self._view.settings.timeouts.connect_s)):
+            async with asyncio.timeout(min(wait_s, self._settings.timeouts.connect_s)):
                 await self._tried.wait()
         except TimeoutError as error:
             raise OwnerUnreachable(f"no stream to {self.owner.vm}") from error
@@ -102,7 +102,7 @@
             return
 
     async def _converse(self, stream: MessageStream, list_held: HeldPermits) -> None:
-        settings = self._view.settings
+        settings = self._settings
         silence_s = settings.timeouts.permit_silence_s
         try:
             stream.send(Hello(settings.vm, settings.zone))
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 from briarfork.border.events import Event
 from briarfork.border.messages import Heartbeat
@@ -38,11 +39,12 @@
     from briarfork.border.events import EventLog
     from briarfork.border.settings import Settings
     from briarfork.border.streams import MessageStream
-    from briarfork.entry.view import EntryView
+    from briarfork.configuration import SiteCapacity
+    from briarfork.membership import Member
     from briarfork.pools import Release
+    from briarfork.pools import ServerAddress
 
 SlotKey = tuple[str, str]
-NOT_OWNER = "not the owner of these slots"
 Deliver = Callable[[Grant | Refusal], None]
 
 # How often waiting requests are checked for expiry and pauses of servers for their end.
@@ -58,6 +60,19 @@
 HANDLERS: Registry[Callable[[Any, Any, Any], None]] = Registry("message for an owner of slots")
 
 
+class SlotView(Protocol):
+    """What an owner of slots must know of services, servers and other VMs."""
+
+    def list_capacities(self) -> list[tuple[SlotKey, SiteCapacity, bool]]:
+        """Returns each service and site, what a server takes there, and if classes are mixed."""
+
+    def find_owner(self, service: str, site: str) -> Member | None:
+        """Returns the entry VM that owns the slots of a service at a site."""
+
+    def list_servers(self, service: str, site: str) -> list[ServerAddress]:
+        """Returns the servers that take new requests."""
+
+
 class SlotDesk:
     """All permit queues of one entry process.
 
@@ -65,7 +80,10 @@
     process.
     """
 
-    def __init__(self, settings: Settings, events: EventLog, view: EntryView) -> None:
+    def __init__(
+        self, settings: Settings, events: EventLog, view: SlotView, slow_start: bool = True
+    ) -> None:
+        self._slow_start = slow_start
         self.settings = settings
         self.events = events
         self._view = view
@@ -77,22 +95,21 @@
 
     def refresh(self) -> None:
         """Applies the plan, the roster and the list of servers."""
-        plan = self._view.require_steering().plan
-        for service in plan.services.values():
-            for site, capacity in service.capacity.items():
-                key = (service.name, site)
-                owner = self._view.find_owner(*key)
-                if owner is None or owner.vm != self.settings.vm:
-                    self._close(key)
-                    continue
-                opened = key not in self._queues
-                if opened:
-                    self._queues[key] = PermitQueue(capacity, service.is_mixed, random.Random())
-                    self._opens_at[key] = time.monotonic() + ADOPTION_S
-                self._queues[key].set_capacity(capacity, service.is_mixed)
-                self._queues[key].set_servers(self._view.list_servers(*key))
-                if opened:
-                    self._adopt_early(key)
+        for key, capacity, mixed in self._view.list_capacities():
+            owner = self._view.find_owner(*key)
+            if owner is None or owner.vm != self.settings.vm:
+                self._close(key)
+                continue
+            opened = key not in self._queues
+            if opened:
+                self._queues[key] = PermitQueue(
+                    capacity, mixed, random.Random(), slow_start=self._slow_start
+                )
+                self._opens_at[key] = time.monotonic() + ADOPTION_S
+            self._queues[key].set_capacity(capacity, mixed)
+            self._queues[key].set_servers(self._view.list_servers(*key))
+            if opened:
+                self._adopt_early(key)
 
     def demand(self, key: SlotKey, demand: PermitDemand, deliver: Deliver) -> None:
         """Adds a demand; its decision is delivered now or later."""
@@ -110,13 +127,19 @@
             return
         self._deliver(queue.demand(demand, now))
 
-    def release(self, key: SlotKey, permit: str, how: Release, elapsed_s: float) -> None:
+    def find_queue(self, key: SlotKey) -> PermitQueue | None:
+        """Returns the queue of slots that this VM owns, or None."""
+        return self._queues.get(key)
+
+    def release(
+        self, key: SlotKey, permit: str, how: Release, elapsed_s: float, slowness: float = 0.0
+    ) -> None:
         """Frees a slot and grants it to the next request."""
         self._early.pop(permit, None)
         queue = self._queues.get(key)
         if queue is not None:
             now = time.monotonic()
-            queue.release(permit, how, elapsed_s, now)
+            queue.release(permit, how, elapsed_s, now, slowness)
             if now >= self._opens_at[key]:
                 self._deliver(queue.poll(now))
 
@@ -264,6 +287,8 @@
         expires_at=time.monotonic() + message.wait_ms / MILLISECONDS,
         avoid=frozenset(message.avoid),
         hedge=message.hedge,
+        priority=message.priority,
+        object_key=message.object_key,
     )
 
     def deliver(decision: Grant | Refusal) -> None:
@@ -279,7 +304,8 @@
 def handle_release(desk: SlotDesk, sender: Sender, message: PermitRelease) -> None:
     """Frees the slot of a permit."""
     key = (message.service, message.site)
-    desk.release(key, message.permit, message.how, message.elapsed_ms / MILLISECONDS)
+    elapsed_s = message.elapsed_ms / MILLISECONDS
+    desk.release(key, message.permit, message.how, elapsed_s, message.slowness)
 
 
 @HANDLERS.register(PermitCancel.name)
@@ -299,4 +325,4 @@
     if isinstance(decision, Grant):
         server = decision.server
         return PermitGrant(permit, server.vm, server.address, server.port)
-    return PermitRefusal(permit, decision.reason, decision.moved)
+    return PermitRefusal(permit, decision.reason, decision.moved, decision.wait_s)
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -27,6 +27,7 @@
     from briarfork.border.messages import ListedVm
     from briarfork.border.settings import Settings
     from briarfork.configuration import Plan
+    from briarfork.configuration import SiteCapacity
     from briarfork.membership import Member
     from briarfork.timeline import Change
 
@@ -107,6 +108,23 @@
             if member.zone == zone and member.state is MemberState.LIVE and member.serving
         ]
 
+    def list_capacities(self) -> list[tuple[tuple[str, str], SiteCapacity, bool]]:
+        """Returns each service and site, what a server takes there, and if classes are mixed."""
+        return [
+            ((service.name, site), capacity, service.is_mixed)
+            for service in self.require_steering().plan.services.values()
+            for site, capacity in service.capacity.items()
+        ]
+
+    def find_capacity(self, key: tuple[str, str]) -> tuple[SiteCapacity, bool]:
+        """Returns what a server of a service takes at a site, and if classes are mixed."""
+        service = self.require_steering().plan.services[key[0]]
+        return service.capacity[key[1]], service.is_mixed
+
+    def find_zone(self, site: str) -> str:
+        """Returns the availability zone of a site."""
+        return self.require_steering().plan.sites[site].zone
+
     def find_owner(self, service: str, site: str) -> Member | None:
         """Returns the entry VM that owns the slots of a service at a site.
 
--- /dev/null
+++ b/src/briarfork/gateway/dispatch.py
@@ -0,0 +1,235 @@
+"""A request's way from its route to the answer: service, slot, attempt and what follows."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from briarfork.border.events import Event
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+from briarfork.errors import NotRun
+from briarfork.errors import OutcomeUnknown
+from briarfork.pools import Release
+from briarfork.requests import AttemptResult
+from briarfork.requests import Budget
+from briarfork.requests import Deadline
+from briarfork.requests import FailedAttempt
+from briarfork.routing import Spread
+
+if TYPE_CHECKING:
+    from briarfork.border.events import EventLog
+    from briarfork.entry.overflow import Permit
+    from briarfork.gateway.permits import GatewayPermits
+    from briarfork.gateway.request import Reply
+    from briarfork.gateway.request import Request
+    from briarfork.gateway.view import GatewayView
+    from briarfork.pools import ServerAddress
+    from briarfork.routing import Route
+
+# All VMs together may repeat 20% of the requests of a service; half of it is left for requests
+# that a VM counts twice, and for VMs that join.
+REPEAT_RATIO = 0.1
+REPEAT_RESERVE = 3.0
+# Attempts that never reached a server, such as refused connections, cost no budget.
+MAX_UNSENT = 4
+# A server that is given less of the objective than this has no chance to answer.
+LEAST_RUN_SHARE = 0.15
+
+
+class AttemptEnded(Exception):
+    """An attempt that brought no whole answer.
+
+    Attributes:
+        result: How far it came.
+        release: What the owner of the slot is told.
+        slowness: What the server said about its machine, 0 if nothing.
+    """
+
+    def __init__(
+        self, result: AttemptResult, release: Release, detail: str, slowness: float = 0.0
+    ) -> None:
+        super().__init__(detail)
+        self.result = result
+        self.release = release
+        self.slowness = slowness
+
+
+class Upstream(Protocol):
+    """Sends requests to backend servers."""
+
+    async def send(
+        self, request: Request, server: ServerAddress, deadline: Deadline, repeatable: bool
+    ) -> Reply:
+        """Sends a request and returns the whole answer.
+
+        Raises:
+            AttemptEnded: If there is none.
+        """
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has happened to one request so far.
+
+    Attributes:
+        tried: Servers that it was sent to.
+        unsent: Attempts that reached no server.
+        may_have_run: Whether a server may have run it.
+        fault: The last answer with which a server said that it failed.
+    """
+
+    route: Route
+    service: str
+    deadline: Deadline
+    tried: set[str] = field(default_factory=set)
+    unsent: int = 0
+    may_have_run: bool = False
+    fault: Reply | None = None
+
+
+class Dispatcher:
+    """Finds a slot for each request and repeats what may be repeated."""
+
+    def __init__(
+        self, view: GatewayView, permits: GatewayPermits, upstream: Upstream, events: EventLog
+    ) -> None:
+        self._view = view
+        self._permits = permits
+        self._upstream = upstream
+        self._events = events
+        self._spread = Spread()
+        self._budgets: dict[str, Budget] = {}
+
+    async def handle(self, request: Request) -> Reply:
+        """Returns the answer of a backend server.
+
+        Raises:
+            NotRun: If the request did not run.
+            OutcomeUnknown: If it may have run and there is no answer.
+        """
+        route = self._find_route(request)
+        now = time.monotonic()
+        wait_s = route.timeout_s
+        if request.wait_s is not None:
+            wait_s = min(wait_s, request.wait_s)
+        progress = Progress(route, self._spread.choose(route), Deadline(now + wait_s))
+        self._find_budget(progress.service).earn()
+        while True:
+            permit = await self._acquire(request, progress)
+            if permit is None:
+                assert progress.fault is not None
+                return progress.fault
+            reply = await self._try(request, progress, permit)
+            if reply is not None:
+                return reply
+
+    def reset_spread(self) -> None:
+        """Begins the proportions of traffic anew after a change of the configuration."""
+        self._spread.reset()
+
+    def _find_route(self, request: Request) -> Route:
+        route = self._view.require_table().find(request.host, request.path)
+        if route is None:
+            raise NotRun(ErrorKind.UNKNOWN_PATH, f"{request.host}{request.path}: no such route")
+        return route
+
+    async def _acquire(self, request: Request, progress: Progress) -> Permit | None:
+        """Returns a permit, or None if the last answer of a server has to do.
+
+        Raises:
+            NotRun: If there is none and the request did not run.
+            OutcomeUnknown: If there is none and the request may have run.
+        """
+        route = progress.route
+        try:
+            left_s = progress.deadline.remaining_s(time.monotonic())
+            if left_s < LEAST_RUN_SHARE * route.objective_s:
+                raise NotRun(ErrorKind.OVERLOADED, "no time is left for a run")
+            return await self._permits.acquire(
+                route,
+                progress.service,
+                request.object_key,
+                progress.deadline,
+                frozenset(progress.tried),
+            )
+        except NotRun as error:
+            if progress.fault is not None:
+                return None
+            if progress.may_have_run:
+                raise OutcomeUnknown(f"sent without an answer, then: {error.detail}") from error
+            raise
+
+    async def _try(self, request: Request, progress: Progress, permit: Permit) -> Reply | None:
+        """Sends the request once; returns None if it is to be sent again.
+
+        Raises:
+            BriarforkError: If it must not be sent again.
+        """
+        started = time.monotonic()
+        route = progress.route
+        release, slowness = Release.CANCELLED, 0.0
+        try:
+            reply = await self._upstream.send(
+                request, permit.server, progress.deadline, route.kind.is_repeatable
+            )
+            release, slowness = Release.DONE, reply.slowness
+            if not reply.is_fault:
+                return reply
+            release = Release.FAILED
+            progress.may_have_run = True
+            progress.fault = reply
+            ended = AttemptEnded(AttemptResult.SENT_WITHOUT_ANSWER, release, f"{reply.status}")
+        except AttemptEnded as error:
+            release, slowness = error.release, error.slowness
+            ended = error
+        finally:
+            self._permits.release(permit, release, time.monotonic() - started, slowness)
+        self._events.record(
+            Event.ATTEMPT_FAILED,
+            request=request.request_id,
+            service=progress.service,
+            server=permit.server.vm,
+            zone=permit.site,
+            result=ended.result.value,
+            reason=str(ended),
+        )
+        return self._decide(progress, permit, ended)
+
+    def _decide(self, progress: Progress, permit: Permit, ended: AttemptEnded) -> Reply | None:
+        """Returns None if another attempt follows, or the failed answer if none may.
+
+        Raises:
+            BriarforkError: If no other attempt follows and there is no answer.
+        """
+        failed = FailedAttempt(ended.result, progress.route.kind.is_repeatable, replayable=True)
+        progress.may_have_run = progress.may_have_run or failed.may_have_run
+        progress.tried.add(permit.server.vm)
+        if failed.may_repeat() and self._may_try_again(progress, ended.result):
+            return None
+        if progress.fault is not None:
+            return progress.fault
+        raise _describe_failure(progress, ended)
+
+    def _may_try_again(self, progress: Progress, result: AttemptResult) -> bool:
+        if result is AttemptResult.NOT_SENT:
+            progress.unsent += 1
+            return progress.unsent <= MAX_UNSENT
+        if len(progress.tried) - progress.unsent >= progress.route.max_attempts:
+            return False
+        return self._find_budget(progress.service).spend()
+
+    def _find_budget(self, service: str) -> Budget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = Budget(REPEAT_RATIO, REPEAT_RESERVE)
+        return budget
+
+
+def _describe_failure(progress: Progress, ended: AttemptEnded) -> BriarforkError:
+    if progress.may_have_run:
+        return OutcomeUnknown(str(ended))
+    return NotRun(ErrorKind.OVERLOADED, str(ended))
--- /dev/null
+++ b/src/briarfork/platform/units.py
@@ -0,0 +1,35 @@
+"""Durations as the platform writes them: a number and a unit, such as "1500ms" or "2.5s"."""
+
+from __future__ import annotations
+
+import re
+from typing import Final
+
+DURATION: Final = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
+SECONDS: Final = {"ms": 0.001, "s": 1.0}
+
+
+def parse_duration(text: str) -> float:
+    """Returns a duration in seconds.
+
+    Raises:
+        ValueError: If the text is not a duration.
+
+    Example:
+        >>> parse_duration("1500ms"), parse_duration("2.5s")
+        (1.5, 2.5)
+    """
+    match = DURATION.match(text)
+    if match is None:
+        raise ValueError(f"expected a duration such as '1500ms' or '2s', found {text[:40]!r}")
+    return float(match[1]) * SECONDS[match[2]]
+
+
+def format_duration(seconds: float) -> str:
+    """Returns a duration in whole milliseconds.
+
+    Example:
+        >>> format_duration(1.5)
+        '1500ms'
+    """
+    return f"{round(seconds * 1000)}ms"
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -1,5 +1,7 @@
 """Pools of backend servers: slots, permits and server selection."""
 
+from briarfork.pools.inventory import Instance
+from briarfork.pools.inventory import Inventory
 from briarfork.pools.local import LocalPool
 from briarfork.pools.permit import Grant
 from briarfork.pools.permit import PermitDemand
@@ -17,6 +19,8 @@
     "PERMITS",
     "SELECTION",
     "Grant",
+    "Instance",
+    "Inventory",
     "LocalPool",
     "PermitDemand",
     "PermitQueue",
--- a/src/briarfork/pools/permit.py
+++ b/src/briarfork/pools/permit.py
@@ -47,6 +47,8 @@
         avoid: Servers that the request has used before; they are used again only if the site
             has no other.
         hedge: Whether it is a second attempt, which never waits and never repeats a server.
+        priority: Rank among waiting requests, 0 is the most urgent.
+        object_key: Names the object that the request concerns, empty if unknown.
     """
 
     permit: str
@@ -55,6 +57,8 @@
     expires_at: float
     avoid: frozenset[str] = frozenset()
     hedge: bool = False
+    priority: int = 0
+    object_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,11 +75,13 @@
 
     Attributes:
         moved: Whether the slots have another owner, who may grant the permit.
+        wait_s: Expected time until the queue has room, 0 if unknown.
     """
 
     demand: PermitDemand
     reason: str
     moved: bool = False
+    wait_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.configuration import RequestClass
+from briarfork.pools.cold import ColdPace
 from briarfork.pools.permit import Grant
 from briarfork.pools.permit import Holding
 from briarfork.pools.permit import Refusal
@@ -38,22 +39,37 @@
 # Run times vary, so a request is refused at once unless twice the expected wait is left; without
 # the margin half of the requests at the limit would be refused only when their time is over.
 WAIT_MARGIN = 2.0
+# Position of a class and priority within it; lower ones go first.
+Rank = tuple[int, int]
+CLASS_ORDER = (RequestClass.SHORT, RequestClass.LONG)
 
 
 class PermitQueue:
     """Slots and waiting requests of one service at one site.
 
-    Only the owner of the slots has one. Permits go to short requests first, in order of arrival
-    within a class. A server never has more permits than slots, except for permits that a former
-    owner granted and that requesters declare.
+    Only the owner of the slots has one. Permits go to short requests first, then by priority, and
+    in order of arrival within a priority. A server never has more permits than slots, except for
+    permits that a former owner granted and that requesters declare.
     """
 
-    def __init__(self, capacity: SiteCapacity, mixed: bool, random: Random) -> None:
+    def __init__(
+        self, capacity: SiteCapacity, mixed: bool, random: Random, slow_start: bool = True
+    ) -> None:
+        """Creates a queue without servers.
+
+        Args:
+            capacity: What one server takes.
+            mixed: Whether the service has both short and long requests.
+            random: Breaks ties.
+            slow_start: Whether new servers get their slots step by step. Not needed where servers
+                state how long they stay cold.
+        """
         self._capacity = capacity
         self._mixed = mixed
         self._random = random
         self._servers: dict[str, Server] = {}
-        self._lines = {request_class: WaitingLine() for request_class in RequestClass}
+        self._slow_start = slow_start
+        self._lines: dict[Rank, WaitingLine] = {}
         self._run_times = {request_class: RunTimes() for request_class in RequestClass}
         self._holdings: dict[str, Holding] = {}
         self._next_orphan = math.inf
@@ -83,8 +99,8 @@
         self._capacity = capacity
         self._mixed = mixed
         for server in self._servers.values():
-            server.slots = capacity.slots
-            server.long_slots = self._find_long_slots(capacity.slots)
+            server.slots = server.address.slots or capacity.slots
+            server.long_slots = self._find_long_slots(server.slots)
 
     def set_shares(self, slots: Mapping[str, int]) -> None:
         """Limits each server to a part of its slots; long requests leave one of the part free."""
@@ -102,11 +118,11 @@
         for vm, address in listed.items():
             if vm not in self._servers or self._servers[vm].address != address:
                 held = self._servers[vm].permits if vm in self._servers else {}
-                slots = self._capacity.slots
+                slots = address.slots or self._capacity.slots
                 server = Server(address, slots, self._find_long_slots(slots))
                 server.permits = held
                 # The first list shows servers that have run all along; later ones are new.
-                server.slow_start = SlowStart(cold=self._listed)
+                server.slow_start = SlowStart(cold=self._listed and self._slow_start)
                 self._servers[vm] = server
         self._listed = self._listed or bool(self._servers)
 
@@ -118,9 +134,9 @@
             return [Refusal(demand, "the site has no server")]
         if demand.hedge:
             return [self._decide_hedge(demand, now)]
-        wait_s = self.estimate_wait_s(demand.request_class)
+        wait_s = self.estimate_wait_s(demand.request_class, demand.priority)
         if wait_s and now + WAIT_MARGIN * wait_s > demand.expires_at:
-            return [Refusal(demand, f"the expected wait is {wait_s * 1000:.0f} ms")]
+            return [Refusal(demand, f"the expected wait is {wait_s * 1000:.0f} ms", wait_s=wait_s)]
         self.enqueue(demand)
         return self.poll(now)
 
@@ -134,23 +150,36 @@
 
     def enqueue(self, demand: PermitDemand) -> None:
         """Adds a demand that the next poll decides."""
-        self._lines[demand.request_class].add(demand)
+        rank = _find_rank(demand.request_class, demand.priority)
+        if rank not in self._lines:
+            self._lines[rank] = WaitingLine()
+            self._lines = dict(sorted(self._lines.items()))
+        self._lines[rank].add(demand)
 
-    def estimate_wait_s(self, request_class: RequestClass) -> float:
+    def estimate_wait_s(self, request_class: RequestClass, priority: int = 0) -> float:
         """Returns the expected wait of a new demand, 0 while no run time is known."""
+        own = _find_rank(request_class, priority)
         wait_s = 0.0
-        for ahead in (RequestClass.SHORT, RequestClass.LONG):
-            wait_s += len(self._lines[ahead]) * self._run_times[ahead].mean_s
-            if ahead is request_class:
-                break
+        for rank, line in self._lines.items():
+            if rank <= own:
+                wait_s += len(line) * self._run_times[CLASS_ORDER[rank[0]]].mean_s
         return wait_s / max(1, self.slots)
 
+    def set_cold(self, vm: str, until: float, per_s: float) -> None:
+        """Bounds the requests a second to a server until its caches are warm."""
+        server = self._servers.get(vm)
+        if server is None:
+            return
+        if server.cold is None:
+            server.cold = ColdPace(until, per_s)
+        else:
+            server.cold.until = until
+
     def poll(self, now: float) -> list[Grant | Refusal]:
         """Frees orphaned permits, expires waiting requests and grants free slots."""
         decided: list[Grant | Refusal] = []
         self._free_orphans(now)
-        for request_class in (RequestClass.SHORT, RequestClass.LONG):
-            line = self._lines[request_class]
+        for line in self._lines.values():
             for demand in line.expire(now):
                 decided.append(Refusal(demand, "no slot became free in time"))
             decided += self._grant_waiting(line, now)
@@ -160,13 +189,16 @@
         """Removes and returns all waiting demands, because the slots have another owner."""
         return self._remove_demands(lambda _: True)
 
-    def release(self, permit: str, how: Release, elapsed_s: float, now: float) -> None:
+    def release(
+        self, permit: str, how: Release, elapsed_s: float, now: float, slowness: float = 0.0
+    ) -> None:
         """Frees the slot of a permit; an unknown permit is ignored."""
         holding = self._holdings.pop(permit, None)
         if holding is None:
             return
         server = self._servers[holding.vm]
         server.permits.pop(permit)
+        server.record_slowness(slowness, now)
         if how is Release.DONE:
             server.resume()
             server.slow_start.record_answer(now)
@@ -251,7 +283,8 @@
     def _remove_demands(self, match: Callable[[PermitDemand], bool]) -> list[PermitDemand]:
         removed = [demand for line in self._lines.values() for demand in line if match(demand)]
         for demand in removed:
-            self._lines[demand.request_class].remove(demand.permit)
+            rank = _find_rank(demand.request_class, demand.priority)
+            self._lines[rank].remove(demand.permit)
         return removed
 
     def _grant_waiting(self, line: WaitingLine, now: float) -> list[Grant | Refusal]:
@@ -276,10 +309,14 @@
         overdue_s = self._run_times[RequestClass.SHORT].overdue_s
         for server in free:
             server.count_overdue(now, overdue_s)
-        return SELECTION.get(PERMITS)(free, self._random)
+            server.slowness = server.find_slowness(now)
+        warm = [server for server in free if demand.object_key in server.objects]
+        return SELECTION.get(PERMITS)(warm or free, self._random)
 
     def _grant(self, demand: PermitDemand, server: Server, now: float) -> Grant:
         server.start(demand.permit, demand.request_class, now)
+        if demand.object_key:
+            server.objects.add(demand.object_key)
         self._holdings[demand.permit] = Holding(
             demand.requester, server.address.vm, demand.request_class, demand.expires_at
         )
@@ -287,3 +324,7 @@
 
     def _find_long_slots(self, slots: int) -> int:
         return max(1, slots - 1) if self._mixed else slots
+
+
+def _find_rank(request_class: RequestClass, priority: int) -> Rank:
+    return CLASS_ORDER.index(request_class), priority
--- a/src/briarfork/pools/selection.py
+++ b/src/briarfork/pools/selection.py
@@ -23,11 +23,19 @@
 
 @SELECTION.register(PERMITS)
 def select_fastest_free(servers: Sequence[Server], random: Random) -> Server:
-    """Chooses the server with the fewest overdue requests, then the fewest in progress.
+    """Chooses the server with the fewest overdue requests, then by load and reported slowness.
 
     A server that has slowed down shows by requests that do not end, before its report does.
     """
-    return min(servers, key=lambda server: (server.overdue, server.in_progress, server.run_time_s))
+    return min(
+        servers,
+        key=lambda server: (
+            server.overdue,
+            server.in_progress * server.slowness,
+            server.slowness,
+            server.run_time_s,
+        ),
+    )
 
 
 @SELECTION.register("random")
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -4,11 +4,16 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 from typing import Final
 
 from briarfork.configuration import RequestClass
+from briarfork.pools.objects import RecentObjects
 from briarfork.pools.slow_start import SlowStart
 
+if TYPE_CHECKING:
+    from briarfork.pools.cold import ColdPace
+
 # Weight of the newest run time in the moving mean.
 RUN_TIME_WEIGHT: Final = 0.2
 # A server that refused a request gets no new work for this time; it doubles with each further
@@ -17,15 +22,24 @@
 LONGEST_PAUSE_S: Final = 2.0
 # The list of VMs shows a drain late. After this time one request shows whether it goes on.
 DRAIN_PAUSE_S: Final = 10.0
+# A slowdown by neighbours on the same machine lasts for less than a second.
+SLOWNESS_AGE_S: Final = 0.6
 
 
 @dataclass(frozen=True, slots=True)
 class ServerAddress:
-    """Where a backend server listens."""
+    """Where a backend server listens.
+
+    Attributes:
+        slots: Requests that it runs at the same time, 0 if the service's capacity applies.
+        born_ms: Start of this incarnation in Unix milliseconds, 0 if unknown.
+    """
 
     vm: str
     address: str
     port: int
+    slots: int = 0
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +66,10 @@
         run_time_s: Moving mean of the run time of short requests.
         chosen: Permits granted so far.
         slow_start: Bounds the slots while the server warms up.
+        cold: Bounds the rate of requests while the caches of the server are cold.
+        objects: Objects that it has handled lately.
+        slowness: Its last report of how much longer work takes than usual.
+        slowness_at: When the report arrived.
     """
 
     address: ServerAddress
@@ -65,6 +83,10 @@
     run_time_s: float = 0.0
     chosen: int = 0
     slow_start: SlowStart = field(default_factory=lambda: SlowStart(cold=False))
+    cold: ColdPace | None = None
+    objects: RecentObjects = field(default_factory=RecentObjects)
+    slowness: float = 1.0
+    slowness_at: float = 0.0
 
     @property
     def in_progress(self) -> int:
@@ -77,6 +99,8 @@
             return False
         if self.in_progress >= self.slow_start.limit(self.slots, now):
             return False
+        if self.cold is not None and not self.cold.allows(now):
+            return False
         if request_class is RequestClass.SHORT:
             return True
         held = sum(1 for item in self.permits.values() if item.request_class is RequestClass.LONG)
@@ -92,6 +116,18 @@
         """Counts a request that starts."""
         self.permits[permit] = Work(request_class, now)
         self.chosen += 1
+        if self.cold is not None:
+            self.cold.record(now)
+
+    def record_slowness(self, slowness: float, now: float) -> None:
+        """Takes a report of how much longer work takes than usual; 0 means no report."""
+        if slowness > 0.0:
+            self.slowness = slowness
+            self.slowness_at = now
+
+    def find_slowness(self, now: float) -> float:
+        """Returns the last reported slowness, or 1 once the report is too old."""
+        return self.slowness if now - self.slowness_at <= SLOWNESS_AGE_S else 1.0
 
     def count_overdue(self, now: float, limit_s: float) -> None:
         """Counts short requests that have run for longer than the limit."""
--- /dev/null
+++ b/src/briarfork/routing/table.py
@@ -0,0 +1,61 @@
+"""The table of all routes of one version of the configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from briarfork.routing.route import Route
+    from briarfork.routing.route import ServicePolicy
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what a caller may send and how long it may take.
+
+    Attributes:
+        idle_s: How long a kept connection may stay without a request.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 67108864
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+class RouteTable:
+    """Finds the route of a request by host and longest prefix."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[ServicePolicy],
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.services = {service.name: service for service in services}
+        self.limits = limits
+        self._routes: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._routes.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix that begins the path, if there is one."""
+        prefixes = self._routes.get(host)
+        if not prefixes:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def list_routes(self, host: str) -> list[Route]:
+        """Returns the routes of a host."""
+        return list(self._routes.get(host, {}).values())
--- /dev/null
+++ b/src/run_gateway.py
@@ -0,0 +1,5 @@
+"""Starts the gateway from a checkout, where the package is not installed."""
+
+from briarfork.platform.main import main
+
+main()
