Tell a reset from the end of a body that has no length

Ruled out: bodies with a length or in chunks, which the library checks. Change: the response keeps the protocol that it was read from.

--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ClientRequest
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
@@ -49,6 +50,26 @@
             connection.close()
 
 
+class TracedResponse(aiohttp.ClientResponse):
+    """An answer that can tell how its connection ended, also after the connection was given back.
+
+    The library takes a reset for the end of a body that has no length.
+    """
+
+    _ended_by: ResponseHandler | None = None
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """Reads the head of the answer."""
+        self._ended_by = connection.protocol
+        return await super().start(connection)
+
+    @property
+    def was_reset(self) -> bool:
+        """Whether the connection ended without an orderly close."""
+        error = self._ended_by.exception() if self._ended_by is not None else None
+        return error is not None and not isinstance(error, aiohttp.ServerDisconnectedError)
+
+
 @dataclass(slots=True)
 class Generation:
     """Kept connections to one server that were opened in the same period.
@@ -153,4 +174,5 @@
             skip_auto_headers=("User-Agent", "Accept-Encoding", "Content-Type", "Accept"),
             read_bufsize=self._settings.limits.chunk_bytes,
             trace_configs=[trace_sends()],
+            response_class=TracedResponse,
         )
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -10,6 +10,7 @@
 import aiohttp
 from yarl import URL
 
+from briarfork.entry.connections import TracedResponse
 from briarfork.entry.forward import HOP_HEADERS
 from briarfork.entry.forward import AttemptGuard
 from briarfork.gateway.dispatch import AttemptEnded
@@ -78,7 +79,6 @@
             allow_redirects=False,
             trace_request_ctx=AttemptGuard(attempt),
         ) as answer:
-            protocol = answer.connection.protocol if answer.connection else None
             body = await answer.read()
             slowness = _read_slowness(answer)
             if _is_refusal(answer):
@@ -87,7 +87,7 @@
                     attempt.result, Release.NOT_RUN, f"refused with {answer.status}", slowness
                 )
             fault = _find_fault(request, answer)
-            if fault is None and protocol is not None and _was_reset(answer, protocol):
+            if fault is None and _was_cut(answer):
                 fault = "the connection was reset before the end of the answer"
             if fault is not None:
                 answer.close()
@@ -132,14 +132,11 @@
     return None
 
 
-def _was_reset(
-    answer: aiohttp.ClientResponse, protocol: aiohttp.client_proto.ResponseHandler
-) -> bool:
+def _was_cut(answer: aiohttp.ClientResponse) -> bool:
     """Returns whether a body without a length ended by a reset, not by an orderly close."""
     if "Content-Length" in answer.headers or "Transfer-Encoding" in answer.headers:
         return False
-    error = protocol.exception()
-    return error is not None and not isinstance(error, aiohttp.ServerDisconnectedError)
+    return not isinstance(answer, TracedResponse) or answer.was_reset
 
 
 def _list_headers(answer: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
--- /dev/null
+++ b/tests/platform/test_upstream.py
@@ -0,0 +1,150 @@
+"""What the answers of backend servers prove."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+import pytest_asyncio
+
+from briarfork.border.settings import Settings
+from briarfork.entry.connections import ServerConnections
+from briarfork.gateway.dispatch import AttemptEnded
+from briarfork.gateway.request import Request
+from briarfork.platform.upstream import HttpUpstream
+from briarfork.pools import Release
+from briarfork.pools import ServerAddress
+from briarfork.requests import AttemptResult
+from briarfork.requests import Deadline
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from briarfork.gateway.request import Reply
+
+HOST = "127.0.0.1"
+SEALED = b"X-Briarfork-Attempt-Id: r1\r\nX-Briarfork-Response-Seal: s\r\n"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class RawServer:
+    """Answers each request with given bytes and then does as told."""
+
+    def __init__(self) -> None:
+        self.answer = b""
+        self.after = "keep"
+        self.heads: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while head := await self._read_head(reader):
+            self.heads.append(head)
+            writer.write(self.answer)
+            await writer.drain()
+            if self.after == "keep":
+                continue
+            if self.after == "reset":
+                # The bytes must arrive before the reset discards them.
+                await asyncio.sleep(0.05)
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            break
+        writer.close()
+
+    async def _read_head(self, reader: asyncio.StreamReader) -> bytes:
+        try:
+            return await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b""
+
+
+class Scene:
+    """An upstream and one raw server."""
+
+    def __init__(self, server: RawServer, port: int, upstream: HttpUpstream) -> None:
+        self.server = server
+        self._address = ServerAddress("i-1", HOST, port)
+        self._upstream = upstream
+
+    async def send(self, repeatable: bool = True) -> Reply:
+        request = Request("r1", "h", "GET", "/a//b?c=%2f", (("Host", "h"),), b"")
+        deadline = Deadline(time.monotonic() + 2.0)
+        return await self._upstream.send(request, self._address, deadline, repeatable)
+
+    async def fail(self, answer: bytes, after: str = "keep") -> AttemptEnded:
+        self.server.answer, self.server.after = answer, after
+        with pytest.raises(AttemptEnded) as caught:
+            await self.send()
+        return caught.value
+
+
+@pytest_asyncio.fixture
+async def scene() -> AsyncIterator[Scene]:
+    raw = RawServer()
+    listener = await asyncio.start_server(raw.serve, HOST, 0)
+    port = listener.sockets[0].getsockname()[1]
+    settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
+    connections = ServerConnections(settings)
+    keeper = asyncio.create_task(connections.run())
+    yield Scene(raw, port, HttpUpstream(connections))
+    keeper.cancel()
+    listener.close()
+
+
+class TestHttpUpstream:
+    async def test_body_without_length_ends_with_orderly_close(self, scene: Scene) -> None:
+        """Guards against refusing whole answers that end with their connection."""
+        scene.server.answer = b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\nwhole"
+        scene.server.after = "close"
+        assert (await scene.send()).body == b"whole"
+
+    async def test_body_without_length_that_is_reset_is_not_whole(self, scene: Scene) -> None:
+        """Guards against handing a part of an answer to the caller as if it were whole."""
+        ended = await scene.fail(b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart", "reset")
+        assert ended.result is AttemptResult.SENT_WITHOUT_ANSWER
+
+    async def test_body_that_ends_early_is_not_whole(self, scene: Scene) -> None:
+        """Guards against an answer that is shorter than it states."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+        ended = await scene.fail(head + SEALED + b"\r\npart", "close")
+        assert ended.result is AttemptResult.SENT_WITHOUT_ANSWER
+
+    async def test_answer_to_another_request_is_not_passed_on(self, scene: Scene) -> None:
+        """Guards against a late extra answer that is taken for the next one."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r0\r\n"
+        ended = await scene.fail(head + b"X-Briarfork-Response-Seal: s\r\n\r\nx")
+        assert ended.result is AttemptResult.SENT_WITHOUT_ANSWER
+
+    async def test_extra_bytes_belong_to_no_request(self, scene: Scene) -> None:
+        """Guards against bytes after an answer that are read as the next answer."""
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + SEALED + b"\r\nx"
+        scene.server.answer = whole + b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"
+        assert [(await scene.send()).body for _ in range(2)] == [b"x", b"x"]
+
+    async def test_answer_without_seal_or_with_encoding_is_not_passed_on(
+        self, scene: Scene
+    ) -> None:
+        """Guards against answers that the server did not compute for this request."""
+        bare = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r1\r\n\r\nx"
+        assert "seal" in str(await scene.fail(bare))
+        coded = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Encoding: gzip\r\n"
+        assert "encoded" in str(await scene.fail(coded + SEALED + b"\r\nx"))
+
+    async def test_refusals_prove_that_the_request_did_not_run(self, scene: Scene) -> None:
+        """Guards against calling a refused request unknown, or an unknown one refused."""
+        shed = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\nX-Briarfork-Not-Executed: 1\r\n\r\n"
+        ended = await scene.fail(shed)
+        assert (ended.result, ended.release) == (AttemptResult.REFUSED, Release.NOT_RUN)
+        moved = b"HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n"
+        assert (await scene.fail(moved)).result is AttemptResult.REFUSED
+
+    async def test_request_reaches_the_server_unchanged(self, scene: Scene) -> None:
+        """Guards against a normalised path and against an unpinned request."""
+        scene.server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + SEALED + b"\r\n"
+        await scene.send()
+        assert scene.server.heads[0].startswith(b"GET /a//b?c=%2f HTTP/1.1\r\n")
+        assert b"X-Briarfork-Pin-Instance: i-1\r\n" in scene.server.heads[0]
+        assert b"accept-encoding" not in scene.server.heads[0].lower()
