Read a reset from the socket's error

Cause: where bytes and a reset arrive in the same turn of the loop, libuv reports the end of the stream and the reset is lost, so a part of an answer without a length passed as whole. Change: the protocol of connections to servers looks at SO_ERROR at the end of the stream.

--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from contextlib import contextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 from briarfork.border.sending import trace_sends
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ClientRequest
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
@@ -33,12 +35,43 @@
 Key = tuple[str, int, bool]
 
 
+class ServerProtocol(ResponseHandler):
+    """Tells a reset from an orderly close.
+
+    Where bytes and a reset arrive together, libuv reports the end of the stream and not the
+    reset; the error of the socket still shows it.
+    """
+
+    __slots__ = ("was_reset",)
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.was_reset = False
+
+    def eof_received(self) -> None:
+        """Notes whether the stream ended because the connection was reset."""
+        connection = self.transport.get_extra_info("socket") if self.transport else None
+        if connection is not None:
+            self.was_reset = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Notes a reset that the event loop reports."""
+        self.was_reset = self.was_reset or exc is not None
+        super().connection_lost(exc)
+
+
 class CleanConnector(aiohttp.TCPConnector):
     """Never hands out a kept connection on which bytes arrived that nobody asked for.
 
     The library would take them as the response to the next request.
     """
 
+    def __init__(self, idle_s: float) -> None:
+        super().__init__(limit=0, keepalive_timeout=idle_s)
+        # The library has no public way to choose the protocol of its connections.
+        loop = asyncio.get_running_loop()
+        self._factory = partial(ServerProtocol, loop=loop)  # type: ignore[assignment]
+
     async def connect(
         self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
     ) -> Connection:
@@ -56,18 +89,19 @@
     The library takes a reset for the end of a body that has no length.
     """
 
-    _ended_by: ResponseHandler | None = None
+    _ended_by: ServerProtocol | None = None
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
         """Reads the head of the answer."""
-        self._ended_by = connection.protocol
+        protocol = connection.protocol
+        assert isinstance(protocol, ServerProtocol)
+        self._ended_by = protocol
         return await super().start(connection)
 
     @property
     def was_reset(self) -> bool:
         """Whether the connection ended without an orderly close."""
-        error = self._ended_by.exception() if self._ended_by is not None else None
-        return error is not None and not isinstance(error, aiohttp.ServerDisconnectedError)
+        return self._ended_by is None or self._ended_by.was_reset
 
 
 @dataclass(slots=True)
@@ -134,7 +168,7 @@
                 except TimeoutError:
                     continue
         finally:
-            await self._close_all()
+            await self.close()
 
     def _find(self, key: Key) -> Generation:
         now = time.monotonic()
@@ -160,14 +194,15 @@
             self._retired.remove(generation)
             await generation.session.close()
 
-    async def _close_all(self) -> None:
+    async def close(self) -> None:
+        """Closes all connections."""
         for generation in [*self._current.values(), *self._retired]:
             await generation.session.close()
 
     def _open_session(self, idle_s: float) -> aiohttp.ClientSession:
         timeouts = self._settings.timeouts
         return aiohttp.ClientSession(
-            connector=CleanConnector(limit=0, keepalive_timeout=idle_s),
+            connector=CleanConnector(idle_s),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=timeouts.connect_s),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -10,10 +10,12 @@
 
 import pytest
 import pytest_asyncio
+import uvloop
 
 from briarfork.border.settings import Settings
 from briarfork.entry.connections import ServerConnections
 from briarfork.gateway.dispatch import AttemptEnded
+from briarfork.gateway.request import Reply
 from briarfork.gateway.request import Request
 from briarfork.platform.upstream import HttpUpstream
 from briarfork.pools import Release
@@ -24,7 +26,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from briarfork.gateway.request import Reply
 
 HOST = "127.0.0.1"
 SEALED = b"X-Briarfork-Attempt-Id: r1\r\nX-Briarfork-Response-Seal: s\r\n"
@@ -94,6 +95,38 @@
     listener.close()
 
 
+def _answer_and_end(listener: socket.socket, reset: bool) -> None:
+    """Blocks until the client has the answer and the end of the connection."""
+    accepted, _ = listener.accept()
+    accepted.recv(4096)
+    accepted.sendall(b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart")
+    if reset:
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    accepted.close()
+    time.sleep(0.05)
+
+
+async def _fetch_from_blocking_server(reset: bool) -> Reply | AttemptEnded:
+    """Sends a request and stops the event loop until body and end have both arrived."""
+    listener = socket.create_server((HOST, 0))
+    settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
+    connections = ServerConnections(settings)
+    upstream = HttpUpstream(connections)
+    address = ServerAddress("i-1", HOST, listener.getsockname()[1])
+    request = Request("r1", "h", "GET", "/", (), b"")
+    deadline = Deadline(time.monotonic() + 5.0)
+    attempt = asyncio.create_task(upstream.send(request, address, deadline, repeatable=True))
+    await asyncio.sleep(0.05)
+    _answer_and_end(listener, reset)
+    listener.close()
+    try:
+        return await attempt
+    except AttemptEnded as ended:
+        return ended
+    finally:
+        await connections.close()
+
+
 class TestHttpUpstream:
     async def test_body_without_length_ends_with_orderly_close(self, scene: Scene) -> None:
         """Guards against refusing whole answers that end with their connection."""
@@ -106,6 +139,15 @@
         ended = await scene.fail(b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart", "reset")
         assert ended.result is AttemptResult.SENT_WITHOUT_ANSWER
 
+    def test_reset_that_arrives_with_the_body_is_seen(self) -> None:
+        """Guards against an event loop that reports data and reset together as an orderly end."""
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            ended = runner.run(_fetch_from_blocking_server(reset=True))
+        assert isinstance(ended, AttemptEnded)
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            reply = runner.run(_fetch_from_blocking_server(reset=False))
+        assert isinstance(reply, Reply)
+
     async def test_body_that_ends_early_is_not_whole(self, scene: Scene) -> None:
         """Guards against an answer that is shorter than it states."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
