Steer a region's surplus away in small steps

Cause: the north of Chile and the south of Estonia have a tenth of the servers and a third of the callers; requests waited for half of their objective there and were refused, while servers elsewhere were idle. Change: a share of each service's requests that leaves the region, moved by at most 0.08 in 2 s; requests wait a part of a run time for the server that knows their object.

--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -244,6 +244,22 @@
         self._held[permit.name] = permit
         return permit
 
+    def take(self, key: SlotKey, demand: PermitDemand, server: ServerAddress) -> Permit | None:
+        """Uses a slot without asking and declares it to the owner of the slots.
+
+        Saves the round trip to an owner far away; the owner counts the slot as soon as it hears
+        of it. Returns None if no owner is known.
+        """
+        owner = self._view.find_owner(*key)
+        if owner is None:
+            return None
+        permit = Permit(demand.permit, *key, demand.request_class, server, owner.vm)
+        if owner.vm == self._self.vm:
+            self._desk.adopt(self._self, _describe(permit))
+        else:
+            self._find_link(owner).send_if_open(_describe(permit))
+        return self.keep(permit)
+
     def build_demand(
         self,
         request_class: RequestClass,
@@ -262,6 +278,7 @@
             avoid=avoid,
             priority=priority,
             object_key=object_key,
+            asked_at=time.monotonic(),
         )
 
     def _find_link(self, owner: Member) -> OwnerLink:
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -289,6 +289,7 @@
         hedge=message.hedge,
         priority=message.priority,
         object_key=message.object_key,
+        asked_at=time.monotonic(),
     )
 
     def deliver(decision: Grant | Refusal) -> None:
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -177,6 +177,7 @@
                 request, permit.server, progress.deadline, route.kind.is_repeatable
             )
             release, slowness = Release.DONE, reply.slowness
+            self._permits.record_load(permit, progress.service, reply.waiting > 0)
             if not reply.is_fault:
                 return reply
             release = Release.FAILED
@@ -185,6 +186,7 @@
             ended = AttemptEnded(AttemptResult.SENT_WITHOUT_ANSWER, release, f"{reply.status}")
         except AttemptEnded as error:
             release, slowness = error.release, error.slowness
+            self._permits.record_load(permit, progress.service, release is not Release.UNUSED)
             ended = error
         finally:
             self._permits.release(permit, release, time.monotonic() - started, slowness)
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -10,6 +10,7 @@
 from briarfork.entry.slot_client import SlotRefused
 from briarfork.errors import ErrorKind
 from briarfork.gateway.spill import Refusals
+from briarfork.gateway.spill import RemoteShare
 from briarfork.gateway.spill import SpillLimit
 from briarfork.requests import Deadline
 from briarfork.routing import RequestKind
@@ -22,9 +23,15 @@
 
 # Part of the objective that a request may wait for a slot in its own zone; the rest is for the
 # run itself.
-WAIT_SHARE = 0.5
+WAIT_SHARE = 0.25
 # Elsewhere a request pays for the way as well.
 REMOTE_WAIT_SHARE = 0.2
+# A request that waited for longer than this part of its objective found its region full.
+PRESSED_WAIT_SHARE = 0.15
+# A server of another region that had requests waiting gets none from here for this time.
+FULL_S = 0.3
+# Servers of a zone that may take an object; more would spread it over too many caches.
+REMOTE_CHOICES = 2
 
 
 class GatewayPermits(SlotClient):
@@ -35,6 +42,8 @@
         self._gateway_view = view
         self._refusals = Refusals()
         self._spill = SpillLimit()
+        self._remote_shares: dict[str, RemoteShare] = {}
+        self._full_until: dict[str, float] = {}
 
     async def acquire(
         self, route: Route, service: str, object_key: str, deadline: Deadline, avoid: frozenset[str]
@@ -44,10 +53,79 @@
         Raises:
             SlotRefused: If no zone has room; nothing was sent.
         """
-        zones = self._list_zones(route, service)
-        if not zones:
+        local, remote = self._list_zones(route, service, object_key)
+        if not local and not remote:
             raise SlotRefused(ErrorKind.NO_SERVER, f"service {service!r} has no server")
-        self._spill.count(time.monotonic())
+        started = time.monotonic()
+        self._spill.count(started)
+        if not local or not remote:
+            return await self._ask_all(local or remote, route, service, object_key, deadline, avoid)
+        share = self._find_share(service, started)
+        if share.takes_next(started):
+            permit = self._take_remote(remote, route, service, object_key, deadline, avoid)
+            if permit is not None:
+                return permit
+        try:
+            asked = await self._ask_all(local, route, service, object_key, deadline, avoid)
+        except SlotRefused:
+            share.record(pressed=True)
+            if not self._spill.allows(time.monotonic()):
+                raise
+            self._spill.spend(time.monotonic())
+            permit = self._take_remote(remote, route, service, object_key, deadline, avoid)
+            if permit is None:
+                raise
+            return permit
+        waited_s = time.monotonic() - started
+        share.record(pressed=waited_s > PRESSED_WAIT_SHARE * route.objective_s)
+        return asked
+
+    def record_load(self, permit: Permit, service: str, full: bool) -> None:
+        """Takes note of whether a server of another region had requests waiting."""
+        if self._gateway_view.place.is_local(permit.site):
+            return
+        now = time.monotonic()
+        if full:
+            self._full_until[permit.server.vm] = now + FULL_S
+        self._find_share(service, now).record_remote(full)
+
+    def _take_remote(
+        self,
+        zones: list[str],
+        route: Route,
+        service: str,
+        object_key: str,
+        deadline: Deadline,
+        avoid: frozenset[str],
+    ) -> Permit | None:
+        """Takes a slot in another region without asking, or returns None if none seems free.
+
+        The way to the owner of the slots and back would take as long as the run itself.
+        """
+        now = time.monotonic()
+        for zone in zones:
+            ranked = self._gateway_view.rank_servers(service, zone, object_key, now)
+            for server in ranked[:REMOTE_CHOICES]:
+                if server.vm in avoid or self._full_until.get(server.vm, 0.0) > now:
+                    continue
+                demand = self.build_demand(RequestClass.SHORT, deadline, avoid, route.priority)
+                return self.take((service, zone), demand, server)
+        return None
+
+    async def _ask_all(
+        self,
+        zones: list[str],
+        route: Route,
+        service: str,
+        object_key: str,
+        deadline: Deadline,
+        avoid: frozenset[str],
+    ) -> Permit:
+        """Asks zones in turn.
+
+        Raises:
+            SlotRefused: If all refuse.
+        """
         refusal = SlotRefused(ErrorKind.OVERLOADED, "no zone has room")
         for zone in zones:
             key = (service, zone)
@@ -56,37 +134,42 @@
             if wait_s > 0.0:
                 refusal = _choose_sooner(refusal, wait_s)
                 continue
-            if not self._may_ask(zone, zones, now):
-                continue
             limit = self._limit_wait(route, zone, deadline, now)
             demand = self.build_demand(
                 RequestClass.SHORT, limit, avoid, route.priority, object_key if route.sticky else ""
             )
             answer = await self.ask_site(key, demand, limit)
             if not isinstance(answer, SlotRefused):
-                if not self._gateway_view.place.is_local(zone):
-                    self._spill.spend(time.monotonic())
                 return self.keep(answer)
             self._refusals.record(key, route.priority, answer.wait_s, time.monotonic())
             refusal = _choose_sooner(refusal, answer.wait_s)
         raise refusal
 
-    def _list_zones(self, route: Route, service: str) -> list[str]:
+    def _list_zones(
+        self, route: Route, service: str, object_key: str
+    ) -> tuple[list[str], list[str]]:
+        """Returns the zones of the own region, nearest first, and those of other regions."""
         place = self._gateway_view.place
-        zones = place.order(
+        allowed = [
             zone
             for zone in self._gateway_view.inventory.list_zones(service)
             if route.allows_region(place.regions.get(zone, ""))
+        ]
+        local = place.order(zone for zone in allowed if place.is_local(zone))
+        remote = self._gateway_view.rank_zones(
+            service, object_key, [zone for zone in allowed if not place.is_local(zone)]
         )
         if route.kind is RequestKind.DOWNLOAD:
-            # Large answers stay in the zone if it has any server, because links are limited.
-            return zones[:1]
-        return zones
+            # Large answers stay as near as there is any server, because links are limited.
+            return (local[:1], []) if local else ([], remote[:1])
+        return local, remote
 
-    def _may_ask(self, zone: str, zones: list[str], now: float) -> bool:
-        place = self._gateway_view.place
-        has_local = any(place.is_local(other) for other in zones)
-        return place.is_local(zone) or not has_local or self._spill.allows(now)
+    def _find_share(self, service: str, now: float) -> RemoteShare:
+        share = self._remote_shares.get(service)
+        if share is None:
+            initial = self._gateway_view.estimate_remote_share(service)
+            share = self._remote_shares[service] = RemoteShare(initial, now)
+        return share
 
     def _limit_wait(self, route: Route, zone: str, deadline: Deadline, now: float) -> Deadline:
         own = zone == self._gateway_view.place.zone
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -39,12 +39,14 @@
 
     Attributes:
         slowness: What the server said about its machine, 0 if nothing.
+        waiting: Requests that waited at the server when it answered.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
     slowness: float = 0.0
+    waiting: int = 0
 
     @property
     def is_fault(self) -> bool:
--- a/src/briarfork/gateway/spill.py
+++ b/src/briarfork/gateway/spill.py
@@ -10,9 +10,24 @@
     from briarfork.entry.slots import SlotKey
 
 WINDOW_S: Final = 2.0
-# The share of a region's requests that changes region between two windows stays below 0.15, as
-# the share that runs elsewhere never exceeds this.
-MAX_SHARE: Final = 0.1
+# Requests that found no room in the region as a last resort. The steps of the remote share and
+# this stay together below 0.15 of a region's requests between two windows.
+MAX_SHARE: Final = 0.04
+# The remote share of a service moves by one step in each period, so by 0.08 in a window.
+PERIOD_S: Final = 0.5
+STEP_UP: Final = 0.02
+STEP_DOWN: Final = 0.01
+# Shares of requests that found their region full, above and below which the remote share moves.
+PRESSED_ABOVE: Final = 0.05
+PRESSED_BELOW: Final = 0.01
+MAX_REMOTE_SHARE: Final = 0.9
+# Share of requests to other regions that met a full server, above which fewer are sent.
+FULL_ABOVE: Final = 0.25
+# Requests in a period below which nothing is concluded.
+LEAST_REQUESTS: Final = 4
+# Before anything is measured, callers are expected where the entry VMs are; this part of the
+# difference to where the servers are is steered away from the start.
+INITIAL_PART: Final = 0.6
 # A refusal without an expected wait says nothing about later requests.
 MAX_REFUSAL_S: Final = 0.2
 
@@ -22,8 +37,8 @@
 
     Example:
         >>> limit = SpillLimit()
-        >>> for number in range(20): limit.count(number / 100)
-        >>> [(limit.allows(0.2), limit.spend(0.2))[0] for _ in range(3)]
+        >>> for number in range(60): limit.count(number / 100)
+        >>> [(limit.allows(0.6), limit.spend(0.6))[0] for _ in range(3)]
         [True, True, False]
     """
 
@@ -47,6 +62,95 @@
         self._spilled.append(now)
 
 
+class RemoteShare:
+    """The share of one service's requests that this VM sends to other regions.
+
+    It rises in small steps while the own region is full and falls while there is room, so that
+    the traffic of a region never changes its place abruptly.
+
+    Example:
+        >>> share = RemoteShare(initial=0.0, now=0.0)
+        >>> for _ in range(10): share.record(pressed=True)
+        >>> share.find(now=0.5)
+        0.02
+    """
+
+    __slots__ = ("_full", "_period_at", "_pressed", "_recorded", "_remote", "_share", "_taken")
+
+    def __init__(self, initial: float, now: float) -> None:
+        self._share = min(MAX_REMOTE_SHARE, max(0.0, initial))
+        self._period_at = now
+        self._recorded = 0
+        self._pressed = 0
+        self._taken = 0.0
+        self._remote = 0
+        self._full = 0
+
+    def record(self, pressed: bool) -> None:
+        """Counts a request that asked its own region first.
+
+        Args:
+            pressed: Whether it was refused there or waited for long.
+        """
+        self._recorded += 1
+        self._pressed += pressed
+
+    def record_remote(self, full: bool) -> None:
+        """Counts a request that ran in another region.
+
+        Args:
+            full: Whether the server there refused it or had others waiting.
+        """
+        self._remote += 1
+        self._full += full
+
+    def find(self, now: float) -> float:
+        """Returns the share in force now."""
+        if now - self._period_at >= PERIOD_S:
+            self._period_at = now
+            if self._recorded >= LEAST_REQUESTS:
+                self._move(self._pressed / self._recorded)
+                self._recorded = self._pressed = 0
+        return self._share
+
+    def takes_next(self, now: float) -> bool:
+        """Returns whether the next request goes to another region; evenly spaced by the share."""
+        self._taken += self.find(now)
+        if self._taken < 1.0:
+            return False
+        self._taken -= 1.0
+        return True
+
+    def _move(self, pressed: float) -> None:
+        full = self._full > FULL_ABOVE * max(self._remote, LEAST_REQUESTS)
+        self._remote = self._full = 0
+        if full:
+            self._share = max(0.0, self._share - STEP_DOWN)
+        elif pressed > PRESSED_ABOVE:
+            self._share = min(MAX_REMOTE_SHARE, self._share + STEP_UP)
+        elif pressed < PRESSED_BELOW:
+            self._share = max(0.0, self._share - STEP_DOWN)
+
+
+def estimate_remote_share(local_slots: int, all_slots: int, local_vms: int, all_vms: int) -> float:
+    """Returns the remote share to begin with.
+
+    Args:
+        local_slots: Slots of the service in the region.
+        all_slots: Its slots everywhere.
+        local_vms: Entry VMs of the region.
+        all_vms: Entry VMs everywhere.
+
+    Example:
+        >>> round(estimate_remote_share(2, 20, 4, 12), 2)
+        0.42
+    """
+    if not all_slots or not local_vms or not all_vms:
+        return 0.0
+    served = (local_slots / all_slots) / (local_vms / all_vms)
+    return INITIAL_PART * max(0.0, 1.0 - served)
+
+
 class Refusals:
     """Remembers for a moment which slots were refused, so that they are not asked in vain."""
 
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
+from typing import Final
 
 from briarfork.border.events import Event
 from briarfork.configuration import SiteCapacity
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.gateway.spill import estimate_remote_share
+from briarfork.hashing import hash_text
 from briarfork.membership import MemberState
 from briarfork.membership import rank_members
 from briarfork.pools import Inventory
@@ -22,6 +26,8 @@
     from briarfork.routing import RouteTable
 
 DEFAULT_CONNECTIONS = 100
+# One above the largest 64-bit hash.
+HASH_RANGE: Final = 2**64 + 1
 
 
 class GatewayView:
@@ -111,6 +117,47 @@
             near = [item for item in serving if regions.get(item.zone) == region]
         return near or serving
 
+    def rank_zones(self, service: str, object_key: str, zones: list[str]) -> list[str]:
+        """Returns zones in an order that is the same for an object on every VM.
+
+        Zones come first in proportion to their slots (weighted rendezvous hashing), so that the
+        servers of a zone keep the objects that other regions ask them for.
+        """
+
+        def score(zone: str) -> float:
+            slots = self._count_slots(service, zone)
+            part = (hash_text(f"{object_key}|{zone}") + 1) / HASH_RANGE
+            return -slots / math.log(part)
+
+        return sorted(zones, key=score, reverse=True)
+
+    def rank_servers(
+        self, service: str, zone: str, object_key: str, now: float
+    ) -> list[ServerAddress]:
+        """Returns warm servers in an order that is the same for an object on every VM."""
+        warm = [
+            item
+            for item in self.inventory.list_usable(service, zone)
+            if self.inventory.find_cold_until(item) <= now
+        ]
+        warm.sort(key=lambda item: hash_text(f"{object_key}|{item.name}"))
+        return [item.describe_address() for item in warm]
+
+    def estimate_remote_share(self, service: str) -> float:
+        """Returns the share of a service's requests that leaves the region at first."""
+        zones = self.place.regions
+        local = [zone for zone in zones if self.place.is_local(zone)]
+        serving = self._list_serving()
+        return estimate_remote_share(
+            sum(self._count_slots(service, zone) for zone in local),
+            sum(self._count_slots(service, zone) for zone in zones),
+            sum(1 for item in serving if item.zone in local),
+            len(serving),
+        )
+
+    def _count_slots(self, service: str, zone: str) -> int:
+        return sum(item.slots for item in self.inventory.list_usable(service, zone))
+
     def _list_serving(self) -> list[Member]:
         return [
             item
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -80,7 +80,7 @@
             trace_request_ctx=AttemptGuard(attempt),
         ) as answer:
             body = await answer.read()
-            slowness = _read_slowness(answer)
+            waiting, slowness = _read_load(answer)
             if _is_refusal(answer):
                 attempt.mark_refused()
                 raise AttemptEnded(
@@ -92,7 +92,7 @@
             if fault is not None:
                 answer.close()
                 raise AttemptEnded(attempt.result, Release.FAILED, fault, slowness)
-            return Reply(answer.status, _list_headers(answer), body, slowness)
+            return Reply(answer.status, _list_headers(answer), body, slowness, waiting)
 
 
 def _build_headers(
@@ -146,11 +146,13 @@
     )
 
 
-def _read_slowness(answer: aiohttp.ClientResponse) -> float:
+def _read_load(answer: aiohttp.ClientResponse) -> tuple[int, float]:
+    """Returns the number of waiting requests and the slowness of the machine, 0 if unknown."""
     parts = answer.headers.get(names.LOAD, "").split(",")
-    if len(parts) < LOAD_FIELDS:
-        return 0.0
     try:
-        return float(parts[LOAD_FIELDS - 1]) / PERCENT
+        numbers = [int(part) for part in parts]
     except ValueError:
-        return 0.0
+        return 0, 0.0
+    waiting = numbers[1] if len(numbers) > 1 else 0
+    slowness = numbers[LOAD_FIELDS - 1] / PERCENT if len(numbers) >= LOAD_FIELDS else 0.0
+    return waiting, slowness
--- a/src/briarfork/pools/permit.py
+++ b/src/briarfork/pools/permit.py
@@ -49,6 +49,7 @@
         hedge: Whether it is a second attempt, which never waits and never repeats a server.
         priority: Rank among waiting requests, 0 is the most urgent.
         object_key: Names the object that the request concerns, empty if unknown.
+        asked_at: When the owner of the slots got the demand, seconds.
     """
 
     permit: str
@@ -59,6 +60,7 @@
     hedge: bool = False
     priority: int = 0
     object_key: str = ""
+    asked_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -39,6 +39,9 @@
 # Run times vary, so a request is refused at once unless twice the expected wait is left; without
 # the margin half of the requests at the limit would be refused only when their time is over.
 WAIT_MARGIN = 2.0
+# A request waits for the server that has its object in its caches for this part of the mean run
+# time; a run without them takes about three times as long.
+AFFINITY_WAIT = 0.4
 # Position of a class and priority within it; lower ones go first.
 Rank = tuple[int, int]
 CLASS_ORDER = (RequestClass.SHORT, RequestClass.LONG)
@@ -293,7 +296,7 @@
             server = self._select(demand, now)
             if server is not None:
                 granted.append(self._grant(demand, server, now))
-            elif not demand.avoid:
+            elif not demand.avoid and not demand.object_key:
                 break
         for decision in granted:
             line.remove(decision.demand.permit)
@@ -310,8 +313,17 @@
         for server in free:
             server.count_overdue(now, overdue_s)
             server.slowness = server.find_slowness(now)
-        warm = [server for server in free if demand.object_key in server.objects]
-        return SELECTION.get(PERMITS)(warm or free, self._random)
+        if demand.object_key:
+            warm = _list_warm(demand.object_key, allowed, now)
+            known = [server for server in warm if server in free]
+            if known:
+                return known[0]
+            if warm and now - demand.asked_at < self._find_affinity_wait_s():
+                return None
+        return SELECTION.get(PERMITS)(free, self._random)
+
+    def _find_affinity_wait_s(self) -> float:
+        return AFFINITY_WAIT * self._run_times[RequestClass.SHORT].mean_s
 
     def _grant(self, demand: PermitDemand, server: Server, now: float) -> Grant:
         server.start(demand.permit, demand.request_class, now)
@@ -326,5 +338,20 @@
         return max(1, slots - 1) if self._mixed else slots
 
 
+def _list_warm(object_key: str, servers: list[Server], now: float) -> list[Server]:
+    """Returns the servers in order that have handled an object, the most recent first."""
+    ages = {
+        server.address.vm: age
+        for server in servers
+        if (age := server.objects.find_age(object_key)) is not None
+    }
+    sound = [
+        server
+        for server in servers
+        if server.address.vm in ages and not server.overdue and now >= server.paused_until
+    ]
+    return sorted(sound, key=lambda server: ages[server.address.vm])
+
+
 def _find_rank(request_class: RequestClass, priority: int) -> Rank:
     return CLASS_ORDER.index(request_class), priority
