--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -86,9 +86,6 @@
     ATTEMPT_FAILED = EventDefinition(
         5006, "info", "An attempt to run a request at a backend server brought no whole answer."
     )
-    REQUEST_REFUSED = EventDefinition(
-        5007, "info", "A request was refused before it was sent to a backend server."
-    )
 
 
 class EventLog:
--- /dev/null
+++ b/tests/gateway/test_spill.py
@@ -0,0 +1,55 @@
+"""How a region's surplus leaves it."""
+
+from __future__ import annotations
+
+import itertools
+
+from briarfork.gateway.spill import MAX_REMOTE_SHARE
+from briarfork.gateway.spill import RemoteShare
+from briarfork.gateway.spill import SpillLimit
+
+# The users' limit on the share of a region's requests that changes region between windows.
+MAX_SHIFT = 0.15
+WINDOW_S = 2.0
+RATE = 50
+
+
+def replay(pressed_until: float, end: float) -> list[float]:
+    """Returns the remote part in each window, with a region that is full and then empty."""
+    share = RemoteShare(initial=0.0, now=0.0)
+    limit = SpillLimit()
+    counts: dict[int, list[int]] = {}
+    for step in range(int(end * RATE)):
+        now = step / RATE
+        pressed = now < pressed_until
+        limit.count(now)
+        remote = share.takes_next(now)
+        if not remote:
+            share.record(pressed)
+            if pressed and limit.allows(now):
+                limit.spend(now)
+                remote = True
+        counts.setdefault(int(now / WINDOW_S), []).append(remote)
+    return [sum(window) / len(window) for window in counts.values()]
+
+
+class TestRemoteShare:
+    def test_full_region_sheds_its_surplus_gradually(self) -> None:
+        """Replays half of a zone's callers moving at once: no window changes by over 0.15."""
+        parts = replay(pressed_until=40.0, end=90.0)
+        changes = [abs(after - before) for before, after in itertools.pairwise(parts)]
+        assert max(changes) < MAX_SHIFT
+        assert max(parts) > 0.5
+        assert parts[-1] < 0.3
+
+    def test_share_is_bounded(self) -> None:
+        """Guards against a region that never learns that it has room again."""
+        assert max(replay(pressed_until=200.0, end=200.0)) <= MAX_REMOTE_SHARE + 0.04 + 1 / RATE
+
+    def test_full_servers_elsewhere_lower_the_share(self) -> None:
+        """Guards against a surplus that overloads the region that it is sent to."""
+        share = RemoteShare(initial=0.4, now=0.0)
+        for _ in range(20):
+            share.record(pressed=True)
+            share.record_remote(full=True)
+        assert share.find(0.5) < 0.4
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,130 @@
+"""Records of operators and backend servers, whole and spoilt."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from briarfork.platform.records import UnreadableRecord
+from briarfork.platform.records import decode_configuration
+from briarfork.platform.records import decode_instance
+from briarfork.platform.units import parse_duration
+from briarfork.routing import RequestKind
+
+ROUTE = ["r", "h", "/a/", "idempotent", "1500ms", "400ms", 2, "s", 2, True, ["north"], None]
+COLUMNS = [
+    "name",
+    "host",
+    "prefix",
+    "kind",
+    "timeout",
+    "slo",
+    "priority",
+    "service",
+    "max_attempts",
+    "sticky_sessions",
+    "allowed_regions",
+    "traffic_split",
+]
+
+
+def build_configuration(**changes: Any) -> dict[str, Any]:
+    row = [changes.get(name, value) for name, value in zip(COLUMNS, ROUTE, strict=True)]
+    return {
+        "version": 7,
+        "routes": {"columns": COLUMNS, "rows": [row]},
+        "services": {"columns": ["name", "cold_start", "cold_per_s"], "rows": [["s", "3s", 4.0]]},
+        "limits": {"max_header_bytes": 100, "idle_timeout": "15000ms"},
+    }
+
+
+def build_entry(**changes: Any) -> bytes:
+    entry = {
+        "address": "10.0.0.1:80",
+        "info": {"service": "s", "zone": "a", "slots": 3},
+        "status": {"state": "ready", "sequence": 4, "cold_remaining": "500ms"},
+        "born": 1700000000000,
+    }
+    return json.dumps(entry | changes).encode()
+
+
+class TestConfiguration:
+    def test_every_field_reaches_the_route(self) -> None:
+        """Guards against a column that is read as another one."""
+        table = decode_configuration(json.dumps(build_configuration()).encode())
+        route = table.find("h", "/a/b")
+        assert route is not None
+        assert (route.kind, route.timeout_s, route.objective_s) == (
+            RequestKind.IDEMPOTENT,
+            1.5,
+            0.4,
+        )
+        assert (route.priority, route.max_attempts, route.sticky) == (2, 2, True)
+        assert route.allows_region("north")
+        assert not route.allows_region("south")
+        assert (table.version, table.limits.header_bytes, table.limits.idle_s) == (7, 100, 15.0)
+        assert table.services["s"].cold_per_s == 4.0
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"service": "unknown"},
+            {"kind": "odd"},
+            {"host": None},
+            {"prefix": "/a"},
+            {"timeout": "soon"},
+            {"service": None},
+            {"max_attempts": 0},
+        ],
+    )
+    def test_spoilt_configuration_is_refused_whole(self, changes: dict[str, Any]) -> None:
+        """Guards against a configuration of which a part is put in force."""
+        with pytest.raises(UnreadableRecord):
+            decode_configuration(json.dumps(build_configuration(**changes)).encode())
+
+    def test_two_routes_at_one_place_are_refused(self) -> None:
+        """Guards against a route that depends on the order of rows."""
+        body = build_configuration()
+        body["routes"]["rows"] *= 2
+        with pytest.raises(UnreadableRecord):
+            decode_configuration(json.dumps(body).encode())
+
+    def test_text_that_is_cut_short_is_refused(self) -> None:
+        """Guards against an unreadable value that ends the follower."""
+        whole = json.dumps(build_configuration()).encode()
+        for size in (0, 1, len(whole) // 2, len(whole) - 1):
+            with pytest.raises(UnreadableRecord):
+                decode_configuration(whole[:size])
+
+
+class TestInstance:
+    def test_entry_is_read(self) -> None:
+        """Guards against a server at a wrong place or without its identity."""
+        found = decode_instance("i-1", build_entry(), now=10.0)
+        assert (found.address, found.port, found.slots) == ("10.0.0.1", 80, 3)
+        assert (found.cold_until, found.born_ms, found.draining) == (10.5, 1700000000000, False)
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"address": 5},
+            {"address": "host:80"},
+            {"info": {"service": "s"}},
+            {"status": {"state": "odd", "sequence": 1}},
+            {"status": None},
+        ],
+    )
+    def test_entry_of_another_writer_names_no_server(self, changes: dict[str, Any]) -> None:
+        """Guards against requests to an address that nobody registered as a server."""
+        with pytest.raises(UnreadableRecord):
+            decode_instance("i-1", build_entry(**changes), now=0.0)
+
+
+class TestDuration:
+    @pytest.mark.parametrize("text", ["", "5", "-1s", "1m", "1 s", "xs"])
+    def test_malformed_duration_is_refused(self, text: str) -> None:
+        """Guards against a time that is read in another unit."""
+        with pytest.raises(ValueError, match="expected a duration"):
+            parse_duration(text)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,68 @@
+"""Settings in the platform's format."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from briarfork.errors import BadSettings
+from briarfork.platform.settings import load_platform_settings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+BOOT: dict[str, Any] = {
+    "node": "front-a-1",
+    "ip": "10.1.0.15",
+    "zone": "a",
+    "region": "north",
+    "zones": {"a": "north", "b": "south"},
+    "listen": {"front": "10.1.0.15:1", "ready": "10.1.0.15:2", "directory": "10.1.0.15:3"},
+    "internal_ports": [7620, 7635],
+    "platform": {"address": "10.200.1.7:8642", "min_ttl": "1000ms"},
+    "bounds": ["grace=8s", "ttl_max=1s"],
+    "unheard_of": 1,
+}
+
+
+def write(folder: Path, body: object) -> Path:
+    path = folder / "boot.json"
+    path.write_text(json.dumps(body))
+    return path
+
+
+class TestPlatformSettings:
+    def test_become_the_settings_of_the_product(self, tmp_path: Path) -> None:
+        """Guards against a program that listens or asks at a wrong place."""
+        settings = load_platform_settings(write(tmp_path, BOOT))
+        product = settings.product
+        assert (product.vm, product.zone, product.address) == ("front-a-1", "a", "10.1.0.15")
+        assert (product.ports.entry, product.ports.permits) == (1, 7620)
+        assert (settings.ready, settings.lookup) == (("10.1.0.15", 2), ("10.1.0.15", 3))
+        assert product.store_url == "http://10.200.1.7:8642"
+        assert (settings.grace_s, settings.lookup_ttl_s) == (8.0, 1.0)
+
+    def test_every_fault_is_named(self, tmp_path: Path) -> None:
+        """Guards against operators who learn of one fault at a time."""
+        body = BOOT | {"zone": 5, "listen": {"front": "x"}, "internal_ports": [1]}
+        with pytest.raises(BadSettings) as caught:
+            load_platform_settings(write(tmp_path, body))
+        named = [fault.split(": ")[1] for fault in caught.value.faults]
+        assert named == [
+            "zone",
+            "listen.front",
+            "listen.ready",
+            "listen.directory",
+            "internal_ports",
+        ]
+
+    @pytest.mark.parametrize("text", ["", "{", "[]", "\x00"])
+    def test_unreadable_file_is_refused(self, tmp_path: Path, text: str) -> None:
+        """Guards against a start without settings."""
+        path = tmp_path / "boot.json"
+        path.write_text(text)
+        with pytest.raises(BadSettings):
+            load_platform_settings(path)
