--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -31,8 +31,8 @@
     STARTED = EventDefinition(1001, "notice", "The program has started and accepts work.")
     STOPPING = EventDefinition(1002, "notice", "A planned stop has begun.")
     STOPPED = EventDefinition(1003, "notice", "The program has stopped; nothing was cut.")
-    RELOADED = EventDefinition(1005, "notice", "A signal to read the settings again was received.")
     TASK_FAILED = EventDefinition(1004, "error", "A task failed in a way that is not expected.")
+    RELOADED = EventDefinition(1005, "notice", "A signal to read the settings again was received.")
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
     CONFIGURATION_IN_FORCE = EventDefinition(
@@ -57,6 +57,12 @@
     STORE_BACK = EventDefinition(3002, "notice", "The store answers again.")
     FOLLOWING = EventDefinition(3003, "info", "This VM follows the store for its zone.")
     NOT_FOLLOWING = EventDefinition(3004, "info", "This VM no longer follows the store.")
+    HISTORY_LOST = EventDefinition(
+        3005, "notice", "The store has dropped its history; everything is read again."
+    )
+    RECORD_IGNORED = EventDefinition(
+        3006, "warning", "A record in the store could not be read and is ignored."
+    )
     PEER_CONNECTED = EventDefinition(4001, "info", "A stream to another process is open.")
     PEER_LOST = EventDefinition(4002, "info", "A stream to another process has ended.")
     PEER_PROTOCOL_ERROR = EventDefinition(
@@ -64,12 +70,6 @@
     )
     MEMBER_CHANGED = EventDefinition(4004, "info", "The state of a member has changed.")
     LIST_CHANGED = EventDefinition(4005, "info", "The list of VMs has changed.")
-    HISTORY_LOST = EventDefinition(
-        3005, "notice", "The store has dropped its history; everything is read again."
-    )
-    RECORD_IGNORED = EventDefinition(
-        3006, "warning", "A record in the store could not be read and is ignored."
-    )
     REQUEST_FAILED = EventDefinition(5001, "info", "A request was answered with an error.")
     ANSWER_CUT = EventDefinition(
         5002, "warning", "A backend server ended an answer early; the caller's stream was reset."
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -95,10 +95,8 @@
     listener.close()
 
 
-def _answer_and_end(listener: socket.socket, reset: bool) -> None:
+def _answer_and_end(accepted: socket.socket, reset: bool) -> None:
     """Blocks until the client has the answer and the end of the connection."""
-    accepted, _ = listener.accept()
-    accepted.recv(4096)
     accepted.sendall(b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart")
     if reset:
         accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -106,9 +104,17 @@
     time.sleep(0.05)
 
 
+def _accept(listener: socket.socket) -> socket.socket:
+    """Waits for the client and its request."""
+    accepted, _ = listener.accept()
+    accepted.recv(4096)
+    return accepted
+
+
 async def _fetch_from_blocking_server(reset: bool) -> Reply | AttemptEnded:
     """Sends a request and stops the event loop until body and end have both arrived."""
     listener = socket.create_server((HOST, 0))
+    listener.settimeout(5.0)
     settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
     connections = ServerConnections(settings)
     upstream = HttpUpstream(connections)
@@ -116,8 +122,8 @@
     request = Request("r1", "h", "GET", "/", (), b"")
     deadline = Deadline(time.monotonic() + 5.0)
     attempt = asyncio.create_task(upstream.send(request, address, deadline, repeatable=True))
-    await asyncio.sleep(0.05)
-    _answer_and_end(listener, reset)
+    # The client connects on this loop, so only another thread may block.
+    _answer_and_end(await asyncio.to_thread(_accept, listener), reset)
     listener.close()
     try:
         return await attempt
