--- a/src/run_gateway.py
+++ b/src/run_gateway.py
@@ -2,4 +2,5 @@
 
 from briarfork.platform.main import main
 
-main()
+if __name__ == "__main__":
+    main()
