Log decisions within a bound and serve counters and histograms

Change: one JSON line for the end of a request (route, service, version of the configuration, zone, servers, waits, outcome), for each failed attempt and for each move of a remote share; 10 lines a second of each event, and a count of what was left out; standard output does not block; prometheus-client (3 MB, weighed against counters of our own, which would be a second text format) serves counts, histograms and levels.

--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.errors import OutcomeUnknown
+from briarfork.gateway.measures import Measures
 from briarfork.pools import Release
 from briarfork.requests import AttemptResult
 from briarfork.requests import Budget
@@ -30,6 +31,7 @@
     from briarfork.pools import ServerAddress
     from briarfork.routing import Route
 
+MILLISECONDS = 1000.0
 # All VMs together may repeat 20% of the requests of a service; half of it is left for requests
 # that a VM counts twice, and for VMs that join.
 REPEAT_RATIO = 0.1
@@ -80,15 +82,22 @@
         unsent: Attempts that reached no server.
         may_have_run: Whether a server may have run it.
         fault: The last answer with which a server said that it failed.
+        zone: Where the last slot was.
+        slot_after_s: When it was granted, from the start of the request.
+        detail: Why no slot was granted.
     """
 
     route: Route
     service: str
     deadline: Deadline
+    started: float
     tried: set[str] = field(default_factory=set)
     unsent: int = 0
     may_have_run: bool = False
     fault: Reply | None = None
+    zone: str = ""
+    slot_after_s: float = 0.0
+    detail: str = ""
 
 
 class Dispatcher:
@@ -101,6 +110,7 @@
         self._permits = permits
         self._upstream = upstream
         self._events = events
+        self.measures = Measures()
         self._spread = Spread()
         self._budgets: dict[str, Budget] = {}
 
@@ -112,12 +122,69 @@
             OutcomeUnknown: If it may have run and there is no answer.
         """
         route = self._find_route(request)
+        progress = self._begin(request, route)
+        outcome = "cancelled"
+        try:
+            reply = await self._run(request, progress)
+            outcome = "answered"
+            return reply
+        except BriarforkError as error:
+            outcome = error.kind.value
+            raise
+        finally:
+            self._end(request, progress, outcome)
+
+    @property
+    def has_configuration(self) -> bool:
+        """Whether requests can be routed."""
+        return self._view.has_table
+
+    def report_levels(self) -> None:
+        """Brings the gauges up to date."""
+        table = self._view.require_table()
+        self.measures.set_version(table.version)
+        for service in table.services:
+            budget = self._find_budget(service).level
+            self.measures.set_levels(
+                service,
+                self._permits.count_waiting(service),
+                budget,
+                self._permits.find_remote_share(service),
+            )
+
+    def _begin(self, request: Request, route: Route) -> Progress:
         now = time.monotonic()
         wait_s = route.timeout_s
         if request.wait_s is not None:
             wait_s = min(wait_s, request.wait_s)
-        progress = Progress(route, self._spread.choose(route), Deadline(now + wait_s))
+        progress = Progress(route, self._spread.choose(route), Deadline(now + wait_s), now)
         self._find_budget(progress.service).earn()
+        return progress
+
+    def _end(self, request: Request, progress: Progress, outcome: str) -> None:
+        elapsed_s = time.monotonic() - progress.started
+        self.measures.count_request(progress.service, progress.route, outcome, elapsed_s)
+        event = Event.REQUEST_SERVED if outcome == "answered" else Event.REQUEST_FAILED
+        self._events.record(
+            event,
+            request=request.request_id,
+            outcome=outcome,
+            service=progress.service,
+            route=progress.route.name,
+            configuration=self._view.require_table().version,
+            servers=sorted(progress.tried),
+            zone=progress.zone,
+            slot_after_ms=round(progress.slot_after_s * MILLISECONDS),
+            elapsed_ms=round(elapsed_s * MILLISECONDS),
+            detail=progress.detail,
+        )
+
+    async def _run(self, request: Request, progress: Progress) -> Reply:
+        """Acquires slots and sends the request until there is an answer.
+
+        Raises:
+            BriarforkError: If there is none.
+        """
         while True:
             permit = await self._acquire(request, progress)
             if permit is None:
@@ -157,6 +224,7 @@
                 frozenset(progress.tried),
             )
         except NotRun as error:
+            progress.detail = error.detail
             if progress.fault is not None:
                 return None
             if progress.may_have_run:
@@ -171,6 +239,8 @@
         """
         started = time.monotonic()
         route = progress.route
+        progress.zone = permit.site
+        progress.slot_after_s = started - progress.started
         release, slowness = Release.CANCELLED, 0.0
         try:
             reply = await self._upstream.send(
@@ -190,6 +260,7 @@
             ended = error
         finally:
             self._permits.release(permit, release, time.monotonic() - started, slowness)
+        self.measures.count_failed_attempt(progress.service, ended.result.value)
         self._events.record(
             Event.ATTEMPT_FAILED,
             request=request.request_id,
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from briarfork.border.events import Event
 from briarfork.configuration import RequestClass
 from briarfork.entry.slot_client import SlotClient
 from briarfork.entry.slot_client import SlotRefused
@@ -30,6 +31,8 @@
 PRESSED_WAIT_SHARE = 0.15
 # A server of another region that had requests waiting gets none from here for this time.
 FULL_S = 0.3
+# Change of a remote share that is worth a line in the log.
+LOGGED_STEP = 0.1
 # Servers of a zone that may take an object; more would spread it over too many caches.
 REMOTE_CHOICES = 2
 
@@ -44,6 +47,7 @@
         self._spill = SpillLimit()
         self._remote_shares: dict[str, RemoteShare] = {}
         self._full_until: dict[str, float] = {}
+        self._logged_shares: dict[str, float] = {}
 
     async def acquire(
         self, route: Route, service: str, object_key: str, deadline: Deadline, avoid: frozenset[str]
@@ -53,7 +57,7 @@
         Raises:
             SlotRefused: If no zone has room; nothing was sent.
         """
-        local, remote = self._list_zones(route, service, object_key)
+        local, remote = self.list_zones(route, service, object_key)
         if not local and not remote:
             raise SlotRefused(ErrorKind.NO_SERVER, f"service {service!r} has no server")
         started = time.monotonic()
@@ -61,6 +65,7 @@
         if not local or not remote:
             return await self._ask_all(local or remote, route, service, object_key, deadline, avoid)
         share = self._find_share(service, started)
+        self._log_share(service, share.find(started))
         if share.takes_next(started):
             permit = self._take_remote(remote, route, service, object_key, deadline, avoid)
             if permit is not None:
@@ -80,6 +85,18 @@
         share.record(pressed=waited_s > PRESSED_WAIT_SHARE * route.objective_s)
         return asked
 
+    def count_waiting(self, service: str) -> int:
+        """Returns the requests that wait for slots of a service that this VM owns."""
+        queues = [
+            self._desk.find_queue((service, zone)) for zone in self._gateway_view.place.regions
+        ]
+        return sum(queue.waiting for queue in queues if queue is not None)
+
+    def find_remote_share(self, service: str) -> float:
+        """Returns the share of a service's requests that leaves the region."""
+        share = self._remote_shares.get(service)
+        return share.find(time.monotonic()) if share else 0.0
+
     def record_load(self, permit: Permit, service: str, full: bool) -> None:
         """Takes note of whether a server of another region had requests waiting."""
         if self._gateway_view.place.is_local(permit.site):
@@ -145,7 +162,7 @@
             refusal = _choose_sooner(refusal, answer.wait_s)
         raise refusal
 
-    def _list_zones(
+    def list_zones(
         self, route: Route, service: str, object_key: str
     ) -> tuple[list[str], list[str]]:
         """Returns the zones of the own region, nearest first, and those of other regions."""
@@ -171,6 +188,13 @@
             share = self._remote_shares[service] = RemoteShare(initial, now)
         return share
 
+    def _log_share(self, service: str, value: float) -> None:
+        if abs(value - self._logged_shares.get(service, 0.0)) >= LOGGED_STEP:
+            self._logged_shares[service] = value
+            self._desk.events.record(
+                Event.REMOTE_SHARE_MOVED, service=service, share=round(value, 2)
+            )
+
     def _limit_wait(self, route: Route, zone: str, deadline: Deadline, now: float) -> Deadline:
         own = zone == self._gateway_view.place.zone
         share = WAIT_SHARE if own else REMOTE_WAIT_SHARE
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -28,6 +28,16 @@
 # Longer than any idle limit of the configuration, which callers keep by themselves.
 KEEP_ALIVE_S = 75.0
 HEADER_BYTES = 16384
+# Errors of requests that get no route, whose end the dispatcher does not log.
+BEFORE_DISPATCH = frozenset(
+    {
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.UNKNOWN_PATH,
+        ErrorKind.HEADER_TOO_LARGE,
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.NO_CONFIGURATION,
+    }
+)
 # Headers that this VM sets itself.
 OWN_HEADERS = frozenset(
     name.lower() for name in (names.ATTEMPT_ID, names.DEADLINE_MS, names.EXPECTED_INSTANCE)
@@ -93,13 +103,14 @@
         self, request_id: str, message: web.BaseRequest, error: BriarforkError
     ) -> web.Response:
         answer = ANSWERS[error.kind]
-        self._gateway.events.record(
-            Event.REQUEST_FAILED,
-            request=request_id,
-            kind=error.kind.value,
-            path=message.raw_path,
-            detail=error.detail,
-        )
+        if error.kind in BEFORE_DISPATCH:
+            self._gateway.events.record(
+                Event.REQUEST_FAILED,
+                request=request_id,
+                outcome=error.kind.value,
+                path=message.raw_path,
+                detail=error.detail,
+            )
         body = {"error": error.kind.value, "detail": error.detail, "outcome": answer.outcome.value}
         response = web.json_response(body, status=answer.status)
         if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
--- a/src/briarfork/platform/lookups.py
+++ b/src/briarfork/platform/lookups.py
@@ -10,6 +10,7 @@
 from briarfork.platform.units import format_duration
 
 if TYPE_CHECKING:
+    from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
 
 # Entry VMs named in one answer.
@@ -27,6 +28,19 @@
     return app
 
 
+def build_metrics_app(dispatcher: Dispatcher) -> web.Application:
+    """Returns the application of the metrics address."""
+
+    async def report(request: web.Request) -> web.Response:
+        if dispatcher.has_configuration:
+            dispatcher.report_levels()
+        return web.Response(body=dispatcher.measures.render(), content_type="text/plain")
+
+    app = web.Application()
+    app.router.add_get(names.METRICS_PATH, report)
+    return app
+
+
 def build_lookup_app(gateway: Gateway, ttl_s: float) -> web.Application:
     """Returns the application that names entry VMs.
 
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -17,6 +17,7 @@
 from briarfork import __version__
 from briarfork.border.events import Event
 from briarfork.border.events import EventLog
+from briarfork.border.events import LineBudget
 from briarfork.border.events import install_json_handler
 from briarfork.border.program import EXIT_STATUSES
 from briarfork.errors import BadSettings
@@ -29,6 +30,7 @@
 from briarfork.platform.callers import CallerFront
 from briarfork.platform.follower import Follower
 from briarfork.platform.lookups import build_lookup_app
+from briarfork.platform.lookups import build_metrics_app
 from briarfork.platform.lookups import build_ready_app
 from briarfork.platform.presence import Presence
 from briarfork.platform.settings import SETTINGS_VARIABLE
@@ -41,6 +43,8 @@
 
 PROGRAM = "briarfork-gateway"
 BACKLOG = 1024
+# Lines a second of one event; failures of a bad second are sampled, and the rest is counted.
+LINES_PER_S = 10
 # Callers keep lookups for their time-to-live; a VM goes on accepting for this part of its grace.
 ACCEPT_SHARE = 0.4
 # Left of the grace for the end of the process.
@@ -52,7 +56,7 @@
     """Runs the gateway until SIGTERM."""
     settings = _read_settings()
     install_json_handler()
-    events = EventLog(PROGRAM, settings.product)
+    events = EventLog(PROGRAM, settings.product, LineBudget(LINES_PER_S))
     # libuv reads this when the loop is created; the platform does not allow io_uring.
     os.environ["UV_USE_IO_URING"] = "0"
     try:
@@ -114,13 +118,15 @@
         async with StoreClient(self._settings.product) as store:
             follower = Follower(self._gateway, store, self._events)
             presence = Presence(self._settings, store, follower, self._describe_self())
-            callers = await self._open_callers()
+            dispatcher = self._build_dispatcher()
+            callers = await self._open_callers(dispatcher)
             asides = [
                 await self._open(build_ready_app(self._gateway), self._settings.ready),
                 await self._open(
                     build_lookup_app(self._gateway, self._settings.lookup_ttl_s),
                     self._settings.lookup,
                 ),
+                await self._open(build_metrics_app(dispatcher), self._settings.metrics),
             ]
             self._events.record(Event.STARTED, entry=self._settings.product.ports.entry)
             async with asyncio.TaskGroup() as group:
@@ -160,8 +166,10 @@
             serving=True,
         )
 
-    async def _open_callers(self) -> tuple[asyncio.Server, web.ServerRunner]:
-        front = CallerFront(self._gateway, self._build_dispatcher())
+    async def _open_callers(
+        self, dispatcher: Dispatcher
+    ) -> tuple[asyncio.Server, web.ServerRunner]:
+        front = CallerFront(self._gateway, dispatcher)
         manager = web.Server(front.handle, handler_cancellation=True)
         runner = web.ServerRunner(manager, shutdown_timeout=self._find_drain_s())
         await runner.setup()
--- a/src/briarfork/platform/names.py
+++ b/src/briarfork/platform/names.py
@@ -15,6 +15,7 @@
 NOT_RUN: Final = "X-Briarfork-Not-Executed"
 
 READY_PATH: Final = "/v1/readyz"
+METRICS_PATH: Final = "/metrics"
 LOOKUP_PATH: Final = "/v1/resolve"
 
 CONFIGURATION_KEY: Final = "op/config"
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -82,6 +82,7 @@
         place: Where this VM is, and the other zones.
         ready: Address and port of the readiness check.
         lookup: Address and port of lookups.
+        metrics: Address and port of counters and histograms.
         grace_s: Time from the request to stop to the kill.
         lookup_ttl_s: Lifetime of the answer to a lookup.
         lease_s: Lifetime of this VM's entry among the members without a renewal.
@@ -91,6 +92,7 @@
     place: Place
     ready: tuple[str, int]
     lookup: tuple[str, int]
+    metrics: tuple[str, int]
     grace_s: float
     lookup_ttl_s: float
     lease_s: float
@@ -144,6 +146,7 @@
         place=Place(boot.zone, boot.region, dict(boot.zones)),
         ready=_split(boot.listen.ready),
         lookup=_split(boot.listen.directory),
+        metrics=(boot.ip, boot.internal_ports[1]),
         grace_s=grace_s,
         lookup_ttl_s=ttl_s,
         lease_s=lease_s,
--- a/src/briarfork/requests/budget.py
+++ b/src/briarfork/requests/budget.py
@@ -29,6 +29,11 @@
         self._reserve = reserve
         self._level = reserve
 
+    @property
+    def level(self) -> float:
+        """Extra requests that may be sent now."""
+        return self._level
+
     def earn(self) -> None:
         """Counts a first attempt."""
         self._level = min(self._reserve, self._level + self._ratio)
--- /dev/null
+++ b/tests/gateway/scene.py
@@ -0,0 +1,126 @@
+"""A dispatcher with scripted slots and servers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from briarfork.border.events import EventLog
+from briarfork.border.settings import Settings
+from briarfork.configuration import RequestClass
+from briarfork.entry.overflow import Permit
+from briarfork.entry.slot_client import SlotRefused
+from briarfork.errors import ErrorKind
+from briarfork.gateway.dispatch import AttemptEnded
+from briarfork.gateway.dispatch import Dispatcher
+from briarfork.gateway.permits import GatewayPermits
+from briarfork.gateway.place import Place
+from briarfork.gateway.process import Gateway
+from briarfork.gateway.request import Reply
+from briarfork.gateway.request import Request
+from briarfork.pools import Instance
+from briarfork.pools import Release
+from briarfork.pools import ServerAddress
+from briarfork.requests import AttemptResult
+from briarfork.requests import Deadline
+from briarfork.routing import CallerLimits
+from briarfork.routing import RequestKind
+from briarfork.routing import Route
+from briarfork.routing import RouteTable
+from briarfork.routing import ServicePolicy
+from briarfork.routing import Share
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SETTINGS = Settings("vm", "a", "127.0.0.1", "http://127.0.0.1:1", "http://127.0.0.1:1")
+PLACE = Place("a", "north", {"a": "north", "b": "north", "c": "south"})
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/a/",
+    kind=RequestKind.IDEMPOTENT,
+    timeout_s=2.0,
+    objective_s=0.4,
+    priority=1,
+    shares=(Share("s", 1.0),),
+    max_attempts=2,
+)
+REPLY = Reply(200, (), b"whole")
+UNANSWERED = AttemptEnded(AttemptResult.SENT_WITHOUT_ANSWER, Release.FAILED, "reset")
+REFUSED = AttemptEnded(AttemptResult.REFUSED, Release.NOT_RUN, "shed")
+UNSENT = AttemptEnded(AttemptResult.NOT_SENT, Release.FAILED, "connection refused")
+
+
+def build_table(*routes: Route, version: int = 1) -> RouteTable:
+    services = [ServicePolicy("s", 100, 3.0, 4.0), ServicePolicy("t", 100, 3.0, 4.0)]
+    return RouteTable(version, routes, services, CallerLimits())
+
+
+def build_instance(name: str, zone: str = "a", service: str = "s") -> Instance:
+    return Instance(name, service, zone, "127.0.0.1", 1, slots=2)
+
+
+def build_gateway(route: Route = ROUTE, servers: Iterable[Instance] = ()) -> Gateway:
+    gateway = Gateway(SETTINGS, PLACE, EventLog("test"))
+    for server in servers:
+        gateway.view.inventory.put(server)
+    gateway.accept_table(build_table(route))
+    return gateway
+
+
+class ScriptedUpstream:
+    """Plays the ends of attempts in order and remembers the servers."""
+
+    def __init__(self, *ends: Reply | AttemptEnded) -> None:
+        self.ends = list(ends)
+        self.sent: list[str] = []
+
+    async def send(
+        self, request: Request, server: ServerAddress, deadline: Deadline, repeatable: bool
+    ) -> Reply:
+        self.sent.append(server.vm)
+        end = self.ends.pop(0)
+        if isinstance(end, AttemptEnded):
+            raise end
+        return end
+
+
+class ScriptedPermits(GatewayPermits):
+    """Grants servers in order, then refuses."""
+
+    def __init__(self, gateway: Gateway, *servers: str) -> None:
+        super().__init__(gateway.view, gateway.slots)
+        self.servers = list(servers)
+        self.released: list[Release] = []
+
+    async def acquire(
+        self, route: Route, service: str, object_key: str, deadline: Deadline, avoid: frozenset[str]
+    ) -> Permit:
+        if not self.servers:
+            raise SlotRefused(ErrorKind.OVERLOADED, "no zone has room", wait_s=0.2)
+        address = ServerAddress(self.servers.pop(0), "127.0.0.1", 1)
+        return Permit("p", service, "a", RequestClass.SHORT, address, "vm")
+
+    def release(
+        self, permit: Permit, how: Release, elapsed_s: float, slowness: float = 0.0
+    ) -> None:
+        self.released.append(how)
+
+
+class Scene:
+    """Sends one request through a dispatcher."""
+
+    def __init__(
+        self,
+        *ends: Reply | AttemptEnded,
+        kind: RequestKind = RequestKind.IDEMPOTENT,
+        slots: int = 9,
+    ) -> None:
+        gateway = build_gateway(replace(ROUTE, kind=kind))
+        self.upstream = ScriptedUpstream(*ends)
+        self.permits = ScriptedPermits(gateway, *(f"i-{number}" for number in range(slots)))
+        self.dispatcher = Dispatcher(gateway.view, self.permits, self.upstream, EventLog("test"))
+
+    async def send(self, target: str = "/a/x", wait_s: float | None = 3.0) -> Reply:
+        return await self.dispatcher.handle(Request("r1", "h", "GET", target, (), b"", "", wait_s))
--- /dev/null
+++ b/tests/gateway/test_view.py
@@ -0,0 +1,111 @@
+"""What a gateway believes of configuration, zones and servers."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from briarfork.gateway.spill import estimate_remote_share
+from briarfork.membership import Member
+from briarfork.membership import MemberState
+from briarfork.pools import Inventory
+from briarfork.routing import RequestKind
+from tests.gateway.scene import ROUTE
+from tests.gateway.scene import build_gateway
+from tests.gateway.scene import build_instance
+from tests.gateway.scene import build_table
+
+SERVERS = [build_instance("i-a", "a"), build_instance("i-b", "b"), build_instance("i-c", "c")]
+
+
+def build_member(vm: str, zone: str) -> Member:
+    ports = {"entry": 1, "permits": 2}
+    return Member(vm, "127.0.0.1", zone, 1, 1, MemberState.LIVE, ports, serving=True)
+
+
+class TestConfiguration:
+    def test_older_version_is_not_taken(self) -> None:
+        """Guards against a late read that reverts the routes of a running VM."""
+        gateway = build_gateway()
+        gateway.accept_table(build_table(ROUTE, version=5))
+        gateway.accept_table(build_table(version=4))
+        assert gateway.view.require_table().find("h", "/a/x") == ROUTE
+
+    def test_longest_prefix_wins(self) -> None:
+        """Guards against a request that runs at the service of a shorter prefix."""
+        longer = replace(ROUTE, name="longer", prefix="/a/b/")
+        table = build_table(ROUTE, longer)
+        assert table.find("h", "/a/b/c") == longer
+        assert table.find("h", "/a/bc") == ROUTE
+        assert table.find("h", "/a") is None
+        assert table.find("other", "/a/x") is None
+
+
+class TestZones:
+    def test_routes_with_regions_use_no_other(self) -> None:
+        """Guards against a request that runs outside the regions of its route."""
+        route = replace(ROUTE, regions=frozenset({"south"}))
+        gateway = build_gateway(route, SERVERS)
+        assert gateway.permits.list_zones(route, "s", "o") == ([], ["c"])
+
+    def test_downloads_stay_near(self) -> None:
+        """Guards against large answers over links that are paid for."""
+        route = replace(ROUTE, kind=RequestKind.DOWNLOAD)
+        gateway = build_gateway(route, SERVERS)
+        assert gateway.permits.list_zones(route, "s", "o") == (["a"], [])
+
+    def test_evacuated_zone_gets_nothing_and_returns_cold(self) -> None:
+        """Guards against a zone that is filled at once when it is taken back."""
+        gateway = build_gateway(ROUTE, SERVERS)
+        gateway.evacuate({"a"})
+        assert gateway.view.list_servers("s", "a") == []
+        assert gateway.permits.list_zones(ROUTE, "s", "o")[0] == ["b"]
+        gateway.evacuate(set())
+        assert gateway.view.list_servers("s", "a") != []
+        assert gateway.view.rank_servers("s", "a", "o", now=0.0) == []
+
+
+class TestLookups:
+    def test_callers_get_vms_of_their_zone_then_of_their_region(self) -> None:
+        """Guards against callers who are sent over links that are paid for."""
+        gateway = build_gateway()
+        members = [build_member("a-1", "a"), build_member("b-1", "b"), build_member("c-1", "c")]
+        gateway.accept_members({item.vm: item for item in members})
+        order = gateway.view.order_entries
+        assert [item.vm for item in order("a", "north")] == ["a-1"]
+        assert [item.vm for item in order("z", "north")] == ["a-1", "b-1"]
+        assert [item.vm for item in order("z", "west")] == ["a-1", "b-1", "c-1"]
+
+
+class TestInventory:
+    def test_missing_entry_ends_a_server_while_the_store_is_sound(self) -> None:
+        """Guards against requests to a server that has left."""
+        inventory = Inventory()
+        inventory.put(SERVERS[0])
+        inventory.remove("i-a", store_sound=True, now=0.0)
+        assert inventory.list_usable("s", "a") == []
+
+    def test_lapsed_entry_is_kept_for_the_time_in_which_it_returns(self) -> None:
+        """Guards against a fleet that looks empty right after an outage of the store."""
+        inventory = Inventory()
+        inventory.put(SERVERS[0])
+        inventory.remove("i-a", store_sound=False, now=10.0)
+        assert not inventory.expire(12.0)
+        assert len(inventory.list_usable("s", "a")) == 1
+        assert inventory.expire(12.5)
+        assert inventory.list_usable("s", "a") == []
+
+    def test_returned_entry_is_not_expired(self) -> None:
+        """Guards against dropping a server that registered again."""
+        inventory = Inventory()
+        inventory.put(SERVERS[0])
+        inventory.remove("i-a", store_sound=False, now=10.0)
+        inventory.put(SERVERS[0])
+        assert not inventory.expire(20.0)
+
+
+class TestInitialShare:
+    def test_region_with_its_part_of_the_servers_keeps_its_traffic(self) -> None:
+        """Guards against moving traffic that its own region can serve."""
+        assert estimate_remote_share(10, 20, 4, 12) == 0.0
+        assert estimate_remote_share(0, 0, 4, 12) == 0.0
+        assert estimate_remote_share(1, 20, 4, 0) == 0.0
