Let the event loop open connections to servers and to the store

Ruled out: late extra answers of servers (the id of the accepted answer was right) and the order of answers on a caller's connection. Change: a connector that lets the loop open the connection by its address.

--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -13,6 +13,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from briarfork.border.connector import DirectConnector
 from briarfork.border.sending import trace_sends
 
 if TYPE_CHECKING:
@@ -60,7 +61,7 @@
         super().connection_lost(exc)
 
 
-class CleanConnector(aiohttp.TCPConnector):
+class CleanConnector(DirectConnector):
     """Never hands out a kept connection on which bytes arrived that nobody asked for.
 
     The library would take them as the response to the next request.
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -15,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from briarfork.border.connector import DirectConnector
 from briarfork.border.sending import SendOnce
 from briarfork.border.sending import trace_sends
 from briarfork.border.store import StoreUnavailable
@@ -23,7 +24,7 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-    from aiohappyeyeballs import AddrInfoType
+    from aiohttp.client_proto import ResponseHandler
 
     from briarfork.border.settings import Settings
 
@@ -103,7 +104,7 @@
         self._timeouts = settings.timeouts
         self._failed_at = float("-inf")
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, socket_factory=_open_socket),
+            connector=StoreConnector(limit=0),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=settings.timeouts.store_s),
             trace_configs=[trace_sends()],
         )
@@ -229,12 +230,16 @@
             raise
 
 
-def _open_socket(address: AddrInfoType) -> socket.socket:
-    family, kind, protocol, _, _ = address
-    opened = socket.socket(family=family, type=kind, proto=protocol)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    opened.setblocking(False)
-    return opened
+class StoreConnector(DirectConnector):
+    """Sends keep-alive probes on its connections, so that a silent watch is found."""
+
+    async def _wrap_create_connection(
+        self, *args: Any, **kwargs: Any
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        transport, protocol = await super()._wrap_create_connection(*args, **kwargs)
+        connection = transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        return transport, protocol
