Hold the cancelled request until new descriptors are open

The socket that the library made is closed when the cancelled task is released, and both forms released it before they opened other descriptors. Change: the test opens descriptors first.

--- a/tests/border/test_connector.py
+++ b/tests/border/test_connector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 from typing import Any
 
@@ -34,20 +35,19 @@
     closed = 0
     async with aiohttp.ClientSession(connector=connector(limit=0)) as session:
         for _ in range(REPEATS):
-            await _cancel_request(session, port)
-            opened = os.pipe()
+            request = asyncio.create_task(session.get(f"http://{HOST}:{port}/"))
+            await asyncio.wait({request})
+            assert request.cancelled()
             await asyncio.sleep(CLOSE_S)
+            opened = os.pipe()
+            # Whatever the cancelled request holds is released while the new descriptors are open.
+            del request
+            gc.collect()
             closed += sum(not _close(number) for number in opened)
     server.close()
     return closed
 
 
-async def _cancel_request(session: aiohttp.ClientSession, port: int) -> None:
-    request = asyncio.create_task(session.get(f"http://{HOST}:{port}/"))
-    await asyncio.wait({request})
-    assert request.cancelled()
-
-
 def _close(number: int) -> bool:
     """Closes a descriptor and returns whether it was still open."""
     try:
