Refuse at once where all servers of a site drain

Change: the queue refuses at once when every server leaves or drains. test_draining_server_stays_out asserted that the demand waits; it now asserts the refusal, which is as strict: no new work.

--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -133,7 +133,7 @@
         """Adds a demand and returns what can be decided now."""
         if self.waiting >= MAX_WAITING:
             return [Refusal(demand, "the queue is full")]
-        if not self._servers:
+        if not any(server.stays(now) for server in self._servers.values()):
             return [Refusal(demand, "the site has no server")]
         if demand.hedge:
             return [self._decide_hedge(demand, now)]
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -107,6 +107,10 @@
         held = sum(1 for item in self.permits.values() if item.request_class is RequestClass.LONG)
         return held < self.long_slots
 
+    def stays(self, now: float) -> bool:
+        """Returns whether the server is neither leaving nor draining."""
+        return not self.leaving and self.paused_until <= now + LONGEST_PAUSE_S
+
     def record_run_time(self, elapsed_s: float) -> None:
         """Adds a run time to the moving mean."""
         if self.run_time_s == 0.0:
