Fill the hedge budget before the straggler test relies on it

Cause: the test sends four requests at once to two servers and expects a second attempt for each that meets the slow one. The budget saves at most two second attempts (4% of first ones), and a warm-up request that is late spends from it, so after a stall of the machine one late request may find it empty.

Change: the warm-up goes on until as many first attempts as fill the budget were sent without a second one. Bound and requests are unchanged.

--- a/tests/entry/test_hedging.py
+++ b/tests/entry/test_hedging.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import time
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest_asyncio
 
+from briarfork.requests import HedgeBudget
+from briarfork.requests.budget import FIRST_ATTEMPTS_PER_HEDGE
 from tests.cluster import Cluster
 from tests.cluster import Pool
 
@@ -19,6 +22,8 @@
 CLIENT = "127.10.0.9"
 ZONE = "far-north-a"
 WARM_UP = 200
+# First attempts without a second one after which the budget holds all that it can save.
+FULL_BUDGET = FIRST_ATTEMPTS_PER_HEDGE * HedgeBudget.MAX_SAVED
 RUN_S = 0.01
 SLOW_FACTOR = 100.0
 
@@ -56,11 +61,33 @@
     ]
 
 
+async def count_runs(cluster: Cluster, service: str) -> int:
+    total = 0
+    for ledger in await read_ledgers(cluster, service):
+        assert isinstance(ledger["ledger"], dict)
+        total += sum(ledger["ledger"].values())
+    return total
+
+
+async def warm_up(cluster: Cluster, service: str) -> None:
+    """Sends requests until run times are known and the budget of second attempts is full.
+
+    A stall of the machine makes a request of the warm-up late, which spends from the budget.
+    """
+    for number in range(WARM_UP):
+        await send(cluster, service, f"warm-{number}")
+    for batch in itertools.count():
+        before = await count_runs(cluster, service)
+        for number in range(FULL_BUDGET):
+            await send(cluster, service, f"save-{batch}-{number}")
+        if await count_runs(cluster, service) == before + FULL_BUDGET:
+            return
+
+
 class TestHedging:
     async def test_late_request_is_answered_by_another_server(self, cluster: Cluster) -> None:
         """Guards against a lookup that waits for a straggler, and a loser that runs on."""
-        for number in range(WARM_UP):
-            await send(cluster, "hearing-status", f"warm-{number}")
+        await warm_up(cluster, "hearing-status")
         await slow_down(cluster, "hearing-status")
         names = [f"late-{number}" for number in range(4)]
         times = await asyncio.gather(*(send(cluster, "hearing-status", name) for name in names))
