Send objects to the same servers from everywhere, and slots to cached objects

Senders chose the server by hash, owners by load, so they filled different caches.

Change: - an owner places an object that no server has handled at its home, the server that also the senders of other regions rank first; - the remote share is filled by object, and by number only what its objects do not use; - a free slot goes first to a waiting request whose object its server has; - requests wait for half of the objective (a quarter before) and for the caches for one mean run time (0.4 before).

Tests fail before.

--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -24,10 +24,10 @@
     from briarfork.routing import Route
 
 # Part of the objective that a request may wait for a slot in its own zone; the rest is for the
-# run itself.
-WAIT_SHARE = 0.25
+# run itself, which takes a third of the objective where the object is in the server's caches.
+WAIT_SHARE = 0.5
 # Elsewhere a request pays for the way as well.
-REMOTE_WAIT_SHARE = 0.2
+REMOTE_WAIT_SHARE = 0.35
 # A request that waited for longer than this part of its objective found its region full.
 PRESSED_WAIT_SHARE = 0.15
 # A server of another region that had requests waiting gets none from here for this time.
@@ -69,7 +69,7 @@
             return await self._ask_all(local or remote, route, service, object_key, deadline, avoid)
         share = self._find_share(service, started)
         self._log_share(service, share.find(started))
-        if share.takes_next(started):
+        if share.takes(object_key, started):
             permit = self._take_remote(remote, route, service, object_key, deadline, avoid)
             if permit is not None:
                 return permit
--- a/src/briarfork/gateway/spill.py
+++ b/src/briarfork/gateway/spill.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
+from briarfork.hashing import hash_to_part
+
 if TYPE_CHECKING:
     from briarfork.entry.slots import SlotKey
 
@@ -25,6 +27,10 @@
 FULL_ABOVE: Final = 0.25
 # Requests in a period below which nothing is concluded.
 LEAST_REQUESTS: Final = 4
+# Requests that the share allows and that the objects of the share have not used; from the first
+# number on other objects use them too, and beyond the second they are not kept.
+SURPLUS: Final = 3.0
+MAX_SAVED: Final = 4.0
 # Before anything is measured, callers are expected where the entry VMs are; this part of the
 # difference to where the servers are is steered away from the start.
 INITIAL_PART: Final = 0.6
@@ -75,14 +81,14 @@
         0.02
     """
 
-    __slots__ = ("_full", "_period_at", "_pressed", "_recorded", "_remote", "_share", "_taken")
+    __slots__ = ("_full", "_period_at", "_pressed", "_recorded", "_remote", "_saved", "_share")
 
     def __init__(self, initial: float, now: float) -> None:
         self._share = min(MAX_REMOTE_SHARE, max(0.0, initial))
         self._period_at = now
         self._recorded = 0
         self._pressed = 0
-        self._taken = 0.0
+        self._saved = 0.0
         self._remote = 0
         self._full = 0
 
@@ -113,12 +119,18 @@
                 self._recorded = self._pressed = 0
         return self._share
 
-    def takes_next(self, now: float) -> bool:
-        """Returns whether the next request goes to another region; evenly spaced by the share."""
-        self._taken += self.find(now)
-        if self._taken < 1.0:
+    def takes(self, object_key: str, now: float) -> bool:
+        """Returns whether a request goes to another region.
+
+        The share is kept by number of requests, and within it by object: the same objects leave
+        from all VMs, so that neither region's caches have to hold all of them.
+        """
+        share = self.find(now)
+        self._saved = min(MAX_SAVED, self._saved + share)
+        leaves = not object_key or hash_to_part(f"{object_key}|leaves") < share
+        if self._saved < (1.0 if leaves else SURPLUS):
             return False
-        self._taken -= 1.0
+        self._saved -= 1.0
         return True
 
     def _move(self, pressed: float) -> None:
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -4,17 +4,17 @@
 
 import math
 from typing import TYPE_CHECKING
-from typing import Final
 
 from briarfork.border.events import Event
 from briarfork.configuration import SiteCapacity
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.gateway.spill import estimate_remote_share
-from briarfork.hashing import hash_text
+from briarfork.hashing import hash_to_part
 from briarfork.membership import MemberState
 from briarfork.membership import rank_members
 from briarfork.pools import Inventory
+from briarfork.pools import rank_home
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
@@ -26,8 +26,6 @@
     from briarfork.routing import RouteTable
 
 DEFAULT_CONNECTIONS = 100
-# One above the largest 64-bit hash.
-HASH_RANGE: Final = 2**64 + 1
 
 
 class GatewayView:
@@ -126,8 +124,7 @@
 
         def score(zone: str) -> float:
             slots = self._count_slots(service, zone)
-            part = (hash_text(f"{object_key}|{zone}") + 1) / HASH_RANGE
-            return -slots / math.log(part)
+            return -slots / math.log(hash_to_part(f"{object_key}|{zone}"))
 
         return sorted(zones, key=score, reverse=True)
 
@@ -140,7 +137,7 @@
             for item in self.inventory.list_usable(service, zone)
             if self.inventory.find_cold_until(item) <= now
         ]
-        warm.sort(key=lambda item: hash_text(f"{object_key}|{item.name}"))
+        warm.sort(key=lambda item: rank_home(object_key, item.name), reverse=True)
         return [item.describe_address() for item in warm]
 
     def estimate_remote_share(self, service: str) -> float:
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -12,6 +12,7 @@
 from briarfork.pools.run_times import RunTimes
 from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
+from briarfork.pools.selection import rank_home
 from briarfork.pools.server import Server
 from briarfork.pools.server import ServerAddress
 
@@ -30,4 +31,5 @@
     "RunTimes",
     "Server",
     "ServerAddress",
+    "rank_home",
 ]
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -14,6 +14,7 @@
 from briarfork.pools.run_times import RunTimes
 from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
+from briarfork.pools.selection import select_home
 from briarfork.pools.server import Server
 from briarfork.pools.slow_start import SlowStart
 from briarfork.pools.waiting import WaitingLine
@@ -41,7 +42,7 @@
 WAIT_MARGIN = 2.0
 # A request waits for the server that has its object in its caches for this part of the mean run
 # time; a run without them takes about three times as long.
-AFFINITY_WAIT = 0.4
+AFFINITY_WAIT = 1.0
 # Position of a class and priority within it; lower ones go first.
 Rank = tuple[int, int]
 CLASS_ORDER = (RequestClass.SHORT, RequestClass.LONG)
@@ -291,7 +292,17 @@
         return removed
 
     def _grant_waiting(self, line: WaitingLine, now: float) -> list[Grant | Refusal]:
+        """Grants free slots, first to requests whose objects the servers have in their caches.
+
+        In order of arrival alone, the slot would go to a request that takes three times as long
+        there, and the next one in the line would do the same elsewhere.
+        """
         granted: list[Grant | Refusal] = []
+        for demand in [item for item in line if item.object_key]:
+            server = self._find_known(demand, now)
+            if server is not None:
+                granted.append(self._grant(demand, server, now))
+                line.remove(demand.permit)
         for demand in line:
             server = self._select(demand, now)
             if server is not None:
@@ -302,10 +313,21 @@
             line.remove(decision.demand.permit)
         return granted
 
-    def _select(self, demand: PermitDemand, now: float) -> Server | None:
+    def _find_known(self, demand: PermitDemand, now: float) -> Server | None:
+        """Returns the free server that has handled the object of a demand most recently."""
+        servers = self._list_allowed(demand)
+        for server in _list_warm(demand.object_key, servers, now):
+            if server.has_room(demand.request_class, now):
+                return server
+        return None
+
+    def _list_allowed(self, demand: PermitDemand) -> list[Server]:
         takers = [server for server in self._servers.values() if not server.leaving]
         fresh = [server for server in takers if server.address.vm not in demand.avoid]
-        allowed = fresh if fresh or demand.hedge else takers
+        return fresh if fresh or demand.hedge else takers
+
+    def _select(self, demand: PermitDemand, now: float) -> Server | None:
+        allowed = self._list_allowed(demand)
         free = [s for s in allowed if s.has_room(demand.request_class, now)]
         if not free:
             return None
@@ -320,6 +342,7 @@
                 return known[0]
             if warm and now - demand.asked_at < self._find_affinity_wait_s():
                 return None
+            return select_home(free, demand.object_key)
         return SELECTION.get(PERMITS)(free, self._random)
 
     def _find_affinity_wait_s(self) -> float:
--- a/src/briarfork/pools/selection.py
+++ b/src/briarfork/pools/selection.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from random import Random
 
+from briarfork.hashing import hash_text
 from briarfork.pools.server import Server
 from briarfork.registry import Registry
 
@@ -17,6 +18,8 @@
 
 SELECTION: Registry[Policy] = Registry("selection policy")
 POWER_OF_TWO = 2
+# Slowness from which a server's caches are worth less than its neighbours' speed.
+SLOW = 1.5
 # The policy that needs an owner of the slots.
 PERMITS = "permits"
 
@@ -38,6 +41,27 @@
     )
 
 
+def select_home(servers: Sequence[Server], object_key: str) -> Server:
+    """Chooses the server for an object that no server with room has handled lately.
+
+    All VMs rank the servers of an object alike, also those that send without asking the owner of
+    the slots, so its requests meet in one cache. A server that is slow now is no home.
+    """
+    return max(
+        servers,
+        key=lambda server: (
+            -server.overdue,
+            server.slowness < SLOW,
+            rank_home(object_key, server.address.vm),
+        ),
+    )
+
+
+def rank_home(object_key: str, vm: str) -> int:
+    """Returns the rank of a server for an object; the highest one is its home."""
+    return hash_text(f"{object_key}|{vm}")
+
+
 @SELECTION.register("random")
 def select_random(servers: Sequence[Server], random: Random) -> Server:
     """Chooses any server with equal probability."""
--- a/tests/gateway/test_spill.py
+++ b/tests/gateway/test_spill.py
@@ -12,6 +12,7 @@
 MAX_SHIFT = 0.15
 WINDOW_S = 2.0
 RATE = 50
+OBJECTS = 24
 
 
 def replay(pressed_until: float, end: float) -> list[float]:
@@ -23,7 +24,7 @@
         now = step / RATE
         pressed = now < pressed_until
         limit.count(now)
-        remote = share.takes_next(now)
+        remote = share.takes(f"{step % OBJECTS}", now)
         if not remote:
             share.record(pressed)
             if pressed and limit.allows(now):
@@ -42,6 +43,23 @@
         assert max(parts) > 0.5
         assert parts[-1] < 0.3
 
+    def test_the_same_objects_leave(self) -> None:
+        """Guards against objects that every region has to keep in its caches."""
+        share = RemoteShare(initial=0.5, now=0.0)
+        left: dict[str, list[bool]] = {}
+        for number in range(2400):
+            key = f"o-{number % OBJECTS}"
+            left.setdefault(key, []).append(share.takes(key, 0.0))
+        parts = [sum(item) / len(item) for item in left.values()]
+        assert sum(1 for part in parts if 0.2 < part < 0.8) <= OBJECTS / 4
+        assert 0.45 < sum(parts) / len(parts) < 0.55
+
+    def test_share_holds_for_one_object(self) -> None:
+        """Guards against a region that moves at once because all callers want one object."""
+        share = RemoteShare(initial=0.1, now=0.0)
+        taken = sum(share.takes("popular", 0.0) for _ in range(1000))
+        assert 90 <= taken <= 110
+
     def test_share_is_bounded(self) -> None:
         """Guards against a region that never learns that it has room again."""
         assert max(replay(pressed_until=200.0, end=200.0)) <= MAX_REMOTE_SHARE + 0.04 + 1 / RATE
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 
+from briarfork.configuration import RequestClass
+from briarfork.configuration import SiteCapacity
 from briarfork.gateway.spill import estimate_remote_share
 from briarfork.membership import Member
 from briarfork.membership import MemberState
+from briarfork.pools import Grant
 from briarfork.pools import Inventory
+from briarfork.pools import PermitQueue
+from briarfork.requests import Deadline
 from briarfork.routing import RequestKind
 from tests.gateway.scene import ROUTE
 from tests.gateway.scene import build_gateway
@@ -64,6 +70,23 @@
         assert gateway.view.rank_servers("s", "a", "o", now=0.0) == []
 
 
+class TestObjects:
+    def test_owner_and_senders_agree_on_the_home_of_an_object(self) -> None:
+        """Guards against a region that fills one cache and is sent requests for another."""
+        servers = [build_instance(f"i-{number}") for number in range(5)]
+        gateway = build_gateway(ROUTE, servers)
+        for number in range(20):
+            key = f"o-{number}"
+            queue = PermitQueue(SiteCapacity(2, 100), False, Random(1), slow_start=False)
+            queue.set_servers(gateway.view.list_servers("s", "a"))
+            demand = gateway.permits.build_demand(
+                RequestClass.SHORT, Deadline(9.0), frozenset(), object_key=key
+            )
+            (grant,) = queue.demand(demand, 0.0)
+            assert isinstance(grant, Grant)
+            assert grant.server == gateway.view.rank_servers("s", "a", key, 0.0)[0]
+
+
 class TestLookups:
     def test_callers_get_vms_of_their_zone_then_of_their_region(self) -> None:
         """Guards against callers who are sent over links that are paid for."""
