Share the caches of a region that is short of servers between its zones

Cause: in the Estonian region with one server of a service in each zone, neither server's caches hold all objects, and both were filled with the same ones.

Tried first: a home zone in the region for every object of a sticky route.

--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -36,6 +36,10 @@
 HEDGE_WAIT_S = 0.1
 # Change of a remote share that is worth a line in the log.
 LOGGED_STEP = 0.1
+# Remote share from which a region is short of servers, so that each zone's caches are too small
+# for all objects and the zones share them. Otherwise objects stay in their callers' zone, because
+# links between zones are paid for.
+SCARCE_SHARE = 0.05
 # Servers of a zone that may take an object; more would spread it over too many caches.
 REMOTE_CHOICES = 2
 
@@ -200,6 +204,9 @@
         if route.kind is RequestKind.DOWNLOAD:
             # Large answers stay as near as there is any server, because links are limited.
             return (local[:1], []) if local else ([], remote[:1])
+        if route.sticky and object_key and self.find_remote_share(service) >= SCARCE_SHARE:
+            home = self._gateway_view.rank_zones(service, object_key, local)[:1]
+            local = home + [zone for zone in local if zone not in home]
         return local, remote
 
     def _find_share(self, service: str, now: float) -> RemoteShare:
