Do not let full regions exchange requests, and return objects to their homes

Change: while the servers elsewhere have more than 85% of their slots in use, a remote share rises only in a region that finds no room for 45% of its requests and falls below 30%. A cached object goes back to its home as soon as that is free, and owners hear which object a request that was sent without asking concerns.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -279,7 +279,7 @@
 
 @MESSAGES.register("permit_held")
 class PermitHeld(Message, frozen=True):
-    """Declares a permit that a former owner granted."""
+    """Declares a permit that a former owner granted, or that was used without asking."""
 
     name = "permit_held"
     permit: str
@@ -287,6 +287,7 @@
     site: str
     vm: str
     request_class: RequestClass
+    object_key: str = ""
 
 
 def encode(message: Message) -> bytes:
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -254,10 +254,11 @@
         if owner is None:
             return None
         permit = Permit(demand.permit, *key, demand.request_class, server, owner.vm)
+        declared = _describe(permit, demand.object_key)
         if owner.vm == self._self.vm:
-            self._desk.adopt(self._self, _describe(permit))
+            self._desk.adopt(self._self, declared)
         else:
-            self._find_link(owner).send_if_open(_describe(permit))
+            self._find_link(owner).send_if_open(declared)
         return self.keep(permit)
 
     def build_demand(
@@ -293,7 +294,12 @@
         return [_describe(permit) for permit in self._held.values() if permit.owner == owner]
 
 
-def _describe(permit: Permit) -> PermitHeld:
+def _describe(permit: Permit, object_key: str = "") -> PermitHeld:
     return PermitHeld(
-        permit.name, permit.service, permit.site, permit.server.vm, permit.request_class
+        permit.name,
+        permit.service,
+        permit.site,
+        permit.server.vm,
+        permit.request_class,
+        object_key,
     )
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -160,7 +160,14 @@
         """
         queue = self._queues.get((held.service, held.site))
         if queue is not None:
-            queue.adopt(held.permit, requester, held.vm, held.request_class, time.monotonic())
+            queue.adopt(
+                held.permit,
+                requester,
+                held.vm,
+                held.request_class,
+                time.monotonic(),
+                held.object_key,
+            )
         elif len(self._early) < MAX_EARLY:
             self._early[held.permit] = (requester, held)
 
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -153,7 +153,7 @@
                 request, permit.server, progress.deadline, progress.route.kind.is_repeatable
             )
             release, slowness = Release.DONE, reply.slowness
-            self._permits.record_load(permit, progress.service, reply.waiting > 0)
+            self._permits.record_load(permit, progress.service, reply.waiting > 0, reply.busy)
             if not reply.is_fault:
                 return reply
             release = Release.FAILED
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -122,14 +122,21 @@
         share = self._remote_shares.get(service)
         return share.find(time.monotonic()) if share else 0.0
 
-    def record_load(self, permit: Permit, service: str, full: bool) -> None:
-        """Takes note of whether a server of another region had requests waiting."""
+    def record_load(self, permit: Permit, service: str, full: bool, busy: float = 1.0) -> None:
+        """Takes note of how a server of another region was loaded.
+
+        Args:
+            permit: The permit of the request.
+            service: The service.
+            full: Whether it refused the request, failed or had others waiting.
+            busy: Share of its slots in use.
+        """
         if self._gateway_view.place.is_local(permit.site):
             return
         now = time.monotonic()
         if full:
             self._full_until[permit.server.vm] = now + FULL_S
-        self._find_share(service, now).record_remote(full)
+        self._find_share(service, now).record_remote(full, busy)
 
     def _take_remote(
         self,
@@ -150,7 +157,9 @@
             for server in ranked[:REMOTE_CHOICES]:
                 if server.vm in avoid or self._full_until.get(server.vm, 0.0) > now:
                     continue
-                demand = self.build_demand(RequestClass.SHORT, deadline, avoid, route.priority)
+                demand = self.build_demand(
+                    RequestClass.SHORT, deadline, avoid, route.priority, object_key
+                )
                 return self.take((service, zone), demand, server)
         return None
 
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -43,6 +43,7 @@
     Attributes:
         slowness: What the server said about its machine, 0 if nothing.
         waiting: Requests that waited at the server when it answered.
+        busy: Share of its slots in use then, this request's among them, 0 if unknown.
     """
 
     status: int
@@ -50,6 +51,7 @@
     body: bytes
     slowness: float = 0.0
     waiting: int = 0
+    busy: float = 0.0
 
     @property
     def is_fault(self) -> bool:
--- a/src/briarfork/gateway/spill.py
+++ b/src/briarfork/gateway/spill.py
@@ -22,6 +22,12 @@
 # Shares of requests that found their region full, above and below which the remote share moves.
 PRESSED_ABOVE: Final = 0.05
 PRESSED_BELOW: Final = 0.01
+# The same while the servers elsewhere are busy: only a region that is much worse off goes on, or
+# full regions would exchange requests that each could run without the way.
+PRESSED_ABOVE_BUSY: Final = 0.45
+PRESSED_BELOW_BUSY: Final = 0.3
+# Mean share of slots in use elsewhere, above which the servers there are busy.
+BUSY_ABOVE: Final = 0.85
 MAX_REMOTE_SHARE: Final = 0.9
 # Share of requests to other regions that met a full server, above which fewer are sent.
 FULL_ABOVE: Final = 0.25
@@ -81,7 +87,16 @@
         0.02
     """
 
-    __slots__ = ("_full", "_period_at", "_pressed", "_recorded", "_remote", "_saved", "_share")
+    __slots__ = (
+        "_busy",
+        "_full",
+        "_period_at",
+        "_pressed",
+        "_recorded",
+        "_remote",
+        "_saved",
+        "_share",
+    )
 
     def __init__(self, initial: float, now: float) -> None:
         self._share = min(MAX_REMOTE_SHARE, max(0.0, initial))
@@ -91,6 +106,7 @@
         self._saved = 0.0
         self._remote = 0
         self._full = 0
+        self._busy = 0.0
 
     def record(self, pressed: bool) -> None:
         """Counts a request that asked its own region first.
@@ -101,14 +117,16 @@
         self._recorded += 1
         self._pressed += pressed
 
-    def record_remote(self, full: bool) -> None:
+    def record_remote(self, full: bool, busy: float) -> None:
         """Counts a request that ran in another region.
 
         Args:
             full: Whether the server there refused it or had others waiting.
+            busy: Share of the server's slots in use.
         """
         self._remote += 1
         self._full += full
+        self._busy += busy
 
     def find(self, now: float) -> float:
         """Returns the share in force now."""
@@ -134,14 +152,15 @@
         return True
 
     def _move(self, pressed: float) -> None:
-        full = self._full > FULL_ABOVE * max(self._remote, LEAST_REQUESTS)
+        counted = max(self._remote, LEAST_REQUESTS)
+        full = self._full > FULL_ABOVE * counted
+        busy = self._busy > BUSY_ABOVE * counted
         self._remote = self._full = 0
-        if full:
+        self._busy = 0.0
+        if full or pressed < (PRESSED_BELOW_BUSY if busy else PRESSED_BELOW):
             self._share = max(0.0, self._share - STEP_DOWN)
-        elif pressed > PRESSED_ABOVE:
+        elif pressed > (PRESSED_ABOVE_BUSY if busy else PRESSED_ABOVE):
             self._share = min(MAX_REMOTE_SHARE, self._share + STEP_UP)
-        elif pressed < PRESSED_BELOW:
-            self._share = max(0.0, self._share - STEP_DOWN)
 
 
 def estimate_remote_share(local_slots: int, all_slots: int, local_vms: int, all_vms: int) -> float:
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -29,8 +30,8 @@
 
 # The server itself answers at its deadline; this is left for the answer's way.
 ANSWER_MARGIN_S = 0.1
-# Fields of the load report; the last one is the slowness of the machine.
-LOAD_FIELDS = 4
+# Fields of the load report; a fourth one is the slowness of the machine.
+RUNNING_WAITING_SLOTS = 3
 PERCENT = 100.0
 # To a caller these say that the request has not run.
 NOT_RUN_STATUSES = frozenset(
@@ -42,6 +43,21 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a server says of its load.
+
+    Attributes:
+        busy: Share of its slots in use, 0 if unknown.
+        waiting: Requests that wait there.
+        slowness: How much longer work takes than usual, 0 if unknown.
+    """
+
+    busy: float = 0.0
+    waiting: int = 0
+    slowness: float = 0.0
+
+
 class HttpUpstream:
     """Sends requests to backend servers and checks that answers are theirs and whole."""
 
@@ -89,19 +105,21 @@
             trace_request_ctx=AttemptGuard(attempt),
         ) as answer:
             body = await answer.read()
-            waiting, slowness = _read_load(answer)
+            load = _read_load(answer)
             if _is_refusal(answer):
                 attempt.mark_refused()
                 raise AttemptEnded(
-                    attempt.result, Release.NOT_RUN, f"refused with {answer.status}", slowness
+                    attempt.result, Release.NOT_RUN, f"refused with {answer.status}", load.slowness
                 )
             fault = _find_fault(request, answer)
             if fault is None and _was_cut(answer):
                 fault = "the connection was reset before the end of the answer"
             if fault is not None:
                 answer.close()
-                raise AttemptEnded(attempt.result, Release.FAILED, fault, slowness)
-            return Reply(answer.status, _list_headers(answer), body, slowness, waiting)
+                raise AttemptEnded(attempt.result, Release.FAILED, fault, load.slowness)
+            return Reply(
+                answer.status, _list_headers(answer), body, load.slowness, load.waiting, load.busy
+            )
 
 
 def _build_headers(
@@ -157,13 +175,14 @@
     )
 
 
-def _read_load(answer: aiohttp.ClientResponse) -> tuple[int, float]:
-    """Returns the number of waiting requests and the slowness of the machine, 0 if unknown."""
+def _read_load(answer: aiohttp.ClientResponse) -> LoadReport:
+    """Returns the load report of an answer; what it lacks counts as unknown."""
     parts = answer.headers.get(names.LOAD, "").split(",")
     try:
         numbers = [int(part) for part in parts]
     except ValueError:
-        return 0, 0.0
-    waiting = numbers[1] if len(numbers) > 1 else 0
-    slowness = numbers[LOAD_FIELDS - 1] / PERCENT if len(numbers) >= LOAD_FIELDS else 0.0
-    return waiting, slowness
+        return LoadReport()
+    if len(numbers) < RUNNING_WAITING_SLOTS or numbers[2] <= 0:
+        return LoadReport()
+    slowness = numbers[3] / PERCENT if len(numbers) > RUNNING_WAITING_SLOTS else 0.0
+    return LoadReport(numbers[0] / numbers[2], numbers[1], slowness)
--- a/src/briarfork/pools/objects.py
+++ b/src/briarfork/pools/objects.py
@@ -10,31 +10,27 @@
 
 
 class RecentObjects:
-    """Least recently used map of object keys.
+    """The object keys that were used last.
 
     Example:
         >>> recent = RecentObjects(capacity=2)
         >>> recent.add("a"); recent.add("b"); recent.add("a"); recent.add("c")
-        >>> recent.find_age("c"), recent.find_age("a"), recent.find_age("b")
-        (0, 1, None)
+        >>> "a" in recent, "b" in recent, "c" in recent
+        (True, False, True)
     """
 
-    __slots__ = ("_capacity", "_count", "_keys")
+    __slots__ = ("_capacity", "_keys")
 
     def __init__(self, capacity: int = MAX_OBJECTS) -> None:
         self._capacity = capacity
-        self._count = 0
-        self._keys: OrderedDict[str, int] = OrderedDict()
+        self._keys: OrderedDict[str, None] = OrderedDict()
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._keys
 
     def add(self, key: str) -> None:
         """Records that the server handles an object now."""
-        self._count += 1
-        self._keys[key] = self._count
+        self._keys[key] = None
         self._keys.move_to_end(key)
         if len(self._keys) > self._capacity:
             self._keys.popitem(last=False)
-
-    def find_age(self, key: str) -> int | None:
-        """Returns how many requests the server has got since, None if the object is unknown."""
-        at = self._keys.get(key)
-        return None if at is None else self._count - at
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -14,6 +14,7 @@
 from briarfork.pools.run_times import RunTimes
 from briarfork.pools.selection import PERMITS
 from briarfork.pools.selection import SELECTION
+from briarfork.pools.selection import rank_home
 from briarfork.pools.selection import select_home
 from briarfork.pools.server import Server
 from briarfork.pools.slow_start import SlowStart
@@ -232,14 +233,17 @@
         vm: str,
         request_class: RequestClass,
         now: float,
+        object_key: str = "",
     ) -> None:
-        """Takes over a permit that a former owner granted, or that a lost stream held."""
+        """Takes over a permit that a former owner granted, or that needed no owner."""
         server = self._servers.get(vm)
         if permit in self._holdings:
             self._holdings[permit].requester = requester
             self._holdings[permit].orphaned_until = math.inf
         elif server is not None:
             server.start(permit, request_class, now)
+            if object_key:
+                server.objects.add(object_key)
             self._holdings[permit] = Holding(requester, vm, request_class)
 
     def settle_requester(self, requester: Requester, now: float) -> list[PermitDemand]:
@@ -314,7 +318,7 @@
         return granted
 
     def _find_known(self, demand: PermitDemand, now: float) -> Server | None:
-        """Returns the free server that has handled the object of a demand most recently."""
+        """Returns a free server that has handled the object of a demand."""
         servers = self._list_allowed(demand)
         for server in _list_warm(demand.object_key, servers, now):
             if server.has_room(demand.request_class, now):
@@ -362,18 +366,16 @@
 
 
 def _list_warm(object_key: str, servers: list[Server], now: float) -> list[Server]:
-    """Returns the servers in order that have handled an object, the most recent first."""
-    ages = {
-        server.address.vm: age
-        for server in servers
-        if (age := server.objects.find_age(object_key)) is not None
-    }
+    """Returns the servers that have handled an object, its home first.
+
+    Going back to the home once it is free keeps copies in other caches from displacing theirs.
+    """
     sound = [
         server
         for server in servers
-        if server.address.vm in ages and not server.overdue and now >= server.paused_until
+        if object_key in server.objects and not server.overdue and now >= server.paused_until
     ]
-    return sorted(sound, key=lambda server: ages[server.address.vm])
+    return sorted(sound, key=lambda server: rank_home(object_key, server.address.vm), reverse=True)
 
 
 def _find_rank(request_class: RequestClass, priority: int) -> Rank:
