Take only refusals as the sign of a region without room

Cause: a request that waits for the server that has its object counted as pressed, although other servers were free, so regions sent requests away that they had room for.

Change: the remote share follows refusals alone.

--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -28,8 +28,6 @@
 WAIT_SHARE = 0.5
 # Elsewhere a request pays for the way as well.
 REMOTE_WAIT_SHARE = 0.35
-# A request that waited for longer than this part of its objective found its region full.
-PRESSED_WAIT_SHARE = 0.15
 # A server of another region that had requests waiting gets none from here for this time.
 FULL_S = 0.3
 # Longest wait for an owner's decision on a second attempt.
@@ -88,8 +86,7 @@
             if permit is None:
                 raise
             return permit
-        waited_s = time.monotonic() - started
-        share.record(pressed=waited_s > PRESSED_WAIT_SHARE * route.objective_s)
+        share.record(pressed=False)
         return asked
 
     async def acquire_hedge(self, route: Route, first: Permit) -> Permit | None:
