--- a/src/briarfork/commands/main.py
+++ b/src/briarfork/commands/main.py
@@ -9,6 +9,7 @@
 from briarfork import __version__
 from briarfork.commands import approve as _approve
 from briarfork.commands import diff as _diff
+from briarfork.commands import explain as _explain
 from briarfork.commands import history as _history
 from briarfork.commands import render as _render
 from briarfork.commands import status as _status
@@ -28,7 +29,17 @@
   4  the administration API or the store does not answer"""
 
 # Importing a command module registers its command.
-_MODULES = (_approve, _diff, _history, _render, _status, _submit, _validate, _withdraw)
+_MODULES = (
+    _approve,
+    _diff,
+    _explain,
+    _history,
+    _render,
+    _status,
+    _submit,
+    _validate,
+    _withdraw,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
