Pass the need of a slot whole, and answer bad bytes in one place

Read as a newcomer: five arguments went through three methods of the permits, the error of a caller's connection was decided twice, the gateway took the arguments of its view to hand them on, and three faults of the soak had the same steps.

Change: SlotNeed in gateway/permits.py, CallerProtocol in border/callers.py, a Gateway that takes its view, disturb_store in the soak (each fault ends at the defaults, since they overlap). No decision, bound or test is changed.

--- /dev/null
+++ b/src/briarfork/border/callers.py
@@ -0,0 +1,54 @@
+"""The protocol of a caller's connection, apart from what serves the requests."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from aiohttp.http_exceptions import LineTooLong
+
+from briarfork.border.events import Event
+from briarfork.errors import BriarforkError
+from briarfork.errors import ErrorKind
+from briarfork.errors import NotRun
+
+if TYPE_CHECKING:
+    from briarfork.border.events import EventLog
+
+
+class CallerProtocol(web.RequestHandler):
+    """The task of one caller's connection; answers bytes that are no request with our errors."""
+
+    __slots__ = ()
+
+    @property
+    def events(self) -> EventLog:
+        """Where faults of the program are logged."""
+        raise NotImplementedError
+
+    def build_error(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
+        """Returns the answer to an error."""
+        raise NotImplementedError
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Returns the answer to an error outside the application, and closes the connection."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("the answer has begun") from exc
+        error: BriarforkError
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.events.record(Event.TASK_FAILED, error=repr(exc))
+            error = BriarforkError(ErrorKind.INTERNAL, "the entry process failed")
+        elif isinstance(exc, LineTooLong):
+            error = NotRun(ErrorKind.HEADER_TOO_LARGE, "headers: a line is too long")
+        else:
+            error = NotRun(ErrorKind.BAD_REQUEST, "the bytes are not an HTTP request")
+        response = self.build_error(request, error)
+        response.force_close()
+        return response
--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from aiohttp import web
-from aiohttp.http_exceptions import LineTooLong
 
+from briarfork.border.callers import CallerProtocol
 from briarfork.border.events import Event
 from briarfork.border.metrics import Metric
 from briarfork.entry.proxy import Proxy
@@ -20,6 +19,7 @@
 if TYPE_CHECKING:
     from aiohttp.typedefs import Handler
 
+    from briarfork.border.events import EventLog
     from briarfork.entry.process import EntryProcess
 
 ERROR_HEADER = "Briarfork-Error"
@@ -114,8 +114,8 @@
             )
 
 
-class CallerConnection(web.RequestHandler):
-    """The task of one caller's connection; answers bytes that are no request with our errors."""
+class CallerConnection(CallerProtocol):
+    """A caller's connection to an entry process."""
 
     __slots__ = ("_process",)
 
@@ -130,26 +130,14 @@
         )
         self._process = process
 
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Returns the answer to an error outside the application, and closes the connection."""
-        if request.writer.output_size > 0:
-            raise ConnectionError("the answer has begun") from exc
-        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._process.events.record(Event.TASK_FAILED, error=repr(exc))
-            error = BriarforkError(ErrorKind.INTERNAL, "the entry process failed")
-        elif isinstance(exc, LineTooLong):
-            error = NotRun(ErrorKind.HEADER_TOO_LARGE, "headers: a line is too long")
-        else:
-            error = NotRun(ErrorKind.BAD_REQUEST, "the bytes are not an HTTP request")
-        response = build_answer(self._process, request, error)
-        response.force_close()
-        return response
+    @property
+    def events(self) -> EventLog:
+        """Where faults of the program are logged."""
+        return self._process.events
+
+    def build_error(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
+        """Returns the answer to an error."""
+        return build_answer(self._process, request, error)
 
 
 def build_answer(
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -14,6 +14,7 @@
 from briarfork.gateway.attempts import Attempts
 from briarfork.gateway.attempts import Progress
 from briarfork.gateway.measures import Measures
+from briarfork.gateway.permits import SlotNeed
 from briarfork.requests import AttemptResult
 from briarfork.requests import Budget
 from briarfork.requests import Deadline
@@ -157,13 +158,14 @@
             left_s = progress.deadline.remaining_s(time.monotonic())
             if left_s < LEAST_RUN_SHARE * route.objective_s:
                 raise NotRun(ErrorKind.OVERLOADED, "no time is left for a run")
-            return await self._permits.acquire(
+            need = SlotNeed(
                 route,
                 progress.service,
                 request.object_key,
                 progress.deadline,
                 frozenset(progress.tried),
             )
+            return await self._permits.acquire(need)
         except NotRun as error:
             progress.detail = error.detail
             if progress.fault is not None:
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -42,6 +43,23 @@
 REMOTE_CHOICES = 2
 
 
+@dataclass(frozen=True, slots=True)
+class SlotNeed:
+    """What one attempt needs a slot for.
+
+    Attributes:
+        object_key: Names the object that the request concerns, empty if unknown.
+        deadline: When the request is given up.
+        avoid: Servers that it was sent to.
+    """
+
+    route: Route
+    service: str
+    object_key: str
+    deadline: Deadline
+    avoid: frozenset[str]
+
+
 class GatewayPermits(SlotClient):
     """Asks zone after zone until one grants a slot."""
 
@@ -54,35 +72,33 @@
         self._full_until: dict[str, float] = {}
         self._logged_shares: dict[str, float] = {}
 
-    async def acquire(
-        self, route: Route, service: str, object_key: str, deadline: Deadline, avoid: frozenset[str]
-    ) -> Permit:
+    async def acquire(self, need: SlotNeed) -> Permit:
         """Returns a permit for one attempt.
 
         Raises:
             SlotRefused: If no zone has room; nothing was sent.
         """
-        local, remote = self.list_zones(route, service, object_key)
+        local, remote = self.list_zones(need.route, need.service, need.object_key)
         if not local and not remote:
-            raise SlotRefused(ErrorKind.NO_SERVER, f"service {service!r} has no server")
+            raise SlotRefused(ErrorKind.NO_SERVER, f"service {need.service!r} has no server")
         started = time.monotonic()
         self._spill.count(started)
         if not local or not remote:
-            return await self._ask_all(local or remote, route, service, object_key, deadline, avoid)
-        share = self._find_share(service, started)
-        self._log_share(service, share.find(started))
-        if share.takes(object_key, started):
-            permit = self._take_remote(remote, route, service, object_key, deadline, avoid)
+            return await self._ask_all(local or remote, need)
+        share = self._find_share(need.service, started)
+        self._log_share(need.service, share.find(started))
+        if share.takes(need.object_key, started):
+            permit = self._take_remote(remote, need)
             if permit is not None:
                 return permit
         try:
-            asked = await self._ask_all(local, route, service, object_key, deadline, avoid)
+            asked = await self._ask_all(local, need)
         except SlotRefused:
             share.record(pressed=True)
             if not self._spill.allows(time.monotonic()):
                 raise
             self._spill.spend(time.monotonic())
-            permit = self._take_remote(remote, route, service, object_key, deadline, avoid)
+            permit = self._take_remote(remote, need)
             if permit is None:
                 raise
             return permit
@@ -135,40 +151,28 @@
             self._full_until[permit.server.vm] = now + FULL_S
         self._find_share(service, now).record_remote(full, busy)
 
-    def _take_remote(
-        self,
-        zones: list[str],
-        route: Route,
-        service: str,
-        object_key: str,
-        deadline: Deadline,
-        avoid: frozenset[str],
-    ) -> Permit | None:
+    def _take_remote(self, zones: list[str], need: SlotNeed) -> Permit | None:
         """Takes a slot in another region without asking, or returns None if none seems free.
 
         The way to the owner of the slots and back would take as long as the run itself.
         """
         now = time.monotonic()
         for zone in zones:
-            ranked = self._gateway_view.rank_servers(service, zone, object_key, now)
+            ranked = self._gateway_view.rank_servers(need.service, zone, need.object_key, now)
             for server in ranked[:REMOTE_CHOICES]:
-                if server.vm in avoid or self._full_until.get(server.vm, 0.0) > now:
+                if server.vm in need.avoid or self._full_until.get(server.vm, 0.0) > now:
                     continue
                 demand = self.build_demand(
-                    RequestClass.SHORT, deadline, avoid, route.priority, object_key
+                    RequestClass.SHORT,
+                    need.deadline,
+                    need.avoid,
+                    need.route.priority,
+                    need.object_key,
                 )
-                return self.take((service, zone), demand, server)
+                return self.take((need.service, zone), demand, server)
         return None
 
-    async def _ask_all(
-        self,
-        zones: list[str],
-        route: Route,
-        service: str,
-        object_key: str,
-        deadline: Deadline,
-        avoid: frozenset[str],
-    ) -> Permit:
+    async def _ask_all(self, zones: list[str], need: SlotNeed) -> Permit:
         """Asks zones in turn.
 
         Raises:
@@ -176,20 +180,24 @@
         """
         refusal = SlotRefused(ErrorKind.OVERLOADED, "no zone has room")
         for zone in zones:
-            key = (service, zone)
+            key = (need.service, zone)
             now = time.monotonic()
-            wait_s = self._refusals.find_wait(key, route.priority, now)
+            wait_s = self._refusals.find_wait(key, need.route.priority, now)
             if wait_s > 0.0:
                 refusal = _choose_sooner(refusal, wait_s)
                 continue
-            limit = self._limit_wait(route, zone, deadline, now)
+            limit = self._limit_wait(need, zone, now)
             demand = self.build_demand(
-                RequestClass.SHORT, limit, avoid, route.priority, object_key if route.sticky else ""
+                RequestClass.SHORT,
+                limit,
+                need.avoid,
+                need.route.priority,
+                need.object_key if need.route.sticky else "",
             )
             answer = await self.ask_site(key, demand, limit)
             if not isinstance(answer, SlotRefused):
                 return self.keep(answer)
-            self._refusals.record(key, route.priority, answer.wait_s, time.monotonic())
+            self._refusals.record(key, need.route.priority, answer.wait_s, time.monotonic())
             refusal = _choose_sooner(refusal, answer.wait_s)
         raise refusal
 
@@ -229,10 +237,10 @@
                 Event.REMOTE_SHARE_MOVED, service=service, share=round(value, 2)
             )
 
-    def _limit_wait(self, route: Route, zone: str, deadline: Deadline, now: float) -> Deadline:
+    def _limit_wait(self, need: SlotNeed, zone: str, now: float) -> Deadline:
         own = zone == self._gateway_view.place.zone
         share = WAIT_SHARE if own else REMOTE_WAIT_SHARE
-        wait_s = min(share * route.objective_s, deadline.remaining_s(now) / 2)
+        wait_s = min(share * need.route.objective_s, need.deadline.remaining_s(now) / 2)
         return Deadline(now + wait_s)
 
 
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -10,13 +10,10 @@
 from briarfork.entry.connections import ServerConnections
 from briarfork.entry.slots import SlotDesk
 from briarfork.gateway.permits import GatewayPermits
-from briarfork.gateway.view import GatewayView
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
-    from briarfork.border.settings import Settings
-    from briarfork.gateway.place import Place
-    from briarfork.gateway.repeats import RepeatBounds
+    from briarfork.gateway.view import GatewayView
     from briarfork.membership import Member
     from briarfork.routing import RouteTable
 
@@ -24,20 +21,14 @@
 class Gateway:
     """Holds the view, the slots that this VM owns and the permits that it uses."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        place: Place,
-        events: EventLog,
-        repeat_bounds: RepeatBounds | None = None,
-    ) -> None:
-        self.settings = settings
+    def __init__(self, view: GatewayView, events: EventLog) -> None:
+        self.settings = view.settings
         self.events = events
         self.leaving = False
-        self.view = GatewayView(settings, place, events, repeat_bounds)
-        self.slots = SlotDesk(settings, events, self.view, slow_start=False)
+        self.view = view
+        self.slots = SlotDesk(view.settings, events, view, slow_start=False)
         self.permits = GatewayPermits(self.view, self.slots)
-        self.connections = ServerConnections(settings)
+        self.connections = ServerConnections(view.settings)
 
     @property
     def is_ready(self) -> bool:
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -9,7 +9,6 @@
 from briarfork.configuration import SiteCapacity
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
-from briarfork.gateway.repeats import RepeatBounds
 from briarfork.gateway.spill import estimate_remote_share
 from briarfork.hashing import hash_to_part
 from briarfork.membership import MemberState
@@ -22,6 +21,7 @@
     from briarfork.border.settings import Settings
     from briarfork.entry.slots import SlotKey
     from briarfork.gateway.place import Place
+    from briarfork.gateway.repeats import RepeatBounds
     from briarfork.membership import Member
     from briarfork.pools import ServerAddress
     from briarfork.routing import RouteTable
@@ -36,15 +36,11 @@
     """
 
     def __init__(
-        self,
-        settings: Settings,
-        place: Place,
-        events: EventLog,
-        repeat_bounds: RepeatBounds | None = None,
+        self, settings: Settings, place: Place, repeat_bounds: RepeatBounds, events: EventLog
     ) -> None:
         self.settings = settings
         self.place = place
-        self.repeat_bounds = repeat_bounds or RepeatBounds()
+        self.repeat_bounds = repeat_bounds
         self.inventory = Inventory()
         self.members: dict[str, Member] = {}
         self._table: RouteTable | None = None
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
-from aiohttp.http_exceptions import LineTooLong
 
+from briarfork.border.callers import CallerProtocol
 from briarfork.border.events import Event
 from briarfork.entry.forward import HOP_HEADERS
 from briarfork.errors import ANSWERS
@@ -22,6 +22,7 @@
 from briarfork.platform import names
 
 if TYPE_CHECKING:
+    from briarfork.border.events import EventLog
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
     from briarfork.gateway.request import Reply
@@ -125,8 +126,8 @@
         return response
 
 
-class CallerConnection(web.RequestHandler):
-    """The task of one caller's connection; bytes that are no request get an error of ours."""
+class CallerConnection(CallerProtocol):
+    """A caller's connection to a gateway."""
 
     __slots__ = ("_gateway",)
 
@@ -141,26 +142,14 @@
         )
         self._gateway = gateway
 
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Returns the answer to an error outside the handler, and closes the connection."""
-        if request.writer.output_size > 0:
-            raise ConnectionError("the answer has begun") from exc
-        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._gateway.events.record(Event.TASK_FAILED, error=repr(exc))
-            answer = ANSWERS[ErrorKind.INTERNAL]
-        elif isinstance(exc, LineTooLong):
-            answer = ANSWERS[ErrorKind.HEADER_TOO_LARGE]
-        else:
-            answer = ANSWERS[ErrorKind.BAD_REQUEST]
-        response = web.Response(status=answer.status)
-        response.force_close()
-        return response
+    @property
+    def events(self) -> EventLog:
+        """Where faults of the program are logged."""
+        return self._gateway.events
+
+    def build_error(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
+        """Returns the answer to an error, which has no request id to log it under."""
+        return web.Response(status=ANSWERS[error.kind].status)
 
 
 async def _read_body(message: web.BaseRequest, limit: int) -> bytes:
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -24,6 +24,7 @@
 from briarfork.errors import BriarforkError
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.gateway.process import Gateway
+from briarfork.gateway.view import GatewayView
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.platform.callers import CallerConnection
@@ -105,7 +106,8 @@
     def __init__(self, settings: PlatformSettings, events: EventLog) -> None:
         self._settings = settings
         self._events = events
-        self._gateway = Gateway(settings.product, settings.place, events, settings.repeat_bounds)
+        view = GatewayView(settings.product, settings.place, settings.repeat_bounds, events)
+        self._gateway = Gateway(view, events)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
--- a/tests/gateway/scene.py
+++ b/tests/gateway/scene.py
@@ -15,11 +15,13 @@
 from briarfork.gateway.attempts import AttemptEnded
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.gateway.permits import GatewayPermits
+from briarfork.gateway.permits import SlotNeed
 from briarfork.gateway.place import Place
 from briarfork.gateway.process import Gateway
 from briarfork.gateway.repeats import RepeatBounds
 from briarfork.gateway.request import Reply
 from briarfork.gateway.request import Request
+from briarfork.gateway.view import GatewayView
 from briarfork.pools import Instance
 from briarfork.pools import Release
 from briarfork.pools import ServerAddress
@@ -67,7 +69,9 @@
 
 
 def build_gateway(route: Route = ROUTE, servers: Iterable[Instance] = ()) -> Gateway:
-    gateway = Gateway(SETTINGS, PLACE, EventLog("test"), REPEAT_BOUNDS)
+    gateway = Gateway(
+        GatewayView(SETTINGS, PLACE, REPEAT_BOUNDS, EventLog("test")), EventLog("test")
+    )
     for server in servers:
         gateway.view.inventory.put(server)
     gateway.accept_table(build_table(route))
@@ -105,18 +109,16 @@
         self.servers = list(servers)
         self.released: list[Release] = []
 
-    async def acquire(
-        self, route: Route, service: str, object_key: str, deadline: Deadline, avoid: frozenset[str]
-    ) -> Permit:
+    async def acquire(self, need: SlotNeed) -> Permit:
         if not self.servers:
             raise SlotRefused(ErrorKind.OVERLOADED, "no zone has room", wait_s=0.2)
         address = ServerAddress(self.servers.pop(0), "127.0.0.1", 1)
-        return Permit("p", service, "a", RequestClass.SHORT, address, "vm")
+        return Permit("p", need.service, "a", RequestClass.SHORT, address, "vm")
 
     async def acquire_hedge(self, route: Route, first: Permit) -> Permit | None:
         if not self.servers:
             return None
-        return await self.acquire(route, first.service, "", Deadline(0.0), frozenset())
+        return await self.acquire(SlotNeed(route, first.service, "", Deadline(0.0), frozenset()))
 
     def release(
         self, permit: Permit, how: Release, elapsed_s: float, slowness: float = 0.0
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -13,6 +13,7 @@
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.gateway.process import Gateway
 from briarfork.gateway.request import Reply
+from briarfork.gateway.view import GatewayView
 from briarfork.pools import Release
 from briarfork.requests.budget import HEDGE_RATIO
 from briarfork.routing import RequestKind
@@ -114,7 +115,9 @@
 
     async def test_vm_without_configuration_refuses(self) -> None:
         """Guards against answering that a path is unknown before any route is known."""
-        gateway = Gateway(SETTINGS, PLACE, EventLog("test"))
+        gateway = Gateway(
+            GatewayView(SETTINGS, PLACE, REPEAT_BOUNDS, EventLog("test")), EventLog("test")
+        )
         dispatcher = Dispatcher(
             gateway.view, ScriptedPermits(gateway), ScriptedUpstream(), EventLog("test")
         )
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -10,6 +10,7 @@
 
 from briarfork.border.events import EventLog
 from briarfork.gateway.process import Gateway
+from briarfork.gateway.view import GatewayView
 from briarfork.platform import names
 from briarfork.platform.follower import Follower
 from briarfork.platform.settings import load_platform_settings
@@ -63,7 +64,10 @@
     await store.start(ADDRESS, PORT)
     await store.put(names.CONFIGURATION_KEY, CONFIGURATION)
     await store.put(names.SERVER_PREFIX + "i-1", describe_server(1))
-    gateway = Gateway(settings.product, settings.place, EventLog("test"))
+    gateway = Gateway(
+        GatewayView(settings.product, settings.place, settings.repeat_bounds, EventLog("test")),
+        EventLog("test"),
+    )
     async with StoreClient(settings.product) as client:
         follower = Follower(settings, gateway, client, EventLog("test"))
         task = asyncio.create_task(follower.run())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,7 @@
 from tests.soak.world import SERVICES
 from tests.soak.world import VMS
 from tests.soak.world import ZONES
+from tests.standins.key_value import KeyValueStore
 
 if TYPE_CHECKING:
     from random import Random
@@ -54,6 +55,19 @@
     span.ended_at = time.monotonic()
 
 
+async def disturb_store(world: World, random: Random, kind: str, **fault: object) -> str:
+    """Sets attributes of the store for a while; faults overlap, so each ends at the defaults."""
+    span = world.ledger.begin(STORE, kind, time.monotonic())
+    sound = KeyValueStore()
+    for name, value in fault.items():
+        setattr(world.store, name, value)
+    await asyncio.sleep(hold_s(random))
+    for name in fault:
+        setattr(world.store, name, getattr(sound, name))
+    end(span)
+    return kind
+
+
 @FAULTS.register("kill")
 async def kill_vm(world: World, random: Random) -> str:
     vm = choose_vm(world, random)
@@ -129,32 +143,17 @@
 
 @FAULTS.register("slow store")
 async def slow_store(world: World, random: Random) -> str:
-    span = world.ledger.begin(STORE, "slow", time.monotonic())
-    world.store.delay_s = random.uniform(0.1, 1.0)
-    await asyncio.sleep(hold_s(random))
-    world.store.delay_s = 0.0
-    end(span)
-    return "slow"
+    return await disturb_store(world, random, "slow", delay_s=random.uniform(0.1, 1.0))
 
 
 @FAULTS.register("store down")
 async def stop_store(world: World, random: Random) -> str:
-    span = world.ledger.begin(STORE, "down", time.monotonic())
-    world.store.down = True
-    await asyncio.sleep(hold_s(random))
-    world.store.down = False
-    end(span)
-    return "down"
+    return await disturb_store(world, random, "down", down=True)
 
 
 @FAULTS.register("lost answers")
 async def lose_store_answers(world: World, random: Random) -> str:
-    span = world.ledger.begin(STORE, "lost", time.monotonic())
-    world.store.lose = random.randint(1, 4)
-    await asyncio.sleep(hold_s(random))
-    world.store.lose = 0
-    end(span)
-    return "lost"
+    return await disturb_store(world, random, "lost", lose=random.randint(1, 4))
 
 
 @FAULTS.register("forgotten history")
