Tell an unreachable site from a full one again

Cause: when the permit client was split for the gateway, a refusal because the owner of another zone's slots is out of reach was turned into a plain refusal. The router then took a cut-off site for a full one, noted no loss, and all traffic went back at once when the site returned, without the slow return of 30 s.

Change: the refusal keeps its type.

--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -145,7 +145,7 @@
 
     async def ask_site(
         self, key: SlotKey, demand: PermitDemand, deadline: Deadline
-    ) -> Permit | SlotRefused:
+    ) -> Permit | NotRun:
         """Asks the owners of one site's slots until one decides; a refusal is returned.
 
         Args:
@@ -222,7 +222,7 @@
 
     async def _take_share(
         self, key: SlotKey, demand: PermitDemand, deadline: Deadline
-    ) -> Permit | SlotRefused | None:
+    ) -> Permit | NotRun | None:
         """Waits for a permit of the local share until it is time to look for an owner again."""
         held = Counter(
             permit.server.vm
@@ -234,7 +234,8 @@
         try:
             server = await self._shares.take(key, demand, held, wait_s)
         except NotRun as refusal:
-            return SlotRefused(refusal.kind, refusal.detail)
+            # Its type tells whether the whole site is out of reach.
+            return refusal
         if server is None:
             return None
         return Permit(demand.permit, *key, demand.request_class, server, LOCAL_SHARE)
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -9,6 +9,7 @@
 
 from briarfork.border.events import Event
 from briarfork.configuration import RequestClass
+from briarfork.entry.overflow import Permit
 from briarfork.entry.slot_client import SlotClient
 from briarfork.entry.slot_client import SlotRefused
 from briarfork.errors import ErrorKind
@@ -19,7 +20,6 @@
 from briarfork.routing import RequestKind
 
 if TYPE_CHECKING:
-    from briarfork.entry.overflow import Permit
     from briarfork.entry.slots import SlotDesk
     from briarfork.gateway.view import GatewayView
     from briarfork.routing import Route
@@ -119,7 +119,7 @@
                 RequestClass.SHORT, limit, frozenset({first.server.vm}), route.priority
             )
             answer = await self.ask_site((first.service, zone), replace(demand, hedge=True), limit)
-            if not isinstance(answer, SlotRefused):
+            if isinstance(answer, Permit):
                 return self.keep(answer)
         return None
 
@@ -195,10 +195,11 @@
                 need.object_key if need.route.sticky else "",
             )
             answer = await self.ask_site(key, demand, limit)
-            if not isinstance(answer, SlotRefused):
+            if isinstance(answer, Permit):
                 return self.keep(answer)
-            self._refusals.record(key, need.route.priority, answer.wait_s, time.monotonic())
-            refusal = _choose_sooner(refusal, answer.wait_s)
+            wait_s = answer.wait_s if isinstance(answer, SlotRefused) else 0.0
+            self._refusals.record(key, need.route.priority, wait_s, time.monotonic())
+            refusal = _choose_sooner(refusal, wait_s)
         raise refusal
 
     def list_zones(
