--- a/src/briarfork/gateway/__init__.py
+++ b/src/briarfork/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The gateway: one program on each entry VM that needs no control process beside it."""
+"""The gateway: one program per entry VM that needs no separate control process."""
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -1,4 +1,4 @@
-"""Attempts to run a request: one at a time, or a second one beside a slow first."""
+"""Attempts to run a request: one at a time, or a second one in parallel if the first is slow."""
 
 from __future__ import annotations
 
@@ -17,29 +17,29 @@
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
     from briarfork.entry.overflow import Permit
-    from briarfork.gateway.measures import Measures
+    from briarfork.gateway.metrics import GatewayMetrics
     from briarfork.gateway.permits import GatewayPermits
-    from briarfork.gateway.request import Reply
     from briarfork.gateway.request import Request
+    from briarfork.gateway.request import Response
     from briarfork.pools import ServerAddress
     from briarfork.requests import Deadline
     from briarfork.routing import Route
 
-# A second attempt starts when the first has taken this part of the objective, and this multiple of
-# the mean run time: most requests that take longer have lost their answer or their server.
-HEDGE_OBJECTIVE_SHARE = 0.6
-HEDGE_RUN_TIMES = 2.0
-# Attempts that run side by side.
-MAX_HEDGED = 2
+# A hedged attempt starts after this fraction of the latency objective and this multiple of the mean
+# run time, whichever is later. Most requests that take longer lost their response or their server.
+HEDGE_OBJECTIVE_FRACTION = 0.6
+HEDGE_RUN_TIME_FACTOR = 2.0
+# Attempts at one request that run in parallel.
+MAX_PARALLEL_ATTEMPTS = 2
 
 
-class AttemptEnded(Exception):
-    """An attempt that brought no whole answer.
+class AttemptError(Exception):
+    """An attempt that did not return a complete response.
 
     Attributes:
-        result: How far it came.
-        release: What the owner of the slot is told.
-        slowness: What the server said about its machine, 0 if nothing.
+        result: How far the attempt got.
+        release: Outcome that is reported to the owner of the slot.
+        slowness: Slowdown factor that the server reported, 0 if none.
     """
 
     def __init__(
@@ -55,26 +55,27 @@
     """Sends requests to backend servers."""
 
     async def send(
-        self, request: Request, server: ServerAddress, deadline: Deadline, repeatable: bool
-    ) -> Reply:
-        """Sends a request and returns the whole answer.
+        self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
+    ) -> Response:
+        """Sends a request and returns the complete response.
 
         Raises:
-            AttemptEnded: If there is none.
+            AttemptError: If there is no complete response.
         """
 
 
 @dataclass(slots=True)
 class Progress:
-    """What has happened to one request so far.
+    """The state of one request across its attempts.
 
     Attributes:
-        tried: Servers that it was sent to.
-        unsent: Attempts that reached no server.
-        may_have_run: Whether a server may have run it.
-        fault: The last answer with which a server said that it failed.
-        zone: Where the last slot was.
-        slot_after_s: When it was granted, from the start of the request.
+        started: Monotonic time at which the request arrived.
+        tried_servers: Servers that the request was sent to.
+        unsent_attempts: Number of attempts that reached no server.
+        may_have_run: Whether a server may have run the request.
+        error_response: The last response with a server error.
+        zone: Availability zone of the last slot.
+        slot_wait_s: Time from the start of the request until the last slot was granted.
         detail: Why no slot was granted.
     """
 
@@ -82,39 +83,39 @@
     service: str
     deadline: Deadline
     started: float
-    tried: set[str] = field(default_factory=set)
-    unsent: int = 0
+    tried_servers: set[str] = field(default_factory=set)
+    unsent_attempts: int = 0
     may_have_run: bool = False
-    fault: Reply | None = None
+    error_response: Response | None = None
     zone: str = ""
-    slot_after_s: float = 0.0
+    slot_wait_s: float = 0.0
     detail: str = ""
 
 
-class Attempts:
-    """Sends requests under permits, returns the permits and says how each attempt ended."""
+class AttemptRunner:
+    """Sends requests under permits, releases the permits and records failed attempts."""
 
     def __init__(
-        self, permits: GatewayPermits, upstream: Upstream, events: EventLog, measures: Measures
+        self, permits: GatewayPermits, upstream: Upstream, events: EventLog, metrics: GatewayMetrics
     ) -> None:
         self._permits = permits
         self._upstream = upstream
         self._events = events
-        self._measures = measures
-        self._budgets: dict[str, HedgeBudget] = {}
+        self._metrics = metrics
+        self._hedge_budgets: dict[str, HedgeBudget] = {}
 
     async def run(
         self, request: Request, progress: Progress, permit: Permit
-    ) -> Reply | AttemptEnded:
-        """Sends a request, and to a second server if the first one is slow and it may run twice.
+    ) -> Response | AttemptError:
+        """Sends a request, and sends an idempotent one to a second server if the first is slow.
 
-        The first whole answer wins; the other attempt is cancelled at its server.
+        The first complete response wins; the other attempt is cancelled at its server.
         """
-        budget = self._budgets.setdefault(progress.service, HedgeBudget())
+        budget = self._hedge_budgets.setdefault(progress.service, HedgeBudget())
         budget.earn()
         async with asyncio.TaskGroup() as group:
             tasks = [group.create_task(self._send(request, progress, permit))]
-            if not await self._answers_soon(tasks[0], progress) and budget.spend():
+            if not await self._ends_before_hedge(tasks[0], progress) and budget.spend():
                 second = await self._permits.acquire_hedge(progress.route, permit)
                 if second is None or tasks[0].done():
                     budget.return_unused()
@@ -122,82 +123,89 @@
                         self._permits.release(second, Release.UNUSED, 0.0)
                 else:
                     tasks.append(group.create_task(self._send(request, progress, second)))
-            end = await _wait_for_reply(tasks)
+            outcome = await _wait_for_response(tasks)
             for task in tasks:
                 task.cancel()
-        return end
+        return outcome
 
-    async def _answers_soon(
-        self, task: asyncio.Task[Reply | AttemptEnded], progress: Progress
+    async def _ends_before_hedge(
+        self, task: asyncio.Task[Response | AttemptError], progress: Progress
     ) -> bool:
-        """Returns whether an attempt ends before it is time for a second one."""
+        """Returns whether the attempt ends before a hedged attempt is due, or none is allowed."""
         route = progress.route
-        if not route.kind.is_repeatable or len(progress.tried) + MAX_HEDGED > route.max_attempts:
+        if (
+            not route.kind.is_idempotent
+            or len(progress.tried_servers) + MAX_PARALLEL_ATTEMPTS > route.max_attempts
+        ):
             return True
-        run_s = HEDGE_RUN_TIMES * self._permits.run_times.get(progress.service, 0.0)
-        wait_s = max(HEDGE_OBJECTIVE_SHARE * route.objective_s, run_s)
+        run_s = HEDGE_RUN_TIME_FACTOR * self._permits.run_times.get(progress.service, 0.0)
+        wait_s = max(HEDGE_OBJECTIVE_FRACTION * route.objective_s, run_s)
         done, _ = await asyncio.wait({task}, timeout=wait_s)
         return bool(done)
 
     async def _send(
         self, request: Request, progress: Progress, permit: Permit
-    ) -> Reply | AttemptEnded:
-        """Sends a request once and returns its permit."""
+    ) -> Response | AttemptError:
+        """Sends a request once and releases its permit."""
         started = time.monotonic()
-        progress.tried.add(permit.server.vm)
+        progress.tried_servers.add(permit.server.vm)
         progress.zone = permit.site
-        progress.slot_after_s = started - progress.started
+        progress.slot_wait_s = started - progress.started
         release, slowness = Release.CANCELLED, 0.0
         try:
-            reply = await self._upstream.send(
-                request, permit.server, progress.deadline, progress.route.kind.is_repeatable
+            response = await self._upstream.send(
+                request, permit.server, progress.deadline, progress.route.kind.is_idempotent
             )
-            release, slowness = Release.DONE, reply.slowness
-            self._permits.record_load(permit, progress.service, reply.waiting > 0, reply.busy)
-            if not reply.is_fault:
-                return reply
+            release, slowness = Release.DONE, response.slowness
+            self._permits.record_load(
+                permit, progress.service, response.waiting > 0, response.utilization
+            )
+            if not response.is_server_error:
+                return response
             release = Release.FAILED
-            progress.fault = reply
-            ended = AttemptEnded(AttemptResult.SENT_WITHOUT_ANSWER, release, f"{reply.status}")
-        except AttemptEnded as error:
+            progress.error_response = response
+            failure = AttemptError(AttemptResult.SENT_WITHOUT_ANSWER, release, f"{response.status}")
+        except AttemptError as error:
             release, slowness = error.release, error.slowness
             self._permits.record_load(permit, progress.service, release is not Release.UNUSED)
-            ended = error
+            failure = error
         finally:
             self._permits.release(permit, release, time.monotonic() - started, slowness)
-        self._record_failure(request, progress, permit, ended)
-        return ended
+        self._record_failure(request, progress, permit, failure)
+        return failure
 
     def _record_failure(
-        self, request: Request, progress: Progress, permit: Permit, ended: AttemptEnded
+        self, request: Request, progress: Progress, permit: Permit, failure: AttemptError
     ) -> None:
-        self._measures.count_failed_attempt(progress.service, ended.result.value)
+        self._metrics.count_failed_attempt(progress.service, failure.result.value)
         self._events.record(
             Event.ATTEMPT_FAILED,
             request=request.request_id,
             service=progress.service,
             server=permit.server.vm,
             zone=permit.site,
-            result=ended.result.value,
-            reason=str(ended),
+            result=failure.result.value,
+            reason=str(failure),
         )
 
 
-async def _wait_for_reply(
-    tasks: list[asyncio.Task[Reply | AttemptEnded]],
-) -> Reply | AttemptEnded:
-    """Returns the first answer, or the end that says most if there is none.
+async def _wait_for_response(
+    tasks: list[asyncio.Task[Response | AttemptError]],
+) -> Response | AttemptError:
+    """Returns the first response, or a failure if there is none.
 
-    An attempt that may have run outweighs one that did not.
+    The failure of an attempt that may have run takes precedence over one that did not run.
     """
     pending = set(tasks)
-    ends: list[AttemptEnded] = []
+    failures: list[AttemptError] = []
     while pending:
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
-            end = task.result()
-            if not isinstance(end, AttemptEnded):
-                return end
-            ends.append(end)
-    unanswered = [end for end in ends if end.result is AttemptResult.SENT_WITHOUT_ANSWER]
-    return (unanswered or ends)[0]
+            outcome = task.result()
+            if not isinstance(outcome, AttemptError):
+                return outcome
+            failures.append(outcome)
+    unanswered = [
+        outcome for outcome in failures if outcome.result is AttemptResult.SENT_WITHOUT_ANSWER
+    ]
+    return (unanswered or failures)[0]
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -1,4 +1,4 @@
-"""A request's way from its route to the answer: service, slot, attempt and what follows."""
+"""Routes a request to a service, acquires a slot, sends it and retries within the limits."""
 
 from __future__ import annotations
 
@@ -10,36 +10,36 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.errors import OutcomeUnknown
-from briarfork.gateway.attempts import AttemptEnded
-from briarfork.gateway.attempts import Attempts
+from briarfork.gateway.attempts import AttemptError
+from briarfork.gateway.attempts import AttemptRunner
 from briarfork.gateway.attempts import Progress
-from briarfork.gateway.measures import Measures
-from briarfork.gateway.permits import SlotNeed
+from briarfork.gateway.metrics import GatewayMetrics
+from briarfork.gateway.permits import SlotRequest
 from briarfork.requests import AttemptResult
 from briarfork.requests import Budget
 from briarfork.requests import Deadline
 from briarfork.requests import FailedAttempt
-from briarfork.routing import Spread
+from briarfork.routing import WeightedRoundRobin
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
     from briarfork.entry.overflow import Permit
     from briarfork.gateway.attempts import Upstream
     from briarfork.gateway.permits import GatewayPermits
-    from briarfork.gateway.request import Reply
     from briarfork.gateway.request import Request
+    from briarfork.gateway.request import Response
     from briarfork.gateway.view import GatewayView
     from briarfork.routing import Route
 
-MILLISECONDS = 1000.0
-# Attempts that never reached a server, such as refused connections, cost no budget.
-MAX_UNSENT = 4
-# A server that is given less of the objective than this has no chance to answer.
-LEAST_RUN_SHARE = 0.15
+MS_PER_S = 1000.0
+# Attempts that never reached a server, such as refused connections, do not use the retry budget.
+MAX_UNSENT_ATTEMPTS = 4
+# With less of the latency objective left, a server cannot respond in time.
+MIN_RUN_FRACTION = 0.15
 
 
 class Dispatcher:
-    """Finds a slot for each request and repeats what may be repeated."""
+    """Acquires a slot for each request and retries failed attempts where that is safe."""
 
     def __init__(
         self, view: GatewayView, permits: GatewayPermits, upstream: Upstream, events: EventLog
@@ -47,61 +47,61 @@
         self._view = view
         self._permits = permits
         self._events = events
-        self.measures = Measures()
-        self._attempts = Attempts(permits, upstream, events, self.measures)
-        self._spread = Spread()
-        self._budgets: dict[str, Budget] = {}
+        self.metrics = GatewayMetrics()
+        self._attempt_runner = AttemptRunner(permits, upstream, events, self.metrics)
+        self._round_robin = WeightedRoundRobin()
+        self._retry_budgets: dict[str, Budget] = {}
 
-    async def handle(self, request: Request) -> Reply:
-        """Returns the answer of a backend server.
+    async def handle(self, request: Request) -> Response:
+        """Returns the response of a backend server.
 
         Raises:
             NotRun: If the request did not run.
-            OutcomeUnknown: If it may have run and there is no answer.
+            OutcomeUnknown: If the request may have run and there is no response.
         """
         route = self._find_route(request)
-        progress = self._begin(request, route)
+        progress = self._start(request, route)
         outcome = "cancelled"
         try:
-            reply = await self._run(request, progress)
+            response = await self._run(request, progress)
             outcome = "answered"
-            return reply
+            return response
         except BriarforkError as error:
             outcome = error.kind.value
             raise
         finally:
-            self._end(request, progress, outcome)
+            self._finish(request, progress, outcome)
 
     @property
     def has_configuration(self) -> bool:
-        """Whether requests can be routed."""
-        return self._view.has_table
+        """Whether a route table is loaded, so that requests can be routed."""
+        return self._view.has_route_table
 
-    def report_levels(self) -> None:
-        """Brings the gauges up to date."""
-        table = self._view.require_table()
-        self.measures.set_version(table.version)
+    def update_gauges(self) -> None:
+        """Updates the gauges from the current state."""
+        table = self._view.require_route_table()
+        self.metrics.set_version(table.version)
         for service in table.services:
-            budget = self._find_budget(service).level
-            self.measures.set_levels(
+            budget = self._find_retry_budget(service).level
+            self.metrics.set_gauges(
                 service,
                 self._permits.count_waiting(service),
                 budget,
                 self._permits.find_remote_share(service),
             )
 
-    def _begin(self, request: Request, route: Route) -> Progress:
+    def _start(self, request: Request, route: Route) -> Progress:
         now = time.monotonic()
         wait_s = route.timeout_s
-        if request.wait_s is not None:
-            wait_s = min(wait_s, request.wait_s)
-        progress = Progress(route, self._spread.choose(route), Deadline(now + wait_s), now)
-        self._find_budget(progress.service).earn()
+        if request.caller_timeout_s is not None:
+            wait_s = min(wait_s, request.caller_timeout_s)
+        progress = Progress(route, self._round_robin.choose(route), Deadline(now + wait_s), now)
+        self._find_retry_budget(progress.service).earn()
         return progress
 
-    def _end(self, request: Request, progress: Progress, outcome: str) -> None:
+    def _finish(self, request: Request, progress: Progress, outcome: str) -> None:
         elapsed_s = time.monotonic() - progress.started
-        self.measures.count_request(progress.service, progress.route, outcome, elapsed_s)
+        self.metrics.count_request(progress.service, progress.route, outcome, elapsed_s)
         event = Event.REQUEST_SERVED if outcome == "answered" else Event.REQUEST_FAILED
         self._events.record(
             event,
@@ -109,104 +109,104 @@
             outcome=outcome,
             service=progress.service,
             route=progress.route.name,
-            configuration=self._view.require_table().version,
+            configuration=self._view.require_route_table().version,
             object=request.object_key,
-            servers=sorted(progress.tried),
+            servers=sorted(progress.tried_servers),
             zone=progress.zone,
-            slot_after_ms=round(progress.slot_after_s * MILLISECONDS),
-            elapsed_ms=round(elapsed_s * MILLISECONDS),
+            slot_after_ms=round(progress.slot_wait_s * MS_PER_S),
+            elapsed_ms=round(elapsed_s * MS_PER_S),
             detail=progress.detail,
         )
 
-    async def _run(self, request: Request, progress: Progress) -> Reply:
-        """Acquires slots and sends the request until there is an answer.
+    async def _run(self, request: Request, progress: Progress) -> Response:
+        """Acquires slots and sends the request until there is a response.
 
         Raises:
-            BriarforkError: If there is none.
+            BriarforkError: If there is no response.
         """
         while True:
             permit = await self._acquire(request, progress)
             if permit is None:
-                assert progress.fault is not None
-                return progress.fault
-            end = await self._attempts.run(request, progress, permit)
-            if not isinstance(end, AttemptEnded):
-                return end
-            reply = self._decide(progress, end)
-            if reply is not None:
-                return reply
-
-    def reset_spread(self) -> None:
-        """Begins the proportions of traffic anew after a change of the configuration."""
-        self._spread.reset()
+                assert progress.error_response is not None
+                return progress.error_response
+            attempt_outcome = await self._attempt_runner.run(request, progress, permit)
+            if not isinstance(attempt_outcome, AttemptError):
+                return attempt_outcome
+            response = self._handle_failure(progress, attempt_outcome)
+            if response is not None:
+                return response
+
+    def reset_round_robin(self) -> None:
+        """Resets the round-robin state after the weights of a traffic split have changed."""
+        self._round_robin.reset()
 
     def _find_route(self, request: Request) -> Route:
-        route = self._view.require_table().find(request.host, request.path)
+        route = self._view.require_route_table().find(request.host, request.path)
         if route is None:
             raise NotRun(ErrorKind.UNKNOWN_PATH, f"{request.host}{request.path}: no such route")
         return route
 
     async def _acquire(self, request: Request, progress: Progress) -> Permit | None:
-        """Returns a permit, or None if the last answer of a server has to do.
+        """Returns a permit, or None if only an earlier error response can be returned.
 
         Raises:
-            NotRun: If there is none and the request did not run.
-            OutcomeUnknown: If there is none and the request may have run.
+            NotRun: If no slot is available and the request did not run.
+            OutcomeUnknown: If no slot is available and the request may have run.
         """
         route = progress.route
         try:
-            left_s = progress.deadline.remaining_s(time.monotonic())
-            if left_s < LEAST_RUN_SHARE * route.objective_s:
-                raise NotRun(ErrorKind.OVERLOADED, "no time is left for a run")
-            need = SlotNeed(
+            remaining_s = progress.deadline.remaining_s(time.monotonic())
+            if remaining_s < MIN_RUN_FRACTION * route.objective_s:
+                raise NotRun(ErrorKind.OVERLOADED, "not enough time is left to run the request")
+            slot_request = SlotRequest(
                 route,
                 progress.service,
                 request.object_key,
                 progress.deadline,
-                frozenset(progress.tried),
+                frozenset(progress.tried_servers),
             )
-            return await self._permits.acquire(need)
+            return await self._permits.acquire(slot_request)
         except NotRun as error:
             progress.detail = error.detail
-            if progress.fault is not None:
+            if progress.error_response is not None:
                 return None
             if progress.may_have_run:
-                raise OutcomeUnknown(f"sent without an answer, then: {error.detail}") from error
+                raise OutcomeUnknown(f"sent without a response, then: {error.detail}") from error
             raise
 
-    def _decide(self, progress: Progress, ended: AttemptEnded) -> Reply | None:
-        """Returns None if another attempt follows, or the failed answer if none may.
+    def _handle_failure(self, progress: Progress, failure: AttemptError) -> Response | None:
+        """Returns None to retry, or the server's error response if no retry is allowed.
 
         Raises:
-            BriarforkError: If no other attempt follows and there is no answer.
+            BriarforkError: If no retry is allowed and there is no response.
         """
-        failed = FailedAttempt(ended.result, progress.route.kind.is_repeatable, replayable=True)
+        failed = FailedAttempt(failure.result, progress.route.kind.is_idempotent, replayable=True)
         progress.may_have_run = progress.may_have_run or failed.may_have_run
-        if failed.may_repeat() and self._may_try_again(progress, ended.result):
+        if failed.may_repeat() and self._may_retry(progress, failure.result):
             return None
-        if progress.fault is not None:
-            return progress.fault
-        raise _describe_failure(progress, ended)
+        if progress.error_response is not None:
+            return progress.error_response
+        raise _build_failure(progress, failure)
 
-    def _may_try_again(self, progress: Progress, result: AttemptResult) -> bool:
+    def _may_retry(self, progress: Progress, result: AttemptResult) -> bool:
         if result is AttemptResult.NOT_SENT:
-            progress.unsent += 1
-            return progress.unsent <= MAX_UNSENT
-        if len(progress.tried) - progress.unsent >= progress.route.max_attempts:
+            progress.unsent_attempts += 1
+            return progress.unsent_attempts <= MAX_UNSENT_ATTEMPTS
+        if len(progress.tried_servers) - progress.unsent_attempts >= progress.route.max_attempts:
             return False
-        return self._find_budget(progress.service).spend()
+        return self._find_retry_budget(progress.service).spend()
 
-    def _find_budget(self, service: str) -> Budget:
-        bounds = self._view.repeat_bounds
-        reserve = bounds.find_reserve(len(self._view.members))
-        budget = self._budgets.get(service)
+    def _find_retry_budget(self, service: str) -> Budget:
+        limits = self._view.retry_limits
+        reserve = limits.compute_reserve(len(self._view.members))
+        budget = self._retry_budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = Budget(bounds.ratio_per_vm, reserve)
+            budget = self._retry_budgets[service] = Budget(limits.ratio_per_vm, reserve)
         budget.limit_reserve(reserve)
         return budget
 
 
-def _describe_failure(progress: Progress, ended: AttemptEnded) -> BriarforkError:
+def _build_failure(progress: Progress, failure: AttemptError) -> BriarforkError:
     if progress.may_have_run:
-        return OutcomeUnknown(str(ended))
-    return NotRun(ErrorKind.OVERLOADED, str(ended))
+        return OutcomeUnknown(str(failure))
+    return NotRun(ErrorKind.OVERLOADED, str(failure))
--- a/src/briarfork/gateway/place.py
+++ b/src/briarfork/gateway/location.py
@@ -1,4 +1,4 @@
-"""Where a VM is, and the order of zones as seen from there."""
+"""The location of a VM, and the order of availability zones by distance from it."""
 
 from __future__ import annotations
 
@@ -12,15 +12,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class Location:
     """Availability zone and region of a VM.
 
     Attributes:
         regions: Region of every availability zone.
 
     Example:
-        >>> place = Place("a", "north", {"a": "north", "b": "north", "c": "south"})
-        >>> place.order(["c", "b", "a"])
+        >>> location = Location("a", "north", {"a": "north", "b": "north", "c": "south"})
+        >>> location.sort_by_distance(["c", "b", "a"])
         ['a', 'b', 'c']
     """
 
@@ -28,13 +28,13 @@
     region: str
     regions: dict[str, str]
 
-    def order(self, zones: Iterable[str]) -> list[str]:
-        """Returns zones by distance; equally distant ones differ in order between zones."""
-        return sorted(zones, key=self._rank)
+    def sort_by_distance(self, zones: Iterable[str]) -> list[str]:
+        """Returns zones, nearest first; ties are broken by a hash that differs between zones."""
+        return sorted(zones, key=self._find_distance)
 
     def is_local(self, zone: str) -> bool:
         """Returns whether a zone is in the region of this VM."""
         return self.regions.get(zone) == self.region
 
-    def _rank(self, zone: str) -> tuple[bool, bool, int]:
+    def _find_distance(self, zone: str) -> tuple[bool, bool, int]:
         return zone != self.zone, not self.is_local(zone), hash_text(f"{self.zone}|{zone}")
--- /dev/null
+++ b/src/briarfork/gateway/metrics.py
@@ -0,0 +1,89 @@
+"""Counters, gauges and histograms of a gateway in the Prometheus format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+from prometheus_client import generate_latest
+
+if TYPE_CHECKING:
+    from briarfork.routing import Route
+
+# Histogram buckets in seconds: latency objectives are 0.2 to 3 s, timeouts up to 20 s.
+LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0)
+
+
+class GatewayMetrics:
+    """The metrics of a gateway; all labels have few values, which bounds the number of series."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "briarfork_requests",
+            "Requests of callers by outcome.",
+            ["service", "kind", "outcome"],
+            registry=self._registry,
+        )
+        self._request_times = Histogram(
+            "briarfork_request_seconds",
+            "Time from a request to the end of its answer.",
+            ["service", "kind", "outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._failed_attempts = Counter(
+            "briarfork_failed_attempts",
+            "Attempts at backend servers that brought no whole answer.",
+            ["service", "result"],
+            registry=self._registry,
+        )
+        self._waiting_requests = self._build_gauge(
+            "waiting_requests", "Requests that wait for a slot here."
+        )
+        self._retry_budget = self._build_gauge("repeat_budget", "Repeats that may be sent now.")
+        self._remote_share = self._build_gauge("remote_share", "Share that leaves the region.")
+        self._version = Gauge(
+            "briarfork_configuration_version",
+            "Version of the configuration in force.",
+            registry=self._registry,
+        )
+
+    def count_request(self, service: str, route: Route, outcome: str, elapsed_s: float) -> None:
+        """Counts a finished request.
+
+        Args:
+            service: Service of the request.
+            route: Route of the request.
+            outcome: "answered", "cancelled" or the kind of the error.
+            elapsed_s: Time since the request arrived.
+        """
+        labels = (service, route.kind.value, outcome)
+        self._requests.labels(*labels).inc()
+        self._request_times.labels(*labels).observe(elapsed_s)
+
+    def count_failed_attempt(self, service: str, result: str) -> None:
+        """Counts an attempt that did not return a complete response."""
+        self._failed_attempts.labels(service, result).inc()
+
+    def set_gauges(
+        self, service: str, waiting: int, retry_budget: float, remote_share: float
+    ) -> None:
+        """Sets the gauges of one service."""
+        self._waiting_requests.labels(service).set(waiting)
+        self._retry_budget.labels(service).set(retry_budget)
+        self._remote_share.labels(service).set(remote_share)
+
+    def set_version(self, version: int) -> None:
+        """Sets the gauge for the version of the current configuration."""
+        self._version.set(version)
+
+    def render(self) -> bytes:
+        """Returns all metrics in the text format."""
+        return generate_latest(self._registry)
+
+    def _build_gauge(self, name: str, description: str) -> Gauge:
+        return Gauge(f"briarfork_{name}", description, ["service"], registry=self._registry)
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -1,4 +1,4 @@
-"""Where a request gets its slot: the own zone first, then the region, then other regions."""
+"""Acquires slots for requests: in this VM's zone first, then in its region, then elsewhere."""
 
 from __future__ import annotations
 
@@ -13,9 +13,9 @@
 from briarfork.entry.slot_client import SlotClient
 from briarfork.entry.slot_client import SlotRefused
 from briarfork.errors import ErrorKind
-from briarfork.gateway.spill import Refusals
-from briarfork.gateway.spill import RemoteShare
-from briarfork.gateway.spill import SpillLimit
+from briarfork.gateway.spillover import RefusalCache
+from briarfork.gateway.spillover import RemoteShareController
+from briarfork.gateway.spillover import SpilloverLimit
 from briarfork.requests import Deadline
 from briarfork.routing import RequestKind
 
@@ -24,33 +24,33 @@
     from briarfork.gateway.view import GatewayView
     from briarfork.routing import Route
 
-# Part of the objective that a request may wait for a slot in its own zone; the rest is for the
-# run itself, which takes a third of the objective where the object is in the server's caches.
-WAIT_SHARE = 0.5
-# Elsewhere a request pays for the way as well.
-REMOTE_WAIT_SHARE = 0.35
-# A server of another region that had requests waiting gets none from here for this time.
-FULL_S = 0.3
-# Longest wait for an owner's decision on a second attempt.
-HEDGE_WAIT_S = 0.1
-# Change of a remote share that is worth a line in the log.
-LOGGED_STEP = 0.1
-# Remote share from which a region is short of servers, so that each zone's caches are too small
-# for all objects and the zones share them. Otherwise objects stay in their callers' zone, because
-# links between zones are paid for.
-SCARCE_SHARE = 0.05
-# Servers of a zone that may take an object; more would spread it over too many caches.
-REMOTE_CHOICES = 2
+# Fraction of the latency objective that a request may wait for a slot in this VM's zone. The rest
+# is left for the run, which takes a third of the objective when the server has the object cached.
+OWN_ZONE_WAIT_FRACTION = 0.5
+# Lower in other zones, where the request also needs time for the network.
+OTHER_ZONE_WAIT_FRACTION = 0.35
+# A server of another region that had requests waiting is not used again for this time.
+FULL_SERVER_BACKOFF_S = 0.3
+# Longest wait for the owner of the slots to grant or refuse a hedged attempt.
+HEDGE_PERMIT_TIMEOUT_S = 0.1
+# Smaller changes of a remote share are not logged.
+MIN_LOGGED_SHARE_CHANGE = 0.1
+# From this remote share on, a region is short of servers and the caches of one zone are too small
+# for all objects, so objects are distributed over the region's zones. Below it, objects stay in
+# their caller's zone, because traffic between zones is charged.
+CACHE_SHARING_MIN_REMOTE_SHARE = 0.05
+# Servers of a remote zone that are tried for an object; more would duplicate it in their caches.
+MAX_REMOTE_CANDIDATES = 2
 
 
 @dataclass(frozen=True, slots=True)
-class SlotNeed:
-    """What one attempt needs a slot for.
+class SlotRequest:
+    """The constraints on the slot for one attempt.
 
     Attributes:
-        object_key: Names the object that the request concerns, empty if unknown.
-        deadline: When the request is given up.
-        avoid: Servers that it was sent to.
+        object_key: Key of the object that the request concerns, empty if unknown.
+        deadline: Deadline of the request.
+        avoid: Servers that the request was already sent to.
     """
 
     route: Route
@@ -61,191 +61,201 @@
 
 
 class GatewayPermits(SlotClient):
-    """Asks zone after zone until one grants a slot."""
+    """Requests a slot from one zone after another until one grants it."""
 
     def __init__(self, view: GatewayView, desk: SlotDesk) -> None:
         super().__init__(view, desk)
         self._gateway_view = view
-        self._refusals = Refusals()
-        self._spill = SpillLimit()
-        self._remote_shares: dict[str, RemoteShare] = {}
-        self._full_until: dict[str, float] = {}
+        self._refusal_cache = RefusalCache()
+        self._spillover_limit = SpilloverLimit()
+        self._share_controllers: dict[str, RemoteShareController] = {}
+        self._backoff_until: dict[str, float] = {}
         self._logged_shares: dict[str, float] = {}
 
-    async def acquire(self, need: SlotNeed) -> Permit:
+    async def acquire(self, request: SlotRequest) -> Permit:
         """Returns a permit for one attempt.
 
         Raises:
-            SlotRefused: If no zone has room; nothing was sent.
+            SlotRefused: If no zone has a free slot; the request was not sent.
         """
-        local, remote = self.list_zones(need.route, need.service, need.object_key)
+        local, remote = self.list_zones(request.route, request.service, request.object_key)
         if not local and not remote:
-            raise SlotRefused(ErrorKind.NO_SERVER, f"service {need.service!r} has no server")
+            raise SlotRefused(ErrorKind.NO_SERVER, f"service {request.service!r} has no server")
         started = time.monotonic()
-        self._spill.count(started)
+        self._spillover_limit.record_request(started)
         if not local or not remote:
-            return await self._ask_all(local or remote, need)
-        share = self._find_share(need.service, started)
-        self._log_share(need.service, share.find(started))
-        if share.takes(need.object_key, started):
-            permit = self._take_remote(remote, need)
+            return await self._request_from_zones(local or remote, request)
+        controller = self._find_share_controller(request.service, started)
+        self._log_share(request.service, controller.compute(started))
+        if controller.sends_remote(request.object_key, started):
+            permit = self._take_remote_slot(remote, request)
             if permit is not None:
                 return permit
         try:
-            asked = await self._ask_all(local, need)
+            granted = await self._request_from_zones(local, request)
         except SlotRefused:
-            share.record(pressed=True)
-            if not self._spill.allows(time.monotonic()):
+            controller.record_local(region_full=True)
+            if not self._spillover_limit.allows_spillover(time.monotonic()):
                 raise
-            self._spill.spend(time.monotonic())
-            permit = self._take_remote(remote, need)
+            self._spillover_limit.record_spillover(time.monotonic())
+            permit = self._take_remote_slot(remote, request)
             if permit is None:
                 raise
             return permit
-        share.record(pressed=False)
-        return asked
+        controller.record_local(region_full=False)
+        return granted
 
     async def acquire_hedge(self, route: Route, first: Permit) -> Permit | None:
-        """Returns a permit for a second attempt beside a slow one, or None.
+        """Returns a permit for a hedged attempt, or None if no slot is granted.
 
-        It comes from the region, never waits, and is refused at high load and at the same server.
+        Only the zones of this region are asked, and only for other servers. The permit never waits
+        in a queue and is refused at high load.
         """
         local, _ = self.list_zones(route, first.service, "")
         if first.site not in local:
             return None
         for zone in local:
-            limit = Deadline(time.monotonic() + HEDGE_WAIT_S)
+            wait_deadline = Deadline(time.monotonic() + HEDGE_PERMIT_TIMEOUT_S)
             demand = self.build_demand(
-                RequestClass.SHORT, limit, frozenset({first.server.vm}), route.priority
+                RequestClass.SHORT, wait_deadline, frozenset({first.server.vm}), route.priority
             )
-            answer = await self.ask_site((first.service, zone), replace(demand, hedge=True), limit)
-            if isinstance(answer, Permit):
-                return self.keep(answer)
+            decision = await self.ask_site(
+                (first.service, zone), replace(demand, hedge=True), wait_deadline
+            )
+            if isinstance(decision, Permit):
+                return self.keep(decision)
         return None
 
     def count_waiting(self, service: str) -> int:
-        """Returns the requests that wait for slots of a service that this VM owns."""
+        """Returns the number of requests waiting for slots of a service that this VM owns."""
         queues = [
-            self._desk.find_queue((service, zone)) for zone in self._gateway_view.place.regions
+            self._desk.find_queue((service, zone)) for zone in self._gateway_view.location.regions
         ]
         return sum(queue.waiting for queue in queues if queue is not None)
 
     def find_remote_share(self, service: str) -> float:
-        """Returns the share of a service's requests that leaves the region."""
-        share = self._remote_shares.get(service)
-        return share.find(time.monotonic()) if share else 0.0
+        """Returns the share of a service's requests that is sent to other regions."""
+        controller = self._share_controllers.get(service)
+        return controller.compute(time.monotonic()) if controller else 0.0
 
-    def record_load(self, permit: Permit, service: str, full: bool, busy: float = 1.0) -> None:
-        """Takes note of how a server of another region was loaded.
+    def record_load(
+        self, permit: Permit, service: str, overloaded: bool, utilization: float = 1.0
+    ) -> None:
+        """Records the load of a server of another region; servers of this region are ignored.
 
         Args:
             permit: The permit of the request.
             service: The service.
-            full: Whether it refused the request, failed or had others waiting.
-            busy: Share of its slots in use.
+            overloaded: Whether the server refused the request, failed or had others waiting.
+            utilization: Fraction of the server's slots in use.
         """
-        if self._gateway_view.place.is_local(permit.site):
+        if self._gateway_view.location.is_local(permit.site):
             return
         now = time.monotonic()
-        if full:
-            self._full_until[permit.server.vm] = now + FULL_S
-        self._find_share(service, now).record_remote(full, busy)
+        if overloaded:
+            self._backoff_until[permit.server.vm] = now + FULL_SERVER_BACKOFF_S
+        self._find_share_controller(service, now).record_remote(overloaded, utilization)
 
-    def _take_remote(self, zones: list[str], need: SlotNeed) -> Permit | None:
+    def _take_remote_slot(self, zones: list[str], request: SlotRequest) -> Permit | None:
         """Takes a slot in another region without asking, or returns None if none seems free.
 
-        The way to the owner of the slots and back would take as long as the run itself.
+        The round trip to the owner of the slots would take as long as the run itself.
         """
         now = time.monotonic()
         for zone in zones:
-            ranked = self._gateway_view.rank_servers(need.service, zone, need.object_key, now)
-            for server in ranked[:REMOTE_CHOICES]:
-                if server.vm in need.avoid or self._full_until.get(server.vm, 0.0) > now:
+            ranked = self._gateway_view.rank_servers(request.service, zone, request.object_key, now)
+            for server in ranked[:MAX_REMOTE_CANDIDATES]:
+                if server.vm in request.avoid or self._backoff_until.get(server.vm, 0.0) > now:
                     continue
                 demand = self.build_demand(
                     RequestClass.SHORT,
-                    need.deadline,
-                    need.avoid,
-                    need.route.priority,
-                    need.object_key,
+                    request.deadline,
+                    request.avoid,
+                    request.route.priority,
+                    request.object_key,
                 )
-                return self.take((need.service, zone), demand, server)
+                return self.take((request.service, zone), demand, server)
         return None
 
-    async def _ask_all(self, zones: list[str], need: SlotNeed) -> Permit:
-        """Asks zones in turn.
+    async def _request_from_zones(self, zones: list[str], request: SlotRequest) -> Permit:
+        """Requests a slot from each zone in turn.
 
         Raises:
-            SlotRefused: If all refuse.
+            SlotRefused: If all zones refuse.
         """
-        refusal = SlotRefused(ErrorKind.OVERLOADED, "no zone has room")
+        refusal = SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot")
         for zone in zones:
-            key = (need.service, zone)
+            key = (request.service, zone)
             now = time.monotonic()
-            wait_s = self._refusals.find_wait(key, need.route.priority, now)
+            wait_s = self._refusal_cache.find_wait(key, request.route.priority, now)
             if wait_s > 0.0:
-                refusal = _choose_sooner(refusal, wait_s)
+                refusal = _keep_shorter_wait(refusal, wait_s)
                 continue
-            limit = self._limit_wait(need, zone, now)
+            wait_deadline = self._find_wait_deadline(request, zone, now)
             demand = self.build_demand(
                 RequestClass.SHORT,
-                limit,
-                need.avoid,
-                need.route.priority,
-                need.object_key if need.route.sticky else "",
+                wait_deadline,
+                request.avoid,
+                request.route.priority,
+                request.object_key if request.route.sticky else "",
             )
-            answer = await self.ask_site(key, demand, limit)
-            if isinstance(answer, Permit):
-                return self.keep(answer)
-            wait_s = answer.wait_s if isinstance(answer, SlotRefused) else 0.0
-            self._refusals.record(key, need.route.priority, wait_s, time.monotonic())
-            refusal = _choose_sooner(refusal, wait_s)
+            decision = await self.ask_site(key, demand, wait_deadline)
+            if isinstance(decision, Permit):
+                return self.keep(decision)
+            wait_s = decision.wait_s if isinstance(decision, SlotRefused) else 0.0
+            self._refusal_cache.record(key, request.route.priority, wait_s, time.monotonic())
+            refusal = _keep_shorter_wait(refusal, wait_s)
         raise refusal
 
     def list_zones(
         self, route: Route, service: str, object_key: str
     ) -> tuple[list[str], list[str]]:
-        """Returns the zones of the own region, nearest first, and those of other regions."""
-        place = self._gateway_view.place
+        """Returns the zones of this region, nearest first, and the zones of other regions."""
+        location = self._gateway_view.location
         allowed = [
             zone
             for zone in self._gateway_view.inventory.list_zones(service)
-            if route.allows_region(place.regions.get(zone, ""))
+            if route.allows_region(location.regions.get(zone, ""))
         ]
-        local = place.order(zone for zone in allowed if place.is_local(zone))
+        local = location.sort_by_distance(zone for zone in allowed if location.is_local(zone))
         remote = self._gateway_view.rank_zones(
-            service, object_key, [zone for zone in allowed if not place.is_local(zone)]
+            service, object_key, [zone for zone in allowed if not location.is_local(zone)]
         )
         if route.kind is RequestKind.DOWNLOAD:
-            # Large answers stay as near as there is any server, because links are limited.
+            # Downloads use only the nearest zone with a server, because links between zones have
+            # limited bandwidth.
             return (local[:1], []) if local else ([], remote[:1])
-        if route.sticky and object_key and self.find_remote_share(service) >= SCARCE_SHARE:
-            home = self._gateway_view.rank_zones(service, object_key, local)[:1]
-            local = home + [zone for zone in local if zone not in home]
+        if (
+            route.sticky
+            and object_key
+            and self.find_remote_share(service) >= CACHE_SHARING_MIN_REMOTE_SHARE
+        ):
+            preferred = self._gateway_view.rank_zones(service, object_key, local)[:1]
+            local = preferred + [zone for zone in local if zone not in preferred]
         return local, remote
 
-    def _find_share(self, service: str, now: float) -> RemoteShare:
-        share = self._remote_shares.get(service)
-        if share is None:
+    def _find_share_controller(self, service: str, now: float) -> RemoteShareController:
+        controller = self._share_controllers.get(service)
+        if controller is None:
             initial = self._gateway_view.estimate_remote_share(service)
-            share = self._remote_shares[service] = RemoteShare(initial, now)
-        return share
+            controller = self._share_controllers[service] = RemoteShareController(initial, now)
+        return controller
 
     def _log_share(self, service: str, value: float) -> None:
-        if abs(value - self._logged_shares.get(service, 0.0)) >= LOGGED_STEP:
+        if abs(value - self._logged_shares.get(service, 0.0)) >= MIN_LOGGED_SHARE_CHANGE:
             self._logged_shares[service] = value
             self._desk.events.record(
                 Event.REMOTE_SHARE_MOVED, service=service, share=round(value, 2)
             )
 
-    def _limit_wait(self, need: SlotNeed, zone: str, now: float) -> Deadline:
-        own = zone == self._gateway_view.place.zone
-        share = WAIT_SHARE if own else REMOTE_WAIT_SHARE
-        wait_s = min(share * need.route.objective_s, need.deadline.remaining_s(now) / 2)
+    def _find_wait_deadline(self, request: SlotRequest, zone: str, now: float) -> Deadline:
+        is_own_zone = zone == self._gateway_view.location.zone
+        fraction = OWN_ZONE_WAIT_FRACTION if is_own_zone else OTHER_ZONE_WAIT_FRACTION
+        wait_s = min(fraction * request.route.objective_s, request.deadline.remaining_s(now) / 2)
         return Deadline(now + wait_s)
 
 
-def _choose_sooner(refusal: SlotRefused, wait_s: float) -> SlotRefused:
+def _keep_shorter_wait(refusal: SlotRefused, wait_s: float) -> SlotRefused:
     if wait_s > 0.0 and (refusal.wait_s == 0.0 or wait_s < refusal.wait_s):
         return SlotRefused(refusal.kind, refusal.detail, wait_s)
     return refusal
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -1,4 +1,4 @@
-"""The parts of a gateway that know no platform, and their tasks."""
+"""The platform-independent parts of a gateway and their tasks."""
 
 from __future__ import annotations
 
@@ -19,12 +19,12 @@
 
 
 class Gateway:
-    """Holds the view, the slots that this VM owns and the permits that it uses."""
+    """Holds the view, the slots that this VM owns and the permits that it holds."""
 
     def __init__(self, view: GatewayView, events: EventLog) -> None:
         self.settings = view.settings
         self.events = events
-        self.leaving = False
+        self.draining = False
         self.view = view
         self.slots = SlotDesk(view.settings, events, view, slow_start=False)
         self.permits = GatewayPermits(self.view, self.slots)
@@ -32,36 +32,36 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this VM takes new callers."""
-        return self.view.has_table and not self.leaving
+        """Whether this VM accepts new callers."""
+        return self.view.has_route_table and not self.draining
 
-    def accept_table(self, table: RouteTable) -> None:
-        """Puts a configuration in force unless it is older than the present one."""
-        if self.view.accept_table(table):
+    def apply_route_table(self, table: RouteTable) -> None:
+        """Replaces the route table if the given one is newer."""
+        if self.view.apply_route_table(table):
             self.refresh()
 
-    def accept_members(self, members: dict[str, Member]) -> None:
-        """Replaces the entry VMs that are registered."""
-        self.view.accept_members(dict(members))
+    def replace_members(self, members: dict[str, Member]) -> None:
+        """Replaces the registered entry VMs."""
+        self.view.replace_members(dict(members))
 
     def evacuate(self, zones: set[str]) -> None:
-        """Sets the zones whose servers get nothing."""
+        """Sets the evacuated zones, whose servers receive no requests."""
         cold_s = 0.0
-        if self.view.has_table:
-            services = self.view.require_table().services.values()
+        if self.view.has_route_table:
+            services = self.view.require_route_table().services.values()
             cold_s = max((service.cold_s for service in services), default=0.0)
         self.view.inventory.evacuate(zones, cold_s, time.monotonic())
 
     def refresh(self) -> None:
         """Applies a change of the view to the slots."""
-        if not self.view.has_table:
+        if not self.view.has_route_table:
             return
         self.slots.refresh()
         self.permits.refresh()
-        self._refresh_cold()
+        self._update_cold_servers()
 
     async def run(self) -> None:
-        """Runs the tasks of slots, permits and connections until cancelled."""
+        """Runs the tasks for slots, permits and connections until cancelled."""
         permits = await serve(self.settings.address, self.settings.ports.permits, self.slots.serve)
         try:
             async with asyncio.TaskGroup() as group:
@@ -71,9 +71,9 @@
         finally:
             permits.close()
 
-    def _refresh_cold(self) -> None:
+    def _update_cold_servers(self) -> None:
         now = time.monotonic()
-        services = self.view.require_table().services
+        services = self.view.require_route_table().services
         for key, _, _ in self.view.list_capacities():
             queue = self.slots.find_queue(key)
             if queue is None:
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -1,4 +1,4 @@
-"""A caller's request and its answer, apart from the protocol that carries them."""
+"""A caller's request and its response, independent of the protocol that carries them."""
 
 from __future__ import annotations
 
@@ -8,16 +8,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A whole request.
+    """A complete request.
 
     Attributes:
         request_id: The caller's id of this attempt.
-        host: Name that the caller asked for, without a port.
+        host: Requested host name without a port.
         target: Path and query as the caller sent them.
-        headers: Headers to pass on, in order.
-        object_key: Names the object that the request concerns, empty if unknown.
-        wait_s: How long the caller waits, None if it did not say.
-        answer_by: Monotonic time after which no answer reaches the caller.
+        headers: Headers to forward, in order.
+        object_key: Key of the object that the request concerns, empty if unknown.
+        caller_timeout_s: How long the caller waits, None if it did not say.
+        respond_by: Monotonic time after which a response no longer reaches the caller.
     """
 
     request_id: str
@@ -27,23 +27,24 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     object_key: str = ""
-    wait_s: float | None = None
-    answer_by: float = math.inf
+    caller_timeout_s: float | None = None
+    respond_by: float = math.inf
 
     @property
     def path(self) -> str:
-        """The path without the query."""
+        """The target without its query."""
         return self.target.partition("?")[0]
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
-    """A whole answer of a backend server.
+class Response:
+    """A complete response of a backend server.
 
     Attributes:
-        slowness: What the server said about its machine, 0 if nothing.
-        waiting: Requests that waited at the server when it answered.
-        busy: Share of its slots in use then, this request's among them, 0 if unknown.
+        slowness: Slowdown factor that the server reported, 0 if none.
+        waiting: Number of requests waiting at the server when it responded.
+        utilization: Fraction of its slots in use at that time, including this request's; 0 if
+            unknown.
     """
 
     status: int
@@ -51,9 +52,9 @@
     body: bytes
     slowness: float = 0.0
     waiting: int = 0
-    busy: float = 0.0
+    utilization: float = 0.0
 
     @property
-    def is_fault(self) -> bool:
-        """Whether the server failed to answer the request."""
+    def is_server_error(self) -> bool:
+        """Whether the status is a server error."""
         return self.status >= 500
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -1,4 +1,4 @@
-"""What a gateway knows: routes in force, backend servers and the other entry VMs."""
+"""The gateway's view of the route table, the backend servers and the other entry VMs."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from briarfork.configuration import SiteCapacity
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
-from briarfork.gateway.spill import estimate_remote_share
+from briarfork.gateway.spillover import estimate_remote_share
 from briarfork.hashing import hash_to_part
 from briarfork.membership import MemberState
 from briarfork.membership import rank_members
@@ -20,72 +20,72 @@
     from briarfork.border.events import EventLog
     from briarfork.border.settings import Settings
     from briarfork.entry.slots import SlotKey
-    from briarfork.gateway.place import Place
-    from briarfork.gateway.repeats import RepeatBounds
+    from briarfork.gateway.location import Location
+    from briarfork.gateway.retries import RetryLimits
     from briarfork.membership import Member
     from briarfork.pools import ServerAddress
     from briarfork.routing import RouteTable
 
-DEFAULT_CONNECTIONS = 100
+DEFAULT_MAX_CONNECTIONS = 100
 
 
 class GatewayView:
-    """The gateway's copy of the configuration and of the fleet; it survives a loss of the store.
+    """The gateway's copy of the configuration and the fleet, kept while the store is unavailable.
 
-    The site of a slot is an availability zone.
+    The gateway uses availability zones as the sites of slots.
     """
 
     def __init__(
-        self, settings: Settings, place: Place, repeat_bounds: RepeatBounds, events: EventLog
+        self, settings: Settings, location: Location, retry_limits: RetryLimits, events: EventLog
     ) -> None:
         self.settings = settings
-        self.place = place
-        self.repeat_bounds = repeat_bounds
+        self.location = location
+        self.retry_limits = retry_limits
         self.inventory = Inventory()
         self.members: dict[str, Member] = {}
-        self._table: RouteTable | None = None
+        self._route_table: RouteTable | None = None
         self._events = events
         self._owners: dict[SlotKey, Member | None] = {}
 
     @property
-    def has_table(self) -> bool:
-        """Whether a configuration is known."""
-        return self._table is not None
+    def has_route_table(self) -> bool:
+        """Whether a route table is loaded."""
+        return self._route_table is not None
 
-    def require_table(self) -> RouteTable:
-        """Returns the routes in force.
+    def require_route_table(self) -> RouteTable:
+        """Returns the current route table.
 
         Raises:
-            NotRun: If this VM has no configuration.
+            NotRun: If this VM has no configuration yet.
         """
-        if self._table is None:
+        if self._route_table is None:
             raise NotRun(ErrorKind.NO_CONFIGURATION, "this VM has no configuration yet")
-        return self._table
+        return self._route_table
 
-    def accept_table(self, table: RouteTable) -> bool:
-        """Puts a configuration in force unless it is older than the present one."""
-        if self._table is not None and table.version <= self._table.version:
+    def apply_route_table(self, table: RouteTable) -> bool:
+        """Replaces the route table if the given one is newer, and returns whether it did."""
+        if self._route_table is not None and table.version <= self._route_table.version:
             return False
-        self._table = table
+        self._route_table = table
         self._events.record(Event.CONFIGURATION_IN_FORCE, generation=table.version)
         return True
 
-    def accept_members(self, members: dict[str, Member]) -> None:
-        """Replaces the entry VMs that others know of."""
+    def replace_members(self, members: dict[str, Member]) -> None:
+        """Replaces the registered entry VMs."""
         self.members = members
         self._owners.clear()
 
     def list_capacities(self) -> list[tuple[SlotKey, SiteCapacity, bool]]:
-        """Returns each service and zone, what a server takes there, and if classes are mixed."""
-        services = self._table.services if self._table else {}
+        """Returns for each service and zone a server's capacity and if classes are mixed."""
+        services = self._route_table.services if self._route_table else {}
         return [
             ((name, zone), self._find_site_capacity(name, zone), False)
             for name in services
-            for zone in self.place.regions
+            for zone in self.location.regions
         ]
 
     def find_capacity(self, key: SlotKey) -> tuple[SiteCapacity, bool]:
-        """Returns what a server of a service takes in a zone, and if classes are mixed."""
+        """Returns the capacity of one server of a service and zone, and if classes are mixed."""
         return self._find_site_capacity(*key), False
 
     def find_zone(self, site: str) -> str:
@@ -95,7 +95,8 @@
     def find_owner(self, service: str, site: str) -> Member | None:
         """Returns the entry VM that owns the slots of a service in a zone.
 
-        It is in the zone; if none serves there, one of the region or of any region takes over.
+        The owner is an entry VM of the zone. If none serves there, one of the region takes over,
+        or else one of any region.
         """
         key = (service, site)
         if key not in self._owners:
@@ -103,27 +104,27 @@
         return self._owners[key]
 
     def list_servers(self, service: str, site: str) -> list[ServerAddress]:
-        """Returns the servers that take new requests."""
+        """Returns the servers that accept new requests."""
         return [item.describe_address() for item in self.inventory.list_usable(service, site)]
 
     def list_zone_entries(self, zone: str) -> list[Member]:
-        """Returns the entry VMs of a zone that can own slots."""
+        """Returns the serving entry VMs of a zone."""
         return [item for item in self._list_serving() if item.zone == zone]
 
     def order_entries(self, zone: str, region: str) -> list[Member]:
-        """Returns the entry VMs that a caller may use: of its zone, its region or any."""
+        """Returns the serving entry VMs of the zone, else of the region, else of any region."""
         serving = self._list_serving()
         near = [item for item in serving if item.zone == zone]
         if not near:
-            regions = self.place.regions
+            regions = self.location.regions
             near = [item for item in serving if regions.get(item.zone) == region]
         return near or serving
 
     def rank_zones(self, service: str, object_key: str, zones: list[str]) -> list[str]:
         """Returns zones in an order that is the same for an object on every VM.
 
-        Zones come first in proportion to their slots (weighted rendezvous hashing), so that the
-        servers of a zone keep the objects that other regions ask them for.
+        Weighted rendezvous hashing ranks zones first in proportion to their slots. The same zone
+        always gets the requests of other regions for an object, so its servers keep it cached.
         """
 
         def score(zone: str) -> float:
@@ -145,9 +146,9 @@
         return [item.describe_address() for item in warm]
 
     def estimate_remote_share(self, service: str) -> float:
-        """Returns the share of a service's requests that leaves the region at first."""
-        zones = self.place.regions
-        local = [zone for zone in zones if self.place.is_local(zone)]
+        """Returns the initial share of a service's requests that is sent to other regions."""
+        zones = self.location.regions
+        local = [zone for zone in zones if self.location.is_local(zone)]
         serving = self._list_serving()
         return estimate_remote_share(
             sum(self._count_slots(service, zone) for zone in local),
@@ -167,12 +168,12 @@
         ]
 
     def _choose_owner(self, service: str, zone: str) -> Member | None:
-        region = self.place.regions.get(zone, "")
+        region = self.location.regions.get(zone, "")
         ranked = rank_members(f"{service}|{zone}", self.order_entries(zone, region))
         return ranked[0] if ranked else None
 
     def _find_site_capacity(self, service: str, zone: str) -> SiteCapacity:
         slots = [item.slots for item in self.inventory.list_usable(service, zone)]
-        policy = self._table.services.get(service) if self._table else None
-        connections = policy.connections if policy else DEFAULT_CONNECTIONS
+        policy = self._route_table.services.get(service) if self._route_table else None
+        connections = policy.max_connections if policy else DEFAULT_MAX_CONNECTIONS
         return SiteCapacity(max(slots, default=1), connections)
--- a/src/briarfork/platform/__init__.py
+++ b/src/briarfork/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The adapter to the prepared platform; nothing outside this package knows its names."""
+"""Adapter to the platform; no other package knows the names in its protocols."""
--- a/src/briarfork/platform/lookups.py
+++ b/src/briarfork/platform/endpoints.py
@@ -1,4 +1,4 @@
-"""HTTP towards callers that ask where to connect, and the platform's readiness check."""
+"""HTTP endpoints for lookups of entry VMs, the readiness check and metrics."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
 
-# Entry VMs named in one answer.
+# Maximum number of entry VMs in one response.
 MAX_ENTRIES = 64
 
 
 def build_ready_app(gateway: Gateway) -> web.Application:
-    """Returns the application of the readiness check."""
+    """Returns the application for the readiness check."""
 
     async def report(request: web.Request) -> web.Response:
         return web.Response(status=200 if gateway.is_ready else 503)
@@ -29,12 +29,12 @@
 
 
 def build_metrics_app(dispatcher: Dispatcher) -> web.Application:
-    """Returns the application of the metrics address."""
+    """Returns the application for the metrics."""
 
     async def report(request: web.Request) -> web.Response:
         if dispatcher.has_configuration:
-            dispatcher.report_levels()
-        return web.Response(body=dispatcher.measures.render(), content_type="text/plain")
+            dispatcher.update_gauges()
+        return web.Response(body=dispatcher.metrics.render(), content_type="text/plain")
 
     app = web.Application()
     app.router.add_get(names.METRICS_PATH, report)
@@ -42,16 +42,16 @@
 
 
 def build_lookup_app(gateway: Gateway, ttl_s: float) -> web.Application:
-    """Returns the application that names entry VMs.
+    """Returns the application for lookups of entry VMs.
 
     Args:
-        gateway: Knows the entry VMs.
-        ttl_s: Lifetime of an answer.
+        gateway: Gateway that knows the registered entry VMs.
+        ttl_s: Time-to-live of a response in seconds.
     """
 
     async def look_up(request: web.Request) -> web.Response:
-        zone = request.query.get("zone", gateway.view.place.zone)
-        region = request.query.get("region", gateway.view.place.region)
+        zone = request.query.get("zone", gateway.view.location.zone)
+        region = request.query.get("region", gateway.view.location.region)
         entries = gateway.view.order_entries(zone, region)[:MAX_ENTRIES]
         if not entries:
             return web.Response(status=503)
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -1,4 +1,4 @@
-"""The program that runs on an entry VM of the prepared platform."""
+"""The gateway program of an entry VM."""
 
 from __future__ import annotations
 
@@ -28,41 +28,41 @@
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.platform.callers import CallerConnection
-from briarfork.platform.callers import CallerFront
-from briarfork.platform.follower import Follower
-from briarfork.platform.lookups import build_lookup_app
-from briarfork.platform.lookups import build_metrics_app
-from briarfork.platform.lookups import build_ready_app
-from briarfork.platform.presence import Presence
+from briarfork.platform.callers import CallerRequestHandler
+from briarfork.platform.endpoints import build_lookup_app
+from briarfork.platform.endpoints import build_metrics_app
+from briarfork.platform.endpoints import build_ready_app
+from briarfork.platform.registration import Registration
 from briarfork.platform.settings import SETTINGS_VARIABLE
 from briarfork.platform.settings import load_platform_settings
 from briarfork.platform.store import StoreClient
 from briarfork.platform.upstream import HttpUpstream
+from briarfork.platform.watcher import StoreWatcher
 
 if TYPE_CHECKING:
     from briarfork.platform.settings import PlatformSettings
 
 PROGRAM = "briarfork-gateway"
-BACKLOG = 1024
-# Lines a second of one event; failures of a bad second are sampled, and the rest is counted.
+LISTEN_BACKLOG = 1024
+# Log lines per second and event; further ones are only counted, so that failures cannot flood logs.
 LINES_PER_S = 10
-# Callers keep lookups for their time-to-live; a VM goes on accepting for this part of its grace.
-ACCEPT_SHARE = 0.4
-# Left of the grace for the end of the process.
+# Callers cache lookups, so a stopping VM accepts connections for this fraction of its grace period.
+ACCEPT_FRACTION = 0.4
+# Part of the grace period that is left for the process to exit.
 EXIT_MARGIN_S = 0.4
-MILLISECONDS = 1000
+MS_PER_S = 1000
 
 
 def main() -> None:
     """Runs the gateway until SIGTERM."""
     settings = _read_settings()
     install_json_handler()
-    events = EventLog(PROGRAM, settings.product, LineBudget(LINES_PER_S))
+    events = EventLog(PROGRAM, settings.common, LineBudget(LINES_PER_S))
     # libuv reads this when the loop is created; the platform does not allow io_uring.
     os.environ["UV_USE_IO_URING"] = "0"
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(Program(settings, events).run())
+            runner.run(GatewayProgram(settings, events).run())
     except* (BriarforkError, OSError) as group:
         for error in group.exceptions:
             events.record(Event.TASK_FAILED, error=error)
@@ -72,7 +72,7 @@
 def _read_settings() -> PlatformSettings:
     parser = argparse.ArgumentParser(
         prog=PROGRAM,
-        description="Serves callers on an entry VM of the prepared platform.",
+        description="Serves callers on an entry VM.",
         epilog=EXIT_STATUSES,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
@@ -100,29 +100,29 @@
     return settings
 
 
-class Program:
-    """Joins the adapter's parts to a gateway."""
+class GatewayProgram:
+    """Connects the platform's protocols to a gateway and runs it."""
 
     def __init__(self, settings: PlatformSettings, events: EventLog) -> None:
         self._settings = settings
         self._events = events
-        view = GatewayView(settings.product, settings.place, settings.repeat_bounds, events)
+        view = GatewayView(settings.common, settings.location, settings.retry_limits, events)
         self._gateway = Gateway(view, events)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
-        """Serves until a planned stop has ended."""
+        """Serves until a planned stop has finished."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop)
-        # The settings of a running VM do not change; the signal must not end the process.
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
-        async with StoreClient(self._settings.product) as store:
-            follower = Follower(self._settings, self._gateway, store, self._events)
-            presence = Presence(self._settings, store, follower, self._describe_self())
+            loop.add_signal_handler(number, self._request_stop)
+        # Settings are not reloaded, but SIGHUP must not end the process.
+        loop.add_signal_handler(signal.SIGHUP, self._log_reload)
+        async with StoreClient(self._settings.common) as store:
+            watcher = StoreWatcher(self._settings, self._gateway, store, self._events)
+            registration = Registration(self._settings, store, watcher, self._build_member())
             dispatcher = self._build_dispatcher()
-            callers = await self._open_callers(dispatcher)
-            asides = [
+            callers = await self._open_caller_server(dispatcher)
+            auxiliary_servers = [
                 await self._open(build_ready_app(self._gateway), self._settings.ready),
                 await self._open(
                     build_lookup_app(self._gateway, self._settings.lookup_ttl_s),
@@ -130,57 +130,57 @@
                 ),
                 await self._open(build_metrics_app(dispatcher), self._settings.metrics),
             ]
-            self._events.record(Event.STARTED, entry=self._settings.product.ports.entry)
+            self._events.record(Event.STARTED, entry=self._settings.common.ports.entry)
             async with asyncio.TaskGroup() as group:
-                registered = group.create_task(presence.run())
+                registration_task = group.create_task(registration.run())
                 tasks = [
                     group.create_task(self._gateway.run()),
-                    group.create_task(follower.run()),
-                    group.create_task(follower.expire()),
+                    group.create_task(watcher.run()),
+                    group.create_task(watcher.expire()),
                 ]
                 await self._stopping.wait()
-                registered.cancel()
-                await self._leave(callers, presence)
+                registration_task.cancel()
+                await self._drain(callers, registration)
                 for task in tasks:
                     task.cancel()
-            for aside in asides:
-                await aside.cleanup()
+            for server in auxiliary_servers:
+                await server.cleanup()
         self._events.record(Event.STOPPED)
 
-    def _stop(self) -> None:
+    def _request_stop(self) -> None:
         if not self._stopping.is_set():
             self._events.record(Event.STOPPING)
             self._stopping.set()
 
-    def _reload(self) -> None:
+    def _log_reload(self) -> None:
         self._events.record(Event.RELOADED)
 
-    def _describe_self(self) -> Member:
-        product = self._settings.product
+    def _build_member(self) -> Member:
+        common = self._settings.common
         return Member(
-            vm=product.vm,
-            address=product.address,
-            zone=product.zone,
-            incarnation=time.time_ns() // (MILLISECONDS * MILLISECONDS),
+            vm=common.vm,
+            address=common.address,
+            zone=common.zone,
+            incarnation=time.time_ns() // (MS_PER_S * MS_PER_S),
             version=1,
             state=MemberState.LIVE,
-            ports={"entry": product.ports.entry, "permits": product.ports.permits},
+            ports={"entry": common.ports.entry, "permits": common.ports.permits},
             serving=True,
         )
 
-    async def _open_callers(
+    async def _open_caller_server(
         self, dispatcher: Dispatcher
     ) -> tuple[asyncio.Server, web.ServerRunner]:
-        front = CallerFront(self._gateway, dispatcher)
-        manager = web.Server(front.handle, handler_cancellation=True)
-        runner = web.ServerRunner(manager, shutdown_timeout=self._find_drain_s())
+        handler = CallerRequestHandler(self._gateway, dispatcher)
+        manager = web.Server(handler.handle, handler_cancellation=True)
+        runner = web.ServerRunner(manager, shutdown_timeout=self._compute_shutdown_timeout_s())
         await runner.setup()
-        product = self._settings.product
+        common = self._settings.common
         server = await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(self._gateway, manager),
-            product.address,
-            product.ports.entry,
-            backlog=BACKLOG,
+            common.address,
+            common.ports.entry,
+            backlog=LISTEN_BACKLOG,
         )
         return server, runner
 
@@ -189,26 +189,26 @@
         upstream = HttpUpstream(gateway.connections)
         return Dispatcher(gateway.view, gateway.permits, upstream, self._events)
 
-    async def _open(self, app: web.Application, place: tuple[str, int]) -> web.AppRunner:
+    async def _open(self, app: web.Application, address: tuple[str, int]) -> web.AppRunner:
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
-        await web.TCPSite(runner, *place).start()
+        await web.TCPSite(runner, *address).start()
         return runner
 
-    def _find_drain_s(self) -> float:
-        return (1.0 - ACCEPT_SHARE) * self._settings.grace_s - EXIT_MARGIN_S
+    def _compute_shutdown_timeout_s(self) -> float:
+        return (1.0 - ACCEPT_FRACTION) * self._settings.grace_s - EXIT_MARGIN_S
 
-    async def _leave(
-        self, callers: tuple[asyncio.Server, web.ServerRunner], presence: Presence
+    async def _drain(
+        self, callers: tuple[asyncio.Server, web.ServerRunner], registration: Registration
     ) -> None:
-        """Stops without cutting a request.
+        """Stops accepting callers and waits for requests in progress.
 
-        Callers keep lookups, so connections arrive for a while after the VM is no longer named.
+        Callers cache lookups, so new connections arrive for a while after deregistration.
         """
         server, runner = callers
-        self._gateway.leaving = True
-        accept_until = time.monotonic() + ACCEPT_SHARE * self._settings.grace_s
-        await presence.withdraw()
+        self._gateway.draining = True
+        accept_until = time.monotonic() + ACCEPT_FRACTION * self._settings.grace_s
+        await registration.deregister()
         await asyncio.sleep(max(0.0, accept_until - time.monotonic()))
         server.close()
         # Closes idle connections, then waits for requests in progress.
--- a/src/briarfork/platform/names.py
+++ b/src/briarfork/platform/names.py
@@ -1,4 +1,4 @@
-"""Names of headers, keys and calls on the platform's wire."""
+"""Names of headers, paths and store keys in the platform's protocols."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 ATTEMPT_ID: Final = "X-Briarfork-Attempt-Id"
 DEADLINE_MS: Final = "X-Briarfork-Deadline-Ms"
-OBJECT_KEY: Final = "X-Briarfork-Affinity-Key"
-# Present on every answer that a backend server computed.
-SEAL: Final = "X-Briarfork-Response-Seal"
-EXPECTED_INSTANCE: Final = "X-Briarfork-Pin-Instance"
-# Running, waiting, slots, and the slowness of the machine in percent.
-LOAD: Final = "X-Briarfork-Server-Load"
-NOT_RUN: Final = "X-Briarfork-Not-Executed"
+AFFINITY_KEY: Final = "X-Briarfork-Affinity-Key"
+# Present on every response that a backend server computed itself.
+RESPONSE_SEAL: Final = "X-Briarfork-Response-Seal"
+PINNED_INSTANCE: Final = "X-Briarfork-Pin-Instance"
+# Running requests, waiting requests, slots, and optionally the slowdown in percent.
+SERVER_LOAD: Final = "X-Briarfork-Server-Load"
+NOT_EXECUTED: Final = "X-Briarfork-Not-Executed"
 
 READY_PATH: Final = "/v1/readyz"
 METRICS_PATH: Final = "/metrics"
--- a/src/briarfork/platform/records.py
+++ b/src/briarfork/platform/records.py
@@ -1,4 +1,4 @@
-"""Decodes what operators and backend servers have written into the product's types."""
+"""Decodes the platform's records, written by operators and backend servers, into domain types."""
 
 from __future__ import annotations
 
@@ -19,30 +19,30 @@
 from briarfork.routing import Route
 from briarfork.routing import RouteTable
 from briarfork.routing import ServicePolicy
-from briarfork.routing import Share
+from briarfork.routing import TrafficShare
 
-Text = Annotated[str, Meta(min_length=1)]
-Count = Annotated[int, Meta(ge=0)]
-Positive = Annotated[int, Meta(ge=1)]
+NonEmptyStr = Annotated[str, Meta(min_length=1)]
+NonNegativeInt = Annotated[int, Meta(ge=0)]
+PositiveInt = Annotated[int, Meta(ge=1)]
 Prefix = Annotated[str, Meta(pattern=r"^/(.*/)?$")]
-MILLISECONDS = 1000.0
+MS_PER_S = 1000.0
 
 
-class UnreadableRecord(BriarforkError):
-    """A record that another writer has left, or that is cut short; it is ignored."""
+class InvalidRecord(BriarforkError):
+    """A record that cannot be used, such as a truncated one or one of another writer."""
 
     def __init__(self, detail: str) -> None:
         super().__init__(ErrorKind.INVALID_CONFIGURATION, detail)
 
 
 class Columns(msgspec.Struct, frozen=True):
-    """A table: names of fields, and rows of values in that order."""
+    """A table of column names and rows of values in the order of the columns."""
 
     columns: list[str]
     rows: list[list[Any]]
 
     def list_rows(self) -> list[dict[str, Any]]:
-        """Returns the rows as maps; null means that a field is left out."""
+        """Returns the rows as maps from column to value, without null values."""
         return [
             {
                 name: value
@@ -54,45 +54,45 @@
 
 
 class SplitRow(msgspec.Struct, frozen=True):
-    """A service's part of a route."""
+    """The weight of one service in the traffic split of a route."""
 
-    service: Text
+    service: NonEmptyStr
     weight: Annotated[float, Meta(ge=0)]
 
 
 class RouteRow(msgspec.Struct, frozen=True):
-    """A route.
+    """A route as operators write it.
 
     Attributes:
-        slo: Time within which a response earns its full credit, as text.
-        timeout: Longest time that a caller is kept waiting, as text.
+        slo: Response-time objective, as duration text.
+        timeout: Longest time that a caller waits for its response, as duration text.
     """
 
-    name: Text
-    host: Text
+    name: NonEmptyStr
+    host: NonEmptyStr
     prefix: Prefix
     kind: RequestKind
     timeout: str
     slo: str
-    priority: Count = 0
-    service: Text | None = None
+    priority: NonNegativeInt = 0
+    service: NonEmptyStr | None = None
     traffic_split: list[SplitRow] | None = None
-    max_attempts: Positive = 1
+    max_attempts: PositiveInt = 1
     sticky_sessions: bool = False
     allowed_regions: list[str] = []
 
-    def translate(self) -> Route:
-        """Returns the product's route.
+    def build_route(self) -> Route:
+        """Returns the route of this row.
 
         Raises:
-            ValueError: If the route names no service, or a time is malformed.
+            ValueError: If the row names no service or a duration is malformed.
         """
         parts = self.traffic_split or []
-        shares = tuple(Share(part.service, part.weight) for part in parts if part.weight > 0)
+        shares = tuple(TrafficShare(part.service, part.weight) for part in parts if part.weight > 0)
         if not shares:
             if self.service is None:
                 raise ValueError(f"route {self.name!r}: expected a service")
-            shares = (Share(self.service, 1.0),)
+            shares = (TrafficShare(self.service, 1.0),)
         return Route(
             name=self.name,
             host=self.host,
@@ -109,28 +109,28 @@
 
 
 class ServiceRow(msgspec.Struct, frozen=True):
-    """A service."""
+    """A service as operators write it."""
 
-    name: Text
-    max_connections: Positive = 100
+    name: NonEmptyStr
+    max_connections: PositiveInt = 100
     cold_start: str = "0s"
     cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
 
-    def translate(self) -> ServicePolicy:
-        """Returns the product's service.
+    def build_policy(self) -> ServicePolicy:
+        """Returns the service policy of this row.
 
         Raises:
-            ValueError: If a time is malformed.
+            ValueError: If a duration is malformed.
         """
         cold_s = parse_duration(self.cold_start)
         return ServicePolicy(self.name, self.max_connections, cold_s, self.cold_per_s)
 
 
 class LimitsRow(msgspec.Struct, frozen=True):
-    """What callers may send."""
+    """Limits on the requests of callers."""
 
-    max_header_bytes: Positive = 16384
-    max_body_bytes: Positive = 67108864
+    max_header_bytes: PositiveInt = 16384
+    max_body_bytes: PositiveInt = 67108864
     header_timeout: str = "3s"
     idle_timeout: str = "15s"
 
@@ -138,25 +138,25 @@
 class ConfigurationRecord(msgspec.Struct, frozen=True):
     """The whole configuration."""
 
-    version: Positive
+    version: PositiveInt
     routes: Columns
     services: Columns
     limits: LimitsRow = LimitsRow()
 
 
 class InstanceInfo(msgspec.Struct, frozen=True):
-    """What does not change while a backend server runs."""
+    """Attributes of a backend server that do not change while it runs."""
 
-    service: Text
-    zone: Text
-    slots: Positive
+    service: NonEmptyStr
+    zone: NonEmptyStr
+    slots: PositiveInt
 
 
 class InstanceStatus(msgspec.Struct, frozen=True):
-    """What a backend server says of itself with each heartbeat.
+    """The status that a backend server reports with each heartbeat.
 
     Attributes:
-        cold_remaining: How long its caches stay cold, as text.
+        cold_remaining: How long its caches stay cold, as duration text.
     """
 
     state: Literal["ready", "draining"]
@@ -165,10 +165,10 @@
 
 
 class InstanceRecord(msgspec.Struct, frozen=True):
-    """A backend server's entry.
+    """The registration entry of a backend server.
 
     Attributes:
-        born: Unix millisecond of its start.
+        born: Start time in Unix milliseconds.
     """
 
     address: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
@@ -178,17 +178,17 @@
 
 
 def decode_configuration(value: bytes) -> RouteTable:
-    """Returns the configuration of a record.
+    """Returns the route table of a configuration record.
 
     Raises:
-        UnreadableRecord: If any part of it cannot be read or names an unknown service.
+        InvalidRecord: If any part of the record is invalid or a route names an unknown service.
     """
     try:
         record = msgspec.json.decode(value, type=ConfigurationRecord)
         services = [
-            msgspec.convert(row, ServiceRow).translate() for row in record.services.list_rows()
+            msgspec.convert(row, ServiceRow).build_policy() for row in record.services.list_rows()
         ]
-        routes = [msgspec.convert(row, RouteRow).translate() for row in record.routes.list_rows()]
+        routes = [msgspec.convert(row, RouteRow).build_route() for row in record.routes.list_rows()]
         limits = CallerLimits(
             record.limits.max_header_bytes,
             record.limits.max_body_bytes,
@@ -196,21 +196,21 @@
             parse_duration(record.limits.idle_timeout),
         )
     except (msgspec.DecodeError, ValueError) as error:
-        raise UnreadableRecord(f"configuration: {error}") from error
+        raise InvalidRecord(f"configuration: {error}") from error
     _check_routes(routes, {service.name for service in services})
     return RouteTable(record.version, routes, services, limits)
 
 
 def decode_instance(name: str, value: bytes, now: float) -> Instance:
-    """Returns the backend server of an entry.
+    """Returns the backend server of a registration entry.
 
     Args:
-        name: Its id.
-        value: The entry.
+        name: Id of the server.
+        value: Encoded entry.
         now: Monotonic time at which the entry was read.
 
     Raises:
-        UnreadableRecord: If the entry cannot be read.
+        InvalidRecord: If the entry cannot be decoded.
     """
     try:
         record = msgspec.json.decode(value, type=InstanceRecord)
@@ -227,32 +227,32 @@
             born_ms=record.born,
         )
     except (msgspec.DecodeError, ValueError) as error:
-        raise UnreadableRecord(f"server {name}: {error}") from error
+        raise InvalidRecord(f"server {name}: {error}") from error
 
 
 def decode_member(value: bytes) -> Member:
     """Returns the entry VM of a record.
 
     Raises:
-        UnreadableRecord: If the record cannot be read.
+        InvalidRecord: If the record cannot be decoded.
     """
     try:
         return msgspec.json.decode(value, type=Member)
     except msgspec.DecodeError as error:
-        raise UnreadableRecord(f"member: {error}") from error
+        raise InvalidRecord(f"member: {error}") from error
 
 
 def encode_member(member: Member) -> bytes:
-    """Returns the record of an entry VM."""
+    """Returns the encoded record of an entry VM."""
     return msgspec.json.encode(member)
 
 
 def _check_routes(routes: list[Route], services: set[str]) -> None:
-    places = set()
+    seen = set()
     for route in routes:
         for share in route.shares:
             if share.service not in services:
-                raise UnreadableRecord(f"route {route.name!r}: unknown service {share.service!r}")
-        if (route.host, route.prefix) in places:
-            raise UnreadableRecord(f"route {route.name!r}: another route has its host and prefix")
-        places.add((route.host, route.prefix))
+                raise InvalidRecord(f"route {route.name!r}: unknown service {share.service!r}")
+        if (route.host, route.prefix) in seen:
+            raise InvalidRecord(f"route {route.name!r}: another route has the same host and prefix")
+        seen.add((route.host, route.prefix))
--- a/src/briarfork/platform/presence.py
+++ b/src/briarfork/platform/registration.py
@@ -1,4 +1,4 @@
-"""This VM's entry among the members, kept alive by a lease."""
+"""Registration of this VM among the members under a lease."""
 
 from __future__ import annotations
 
@@ -9,66 +9,66 @@
 from briarfork.border.store import StoreUnavailable
 from briarfork.platform.names import MEMBER_PREFIX
 from briarfork.platform.records import encode_member
-from briarfork.platform.store import LeaseGone
+from briarfork.platform.store import LeaseExpired
 
 if TYPE_CHECKING:
     from briarfork.membership import Member
-    from briarfork.platform.follower import Follower
     from briarfork.platform.settings import PlatformSettings
     from briarfork.platform.store import StoreClient
+    from briarfork.platform.watcher import StoreWatcher
 
-# Renewals within the lifetime of a lease; one may be lost.
-RENEWALS = 3
+# Renewals within the time-to-live of a lease, so that one may be lost.
+RENEWALS_PER_LEASE = 3
 RETRY_S = 0.5
-# Time for the removal of the entry at a planned stop; the lease ends it otherwise.
-REMOVAL_S = 0.5
+# Timeout for deleting the entry at a planned stop; otherwise it expires with the lease.
+DEREGISTER_TIMEOUT_S = 0.5
 
 
-class Presence:
-    """Registers this VM and renews the lease; one task keeps it."""
+class Registration:
+    """Registers this VM and renews its lease."""
 
     def __init__(
-        self, settings: PlatformSettings, store: StoreClient, follower: Follower, own: Member
+        self, settings: PlatformSettings, store: StoreClient, watcher: StoreWatcher, own: Member
     ) -> None:
         self._settings = settings
         self._store = store
-        self._follower = follower
+        self._watcher = watcher
         self._own = own
         self._key = MEMBER_PREFIX + own.vm
 
     async def run(self) -> None:
-        """Keeps the entry until cancelled; registers again after it was lost."""
+        """Keeps this VM registered until cancelled; registers again after the entry was lost."""
         while True:
             try:
                 lease = await self._store.create_lease(self._settings.lease_s)
-                self._follower.own_entry_removed.clear()
+                self._watcher.own_entry_removed.clear()
                 await self._store.put(self._key, encode_member(self._own), lease)
                 await self._renew(lease)
-            except (StoreUnavailable, LeaseGone):
+            except (StoreUnavailable, LeaseExpired):
                 await asyncio.sleep(RETRY_S)
 
-    async def withdraw(self) -> None:
-        """Removes the entry at a planned stop."""
-        with suppress(StoreUnavailable, LeaseGone, TimeoutError):
-            async with asyncio.timeout(REMOVAL_S):
+    async def deregister(self) -> None:
+        """Deletes the entry at a planned stop."""
+        with suppress(StoreUnavailable, LeaseExpired, TimeoutError):
+            async with asyncio.timeout(DEREGISTER_TIMEOUT_S):
                 await self._store.delete(self._key)
 
     async def _renew(self, lease: int) -> None:
-        """Renews the lease until the entry is found removed.
+        """Renews the lease until the entry is removed.
 
         Raises:
-            LeaseGone: If the lease has ended.
+            LeaseExpired: If the lease has expired.
         """
-        pause_s = self._settings.lease_s / RENEWALS
+        pause_s = self._settings.lease_s / RENEWALS_PER_LEASE
         while True:
             try:
                 async with asyncio.timeout(pause_s):
-                    await self._follower.own_entry_removed.wait()
+                    await self._watcher.own_entry_removed.wait()
                 return
             except TimeoutError:
                 await self._renew_once(lease)
 
     async def _renew_once(self, lease: int) -> None:
         with suppress(StoreUnavailable):
-            # A lease that outlives an outage of the store goes on.
+            # The lease may outlive an outage of the store, so a failed renewal is tried again.
             await self._store.renew_lease(lease)
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a VM in the platform's format, turned into the product's settings."""
+"""Loads the settings of a VM in the platform's format and converts them."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 from briarfork.border.settings import Settings
 from briarfork.border.settings import Timeouts
 from briarfork.errors import BadSettings
-from briarfork.gateway.place import Place
-from briarfork.gateway.repeats import RepeatBounds
+from briarfork.gateway.location import Location
+from briarfork.gateway.retries import RetryLimits
 from briarfork.platform.units import parse_duration
 
 if TYPE_CHECKING:
@@ -24,28 +24,28 @@
 SETTINGS_VARIABLE = "BRIARFORK_SETTINGS"
 
 SocketAddress = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]+$")]
-Text = Annotated[str, Meta(min_length=1)]
+NonEmptyStr = Annotated[str, Meta(min_length=1)]
 
-# One round trip to another region takes 110 ms; a lost opening packet is sent again after 1 s.
+# A round trip to another region takes 110 ms; a lost SYN packet is sent again after 1 s.
 CONNECT_S = 0.4
 # Backend servers close idle connections after 10 s.
 CONNECTION_AGE_S = 8.0
-# Between zones each heartbeat is paid for, so streams use fewer of them than by default.
+# Traffic between zones is charged, so permit streams send fewer heartbeats than by default.
 PERMIT_HEARTBEAT_S = 0.25
 PERMIT_SILENCE_S = 0.8
-# How often a waiting watch is renewed. Keep-alive probes find a connection that went silent.
+# Longest duration of one watch call. TCP keep-alive probes detect dead connections in between.
 WATCH_S = 20.0
-# Callers ask again after this time, so it bounds how long they use a VM that is gone.
+# Callers repeat lookups after this time, which bounds how long they use a VM that is gone.
 LOOKUP_TTL_S = 2.0
-# A VM that died is named for this long; a shorter lease ends when two renewals are lost.
+# A VM that died is listed for this long; a shorter lease expires when two renewals are lost.
 LEASE_S = 4.0
-# Each fetch of changes is a call to the store. A server that leaves and a new configuration must
-# be known in time, so this part of the shorter bound passes between two fetches.
-FETCH_SHARE = 0.25
+# Each fetch of changes is a call to the store. This fraction of the shorter of the bounds on
+# draining a server and applying a configuration passes between two fetches.
+FETCH_PAUSE_FRACTION = 0.25
 
 
 class Listen(msgspec.Struct, frozen=True):
-    """Addresses that this process opens."""
+    """Addresses that this process listens on."""
 
     front: SocketAddress
     ready: SocketAddress
@@ -53,10 +53,10 @@
 
 
 class Store(msgspec.Struct, frozen=True):
-    """The key-value service.
+    """The key-value store.
 
     Attributes:
-        min_ttl: Shortest lifetime of a lease, as text.
+        min_ttl: Shortest time-to-live of a lease, as duration text.
     """
 
     address: SocketAddress
@@ -64,12 +64,12 @@
 
 
 class BootFile(msgspec.Struct, frozen=True):
-    """The fields that this program uses; others are ignored."""
+    """The fields of the settings file that this program uses; others are ignored."""
 
-    node: Text
+    node: NonEmptyStr
     ip: Annotated[str, Meta(pattern=r"^[0-9.]+$")]
-    zone: Text
-    region: Text
+    zone: NonEmptyStr
+    region: NonEmptyStr
     zones: dict[str, str]
     listen: Listen
     internal_ports: Annotated[list[int], Meta(min_length=2, max_length=2)]
@@ -79,38 +79,38 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
-    """Settings of the gateway on the platform.
+    """Settings of the gateway program.
 
     Attributes:
-        product: Settings that all programs share.
-        place: Where this VM is, and the other zones.
-        repeat_bounds: What all VMs together may repeat.
+        common: Settings that all programs share.
+        location: Location of this VM and the regions of all zones.
+        retry_limits: Limits on the retries of all VMs together.
         ready: Address and port of the readiness check.
         lookup: Address and port of lookups.
-        metrics: Address and port of counters and histograms.
-        grace_s: Time from the request to stop to the kill.
-        lookup_ttl_s: Lifetime of the answer to a lookup.
-        lease_s: Lifetime of this VM's entry among the members without a renewal.
-        changes_pause_s: Pause after a fetch of changes, in which further ones gather.
+        metrics: Address and port of the metrics.
+        grace_s: Time between SIGTERM and SIGKILL.
+        lookup_ttl_s: Time-to-live of a lookup response.
+        lease_s: Time-to-live of this VM's registration without a renewal.
+        fetch_pause_s: Pause after a fetch of changes, so that the next fetch returns several.
     """
 
-    product: Settings
-    place: Place
-    repeat_bounds: RepeatBounds
+    common: Settings
+    location: Location
+    retry_limits: RetryLimits
     ready: tuple[str, int]
     lookup: tuple[str, int]
     metrics: tuple[str, int]
     grace_s: float
     lookup_ttl_s: float
     lease_s: float
-    changes_pause_s: float
+    fetch_pause_s: float
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
     """Reads and checks a settings file of the platform.
 
     Raises:
-        BadSettings: Lists every fault with file, key and what was expected.
+        BadSettings: Lists every invalid key with the file and the expected value.
     """
     try:
         body = msgspec.json.decode(path.read_bytes())
@@ -118,30 +118,30 @@
         raise BadSettings([f"{path}: expected a readable file: {error.strerror}"]) from error
     except msgspec.DecodeError as error:
         raise BadSettings([f"{path}: expected JSON: {error}"]) from error
-    faults = [f"{path}: {fault}" for fault in _find_faults(body, BootFile, "")]
-    if faults:
-        raise BadSettings(faults)
-    return _translate(msgspec.convert(body, BootFile), path)
+    errors = [f"{path}: {error_text}" for error_text in _find_errors(body, BootFile, "")]
+    if errors:
+        raise BadSettings(errors)
+    return _build_settings(msgspec.convert(body, BootFile), path)
 
 
-def _translate(boot: BootFile, path: Path) -> PlatformSettings:
+def _build_settings(boot: BootFile, path: Path) -> PlatformSettings:
     bounds = dict(item.split("=", 1) for item in boot.bounds if "=" in item)
     try:
         grace_s = parse_duration(bounds.get("grace", "6s"))
         ttl_s = min(LOOKUP_TTL_S, parse_duration(bounds.get("ttl_max", "5s")))
-        known_s = min(
+        propagation_s = min(
             parse_duration(bounds.get(name, "2500ms")) for name in ("drain", "config_apply")
         )
-        repeat_bounds = RepeatBounds(
+        retry_limits = RetryLimits(
             float(bounds.get("retry_budget_ratio", "0.2")),
             float(bounds.get("retry_budget_slack", "60")),
         )
         lease_s = max(LEASE_S, parse_duration(boot.platform.min_ttl))
     except ValueError as error:
         raise BadSettings([f"{path}: bounds: {error}"]) from error
-    address, port = _split(boot.listen.front)
+    address, port = _split_address(boot.listen.front)
     store = f"http://{boot.platform.address}"
-    product = Settings(
+    common = Settings(
         vm=boot.node,
         zone=boot.zone,
         address=address,
@@ -157,38 +157,38 @@
         ),
     )
     return PlatformSettings(
-        product=product,
-        place=Place(boot.zone, boot.region, dict(boot.zones)),
-        repeat_bounds=repeat_bounds,
-        ready=_split(boot.listen.ready),
-        lookup=_split(boot.listen.directory),
+        common=common,
+        location=Location(boot.zone, boot.region, dict(boot.zones)),
+        retry_limits=retry_limits,
+        ready=_split_address(boot.listen.ready),
+        lookup=_split_address(boot.listen.directory),
         metrics=(boot.ip, boot.internal_ports[1]),
         grace_s=grace_s,
         lookup_ttl_s=ttl_s,
         lease_s=lease_s,
-        changes_pause_s=FETCH_SHARE * known_s,
+        fetch_pause_s=FETCH_PAUSE_FRACTION * propagation_s,
     )
 
 
-def _split(address: str) -> tuple[str, int]:
+def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
 
 
-def _find_faults(body: Any, model: type[msgspec.Struct], place: str) -> list[str]:
-    """Checks key by key, because msgspec stops at the first fault of a map."""
+def _find_errors(body: Any, model: type[msgspec.Struct], path: str) -> list[str]:
+    """Checks key by key, because msgspec stops at the first invalid key of a map."""
     if not isinstance(body, dict):
-        return [f"{place or 'top level'}: expected a map"]
-    faults: list[str] = []
+        return [f"{path or 'top level'}: expected a map"]
+    errors: list[str] = []
     for field in msgspec.structs.fields(model):
         if field.name not in body:
             if field.required:
-                faults.append(f"{place}{field.name}: expected a value")
+                errors.append(f"{path}{field.name}: expected a value")
         elif isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
-            faults += _find_faults(body[field.name], field.type, f"{place}{field.name}.")
+            errors += _find_errors(body[field.name], field.type, f"{path}{field.name}.")
         else:
             try:
                 msgspec.convert(body[field.name], field.type)
             except msgspec.ValidationError as error:
-                faults.append(f"{place}{field.name}: {str(error).replace('`', '')}")
-    return faults
+                errors.append(f"{path}{field.name}: {str(error).replace('`', '')}")
+    return errors
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's key-value service."""
+"""Client for the platform's key-value store."""
 
 from __future__ import annotations
 
@@ -28,30 +28,30 @@
 
     from briarfork.border.settings import Settings
 
-Reply = TypeVar("Reply")
-MILLISECONDS = 1000
-# Probes on idle connections: a watch that went silent is found within 3 s.
+ResponseT = TypeVar("ResponseT")
+MS_PER_S = 1000
+# TCP keep-alive probes find a watch whose connection is dead within 3 s.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# After the last failed call the store counts as unsound for this time: leases may have lapsed.
-UNSOUND_S = 4.0
+# The store counts as unhealthy for this long after a failed call: leases may have expired.
+UNHEALTHY_S = 4.0
 
 
-class HistoryGone(Exception):
-    """The changes after a revision are no longer available; everything must be read again."""
+class HistoryUnavailable(Exception):
+    """The changes after a revision are no longer available, so all keys must be read again."""
 
 
-class LeaseGone(Exception):
-    """A lease that has ended."""
+class LeaseExpired(Exception):
+    """The lease has expired."""
 
 
 class Item(msgspec.Struct, frozen=True):
-    """A key as the service returns it.
+    """A key as the store returns it.
 
     Attributes:
-        value: Standard base64.
-        deleted: Whether this is the removal of the key.
+        value: Value in standard base64.
+        deleted: Whether the key was deleted.
     """
 
     key: str
@@ -60,7 +60,7 @@
     deleted: bool = False
 
     def decode(self) -> bytes:
-        """Returns the bytes of the value; bytes that are not base64 give an empty value."""
+        """Returns the decoded value, empty if it is not valid base64."""
         try:
             return base64.b64decode(self.value, validate=True)
         except ValueError:
@@ -68,7 +68,7 @@
 
 
 class Page(msgspec.Struct, frozen=True):
-    """Part of a range."""
+    """One page of a range query."""
 
     items: list[Item]
     store_revision: int
@@ -76,28 +76,28 @@
 
 
 class Events(msgspec.Struct, frozen=True):
-    """Changes that a watch has seen."""
+    """The changes that a watch returns."""
 
     events: list[Item]
     store_revision: int
 
 
 class GrantedLease(msgspec.Struct, frozen=True):
-    """A lease."""
+    """The response to the creation of a lease."""
 
     lease: int
 
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All keys of a prefix and the revision from which a watch continues."""
+    """All keys with a prefix, and the revision after which to watch for changes."""
 
     items: list[Item]
     revision: int
 
 
 class StoreClient:
-    """One client for all calls; each has a deadline and is written once."""
+    """Client for the store; each call has a timeout and is sent at most once."""
 
     def __init__(self, settings: Settings) -> None:
         self._url = settings.store_url
@@ -121,15 +121,15 @@
     ) -> None:
         await self._session.close()
 
-    def is_sound(self, now: float) -> bool:
-        """Returns whether no call has failed lately."""
-        return now - self._failed_at > UNSOUND_S
+    def is_healthy(self, now: float) -> bool:
+        """Returns whether no call has failed recently."""
+        return now - self._failed_at > UNHEALTHY_S
 
-    async def list_all(self, prefix: str) -> Listing:
-        """Returns all keys of a prefix.
+    async def list_keys(self, prefix: str) -> Listing:
+        """Returns all keys with a prefix.
 
         Raises:
-            StoreUnavailable: If the store does not answer.
+            StoreUnavailable: If the call fails.
         """
         items: list[Item] = []
         revision = 0
@@ -138,63 +138,63 @@
             params = {"prefix": prefix} | ({"after": after} if after else {})
             page = await self._call("GET", "/v1/kv-range", Page, params=params)
             items += page.items
-            # The first page is the oldest, so a watch from its revision misses nothing.
+            # A watch from the revision of the first page includes changes made between pages.
             revision = revision or page.store_revision
             if not page.has_more or not page.items:
                 return Listing(items, revision)
             after = page.items[-1].key
 
     async def watch(self, prefix: str, after: int) -> Events:
-        """Waits for changes after a revision; returns none if none came in time.
+        """Waits for changes after a revision; returns none if none occur within the watch time.
 
         Raises:
-            HistoryGone: If the changes are no longer available.
-            StoreUnavailable: If the store does not answer.
+            HistoryUnavailable: If the changes are no longer available.
+            StoreUnavailable: If the call fails.
         """
         wait_s = self._timeouts.watch_s
         params = {
             "prefix": prefix,
             "after": str(after),
-            "wait_ms": str(round(wait_s * MILLISECONDS)),
+            "wait_ms": str(round(wait_s * MS_PER_S)),
         }
-        limit_s = wait_s + self._timeouts.store_s
-        return await self._call("GET", "/v1/kv-watch", Events, limit_s=limit_s, params=params)
+        timeout_s = wait_s + self._timeouts.store_s
+        return await self._call("GET", "/v1/kv-watch", Events, timeout_s=timeout_s, params=params)
 
     async def create_lease(self, ttl_s: float) -> int:
-        """Creates a lease and returns its number.
+        """Creates a lease and returns its id.
 
         Raises:
-            StoreUnavailable: If the store does not answer.
+            StoreUnavailable: If the call fails.
         """
         body = {"ttl_time": format_duration(ttl_s)}
         granted = await self._call("POST", "/v1/kv-lease", GrantedLease, json=body)
         return granted.lease
 
     async def renew_lease(self, lease: int) -> None:
-        """Extends a lease.
+        """Renews a lease.
 
         Raises:
-            LeaseGone: If it has ended.
-            StoreUnavailable: If the store does not answer.
+            LeaseExpired: If the lease has expired.
+            StoreUnavailable: If the call fails.
         """
         await self._call("POST", f"/v1/kv-keep/{lease}", dict[str, Any])
 
     async def put(self, key: str, value: bytes, lease: int) -> None:
-        """Writes a key that belongs to one VM alone and ends with its lease.
+        """Writes a key that only one VM writes and that is deleted when its lease expires.
 
         Raises:
-            LeaseGone: If the lease has ended.
-            StoreUnavailable: If the store does not answer; the write may have taken effect.
+            LeaseExpired: If the lease has expired.
+            StoreUnavailable: If the call fails; the write may have taken effect.
         """
         put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
         body = {"expected": [], "puts": [put], "deletes": []}
         await self._call("POST", "/v1/kv-txn", dict[str, Any], json=body)
 
     async def delete(self, key: str) -> None:
-        """Removes a key.
+        """Deletes a key.
 
         Raises:
-            StoreUnavailable: If the store does not answer; the removal may have taken effect.
+            StoreUnavailable: If the call fails; the deletion may have taken effect.
         """
         body = {"expected": [], "puts": [], "deletes": [key]}
         await self._call("POST", "/v1/kv-txn", dict[str, Any], json=body)
@@ -203,23 +203,23 @@
         self,
         method: str,
         path: str,
-        expected: type[Reply],
-        limit_s: float | None = None,
+        expected: type[ResponseT],
+        timeout_s: float | None = None,
         **options: Any,
-    ) -> Reply:
+    ) -> ResponseT:
         self.calls += 1
         try:
-            async with asyncio.timeout(limit_s or self._timeouts.store_s):
+            async with asyncio.timeout(timeout_s or self._timeouts.store_s):
                 async with self._session.request(
                     method, self._url + path, trace_request_ctx=SendOnce(), **options
-                ) as answer:
-                    body = await answer.read()
-                    if answer.status == HTTPStatus.GONE:
-                        raise HistoryGone
-                    if answer.status == HTTPStatus.NOT_FOUND:
-                        raise LeaseGone
-                    if answer.status != HTTPStatus.OK:
-                        raise StoreUnavailable(f"{method} {path}: status {answer.status}")
+                ) as response:
+                    body = await response.read()
+                    if response.status == HTTPStatus.GONE:
+                        raise HistoryUnavailable
+                    if response.status == HTTPStatus.NOT_FOUND:
+                        raise LeaseExpired
+                    if response.status != HTTPStatus.OK:
+                        raise StoreUnavailable(f"{method} {path}: status {response.status}")
                     return msgspec.json.decode(body, type=expected)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError) as error:
             self._failed_at = time.monotonic()
@@ -231,7 +231,7 @@
 
 
 class StoreConnector(DirectConnector):
-    """Sends keep-alive probes on its connections, so that a silent watch is found."""
+    """Enables TCP keep-alive on its connections, so that a dead watch is detected."""
 
     async def _wrap_create_connection(
         self, *args: Any, **kwargs: Any
--- a/src/briarfork/platform/units.py
+++ b/src/briarfork/platform/units.py
@@ -1,12 +1,12 @@
-"""Durations as the platform writes them: a number and a unit, such as "1500ms" or "2.5s"."""
+"""Parses and formats the platform's durations, such as "1500ms" or "2.5s"."""
 
 from __future__ import annotations
 
 import re
 from typing import Final
 
-DURATION: Final = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
-SECONDS: Final = {"ms": 0.001, "s": 1.0}
+DURATION_PATTERN: Final = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
+SECONDS_PER_UNIT: Final = {"ms": 0.001, "s": 1.0}
 
 
 def parse_duration(text: str) -> float:
@@ -19,14 +19,14 @@
         >>> parse_duration("1500ms"), parse_duration("2.5s")
         (1.5, 2.5)
     """
-    match = DURATION.match(text)
+    match = DURATION_PATTERN.match(text)
     if match is None:
         raise ValueError(f"expected a duration such as '1500ms' or '2s', found {text[:40]!r}")
-    return float(match[1]) * SECONDS[match[2]]
+    return float(match[1]) * SECONDS_PER_UNIT[match[2]]
 
 
 def format_duration(seconds: float) -> str:
-    """Returns a duration in whole milliseconds.
+    """Returns the text of a duration in whole milliseconds.
 
     Example:
         >>> format_duration(1.5)
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -1,4 +1,4 @@
-"""HTTP towards backend servers: one attempt, and what its answer proves."""
+"""HTTP client for backend servers: sends one attempt and validates its response."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 from briarfork.entry.connections import TracedResponse
 from briarfork.entry.forward import HOP_HEADERS
 from briarfork.entry.forward import AttemptGuard
-from briarfork.gateway.attempts import AttemptEnded
-from briarfork.gateway.request import Reply
+from briarfork.gateway.attempts import AttemptError
+from briarfork.gateway.request import Response
 from briarfork.platform import names
 from briarfork.pools import Release
 from briarfork.requests import Attempt
@@ -28,12 +28,12 @@
     from briarfork.gateway.request import Request
     from briarfork.pools import ServerAddress
 
-# The server itself answers at its deadline; this is left for the answer's way.
-ANSWER_MARGIN_S = 0.1
-# Fields of the load report; a fourth one is the slowness of the machine.
-RUNNING_WAITING_SLOTS = 3
+# The server responds by its deadline at the latest; this margin is for the network.
+RESPONSE_MARGIN_S = 0.1
+# Required fields of a load report (running, waiting, slots); the fourth, the slowdown, is optional.
+REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100.0
-# To a caller these say that the request has not run.
+# Statuses that tell a caller that the request did not run.
 NOT_RUN_STATUSES = frozenset(
     {
         HTTPStatus.REQUEST_TIMEOUT,
@@ -45,46 +45,46 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """What a server says of its load.
+    """The load that a server reports with a response.
 
     Attributes:
-        busy: Share of its slots in use, 0 if unknown.
-        waiting: Requests that wait there.
-        slowness: How much longer work takes than usual, 0 if unknown.
+        utilization: Fraction of its slots in use, 0 if unknown.
+        waiting: Number of requests waiting at the server.
+        slowness: Slowdown factor relative to normal run times, 0 if unknown.
     """
 
-    busy: float = 0.0
+    utilization: float = 0.0
     waiting: int = 0
     slowness: float = 0.0
 
 
 class HttpUpstream:
-    """Sends requests to backend servers and checks that answers are theirs and whole."""
+    """Sends requests to backend servers and checks that responses are complete and authentic."""
 
     def __init__(self, connections: ServerConnections) -> None:
         self._connections = connections
 
     async def send(
-        self, request: Request, server: ServerAddress, deadline: Deadline, repeatable: bool
-    ) -> Reply:
-        """Sends a request and returns the whole answer.
+        self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
+    ) -> Response:
+        """Sends a request and returns the complete response.
 
         Raises:
-            AttemptEnded: If there is none.
+            AttemptError: If there is no complete and valid response.
         """
         attempt = Attempt(deadline)
         now = time.monotonic()
-        limit_s = min(deadline.remaining_s(now) + ANSWER_MARGIN_S, request.answer_by - now)
+        timeout_s = min(deadline.remaining_s(now) + RESPONSE_MARGIN_S, request.respond_by - now)
         try:
-            with self._connections.use(server, cautious=not repeatable) as session:
-                async with asyncio.timeout(limit_s):
+            with self._connections.use(server, cautious=not idempotent) as session:
+                async with asyncio.timeout(timeout_s):
                     return await self._exchange(session, request, server, deadline, attempt)
         except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden, ValueError) as error:
             if isinstance(error, TimeoutError) and attempt.result is not AttemptResult.NOT_SENT:
-                # Connections become unresponsive for good while new ones work.
+                # A connection can become permanently unresponsive while new ones still work.
                 self._connections.give_up(server)
             release = Release.UNUSED if isinstance(error, SendForbidden) else Release.FAILED
-            raise AttemptEnded(
+            raise AttemptError(
                 attempt.result, release, f"{type(error).__name__}: {error}"
             ) from error
 
@@ -95,7 +95,7 @@
         server: ServerAddress,
         deadline: Deadline,
         attempt: Attempt,
-    ) -> Reply:
+    ) -> Response:
         async with session.request(
             request.method,
             URL(f"http://{server.address}:{server.port}{request.target}", encoded=True),
@@ -103,22 +103,30 @@
             data=request.body or None,
             allow_redirects=False,
             trace_request_ctx=AttemptGuard(attempt),
-        ) as answer:
-            body = await answer.read()
-            load = _read_load(answer)
-            if _is_refusal(answer):
+        ) as response:
+            body = await response.read()
+            load = _read_load(response)
+            if _is_refusal(response):
                 attempt.mark_refused()
-                raise AttemptEnded(
-                    attempt.result, Release.NOT_RUN, f"refused with {answer.status}", load.slowness
+                raise AttemptError(
+                    attempt.result,
+                    Release.NOT_RUN,
+                    f"refused with status {response.status}",
+                    load.slowness,
                 )
-            fault = _find_fault(request, answer)
-            if fault is None and _was_cut(answer):
-                fault = "the connection was reset before the end of the answer"
-            if fault is not None:
-                answer.close()
-                raise AttemptEnded(attempt.result, Release.FAILED, fault, load.slowness)
-            return Reply(
-                answer.status, _list_headers(answer), body, load.slowness, load.waiting, load.busy
+            reason = _find_response_error(request, response)
+            if reason is None and _was_truncated(response):
+                reason = "the connection was reset before the end of the response"
+            if reason is not None:
+                response.close()
+                raise AttemptError(attempt.result, Release.FAILED, reason, load.slowness)
+            return Response(
+                response.status,
+                _list_headers(response),
+                body,
+                load.slowness,
+                load.waiting,
+                load.utilization,
             )
 
 
@@ -130,59 +138,61 @@
         *request.headers,
         (names.ATTEMPT_ID, request.request_id),
         (names.DEADLINE_MS, str(max(1, remaining_ms))),
-        (names.EXPECTED_INSTANCE, server.vm),
+        (names.PINNED_INSTANCE, server.vm),
     ]
     if not request.body and request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         headers.append(("Content-Length", "0"))
     return headers
 
 
-def _is_refusal(answer: aiohttp.ClientResponse) -> bool:
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
     """Returns whether the server states that the request did not run.
 
-    Another server that has the address now answers 421.
+    Status 421 comes from another server that has taken over the address.
     """
-    return names.NOT_RUN in answer.headers or answer.status == HTTPStatus.MISDIRECTED_REQUEST
+    return (
+        names.NOT_EXECUTED in response.headers or response.status == HTTPStatus.MISDIRECTED_REQUEST
+    )
 
 
-def _find_fault(request: Request, answer: aiohttp.ClientResponse) -> str | None:
-    """Returns why an answer is not a whole answer to this request, or None."""
-    echoed = answer.headers.get(names.ATTEMPT_ID)
+def _find_response_error(request: Request, response: aiohttp.ClientResponse) -> str | None:
+    """Returns why a response cannot be passed on for this request, or None if it is valid."""
+    echoed = response.headers.get(names.ATTEMPT_ID)
     if echoed != request.request_id:
-        return f"the answer belongs to request {echoed}"
-    if "Content-Encoding" in answer.headers:
-        return "the body is encoded, although no encoding was asked for"
-    if answer.status < HTTPStatus.OK:
-        return f"status {answer.status} ends no request"
-    if answer.status in NOT_RUN_STATUSES:
-        return f"status {answer.status} from a server that may have run the request"
-    if names.SEAL not in answer.headers:
-        return f"status {answer.status} without a seal"
+        return f"the response belongs to request {echoed}"
+    if "Content-Encoding" in response.headers:
+        return "the body is encoded, although no encoding was requested"
+    if response.status < HTTPStatus.OK:
+        return f"status {response.status} is not a final response"
+    if response.status in NOT_RUN_STATUSES:
+        return f"status {response.status} without proof that the request did not run"
+    if names.RESPONSE_SEAL not in response.headers:
+        return f"status {response.status} without a response seal"
     return None
 
 
-def _was_cut(answer: aiohttp.ClientResponse) -> bool:
-    """Returns whether a body without a length ended by a reset, not by an orderly close."""
-    if "Content-Length" in answer.headers or "Transfer-Encoding" in answer.headers:
+def _was_truncated(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether a body without a length ended with a reset instead of an orderly close."""
+    if "Content-Length" in response.headers or "Transfer-Encoding" in response.headers:
         return False
-    return not isinstance(answer, TracedResponse) or answer.was_reset
+    return not isinstance(response, TracedResponse) or response.was_reset
 
 
-def _list_headers(answer: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
-    dropped = HOP_HEADERS | {"content-length", names.LOAD.lower()}
+def _list_headers(response: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
+    dropped = HOP_HEADERS | {"content-length", names.SERVER_LOAD.lower()}
     return tuple(
-        (name, value) for name, value in answer.headers.items() if name.lower() not in dropped
+        (name, value) for name, value in response.headers.items() if name.lower() not in dropped
     )
 
 
-def _read_load(answer: aiohttp.ClientResponse) -> LoadReport:
-    """Returns the load report of an answer; what it lacks counts as unknown."""
-    parts = answer.headers.get(names.LOAD, "").split(",")
+def _read_load(response: aiohttp.ClientResponse) -> LoadReport:
+    """Returns the load report of a response; a missing or malformed one counts as unknown."""
+    parts = response.headers.get(names.SERVER_LOAD, "").split(",")
     try:
         numbers = [int(part) for part in parts]
     except ValueError:
         return LoadReport()
-    if len(numbers) < RUNNING_WAITING_SLOTS or numbers[2] <= 0:
+    if len(numbers) < REQUIRED_LOAD_FIELDS or numbers[2] <= 0:
         return LoadReport()
-    slowness = numbers[3] / PERCENT if len(numbers) > RUNNING_WAITING_SLOTS else 0.0
+    slowness = numbers[3] / PERCENT if len(numbers) > REQUIRED_LOAD_FIELDS else 0.0
     return LoadReport(numbers[0] / numbers[2], numbers[1], slowness)
--- a/src/briarfork/platform/follower.py
+++ b/src/briarfork/platform/watcher.py
@@ -1,4 +1,4 @@
-"""Follows the store: configuration, evacuations, backend servers and other entry VMs."""
+"""Watches the store for the configuration, evacuations, backend servers and entry VMs."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 from briarfork.platform.names import EVACUATION_PREFIX
 from briarfork.platform.names import MEMBER_PREFIX
 from briarfork.platform.names import SERVER_PREFIX
-from briarfork.platform.records import UnreadableRecord
+from briarfork.platform.records import InvalidRecord
 from briarfork.platform.records import decode_configuration
 from briarfork.platform.records import decode_instance
 from briarfork.platform.records import decode_member
-from briarfork.platform.store import HistoryGone
+from briarfork.platform.store import HistoryUnavailable
 from briarfork.registry import Registry
 
 if TYPE_CHECKING:
@@ -29,15 +29,15 @@
     from briarfork.platform.store import Item
     from briarfork.platform.store import StoreClient
 
-# One watch on all keys costs one call for any number of changes.
-EVERYTHING = ""
+# The empty prefix matches all keys, so that one call fetches any number of changes.
+ALL_KEYS = ""
 RETRY_S = 0.3
 
-HANDLERS: Registry[Callable[[Follower, Item], None]] = Registry("key prefix")
+HANDLERS: Registry[Callable[[StoreWatcher, Item], None]] = Registry("key prefix")
 
 
-class Follower:
-    """Applies what the store says to the gateway; one task keeps it."""
+class StoreWatcher:
+    """Applies the contents of the store and its changes to the gateway."""
 
     def __init__(
         self, settings: PlatformSettings, gateway: Gateway, store: StoreClient, events: EventLog
@@ -49,43 +49,43 @@
         self.own_entry_removed = asyncio.Event()
         self._settings = settings
         self._store = store
-        self._lost = False
+        self._store_lost = False
 
     async def run(self) -> None:
-        """Reads everything, then watches; begins again when history or the store is lost."""
+        """Reads all keys, then watches for changes; starts over if the history or store is lost."""
         while True:
             try:
-                listing = await self._store.list_all(EVERYTHING)
+                listing = await self._store.list_keys(ALL_KEYS)
                 self._replace(listing.items)
-                self._report_back()
+                self._log_store_back()
                 revision = listing.revision
                 while True:
-                    changes = await self._store.watch(EVERYTHING, revision)
+                    changes = await self._store.watch(ALL_KEYS, revision)
                     revision = changes.store_revision
                     if changes.events:
                         self._apply(changes.events)
-                        await asyncio.sleep(self._settings.changes_pause_s)
-            except HistoryGone:
+                        await asyncio.sleep(self._settings.fetch_pause_s)
+            except HistoryUnavailable:
                 self.events.record(Event.HISTORY_LOST)
             except StoreUnavailable as error:
-                self._report_lost(error)
+                self._log_store_lost(error)
                 await asyncio.sleep(RETRY_S)
 
     async def expire(self) -> None:
-        """Drops servers whose entries lapsed during an outage and did not return."""
+        """Removes servers whose entries expired during an outage and were not registered again."""
         while True:
             await asyncio.sleep(RETRY_S)
             now = time.monotonic()
-            # The time in which entries return begins when the store is back.
-            if not self._lost and self.gateway.view.inventory.expire(now):
+            # The grace period for registering again starts when the store is reachable again.
+            if not self._store_lost and self.gateway.view.inventory.expire(now):
                 self.gateway.refresh()
 
-    def is_store_sound(self) -> bool:
-        """Returns whether a missing entry means that its writer is gone."""
-        return self._store.is_sound(time.monotonic())
+    def is_store_healthy(self) -> bool:
+        """Returns whether a missing entry means that its owner is gone."""
+        return self._store.is_healthy(time.monotonic())
 
-    def refuse(self, error: UnreadableRecord) -> None:
-        """Logs a record that is ignored."""
+    def log_ignored_record(self, error: InvalidRecord) -> None:
+        """Logs that an invalid record is ignored."""
         self.events.record(Event.RECORD_IGNORED, fault=error.detail)
 
     def _replace(self, items: list[Item]) -> None:
@@ -94,7 +94,7 @@
         now = time.monotonic()
         for name in inventory.list_names():
             if SERVER_PREFIX + name not in present:
-                inventory.remove(name, self.is_store_sound(), now)
+                inventory.remove(name, self.is_store_healthy(), now)
         for name in [name for name in self.members if MEMBER_PREFIX + name not in present]:
             del self.members[name]
         self.evacuated = {zone for zone in self.evacuated if EVACUATION_PREFIX + zone in present}
@@ -107,68 +107,68 @@
             prefix = next((name for name in HANDLERS.names() if item.key.startswith(name)), None)
             if prefix is not None:
                 HANDLERS.get(prefix)(self, item)
-        self.gateway.accept_members(self.members)
+        self.gateway.replace_members(self.members)
         self.gateway.evacuate(self.evacuated)
         self.gateway.refresh()
 
-    def _report_lost(self, error: StoreUnavailable) -> None:
-        if not self._lost:
-            self._lost = True
+    def _log_store_lost(self, error: StoreUnavailable) -> None:
+        if not self._store_lost:
+            self._store_lost = True
             self.events.record(Event.STORE_LOST, reason=error.detail)
 
-    def _report_back(self) -> None:
-        if self._lost:
-            self._lost = False
+    def _log_store_back(self) -> None:
+        if self._store_lost:
+            self._store_lost = False
             self.events.record(Event.STORE_BACK)
 
 
 @HANDLERS.register(CONFIGURATION_KEY)
-def apply_configuration(follower: Follower, item: Item) -> None:
-    """Puts a configuration in force; an unreadable or removed one changes nothing."""
+def apply_configuration(watcher: StoreWatcher, item: Item) -> None:
+    """Applies a configuration; a removed or invalid one leaves the current one in effect."""
     if item.deleted:
         return
     try:
-        follower.gateway.accept_table(decode_configuration(item.decode()))
-    except UnreadableRecord as error:
-        follower.refuse(error)
+        watcher.gateway.apply_route_table(decode_configuration(item.decode()))
+    except InvalidRecord as error:
+        watcher.log_ignored_record(error)
 
 
 @HANDLERS.register(EVACUATION_PREFIX)
-def apply_evacuation(follower: Follower, item: Item) -> None:
-    """Notes that a zone is evacuated or taken back."""
+def apply_evacuation(watcher: StoreWatcher, item: Item) -> None:
+    """Starts or ends the evacuation of a zone."""
     zone = item.key.removeprefix(EVACUATION_PREFIX)
     if item.deleted:
-        follower.evacuated.discard(zone)
+        watcher.evacuated.discard(zone)
     else:
-        follower.evacuated.add(zone)
+        watcher.evacuated.add(zone)
 
 
 @HANDLERS.register(SERVER_PREFIX)
-def apply_server(follower: Follower, item: Item) -> None:
-    """Adds, changes or removes a backend server; an unreadable entry names none."""
+def apply_server(watcher: StoreWatcher, item: Item) -> None:
+    """Adds, updates or removes a backend server; an invalid entry removes the server."""
     name = item.key.removeprefix(SERVER_PREFIX)
     now = time.monotonic()
-    inventory = follower.gateway.view.inventory
+    inventory = watcher.gateway.view.inventory
     if item.deleted:
-        inventory.remove(name, follower.is_store_sound(), now)
+        inventory.remove(name, watcher.is_store_healthy(), now)
         return
     try:
         inventory.put(decode_instance(name, item.decode(), now))
-    except UnreadableRecord as error:
-        follower.refuse(error)
+    except InvalidRecord as error:
+        watcher.log_ignored_record(error)
         inventory.remove(name, store_sound=True, now=now)
 
 
 @HANDLERS.register(MEMBER_PREFIX)
-def apply_member(follower: Follower, item: Item) -> None:
-    """Adds, changes or removes an entry VM."""
+def apply_member(watcher: StoreWatcher, item: Item) -> None:
+    """Adds, updates or removes an entry VM."""
     name = item.key.removeprefix(MEMBER_PREFIX)
     if item.deleted:
-        follower.members.pop(name, None)
-        if name == follower.gateway.settings.vm:
-            follower.own_entry_removed.set()
+        watcher.members.pop(name, None)
+        if name == watcher.gateway.settings.vm:
+            watcher.own_entry_removed.set()
         return
     try:
-        follower.members[name] = decode_member(item.decode())
-    except UnreadableRecord as error:
-        follower.refuse(error)
+        watcher.members[name] = decode_member(item.decode())
+    except InvalidRecord as error:
+        watcher.log_ignored_record(error)
--- a/src/briarfork/routing/__init__.py
+++ b/src/briarfork/routing/__init__.py
@@ -1,10 +1,10 @@
-"""Routing: which service a request belongs to and the rules that bind it."""
+"""Routing: selects the route and the service of a request."""
 
+from briarfork.routing.round_robin import WeightedRoundRobin
 from briarfork.routing.route import RequestKind
 from briarfork.routing.route import Route
 from briarfork.routing.route import ServicePolicy
-from briarfork.routing.route import Share
-from briarfork.routing.spread import Spread
+from briarfork.routing.route import TrafficShare
 from briarfork.routing.table import CallerLimits
 from briarfork.routing.table import RouteTable
 
@@ -14,6 +14,6 @@
     "Route",
     "RouteTable",
     "ServicePolicy",
-    "Share",
-    "Spread",
+    "TrafficShare",
+    "WeightedRoundRobin",
 ]
--- a/src/briarfork/routing/spread.py
+++ b/src/briarfork/routing/round_robin.py
@@ -1,4 +1,4 @@
-"""Spreads the requests of a route over services in proportion to their weights."""
+"""Distributes the requests of a route over services in proportion to their weights."""
 
 from __future__ import annotations
 
@@ -8,15 +8,15 @@
     from briarfork.routing.route import Route
 
 
-class Spread:
-    """Smooth weighted round robin, so that each VM keeps the proportions in any short window.
+class WeightedRoundRobin:
+    """Smooth weighted round robin, which keeps the proportions in every short window.
 
     Example:
-        >>> from briarfork.routing import RequestKind, Route, Share
-        >>> shares = (Share("a", 3), Share("b", 1))
+        >>> from briarfork.routing import RequestKind, Route, TrafficShare
+        >>> shares = (TrafficShare("a", 3), TrafficShare("b", 1))
         >>> route = Route("r", "h", "/", RequestKind.IDEMPOTENT, 1, 1, 1, shares, 1)
-        >>> spread = Spread()
-        >>> [spread.choose(route) for _ in range(4)]
+        >>> round_robin = WeightedRoundRobin()
+        >>> [round_robin.choose(route) for _ in range(4)]
         ['a', 'a', 'b', 'a']
     """
 
@@ -24,7 +24,7 @@
         self._credits: dict[str, dict[str, float]] = {}
 
     def choose(self, route: Route) -> str:
-        """Returns the service of the next request."""
+        """Returns the service for the next request of a route."""
         if len(route.shares) == 1:
             return route.shares[0].service
         credits = self._credits.setdefault(route.name, {})
@@ -35,5 +35,5 @@
         return chosen
 
     def reset(self) -> None:
-        """Forgets past choices, because the weights have changed."""
+        """Discards the state of all routes after a change of weights."""
         self._credits.clear()
--- a/src/briarfork/routing/route.py
+++ b/src/briarfork/routing/route.py
@@ -1,4 +1,4 @@
-"""Routes and services as the configuration in force states them."""
+"""Routes and services of the current configuration."""
 
 from __future__ import annotations
 
@@ -7,21 +7,21 @@
 
 
 class RequestKind(Enum):
-    """What may be repeated of a request."""
+    """Kinds of requests, which differ in how they may be retried and placed."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
     DOWNLOAD = "download"
 
     @property
-    def is_repeatable(self) -> bool:
-        """Whether the request may run more than once."""
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
         return self is not RequestKind.NON_IDEMPOTENT
 
 
 @dataclass(frozen=True, slots=True)
-class Share:
-    """A service's part of the requests of a route."""
+class TrafficShare:
+    """The share of a route's requests that goes to one service, as a relative weight."""
 
     service: str
     weight: float
@@ -29,17 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Rules for the requests of one host whose path begins with a prefix.
+    """Rules for the requests to one host whose path begins with a prefix.
 
     Attributes:
-        prefix: Begins and ends with a slash.
-        timeout_s: Longest time that a caller is kept waiting.
-        objective_s: Response time within which a caller is content.
-        priority: Rank, 0 is the most urgent.
-        shares: Services that the requests are spread over; one without a spread.
-        max_attempts: Servers that one request may be sent to.
-        sticky: Whether servers keep what they need for an object.
-        regions: The only regions in which requests may run; empty means any.
+        prefix: Path prefix that begins and ends with a slash.
+        timeout_s: Longest time that a caller waits for its response.
+        objective_s: Response-time objective (SLO).
+        priority: Priority of the requests, 0 is the highest.
+        shares: Services that share the requests; a single one if traffic is not split.
+        max_attempts: Maximum number of servers that one request may be sent to.
+        sticky: Whether requests for an object prefer the same servers, which cache its data.
+        regions: The only regions in which requests may run; empty allows all.
     """
 
     name: str
@@ -49,7 +49,7 @@
     timeout_s: float
     objective_s: float
     priority: int
-    shares: tuple[Share, ...]
+    shares: tuple[TrafficShare, ...]
     max_attempts: int
     sticky: bool = False
     regions: frozenset[str] = frozenset()
@@ -61,15 +61,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServicePolicy:
-    """What the backend servers of a service tolerate.
+    """Limits of the backend servers of a service.
 
     Attributes:
-        connections: Connections that one server accepts from all callers together.
-        cold_s: How long a server stays cold after its start.
-        cold_per_s: Requests a second that a cold server takes.
+        max_connections: Connections that one server accepts from all clients together.
+        cold_s: How long the caches of a server stay cold after its start.
+        cold_per_s: Requests per second that a cold server accepts.
     """
 
     name: str
-    connections: int
+    max_connections: int
     cold_s: float
     cold_per_s: float
--- a/src/briarfork/routing/table.py
+++ b/src/briarfork/routing/table.py
@@ -1,4 +1,4 @@
-"""The table of all routes of one version of the configuration."""
+"""The route table of one version of the configuration."""
 
 from __future__ import annotations
 
@@ -14,10 +14,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Bounds on what a caller may send and how long it may take.
+    """Limits on the size and time of a caller's requests.
 
     Attributes:
-        idle_s: How long a kept connection may stay without a request.
+        header_bytes: Maximum size of all headers of a request.
+        body_bytes: Maximum size of a request body.
+        header_s: Maximum time for sending the headers.
+        idle_s: Maximum time that a kept-alive connection may stay idle.
     """
 
     header_bytes: int = 16384
@@ -44,7 +47,7 @@
             self._routes.setdefault(route.host, {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
-        """Returns the route with the longest prefix that begins the path, if there is one."""
+        """Returns the route with the longest prefix of the path, or None."""
         prefixes = self._routes.get(host)
         if not prefixes:
             return None
--- a/src/run_gateway.py
+++ b/src/run_gateway.py
@@ -1,9 +1,8 @@
-"""Starts the gateway from a checkout, where the package is not installed."""
+"""Starts the gateway from a checkout without an installed package."""
 
 import signal
 
-# A change of settings may be signalled while the imports still run; the default would end the
-# process.
+# SIGHUP may arrive while the imports still run, and its default action would end the process.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from briarfork.platform.main import main  # noqa: E402
--- a/tests/entry/test_slot_client.py
+++ b/tests/entry/test_slot_client.py
@@ -7,9 +7,9 @@
 from briarfork.configuration import RequestClass
 from briarfork.errors import SiteUnreachable
 from briarfork.requests import Deadline
-from tests.gateway.scene import ROUTE
-from tests.gateway.scene import build_gateway
-from tests.gateway.scene import build_instance
+from tests.gateway.harness import ROUTE
+from tests.gateway.harness import build_gateway
+from tests.gateway.harness import build_instance
 from tests.gateway.test_view import build_member
 
 
@@ -17,7 +17,7 @@
     async def test_unreachable_owner_elsewhere_is_told_from_a_refusal(self) -> None:
         """Guards against a lost site that counts as full and gets all traffic at its return."""
         gateway = build_gateway(ROUTE, [build_instance("i-c", "c")])
-        gateway.accept_members({"c-1": build_member("c-1", "c")})
+        gateway.replace_members({"c-1": build_member("c-1", "c")})
         deadline = Deadline(time.monotonic() + 2.0)
         demand = gateway.permits.build_demand(RequestClass.SHORT, deadline, frozenset())
         answer = await gateway.permits.ask_site(("s", "c"), demand, deadline)
--- a/tests/gateway/scene.py
+++ b/tests/gateway/harness.py
@@ -12,15 +12,15 @@
 from briarfork.entry.overflow import Permit
 from briarfork.entry.slot_client import SlotRefused
 from briarfork.errors import ErrorKind
-from briarfork.gateway.attempts import AttemptEnded
+from briarfork.gateway.attempts import AttemptError
 from briarfork.gateway.dispatch import Dispatcher
+from briarfork.gateway.location import Location
 from briarfork.gateway.permits import GatewayPermits
-from briarfork.gateway.permits import SlotNeed
-from briarfork.gateway.place import Place
+from briarfork.gateway.permits import SlotRequest
 from briarfork.gateway.process import Gateway
-from briarfork.gateway.repeats import RepeatBounds
-from briarfork.gateway.request import Reply
 from briarfork.gateway.request import Request
+from briarfork.gateway.request import Response
+from briarfork.gateway.retries import RetryLimits
 from briarfork.gateway.view import GatewayView
 from briarfork.pools import Instance
 from briarfork.pools import Release
@@ -32,14 +32,14 @@
 from briarfork.routing import Route
 from briarfork.routing import RouteTable
 from briarfork.routing import ServicePolicy
-from briarfork.routing import Share
+from briarfork.routing import TrafficShare
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 SETTINGS = Settings("vm", "a", "127.0.0.1", "http://127.0.0.1:1", "http://127.0.0.1:1")
-PLACE = Place("a", "north", {"a": "north", "b": "north", "c": "south"})
-REPEAT_BOUNDS = RepeatBounds(ratio=0.2, slack=7.5)
+LOCATION = Location("a", "north", {"a": "north", "b": "north", "c": "south"})
+RETRY_LIMITS = RetryLimits(ratio=0.2, slack=7.5)
 ROUTE = Route(
     name="r",
     host="h",
@@ -48,15 +48,15 @@
     timeout_s=2.0,
     objective_s=0.4,
     priority=1,
-    shares=(Share("s", 1.0),),
+    shares=(TrafficShare("s", 1.0),),
     max_attempts=2,
 )
-REPLY = Reply(200, (), b"whole")
+RESPONSE = Response(200, (), b"whole")
 # Plays a server that never answers.
-SILENT = Reply(0, (), b"")
-UNANSWERED = AttemptEnded(AttemptResult.SENT_WITHOUT_ANSWER, Release.FAILED, "reset")
-REFUSED = AttemptEnded(AttemptResult.REFUSED, Release.NOT_RUN, "shed")
-UNSENT = AttemptEnded(AttemptResult.NOT_SENT, Release.FAILED, "connection refused")
+UNRESPONSIVE = Response(0, (), b"")
+UNANSWERED = AttemptError(AttemptResult.SENT_WITHOUT_ANSWER, Release.FAILED, "reset")
+REFUSED = AttemptError(AttemptResult.REFUSED, Release.NOT_RUN, "shed")
+UNSENT = AttemptError(AttemptResult.NOT_SENT, Release.FAILED, "connection refused")
 
 
 def build_table(*routes: Route, version: int = 1) -> RouteTable:
@@ -70,33 +70,33 @@
 
 def build_gateway(route: Route = ROUTE, servers: Iterable[Instance] = ()) -> Gateway:
     gateway = Gateway(
-        GatewayView(SETTINGS, PLACE, REPEAT_BOUNDS, EventLog("test")), EventLog("test")
+        GatewayView(SETTINGS, LOCATION, RETRY_LIMITS, EventLog("test")), EventLog("test")
     )
     for server in servers:
         gateway.view.inventory.put(server)
-    gateway.accept_table(build_table(route))
+    gateway.apply_route_table(build_table(route))
     return gateway
 
 
 class ScriptedUpstream:
     """Plays the ends of attempts in order and remembers the servers."""
 
-    def __init__(self, *ends: Reply | AttemptEnded) -> None:
+    def __init__(self, *ends: Response | AttemptError) -> None:
         self.ends = list(ends)
         self.sent: list[str] = []
         self.cancelled: list[str] = []
 
     async def send(
-        self, request: Request, server: ServerAddress, deadline: Deadline, repeatable: bool
-    ) -> Reply:
+        self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
+    ) -> Response:
         self.sent.append(server.vm)
         end = self.ends.pop(0)
-        if end is SILENT:
+        if end is UNRESPONSIVE:
             try:
                 await asyncio.sleep(60.0)
             finally:
                 self.cancelled.append(server.vm)
-        if isinstance(end, AttemptEnded):
+        if isinstance(end, AttemptError):
             raise end
         return end
 
@@ -109,16 +109,16 @@
         self.servers = list(servers)
         self.released: list[Release] = []
 
-    async def acquire(self, need: SlotNeed) -> Permit:
+    async def acquire(self, request: SlotRequest) -> Permit:
         if not self.servers:
-            raise SlotRefused(ErrorKind.OVERLOADED, "no zone has room", wait_s=0.2)
+            raise SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot", wait_s=0.2)
         address = ServerAddress(self.servers.pop(0), "127.0.0.1", 1)
-        return Permit("p", need.service, "a", RequestClass.SHORT, address, "vm")
+        return Permit("p", request.service, "a", RequestClass.SHORT, address, "vm")
 
     async def acquire_hedge(self, route: Route, first: Permit) -> Permit | None:
         if not self.servers:
             return None
-        return await self.acquire(SlotNeed(route, first.service, "", Deadline(0.0), frozenset()))
+        return await self.acquire(SlotRequest(route, first.service, "", Deadline(0.0), frozenset()))
 
     def release(
         self, permit: Permit, how: Release, elapsed_s: float, slowness: float = 0.0
@@ -126,12 +126,12 @@
         self.released.append(how)
 
 
-class Scene:
+class DispatchHarness:
     """Sends one request through a dispatcher."""
 
     def __init__(
         self,
-        *ends: Reply | AttemptEnded,
+        *ends: Response | AttemptError,
         kind: RequestKind = RequestKind.IDEMPOTENT,
         slots: int = 9,
     ) -> None:
@@ -140,5 +140,5 @@
         self.permits = ScriptedPermits(gateway, *(f"i-{number}" for number in range(slots)))
         self.dispatcher = Dispatcher(gateway.view, self.permits, self.upstream, EventLog("test"))
 
-    async def send(self, target: str = "/a/x", wait_s: float | None = 3.0) -> Reply:
+    async def send(self, target: str = "/a/x", wait_s: float | None = 3.0) -> Response:
         return await self.dispatcher.handle(Request("r1", "h", "GET", target, (), b"", "", wait_s))
--- a/tests/gateway/test_spill.py
+++ b/tests/gateway/test_spillover.py
@@ -4,9 +4,9 @@
 
 import itertools
 
-from briarfork.gateway.spill import MAX_REMOTE_SHARE
-from briarfork.gateway.spill import RemoteShare
-from briarfork.gateway.spill import SpillLimit
+from briarfork.gateway.spillover import MAX_REMOTE_SHARE
+from briarfork.gateway.spillover import RemoteShareController
+from briarfork.gateway.spillover import SpilloverLimit
 
 # The users' limit on the share of a region's requests that changes region between windows.
 MAX_SHIFT = 0.15
@@ -17,18 +17,18 @@
 
 def replay(pressed_until: float, end: float) -> list[float]:
     """Returns the remote part in each window, with a region that is full and then empty."""
-    share = RemoteShare(initial=0.0, now=0.0)
-    limit = SpillLimit()
+    controller = RemoteShareController(initial=0.0, now=0.0)
+    limit = SpilloverLimit()
     counts: dict[int, list[int]] = {}
     for step in range(int(end * RATE)):
         now = step / RATE
-        pressed = now < pressed_until
-        limit.count(now)
-        remote = share.takes(f"{step % OBJECTS}", now)
+        region_full = now < pressed_until
+        limit.record_request(now)
+        remote = controller.sends_remote(f"{step % OBJECTS}", now)
         if not remote:
-            share.record(pressed)
-            if pressed and limit.allows(now):
-                limit.spend(now)
+            controller.record_local(region_full)
+            if region_full and limit.allows_spillover(now):
+                limit.record_spillover(now)
                 remote = True
         counts.setdefault(int(now / WINDOW_S), []).append(remote)
     return [sum(window) / len(window) for window in counts.values()]
@@ -45,39 +45,39 @@
 
     def test_busy_regions_do_not_exchange_requests(self) -> None:
         """Guards against full regions that send each other what each could run itself."""
-        share = RemoteShare(initial=0.2, now=0.0)
+        controller = RemoteShareController(initial=0.2, now=0.0)
         for period in range(1, 20):
             for number in range(20):
-                share.record(pressed=number < 4)
-                share.record_remote(full=False, busy=0.95)
-            share.find(period * 0.5)
-        assert share.find(10.0) < 0.05
+                controller.record_local(region_full=number < 4)
+                controller.record_remote(overloaded=False, utilization=0.95)
+            controller.compute(period * 0.5)
+        assert controller.compute(10.0) < 0.05
 
     def test_region_that_is_worse_off_goes_on(self) -> None:
         """Guards against a region with few servers that refuses most while others refuse some."""
-        share = RemoteShare(initial=0.2, now=0.0)
+        controller = RemoteShareController(initial=0.2, now=0.0)
         for period in range(1, 20):
             for number in range(20):
-                share.record(pressed=number < 12)
-                share.record_remote(full=False, busy=0.95)
-            share.find(period * 0.5)
-        assert share.find(10.0) > 0.4
+                controller.record_local(region_full=number < 12)
+                controller.record_remote(overloaded=False, utilization=0.95)
+            controller.compute(period * 0.5)
+        assert controller.compute(10.0) > 0.4
 
     def test_the_same_objects_leave(self) -> None:
         """Guards against objects that every region has to keep in its caches."""
-        share = RemoteShare(initial=0.5, now=0.0)
+        controller = RemoteShareController(initial=0.5, now=0.0)
         left: dict[str, list[bool]] = {}
         for number in range(2400):
             key = f"o-{number % OBJECTS}"
-            left.setdefault(key, []).append(share.takes(key, 0.0))
+            left.setdefault(key, []).append(controller.sends_remote(key, 0.0))
         parts = [sum(item) / len(item) for item in left.values()]
         assert sum(1 for part in parts if 0.2 < part < 0.8) <= OBJECTS / 4
         assert 0.45 < sum(parts) / len(parts) < 0.55
 
     def test_share_holds_for_one_object(self) -> None:
         """Guards against a region that moves at once because all callers want one object."""
-        share = RemoteShare(initial=0.1, now=0.0)
-        taken = sum(share.takes("popular", 0.0) for _ in range(1000))
+        controller = RemoteShareController(initial=0.1, now=0.0)
+        taken = sum(controller.sends_remote("popular", 0.0) for _ in range(1000))
         assert 90 <= taken <= 110
 
     def test_share_is_bounded(self) -> None:
@@ -86,8 +86,8 @@
 
     def test_full_servers_elsewhere_lower_the_share(self) -> None:
         """Guards against a surplus that overloads the region that it is sent to."""
-        share = RemoteShare(initial=0.4, now=0.0)
+        controller = RemoteShareController(initial=0.4, now=0.0)
         for _ in range(20):
-            share.record(pressed=True)
-            share.record_remote(full=True, busy=1.0)
-        assert share.find(0.5) < 0.4
+            controller.record_local(region_full=True)
+            controller.record_remote(overloaded=True, utilization=1.0)
+        assert controller.compute(0.5) < 0.4
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -7,7 +7,7 @@
 
 from briarfork.configuration import RequestClass
 from briarfork.configuration import SiteCapacity
-from briarfork.gateway.spill import estimate_remote_share
+from briarfork.gateway.spillover import estimate_remote_share
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.pools import Grant
@@ -15,10 +15,10 @@
 from briarfork.pools import PermitQueue
 from briarfork.requests import Deadline
 from briarfork.routing import RequestKind
-from tests.gateway.scene import ROUTE
-from tests.gateway.scene import build_gateway
-from tests.gateway.scene import build_instance
-from tests.gateway.scene import build_table
+from tests.gateway.harness import ROUTE
+from tests.gateway.harness import build_gateway
+from tests.gateway.harness import build_instance
+from tests.gateway.harness import build_table
 
 SERVERS = [build_instance("i-a", "a"), build_instance("i-b", "b"), build_instance("i-c", "c")]
 
@@ -32,9 +32,9 @@
     def test_older_version_is_not_taken(self) -> None:
         """Guards against a late read that reverts the routes of a running VM."""
         gateway = build_gateway()
-        gateway.accept_table(build_table(ROUTE, version=5))
-        gateway.accept_table(build_table(version=4))
-        assert gateway.view.require_table().find("h", "/a/x") == ROUTE
+        gateway.apply_route_table(build_table(ROUTE, version=5))
+        gateway.apply_route_table(build_table(version=4))
+        assert gateway.view.require_route_table().find("h", "/a/x") == ROUTE
 
     def test_longest_prefix_wins(self) -> None:
         """Guards against a request that runs at the service of a shorter prefix."""
@@ -92,7 +92,7 @@
         """Guards against callers who are sent over links that are paid for."""
         gateway = build_gateway()
         members = [build_member("a-1", "a"), build_member("b-1", "b"), build_member("c-1", "c")]
-        gateway.accept_members({item.vm: item for item in members})
+        gateway.replace_members({item.vm: item for item in members})
         order = gateway.view.order_entries
         assert [item.vm for item in order("a", "north")] == ["a-1"]
         assert [item.vm for item in order("z", "north")] == ["a-1", "b-1"]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from briarfork.platform.records import UnreadableRecord
+from briarfork.platform.records import InvalidRecord
 from briarfork.platform.records import decode_configuration
 from briarfork.platform.records import decode_instance
 from briarfork.platform.units import parse_duration
@@ -81,21 +81,21 @@
     )
     def test_spoilt_configuration_is_refused_whole(self, changes: dict[str, Any]) -> None:
         """Guards against a configuration of which a part is put in force."""
-        with pytest.raises(UnreadableRecord):
+        with pytest.raises(InvalidRecord):
             decode_configuration(json.dumps(build_configuration(**changes)).encode())
 
     def test_two_routes_at_one_place_are_refused(self) -> None:
         """Guards against a route that depends on the order of rows."""
         body = build_configuration()
         body["routes"]["rows"] *= 2
-        with pytest.raises(UnreadableRecord):
+        with pytest.raises(InvalidRecord):
             decode_configuration(json.dumps(body).encode())
 
     def test_text_that_is_cut_short_is_refused(self) -> None:
         """Guards against an unreadable value that ends the follower."""
         whole = json.dumps(build_configuration()).encode()
         for size in (0, 1, len(whole) // 2, len(whole) - 1):
-            with pytest.raises(UnreadableRecord):
+            with pytest.raises(InvalidRecord):
                 decode_configuration(whole[:size])
 
 
@@ -118,7 +118,7 @@
     )
     def test_entry_of_another_writer_names_no_server(self, changes: dict[str, Any]) -> None:
         """Guards against requests to an address that nobody registered as a server."""
-        with pytest.raises(UnreadableRecord):
+        with pytest.raises(InvalidRecord):
             decode_instance("i-1", build_entry(**changes), now=0.0)
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -38,11 +38,11 @@
     def test_become_the_settings_of_the_product(self, tmp_path: Path) -> None:
         """Guards against a program that listens or asks at a wrong place."""
         settings = load_platform_settings(write(tmp_path, BOOT))
-        product = settings.product
-        assert (product.vm, product.zone, product.address) == ("front-a-1", "a", "10.1.0.15")
-        assert (product.ports.entry, product.ports.permits) == (1, 7620)
+        common = settings.common
+        assert (common.vm, common.zone, common.address) == ("front-a-1", "a", "10.1.0.15")
+        assert (common.ports.entry, common.ports.permits) == (1, 7620)
         assert (settings.ready, settings.lookup) == (("10.1.0.15", 2), ("10.1.0.15", 3))
-        assert product.store_url == "http://10.200.1.7:8642"
+        assert common.store_url == "http://10.200.1.7:8642"
         assert (settings.grace_s, settings.lookup_ttl_s) == (8.0, 1.0)
 
     def test_every_fault_is_named(self, tmp_path: Path) -> None:
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -14,9 +14,9 @@
 
 from briarfork.border.settings import Settings
 from briarfork.entry.connections import ServerConnections
-from briarfork.gateway.attempts import AttemptEnded
-from briarfork.gateway.request import Reply
+from briarfork.gateway.attempts import AttemptError
 from briarfork.gateway.request import Request
+from briarfork.gateway.request import Response
 from briarfork.platform.upstream import HttpUpstream
 from briarfork.pools import Release
 from briarfork.pools import ServerAddress
@@ -62,7 +62,7 @@
             return b""
 
 
-class Scene:
+class UpstreamHarness:
     """An upstream and one raw server."""
 
     def __init__(self, server: RawServer, port: int, upstream: HttpUpstream) -> None:
@@ -70,30 +70,30 @@
         self._address = ServerAddress("i-1", HOST, port)
         self._upstream = upstream
 
-    async def send(self, repeatable: bool = True, left_s: float = 10.0) -> Reply:
+    async def send(self, idempotent: bool = True, remaining_s: float = 10.0) -> Response:
         now = time.monotonic()
         request = Request(
-            "r1", "h", "GET", "/a//b?c=%2f", (("Host", "h"),), b"", answer_by=now + left_s
+            "r1", "h", "GET", "/a//b?c=%2f", (("Host", "h"),), b"", respond_by=now + remaining_s
         )
         deadline = Deadline(now + 2.0)
-        return await self._upstream.send(request, self._address, deadline, repeatable)
+        return await self._upstream.send(request, self._address, deadline, idempotent)
 
-    async def fail(self, answer: bytes, after: str = "keep") -> AttemptEnded:
+    async def fail(self, answer: bytes, after: str = "keep") -> AttemptError:
         self.server.answer, self.server.after = answer, after
-        with pytest.raises(AttemptEnded) as caught:
+        with pytest.raises(AttemptError) as caught:
             await self.send()
         return caught.value
 
 
 @pytest_asyncio.fixture
-async def scene() -> AsyncIterator[Scene]:
+async def harness() -> AsyncIterator[UpstreamHarness]:
     raw = RawServer()
     listener = await asyncio.start_server(raw.serve, HOST, 0)
     port = listener.sockets[0].getsockname()[1]
     settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
     connections = ServerConnections(settings)
     keeper = asyncio.create_task(connections.run())
-    yield Scene(raw, port, HttpUpstream(connections))
+    yield UpstreamHarness(raw, port, HttpUpstream(connections))
     keeper.cancel()
     listener.close()
 
@@ -114,7 +114,7 @@
     return accepted
 
 
-async def _fetch_from_blocking_server(reset: bool) -> Reply | AttemptEnded:
+async def _fetch_from_blocking_server(reset: bool) -> Response | AttemptError:
     """Sends a request and stops the event loop until body and end have both arrived."""
     listener = socket.create_server((HOST, 0))
     listener.settimeout(5.0)
@@ -124,90 +124,100 @@
     address = ServerAddress("i-1", HOST, listener.getsockname()[1])
     request = Request("r1", "h", "GET", "/", (), b"")
     deadline = Deadline(time.monotonic() + 5.0)
-    attempt = asyncio.create_task(upstream.send(request, address, deadline, repeatable=True))
+    attempt = asyncio.create_task(upstream.send(request, address, deadline, idempotent=True))
     # The client connects on this loop, so only another thread may block.
     _answer_and_end(await asyncio.to_thread(_accept, listener), reset)
     listener.close()
     try:
         return await attempt
-    except AttemptEnded as ended:
-        return ended
+    except AttemptError as failure:
+        return failure
     finally:
         await connections.close()
 
 
 class TestHttpUpstream:
-    async def test_body_without_length_ends_with_orderly_close(self, scene: Scene) -> None:
+    async def test_body_without_length_ends_with_orderly_close(
+        self, harness: UpstreamHarness
+    ) -> None:
         """Guards against refusing whole answers that end with their connection."""
-        scene.server.answer = b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\nwhole"
-        scene.server.after = "close"
-        assert (await scene.send()).body == b"whole"
+        harness.server.answer = b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\nwhole"
+        harness.server.after = "close"
+        assert (await harness.send()).body == b"whole"
 
-    async def test_body_without_length_that_is_reset_is_not_whole(self, scene: Scene) -> None:
+    async def test_body_without_length_that_is_reset_is_not_whole(
+        self, harness: UpstreamHarness
+    ) -> None:
         """Guards against handing a part of an answer to the caller as if it were whole."""
-        ended = await scene.fail(b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart", "reset")
-        assert ended.result is AttemptResult.SENT_WITHOUT_ANSWER
+        failure = await harness.fail(b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart", "reset")
+        assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
 
     def test_reset_that_arrives_with_the_body_is_seen(self) -> None:
         """Guards against an event loop that reports data and reset together as an orderly end."""
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            ended = runner.run(_fetch_from_blocking_server(reset=True))
-        assert isinstance(ended, AttemptEnded)
+            failure = runner.run(_fetch_from_blocking_server(reset=True))
+        assert isinstance(failure, AttemptError)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            reply = runner.run(_fetch_from_blocking_server(reset=False))
-        assert isinstance(reply, Reply)
+            response = runner.run(_fetch_from_blocking_server(reset=False))
+        assert isinstance(response, Response)
 
-    async def test_body_that_ends_early_is_not_whole(self, scene: Scene) -> None:
+    async def test_body_that_ends_early_is_not_whole(self, harness: UpstreamHarness) -> None:
         """Guards against an answer that is shorter than it states."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
-        ended = await scene.fail(head + SEALED + b"\r\npart", "close")
-        assert ended.result is AttemptResult.SENT_WITHOUT_ANSWER
+        failure = await harness.fail(head + SEALED + b"\r\npart", "close")
+        assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
 
-    async def test_answer_to_another_request_is_not_passed_on(self, scene: Scene) -> None:
+    async def test_answer_to_another_request_is_not_passed_on(
+        self, harness: UpstreamHarness
+    ) -> None:
         """Guards against a late extra answer that is taken for the next one."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r0\r\n"
-        ended = await scene.fail(head + b"X-Briarfork-Response-Seal: s\r\n\r\nx")
-        assert ended.result is AttemptResult.SENT_WITHOUT_ANSWER
+        failure = await harness.fail(head + b"X-Briarfork-Response-Seal: s\r\n\r\nx")
+        assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
 
-    async def test_extra_bytes_belong_to_no_request(self, scene: Scene) -> None:
+    async def test_extra_bytes_belong_to_no_request(self, harness: UpstreamHarness) -> None:
         """Guards against bytes after an answer that are read as the next answer."""
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + SEALED + b"\r\nx"
-        scene.server.answer = whole + b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"
-        assert [(await scene.send()).body for _ in range(2)] == [b"x", b"x"]
+        harness.server.answer = whole + b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"
+        assert [(await harness.send()).body for _ in range(2)] == [b"x", b"x"]
 
     async def test_answer_without_seal_or_with_encoding_is_not_passed_on(
-        self, scene: Scene
+        self, harness: UpstreamHarness
     ) -> None:
         """Guards against answers that the server did not compute for this request."""
         bare = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r1\r\n\r\nx"
-        assert "seal" in str(await scene.fail(bare))
+        assert "seal" in str(await harness.fail(bare))
         coded = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Encoding: gzip\r\n"
-        assert "encoded" in str(await scene.fail(coded + SEALED + b"\r\nx"))
+        assert "encoded" in str(await harness.fail(coded + SEALED + b"\r\nx"))
 
-    async def test_refusals_prove_that_the_request_did_not_run(self, scene: Scene) -> None:
+    async def test_refusals_prove_that_the_request_did_not_run(
+        self, harness: UpstreamHarness
+    ) -> None:
         """Guards against calling a refused request unknown, or an unknown one refused."""
         shed = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\nX-Briarfork-Not-Executed: 1\r\n\r\n"
-        ended = await scene.fail(shed)
-        assert (ended.result, ended.release) == (AttemptResult.REFUSED, Release.NOT_RUN)
+        failure = await harness.fail(shed)
+        assert (failure.result, failure.release) == (AttemptResult.REFUSED, Release.NOT_RUN)
         moved = b"HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n"
-        assert (await scene.fail(moved)).result is AttemptResult.REFUSED
+        assert (await harness.fail(moved)).result is AttemptResult.REFUSED
 
-    async def test_refusal_without_proof_is_not_passed_on(self, scene: Scene) -> None:
+    async def test_refusal_without_proof_is_not_passed_on(self, harness: UpstreamHarness) -> None:
         """Guards against telling a caller that a request did not run although it may have."""
         busy = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n" + SEALED + b"\r\n"
-        assert (await scene.fail(busy)).result is AttemptResult.SENT_WITHOUT_ANSWER
+        assert (await harness.fail(busy)).result is AttemptResult.SENT_WITHOUT_ANSWER
 
-    async def test_silent_server_is_given_up_before_the_caller_leaves(self, scene: Scene) -> None:
+    async def test_silent_server_is_given_up_before_the_caller_leaves(
+        self, harness: UpstreamHarness
+    ) -> None:
         """Guards against a caller that learns nothing because its own deadline comes first."""
         started = time.monotonic()
-        with pytest.raises(AttemptEnded):
-            await scene.send(left_s=0.2)
+        with pytest.raises(AttemptError):
+            await harness.send(remaining_s=0.2)
         assert time.monotonic() - started < 1.0
 
-    async def test_request_reaches_the_server_unchanged(self, scene: Scene) -> None:
+    async def test_request_reaches_the_server_unchanged(self, harness: UpstreamHarness) -> None:
         """Guards against a normalised path and against an unpinned request."""
-        scene.server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + SEALED + b"\r\n"
-        await scene.send()
-        assert scene.server.heads[0].startswith(b"GET /a//b?c=%2f HTTP/1.1\r\n")
-        assert b"X-Briarfork-Pin-Instance: i-1\r\n" in scene.server.heads[0]
-        assert b"accept-encoding" not in scene.server.heads[0].lower()
+        harness.server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + SEALED + b"\r\n"
+        await harness.send()
+        assert harness.server.heads[0].startswith(b"GET /a//b?c=%2f HTTP/1.1\r\n")
+        assert b"X-Briarfork-Pin-Instance: i-1\r\n" in harness.server.heads[0]
+        assert b"accept-encoding" not in harness.server.heads[0].lower()
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_watcher.py
@@ -12,9 +12,9 @@
 from briarfork.gateway.process import Gateway
 from briarfork.gateway.view import GatewayView
 from briarfork.platform import names
-from briarfork.platform.follower import Follower
 from briarfork.platform.settings import load_platform_settings
 from briarfork.platform.store import StoreClient
+from briarfork.platform.watcher import StoreWatcher
 from tests.platform.test_settings import BOOT
 from tests.standins.key_value import KeyValueStore
 
@@ -41,7 +41,7 @@
     return {"address": "127.0.0.1:1", "info": info, "status": status}
 
 
-class Scene:
+class WatcherHarness:
     """A follower of a stand-in store."""
 
     def __init__(self, store: KeyValueStore, gateway: Gateway) -> None:
@@ -55,7 +55,7 @@
 
 
 @pytest_asyncio.fixture
-async def scene(tmp_path: Path) -> AsyncIterator[Scene]:
+async def harness(tmp_path: Path) -> AsyncIterator[WatcherHarness]:
     path = tmp_path / "boot.json"
     boot = BOOT | {"platform": {"address": f"{ADDRESS}:{PORT}"}, "bounds": ["drain=2s"]}
     path.write_text(json.dumps(boot))
@@ -65,48 +65,48 @@
     await store.put(names.CONFIGURATION_KEY, CONFIGURATION)
     await store.put(names.SERVER_PREFIX + "i-1", describe_server(1))
     gateway = Gateway(
-        GatewayView(settings.product, settings.place, settings.repeat_bounds, EventLog("test")),
+        GatewayView(settings.common, settings.location, settings.retry_limits, EventLog("test")),
         EventLog("test"),
     )
-    async with StoreClient(settings.product) as client:
-        follower = Follower(settings, gateway, client, EventLog("test"))
-        task = asyncio.create_task(follower.run())
-        yield Scene(store, gateway)
+    async with StoreClient(settings.common) as client:
+        watcher = StoreWatcher(settings, gateway, client, EventLog("test"))
+        task = asyncio.create_task(watcher.run())
+        yield WatcherHarness(store, gateway)
         task.cancel()
     await store.close()
 
 
 class TestFollower:
-    async def test_servers_are_known_once_it_is_ready(self, scene: Scene) -> None:
+    async def test_servers_are_known_once_it_is_ready(self, harness: WatcherHarness) -> None:
         """Guards against requests that are refused by a VM that has routes and no servers yet."""
-        await scene.wait_until_ready()
-        assert len(scene.gateway.view.inventory.list_usable("s", "a")) == 1
+        await harness.wait_until_ready()
+        assert len(harness.gateway.view.inventory.list_usable("s", "a")) == 1
 
-    async def test_heartbeats_cost_a_bounded_number_of_calls(self, scene: Scene) -> None:
+    async def test_heartbeats_cost_a_bounded_number_of_calls(self, harness: WatcherHarness) -> None:
         """Guards against one call to the store for each heartbeat of each server."""
-        await scene.wait_until_ready()
-        before = scene.store.calls
+        await harness.wait_until_ready()
+        before = harness.store.calls
         for sequence in range(round(WATCHED_S / HEARTBEAT_S)):
-            await scene.store.put(names.SERVER_PREFIX + "i-1", describe_server(sequence))
+            await harness.store.put(names.SERVER_PREFIX + "i-1", describe_server(sequence))
             await asyncio.sleep(HEARTBEAT_S)
         # A fetch each half second: a quarter of the time to drain.
-        assert scene.store.calls - before <= WATCHED_S / 0.5 + 1
+        assert harness.store.calls - before <= WATCHED_S / 0.5 + 1
 
-    async def test_leaving_server_is_known_in_time(self, scene: Scene) -> None:
+    async def test_leaving_server_is_known_in_time(self, harness: WatcherHarness) -> None:
         """Guards against requests to a server that has left."""
-        await scene.wait_until_ready()
-        await scene.store.put(names.SERVER_PREFIX + "i-1", describe_server(2))
+        await harness.wait_until_ready()
+        await harness.store.put(names.SERVER_PREFIX + "i-1", describe_server(2))
         await asyncio.sleep(0.05)
-        await scene.store.put(names.SERVER_PREFIX + "i-1", describe_server(3, "draining"))
+        await harness.store.put(names.SERVER_PREFIX + "i-1", describe_server(3, "draining"))
         async with asyncio.timeout(1.0):
-            while scene.gateway.view.inventory.list_usable("s", "a"):
+            while harness.gateway.view.inventory.list_usable("s", "a"):
                 await asyncio.sleep(0.01)
 
-    async def test_forgotten_history_is_read_anew(self, scene: Scene) -> None:
+    async def test_forgotten_history_is_read_anew(self, harness: WatcherHarness) -> None:
         """Guards against a server that left while the history was dropped."""
-        await scene.wait_until_ready()
-        await scene.store.delete(names.SERVER_PREFIX + "i-1")
-        await scene.store.forget_history()
+        await harness.wait_until_ready()
+        await harness.store.delete(names.SERVER_PREFIX + "i-1")
+        await harness.store.forget_history()
         async with asyncio.timeout(3.0):
-            while scene.gateway.view.inventory.list_usable("s", "a"):
+            while harness.gateway.view.inventory.list_usable("s", "a"):
                 await asyncio.sleep(0.01)
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -57,10 +57,10 @@
         self._ledger.ended[self.name] = time.monotonic()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        if request.headers.get(names.EXPECTED_INSTANCE) != self.name:
-            return web.Response(status=421, headers={names.NOT_RUN: "1"})
+        if request.headers.get(names.PINNED_INSTANCE) != self.name:
+            return web.Response(status=421, headers={names.NOT_EXECUTED: "1"})
         if self.running >= self.slots + QUEUE:
-            return web.Response(status=503, headers={names.NOT_RUN: "1"})
+            return web.Response(status=503, headers={names.NOT_EXECUTED: "1"})
         name = request.headers[names.ATTEMPT_ID]
         deadline_s = int(request.headers[names.DEADLINE_MS]) / 1000.0
         run = Run(self.name, self.service, self.zone, time.monotonic(), deadline_s)
@@ -85,8 +85,8 @@
     def answer(self, name: str, body: bytes, status: int = 200) -> web.Response:
         headers = {
             names.ATTEMPT_ID: name,
-            names.SEAL: f"{self.name}.{name}",
-            names.LOAD: f"{self.running},0,{self.slots},100",
+            names.RESPONSE_SEAL: f"{self.name}.{name}",
+            names.SERVER_LOAD: f"{self.running},0,{self.slots},100",
         }
         return web.Response(status=status, body=body, headers=headers)
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -100,13 +100,13 @@
             "Host": HOST,
             names.ATTEMPT_ID: call.name,
             names.DEADLINE_MS: str(int(kind.deadline_s * 1000)),
-            names.OBJECT_KEY: str(self.random.randint(0, 20)),
+            names.AFFINITY_KEY: str(self.random.randint(0, 20)),
         }
         data = b"order" if kind.method == "POST" else None
         async with self.session.request(kind.method, url, headers=headers, data=data) as answer:
             body = await answer.read()
         call.status = answer.status
-        seal = answer.headers.get(names.SEAL, "")
+        seal = answer.headers.get(names.RESPONSE_SEAL, "")
         if answer.status < 300:
             if answer.headers.get(names.ATTEMPT_ID) != call.name or not seal.endswith(call.name):
                 call.fault = f"answer of {answer.headers.get(names.ATTEMPT_ID)}, seal {seal!r}"
