Reword the tests of the gateway and its platform adapter

Change: each test names the failure that it guards against, the harnesses are named after what they drive, and a few names and comments in the source are more exact. Assertions, inputs and bounds are unchanged.

Statements, numbers and defaults were compared with the code before: no difference.

--- a/src/briarfork/gateway/location.py
+++ b/src/briarfork/gateway/location.py
@@ -30,11 +30,11 @@
 
     def sort_by_distance(self, zones: Iterable[str]) -> list[str]:
         """Returns zones, nearest first; ties are broken by a hash that differs between zones."""
-        return sorted(zones, key=self._find_distance)
+        return sorted(zones, key=self._build_sort_key)
 
     def is_local(self, zone: str) -> bool:
         """Returns whether a zone is in the region of this VM."""
         return self.regions.get(zone) == self.region
 
-    def _find_distance(self, zone: str) -> tuple[bool, bool, int]:
+    def _build_sort_key(self, zone: str) -> tuple[bool, bool, int]:
         return zone != self.zone, not self.is_local(zone), hash_text(f"{self.zone}|{zone}")
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -29,8 +29,8 @@
 OWN_ZONE_WAIT_FRACTION = 0.5
 # Lower in other zones, where the request also needs time for the network.
 OTHER_ZONE_WAIT_FRACTION = 0.35
-# A server of another region that had requests waiting is not used again for this time.
-FULL_SERVER_BACKOFF_S = 0.3
+# An overloaded server of another region is not used again for this time.
+OVERLOADED_SERVER_BACKOFF_S = 0.3
 # Longest wait for the owner of the slots to grant or refuse a hedged attempt.
 HEDGE_PERMIT_TIMEOUT_S = 0.1
 # Smaller changes of a remote share are not logged.
@@ -153,7 +153,7 @@
             return
         now = time.monotonic()
         if overloaded:
-            self._backoff_until[permit.server.vm] = now + FULL_SERVER_BACKOFF_S
+            self._backoff_until[permit.server.vm] = now + OVERLOADED_SERVER_BACKOFF_S
         self._find_share_controller(service, now).record_remote(overloaded, utilization)
 
     def _take_remote_slot(self, zones: list[str], request: SlotRequest) -> Permit | None:
--- a/src/briarfork/gateway/retries.py
+++ b/src/briarfork/gateway/retries.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-# Fraction of the ratio that is used for retries. Hedged attempts use 0.04 requests per request, and
+# Fraction of the ratio that is used for retries. Hedged attempts take another 0.04 per request, and
 # the rest is a margin for requests that are counted late.
 RETRY_RATIO_FRACTION = 0.6
 # Fraction of the slack that the retry budgets of all VMs may hold together.
--- a/src/briarfork/gateway/spillover.py
+++ b/src/briarfork/gateway/spillover.py
@@ -34,7 +34,7 @@
 MAX_REMOTE_SHARE: Final = 0.9
 # The remote share falls if more than this fraction of remote requests met an overloaded server.
 MAX_OVERLOADED_FRACTION: Final = 0.25
-# Periods with fewer requests leave the remote share unchanged.
+# The remote share is not adjusted on the basis of fewer requests.
 MIN_REQUESTS: Final = 4
 # Remote requests that the share allows and that have not been sent yet. From the first number on,
 # requests for any object may be sent; above the second, credit is discarded.
--- a/src/briarfork/platform/records.py
+++ b/src/briarfork/platform/records.py
@@ -29,7 +29,7 @@
 
 
 class InvalidRecord(BriarforkError):
-    """A record that cannot be used, such as a truncated one or one of another writer."""
+    """A truncated or inconsistent record, or one of another writer; it is ignored."""
 
     def __init__(self, detail: str) -> None:
         super().__init__(ErrorKind.INVALID_CONFIGURATION, detail)
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -39,8 +39,8 @@
 LOOKUP_TTL_S = 2.0
 # A VM that died is listed for this long; a shorter lease expires when two renewals are lost.
 LEASE_S = 4.0
-# Each fetch of changes is a call to the store. This fraction of the shorter of the bounds on
-# draining a server and applying a configuration passes between two fetches.
+# Each fetch of changes is a call to the store, so fetches are spaced out. The pause is this
+# fraction of the shorter bound on noticing a draining server or a new configuration.
 FETCH_PAUSE_FRACTION = 0.25
 
 
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -57,7 +57,7 @@
             try:
                 listing = await self._store.list_keys(ALL_KEYS)
                 self._replace(listing.items)
-                self._log_store_back()
+                self._mark_store_available()
                 revision = listing.revision
                 while True:
                     changes = await self._store.watch(ALL_KEYS, revision)
@@ -68,7 +68,7 @@
             except HistoryUnavailable:
                 self.events.record(Event.HISTORY_LOST)
             except StoreUnavailable as error:
-                self._log_store_lost(error)
+                self._mark_store_lost(error)
                 await asyncio.sleep(RETRY_S)
 
     async def expire(self) -> None:
@@ -111,12 +111,12 @@
         self.gateway.evacuate(self.evacuated)
         self.gateway.refresh()
 
-    def _log_store_lost(self, error: StoreUnavailable) -> None:
+    def _mark_store_lost(self, error: StoreUnavailable) -> None:
         if not self._store_lost:
             self._store_lost = True
             self.events.record(Event.STORE_LOST, reason=error.detail)
 
-    def _log_store_back(self) -> None:
+    def _mark_store_available(self) -> None:
         if self._store_lost:
             self._store_lost = False
             self.events.record(Event.STORE_BACK)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -1,4 +1,4 @@
-"""A dispatcher with scripted slots and servers."""
+"""Builds gateways for tests, and a dispatcher with scripted slots and servers."""
 
 from __future__ import annotations
 
@@ -52,7 +52,7 @@
     max_attempts=2,
 )
 RESPONSE = Response(200, (), b"whole")
-# Plays a server that never answers.
+# Stands for a server that never responds.
 UNRESPONSIVE = Response(0, (), b"")
 UNANSWERED = AttemptError(AttemptResult.SENT_WITHOUT_ANSWER, Release.FAILED, "reset")
 REFUSED = AttemptError(AttemptResult.REFUSED, Release.NOT_RUN, "shed")
@@ -79,10 +79,10 @@
 
 
 class ScriptedUpstream:
-    """Plays the ends of attempts in order and remembers the servers."""
+    """Returns or raises the outcomes of attempts in order, and records the servers."""
 
-    def __init__(self, *ends: Response | AttemptError) -> None:
-        self.ends = list(ends)
+    def __init__(self, *outcomes: Response | AttemptError) -> None:
+        self.outcomes = list(outcomes)
         self.sent: list[str] = []
         self.cancelled: list[str] = []
 
@@ -90,19 +90,19 @@
         self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
     ) -> Response:
         self.sent.append(server.vm)
-        end = self.ends.pop(0)
-        if end is UNRESPONSIVE:
+        outcome = self.outcomes.pop(0)
+        if outcome is UNRESPONSIVE:
             try:
                 await asyncio.sleep(60.0)
             finally:
                 self.cancelled.append(server.vm)
-        if isinstance(end, AttemptError):
-            raise end
-        return end
+        if isinstance(outcome, AttemptError):
+            raise outcome
+        return outcome
 
 
 class ScriptedPermits(GatewayPermits):
-    """Grants servers in order, then refuses."""
+    """Grants permits for servers in order, then refuses."""
 
     def __init__(self, gateway: Gateway, *servers: str) -> None:
         super().__init__(gateway.view, gateway.slots)
@@ -127,18 +127,20 @@
 
 
 class DispatchHarness:
-    """Sends one request through a dispatcher."""
+    """Sends requests through a dispatcher with scripted permits and servers."""
 
     def __init__(
         self,
-        *ends: Response | AttemptError,
+        *outcomes: Response | AttemptError,
         kind: RequestKind = RequestKind.IDEMPOTENT,
         slots: int = 9,
     ) -> None:
         gateway = build_gateway(replace(ROUTE, kind=kind))
-        self.upstream = ScriptedUpstream(*ends)
+        self.upstream = ScriptedUpstream(*outcomes)
         self.permits = ScriptedPermits(gateway, *(f"i-{number}" for number in range(slots)))
         self.dispatcher = Dispatcher(gateway.view, self.permits, self.upstream, EventLog("test"))
 
-    async def send(self, target: str = "/a/x", wait_s: float | None = 3.0) -> Response:
-        return await self.dispatcher.handle(Request("r1", "h", "GET", target, (), b"", "", wait_s))
+    async def send(self, target: str = "/a/x", timeout_s: float | None = 3.0) -> Response:
+        return await self.dispatcher.handle(
+            Request("r1", "h", "GET", target, (), b"", "", timeout_s)
+        )
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -1,4 +1,4 @@
-"""What follows from the end of an attempt."""
+"""Tests of retries, hedging and error results of the dispatcher."""
 
 from __future__ import annotations
 
@@ -33,45 +33,45 @@
 
 
 class TestDispatcher:
-    async def test_unanswered_request_that_must_run_once_is_not_repeated(self) -> None:
-        """Guards against an order that runs twice, and against calling it not run."""
+    async def test_unanswered_non_idempotent_request_is_not_retried(self) -> None:
+        """Guards against a non-idempotent request that runs twice or is reported as not run."""
         harness = DispatchHarness(UNANSWERED, RESPONSE, kind=NON_IDEMPOTENT)
         with pytest.raises(OutcomeUnknown):
             await harness.send()
         assert harness.upstream.sent == ["i-0"]
 
-    async def test_refused_request_is_tried_at_another_server(self) -> None:
-        """Guards against a refusal that ends a request although another server has room."""
+    async def test_refused_request_is_retried_at_another_server(self) -> None:
+        """Guards against failing a refused request although another server has a free slot."""
         harness = DispatchHarness(REFUSED, RESPONSE, kind=NON_IDEMPOTENT)
         assert await harness.send() == RESPONSE
         assert harness.permits.released == [Release.NOT_RUN, Release.DONE]
 
-    async def test_attempts_stay_within_the_route(self) -> None:
-        """Guards against a request that runs on more servers than its route allows."""
+    async def test_attempts_are_limited_by_the_route(self) -> None:
+        """Guards against sending a request to more servers than its route allows."""
         harness = DispatchHarness(UNANSWERED, UNANSWERED, RESPONSE)
         with pytest.raises(OutcomeUnknown):
             await harness.send()
         assert len(harness.upstream.sent) == 2
 
-    async def test_unsent_attempts_are_no_repeats(self) -> None:
+    async def test_unsent_attempts_do_not_count_as_retries(self) -> None:
         """Guards against a refused connection that uses up the attempts of a request."""
         harness = DispatchHarness(UNSENT, UNSENT, RESPONSE, kind=NON_IDEMPOTENT)
         assert await harness.send() == RESPONSE
 
-    async def test_request_that_may_have_run_is_not_called_refused(self) -> None:
-        """Guards against a false promise after an unanswered attempt and no further slot."""
+    async def test_request_that_may_have_run_is_not_reported_as_not_run(self) -> None:
+        """Guards against reporting a request as not run after an attempt without a response."""
         harness = DispatchHarness(UNANSWERED, slots=1)
         with pytest.raises(OutcomeUnknown):
             await harness.send()
 
-    async def test_fault_of_a_server_is_passed_on_if_nothing_better_comes(self) -> None:
-        """Guards against replacing the server's own answer by one of ours."""
+    async def test_server_error_is_returned_if_no_retry_succeeds(self) -> None:
+        """Guards against replacing the server's error response with one of the gateway."""
         error_response = Response(500, (), b"fault")
         harness = DispatchHarness(error_response, slots=1)
         assert await harness.send() == error_response
 
-    async def test_repeats_are_bounded_by_the_budget(self) -> None:
-        """Replays servers that shed everything: repeats stay within their part of the bounds."""
+    async def test_retries_are_limited_by_the_budget(self) -> None:
+        """Guards against retry storms: servers refuse every request, and retries stay in budget."""
         harness = DispatchHarness(*[REFUSED] * 200, slots=200)
         for _ in range(100):
             with pytest.raises(NotRun):
@@ -80,8 +80,8 @@
         assert len(harness.upstream.sent) <= 100 * (1 + ratio) + reserve
         assert ratio + HEDGE_RATIO < RETRY_LIMITS.ratio
 
-    async def test_silent_server_does_not_hold_an_idempotent_request(self) -> None:
-        """Replays lost answers: a second server is asked, and the first attempt is cancelled."""
+    async def test_idempotent_request_is_hedged_if_the_server_is_silent(self) -> None:
+        """Guards against waiting for a lost response, and against a first attempt that runs on."""
         harness = DispatchHarness(*[RESPONSE] * 25, UNRESPONSIVE, RESPONSE, slots=40)
         for _ in range(25):
             await harness.send()
@@ -90,8 +90,8 @@
         assert harness.upstream.cancelled == ["i-25"]
         assert harness.permits.released[-2:] == [Release.DONE, Release.CANCELLED]
 
-    async def test_silent_server_holds_a_request_that_must_run_once(self) -> None:
-        """Guards against a second run of an order whose answer is slow."""
+    async def test_non_idempotent_request_is_not_hedged(self) -> None:
+        """Guards against running a non-idempotent request twice because its response is slow."""
         harness = DispatchHarness(
             *[RESPONSE] * 25, UNRESPONSIVE, RESPONSE, kind=NON_IDEMPOTENT, slots=40
         )
@@ -102,21 +102,21 @@
                 await harness.send()
         assert harness.upstream.sent[-1] == "i-25"
 
-    async def test_request_without_time_is_refused_at_once(self) -> None:
-        """Guards against a request that is held although it cannot be served."""
+    async def test_request_without_enough_time_is_refused_at_once(self) -> None:
+        """Guards against holding a request that cannot be served before its deadline."""
         harness = DispatchHarness(RESPONSE)
         with pytest.raises(NotRun):
-            await harness.send(wait_s=0.02)
+            await harness.send(timeout_s=0.02)
         assert harness.upstream.sent == []
 
-    async def test_unknown_path_is_no_overload(self) -> None:
-        """Guards against callers that try again what no route allows."""
+    async def test_unknown_path_is_not_reported_as_overload(self) -> None:
+        """Guards against callers that retry a request that no route matches."""
         with pytest.raises(NotRun) as caught:
             await DispatchHarness().send("/b/x")
         assert caught.value.kind is ErrorKind.UNKNOWN_PATH
 
     async def test_vm_without_configuration_refuses(self) -> None:
-        """Guards against answering that a path is unknown before any route is known."""
+        """Guards against reporting an unknown path before any route is loaded."""
         gateway = Gateway(
             GatewayView(SETTINGS, LOCATION, RETRY_LIMITS, EventLog("test")), EventLog("test")
         )
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -1,4 +1,4 @@
-"""What a gateway believes of configuration, zones and servers."""
+"""Tests of the gateway's view of configuration, zones and servers."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 class TestConfiguration:
-    def test_older_version_is_not_taken(self) -> None:
+    def test_older_version_is_not_applied(self) -> None:
         """Guards against a late read that reverts the routes of a running VM."""
         gateway = build_gateway()
         gateway.apply_route_table(build_table(ROUTE, version=5))
@@ -37,7 +37,7 @@
         assert gateway.view.require_route_table().find("h", "/a/x") == ROUTE
 
     def test_longest_prefix_wins(self) -> None:
-        """Guards against a request that runs at the service of a shorter prefix."""
+        """Guards against running a request at the service of a shorter prefix."""
         longer = replace(ROUTE, name="longer", prefix="/a/b/")
         table = build_table(ROUTE, longer)
         assert table.find("h", "/a/b/c") == longer
@@ -47,20 +47,20 @@
 
 
 class TestZones:
-    def test_routes_with_regions_use_no_other(self) -> None:
-        """Guards against a request that runs outside the regions of its route."""
+    def test_route_uses_only_its_allowed_regions(self) -> None:
+        """Guards against running a request outside the allowed regions of its route."""
         route = replace(ROUTE, regions=frozenset({"south"}))
         gateway = build_gateway(route, SERVERS)
         assert gateway.permits.list_zones(route, "s", "o") == ([], ["c"])
 
-    def test_downloads_stay_near(self) -> None:
-        """Guards against large answers over links that are paid for."""
+    def test_download_uses_only_the_nearest_zone(self) -> None:
+        """Guards against sending large responses over links between zones, which are charged."""
         route = replace(ROUTE, kind=RequestKind.DOWNLOAD)
         gateway = build_gateway(route, SERVERS)
         assert gateway.permits.list_zones(route, "s", "o") == (["a"], [])
 
-    def test_evacuated_zone_gets_nothing_and_returns_cold(self) -> None:
-        """Guards against a zone that is filled at once when it is taken back."""
+    def test_evacuated_zone_gets_no_requests_and_returns_cold(self) -> None:
+        """Guards against sending full load to a zone at once when its evacuation ends."""
         gateway = build_gateway(ROUTE, SERVERS)
         gateway.evacuate({"a"})
         assert gateway.view.list_servers("s", "a") == []
@@ -70,9 +70,9 @@
         assert gateway.view.rank_servers("s", "a", "o", now=0.0) == []
 
 
-class TestObjects:
-    def test_owner_and_senders_agree_on_the_home_of_an_object(self) -> None:
-        """Guards against a region that fills one cache and is sent requests for another."""
+class TestObjectAffinity:
+    def test_owner_and_requesters_prefer_the_same_server(self) -> None:
+        """Guards against local and remote requests for an object filling different caches."""
         servers = [build_instance(f"i-{number}") for number in range(5)]
         gateway = build_gateway(ROUTE, servers)
         for number in range(20):
@@ -89,7 +89,7 @@
 
 class TestLookups:
     def test_callers_get_vms_of_their_zone_then_of_their_region(self) -> None:
-        """Guards against callers who are sent over links that are paid for."""
+        """Guards against sending callers over links between zones, which are charged."""
         gateway = build_gateway()
         members = [build_member("a-1", "a"), build_member("b-1", "b"), build_member("c-1", "c")]
         gateway.replace_members({item.vm: item for item in members})
@@ -100,14 +100,14 @@
 
 
 class TestInventory:
-    def test_missing_entry_ends_a_server_while_the_store_is_sound(self) -> None:
+    def test_missing_entry_removes_a_server_while_the_store_is_healthy(self) -> None:
         """Guards against requests to a server that has left."""
         inventory = Inventory()
         inventory.put(SERVERS[0])
         inventory.remove("i-a", store_sound=True, now=0.0)
         assert inventory.list_usable("s", "a") == []
 
-    def test_lapsed_entry_is_kept_for_the_time_in_which_it_returns(self) -> None:
+    def test_expired_entry_is_kept_for_the_grace_period(self) -> None:
         """Guards against a fleet that looks empty right after an outage of the store."""
         inventory = Inventory()
         inventory.put(SERVERS[0])
@@ -117,8 +117,8 @@
         assert inventory.expire(12.5)
         assert inventory.list_usable("s", "a") == []
 
-    def test_returned_entry_is_not_expired(self) -> None:
-        """Guards against dropping a server that registered again."""
+    def test_entry_registered_again_is_not_expired(self) -> None:
+        """Guards against removing a server that registered again."""
         inventory = Inventory()
         inventory.put(SERVERS[0])
         inventory.remove("i-a", store_sound=False, now=10.0)
@@ -126,8 +126,8 @@
         assert not inventory.expire(20.0)
 
 
-class TestInitialShare:
-    def test_region_with_its_part_of_the_servers_keeps_its_traffic(self) -> None:
+class TestInitialRemoteShare:
+    def test_region_with_its_share_of_servers_keeps_its_traffic(self) -> None:
         """Guards against moving traffic that its own region can serve."""
         assert estimate_remote_share(10, 20, 4, 12) == 0.0
         assert estimate_remote_share(0, 0, 4, 12) == 0.0
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -1,4 +1,4 @@
-"""The platform's names stay in the adapter."""
+"""Tests that the names in the platform's protocols are used only in the adapter."""
 
 from __future__ import annotations
 
@@ -10,24 +10,24 @@
 
 SOURCE = Path(briarfork.__file__).parent
 ADAPTER = SOURCE / "platform"
-WIRE = re.compile(
+PROTOCOL_NAMES = re.compile(
     r"X-Briarfork-|kv-(?:key|range|watch|txn|lease|keep)|traffic_split|allowed_regions"
     r"|op/config|op/evacuate|BRIARFORK_SETTINGS|sticky_sessions|cold_remaining"
 )
 
 
-class TestBoundary:
-    def test_no_name_of_the_wire_is_known_outside_the_adapter(self) -> None:
-        """Guards against a decision that depends on how the platform spells things."""
+class TestAdapterBoundary:
+    def test_protocol_names_are_used_only_in_the_adapter(self) -> None:
+        """Guards against decisions that depend on the names in the platform's protocols."""
         found = [
             f"{path.relative_to(SOURCE)}: {match.group()}"
             for path in SOURCE.rglob("*.py")
             if ADAPTER not in path.parents
-            for match in WIRE.finditer(path.read_text())
+            for match in PROTOCOL_NAMES.finditer(path.read_text())
         ]
         assert found == []
 
-    def test_pattern_finds_the_names(self) -> None:
-        """Guards against a search that can find nothing."""
-        assert WIRE.search(names.ATTEMPT_ID)
-        assert WIRE.search(names.CONFIGURATION_KEY)
+    def test_pattern_matches_the_names(self) -> None:
+        """Guards against a search pattern that matches nothing."""
+        assert PROTOCOL_NAMES.search(names.ATTEMPT_ID)
+        assert PROTOCOL_NAMES.search(names.CONFIGURATION_KEY)
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -1,4 +1,4 @@
-"""The gateway as a process."""
+"""Tests of the gateway as a process."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-START = Path(__file__).parent.parent.parent / "src" / "run_gateway.py"
-# Takes the place of a library and holds up the imports.
-SLOW_MODULE = """
+SCRIPT = Path(__file__).parent.parent.parent / "src" / "run_gateway.py"
+# Replaces a library module and blocks its import.
+BLOCKING_MODULE = """
 import pathlib, time
 pathlib.Path(__file__).with_name("importing").touch()
 time.sleep(60.0)
@@ -24,11 +24,11 @@
 
 
 @pytest.fixture
-def starting(tmp_path: Path) -> Iterator[subprocess.Popen[bytes]]:
+def starting_process(tmp_path: Path) -> Iterator[subprocess.Popen[bytes]]:
     """Returns a gateway that is still importing."""
-    (tmp_path / "uvloop.py").write_text(SLOW_MODULE)
+    (tmp_path / "uvloop.py").write_text(BLOCKING_MODULE)
     environment = {"PYTHONPATH": str(tmp_path), "PYTHONDONTWRITEBYTECODE": "1"}
-    process = subprocess.Popen([sys.executable, str(START)], env=environment)
+    process = subprocess.Popen([sys.executable, str(SCRIPT)], env=environment)
     while not (tmp_path / "importing").exists():
         assert process.poll() is None
         time.sleep(0.01)
@@ -37,9 +37,11 @@
     process.wait()
 
 
-class TestStart:
-    def test_change_of_settings_does_not_end_it(self, starting: subprocess.Popen[bytes]) -> None:
+class TestStartup:
+    def test_sighup_during_imports_does_not_end_the_process(
+        self, starting_process: subprocess.Popen[bytes]
+    ) -> None:
         """Guards against a reload signal that arrives before its handler is installed."""
-        starting.send_signal(signal.SIGHUP)
+        starting_process.send_signal(signal.SIGHUP)
         with pytest.raises(subprocess.TimeoutExpired):
-            starting.wait(0.3)
+            starting_process.wait(0.3)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,4 +1,4 @@
-"""Records of operators and backend servers, whole and spoilt."""
+"""Tests of decoding valid and invalid records."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
     }
 
 
-def build_entry(**changes: Any) -> bytes:
+def encode_entry(**changes: Any) -> bytes:
     entry = {
         "address": "10.0.0.1:80",
         "info": {"service": "s", "zone": "a", "slots": 3},
@@ -52,7 +52,7 @@
 
 class TestConfiguration:
     def test_every_field_reaches_the_route(self) -> None:
-        """Guards against a column that is read as another one."""
+        """Guards against reading a column as another one."""
         table = decode_configuration(json.dumps(build_configuration()).encode())
         route = table.find("h", "/a/b")
         assert route is not None
@@ -79,32 +79,36 @@
             {"max_attempts": 0},
         ],
     )
-    def test_spoilt_configuration_is_refused_whole(self, changes: dict[str, Any]) -> None:
-        """Guards against a configuration of which a part is put in force."""
+    def test_invalid_configuration_is_rejected_as_a_whole(self, changes: dict[str, Any]) -> None:
+        """Guards against applying a part of a configuration."""
         with pytest.raises(InvalidRecord):
             decode_configuration(json.dumps(build_configuration(**changes)).encode())
 
-    def test_two_routes_at_one_place_are_refused(self) -> None:
+    def test_two_routes_with_the_same_prefix_are_rejected(self) -> None:
         """Guards against a route that depends on the order of rows."""
         body = build_configuration()
         body["routes"]["rows"] *= 2
         with pytest.raises(InvalidRecord):
             decode_configuration(json.dumps(body).encode())
 
-    def test_text_that_is_cut_short_is_refused(self) -> None:
-        """Guards against an unreadable value that ends the follower."""
-        whole = json.dumps(build_configuration()).encode()
-        for size in (0, 1, len(whole) // 2, len(whole) - 1):
+    def test_truncated_record_is_rejected(self) -> None:
+        """Guards against an undecodable value that stops the watcher."""
+        encoded = json.dumps(build_configuration()).encode()
+        for size in (0, 1, len(encoded) // 2, len(encoded) - 1):
             with pytest.raises(InvalidRecord):
-                decode_configuration(whole[:size])
+                decode_configuration(encoded[:size])
 
 
 class TestInstance:
-    def test_entry_is_read(self) -> None:
-        """Guards against a server at a wrong place or without its identity."""
-        found = decode_instance("i-1", build_entry(), now=10.0)
-        assert (found.address, found.port, found.slots) == ("10.0.0.1", 80, 3)
-        assert (found.cold_until, found.born_ms, found.draining) == (10.5, 1700000000000, False)
+    def test_entry_is_decoded(self) -> None:
+        """Guards against a server with a wrong address or without its start time."""
+        instance = decode_instance("i-1", encode_entry(), now=10.0)
+        assert (instance.address, instance.port, instance.slots) == ("10.0.0.1", 80, 3)
+        assert (instance.cold_until, instance.born_ms, instance.draining) == (
+            10.5,
+            1700000000000,
+            False,
+        )
 
     @pytest.mark.parametrize(
         "changes",
@@ -116,15 +120,15 @@
             {"status": None},
         ],
     )
-    def test_entry_of_another_writer_names_no_server(self, changes: dict[str, Any]) -> None:
+    def test_entry_of_another_writer_is_rejected(self, changes: dict[str, Any]) -> None:
         """Guards against requests to an address that nobody registered as a server."""
         with pytest.raises(InvalidRecord):
-            decode_instance("i-1", build_entry(**changes), now=0.0)
+            decode_instance("i-1", encode_entry(**changes), now=0.0)
 
 
 class TestDuration:
     @pytest.mark.parametrize("text", ["", "5", "-1s", "1m", "1 s", "xs"])
-    def test_malformed_duration_is_refused(self, text: str) -> None:
-        """Guards against a time that is read in another unit."""
+    def test_malformed_duration_is_rejected(self, text: str) -> None:
+        """Guards against reading a duration in another unit."""
         with pytest.raises(ValueError, match="expected a duration"):
             parse_duration(text)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,4 +1,4 @@
-"""Settings in the platform's format."""
+"""Tests of loading settings in the platform's format."""
 
 from __future__ import annotations
 
@@ -24,20 +24,20 @@
     "internal_ports": [7620, 7635],
     "platform": {"address": "10.200.1.7:8642", "min_ttl": "1000ms"},
     "bounds": ["grace=8s", "ttl_max=1s"],
-    "unheard_of": 1,
+    "unknown_field": 1,
 }
 
 
-def write(folder: Path, body: object) -> Path:
+def write_settings(folder: Path, body: object) -> Path:
     path = folder / "boot.json"
     path.write_text(json.dumps(body))
     return path
 
 
 class TestPlatformSettings:
-    def test_become_the_settings_of_the_product(self, tmp_path: Path) -> None:
-        """Guards against a program that listens or asks at a wrong place."""
-        settings = load_platform_settings(write(tmp_path, BOOT))
+    def test_settings_are_converted(self, tmp_path: Path) -> None:
+        """Guards against a program that listens on or connects to a wrong address."""
+        settings = load_platform_settings(write_settings(tmp_path, BOOT))
         common = settings.common
         assert (common.vm, common.zone, common.address) == ("front-a-1", "a", "10.1.0.15")
         assert (common.ports.entry, common.ports.permits) == (1, 7620)
@@ -45,13 +45,13 @@
         assert common.store_url == "http://10.200.1.7:8642"
         assert (settings.grace_s, settings.lookup_ttl_s) == (8.0, 1.0)
 
-    def test_every_fault_is_named(self, tmp_path: Path) -> None:
-        """Guards against operators who learn of one fault at a time."""
+    def test_every_invalid_key_is_reported(self, tmp_path: Path) -> None:
+        """Guards against operators who learn of only one error at a time."""
         body = BOOT | {"zone": 5, "listen": {"front": "x"}, "internal_ports": [1]}
         with pytest.raises(BadSettings) as caught:
-            load_platform_settings(write(tmp_path, body))
-        named = [fault.split(": ")[1] for fault in caught.value.faults]
-        assert named == [
+            load_platform_settings(write_settings(tmp_path, body))
+        reported = [fault.split(": ")[1] for fault in caught.value.faults]
+        assert reported == [
             "zone",
             "listen.front",
             "listen.ready",
@@ -60,8 +60,8 @@
         ]
 
     @pytest.mark.parametrize("text", ["", "{", "[]", "\x00"])
-    def test_unreadable_file_is_refused(self, tmp_path: Path, text: str) -> None:
-        """Guards against a start without settings."""
+    def test_unreadable_file_is_rejected(self, tmp_path: Path, text: str) -> None:
+        """Guards against starting without settings."""
         path = tmp_path / "boot.json"
         path.write_text(text)
         with pytest.raises(BadSettings):
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -1,4 +1,4 @@
-"""What the answers of backend servers prove."""
+"""Tests of sending requests to backend servers and validating their responses."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class RawServer:
-    """Answers each request with given bytes and then does as told."""
+    """Answers each request with the given bytes, then keeps, closes or resets the connection."""
 
     def __init__(self) -> None:
         self.answer = b""
@@ -78,7 +78,7 @@
         deadline = Deadline(now + 2.0)
         return await self._upstream.send(request, self._address, deadline, idempotent)
 
-    async def fail(self, answer: bytes, after: str = "keep") -> AttemptError:
+    async def send_expecting_error(self, answer: bytes, after: str = "keep") -> AttemptError:
         self.server.answer, self.server.after = answer, after
         with pytest.raises(AttemptError) as caught:
             await self.send()
@@ -92,14 +92,14 @@
     port = listener.sockets[0].getsockname()[1]
     settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
     connections = ServerConnections(settings)
-    keeper = asyncio.create_task(connections.run())
+    connections_task = asyncio.create_task(connections.run())
     yield UpstreamHarness(raw, port, HttpUpstream(connections))
-    keeper.cancel()
+    connections_task.cancel()
     listener.close()
 
 
-def _answer_and_end(accepted: socket.socket, reset: bool) -> None:
-    """Blocks until the client has the answer and the end of the connection."""
+def _respond_and_close(accepted: socket.socket, reset: bool) -> None:
+    """Sends a response and closes or resets the connection, blocking until both have arrived."""
     accepted.sendall(b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart")
     if reset:
         accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -126,7 +126,7 @@
     deadline = Deadline(time.monotonic() + 5.0)
     attempt = asyncio.create_task(upstream.send(request, address, deadline, idempotent=True))
     # The client connects on this loop, so only another thread may block.
-    _answer_and_end(await asyncio.to_thread(_accept, listener), reset)
+    _respond_and_close(await asyncio.to_thread(_accept, listener), reset)
     listener.close()
     try:
         return await attempt
@@ -137,23 +137,25 @@
 
 
 class TestHttpUpstream:
-    async def test_body_without_length_ends_with_orderly_close(
+    async def test_body_without_length_may_end_with_an_orderly_close(
         self, harness: UpstreamHarness
     ) -> None:
-        """Guards against refusing whole answers that end with their connection."""
+        """Guards against rejecting complete responses that end with their connection."""
         harness.server.answer = b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\nwhole"
         harness.server.after = "close"
         assert (await harness.send()).body == b"whole"
 
-    async def test_body_without_length_that_is_reset_is_not_whole(
+    async def test_body_without_length_that_is_reset_is_incomplete(
         self, harness: UpstreamHarness
     ) -> None:
-        """Guards against handing a part of an answer to the caller as if it were whole."""
-        failure = await harness.fail(b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart", "reset")
+        """Guards against passing a truncated response to the caller as if it were complete."""
+        failure = await harness.send_expecting_error(
+            b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\npart", "reset"
+        )
         assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
 
-    def test_reset_that_arrives_with_the_body_is_seen(self) -> None:
-        """Guards against an event loop that reports data and reset together as an orderly end."""
+    def test_reset_that_arrives_with_the_body_is_detected(self) -> None:
+        """Guards against an event loop that reports data and a reset together as an orderly end."""
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             failure = runner.run(_fetch_from_blocking_server(reset=True))
         assert isinstance(failure, AttemptError)
@@ -161,61 +163,65 @@
             response = runner.run(_fetch_from_blocking_server(reset=False))
         assert isinstance(response, Response)
 
-    async def test_body_that_ends_early_is_not_whole(self, harness: UpstreamHarness) -> None:
-        """Guards against an answer that is shorter than it states."""
+    async def test_body_shorter_than_its_length_is_incomplete(
+        self, harness: UpstreamHarness
+    ) -> None:
+        """Guards against a response that is shorter than its Content-Length."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
-        failure = await harness.fail(head + SEALED + b"\r\npart", "close")
+        failure = await harness.send_expecting_error(head + SEALED + b"\r\npart", "close")
         assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
 
-    async def test_answer_to_another_request_is_not_passed_on(
-        self, harness: UpstreamHarness
-    ) -> None:
-        """Guards against a late extra answer that is taken for the next one."""
+    async def test_response_to_another_request_is_rejected(self, harness: UpstreamHarness) -> None:
+        """Guards against taking a late extra response for the next one."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r0\r\n"
-        failure = await harness.fail(head + b"X-Briarfork-Response-Seal: s\r\n\r\nx")
+        failure = await harness.send_expecting_error(
+            head + b"X-Briarfork-Response-Seal: s\r\n\r\nx"
+        )
         assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
 
-    async def test_extra_bytes_belong_to_no_request(self, harness: UpstreamHarness) -> None:
-        """Guards against bytes after an answer that are read as the next answer."""
+    async def test_extra_bytes_are_not_read_as_a_response(self, harness: UpstreamHarness) -> None:
+        """Guards against reading bytes after a response as the next response."""
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + SEALED + b"\r\nx"
         harness.server.answer = whole + b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"
         assert [(await harness.send()).body for _ in range(2)] == [b"x", b"x"]
 
-    async def test_answer_without_seal_or_with_encoding_is_not_passed_on(
+    async def test_response_without_seal_or_with_encoding_is_rejected(
         self, harness: UpstreamHarness
     ) -> None:
-        """Guards against answers that the server did not compute for this request."""
+        """Guards against responses that the server did not compute for this request."""
         bare = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r1\r\n\r\nx"
-        assert "seal" in str(await harness.fail(bare))
+        assert "seal" in str(await harness.send_expecting_error(bare))
         coded = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Encoding: gzip\r\n"
-        assert "encoded" in str(await harness.fail(coded + SEALED + b"\r\nx"))
+        assert "encoded" in str(await harness.send_expecting_error(coded + SEALED + b"\r\nx"))
 
-    async def test_refusals_prove_that_the_request_did_not_run(
+    async def test_refusal_proves_that_the_request_did_not_run(
         self, harness: UpstreamHarness
     ) -> None:
-        """Guards against calling a refused request unknown, or an unknown one refused."""
+        """Guards against reporting a refused request as unknown or the reverse."""
         shed = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\nX-Briarfork-Not-Executed: 1\r\n\r\n"
-        failure = await harness.fail(shed)
+        failure = await harness.send_expecting_error(shed)
         assert (failure.result, failure.release) == (AttemptResult.REFUSED, Release.NOT_RUN)
         moved = b"HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n"
-        assert (await harness.fail(moved)).result is AttemptResult.REFUSED
+        assert (await harness.send_expecting_error(moved)).result is AttemptResult.REFUSED
 
-    async def test_refusal_without_proof_is_not_passed_on(self, harness: UpstreamHarness) -> None:
+    async def test_refusal_without_proof_is_rejected(self, harness: UpstreamHarness) -> None:
         """Guards against telling a caller that a request did not run although it may have."""
         busy = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n" + SEALED + b"\r\n"
-        assert (await harness.fail(busy)).result is AttemptResult.SENT_WITHOUT_ANSWER
+        assert (
+            await harness.send_expecting_error(busy)
+        ).result is AttemptResult.SENT_WITHOUT_ANSWER
 
-    async def test_silent_server_is_given_up_before_the_caller_leaves(
+    async def test_silent_server_times_out_before_the_caller(
         self, harness: UpstreamHarness
     ) -> None:
-        """Guards against a caller that learns nothing because its own deadline comes first."""
+        """Guards against a caller that gets no response because its own deadline comes first."""
         started = time.monotonic()
         with pytest.raises(AttemptError):
             await harness.send(remaining_s=0.2)
         assert time.monotonic() - started < 1.0
 
     async def test_request_reaches_the_server_unchanged(self, harness: UpstreamHarness) -> None:
-        """Guards against a normalised path and against an unpinned request."""
+        """Guards against a normalised path and a request that is not pinned to its server."""
         harness.server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + SEALED + b"\r\n"
         await harness.send()
         assert harness.server.heads[0].startswith(b"GET /a//b?c=%2f HTTP/1.1\r\n")
--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -1,4 +1,4 @@
-"""How the gateway follows the platform's store."""
+"""Tests of watching the platform's store."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 ADDRESS, PORT = "127.62.9.1", 8642
 HEARTBEAT_S = 0.02
-WATCHED_S = 1.5
+OBSERVED_S = 1.5
 CONFIGURATION = {
     "version": 3,
     "routes": {
@@ -35,14 +35,14 @@
 }
 
 
-def describe_server(sequence: int, state: str = "ready") -> dict[str, object]:
+def build_entry(sequence: int, state: str = "ready") -> dict[str, object]:
     status = {"state": state, "sequence": sequence}
     info = {"service": "s", "zone": "a", "slots": 2}
     return {"address": "127.0.0.1:1", "info": info, "status": status}
 
 
 class WatcherHarness:
-    """A follower of a stand-in store."""
+    """A store watcher connected to a stand-in store."""
 
     def __init__(self, store: KeyValueStore, gateway: Gateway) -> None:
         self.store = store
@@ -63,7 +63,7 @@
     store = KeyValueStore()
     await store.start(ADDRESS, PORT)
     await store.put(names.CONFIGURATION_KEY, CONFIGURATION)
-    await store.put(names.SERVER_PREFIX + "i-1", describe_server(1))
+    await store.put(names.SERVER_PREFIX + "i-1", build_entry(1))
     gateway = Gateway(
         GatewayView(settings.common, settings.location, settings.retry_limits, EventLog("test")),
         EventLog("test"),
@@ -76,9 +76,11 @@
     await store.close()
 
 
-class TestFollower:
-    async def test_servers_are_known_once_it_is_ready(self, harness: WatcherHarness) -> None:
-        """Guards against requests that are refused by a VM that has routes and no servers yet."""
+class TestStoreWatcher:
+    async def test_servers_are_known_when_the_gateway_is_ready(
+        self, harness: WatcherHarness
+    ) -> None:
+        """Guards against a VM that is ready but refuses requests because it knows no servers."""
         await harness.wait_until_ready()
         assert len(harness.gateway.view.inventory.list_usable("s", "a")) == 1
 
@@ -86,24 +88,26 @@
         """Guards against one call to the store for each heartbeat of each server."""
         await harness.wait_until_ready()
         before = harness.store.calls
-        for sequence in range(round(WATCHED_S / HEARTBEAT_S)):
-            await harness.store.put(names.SERVER_PREFIX + "i-1", describe_server(sequence))
+        for sequence in range(round(OBSERVED_S / HEARTBEAT_S)):
+            await harness.store.put(names.SERVER_PREFIX + "i-1", build_entry(sequence))
             await asyncio.sleep(HEARTBEAT_S)
-        # A fetch each half second: a quarter of the time to drain.
-        assert harness.store.calls - before <= WATCHED_S / 0.5 + 1
+        # One fetch per half second: a quarter of the bound on draining, which is 2 s.
+        assert harness.store.calls - before <= OBSERVED_S / 0.5 + 1
 
-    async def test_leaving_server_is_known_in_time(self, harness: WatcherHarness) -> None:
+    async def test_draining_server_is_noticed_in_time(self, harness: WatcherHarness) -> None:
         """Guards against requests to a server that has left."""
         await harness.wait_until_ready()
-        await harness.store.put(names.SERVER_PREFIX + "i-1", describe_server(2))
+        await harness.store.put(names.SERVER_PREFIX + "i-1", build_entry(2))
         await asyncio.sleep(0.05)
-        await harness.store.put(names.SERVER_PREFIX + "i-1", describe_server(3, "draining"))
+        await harness.store.put(names.SERVER_PREFIX + "i-1", build_entry(3, "draining"))
         async with asyncio.timeout(1.0):
             while harness.gateway.view.inventory.list_usable("s", "a"):
                 await asyncio.sleep(0.01)
 
-    async def test_forgotten_history_is_read_anew(self, harness: WatcherHarness) -> None:
-        """Guards against a server that left while the history was dropped."""
+    async def test_all_keys_are_read_again_after_a_loss_of_history(
+        self, harness: WatcherHarness
+    ) -> None:
+        """Guards against missing a server that left while the history was dropped."""
         await harness.wait_until_ready()
         await harness.store.delete(names.SERVER_PREFIX + "i-1")
         await harness.store.forget_history()
