State the guarded failure in border and admin tests

Test names and docstrings told what happens to whom ("a flood is refused and others are in time") rather than what is tested. They now name the condition and the expected result, and each docstring states the failure that the test guards against. Assertions are unchanged.

--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -1,4 +1,4 @@
-"""Change desks in the process of the test, on a stand-in of the store."""
+"""Test harness that runs change managers in the test process on a store stand-in."""
 
 from __future__ import annotations
 
@@ -30,13 +30,13 @@
 
 ADDRESS = "127.11.0.1"
 ESTONIA = Path(__file__).parent.parent.parent / "examples" / "estonia"
-# Short, so that a store that never answers costs a test little.
-STORE_S = 0.3
+# Short, so that tests with an unresponsive store stay fast.
+STORE_TIMEOUT_S = 0.3
 UNRESTRICTED_TEAM = Team()
 
 
 class RecordedEvents(EventLog):
-    """Keeps events for the test to read."""
+    """Event log that collects the recorded events."""
 
     def __init__(self) -> None:
         super().__init__("test")
@@ -47,9 +47,9 @@
 
 
 class AdminHarness:
-    """A store stand-in and any number of change desks on it, as separate admin processes have."""
+    """Store stand-in with any number of change managers, one for each simulated admin process."""
 
-    def __init__(self, store_s: float = STORE_S) -> None:
+    def __init__(self, store_s: float = STORE_TIMEOUT_S) -> None:
         self._stack = AsyncExitStack()
         self._store_s = store_s
         self.events = RecordedEvents()
@@ -83,7 +83,11 @@
         assert self.list_change_keys() == [build_change_key(n + 1) for n in range(count)]
 
     async def start(self, **base: Any) -> ChangeManager:
-        """Returns a desk whose first change was the Estonian example."""
+        """Returns a manager that has accepted the Estonian example as its first change.
+
+        Args:
+            base: Keys to override in the base document.
+        """
         manager = self.open_manager()
         edits = dict(load_documents(ESTONIA).by_name)
         edits["base"] = self.initial_base = {**edits["base"], **base}
@@ -116,5 +120,5 @@
 
 
 def edit_site(site: str, **fields: Any) -> dict[str, Any]:
-    """Returns the edit of one overlay."""
+    """Returns an edit of one site overlay."""
     return {f"sites/{site}": {"site": site, "zone": site, **fields}}
--- a/tests/admin/test_http.py
+++ b/tests/admin/test_http.py
@@ -1,4 +1,4 @@
-"""The HTTP form of the administration API."""
+"""Tests of the administration API over HTTP."""
 
 from __future__ import annotations
 
@@ -27,8 +27,8 @@
 
 OPENAPI = Path(__file__).parent.parent.parent / "docs" / "openapi.yaml"
 MAX_BODY_BYTES = 4 * 1024 * 1024
-# A change must be in force everywhere within 12 s; a tenth of it may pass before acceptance.
-ACCEPTED_WITHIN_S = 1.2
+# A change must be in force everywhere within 12 s; acceptance may take a tenth of that.
+MAX_ACCEPT_S = 1.2
 
 
 def build_team(token: str, documents: list[str], changes_per_minute: int = 60) -> dict[str, Any]:
@@ -48,20 +48,20 @@
 
 
 class AdminClient:
-    """A client of the administration API."""
+    """Client of the administration API."""
 
     def __init__(
         self, harness: AdminHarness, client: TestClient[web.Request, web.Application]
     ) -> None:
         self.harness = harness
-        self._client = client
+        self._http_client = client
 
     async def call(
         self, method: str, path: str, token: str | None = None, **options: Any
     ) -> tuple[int, dict[str, Any]]:
         headers = {"Authorization": f"Bearer {token}"} if token else {}
-        async with self._client.request(method, path, headers=headers, **options) as answer:
-            return answer.status, await answer.json()
+        async with self._http_client.request(method, path, headers=headers, **options) as response:
+            return response.status, await response.json()
 
     async def submit(self, change_id: str, site: str, token: str, **fields: Any) -> tuple[int, Any]:
         body = {
@@ -89,35 +89,35 @@
     async def test_unknown_token_is_unauthorized(
         self, client: AdminClient, token: str | None
     ) -> None:
-        """Guards against a caller without a team that reads or changes the configuration."""
+        """Guards against clients without a team that read or change the configuration."""
         for method, path in (("GET", "/v1/status"), ("POST", "/v1/changes")):
             status, body = await client.call(method, path, token)
             assert (status, body["error"]) == (401, "unauthorized")
 
-    async def test_team_changes_only_its_documents(self, client: AdminClient) -> None:
-        """Guards against a team that moves the traffic of another one."""
+    async def test_team_cannot_change_documents_of_other_teams(self, client: AdminClient) -> None:
+        """Guards against a team that shifts the traffic of another team."""
         assert await client.submit("own", "north-a", "north-token") == (201, {"generation": 2})
         status, body = await client.submit("foreign", "south-a", "north-token")
         assert (status, body["error"]) == (403, "forbidden")
         assert "sites/south-a" in body["detail"]
         client.harness.assert_generations(2)
 
-    async def test_team_withdraws_only_its_changes(self, client: AdminClient) -> None:
-        """Guards against a team that cancels what another one has scheduled."""
+    async def test_team_cannot_withdraw_changes_of_other_teams(self, client: AdminClient) -> None:
+        """Guards against a team that withdraws a scheduled change of another team."""
         await client.submit("later", "south-a", "south-token", start_at=time.time() + 600)
         body = {"change_id": "w", "author": "jaan", "reason": "test"}
         path = "/v1/changes/2/withdraw"
         assert (await client.call("POST", path, "north-token", json=body))[0] == 403
         assert (await client.call("POST", path, "south-token", json=body))[0] == 201
 
-    async def test_audit_record_has_the_team(self, client: AdminClient) -> None:
-        """Guards against a change whose team cannot be told."""
+    async def test_audit_record_contains_the_team(self, client: AdminClient) -> None:
+        """Guards against audit records that do not name the team."""
         await client.submit("own", "north-a", "north-token")
         _, body = await client.call("GET", "/v1/changes", "south-token", params={"after": "1"})
         assert [change["team"] for change in body["changes"]] == ["north"]
 
-    async def test_only_the_hash_of_a_token_is_kept(self, client: AdminClient) -> None:
-        """Guards against a token that can be read from the store or the API."""
+    async def test_token_is_stored_only_as_hash(self, client: AdminClient) -> None:
+        """Guards against tokens that can be read from the store or the API."""
         _, body = await client.call("GET", "/v1/documents", "north-token")
         assert "north-token" not in str(body)
         assert all("north-token" not in item.value for item in client.harness.state.items.values())
@@ -129,10 +129,10 @@
             ({"north": build_team("a", ["*"]), "south": build_team("a", ["*"])}, "one team only"),
         ],
     )
-    async def test_teams_that_lock_everybody_out_are_refused(
+    async def test_invalid_teams_are_rejected(
         self, client: AdminClient, teams: dict[str, Any], fault: str
     ) -> None:
-        """Guards against teams that nobody can change again, and a token with two teams."""
+        """Guards against teams that no team may change again and against shared tokens."""
         edits = {"base": {**client.harness.initial_base, "teams": teams}}
         status, body = await client.submit("teams", "-", "steering-token", edits=edits)
         assert (status, body["error"]) == (422, "invalid_configuration")
@@ -140,69 +140,69 @@
 
 
 class TestRateLimit:
-    async def test_flood_is_refused_and_others_are_in_time(self, client: AdminClient) -> None:
-        """Guards against one team's flood that delays or displaces the changes of others."""
-        flood = [
+    async def test_rate_limited_team_does_not_delay_other_teams(self, client: AdminClient) -> None:
+        """Guards against one team's request burst delaying or blocking other teams' changes."""
+        requests = [
             asyncio.create_task(client.submit(f"flood-{n}", "north-a", "north-token"))
             for n in range(100)
         ]
-        started = time.monotonic()
+        started_at = time.monotonic()
         status, _ = await client.submit("other", "south-a", "south-token")
-        elapsed = time.monotonic() - started
-        statuses = [status for status, _ in await asyncio.gather(*flood)]
+        elapsed = time.monotonic() - started_at
+        statuses = [status for status, _ in await asyncio.gather(*requests)]
         assert status == 201
-        assert elapsed < ACCEPTED_WITHIN_S
+        assert elapsed < MAX_ACCEPT_S
         assert statuses.count(429) == 95
-        assert statuses.count(201) == 1  # the other four conflict with the first one
+        assert statuses.count(201) == 1  # the other four within the limit conflict with it
 
-    async def test_refusal_tells_kind_and_wait(self, client: AdminClient) -> None:
-        """Guards against a refusal after which the caller does not know what to do."""
+    async def test_rate_limit_error_contains_kind_and_wait_time(self, client: AdminClient) -> None:
+        """Guards against a rate limit error that does not tell the client when to retry."""
         for number in range(5):
             await client.submit(f"change-{number}", "north-a", "north-token")
         status, body = await client.submit("one-more", "north-a", "north-token")
         assert (status, body["error"], body["outcome"]) == (429, "too_many_requests", "not-run")
         assert "try again in" in body["detail"]
 
-    async def test_refused_requests_do_not_reach_the_store(self, client: AdminClient) -> None:
-        """Guards against a flood of wrong tokens that uses up the store's rate."""
+    async def test_rejected_requests_do_not_reach_the_store(self, client: AdminClient) -> None:
+        """Guards against requests with wrong tokens exhausting the rate limit of the store."""
         calls = sum(client.harness.state.calls.values())
         for _ in range(50):
             await client.call("GET", "/v1/status", "wrong")
         assert sum(client.harness.state.calls.values()) <= calls + 2
 
 
-class TestPages:
-    async def test_changes_are_read_page_by_page(self, client: AdminClient) -> None:
-        """Guards against a page that repeats or leaves out a change."""
+class TestPagination:
+    async def test_changes_are_paginated(self, client: AdminClient) -> None:
+        """Guards against pages that repeat or skip a change."""
         for number, site in enumerate(("north-a", "north-b", "south-a", "south-b")):
             await client.submit(f"change-{number}", site, "steering-token")
-        found: list[int] = []
+        generations: list[int] = []
         after = 0
         while after is not None:
             params = {"after": str(after), "limit": "2"}
             _, body = await client.call("GET", "/v1/changes", "south-token", params=params)
-            found += [change["generation"] for change in body["changes"]]
+            generations += [change["generation"] for change in body["changes"]]
             after = body["next"]
-        assert found == [1, 2, 3, 4, 5]
+        assert generations == [1, 2, 3, 4, 5]
 
     async def test_filters(self, client: AdminClient) -> None:
-        """Guards against an audit that misses a change of the author, team, document or time."""
+        """Guards against filters by author, team, document or time that miss a change."""
         await client.submit("one", "north-a", "north-token", author="jaan")
         await client.submit("two", "south-a", "south-token")
-        middle = time.time()
+        split_at = time.time()
         await client.submit("three", "south-b", "steering-token")
         for params, expected in (
             ({"author": "jaan"}, [2]),
             ({"team": "south"}, [3]),
             ({"document": "sites/south-*"}, [1, 3, 4]),
-            ({"since": str(middle)}, [4]),
-            ({"until": str(middle), "after": "1"}, [2, 3]),
+            ({"since": str(split_at)}, [4]),
+            ({"until": str(split_at), "after": "1"}, [2, 3]),
         ):
             _, body = await client.call("GET", "/v1/changes", "south-token", params=params)
             assert [change["generation"] for change in body["changes"]] == expected, params
 
-    async def test_drafts_are_read_page_by_page(self, client: AdminClient) -> None:
-        """Guards against drafts that no page shows."""
+    async def test_drafts_are_paginated(self, client: AdminClient) -> None:
+        """Guards against drafts that are missing from every page."""
         base = {**client.harness.initial_base, "teams": TEAMS, "approval": "required"}
         fields = {"edits": {"base": base}}
         assert (await client.submit("approval", "-", "steering-token", **fields))[0] == 201
@@ -210,9 +210,9 @@
             assert (await client.submit(name, "north-a", "north-token"))[0] == 202
         _, first = await client.call("GET", "/v1/drafts", "north-token", params={"limit": "2"})
         params = {"after": first["next"]}
-        _, rest = await client.call("GET", "/v1/drafts", "north-token", params=params)
-        names = [draft["change_id"] for draft in first["drafts"] + rest["drafts"]]
-        assert (names, rest["next"]) == (["a", "b", "c"], None)
+        _, second = await client.call("GET", "/v1/drafts", "north-token", params=params)
+        names = [draft["change_id"] for draft in first["drafts"] + second["drafts"]]
+        assert (names, second["next"]) == (["a", "b", "c"], None)
 
 
 class TestErrors:
@@ -230,18 +230,18 @@
             ("POST", "/v1/drafts/none/approve", {"json": {"approver": "a"}}, "unknown_path"),
         ],
     )
-    async def test_every_error_is_of_the_closed_list(
+    async def test_errors_have_a_documented_kind(
         self, client: AdminClient, method: str, path: str, options: dict[str, Any], kind: str
     ) -> None:
-        """Guards against an error that a client of the API cannot tell."""
+        """Guards against errors without a kind that clients can handle."""
         status, body = await client.call(method, path, "steering-token", **options)
         assert body["error"] == kind
         assert status >= 400
 
 
 class TestDryRun:
-    async def test_changes_nothing(self, client: AdminClient) -> None:
-        """Guards against a check that takes effect."""
+    async def test_dry_run_writes_nothing(self, client: AdminClient) -> None:
+        """Guards against a dry run that takes effect."""
         await client.submit("later", "south-a", "south-token", start_at=time.time() + 600)
         before = dict(client.harness.state.items)
         body = {"change_id": "w", "author": "jaan", "reason": "test", "based_on": 2}
@@ -256,12 +256,10 @@
         assert client.harness.state.items == before
 
 
-class TestDescription:
-    async def test_paths_and_methods_are_those_of_the_application(
-        self, client: AdminClient
-    ) -> None:
-        """Guards against a description that has fallen behind the API."""
-        described = {
+class TestOpenApi:
+    async def test_paths_and_methods_match_the_application(self, client: AdminClient) -> None:
+        """Guards against an OpenAPI description that does not match the API."""
+        documented = {
             (method.upper(), path)
             for path, methods in yaml.safe_load(OPENAPI.read_text())["paths"].items()
             for method in methods
@@ -272,4 +270,4 @@
             for route in app.router.routes()
             if route.resource is not None and route.method != "HEAD"
         }
-        assert described == served
+        assert documented == served
--- a/tests/admin/test_pause.py
+++ b/tests/admin/test_pause.py
@@ -1,4 +1,4 @@
-"""An admin process that is stopped by the operating system and wakes later."""
+"""Tests of an admin process that is paused by SIGSTOP and resumed later."""
 
 from __future__ import annotations
 
@@ -41,7 +41,14 @@
 
 
 async def race_with_paused_process(cluster: Cluster, method: str, site: str) -> tuple[Any, Any]:
-    """Stops the first admin process while it waits for the store; the second one writes."""
+    """Submits a change through each admin process while the first one is paused.
+
+    The first process is paused while it waits for the store and resumed after the second one has
+    written its change.
+
+    Returns:
+        The responses of the paused and of the other process.
+    """
     fault = f"{cluster.store_url}/fault"
     await cluster.post(fault, {"mode": "hold", "method": method, "count": 1})
     paused = asyncio.create_task(post_change(cluster, 0, "paused", "north-a"))
@@ -55,24 +62,22 @@
 
 
 class TestPausedProcess:
-    async def test_change_checked_before_the_pause_does_not_overwrite(
-        self, cluster: Cluster
-    ) -> None:
-        """Guards against a process that wakes and builds on a timeline that is out of date."""
+    async def test_change_validated_before_the_pause_is_rejected(self, cluster: Cluster) -> None:
+        """Guards against a resumed process that writes a change validated on a stale timeline."""
         paused, other = await race_with_paused_process(cluster, "GET", "north-a")
         assert other == {"generation": 2}
         assert paused["error"] == "conflict"
         assert "generation 2 (change other)" in paused["detail"]
 
-    async def test_independent_change_follows_after_the_pause(self, cluster: Cluster) -> None:
-        """Guards against a change that is lost, or takes the generation of another one."""
+    async def test_independent_change_is_accepted_after_the_pause(self, cluster: Cluster) -> None:
+        """Guards against a change that is lost or overwrites the generation of another change."""
         paused, other = await race_with_paused_process(cluster, "GET", "north-b")
         assert (paused, other) == ({"generation": 3}, {"generation": 2})
         await cluster.wait_for_generation(3)
 
-    async def test_write_before_the_pause_counts_once(self, cluster: Cluster) -> None:
-        """Guards against a repeated write of a change that was accepted before the pause."""
+    async def test_write_before_the_pause_is_accepted_once(self, cluster: Cluster) -> None:
+        """Guards against writing a change again that was accepted before the pause."""
         paused, other = await race_with_paused_process(cluster, "PUT", "north-b")
         assert (paused, other) == ({"generation": 2}, {"generation": 3})
-        answer = await cluster.get(f"{cluster.vms[1].admin_url}/v1/changes")
-        assert [change["change_id"] for change in answer["changes"]][1:] == ["paused", "other"]
+        response = await cluster.get(f"{cluster.vms[1].admin_url}/v1/changes")
+        assert [change["change_id"] for change in response["changes"]][1:] == ["paused", "other"]
--- a/tests/admin/test_snapshots.py
+++ b/tests/admin/test_snapshots.py
@@ -1,4 +1,4 @@
-"""Snapshots of the timeline in the store."""
+"""Tests of timeline snapshots in the store."""
 
 from __future__ import annotations
 
@@ -28,13 +28,13 @@
 
     from briarfork.admin.changes import ChangeManager
 
-CHANGES = 8
-INTERVAL = 5
+CHANGE_COUNT = 8
+SNAPSHOT_INTERVAL = 5
 
 
 @pytest_asyncio.fixture
 async def harness(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[AdminHarness]:
-    monkeypatch.setattr("briarfork.admin.snapshots.SNAPSHOT_INTERVAL", INTERVAL)
+    monkeypatch.setattr("briarfork.admin.snapshots.SNAPSHOT_INTERVAL", SNAPSHOT_INTERVAL)
     async with AdminHarness(store_s=5.0) as running:
         yield running
 
@@ -42,7 +42,7 @@
 async def accept_old_changes(
     harness: AdminHarness, monkeypatch: pytest.MonkeyPatch, count: int
 ) -> ChangeManager:
-    """Accepts changes two retention periods ago."""
+    """Accepts changes with a clock set back by two retention periods."""
     now = time.time()
     monkeypatch.setattr("briarfork.admin.changes.time.time", lambda: now - 2 * RETENTION_S)
     manager = await harness.start()
@@ -50,12 +50,12 @@
         edits = edit_site("north-a", drain=number % 2 == 0)
         await submit(manager, f"change-{number}", edits, based_on=number - 1)
     monkeypatch.undo()
-    monkeypatch.setattr("briarfork.admin.snapshots.SNAPSHOT_INTERVAL", INTERVAL)
+    monkeypatch.setattr("briarfork.admin.snapshots.SNAPSHOT_INTERVAL", SNAPSHOT_INTERVAL)
     return manager
 
 
 async def write_snapshot(harness: AdminHarness, manager: ChangeManager) -> None:
-    """Lets the desk write its snapshot after one more change."""
+    """Accepts one more change and waits until the snapshot writer has written a snapshot."""
     writer = asyncio.create_task(manager.snapshot_writer.run())
     generation = (await manager.read_timeline()).generation
     edits = edit_site("north-b", drain=True)
@@ -67,54 +67,57 @@
 
 
 class TestSnapshot:
-    async def test_start_reads_the_snapshot_and_what_follows(
+    async def test_startup_reads_snapshot_and_later_changes(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against a start that reads the changes of months."""
+        """Guards against reading the whole history at startup."""
         manager = await accept_old_changes(harness, monkeypatch, PAGE_SIZE * 2)
         await write_snapshot(harness, manager)
         expected = await manager.read_timeline()
         harness.state.calls.clear()
-        started = await harness.open_manager().read_timeline()
+        restored = await harness.open_manager().read_timeline()
         assert harness.state.calls["GET range"] == 1
-        assert started.generation == expected.generation == PAGE_SIZE * 2 + 1
-        assert started.last_hash == expected.last_hash
-        assert started.find_documents(time.time()) == expected.find_documents(time.time())
+        assert restored.generation == expected.generation == PAGE_SIZE * 2 + 1
+        assert restored.last_hash == expected.last_hash
+        assert restored.find_documents(time.time()) == expected.find_documents(time.time())
 
-    @pytest.mark.parametrize("fault", ["altered", "missing"])
-    async def test_broken_part_is_noticed_and_the_changes_are_read(
-        self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch, fault: str
+    @pytest.mark.parametrize("damage", ["altered", "missing"])
+    async def test_damaged_part_falls_back_to_changes(
+        self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch, damage: str
     ) -> None:
-        """Guards against a start from a snapshot that lost a part or was altered."""
+        """Guards against restoring a snapshot that is altered or incomplete."""
         monkeypatch.setattr(snapshot_module, "MAX_PART_CHARACTERS", 1000)
-        manager = await accept_old_changes(harness, monkeypatch, CHANGES)
+        manager = await accept_old_changes(harness, monkeypatch, CHANGE_COUNT)
         monkeypatch.setattr(snapshot_module, "MAX_PART_CHARACTERS", 1000)
         await write_snapshot(harness, manager)
-        part = build_part_key(CHANGES, 1)
-        if fault == "altered":
+        part = build_part_key(CHANGE_COUNT, 1)
+        if damage == "altered":
             harness.state.items[part].value = harness.state.items[part].value.replace("1", "2", 1)
         else:
             del harness.state.items[part]
-        started = await harness.open_manager().read_timeline()
-        assert started.generation == CHANGES + 1
+        restored = await harness.open_manager().read_timeline()
+        assert restored.generation == CHANGE_COUNT + 1
         assert Event.SNAPSHOT_FAILED in harness.events.recorded
 
-    async def test_snapshot_of_another_history_is_refused(
+    async def test_snapshot_of_another_history_is_rejected(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against a store in which snapshot and changes were restored from two states."""
-        manager = await accept_old_changes(harness, monkeypatch, CHANGES)
+        """Guards against a store whose snapshot and changes come from different backups."""
+        manager = await accept_old_changes(harness, monkeypatch, CHANGE_COUNT)
         await write_snapshot(harness, manager)
         entry = harness.state.items["changes/0000000008"]
         entry.value = entry.value.replace('"reason":"test"', '"reason":"other"')
         with pytest.raises(BriarforkError, match="contradicts"):
             await harness.open_manager().read_timeline()
 
-    async def test_writer_that_died_leaves_nothing_that_is_read(
+    async def test_incomplete_snapshot_is_not_read(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against a start from half a snapshot; the next writer completes it."""
-        manager = await accept_old_changes(harness, monkeypatch, CHANGES)
+        """Guards against restoring a snapshot whose writer crashed before the manifest was written.
+
+        The next writer completes the snapshot.
+        """
+        manager = await accept_old_changes(harness, monkeypatch, CHANGE_COUNT)
         snapshot = (await manager.read_timeline()).snapshot
         store = SnapshotStore(Store(harness.settings, harness.session))
         assert await store.write(snapshot)
@@ -126,7 +129,7 @@
     async def test_old_snapshots_are_deleted(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against snapshots that fill the store over the months."""
+        """Guards against snapshots that accumulate in the store."""
         manager = await accept_old_changes(harness, monkeypatch, 3)
         first = (await manager.read_timeline()).snapshot
         store = SnapshotStore(Store(harness.settings, harness.session))
@@ -137,30 +140,30 @@
         assert parts == [build_part_key(4, 0), build_part_key(5, 0)]
 
 
-class TestFoldedHistory:
-    async def test_audit_trail_goes_back_to_the_first_change(
+class TestCompactedHistory:
+    async def test_audit_trail_contains_compacted_changes(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against an audit trail that ends where memory was folded."""
-        manager = await accept_old_changes(harness, monkeypatch, CHANGES)
-        assert (await manager.read_timeline()).snapshot.generation == CHANGES
+        """Guards against an audit trail without the changes that are compacted in memory."""
+        manager = await accept_old_changes(harness, monkeypatch, CHANGE_COUNT)
+        assert (await manager.read_timeline()).snapshot.generation == CHANGE_COUNT
         changes = await manager.list_changes(0, 100)
-        assert [change.generation for change in changes] == list(range(1, CHANGES + 1))
+        assert [change.generation for change in changes] == list(range(1, CHANGE_COUNT + 1))
 
-    async def test_pages_go_on_after_a_missing_entry(
+    async def test_pagination_continues_after_a_missing_entry(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against an audit that lists entries twice after one that is missing."""
+        """Guards against repeated entries in the audit trail after a missing one."""
         manager = await accept_old_changes(harness, monkeypatch, PAGE_SIZE + 5)
         del harness.state.items["changes/0000000002"]
         generations = [change.generation for change in await manager.list_changes(0, 1000)]
         assert generations == [1, *range(3, PAGE_SIZE + 6)]
 
-    async def test_time_before_the_snapshot_is_refused(
+    async def test_time_before_the_snapshot_is_rejected(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against documents of the past that were worked out from a folded history."""
-        manager = await accept_old_changes(harness, monkeypatch, CHANGES)
+        """Guards against past documents computed from a compacted history."""
+        manager = await accept_old_changes(harness, monkeypatch, CHANGE_COUNT)
         timeline = await manager.read_timeline()
         with pytest.raises(BriarforkError, match="folded") as caught:
             timeline.find_documents(time.time() - 3 * RETENTION_S)
@@ -169,8 +172,11 @@
     async def test_change_based_on_an_old_generation_conflicts_by_document(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against a draft, approved days later, that overwrites or is refused in vain."""
-        manager = await accept_old_changes(harness, monkeypatch, CHANGES)
+        """Guards against late approvals that overwrite edits or fail without a conflict.
+
+        A draft may be approved days after its base generation was compacted.
+        """
+        manager = await accept_old_changes(harness, monkeypatch, CHANGE_COUNT)
         await submit(manager, "independent", edit_site("south-a", drain=True), based_on=1)
         with pytest.raises(BriarforkError, match="generation 8 edited"):
             await submit(manager, "clashing", edit_site("north-a", drain=True), based_on=1)
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -1,4 +1,4 @@
-"""Changes through every fault of the store."""
+"""Tests of submissions while the store is unavailable, slow, rolled back or loses responses."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import OutcomeUnknown
 from briarfork.timeline import WITHDRAWAL_MARGIN_S
-from tests.admin.harness import STORE_S
+from tests.admin.harness import STORE_TIMEOUT_S
 from tests.admin.harness import AdminHarness
 from tests.admin.harness import approve
 from tests.admin.harness import edit_site
@@ -37,11 +37,11 @@
         yield running
 
 
-class TestStoreDown:
-    async def test_submitter_is_told_in_time_and_nothing_is_accepted(
+class TestUnavailableStore:
+    async def test_submission_fails_in_time_and_accepts_nothing(
         self, harness: AdminHarness
     ) -> None:
-        """Guards against a submission that hangs or is accepted from memory during an outage."""
+        """Guards against submissions that hang, or that are accepted during an outage."""
         manager = await harness.start()
         harness.state.mode = "down"
         async with asyncio.timeout(10):
@@ -51,36 +51,34 @@
         harness.assert_generations(1)
         assert (await submit(manager, "during", edit_site("north-a", drain=True))).generation == 2
 
-    async def test_write_during_an_outage_counts_once_after_it(self, harness: AdminHarness) -> None:
-        """Guards against a duplicate when the submitter repeats a change of unknown outcome."""
+    async def test_write_during_outage_is_accepted_once(self, harness: AdminHarness) -> None:
+        """Guards against a duplicate when the client retries a change with an unknown outcome."""
         manager = await harness.start()
         harness.state.lose = 100
         with pytest.raises(StoreUnavailable):
             await submit(manager, "unknown", edit_site("north-a", drain=True))
         harness.assert_generations(2)
         harness.state.lose = 0
-        repeated = await submit(harness.open_manager(), "unknown", edit_site("north-a", drain=True))
-        assert repeated.generation == 2
+        retried = await submit(harness.open_manager(), "unknown", edit_site("north-a", drain=True))
+        assert retried.generation == 2
         harness.assert_generations(2)
 
 
-class TestStoreSlow:
-    async def test_change_is_accepted_once_although_every_call_is_slow(
+class TestSlowStore:
+    async def test_change_is_accepted_once_if_every_call_is_slow(
         self, harness: AdminHarness
     ) -> None:
-        """Guards against a second write while the first is on its way."""
+        """Guards against a second change while the first write is still in flight."""
         manager = await harness.start()
         harness.state.mode, harness.state.delay_s = "slow", 0.2
         assert (await submit(manager, "slow", edit_site("north-a", drain=True))).generation == 2
         harness.assert_generations(2)
 
     @pytest.mark.parametrize("late", [1, 5])
-    async def test_write_that_takes_effect_late_counts_once(
-        self, harness: AdminHarness, late: int
-    ) -> None:
-        """Guards against a duplicate of a write that was given up and takes effect later."""
+    async def test_delayed_write_is_accepted_once(self, harness: AdminHarness, late: int) -> None:
+        """Guards against a duplicate if a write takes effect after its timeout."""
         manager = await harness.start()
-        harness.state.late, harness.state.delay_s = late, STORE_S * 2
+        harness.state.late, harness.state.delay_s = late, STORE_TIMEOUT_S * 2
         try:
             await submit(manager, "late", edit_site("north-a", drain=True))
         except StoreUnavailable:
@@ -88,14 +86,16 @@
         async with asyncio.timeout(5):
             while harness.state.late_handled < late:
                 await asyncio.sleep(0.01)
-        repeated = await submit(harness.open_manager(), "late", edit_site("north-a", drain=True))
-        assert repeated.generation == 2
+        retried = await submit(harness.open_manager(), "late", edit_site("north-a", drain=True))
+        assert retried.generation == 2
         harness.assert_generations(2)
 
-    async def test_late_write_does_not_replace_another_change(self, harness: AdminHarness) -> None:
-        """Guards against a write that was given up and overwrites what came after it."""
+    async def test_delayed_write_does_not_replace_another_change(
+        self, harness: AdminHarness
+    ) -> None:
+        """Guards against a timed-out write that overwrites a change accepted after it."""
         manager = await harness.start()
-        harness.state.late, harness.state.delay_s = 5, STORE_S * 2
+        harness.state.late, harness.state.delay_s = 5, STORE_TIMEOUT_S * 2
         task = asyncio.create_task(submit(manager, "late", edit_site("north-a", drain=True)))
         async with asyncio.timeout(5):
             while harness.state.late == 5:
@@ -111,24 +111,24 @@
 
 class TestLostResponse:
     @pytest.mark.parametrize("lost", [1, 2, 4])
-    async def test_submitter_learns_that_the_change_was_accepted(
-        self, harness: AdminHarness, lost: int
-    ) -> None:
-        """Guards against an error for a change that took effect, and against a duplicate."""
+    async def test_change_is_reported_as_accepted(self, harness: AdminHarness, lost: int) -> None:
+        """Guards against an error or a duplicate for a change that took effect."""
         manager = await harness.start()
         harness.state.lose = lost
         assert (await submit(manager, "lost", edit_site("north-a", drain=True))).generation == 2
         harness.assert_generations(2)
 
-    async def test_repeat_with_other_content_is_refused(self, harness: AdminHarness) -> None:
-        """Guards against a generation reported for content that it does not have."""
+    async def test_reused_change_id_with_other_content_is_rejected(
+        self, harness: AdminHarness
+    ) -> None:
+        """Guards against returning the generation of a change with different content."""
         manager = await harness.start()
         await submit(manager, "again", edit_site("north-a", drain=True))
         with pytest.raises(BriarforkError, match="other content") as caught:
             await submit(manager, "again", edit_site("north-b", drain=True))
         assert caught.value.kind is ErrorKind.CONFLICT
 
-    async def test_repeated_withdrawal_returns_its_generation(self, harness: AdminHarness) -> None:
+    async def test_retried_withdrawal_returns_its_generation(self, harness: AdminHarness) -> None:
         """Guards against an error for a withdrawal that took effect."""
         manager = await harness.start()
         start_at = time.time() + HOUR_S
@@ -138,13 +138,13 @@
         harness.assert_generations(3)
 
 
-class TestRaces:
+class TestConcurrentChanges:
     @pytest.mark.parametrize("operators", [2, 5])
     @pytest.mark.parametrize("same_process", [True, False])
     async def test_independent_changes_are_all_accepted(
         self, harness: AdminHarness, operators: int, same_process: bool
     ) -> None:
-        """Guards against changes that are lost or refused only because others came first."""
+        """Guards against changes lost or rejected because of unrelated concurrent changes."""
         first = await harness.start()
         managers = [first if same_process else harness.open_manager() for _ in range(operators)]
         results = await asyncio.gather(
@@ -159,10 +159,10 @@
 
     @pytest.mark.parametrize("operators", [2, 5])
     @pytest.mark.parametrize("same_process", [True, False])
-    async def test_one_of_conflicting_changes_is_accepted(
+    async def test_one_of_several_conflicting_changes_is_accepted(
         self, harness: AdminHarness, operators: int, same_process: bool
     ) -> None:
-        """Guards against a change that silently overwrites one its author has not seen."""
+        """Guards against silently overwriting a change that the author has not seen."""
         first = await harness.start()
         managers = [first if same_process else harness.open_manager() for _ in range(operators)]
         results = await asyncio.gather(
@@ -177,10 +177,10 @@
         assert all("expected the configuration of generation 1" in e.detail for e in errors)
         harness.assert_generations(2)
 
-    async def test_same_change_through_two_processes_exists_once(
+    async def test_same_change_through_two_processes_is_accepted_once(
         self, harness: AdminHarness
     ) -> None:
-        """Guards against a duplicate when a submitter repeats its change elsewhere."""
+        """Guards against a duplicate when a client sends its change to two admin processes."""
         managers = [await harness.start(), harness.open_manager()]
         edits = edit_site("north-a", drain=True)
         results = await asyncio.gather(*(submit(manager, "same", edits) for manager in managers))
@@ -188,8 +188,8 @@
         harness.assert_generations(2)
 
 
-class TestPause:
-    async def test_change_checked_too_long_ago_is_checked_again(
+class TestPausedProcess:
+    async def test_stale_validation_is_repeated(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against a paused process that writes a start time far in the past."""
@@ -199,14 +199,14 @@
         monkeypatch.setattr("briarfork.border.changelog.time", clock)
         reads = harness.state.calls["GET range"]
         await submit(manager, "paused", edit_site("north-a", drain=True))
-        # One read for the submission, one for each of two checks, one after the write.
+        # One read for the submission, one for each of two validations, one after the write.
         assert harness.state.calls["GET range"] == reads + 4
         harness.assert_generations(2)
 
-    async def test_late_withdrawal_is_not_written(
+    async def test_withdrawal_after_the_start_is_not_written(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
     ) -> None:
-        """Guards against a withdrawal, delayed by a pause, of a change that has started."""
+        """Guards against withdrawing a change that started while the process was paused."""
         manager = await harness.start()
         start_at = time.time() + WITHDRAWAL_MARGIN_S + 1
         await submit(manager, "soon", edit_site("north-a", drain=True), start_at=start_at)
@@ -220,8 +220,8 @@
 
 
 class TestRestoredStore:
-    async def test_older_state_is_refused_and_reported(self, harness: AdminHarness) -> None:
-        """Guards against a gap: a change accepted on top of a history that has lost some."""
+    async def test_older_state_is_rejected_and_reported(self, harness: AdminHarness) -> None:
+        """Guards against a gap in the timeline if the store has lost recent changes."""
         manager = await harness.start()
         await submit(manager, "lost", edit_site("north-a", drain=True))
         del harness.state.items["changes/0000000002"]
@@ -231,8 +231,10 @@
         assert Event.STORE_BEHIND in harness.events.recorded
         harness.assert_generations(1)
 
-    async def test_other_history_of_the_same_length_is_refused(self, harness: AdminHarness) -> None:
-        """Guards against a change that continues a history which this process has not read."""
+    async def test_different_history_of_the_same_length_is_rejected(
+        self, harness: AdminHarness
+    ) -> None:
+        """Guards against appending to a history that this process has not read."""
         manager = await harness.start()
         other = harness.open_manager()
         await other.read_timeline()
@@ -244,16 +246,16 @@
         assert Event.STORE_BEHIND in harness.events.recorded
         harness.assert_generations(2)
 
-    async def test_older_state_between_check_and_write_is_reported(
+    async def test_rollback_between_validation_and_write_is_reported(
         self, harness: AdminHarness
     ) -> None:
-        """Guards against a gap in the store that no later read begins early enough to see."""
+        """Guards against a gap in the store before the first change that later reads return."""
         manager = await harness.start()
         await submit(manager, "lost", edit_site("north-a", drain=True))
         await manager.read_timeline()
         harness.state.hold, harness.state.hold_method = 2, "GET"
         task = asyncio.create_task(submit(manager, "next", edit_site("north-b", drain=True)))
-        for _ in range(2):  # the read of the submission, then the one of its check
+        for _ in range(2):  # the read of the submission, then that of its validation
             await harness.state.held.wait()
             if harness.state.hold == 0:
                 del harness.state.items["changes/0000000002"]
@@ -266,10 +268,8 @@
         with pytest.raises(BriarforkError, match="contradicts"):
             await submit(manager, "after", edit_site("south-a", drain=True))
 
-    async def test_store_that_has_its_history_again_is_used_again(
-        self, harness: AdminHarness
-    ) -> None:
-        """Guards against an admin process that has to be restarted after a repair."""
+    async def test_repaired_store_is_used_again(self, harness: AdminHarness) -> None:
+        """Guards against an admin process that must be restarted after the store is repaired."""
         manager = await harness.start()
         await submit(manager, "kept", edit_site("north-a", drain=True))
         item: Item = harness.state.items.pop("changes/0000000002")
@@ -281,14 +281,14 @@
 
 class TestDrafts:
     @pytest.mark.parametrize("lost", [1, 2])
-    async def test_lost_response_to_the_creation(self, harness: AdminHarness, lost: int) -> None:
-        """Guards against an error for a draft that was created, and against a second one."""
+    async def test_lost_response_to_draft_creation(self, harness: AdminHarness, lost: int) -> None:
+        """Guards against an error or a duplicate for a draft that was created."""
         manager = await harness.start(approval="required")
         harness.state.lose = lost
         await submit(manager, "draft", edit_site("north-a", drain=True))
         assert [draft.change_id for draft in await manager.list_drafts()] == ["draft"]
 
-    async def test_lost_response_to_the_deletion(self, harness: AdminHarness) -> None:
+    async def test_lost_response_to_draft_deletion(self, harness: AdminHarness) -> None:
         """Guards against an approval that is reported as failed or accepted twice."""
         manager = await harness.start(approval="required")
         await submit(manager, "draft", edit_site("north-a", drain=True))
@@ -298,31 +298,29 @@
         assert await manager.list_drafts() == []
         harness.assert_generations(2)
 
-    async def test_draft_that_outlived_its_acceptance_is_not_accepted_again(
-        self, harness: AdminHarness
-    ) -> None:
-        """Guards against a duplicate when the store failed between acceptance and deletion."""
+    async def test_undeleted_draft_is_not_accepted_again(self, harness: AdminHarness) -> None:
+        """Guards against a duplicate if the draft of an accepted change was not deleted."""
         manager = await harness.start(approval="required")
         await submit(manager, "draft", edit_site("north-a", drain=True))
-        left = harness.state.items["drafts/draft"]
+        leftover = harness.state.items["drafts/draft"]
         assert await approve(manager, "draft") == 2
-        harness.state.items["drafts/draft"] = left
+        harness.state.items["drafts/draft"] = leftover
         assert await approve(harness.open_manager(), "draft") == 2
-        harness.state.items["drafts/draft"] = left
+        harness.state.items["drafts/draft"] = leftover
         assert await manager.list_drafts() == []
         assert "drafts/draft" not in harness.state.items
         harness.assert_generations(2)
 
-    async def test_another_draft_of_the_same_name_is_refused(self, harness: AdminHarness) -> None:
-        """Guards against a draft that replaces one that somebody has reviewed."""
+    async def test_draft_with_reused_change_id_is_rejected(self, harness: AdminHarness) -> None:
+        """Guards against replacing a draft that is already under review."""
         manager = await harness.start(approval="required")
         await submit(manager, "draft", edit_site("north-a", drain=True))
         with pytest.raises(BriarforkError) as caught:
             await submit(manager, "draft", edit_site("north-b", drain=True))
         assert caught.value.kind is ErrorKind.CONFLICT
 
-    async def test_every_draft_is_listed(self, harness: AdminHarness) -> None:
-        """Guards against drafts beyond the first page of the store that nobody can approve."""
+    async def test_drafts_on_all_pages_are_listed(self, harness: AdminHarness) -> None:
+        """Guards against drafts that cannot be approved because they are on a later page."""
         manager = await harness.start(approval="required")
         await submit(manager, "draft", edit_site("north-a", drain=True))
         value = harness.state.items["drafts/draft"].value
--- a/tests/border/test_catalogues.py
+++ b/tests/border/test_catalogues.py
@@ -1,4 +1,4 @@
-"""The catalogues in docs/ match the lists in the code."""
+"""Tests that the event, error and metric tables in docs/ match the code."""
 
 from __future__ import annotations
 
@@ -12,29 +12,29 @@
 DOCS = Path(__file__).parent.parent.parent / "docs"
 
 
-def read_rows(name: str) -> list[list[str]]:
+def read_table(name: str) -> list[list[str]]:
     lines = (DOCS / name).read_text().splitlines()
     rows = [line for line in lines if line.startswith("| ")][2:]
     return [[cell.strip() for cell in row.strip("|").split("|")] for row in rows]
 
 
 class TestEventCatalogue:
-    def test_lists_every_event_as_the_code_has_it(self) -> None:
-        """Guards against an event that operators cannot look up."""
+    def test_documents_every_event(self) -> None:
+        """Guards against undocumented events and outdated levels or meanings."""
         expected = [
             [str(event.value.number), event.name.lower(), event.value.level, event.value.meaning]
             for event in Event
         ]
-        assert read_rows("events.md") == expected
+        assert read_table("events.md") == expected
 
-    def test_numbers_are_unique(self) -> None:
-        """Guards against two meanings of one number."""
+    def test_event_numbers_are_unique(self) -> None:
+        """Guards against two events with the same number."""
         assert len({event.value.number for event in Event}) == len(Event)
 
 
 class TestErrorCatalogue:
-    def test_lists_every_kind_as_the_table_has_it(self) -> None:
-        """Guards against an answer that differs from its documentation."""
+    def test_documents_every_error_kind(self) -> None:
+        """Guards against error responses that differ from their documentation."""
         expected = [
             [
                 kind.value,
@@ -45,14 +45,14 @@
             ]
             for kind, answer in ANSWERS.items()
         ]
-        assert read_rows("errors.md") == expected
+        assert read_table("errors.md") == expected
 
-    def test_every_kind_has_an_answer(self) -> None:
-        """Guards against an error that would end as an internal fault."""
+    def test_every_error_kind_has_a_response(self) -> None:
+        """Guards against an error kind without a response, which fails as an internal error."""
         assert set(ANSWERS) == set(ErrorKind)
 
 
 class TestMetricCatalogue:
-    def test_lists_every_metric(self) -> None:
-        """Guards against a metric that operators cannot look up."""
-        assert [row[0] for row in read_rows("metrics.md")] == [metric.value for metric in Metric]
+    def test_documents_every_metric(self) -> None:
+        """Guards against undocumented metrics."""
+        assert [row[0] for row in read_table("metrics.md")] == [metric.value for metric in Metric]
--- a/tests/border/test_process.py
+++ b/tests/border/test_process.py
@@ -1,4 +1,4 @@
-"""What the platform forbids to a process: io_uring, child processes."""
+"""Tests of the platform's restrictions on processes: no io_uring, no child processes."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 
 
 class TestPlatformRules:
-    async def test_no_program_uses_io_uring_or_starts_a_process(self, tmp_path: Path) -> None:
-        """Guards against an event loop that uses io_uring, and against helper processes."""
+    async def test_no_io_uring_and_no_child_processes(self, tmp_path: Path) -> None:
+        """Guards against io_uring in the event loop and against child processes."""
         zones = ["north-a", "south-a"]
         folder = restrict_example("estonia", zones, tmp_path / "configuration")
         pools = [Pool("results", zone, 1) for zone in zones]
--- a/tests/border/test_streams.py
+++ b/tests/border/test_streams.py
@@ -1,4 +1,4 @@
-"""Streams of messages, fed with bytes of a peer that may send anything."""
+"""Tests of message streams and decoding with untrusted input."""
 
 from __future__ import annotations
 
@@ -34,16 +34,16 @@
 
 HEARTBEAT = Heartbeat(3, [build_member("vm-1")], digests=(1, 2**64 - 1))
 HELLO = Hello("vm-1", "north-a", 5)
-MEMORY_BYTES = 2 * 1024 * 1024
-VALUES = st.recursive(
+MAX_ALLOCATED_BYTES = 2 * 1024 * 1024
+MSGPACK_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | st.text(),
     lambda values: st.lists(values) | st.dictionaries(st.text(), values),
     max_leaves=10,
 )
 
 
-class Writer:
-    """Takes the place of the sending side."""
+class FakeWriter:
+    """Fake of `asyncio.StreamWriter` for streams that only receive."""
 
     def get_extra_info(self, _: str) -> str:
         return "peer"
@@ -54,7 +54,7 @@
     for part in parts:
         reader.feed_data(part)
     reader.feed_eof()
-    stream = MessageStream(reader, Writer())  # type: ignore[arg-type]
+    stream = MessageStream(reader, FakeWriter())  # type: ignore[arg-type]
     messages = []
     while True:
         try:
@@ -63,8 +63,8 @@
             return messages
 
 
-def check_refused(data: bytes) -> None:
-    """Reads bytes, which end the stream or are a protocol error, and nothing else."""
+def assert_rejected(data: bytes) -> None:
+    """Asserts that reading the data ends the stream or raises a protocol error."""
     kind = ErrorKind.PEER_PROTOCOL
     try:
         asyncio.run(read_all([data]))
@@ -75,68 +75,68 @@
 
 class TestFraming:
     @given(st.lists(st.integers(1, 40), max_size=20))
-    async def test_does_not_depend_on_how_bytes_arrive(self, cuts: list[int]) -> None:
-        """Guards against a message that is lost where two reads meet."""
+    async def test_messages_split_at_any_byte(self, sizes: list[int]) -> None:
+        """Guards against messages lost at the boundary between two reads."""
         data = encode(HEARTBEAT) + encode(HELLO)
         parts = []
-        for cut in cuts:
-            parts.append(data[:cut])
-            data = data[cut:]
+        for size in sizes:
+            parts.append(data[:size])
+            data = data[size:]
         assert await read_all([*parts, data]) == [HEARTBEAT, HELLO]
 
-    async def test_half_a_message_counts_as_silence(self) -> None:
-        """Guards against a peer that keeps a stream open with bytes that never make a message."""
+    async def test_partial_message_times_out(self) -> None:
+        """Guards against a peer that keeps a stream open without ever completing a message."""
         reader = asyncio.StreamReader()
-        stream = MessageStream(reader, Writer())  # type: ignore[arg-type]
+        stream = MessageStream(reader, FakeWriter())  # type: ignore[arg-type]
 
-        async def drip() -> None:
+        async def feed_slowly() -> None:
             while True:
                 reader.feed_data(b"\x91")
                 await asyncio.sleep(0.01)
 
         async with asyncio.TaskGroup() as group:
-            dripping = group.create_task(drip())
+            feeder = group.create_task(feed_slowly())
             with pytest.raises(StreamClosed, match="no message within"):
                 await stream.receive(0.1)
-            dripping.cancel()
+            feeder.cancel()
 
 
 class TestDecoder:
     @given(st.binary(max_size=200))
-    def test_refuses_arbitrary_bytes(self, data: bytes) -> None:
-        """Guards against bytes of a foreign program that end the process."""
-        check_refused(data)
+    def test_rejects_arbitrary_bytes(self, data: bytes) -> None:
+        """Guards against invalid input that crashes the process."""
+        assert_rejected(data)
 
-    @given(st.sampled_from(MESSAGES.names()), st.dictionaries(st.text(max_size=9), VALUES))
-    def test_refuses_arbitrary_fields(self, name: str, fields: dict[str, Any]) -> None:
-        """Guards against a message of a known type with other fields."""
-        check_refused(msgpack.packb({**fields, "type": name}))
+    @given(st.sampled_from(MESSAGES.names()), st.dictionaries(st.text(max_size=9), MSGPACK_VALUES))
+    def test_rejects_arbitrary_fields(self, name: str, fields: dict[str, Any]) -> None:
+        """Guards against accepting a known message type with unexpected fields."""
+        assert_rejected(msgpack.packb({**fields, "type": name}))
 
     @given(st.integers(0, 200), st.integers(0, 255))
-    def test_refuses_a_damaged_message(self, place: int, value: int) -> None:
-        """Guards against a single wrong byte that gets into the roster as another type."""
+    def test_rejects_corrupted_message(self, offset: int, value: int) -> None:
+        """Guards against a corrupted byte that puts a value of the wrong type into the roster."""
         data = bytearray(encode(HEARTBEAT))
-        data[place % len(data)] = value
-        check_refused(bytes(data))
+        data[offset % len(data)] = value
+        assert_rejected(bytes(data))
 
     @pytest.mark.parametrize("header", [b"\xdd\x00\x01\x86\xa0", b"\xdf\x00\x01\x86\xa0\xa1a"])
-    def test_nested_lengths_take_no_memory(self, header: bytes) -> None:
-        """Guards against 5 KB of nested headers that take 67 MB, more than the budget."""
+    def test_nested_headers_allocate_no_memory(self, header: bytes) -> None:
+        """Guards against 5 KB of nested headers that allocate 67 MB, above the memory budget."""
         tracemalloc.start()
         try:
-            check_refused(header * 1000)
-            assert tracemalloc.get_traced_memory()[1] < MEMORY_BYTES
+            assert_rejected(header * 1000)
+            assert tracemalloc.get_traced_memory()[1] < MAX_ALLOCATED_BYTES
         finally:
             tracemalloc.stop()
 
-    def test_refuses_a_message_over_the_bound(self) -> None:
-        """Guards against a buffer that grows as long as a peer sends."""
+    def test_rejects_oversized_message(self) -> None:
+        """Guards against a receive buffer that grows without limit."""
         with pytest.raises(BriarforkError, match="exceeds"):
             asyncio.run(read_all([b"\xc6\x7f\xff\xff\xff" + bytes(MAX_MESSAGE_BYTES)]))
 
     @pytest.mark.parametrize("value", [b"bytes", msgpack.ExtType(5, b"x"), msgpack.Timestamp(1)])
-    def test_refuses_a_change_that_has_no_hash(self, value: object) -> None:
-        """Guards against a document that ends the task which computes its hash."""
+    def test_rejects_change_that_cannot_be_hashed(self, value: object) -> None:
+        """Guards against a document that crashes the task which computes its hash."""
         body = msgpack.unpackb(encode(Changes([build_change(build_timeline())])))
         body["changes"][0]["edits"] = {"base": {"key": value}}
         with pytest.raises(BriarforkError) as caught:
@@ -145,15 +145,15 @@
 
 
 class TestMessageTypes:
-    def test_name_on_the_stream_is_the_registered_one(self) -> None:
-        """Guards against a handler that is registered for a name that no message carries."""
+    def test_type_tag_matches_registered_name(self) -> None:
+        """Guards against handlers registered under a name that no message uses."""
         for name, message in MESSAGES:
             assert message.name == name == message.__struct_config__.tag
 
 
 class TestSplitChanges:
-    def test_batches_stay_under_the_bound(self) -> None:
-        """Guards against large changes that together exceed the largest message."""
+    def test_batches_stay_below_the_size_limit(self) -> None:
+        """Guards against batches of large changes that exceed the message size limit."""
         timeline = build_timeline()
         for _ in range(6):
             timeline.append(build_change(timeline, edits={"base": {"text": "x" * 400_000}}))
