Name the HTTP server module and the validation age

border/callers.py holds the base class of the HTTP server connections, which its name did not say; it is now http_server.py. MAX_VALIDATION_AGE_S and withdrawal_deadline name the limits between validating and writing a change. The test harness creates managers instead of opening them.

--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -37,7 +37,7 @@
 SUBMIT_ATTEMPTS = 20
 # Longest time between the validation of a change and its write. A process that was paused in
 # between validates the change again, so no ramp starts further in the past than this.
-MAX_CHECK_AGE_S = 5.0
+MAX_VALIDATION_AGE_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +64,7 @@
 
         Raises:
             StoreUnavailable: If the store does not respond.
-            BriarforkError: With kind `conflict` if the store contradicts what was read before.
+            BriarforkError: With kind `conflict` if the store contradicts earlier reads.
         """
         return await self._reader.read()
 
@@ -166,13 +166,13 @@
         """Returns the drafts pending approval and deletes the drafts of accepted changes."""
         drafts = await self._drafts.list_all()
         timeline = await self.read_timeline()
-        waiting = []
+        pending = []
         for draft in drafts:
             if timeline.find_change(draft.change_id) is None:
-                waiting.append(draft)
+                pending.append(draft)
             else:
                 await self._drafts.delete_accepted(draft.change_id)
-        return waiting
+        return pending
 
     async def withdraw(
         self, generation: int, request: WithdrawalModel, team: Team, dry_run: bool
@@ -211,8 +211,8 @@
             team.check_documents(target.edits)
             if dry_run:
                 return change.generation
-            latest = target.start_at - WITHDRAWAL_MARGIN_S
-            if await self._append(change, min(MAX_CHECK_AGE_S, latest - now)):
+            withdrawal_deadline = target.start_at - WITHDRAWAL_MARGIN_S
+            if await self._append(change, min(MAX_VALIDATION_AGE_S, withdrawal_deadline - now)):
                 return change.generation
         raise _build_contention_error()
 
@@ -223,7 +223,7 @@
             if existing is not None:
                 return existing
             change = self._check(timeline, draft, approver)
-            if await self._append(change, MAX_CHECK_AGE_S):
+            if await self._append(change, MAX_VALIDATION_AGE_S):
                 return change.generation
         raise _build_contention_error()
 
--- a/src/briarfork/admin/reader.py
+++ b/src/briarfork/admin/reader.py
@@ -45,7 +45,7 @@
 
         Raises:
             StoreUnavailable: If the store does not respond.
-            BriarforkError: With kind `conflict` if the store contradicts what was read before.
+            BriarforkError: With kind `conflict` if the store contradicts earlier reads.
         """
         if self._timeline.generation == 0:
             await self._read_snapshot()
@@ -82,7 +82,7 @@
 
         Raises:
             StoreUnavailable: If the store does not respond.
-            BriarforkError: With kind `conflict` if the store contradicts what was read before.
+            BriarforkError: With kind `conflict` if the store contradicts earlier reads.
         """
         async with self._read_lock:
             if time.monotonic() > self._last_read_at + MAX_CACHE_AGE_S:
@@ -103,6 +103,7 @@
                 raise self._report_divergence(self._timeline.generation, change.generation)
 
     def _report_divergence(self, known: int, found: int) -> BriarforkError:
+        """Logs that the store contradicts earlier reads; returns the error to raise."""
         self._events.record(Event.STORE_BEHIND, store=found, own=known)
         history = "another history" if found >= known else f"only {found} generations"
         return BriarforkError(
--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -7,8 +7,8 @@
 
 from aiohttp import web
 
-from briarfork.border.callers import HttpConnectionHandler
 from briarfork.border.events import Event
+from briarfork.border.http_server import HttpConnectionHandler
 from briarfork.border.metrics import Metric
 from briarfork.entry.proxy import Proxy
 from briarfork.errors import ANSWERS
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -11,8 +11,8 @@
 
 from aiohttp import web
 
-from briarfork.border.callers import HttpConnectionHandler
 from briarfork.border.events import Event
+from briarfork.border.http_server import HttpConnectionHandler
 from briarfork.entry.forward import HOP_HEADERS
 from briarfork.errors import ANSWERS
 from briarfork.errors import BriarforkError
--- a/tests/admin/harness.py
+++ b/tests/admin/harness.py
@@ -35,7 +35,7 @@
 UNRESTRICTED_TEAM = Team()
 
 
-class RecordedEvents(EventLog):
+class RecordingEventLog(EventLog):
     """Event log that collects the recorded events."""
 
     def __init__(self) -> None:
@@ -52,7 +52,7 @@
     def __init__(self, store_s: float = STORE_TIMEOUT_S) -> None:
         self._stack = AsyncExitStack()
         self._store_s = store_s
-        self.events = RecordedEvents()
+        self.events = RecordingEventLog()
         self.initial_base: dict[str, Any] = {}
         self.state: StoreState
         self.settings: Settings
@@ -73,7 +73,7 @@
         self.state.released.set()
         await self._stack.aclose()
 
-    def open_manager(self) -> ChangeManager:
+    def create_manager(self) -> ChangeManager:
         return ChangeManager(Store(self.settings, self.session), self.events)
 
     def list_change_keys(self) -> list[str]:
@@ -88,7 +88,7 @@
         Args:
             base: Keys to override in the base document.
         """
-        manager = self.open_manager()
+        manager = self.create_manager()
         edits = dict(load_documents(ESTONIA).by_name)
         edits["base"] = self.initial_base = {**edits["base"], **base}
         await submit(manager, "first", edits, based_on=0)
--- a/tests/admin/test_http.py
+++ b/tests/admin/test_http.py
@@ -264,7 +264,7 @@
             for path, methods in yaml.safe_load(OPENAPI.read_text())["paths"].items()
             for method in methods
         }
-        app = build_app(client.harness.open_manager(), client.harness.events)
+        app = build_app(client.harness.create_manager(), client.harness.events)
         served = {
             (route.method, route.resource.canonical)
             for route in app.router.routes()
--- a/tests/admin/test_snapshots.py
+++ b/tests/admin/test_snapshots.py
@@ -75,7 +75,7 @@
         await write_snapshot(harness, manager)
         expected = await manager.read_timeline()
         harness.state.calls.clear()
-        restored = await harness.open_manager().read_timeline()
+        restored = await harness.create_manager().read_timeline()
         assert harness.state.calls["GET range"] == 1
         assert restored.generation == expected.generation == PAGE_SIZE * 2 + 1
         assert restored.last_hash == expected.last_hash
@@ -95,7 +95,7 @@
             harness.state.items[part].value = harness.state.items[part].value.replace("1", "2", 1)
         else:
             del harness.state.items[part]
-        restored = await harness.open_manager().read_timeline()
+        restored = await harness.create_manager().read_timeline()
         assert restored.generation == CHANGE_COUNT + 1
         assert Event.SNAPSHOT_FAILED in harness.events.recorded
 
@@ -108,7 +108,7 @@
         entry = harness.state.items["changes/0000000008"]
         entry.value = entry.value.replace('"reason":"test"', '"reason":"other"')
         with pytest.raises(BriarforkError, match="contradicts"):
-            await harness.open_manager().read_timeline()
+            await harness.create_manager().read_timeline()
 
     async def test_incomplete_snapshot_is_not_read(
         self, harness: AdminHarness, monkeypatch: pytest.MonkeyPatch
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -59,7 +59,9 @@
             await submit(manager, "unknown", edit_site("north-a", drain=True))
         harness.assert_generations(2)
         harness.state.lose = 0
-        retried = await submit(harness.open_manager(), "unknown", edit_site("north-a", drain=True))
+        retried = await submit(
+            harness.create_manager(), "unknown", edit_site("north-a", drain=True)
+        )
         assert retried.generation == 2
         harness.assert_generations(2)
 
@@ -86,7 +88,7 @@
         async with asyncio.timeout(5):
             while harness.state.late_handled < late:
                 await asyncio.sleep(0.01)
-        retried = await submit(harness.open_manager(), "late", edit_site("north-a", drain=True))
+        retried = await submit(harness.create_manager(), "late", edit_site("north-a", drain=True))
         assert retried.generation == 2
         harness.assert_generations(2)
 
@@ -101,7 +103,7 @@
             while harness.state.late == 5:
                 await asyncio.sleep(0.01)
         harness.state.late = 0
-        other = await submit(harness.open_manager(), "other", edit_site("north-b", drain=True))
+        other = await submit(harness.create_manager(), "other", edit_site("north-b", drain=True))
         assert (other.generation, (await task).generation) == (2, 3)
         async with asyncio.timeout(5):
             while harness.state.late_handled < 1:
@@ -134,7 +136,7 @@
         start_at = time.time() + HOUR_S
         await submit(manager, "later", edit_site("north-a", drain=True), start_at=start_at)
         assert await withdraw(manager, 2, "withdrawal") == 3
-        assert await withdraw(harness.open_manager(), 2, "withdrawal") == 3
+        assert await withdraw(harness.create_manager(), 2, "withdrawal") == 3
         harness.assert_generations(3)
 
 
@@ -146,7 +148,7 @@
     ) -> None:
         """Guards against changes lost or rejected because of unrelated concurrent changes."""
         first = await harness.start()
-        managers = [first if same_process else harness.open_manager() for _ in range(operators)]
+        managers = [first if same_process else harness.create_manager() for _ in range(operators)]
         results = await asyncio.gather(
             *(
                 submit(manager, f"by-{site}", edit_site(site, drain=True))
@@ -164,7 +166,7 @@
     ) -> None:
         """Guards against silently overwriting a change that the author has not seen."""
         first = await harness.start()
-        managers = [first if same_process else harness.open_manager() for _ in range(operators)]
+        managers = [first if same_process else harness.create_manager() for _ in range(operators)]
         results = await asyncio.gather(
             *(
                 submit(manager, f"number-{index}", edit_site("north-a", drain=True))
@@ -181,7 +183,7 @@
         self, harness: AdminHarness
     ) -> None:
         """Guards against a duplicate when a client sends its change to two admin processes."""
-        managers = [await harness.start(), harness.open_manager()]
+        managers = [await harness.start(), harness.create_manager()]
         edits = edit_site("north-a", drain=True)
         results = await asyncio.gather(*(submit(manager, "same", edits) for manager in managers))
         assert [result.generation for result in results] == [2, 2]
@@ -236,7 +238,7 @@
     ) -> None:
         """Guards against appending to a history that this process has not read."""
         manager = await harness.start()
-        other = harness.open_manager()
+        other = harness.create_manager()
         await other.read_timeline()
         await submit(manager, "mine", edit_site("north-a", drain=True))
         del harness.state.items["changes/0000000002"]
@@ -305,7 +307,7 @@
         leftover = harness.state.items["drafts/draft"]
         assert await approve(manager, "draft") == 2
         harness.state.items["drafts/draft"] = leftover
-        assert await approve(harness.open_manager(), "draft") == 2
+        assert await approve(harness.create_manager(), "draft") == 2
         harness.state.items["drafts/draft"] = leftover
         assert await manager.list_drafts() == []
         assert "drafts/draft" not in harness.state.items
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -150,7 +150,7 @@
 class TestHistory:
     async def test_filters(self, terminal: Terminal) -> None:
         """Guards against an audit that shows other changes than those asked for."""
-        desk = terminal.bench.open_manager()
+        desk = terminal.bench.create_manager()
         await submit(desk, "one", edit_site("north-a", drain=True), author="jaan")
         await submit(desk, "two", edit_site("south-a", drain=True))
         for arguments, expected in (
@@ -175,7 +175,7 @@
     @pytest.mark.parametrize("tampering", ["altered", "missing", "altered, hashes renewed"])
     async def test_tampered_store_is_noticed(self, terminal: Terminal, tampering: str) -> None:
         """Guards against an audit trail that was changed behind the back of the operators."""
-        desk = terminal.bench.open_manager()
+        desk = terminal.bench.create_manager()
         for index, site in enumerate(("north-a", "north-b", "south-a")):
             await submit(desk, site, edit_site(site, drain=True), based_on=index + 1)
         assert await terminal.run("history", "--verify") == 0
@@ -187,7 +187,7 @@
             second.value = second.value.replace('"author":"mari"', '"author":"eve"')
         if tampering == "altered, hashes renewed":
             record = json.loads(third.value)
-            changes = await terminal.bench.open_manager().list_changes(1, 1)
+            changes = await terminal.bench.create_manager().list_changes(1, 1)
             third.value = json.dumps({**record, "previous_hash": changes[0].compute_hash()})
         assert await terminal.run("history", "--verify") == 1
         assert "generation" in terminal.errors
@@ -207,7 +207,7 @@
         """Guards against a token that other users can read in the list of processes."""
         team = {"token_sha256": [sha256(b"secret").hexdigest()], "documents": ["*"]}
         body = {**terminal.bench.initial_base, "teams": {"steering": team}}
-        await submit(terminal.bench.open_manager(), "teams", {"base": body})
+        await submit(terminal.bench.create_manager(), "teams", {"base": body})
         monkeypatch.setenv("BRIARFORK_TOKEN", "secret")
         assert await terminal.run("status") == 0
         monkeypatch.setenv("BRIARFORK_TOKEN", "other")
@@ -261,7 +261,7 @@
     @pytest.mark.parametrize("as_json", [True, False])
     async def test_dry_runs_change_nothing(self, terminal: Terminal, as_json: bool) -> None:
         """Guards against a rehearsal that takes effect."""
-        desk = terminal.bench.open_manager()
+        desk = terminal.bench.create_manager()
         await submit(desk, "later", edit_site("north-a", drain=True), start_at=time.time() + 600)
         terminal.drain("north-b")
         before = dict(terminal.bench.state.items)
@@ -278,8 +278,8 @@
     async def test_draft_is_shown_and_approved_by_somebody_else(self, terminal: Terminal) -> None:
         """Guards against a draft that nobody finds, and an approval that is only rehearsed."""
         body = {**terminal.bench.initial_base, "approval": "required"}
-        await submit(terminal.bench.open_manager(), "approval", {"base": body})
-        await submit(terminal.bench.open_manager(), "mine", edit_site("north-a", drain=True))
+        await submit(terminal.bench.create_manager(), "approval", {"base": body})
+        await submit(terminal.bench.create_manager(), "mine", edit_site("north-a", drain=True))
         assert await terminal.run("status") == 0
         assert "draft: mine by mari" in terminal.output
         assert await terminal.run("approve", "mine", "--approver", "mari") == 1
