Name parametrized values in the admin tests by their content

Values called lost, late, fault and answer did not say what they count or contain. They are now lost_responses, delayed_writes, message, fault_url and response. Assertions are unchanged.

--- a/tests/admin/test_http.py
+++ b/tests/admin/test_http.py
@@ -123,20 +123,20 @@
         assert all("north-token" not in item.value for item in client.harness.state.items.values())
 
     @pytest.mark.parametrize(
-        ("teams", "fault"),
+        ("teams", "message"),
         [
             ({"north": build_team("a", ["sites/*"])}, "match 'base'"),
             ({"north": build_team("a", ["*"]), "south": build_team("a", ["*"])}, "one team only"),
         ],
     )
     async def test_invalid_teams_are_rejected(
-        self, client: AdminClient, teams: dict[str, Any], fault: str
+        self, client: AdminClient, teams: dict[str, Any], message: str
     ) -> None:
         """Guards against teams that no team may change again and against shared tokens."""
         edits = {"base": {**client.harness.initial_base, "teams": teams}}
         status, body = await client.submit("teams", "-", "steering-token", edits=edits)
         assert (status, body["error"]) == (422, "invalid_configuration")
-        assert fault in body["detail"]
+        assert message in body["detail"]
 
 
 class TestRateLimit:
--- a/tests/admin/test_pause.py
+++ b/tests/admin/test_pause.py
@@ -49,14 +49,14 @@
     Returns:
         The responses of the paused and of the other process.
     """
-    fault = f"{cluster.store_url}/fault"
-    await cluster.post(fault, {"mode": "hold", "method": method, "count": 1})
+    fault_url = f"{cluster.store_url}/fault"
+    await cluster.post(fault_url, {"mode": "hold", "method": method, "count": 1})
     paused = asyncio.create_task(post_change(cluster, 0, "paused", "north-a"))
     await cluster.get(f"{cluster.store_url}/held")
     process = cluster.vms[0].processes["admin"]
     process.send_signal(signal.SIGSTOP)
     other = await post_change(cluster, 1, "other", site)
-    await cluster.post(fault, {"mode": "up"})
+    await cluster.post(fault_url, {"mode": "up"})
     process.send_signal(signal.SIGCONT)
     return await paused, other
 
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -76,17 +76,19 @@
         assert (await submit(manager, "slow", edit_site("north-a", drain=True))).generation == 2
         harness.assert_generations(2)
 
-    @pytest.mark.parametrize("late", [1, 5])
-    async def test_delayed_write_is_accepted_once(self, harness: AdminHarness, late: int) -> None:
+    @pytest.mark.parametrize("delayed_writes", [1, 5])
+    async def test_delayed_write_is_accepted_once(
+        self, harness: AdminHarness, delayed_writes: int
+    ) -> None:
         """Guards against a duplicate if a write takes effect after its timeout."""
         manager = await harness.start()
-        harness.state.late, harness.state.delay_s = late, STORE_TIMEOUT_S * 2
+        harness.state.late, harness.state.delay_s = delayed_writes, STORE_TIMEOUT_S * 2
         try:
             await submit(manager, "late", edit_site("north-a", drain=True))
         except StoreUnavailable:
-            assert late == 5
+            assert delayed_writes == 5
         async with asyncio.timeout(5):
-            while harness.state.late_handled < late:
+            while harness.state.late_handled < delayed_writes:
                 await asyncio.sleep(0.01)
         retried = await submit(harness.create_manager(), "late", edit_site("north-a", drain=True))
         assert retried.generation == 2
@@ -112,11 +114,13 @@
 
 
 class TestLostResponse:
-    @pytest.mark.parametrize("lost", [1, 2, 4])
-    async def test_change_is_reported_as_accepted(self, harness: AdminHarness, lost: int) -> None:
+    @pytest.mark.parametrize("lost_responses", [1, 2, 4])
+    async def test_change_is_reported_as_accepted(
+        self, harness: AdminHarness, lost_responses: int
+    ) -> None:
         """Guards against an error or a duplicate for a change that took effect."""
         manager = await harness.start()
-        harness.state.lose = lost
+        harness.state.lose = lost_responses
         assert (await submit(manager, "lost", edit_site("north-a", drain=True))).generation == 2
         harness.assert_generations(2)
 
@@ -282,11 +286,13 @@
 
 
 class TestDrafts:
-    @pytest.mark.parametrize("lost", [1, 2])
-    async def test_lost_response_to_draft_creation(self, harness: AdminHarness, lost: int) -> None:
+    @pytest.mark.parametrize("lost_responses", [1, 2])
+    async def test_lost_response_to_draft_creation(
+        self, harness: AdminHarness, lost_responses: int
+    ) -> None:
         """Guards against an error or a duplicate for a draft that was created."""
         manager = await harness.start(approval="required")
-        harness.state.lose = lost
+        harness.state.lose = lost_responses
         await submit(manager, "draft", edit_site("north-a", drain=True))
         assert [draft.change_id for draft in await manager.list_drafts()] == ["draft"]
 
--- a/tests/border/test_connector.py
+++ b/tests/border/test_connector.py
@@ -70,11 +70,11 @@
     async def test_request_succeeds(self) -> None:
         """Guards against a connector that passes the cancellation test by never connecting."""
 
-        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
 
-        server = await asyncio.start_server(answer, HOST, 0)
+        server = await asyncio.start_server(respond, HOST, 0)
         port = server.sockets[0].getsockname()[1]
         async with (
             aiohttp.ClientSession(connector=DirectConnector()) as session,
--- a/tests/border/test_process.py
+++ b/tests/border/test_process.py
@@ -23,8 +23,8 @@
         folder = restrict_example("estonia", zones, tmp_path / "configuration")
         pools = [Pool("results", zone, 1) for zone in zones]
         async with Cluster(folder, tmp_path, zones, pools=pools, network=3) as cluster:
-            answer = await cluster.submit()
-            await cluster.wait_for_generation(answer["generation"])
+            response = await cluster.submit()
+            await cluster.wait_for_generation(response["generation"])
             async with cluster.session.get(f"{cluster.vms[0].url}/services/results/x") as reply:
                 assert reply.status == 200
             for program, process in cluster.vms[0].processes.items():
