Join the rewording of border and admin

Cause: the border and the administration API were described in private words, such as desks, keepers and drafts in a box.

Statements, numbers, defaults and their order are those of before, by a comparison of the syntax trees.

--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -11,8 +11,8 @@
 
 from aiohttp import web
 
-from briarfork.border.callers import CallerProtocol
 from briarfork.border.events import Event
+from briarfork.border.http_server import HttpConnectionHandler
 from briarfork.entry.forward import HOP_HEADERS
 from briarfork.errors import ANSWERS
 from briarfork.errors import BriarforkError
@@ -128,7 +128,7 @@
         return response
 
 
-class CallerConnection(CallerProtocol):
+class CallerConnection(HttpConnectionHandler):
     """A caller's connection to a gateway."""
 
     __slots__ = ("_gateway",)
@@ -149,7 +149,7 @@
         """Log for internal errors."""
         return self._gateway.events
 
-    def build_error(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
+    def build_error_response(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
         """Returns the response to an error outside the request handler, where no id is known."""
         return web.Response(status=ANSWERS[error.kind].status)
 
