Reword requests, errors, hashing and registries

HTTP responses were called answers next to the answers of the store and of peers, and several names left their meaning to the reader: a budget without its subject, a deadline that is read and left by half, a download that is open.

Change: responses, retry budget and expiry in names and docstrings; exceptions state when they are raised. Seven error messages are worded anew; no test and no tool matches them.

Run: black, ruff, mypy, import rules; 89 tests and doctests of pools, requests, membership, the catalogue of errors and the modules at the top pass.

--- a/src/briarfork/admin/http.py
+++ b/src/briarfork/admin/http.py
@@ -22,7 +22,7 @@
 from briarfork.border.documents import WithdrawalModel
 from briarfork.border.documents import check_model
 from briarfork.border.events import Event
-from briarfork.errors import ANSWERS
+from briarfork.errors import ERROR_RESPONSES
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 
@@ -159,7 +159,7 @@
         self._events.record(
             Event.CHANGE_REFUSED, path=request.path, kind=error.kind.value, detail=error.detail
         )
-        answer = ANSWERS[error.kind]
+        answer = ERROR_RESPONSES[error.kind]
         body: dict[str, Any] = {
             "error": error.kind.value,
             "detail": error.detail,
--- a/src/briarfork/border/program.py
+++ b/src/briarfork/border/program.py
@@ -81,7 +81,7 @@
     except BadSettings as error:
         for fault in error.faults:
             print(f"{program}: {fault}", file=sys.stderr)
-        sys.exit(error.answer.exit_status)
+        sys.exit(error.response.exit_status)
     if arguments.check:
         sys.exit(0)
     return settings
--- a/src/briarfork/commands/main.py
+++ b/src/briarfork/commands/main.py
@@ -66,7 +66,7 @@
         COMMANDS.get(arguments.command)(arguments).run()
     except BriarforkError as error:
         _print_error(error, arguments.json)
-        sys.exit(error.answer.exit_status)
+        sys.exit(error.response.exit_status)
 
 
 def _print_error(error: BriarforkError, as_json: bool) -> None:
--- a/src/briarfork/entry/claims.py
+++ b/src/briarfork/entry/claims.py
@@ -18,7 +18,7 @@
 from briarfork.errors import NotRun
 from briarfork.requests import Claim
 from briarfork.requests import ClaimState
-from briarfork.requests import StoredAnswer
+from briarfork.requests import StoredResponse
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
@@ -56,7 +56,7 @@
         self._lease_created_at = 0.0
         self._postponed: deque[tuple[Claim, Claim | None]] = deque(maxlen=MAX_POSTPONED)
 
-    async def open(self, claim: Claim) -> StoredAnswer | None:
+    async def open(self, claim: Claim) -> StoredResponse | None:
         """Records a claim before its request is sent.
 
         Returns:
@@ -77,7 +77,7 @@
                 f"the store did not confirm the idempotency key: {error.detail}",
             ) from error
 
-    async def finish(self, claim: Claim, answer: StoredAnswer) -> None:
+    async def finish(self, claim: Claim, answer: StoredResponse) -> None:
         """Records the answer for repeats of the request, later if the store is down."""
         await self._replace(claim, claim.finish(answer))
 
@@ -101,7 +101,7 @@
                     break
             await asyncio.sleep(POSTPONED_PAUSE_S)
 
-    async def _create(self, claim: Claim, lease: str) -> StoredAnswer | None:
+    async def _create(self, claim: Claim, lease: str) -> StoredResponse | None:
         for attempt in range(OPEN_ATTEMPTS):
             try:
                 await self._store.put(_name(claim), _encode(claim), ABSENT, lease)
@@ -116,7 +116,7 @@
                 lease = await self._find_lease()
         return None
 
-    async def _resolve_conflict(self, claim: Claim) -> StoredAnswer | None:
+    async def _resolve_conflict(self, claim: Claim) -> StoredResponse | None:
         entry = await self._store.get(_name(claim))
         if entry is None:
             raise NotRun(ErrorKind.CLAIM_UNAVAILABLE, "the claim changed; try again")
@@ -168,7 +168,7 @@
 
 
 def _encode(claim: Claim) -> str:
-    answer = claim.answer
+    answer = claim.response
     record = ClaimRecord(claim.attempt, claim.body_digest, claim.state)
     if answer is not None:
         body = None if answer.body is None else base64.b64encode(answer.body).decode()
@@ -183,7 +183,7 @@
     answer = None
     if record.state is ClaimState.FINISHED:
         body = None if record.body is None else base64.b64decode(record.body)
-        answer = StoredAnswer(record.status, record.content_type, body)
+        answer = StoredResponse(record.status, record.content_type, body)
     return Claim(
         claim.service, claim.digest, record.attempt, record.body_digest, record.state, answer
     )
--- a/src/briarfork/entry/delivery.py
+++ b/src/briarfork/entry/delivery.py
@@ -11,8 +11,8 @@
 
 from aiohttp import web
 
-from briarfork.requests import AnswerHead
 from briarfork.requests import Download
+from briarfork.requests import ResponseHead
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -109,7 +109,7 @@
         """Whether another server may send the missing bytes."""
         transport = self.call.request.transport
         connected = transport is not None and not transport.is_closing()
-        return connected and self._download is not None and self._download.is_open
+        return connected and self._download is not None and self._download.is_incomplete
 
     def build_range_headers(self) -> dict[str, str]:
         """Returns the headers that ask for the missing bytes only."""
@@ -121,7 +121,7 @@
         """Returns whether an answer continues what the caller has."""
         if not self.started:
             return True
-        return self._download is not None and self._download.may_continue(_read_head(answer))
+        return self._download is not None and self._download.can_resume_from(_read_head(answer))
 
     async def pass_on(
         self, answer: aiohttp.ClientResponse, headers: CIMultiDict[str], timer: ProgressTimer
@@ -174,8 +174,8 @@
         return response
 
 
-def _read_head(answer: aiohttp.ClientResponse) -> AnswerHead:
-    return AnswerHead(
+def _read_head(answer: aiohttp.ClientResponse) -> ResponseHead:
+    return ResponseHead(
         status=answer.status,
         entity_tag=answer.headers.get("ETag"),
         content_length=answer.content_length,
--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -173,7 +173,7 @@
                 return await self._keep(answer, headers, timer)
             if not delivery.accepts(answer):
                 raise EndUnknown("the server has no answer that continues the one of the caller")
-            attempt.mark_started()
+            attempt.mark_response_started()
             return await delivery.pass_on(answer, headers, timer)
 
     async def _keep(
--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -11,7 +11,7 @@
 from briarfork.border.events import Event
 from briarfork.border.metrics import Metric
 from briarfork.entry.proxy import Proxy
-from briarfork.errors import ANSWERS
+from briarfork.errors import ERROR_RESPONSES
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
@@ -144,7 +144,7 @@
     process: EntryProcess, request: web.BaseRequest, error: BriarforkError
 ) -> web.Response:
     """Returns the answer to an error, by the table."""
-    answer = ANSWERS[error.kind]
+    answer = ERROR_RESPONSES[error.kind]
     process.metrics.count(Metric.ERRORS, error.kind.value)
     process.events.record(
         Event.REQUEST_FAILED, kind=error.kind.value, path=request.path, detail=error.detail
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -23,14 +23,14 @@
 from briarfork.errors import OutcomeUnknown
 from briarfork.requests import RETRY_RATIO
 from briarfork.requests import AttemptResult
-from briarfork.requests import Budget
 from briarfork.requests import Claim
 from briarfork.requests import Deadline
 from briarfork.requests import FailedAttempt
-from briarfork.requests import StoredAnswer
-from briarfork.requests import check_key
+from briarfork.requests import RetryBudget
+from briarfork.requests import StoredResponse
 from briarfork.requests import digest_body
 from briarfork.requests import digest_request
+from briarfork.requests import validate_idempotency_key
 
 if TYPE_CHECKING:
     from briarfork.configuration import Service
@@ -46,7 +46,7 @@
     def __init__(self, process: EntryProcess) -> None:
         self._process = process
         self._settings = process.settings
-        self._retries = Budget(RETRY_RATIO)
+        self._retries = RetryBudget(RETRY_RATIO)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answers one request.
@@ -74,10 +74,10 @@
         path = read_path(request)
         route = service.find_route(path)
         now = time.monotonic()
-        deadline = Deadline.read(request.headers.get(DEADLINE_HEADER), route.deadline_ms, now)
+        deadline = Deadline.parse(request.headers.get(DEADLINE_HEADER), route.deadline_ms, now)
         keys = request.headers.getall(KEY_HEADER, [])
         if keys:
-            check_key(*keys)
+            validate_idempotency_key(*keys)
         idempotent = service.is_idempotent(request.method)
         claimed = bool(keys) and service.claims and not idempotent
         body: bytes | None = b""
@@ -146,7 +146,7 @@
         content_type = answer.headers.get("Content-Type", "application/octet-stream")
         # Stored before the caller gets it, so that a repeat after a lost answer finds it.
         await self._process.claims.finish(
-            claim, StoredAnswer(answer.status, content_type, answer.body)
+            claim, StoredResponse(answer.status, content_type, answer.body)
         )
         return web.Response(status=answer.status, headers=answer.headers, body=answer.body)
 
@@ -176,8 +176,8 @@
         call = delivery.call
         result = AttemptResult.ANSWER_STARTED if delivery.started else failure.result
         attempt = FailedAttempt(result, call.idempotent, call.is_replayable, delivery.may_resume)
-        expired = call.deadline.is_over(time.monotonic())
-        allowed = number < MAX_ATTEMPTS and not expired and attempt.may_repeat()
+        expired = call.deadline.has_expired(time.monotonic())
+        allowed = number < MAX_ATTEMPTS and not expired and attempt.may_retry()
         if allowed and self._retries.spend():
             return
         if attempt.may_have_run:
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -172,6 +172,6 @@
         deadline: Deadline,
     ) -> Permit:
         request_class = service.find_route(call.path).request_class
-        half = call.deadline.leave_half(time.monotonic())
+        half = call.deadline.halve(time.monotonic())
         limit = Deadline(min(deadline.expires_at, half.expires_at))
         return await self._permits.acquire(service.name, site, request_class, limit, avoid)
--- a/src/briarfork/errors.py
+++ b/src/briarfork/errors.py
@@ -1,4 +1,4 @@
-"""The closed list of error kinds and the answer that belongs to each."""
+"""All error kinds, the response to each of them, and the exceptions that carry them."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class ErrorKind(Enum):
-    """Every kind of error that a program of briarfork reports."""
+    """Kinds of errors that the programs of briarfork report."""
 
     BAD_REQUEST = "bad_request"
     UNKNOWN_SERVICE = "unknown_service"
@@ -34,21 +34,21 @@
 
 
 class Outcome(Enum):
-    """What a caller may conclude about the request that an error answers."""
+    """What is known about the execution of a request that failed with an error."""
 
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
-    """The answer to one kind of error.
+class ErrorResponse:
+    """The response to one kind of error.
 
     Attributes:
-        status: HTTP status.
-        retryable: Whether the same request may succeed later without a change to it.
+        status: HTTP status code.
+        retryable: Whether the same request may succeed later.
         outcome: Whether the request is known not to have run.
-        exit_status: Exit status of a command that ends with this error.
+        exit_status: Exit status of a command that fails with this error.
     """
 
     status: int
@@ -57,37 +57,37 @@
     exit_status: int = 1
 
 
-ANSWERS: Final[dict[ErrorKind, Answer]] = {
-    ErrorKind.BAD_REQUEST: Answer(400, False, Outcome.NOT_RUN),
-    ErrorKind.UNKNOWN_SERVICE: Answer(404, False, Outcome.NOT_RUN),
-    ErrorKind.UNKNOWN_PATH: Answer(404, False, Outcome.NOT_RUN),
-    ErrorKind.HEADER_TOO_LARGE: Answer(431, False, Outcome.NOT_RUN),
-    ErrorKind.BODY_TOO_LARGE: Answer(413, False, Outcome.NOT_RUN),
-    ErrorKind.UNAUTHORIZED: Answer(401, False, Outcome.NOT_RUN),
-    ErrorKind.FORBIDDEN: Answer(403, False, Outcome.NOT_RUN),
-    ErrorKind.CONFLICT: Answer(409, False, Outcome.NOT_RUN, exit_status=3),
-    ErrorKind.INVALID_CONFIGURATION: Answer(422, False, Outcome.NOT_RUN),
-    ErrorKind.DUPLICATE_REQUEST: Answer(409, True, Outcome.UNKNOWN),
-    ErrorKind.DEADLINE_EXPIRED: Answer(504, True, Outcome.NOT_RUN),
-    ErrorKind.OUTCOME_UNKNOWN: Answer(504, False, Outcome.UNKNOWN),
-    ErrorKind.OVERLOADED: Answer(503, True, Outcome.NOT_RUN),
-    ErrorKind.NO_SERVER: Answer(503, True, Outcome.NOT_RUN),
-    ErrorKind.NO_CONFIGURATION: Answer(503, True, Outcome.NOT_RUN),
-    ErrorKind.CLAIM_UNAVAILABLE: Answer(503, True, Outcome.NOT_RUN),
-    ErrorKind.STORE_UNAVAILABLE: Answer(503, True, Outcome.UNKNOWN, exit_status=4),
-    ErrorKind.TOO_MANY_REQUESTS: Answer(429, True, Outcome.NOT_RUN),
-    ErrorKind.PEER_PROTOCOL: Answer(400, False, Outcome.NOT_RUN),
-    ErrorKind.BAD_SETTINGS: Answer(500, False, Outcome.NOT_RUN, exit_status=2),
-    ErrorKind.INTERNAL: Answer(500, False, Outcome.UNKNOWN),
+ERROR_RESPONSES: Final[dict[ErrorKind, ErrorResponse]] = {
+    ErrorKind.BAD_REQUEST: ErrorResponse(400, False, Outcome.NOT_RUN),
+    ErrorKind.UNKNOWN_SERVICE: ErrorResponse(404, False, Outcome.NOT_RUN),
+    ErrorKind.UNKNOWN_PATH: ErrorResponse(404, False, Outcome.NOT_RUN),
+    ErrorKind.HEADER_TOO_LARGE: ErrorResponse(431, False, Outcome.NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: ErrorResponse(413, False, Outcome.NOT_RUN),
+    ErrorKind.UNAUTHORIZED: ErrorResponse(401, False, Outcome.NOT_RUN),
+    ErrorKind.FORBIDDEN: ErrorResponse(403, False, Outcome.NOT_RUN),
+    ErrorKind.CONFLICT: ErrorResponse(409, False, Outcome.NOT_RUN, exit_status=3),
+    ErrorKind.INVALID_CONFIGURATION: ErrorResponse(422, False, Outcome.NOT_RUN),
+    ErrorKind.DUPLICATE_REQUEST: ErrorResponse(409, True, Outcome.UNKNOWN),
+    ErrorKind.DEADLINE_EXPIRED: ErrorResponse(504, True, Outcome.NOT_RUN),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorResponse(504, False, Outcome.UNKNOWN),
+    ErrorKind.OVERLOADED: ErrorResponse(503, True, Outcome.NOT_RUN),
+    ErrorKind.NO_SERVER: ErrorResponse(503, True, Outcome.NOT_RUN),
+    ErrorKind.NO_CONFIGURATION: ErrorResponse(503, True, Outcome.NOT_RUN),
+    ErrorKind.CLAIM_UNAVAILABLE: ErrorResponse(503, True, Outcome.NOT_RUN),
+    ErrorKind.STORE_UNAVAILABLE: ErrorResponse(503, True, Outcome.UNKNOWN, exit_status=4),
+    ErrorKind.TOO_MANY_REQUESTS: ErrorResponse(429, True, Outcome.NOT_RUN),
+    ErrorKind.PEER_PROTOCOL: ErrorResponse(400, False, Outcome.NOT_RUN),
+    ErrorKind.BAD_SETTINGS: ErrorResponse(500, False, Outcome.NOT_RUN, exit_status=2),
+    ErrorKind.INTERNAL: ErrorResponse(500, False, Outcome.UNKNOWN),
 }
 
 
 class BriarforkError(Exception):
-    """Base of all errors that briarfork raises on purpose.
+    """Base class of all errors that briarfork raises.
 
     Attributes:
-        kind: The entry of the closed list.
-        detail: Names the fault and the place, for people.
+        kind: Kind of the error.
+        detail: Human-readable description of the error and where it occurred.
     """
 
     def __init__(self, kind: ErrorKind, detail: str) -> None:
@@ -96,16 +96,16 @@
         self.detail = detail
 
     @property
-    def answer(self) -> Answer:
-        """The row of the answer table for this error."""
-        return ANSWERS[self.kind]
+    def response(self) -> ErrorResponse:
+        """The response for this kind of error."""
+        return ERROR_RESPONSES[self.kind]
 
 
 class InvalidConfiguration(BriarforkError):
-    """Operators' files that break a rule.
+    """Raised if configuration documents are invalid.
 
     Attributes:
-        faults: One line for each fault: file, key and what was expected.
+        faults: One line for each fault, with the file, the key and the expected value.
     """
 
     def __init__(self, faults: list[str]) -> None:
@@ -114,10 +114,10 @@
 
 
 class BadSettings(BriarforkError):
-    """A settings file that breaks a rule.
+    """Raised if a settings file is invalid.
 
     Attributes:
-        faults: One line for each fault: file, key and what was expected.
+        faults: One line for each fault, with the file, the key and the expected value.
     """
 
     def __init__(self, faults: list[str]) -> None:
@@ -126,18 +126,18 @@
 
 
 class NotRun(BriarforkError):
-    """A request that is refused and provably did not run."""
+    """Raised if a request is refused and is known not to have run."""
 
 
 class SiteUnreachable(NotRun):
-    """A request that no VM able to grant a slot of its site could be asked for."""
+    """Raised if no VM that can grant a slot of the site is reachable."""
 
     def __init__(self, detail: str) -> None:
         super().__init__(ErrorKind.OVERLOADED, detail)
 
 
 class OutcomeUnknown(BriarforkError):
-    """A request that may or may not have run."""
+    """Raised if it is unknown whether a request has run."""
 
     def __init__(self, detail: str) -> None:
         super().__init__(ErrorKind.OUTCOME_UNKNOWN, detail)
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -16,9 +16,9 @@
 from briarfork.gateway.measures import Measures
 from briarfork.gateway.permits import SlotNeed
 from briarfork.requests import AttemptResult
-from briarfork.requests import Budget
 from briarfork.requests import Deadline
 from briarfork.requests import FailedAttempt
+from briarfork.requests import RetryBudget
 from briarfork.routing import Spread
 
 if TYPE_CHECKING:
@@ -50,7 +50,7 @@
         self.measures = Measures()
         self._attempts = Attempts(permits, upstream, events, self.measures)
         self._spread = Spread()
-        self._budgets: dict[str, Budget] = {}
+        self._budgets: dict[str, RetryBudget] = {}
 
     async def handle(self, request: Request) -> Reply:
         """Returns the answer of a backend server.
@@ -182,7 +182,7 @@
         """
         failed = FailedAttempt(ended.result, progress.route.kind.is_repeatable, replayable=True)
         progress.may_have_run = progress.may_have_run or failed.may_have_run
-        if failed.may_repeat() and self._may_try_again(progress, ended.result):
+        if failed.may_retry() and self._may_try_again(progress, ended.result):
             return None
         if progress.fault is not None:
             return progress.fault
@@ -196,13 +196,13 @@
             return False
         return self._find_budget(progress.service).spend()
 
-    def _find_budget(self, service: str) -> Budget:
+    def _find_budget(self, service: str) -> RetryBudget:
         bounds = self._view.repeat_bounds
         reserve = bounds.find_reserve(len(self._view.members))
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = Budget(bounds.ratio_per_vm, reserve)
-        budget.limit_reserve(reserve)
+            budget = self._budgets[service] = RetryBudget(bounds.ratio_per_vm, reserve)
+        budget.set_reserve(reserve)
         return budget
 
 
--- a/src/briarfork/gateway/spill.py
+++ b/src/briarfork/gateway/spill.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from briarfork.hashing import hash_to_part
+from briarfork.hashing import hash_to_fraction
 
 if TYPE_CHECKING:
     from briarfork.entry.slots import SlotKey
@@ -145,7 +145,7 @@
         """
         share = self.find(now)
         self._saved = min(MAX_SAVED, self._saved + share)
-        leaves = not object_key or hash_to_part(f"{object_key}|leaves") < share
+        leaves = not object_key or hash_to_fraction(f"{object_key}|leaves") < share
         if self._saved < (1.0 if leaves else SURPLUS):
             return False
         self._saved -= 1.0
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -10,7 +10,7 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.gateway.spill import estimate_remote_share
-from briarfork.hashing import hash_to_part
+from briarfork.hashing import hash_to_fraction
 from briarfork.membership import MemberState
 from briarfork.membership import rank_members
 from briarfork.pools import Inventory
@@ -128,7 +128,7 @@
 
         def score(zone: str) -> float:
             slots = self._count_slots(service, zone)
-            return -slots / math.log(hash_to_part(f"{object_key}|{zone}"))
+            return -slots / math.log(hash_to_fraction(f"{object_key}|{zone}"))
 
         return sorted(zones, key=score, reverse=True)
 
--- a/src/briarfork/hashing.py
+++ b/src/briarfork/hashing.py
@@ -1,4 +1,4 @@
-"""The hash behind every consistent choice; all VMs must agree on it."""
+"""Hash functions for rendezvous hashing, digests and sampling; all VMs must use the same ones."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 
 import xxhash
 
-# One above the largest 64-bit hash.
+# Keeps the fraction of the largest hash below 1.
 HASH_RANGE: Final = 2**64 + 1
 
 
 def hash_text(text: str) -> int:
-    """Returns a 64-bit hash of a text, the same on every VM.
+    """Returns the 64-bit hash of a text, which is the same on every VM.
 
     Example:
         >>> hash_text("north-a") == hash_text("north-a")
@@ -21,15 +21,15 @@
 
 
 def hash_bytes(key: bytes) -> int:
-    """Returns the 64-bit hash of a text that is encoded already."""
+    """Returns the 64-bit hash of a text that is already encoded as UTF-8."""
     return xxhash.xxh3_64_intdigest(key)
 
 
-def hash_to_part(text: str) -> float:
-    """Returns a number above 0 and below 1 for a text, the same on every VM.
+def hash_to_fraction(text: str) -> float:
+    """Maps a text to a number above 0 and below 1, which is the same on every VM.
 
     Example:
-        >>> 0.0 < hash_to_part("") < 1.0
+        >>> 0.0 < hash_to_fraction("") < 1.0
         True
     """
     return (hash_text(text) + 1) / HASH_RANGE
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -14,7 +14,7 @@
 from briarfork.border.callers import CallerProtocol
 from briarfork.border.events import Event
 from briarfork.entry.forward import HOP_HEADERS
-from briarfork.errors import ANSWERS
+from briarfork.errors import ERROR_RESPONSES
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
@@ -110,7 +110,7 @@
     def _build_error(
         self, request_id: str, message: web.BaseRequest, error: BriarforkError
     ) -> web.Response:
-        answer = ANSWERS[error.kind]
+        answer = ERROR_RESPONSES[error.kind]
         if error.kind in BEFORE_DISPATCH:
             self._gateway.events.record(
                 Event.REQUEST_FAILED,
@@ -149,7 +149,7 @@
 
     def build_error(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
         """Returns the answer to an error, which has no request id to log it under."""
-        return web.Response(status=ANSWERS[error.kind].status)
+        return web.Response(status=ERROR_RESPONSES[error.kind].status)
 
 
 async def _read_body(message: web.BaseRequest, limit: int) -> bytes:
--- a/src/briarfork/registry.py
+++ b/src/briarfork/registry.py
@@ -1,4 +1,4 @@
-"""Registries that decorators fill."""
+"""Registries of named entries that are filled by decorators."""
 
 from __future__ import annotations
 
@@ -31,20 +31,20 @@
         briarfork.errors.BriarforkError: bad_request: unknown shape 'circle', expected one of: ...
     """
 
-    def __init__(self, noun: str) -> None:
-        self._noun = noun
+    def __init__(self, kind: str) -> None:
+        self._kind = kind
         self._entries: dict[str, Entry] = {}
 
     def register(self, name: str) -> Callable[[Entry], Entry]:
-        """Returns a decorator that adds an entry under a name.
+        """Returns a decorator that registers an entry under a name.
 
         Raises:
-            ValueError: If the name is taken.
+            ValueError: If the name is already registered.
         """
 
         def add(entry: Entry) -> Entry:
             if name in self._entries:
-                raise ValueError(f"{self._noun} {name!r} is registered twice")
+                raise ValueError(f"{self._kind} {name!r} is already registered")
             self._entries[name] = entry
             return entry
 
@@ -54,12 +54,12 @@
         """Returns the entry of a name.
 
         Raises:
-            BriarforkError: If the name is unknown; the known names are listed.
+            BriarforkError: If the name is unknown; the message lists the known names.
         """
         if name not in self._entries:
             known = ", ".join(sorted(self._entries))
             raise BriarforkError(
-                ErrorKind.BAD_REQUEST, f"unknown {self._noun} {name!r}, expected one of: {known}"
+                ErrorKind.BAD_REQUEST, f"unknown {self._kind} {name!r}, expected one of: {known}"
             )
         return self._entries[name]
 
--- a/src/briarfork/requests/__init__.py
+++ b/src/briarfork/requests/__init__.py
@@ -1,4 +1,4 @@
-"""Requests: deadlines, retries, budgets, claims and downloads."""
+"""Handling of requests: deadlines, retries, budgets, claims and downloads."""
 
 from briarfork.requests.attempt import RETRY_RULES
 from briarfork.requests.attempt import Attempt
@@ -7,35 +7,35 @@
 from briarfork.requests.attempt import SendForbidden
 from briarfork.requests.budget import HEDGE_RATIO
 from briarfork.requests.budget import RETRY_RATIO
-from briarfork.requests.budget import Budget
 from briarfork.requests.budget import HedgeBudget
+from briarfork.requests.budget import RetryBudget
 from briarfork.requests.claim import Claim
 from briarfork.requests.claim import ClaimState
-from briarfork.requests.claim import StoredAnswer
-from briarfork.requests.claim import check_key
+from briarfork.requests.claim import StoredResponse
 from briarfork.requests.claim import digest_body
 from briarfork.requests.claim import digest_request
+from briarfork.requests.claim import validate_idempotency_key
 from briarfork.requests.deadline import Deadline
-from briarfork.requests.download import AnswerHead
 from briarfork.requests.download import Download
+from briarfork.requests.download import ResponseHead
 
 __all__ = [
     "HEDGE_RATIO",
     "RETRY_RATIO",
     "RETRY_RULES",
-    "AnswerHead",
     "Attempt",
     "AttemptResult",
-    "Budget",
     "Claim",
     "ClaimState",
     "Deadline",
     "Download",
     "FailedAttempt",
     "HedgeBudget",
+    "ResponseHead",
+    "RetryBudget",
     "SendForbidden",
-    "StoredAnswer",
-    "check_key",
+    "StoredResponse",
     "digest_body",
     "digest_request",
+    "validate_idempotency_key",
 ]
--- a/src/briarfork/requests/attempt.py
+++ b/src/briarfork/requests/attempt.py
@@ -1,4 +1,4 @@
-"""What happened to a request on its way, and what may follow from it."""
+"""Progress of an attempt to run a request, and the rules for retrying it."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class AttemptResult(Enum):
-    """The possible ends of an attempt that brought no answer to the caller."""
+    """How far an attempt got that did not deliver a complete response to the caller."""
 
     NOT_SENT = "not sent"
     REFUSED = "refused"
@@ -24,14 +24,14 @@
 
 
 class SendForbidden(Exception):
-    """A request that must not be written to a connection, or not once more."""
+    """Raised if a request must not be written to a connection."""
 
 
 class Attempt:
-    """One attempt to run a request, from the choice of a server to the answer.
+    """One attempt to run a request, from the selection of a server to the response.
 
-    The connection reports here before it writes the first byte, so what may be said about the
-    outcome never depends on the kind of a later error.
+    The connection calls `mark_sent` before it writes the first byte, so the reported outcome never
+    depends on the type of a later error.
 
     Example:
         >>> from briarfork.requests.deadline import Deadline
@@ -43,39 +43,40 @@
         'sent without answer'
     """
 
-    __slots__ = ("_deadline", "_refused", "_sent", "_started")
+    __slots__ = ("_deadline", "_refused", "_response_started", "_sent")
 
     def __init__(self, deadline: Deadline) -> None:
         self._deadline = deadline
         self._sent = False
         self._refused = False
-        self._started = False
+        self._response_started = False
 
     def mark_sent(self, now: float) -> None:
         """Records that the request is about to be written to a connection.
 
         Raises:
-            SendForbidden: If it was written before or its deadline is over. A library that sends
-                again by itself, or a VM that was paused after the claim, must not run it.
+            SendForbidden: If the request was written before or its deadline has expired. This
+                stops retries inside the HTTP library, and a VM that was paused after it had
+                claimed the request.
         """
         if self._sent:
-            raise SendForbidden("the request was written to a connection before")
-        if self._deadline.is_over(now):
-            raise SendForbidden("the deadline was over before the request was sent")
+            raise SendForbidden("the request was already written to a connection")
+        if self._deadline.has_expired(now):
+            raise SendForbidden("the deadline expired before the request was sent")
         self._sent = True
 
     def mark_refused(self) -> None:
-        """Records that the server said that it did not run the request."""
+        """Records that the server reported that it did not run the request."""
         self._refused = True
 
-    def mark_started(self) -> None:
-        """Records that the caller gets the beginning of the answer."""
-        self._started = True
+    def mark_response_started(self) -> None:
+        """Records that the beginning of the response is sent to the caller."""
+        self._response_started = True
 
     @property
     def result(self) -> AttemptResult:
-        """How far the attempt has come, for the case that it ends now."""
-        if self._started:
+        """The result if the attempt failed now."""
+        if self._response_started:
             return AttemptResult.ANSWER_STARTED
         if self._refused:
             return AttemptResult.REFUSED
@@ -84,13 +85,13 @@
 
 @dataclass(frozen=True, slots=True)
 class FailedAttempt:
-    """An attempt that did not end with a whole answer.
+    """An attempt that did not end with a complete response.
 
     Attributes:
-        result: How far it came. Once a byte was handed to a socket it counts as sent.
-        idempotent: Whether running the request again does no harm.
+        result: How far the attempt got. It counts as sent once a byte was passed to a socket.
+        idempotent: Whether the request may safely run more than once.
         replayable: Whether the body can be sent again.
-        resumable: Whether the bytes that the caller lacks can be asked for alone.
+        resumable: Whether the rest of the response can be requested separately.
     """
 
     result: AttemptResult
@@ -100,11 +101,11 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether the request may have run at the server."""
+        """Whether the server may have run the request."""
         return self.result in (AttemptResult.SENT_WITHOUT_ANSWER, AttemptResult.ANSWER_STARTED)
 
-    def may_repeat(self) -> bool:
-        """Returns whether the rules of the request allow another attempt."""
+    def may_retry(self) -> bool:
+        """Returns whether the retry rule for the result allows another attempt."""
         return RETRY_RULES.get(self.result.value)(self)
 
 
@@ -113,23 +114,23 @@
 
 @RETRY_RULES.register(AttemptResult.NOT_SENT.value)
 def retry_not_sent(attempt: FailedAttempt) -> bool:
-    """Nothing reached a socket, so any request may be sent."""
+    """Allows a retry of any request, because nothing was passed to a socket."""
     return attempt.replayable
 
 
 @RETRY_RULES.register(AttemptResult.REFUSED.value)
 def retry_refused(attempt: FailedAttempt) -> bool:
-    """The server itself said that it did not run the request."""
+    """Allows a retry of any request, because the server reported that it did not run it."""
     return attempt.replayable
 
 
 @RETRY_RULES.register(AttemptResult.SENT_WITHOUT_ANSWER.value)
 def retry_unanswered(attempt: FailedAttempt) -> bool:
-    """The request may have run, so only an idempotent one may run again."""
+    """Allows a retry only of idempotent requests, because the request may have run."""
     return attempt.idempotent and attempt.replayable
 
 
 @RETRY_RULES.register(AttemptResult.ANSWER_STARTED.value)
 def retry_started(attempt: FailedAttempt) -> bool:
-    """The caller holds part of the answer, so only the rest of it may follow."""
+    """Allows a retry only if it can continue the response of which the caller has a part."""
     return attempt.idempotent and attempt.replayable and attempt.resumable
--- a/src/briarfork/requests/budget.py
+++ b/src/briarfork/requests/budget.py
@@ -1,4 +1,4 @@
-"""Budgets for extra requests, as a share of first attempts."""
+"""Budgets that limit retries and hedged attempts to a share of first attempts."""
 
 from __future__ import annotations
 
@@ -7,15 +7,15 @@
 RETRY_RATIO: Final = 0.1
 HEDGE_RATIO: Final = 0.04
 FIRST_ATTEMPTS_PER_HEDGE: Final = round(1 / HEDGE_RATIO)
-# Allows a few retries at low traffic, where the ratio alone would allow none.
+# Allows a few retries at low request rates, where the ratio alone would allow none.
 BUDGET_RESERVE: Final = 10.0
 
 
-class Budget:
-    """Allows extra requests up to a ratio of first attempts.
+class RetryBudget:
+    """Token bucket that limits retries to a ratio of first attempts.
 
     Example:
-        >>> budget = Budget(ratio=0.5, reserve=1.0)
+        >>> budget = RetryBudget(ratio=0.5, reserve=1.0)
         >>> budget.spend(), budget.spend()
         (True, False)
         >>> budget.earn(); budget.earn(); budget.spend()
@@ -31,11 +31,11 @@
 
     @property
     def level(self) -> float:
-        """Extra requests that may be sent now."""
+        """Number of retries that may be sent now."""
         return self._level
 
-    def limit_reserve(self, reserve: float) -> None:
-        """Changes how much may be saved."""
+    def set_reserve(self, reserve: float) -> None:
+        """Changes the maximum number of retries that can accumulate."""
         self._reserve = reserve
 
     def earn(self) -> None:
@@ -43,7 +43,7 @@
         self._level = min(self._reserve, self._level + self._ratio)
 
     def spend(self) -> bool:
-        """Takes one extra request from the budget, if it allows one."""
+        """Takes one retry from the budget; returns whether it was available."""
         if self._level < 1.0:
             return False
         self._level -= 1.0
@@ -51,9 +51,10 @@
 
 
 class HedgeBudget:
-    """Allows second attempts up to 4% of first attempts, counted from the start.
+    """Limits hedged attempts to 4% of first attempts, counted from the start.
 
-    The goal is 5% in all; the rest is for what the VMs have saved.
+    The overall limit is 5%; the difference covers the hedged attempts that the VMs have
+    accumulated.
 
     Example:
         >>> budget = HedgeBudget()
@@ -65,30 +66,30 @@
         (True, False)
     """
 
-    __slots__ = ("_first_attempts", "_saved")
+    __slots__ = ("_available", "_first_attempts")
 
-    # Savings of all VMs come on top of the ratio in a short window; with 10 on each of 12 VMs it
-    # reached 5.76% of 1,735 requests.
+    # Accumulated attempts of all VMs add to the ratio within a short window. With 10 on each of
+    # 12 VMs, hedged attempts reached 5.76% of 1,735 requests.
     MAX_SAVED: Final = 2
 
     def __init__(self) -> None:
         self._first_attempts = 0
-        self._saved = 0
+        self._available = 0
 
     def earn(self) -> None:
         """Counts a first attempt."""
         self._first_attempts += 1
         if self._first_attempts >= FIRST_ATTEMPTS_PER_HEDGE:
             self._first_attempts = 0
-            self._saved = min(self.MAX_SAVED, self._saved + 1)
+            self._available = min(self.MAX_SAVED, self._available + 1)
 
     def spend(self) -> bool:
-        """Takes one second attempt from the budget, if it allows one."""
-        if self._saved == 0:
+        """Takes one hedged attempt from the budget; returns whether it was available."""
+        if self._available == 0:
             return False
-        self._saved -= 1
+        self._available -= 1
         return True
 
     def return_unused(self) -> None:
-        """Gives back a second attempt that was not sent."""
-        self._saved = min(self.MAX_SAVED, self._saved + 1)
+        """Returns a hedged attempt that was not sent to the budget."""
+        self._available = min(self.MAX_SAVED, self._available + 1)
--- a/src/briarfork/requests/claim.py
+++ b/src/briarfork/requests/claim.py
@@ -1,4 +1,4 @@
-"""Claims on idempotency keys, which keep a request from running twice."""
+"""Claims on idempotency keys, which prevent a request from running twice."""
 
 from __future__ import annotations
 
@@ -12,24 +12,24 @@
 from briarfork.errors import NotRun
 
 MAX_KEY_LENGTH = 128
-MAX_STORED_ANSWER_BYTES = 4096
+MAX_STORED_RESPONSE_BYTES = 4096
 
 
 class ClaimState(Enum):
-    """How far the request of a claim has come."""
+    """Progress of the request that holds a claim."""
 
     STARTED = "started"
     FINISHED = "finished"
 
 
 @dataclass(frozen=True, slots=True)
-class StoredAnswer:
-    """The answer of a finished request, kept for callers that repeat it.
+class StoredResponse:
+    """The response to a finished request, stored for callers that repeat the request.
 
     Attributes:
-        status: HTTP status.
+        status: HTTP status code.
         content_type: Media type of the body.
-        body: The whole body, or None if it was too large to keep.
+        body: The complete body, or None if it was too large to store.
     """
 
     status: int
@@ -39,15 +39,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """The right to run one non-idempotent request, recorded before it is sent.
+    """The exclusive right to run one non-idempotent request, recorded before it is sent.
 
     Attributes:
         service: Service of the request.
         digest: SHA-256 of service, method, path and key.
         attempt: Unique name of the attempt that holds the claim.
         body_digest: SHA-256 of the request body; the same key with another body is an error.
-        state: How far the request has come.
-        answer: The answer, once finished.
+        state: Progress of the request.
+        response: The response, once finished.
     """
 
     service: str
@@ -55,40 +55,48 @@
     attempt: str
     body_digest: str
     state: ClaimState = ClaimState.STARTED
-    answer: StoredAnswer | None = None
+    response: StoredResponse | None = None
 
-    def finish(self, answer: StoredAnswer) -> Claim:
-        """Returns the claim with the answer that repeats of the request get."""
-        if answer.body is not None and len(answer.body) > MAX_STORED_ANSWER_BYTES:
-            answer = replace(answer, body=None)
-        return replace(self, state=ClaimState.FINISHED, answer=answer)
+    def finish(self, response: StoredResponse) -> Claim:
+        """Returns the finished claim with the response for repeated requests.
 
-    def replay(self, body_digest: str) -> StoredAnswer:
-        """Returns the stored answer for a repeat of the request.
+        A body that exceeds the size limit is not stored.
+        """
+        if response.body is not None and len(response.body) > MAX_STORED_RESPONSE_BYTES:
+            response = replace(response, body=None)
+        return replace(self, state=ClaimState.FINISHED, response=response)
+
+    def replay(self, body_digest: str) -> StoredResponse:
+        """Returns the stored response for a repeated request.
 
         Raises:
-            NotRun: If the repeat has another body.
-            BriarforkError: If the first run is still in progress or its answer was not kept.
+            NotRun: If the repeated request has a different body.
+            BriarforkError: If the first request has not finished or its body was not stored.
         """
         if body_digest != self.body_digest:
             raise NotRun(
-                ErrorKind.BAD_REQUEST, "Idempotency-Key: used before with a different body"
+                ErrorKind.BAD_REQUEST, "Idempotency-Key: already used with a different body"
             )
-        if self.answer is None:
+        if self.response is None:
             raise BriarforkError(
-                ErrorKind.DUPLICATE_REQUEST, "a request with this key has started; its end is open"
+                ErrorKind.DUPLICATE_REQUEST,
+                "a request with this key was started and its result is not known yet",
             )
-        if self.answer.body is None:
+        if self.response.body is None:
             raise BriarforkError(
                 ErrorKind.DUPLICATE_REQUEST,
-                f"a request with this key has run with status {self.answer.status}; "
-                "its answer was too large to keep",
+                f"a request with this key has finished with status {self.response.status}, "
+                "but its response was too large to store",
             )
-        return self.answer
+        return self.response
+
 
+def validate_idempotency_key(key: str, *others: str) -> None:
+    """Validates an idempotency key.
 
-def check_key(key: str, *others: str) -> None:
-    """Checks the form of an idempotency key.
+    Args:
+        key: Value of the first `Idempotency-Key` header.
+        others: Values of further `Idempotency-Key` headers, of which there must be none.
 
     Raises:
         NotRun: If the key is empty, too long, not printable ASCII or not the only one.
@@ -101,10 +109,10 @@
 
 
 def digest_request(service: str, method: str, path: str, key: str) -> str:
-    """Returns the name of the claim for a request."""
+    """Returns the digest that identifies the claim of a request."""
     return hashlib.sha256("\0".join((service, method, path, key)).encode()).hexdigest()
 
 
 def digest_body(body: bytes) -> str:
-    """Returns the digest that tells bodies apart."""
+    """Returns the digest by which request bodies are compared."""
     return hashlib.sha256(body).hexdigest()
--- a/src/briarfork/requests/deadline.py
+++ b/src/briarfork/requests/deadline.py
@@ -1,4 +1,4 @@
-"""The deadline of a request, handed on from hop to hop as time left."""
+"""The deadline of a request, which is propagated between processes as the remaining time."""
 
 from __future__ import annotations
 
@@ -7,12 +7,15 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 
-MILLISECONDS = 1000.0
+MS_PER_S = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
 class Deadline:
-    """A point on the monotonic clock.
+    """A point in time on the monotonic clock.
+
+    Attributes:
+        expires_at: Time of expiry, in seconds.
 
     Example:
         >>> Deadline.after_ms(250, now=10.0).remaining_ms(now=10.1)
@@ -23,15 +26,20 @@
 
     @classmethod
     def after_ms(cls, milliseconds: float, now: float) -> Deadline:
-        """Returns the deadline a number of milliseconds from now."""
-        return cls(now + milliseconds / MILLISECONDS)
+        """Returns a deadline that expires in a number of milliseconds."""
+        return cls(now + milliseconds / MS_PER_S)
 
     @classmethod
-    def read(cls, header: str | None, limit_ms: int, now: float) -> Deadline:
-        """Reads the time left from a header value; without one the limit applies.
+    def parse(cls, header: str | None, limit_ms: int, now: float) -> Deadline:
+        """Parses the remaining time from a header value.
+
+        Args:
+            header: Value of `Briarfork-Deadline-Ms`, or None if the request has no such header.
+            limit_ms: Upper limit in milliseconds, which applies also without a header.
+            now: Time, in seconds on the monotonic clock.
 
         Raises:
-            NotRun: If the value is not a number of milliseconds or the time is over.
+            NotRun: If the value is not a whole number of milliseconds or the deadline has expired.
         """
         if header is None:
             return cls.after_ms(limit_ms, now)
@@ -44,22 +52,22 @@
             raise NotRun(ErrorKind.DEADLINE_EXPIRED, "the deadline had expired on arrival")
         return cls.after_ms(min(int(header), limit_ms), now)
 
-    def leave_half(self, now: float) -> Deadline:
-        """Returns the end of the first half of the time left.
+    def halve(self, now: float) -> Deadline:
+        """Returns a deadline after half of the remaining time, until which to wait for a slot.
 
-        A request that waits longer for its slot may run out of time at the server, where it takes
-        capacity and ends as unknown.
+        A request that waits longer may reach its deadline at the server, where it uses capacity
+        and ends with an unknown outcome.
         """
         return Deadline(now + self.remaining_s(now) / 2)
 
-    def is_over(self, now: float) -> bool:
-        """Returns whether no time is left."""
+    def has_expired(self, now: float) -> bool:
+        """Returns whether the deadline has expired."""
         return now >= self.expires_at
 
     def remaining_s(self, now: float) -> float:
-        """Returns the time left in seconds, at least 0."""
+        """Returns the remaining time in seconds, at least 0."""
         return max(0.0, self.expires_at - now)
 
     def remaining_ms(self, now: float) -> int:
-        """Returns the time left in whole milliseconds, at least 0."""
-        return round(self.remaining_s(now) * MILLISECONDS)
+        """Returns the remaining time in milliseconds, rounded, at least 0."""
+        return round(self.remaining_s(now) * MS_PER_S)
--- a/tests/border/test_catalogues.py
+++ b/tests/border/test_catalogues.py
@@ -6,7 +6,7 @@
 
 from briarfork.border.events import Event
 from briarfork.border.metrics import Metric
-from briarfork.errors import ANSWERS
+from briarfork.errors import ERROR_RESPONSES
 from briarfork.errors import ErrorKind
 
 DOCS = Path(__file__).parent.parent.parent / "docs"
@@ -43,13 +43,13 @@
                 answer.outcome.value,
                 str(answer.exit_status),
             ]
-            for kind, answer in ANSWERS.items()
+            for kind, answer in ERROR_RESPONSES.items()
         ]
         assert read_rows("errors.md") == expected
 
     def test_every_kind_has_an_answer(self) -> None:
         """Guards against an error that would end as an internal fault."""
-        assert set(ANSWERS) == set(ErrorKind)
+        assert set(ERROR_RESPONSES) == set(ErrorKind)
 
 
 class TestMetricCatalogue:
--- a/tests/requests/test_attempt.py
+++ b/tests/requests/test_attempt.py
@@ -43,7 +43,7 @@
                 if event == "send":
                     attempt.mark_sent(0.0)
                 elif "send" in events[: events.index(event)]:
-                    attempt.mark_refused() if event == "refuse" else attempt.mark_started()
+                    attempt.mark_refused() if event == "refuse" else attempt.mark_response_started()
             except SendForbidden:
                 continue
         failed = FailedAttempt(attempt.result, idempotent=False, replayable=True)
@@ -58,16 +58,16 @@
     ) -> None:
         """Guards against a retry rule that runs a score twice."""
         attempt = FailedAttempt(result, idempotent, replayable, resumable)
-        if attempt.may_repeat():
+        if attempt.may_retry():
             assert replayable
             assert idempotent or not attempt.may_have_run
-        if result is AttemptResult.ANSWER_STARTED and attempt.may_repeat():
+        if result is AttemptResult.ANSWER_STARTED and attempt.may_retry():
             assert resumable
 
     def test_every_result_has_a_rule(self) -> None:
         """Guards against a result that ends as an internal fault."""
         for result in AttemptResult:
-            FailedAttempt(result, idempotent=True, replayable=True).may_repeat()
+            FailedAttempt(result, idempotent=True, replayable=True).may_retry()
 
 
 class TestDeadline:
@@ -75,4 +75,4 @@
     def test_bad_value_is_refused(self, value: str) -> None:
         """Guards against a header value that ends as an internal fault."""
         with pytest.raises(Exception, match="bad_request"):
-            Deadline.read(value, 1000, 0.0)
+            Deadline.parse(value, 1000, 0.0)
--- a/tests/requests/test_budget.py
+++ b/tests/requests/test_budget.py
@@ -11,8 +11,8 @@
 
 from briarfork.requests import HEDGE_RATIO
 from briarfork.requests import RETRY_RATIO
-from briarfork.requests import Budget
 from briarfork.requests import HedgeBudget
+from briarfork.requests import RetryBudget
 
 # In ticks of 10 ms: 1000 requests a second can be served, 800 arrive, and each waits 1 s.
 CAPACITY = 10
@@ -32,7 +32,7 @@
 class Queue:
     """A server that works off requests in order and does not know that callers have given up."""
 
-    budget: Budget | None
+    budget: RetryBudget | None
     tick: int = 0
     line: deque[Sent] = field(default_factory=deque)
     by_tick: dict[int, list[Sent]] = field(default_factory=dict)
@@ -65,7 +65,7 @@
                 self._send(sent.number + 1)
 
 
-def run_through_outage(budget: Budget | None) -> tuple[float, float]:
+def run_through_outage(budget: RetryBudget | None) -> tuple[float, float]:
     """Returns the share answered before an outage, and 60 s after its end."""
     queue = Queue(budget)
     before = queue.run(1000, CAPACITY)
@@ -83,7 +83,7 @@
 
     def test_with_the_budget_the_service_recovers(self) -> None:
         """Guards against retries that keep a server overloaded after a short outage."""
-        before, after = run_through_outage(Budget(RETRY_RATIO))
+        before, after = run_through_outage(RetryBudget(RETRY_RATIO))
         assert before > 0.99
         assert after > 0.99
 
--- a/tests/requests/test_download.py
+++ b/tests/requests/test_download.py
@@ -5,8 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briarfork.requests import AnswerHead
 from briarfork.requests import Download
+from briarfork.requests import ResponseHead
 
 CONTENT = bytes(range(200))
 
@@ -17,7 +17,7 @@
         self, first: int, parts: list[int], data: st.DataObject
     ) -> None:
         """Guards against a resumed download with a gap, an overlap or another end."""
-        head = AnswerHead(206, '"a"', 200 - first, f"bytes {first}-199/200")
+        head = ResponseHead(206, '"a"', 200 - first, f"bytes {first}-199/200")
         download = Download.start(head)
         assert download is not None
         got = b""
@@ -28,27 +28,27 @@
             begin, end = data.draw(st.integers(0, 199)), data.draw(st.integers(0, 199))
             tag = data.draw(st.sampled_from(['"a"', '"b"', 'W/"a"', None]))
             length = data.draw(st.sampled_from([end - begin + 1, 200, None]))
-            offer = AnswerHead(206, tag, length, f"bytes {begin}-{end}/200")
-            if download.may_continue(offer):
+            offer = ResponseHead(206, tag, length, f"bytes {begin}-{end}/200")
+            if download.can_resume_from(offer):
                 assert got + CONTENT[begin : end + 1] == CONTENT[first:]
-        assert download.is_open == (got != CONTENT[first:])
+        assert download.is_incomplete == (got != CONTENT[first:])
 
     def test_only_a_strong_tag_and_known_positions_begin_a_download(self) -> None:
         """Guards against bytes of two versions in one answer."""
         for head in (
-            AnswerHead(200, 'W/"a"', 100),
-            AnswerHead(200, None, 100),
-            AnswerHead(200, '"a"', None),
-            AnswerHead(404, '"a"', 100),
-            AnswerHead(206, '"a"', 100, "bytes 0-9/100"),
-            AnswerHead(206, '"a"', 100, None),
-            AnswerHead(206, '"a"', None, "bytes 9-0/100"),
+            ResponseHead(200, 'W/"a"', 100),
+            ResponseHead(200, None, 100),
+            ResponseHead(200, '"a"', None),
+            ResponseHead(404, '"a"', 100),
+            ResponseHead(206, '"a"', 100, "bytes 0-9/100"),
+            ResponseHead(206, '"a"', 100, None),
+            ResponseHead(206, '"a"', None, "bytes 9-0/100"),
         ):
             assert Download.start(head) is None
 
     def test_a_whole_answer_never_continues(self) -> None:
         """Guards against a server that ignores the range and sends from the first byte."""
-        download = Download.start(AnswerHead(200, '"a"', 100))
+        download = Download.start(ResponseHead(200, '"a"', 100))
         assert download is not None
         download.advance(10)
-        assert not download.may_continue(AnswerHead(200, '"a"', 90))
+        assert not download.can_resume_from(ResponseHead(200, '"a"', 90))
