Reword membership in the terms of failure detection

Reading the roster and the list of VMs took words that only this project used: a VM hears others, loses patience, has mates, and an entry stays unsettled until it is settled.

The texts that enter digests are the same, and no statement is changed.

--- a/src/briarfork/control/local.py
+++ b/src/briarfork/control/local.py
@@ -78,11 +78,11 @@
     def _send_list(self) -> None:
         """Sends the whole list of VMs at first, then what changed."""
         link, directory = self._link, self._node.directory
-        if not directory.known:
+        if not directory.has_records:
             return
         if not self._list_sent:
             self._list_sent = True
-            vms, removed = directory.list_present(), None
+            vms, removed = directory.list_active(), None
         elif link.listed:
             changed = [record.listed for record in link.listed.values()]
             vms = [listed for listed in changed if listed.state != GONE]
@@ -93,7 +93,7 @@
             link.stream.send(VmList(part, removed, more))
 
     def _send_follow(self) -> None:
-        following = self._node.roster.is_follower() or not self._node.directory.known
+        following = self._node.roster.is_follower() or not self._node.directory.has_records
         if following != self._following:
             self._following = following
             event = Event.FOLLOWING if following else Event.NOT_FOLLOWING
--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -120,7 +120,7 @@
 
     def accept_list(self, vms: list[ListedVm], removed: list[str] | None) -> None:
         """Takes the list of VMs, or its changes, from the own follower."""
-        self._spread_list(self.directory.read(vms, removed, time.monotonic()))
+        self._spread_list(self.directory.apply_list(vms, removed, time.monotonic()))
 
     def accept_listed(self, records: Iterable[ListRecord], source: Link) -> None:
         """Merges records of the list of VMs and passes on those that are new."""
@@ -143,12 +143,12 @@
         """Marks silent neighbours, and drops members that are neither live nor listed."""
         now = time.monotonic()
         if now - self._checked_at > PAUSE_HEARTBEATS * self.settings.timeouts.heartbeat_s:
-            self.roster.forget_evidence()
+            self.roster.reset_silence_timers()
         self._checked_at = now
         peers = [member.vm for member in self.roster.list_neighbours()]
         self._announce(self.roster.suspect_silent(peers, self.settings.timeouts.silence_s, now))
-        self._spread_list(self.directory.settle(now))
-        if self.directory.known:
+        self._spread_list(self.directory.apply_pending(now))
+        if self.directory.has_records:
             removed = self.roster.remove_absent(lambda vm: self.directory.find(vm) is not None)
             for link in self.links:
                 for vm in removed:
@@ -159,7 +159,7 @@
 
     def hear(self, vm: str) -> None:
         """Records that a VM has shown that it is alive."""
-        self.roster.hear(vm, time.monotonic())
+        self.roster.record_heartbeat(vm, time.monotonic())
 
     def set_serving(self, serving: bool) -> None:
         """Records whether the entry process of this VM is connected."""
@@ -167,7 +167,7 @@
             self.entry_absent.clear()
         else:
             self.entry_absent.set()
-            self.directory.stop_reading()
+            self.directory.clear_own_list()
         if serving != self.roster.own.serving:
             self._announce([self.roster.set_serving(serving)])
 
@@ -224,7 +224,7 @@
 
     def _is_remnant(self, record: Member) -> bool:
         return (
-            self.directory.known
+            self.directory.has_records
             and record.state is not MemberState.LIVE
             and self.roster.find(record.vm) is None
             and self.directory.find(record.vm) is None
--- a/src/briarfork/membership/__init__.py
+++ b/src/briarfork/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Membership: the entry VMs that take part."""
+"""Membership of entry VMs and the replicated list of all VMs."""
 
 from briarfork.membership.directory import Directory
 from briarfork.membership.directory import ListedVm
--- a/src/briarfork/membership/digest.py
+++ b/src/briarfork/membership/digest.py
@@ -1,20 +1,23 @@
-"""Digest of a set of records, by which two VMs find out cheaply where they differ."""
+"""Digest of a set of records, by which two VMs detect where their records differ."""
 
 from __future__ import annotations
 
 from briarfork.hashing import hash_text
 
-# A difference in one bucket costs 1/64 of the records: about 100 at 6,200 members.
+# A difference in one bucket transfers 1/64 of the records, about 100 at 6,200 members.
 BUCKETS = 64
 
 
 def find_bucket(name: str) -> int:
-    """Returns the bucket of a record's name."""
+    """Returns the bucket for the name of a record."""
     return hash_text(name) % BUCKETS
 
 
 class Digest:
-    """XOR of the hashes of all records in each bucket; it does not depend on their order.
+    """XOR of the hashes of the records in each bucket, independent of their order.
+
+    Attributes:
+        buckets: One 64-bit value for each bucket.
 
     Example:
         >>> one, other = Digest(), Digest()
@@ -32,17 +35,20 @@
 
     @property
     def total(self) -> int:
-        """Digest of all buckets."""
+        """XOR of the hashes of all records."""
         return self._total
 
     def toggle(self, name: str, content: str) -> None:
-        """Adds a record that is absent, or takes out one that is present."""
+        """Adds a record that is absent, or removes one that is present."""
         value = hash_text(f"{name}|{content}")
         self.buckets[find_bucket(name)] ^= value
         self._total ^= value
 
     def find_differences(self, buckets: list[int]) -> set[int]:
-        """Returns the buckets in which another digest differs."""
+        """Returns the indices of the buckets in which another digest differs.
+
+        All buckets differ if the other digest has another number of them.
+        """
         if len(buckets) != BUCKETS:
             return set(range(BUCKETS))
         return {index for index in range(BUCKETS) if self.buckets[index] != buckets[index]}
--- a/src/briarfork/membership/member.py
+++ b/src/briarfork/membership/member.py
@@ -1,4 +1,4 @@
-"""A VM that runs the programs of briarfork."""
+"""Record of an entry VM that takes part in the cluster."""
 
 from __future__ import annotations
 
@@ -6,11 +6,11 @@
 from dataclasses import replace
 from enum import Enum
 
-from briarfork.membership.sharing import share_values
+from briarfork.membership.interning import intern_values
 
 
 class MemberState(Enum):
-    """Condition of a member; within one incarnation it only moves forward in this order."""
+    """State of a member."""
 
     LIVE = "live"
     SUSPECT = "suspect"
@@ -18,6 +18,7 @@
     DEAD = "dead"
 
 
+# Precedence of states for records of the same incarnation and version.
 STATE_ORDER = {
     MemberState.LIVE: 0,
     MemberState.SUSPECT: 1,
@@ -28,17 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One entry VM as others know it.
+    """The record of an entry VM that is exchanged between members.
 
     Attributes:
         vm: Name of the VM.
         address: IP address.
         zone: Availability zone.
         incarnation: Start time of its control process in milliseconds; a restart raises it.
-        version: Raised by the member itself with every change of its record.
-        state: Condition.
+        version: Incremented by the member itself with every change of its record.
+        state: State of the member.
         ports: Port numbers by name: "entry", "permits", "control".
-        serving: Whether its entry process runs, so that it may get callers and follow the store.
+        serving: Whether its entry process runs, so that it can serve callers and follow the store.
     """
 
     vm: str
@@ -51,16 +52,17 @@
     serving: bool = False
 
     def __post_init__(self) -> None:
-        share_values(self)
+        intern_values(self)
 
     def supersedes(self, other: Member) -> bool:
-        """Returns whether this record is newer evidence than another one of the same VM."""
-        return self.order() > other.order()
+        """Returns whether this record replaces another record of the same VM."""
+        return self.precedence_key() > other.precedence_key()
 
-    def order(self) -> tuple[object, ...]:
-        """Returns the key of a total order, so that any order of merging gives the same result.
+    def precedence_key(self) -> tuple[object, ...]:
+        """Returns the key of a total order, so that the order of merging does not matter.
 
-        Leaving goes before the version: a leaving VM stays leaving until a new incarnation.
+        The leaving state precedes the version, so a leaving VM stays leaving until it starts a new
+        incarnation.
         """
         return (
             self.incarnation,
@@ -74,5 +76,5 @@
         )
 
     def with_state(self, state: MemberState) -> Member:
-        """Returns the record with another state."""
+        """Returns a copy of the record with another state."""
         return replace(self, state=state)
--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -1,4 +1,4 @@
-"""The roster of members, merged from several sources."""
+"""The roster of cluster members, with failure detection and selection of neighbours."""
 
 from __future__ import annotations
 
@@ -23,28 +23,35 @@
 ZONE_NEIGHBOURS = 3
 REMOTE_NEIGHBOURS = 2
 FOLLOWERS_PER_ZONE = 2
-# Factor on the silence limit; with 3 s a member that others reach is suspected once a minute.
-MAX_PATIENCE = 20
-REACHABLE = (MemberState.LIVE, MemberState.SUSPECT)
+# Maximum factor on the silence limit. At a limit of 3 s, a member that only other VMs can reach is
+# suspected once a minute.
+MAX_LIMIT_FACTOR = 20
+REACHABLE_STATES = (MemberState.LIVE, MemberState.SUSPECT)
 
 
 def rank_members(key: str, members: Iterable[Member]) -> list[Member]:
-    """Orders members for a key by rendezvous hashing, the owner first."""
+    """Returns the members in order of rendezvous hashing for a key, the owner first."""
     return sorted(
         members,
         key=lambda member: (hash_text(f"{key}|{member.vm}"), member.vm),
     )
 
 
-def _choose_first(key: str, members: Iterable[Member], count: int) -> list[Member]:
-    """Returns the first members by rendezvous hashing without ordering all of them."""
+def _select_first(key: str, members: Iterable[Member], count: int) -> list[Member]:
+    """Returns the first members in order of rendezvous hashing without sorting all of them."""
     return nsmallest(count, members, lambda member: (hash_text(f"{key}|{member.vm}"), member.vm))
 
 
 class Roster:
-    """All members that this VM knows, itself included.
+    """All known members, including this VM.
 
-    Records are merged by a total order, so the order in which they arrive does not matter.
+    Of several records of a VM, the one that is highest in a total order is kept, so the order in
+    which records arrive does not matter.
+
+    Attributes:
+        own: Record of this VM.
+        digest: Digest of all records.
+        revision: Incremented with every change of the roster.
     """
 
     def __init__(self, own: Member) -> None:
@@ -56,7 +63,7 @@
         self._not_live: set[str] = set()
         self._zones: dict[str, list[str]] = {}
         self._heard_at: dict[str, float] = {}
-        self._patience: dict[str, int] = {}
+        self._limit_factors: dict[str, int] = {}
         self._neighbours: tuple[int, list[Member]] = (-1, [])
         self._followers: tuple[int, list[Member]] = (-1, [])
         self._put(own)
@@ -64,8 +71,8 @@
     def merge(self, records: Iterable[Member]) -> list[Member]:
         """Merges records and returns those that changed the roster.
 
-        A record that calls this VM suspect or dead is refuted by a higher version. One that calls
-        it leaving is taken over, because leaving is never taken back in an incarnation.
+        A record that reports this VM as suspect or dead is refuted with a higher version. One that
+        reports it as leaving is accepted, because leaving is final within an incarnation.
         """
         changed = []
         for record in records:
@@ -75,7 +82,7 @@
             if record.vm == self.own.vm:
                 changed.append(self._refute(record))
             else:
-                self._raise_patience(known, record)
+                self._raise_limit_factor(known, record)
                 self._put(record)
                 changed.append(record)
         return changed
@@ -90,26 +97,34 @@
             return self.own
         return self._replace_own(serving=serving, version=self.own.version + 1)
 
-    def hear(self, vm: str, now: float) -> None:
-        """Records direct evidence that a member is alive."""
+    def record_heartbeat(self, vm: str, now: float) -> None:
+        """Records that a message arrived directly from a member, so it is alive."""
         self._heard_at[vm] = now
-        self._patience.pop(vm, None)
+        self._limit_factors.pop(vm, None)
 
-    def forget_evidence(self) -> None:
-        """Begins the time of every member again, after this VM itself was paused."""
+    def reset_silence_timers(self) -> None:
+        """Restarts the silence timers of all members, after this VM itself was paused."""
         self._heard_at.clear()
 
     def suspect_silent(self, peers: Sequence[str], silence_s: float, now: float) -> list[Member]:
-        """Marks peers that were not heard within the silence limit.
+        """Marks peers as suspect that have been silent for longer than the limit.
+
+        The timer of a peer that has never been heard starts with the first call that names it. If
+        more than half of the peers are silent at the same time, this VM is more likely to be
+        partitioned, so no peer is marked.
+
+        Args:
+            peers: Names of the members that are expected to send heartbeats to this VM.
+            silence_s: Silence limit in seconds.
+            now: Time, in seconds on the monotonic clock.
 
-        The time of a peer that was never heard begins with the first call that names it. If most
-        of the peers are silent at the same time, this VM is more likely the one that is cut off,
-        so nobody is marked.
+        Returns:
+            The records that changed.
         """
         silent = [
             vm
             for vm in peers
-            if now - self._heard_at.setdefault(vm, now) > silence_s * self._patience.get(vm, 1)
+            if now - self._heard_at.setdefault(vm, now) > silence_s * self._limit_factors.get(vm, 1)
         ]
         if len(peers) > 1 and 2 * len(silent) > len(peers):
             return []
@@ -121,10 +136,10 @@
         return self.merge(suspected)
 
     def remove_absent(self, is_listed: Callable[[str], bool]) -> list[str]:
-        """Forgets members that are neither live nor listed; returns their names."""
+        """Removes members that are neither live nor listed, and returns their names."""
         absent = [vm for vm in sorted(self._not_live - {self.own.vm}) if not is_listed(vm)]
         for vm in absent:
-            self._drop(vm)
+            self._remove(vm)
         return absent
 
     def find(self, vm: str) -> Member | None:
@@ -132,20 +147,20 @@
         return self._members.get(vm)
 
     def has_address(self, address: str, port: int) -> bool:
-        """Returns whether a member that has been heard of by itself has a control address."""
+        """Returns whether a control address belongs to a member that has announced itself."""
         return any(
             member.incarnation and member.address == address and member.ports["control"] == port
             for member in self._members.values()
         )
 
     def list_all(self, buckets: set[int] | None = None) -> list[Member]:
-        """Returns all members, or those in some buckets of the digest, sorted by name."""
+        """Returns all members, or those in the given buckets of the digest, sorted by name."""
         return [
             self._members[vm] for vm in self._names if buckets is None or find_bucket(vm) in buckets
         ]
 
     def list_live(self, zone: str | None = None) -> list[Member]:
-        """Returns the live members, of one zone or of all."""
+        """Returns the live members of one zone or of all zones."""
         return [
             member
             for member in self.list_all()
@@ -174,27 +189,27 @@
     def list_neighbours(self) -> list[Member]:
         """Returns the members to which this VM keeps a stream.
 
-        The next live member in the ring of the zone and of all members keeps the graph connected;
-        the others, chosen by rendezvous hashing, keep the paths short. Suspect members are
-        included, so that the streams return after a partition.
+        Streams to the next live member in the ring of the zone and in the ring of all members keep
+        the graph connected. Streams to members selected by rendezvous hashing keep its paths
+        short. Suspect members are included, so that streams are restored after a partition.
         """
         if self._neighbours[0] != self.revision:
-            self._neighbours = (self.revision, self._choose_neighbours())
+            self._neighbours = (self.revision, self._select_neighbours())
         return self._neighbours[1]
 
-    def list_ring(self, vm: str) -> list[Member]:
-        """Returns the members that follow a VM in the rings of its zone and of all members.
+    def list_ring_successors(self, vm: str) -> list[Member]:
+        """Returns the successors of a VM in the ring of its zone and in the ring of all members.
 
-        In each ring these are the next reachable and the next live one.
+        In each ring, these are the next live or suspect member and the next live member.
         """
         zone = self._members[vm].zone
         chosen = []
         for names in (self._zones[zone], self._names):
-            for states in (REACHABLE, (MemberState.LIVE,)):
-                chosen += self._find_next(vm, names, states)
+            for states in (REACHABLE_STATES, (MemberState.LIVE,)):
+                chosen += self._find_successor(vm, names, states)
         return chosen
 
-    def _find_next(
+    def _find_successor(
         self, vm: str, names: Sequence[str], states: Sequence[MemberState]
     ) -> list[Member]:
         start = bisect_right(names, vm)
@@ -204,35 +219,36 @@
                 return [member]
         return []
 
-    def _choose_neighbours(self) -> list[Member]:
+    def _select_neighbours(self) -> list[Member]:
         others = [
             member
             for member in self._members.values()
-            if member.state in REACHABLE and member.vm != self.own.vm
+            if member.state in REACHABLE_STATES and member.vm != self.own.vm
         ]
-        mates = [member for member in others if member.zone == self.own.zone]
+        zone_members = [member for member in others if member.zone == self.own.zone]
         remote = [member for member in others if member.zone != self.own.zone]
-        chosen = _choose_first(self.own.vm, mates, ZONE_NEIGHBOURS)
-        chosen += _choose_first(self.own.vm, remote, REMOTE_NEIGHBOURS)
-        chosen += self.list_ring(self.own.vm)
+        chosen = _select_first(self.own.vm, zone_members, ZONE_NEIGHBOURS)
+        chosen += _select_first(self.own.vm, remote, REMOTE_NEIGHBOURS)
+        chosen += self.list_ring_successors(self.own.vm)
         return [self._members[vm] for vm in sorted({member.vm for member in chosen})]
 
-    def _raise_patience(self, known: Member | None, record: Member) -> None:
-        """Waits longer before it suspects a member again that refuted through others.
+    def _raise_limit_factor(self, known: Member | None, record: Member) -> None:
+        """Doubles the silence limit of a suspect member that refuted through other members.
 
-        Where two regions lose each other but reach a third, the state would flap otherwise.
+        Otherwise its state would flap while two regions are disconnected from each other but both
+        reach a third.
         """
         if known is None or known.state is not MemberState.SUSPECT:
             return
         if record.state is MemberState.LIVE and record.incarnation == known.incarnation:
-            patience = self._patience.get(record.vm, 1)
-            self._patience[record.vm] = min(MAX_PATIENCE, 2 * patience)
+            factor = self._limit_factors.get(record.vm, 1)
+            self._limit_factors[record.vm] = min(MAX_LIMIT_FACTOR, 2 * factor)
             self._heard_at.pop(record.vm, None)
 
     def _refute(self, record: Member) -> Member:
-        """Answers a record of this VM that supersedes its own.
+        """Replaces the own record after another VM sent one that supersedes it.
 
-        A higher incarnation is that of a former process whose clock was ahead.
+        A higher incarnation comes from a former process whose clock was ahead.
         """
         if record.state is MemberState.LEAVING and record.incarnation == self.own.incarnation:
             version = max(self.own.version, record.version) + 1
@@ -247,28 +263,28 @@
         return self.own
 
     def _put(self, member: Member) -> None:
-        self._drop(member.vm, keep_evidence=True)
+        self._remove(member.vm, keep_liveness=True)
         self._members[member.vm] = member
         insort(self._names, member.vm)
         if member.state is not MemberState.LIVE:
             self._not_live.add(member.vm)
         insort(self._zones.setdefault(member.zone, []), member.vm)
-        self.digest.toggle(member.vm, _describe(member))
+        self.digest.toggle(member.vm, _build_digest_content(member))
         self.revision += 1
 
-    def _drop(self, vm: str, keep_evidence: bool = False) -> None:
+    def _remove(self, vm: str, keep_liveness: bool = False) -> None:
         known = self._members.pop(vm, None)
         if known is not None:
             self._not_live.discard(vm)
             del self._names[bisect_left(self._names, vm)]
-            mates = self._zones[known.zone]
-            del mates[bisect_left(mates, vm)]
-            self.digest.toggle(vm, _describe(known))
+            zone_members = self._zones[known.zone]
+            del zone_members[bisect_left(zone_members, vm)]
+            self.digest.toggle(vm, _build_digest_content(known))
             self.revision += 1
-        if not keep_evidence:
+        if not keep_liveness:
             self._heard_at.pop(vm, None)
-            self._patience.pop(vm, None)
+            self._limit_factors.pop(vm, None)
 
 
-def _describe(member: Member) -> str:
+def _build_digest_content(member: Member) -> str:
     return f"{member.incarnation}|{member.version}|{member.state.value}|{member.serving}"
--- a/tests/control/test_convergence.py
+++ b/tests/control/test_convergence.py
@@ -85,7 +85,7 @@
             node.roster.leave()
         elif action == "list":
             listed = [vm for index, vm in enumerate(LISTED) if index != second]
-            node.directory.read(listed, None, self.now)
+            node.directory.apply_list(listed, None, self.now)
         elif action == "partition":
             self.sides[first] = second
 
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -13,7 +13,7 @@
 from briarfork.membership import ListedVm
 from briarfork.membership import ListRecord
 from briarfork.membership.directory import GONE
-from briarfork.membership.directory import HOLD_S
+from briarfork.membership.directory import HOLD_DOWN_S
 from briarfork.membership.directory import LEAVING
 from briarfork.membership.directory import LIVE
 
@@ -54,10 +54,10 @@
         fast, slow = Directory(), Directory()
         seen = []
         for now in range(40):
-            fast.read(history[min(now, 4)], None, now)
-            slow.read(history[min(max(0, now - 6), 4)], None, now)
+            fast.apply_list(history[min(now, 4)], None, now)
+            slow.apply_list(history[min(max(0, now - 6), 4)], None, now)
             for one, other in ((fast, slow), (slow, fast)):
-                one.settle(now)
+                one.apply_pending(now)
                 other.merge(one.list_records(), now)
             for directory in (fast, slow):
                 found = directory.find(VM.vm)
@@ -69,27 +69,27 @@
     def test_entry_that_the_platform_brings_back_returns_after_the_hold_time(self) -> None:
         """Guards against a backend server that is lost for good once it was leaving."""
         directory = Directory()
-        directory.read([VM], None, 0.0)
-        directory.read([replace(VM, state=LEAVING)], None, 1.0)
-        directory.read([VM], None, 2.0)
-        directory.settle(1.0 + HOLD_S - 0.1)
+        directory.apply_list([VM], None, 0.0)
+        directory.apply_list([replace(VM, state=LEAVING)], None, 1.0)
+        directory.apply_list([VM], None, 2.0)
+        directory.apply_pending(1.0 + HOLD_DOWN_S - 0.1)
         assert directory.find(VM.vm) == replace(VM, state=LEAVING)
-        directory.settle(1.0 + HOLD_S)
+        directory.apply_pending(1.0 + HOLD_DOWN_S)
         assert directory.find(VM.vm) == VM
 
     def test_empty_list_is_ignored(self) -> None:
         """Guards against a platform fault that takes all backend servers away."""
         directory = Directory()
-        directory.read([VM], None, 0.0)
-        directory.read([], None, 1.0)
-        assert directory.list_present() == [VM]
+        directory.apply_list([VM], None, 0.0)
+        directory.apply_list([], None, 1.0)
+        assert directory.list_active() == [VM]
 
     def test_differences_give_the_same_as_the_whole_list(self) -> None:
         """Guards against a difference that is applied to the wrong list."""
         whole, parts = Directory(), Directory()
         for directory in (whole, parts):
-            directory.read([VM, OTHER], None, 0.0)
-        whole.read([replace(OTHER, state=LEAVING)], None, 1.0)
-        parts.read([replace(OTHER, state=LEAVING)], [VM.vm], 1.0)
-        assert whole.list_present() == parts.list_present()
+            directory.apply_list([VM, OTHER], None, 0.0)
+        whole.apply_list([replace(OTHER, state=LEAVING)], None, 1.0)
+        parts.apply_list([replace(OTHER, state=LEAVING)], [VM.vm], 1.0)
+        assert whole.list_active() == parts.list_active()
         assert whole.digest.total == parts.digest.total
--- a/tests/membership/test_roster.py
+++ b/tests/membership/test_roster.py
@@ -73,7 +73,7 @@
         """Guards against a dead member that stays in the lookups of a VM that came later."""
         roster = build_roster(OWN, [build_member("vm-1"), build_member("vm-2")])
         roster.suspect_silent(["vm-1", "vm-2"], SILENCE_S, 0.0)
-        roster.hear("vm-2", 4.0)
+        roster.record_heartbeat("vm-2", 4.0)
         assert [m.vm for m in roster.suspect_silent(["vm-1", "vm-2"], SILENCE_S, 4.0)] == ["vm-1"]
 
     def test_vm_that_is_cut_off_suspects_nobody(self) -> None:
@@ -87,7 +87,7 @@
         roster = build_roster(OWN, [build_member("vm-1"), build_member("vm-2")])
         suspected = 0
         for second in range(120):
-            roster.hear("vm-2", float(second))
+            roster.record_heartbeat("vm-2", float(second))
             for record in roster.suspect_silent(["vm-1", "vm-2"], SILENCE_S, float(second)):
                 suspected += 1
                 roster.merge([build_member("vm-1", version=record.version + 1)])
@@ -128,7 +128,10 @@
             for number in range(6200)
         ]
         roster = build_roster(fleet[0], fleet)
-        links = {member.vm: {peer.vm for peer in roster.list_ring(member.vm)} for member in fleet}
+        links = {
+            member.vm: {peer.vm for peer in roster.list_ring_successors(member.vm)}
+            for member in fleet
+        }
         assert len(find_groups(links)) == 1
         own = {peer.vm for peer in roster.list_neighbours()}
         assert links["vm-0"] <= own
