Reword the tests of pools, requests and membership

Change: each test names the rule that it checks and its docstring the failure that it guards against; the replay of requests is a simulation. Values, bounds and checks are the same.

--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -1,4 +1,4 @@
-"""Members and fleets for tests."""
+"""Builders and Hypothesis strategies for members and fleets."""
 
 from __future__ import annotations
 
@@ -28,23 +28,23 @@
     return roster
 
 
-def find_groups(links: dict[str, set[str]]) -> list[set[str]]:
-    """Returns the connected parts of an undirected graph."""
-    around: dict[str, set[str]] = {vm: set(peers) for vm, peers in links.items()}
+def find_connected_components(links: dict[str, set[str]]) -> list[set[str]]:
+    """Returns the connected components of an undirected graph."""
+    neighbours: dict[str, set[str]] = {vm: set(peers) for vm, peers in links.items()}
     for vm, peers in links.items():
         for peer in peers:
-            around[peer].add(vm)
-    groups = []
-    left = set(around)
-    while left:
-        group, border = set(), [left.pop()]
-        while border:
-            vm = border.pop()
-            group.add(vm)
-            border += around[vm] - group
-        left -= group
-        groups.append(group)
-    return groups
+            neighbours[peer].add(vm)
+    components = []
+    unvisited = set(neighbours)
+    while unvisited:
+        component, frontier = set(), [unvisited.pop()]
+        while frontier:
+            vm = frontier.pop()
+            component.add(vm)
+            frontier += neighbours[vm] - component
+        unvisited -= component
+        components.append(component)
+    return components
 
 
 members = st.builds(
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -1,4 +1,4 @@
-"""The platform's list of VMs as followers with different lag read it."""
+"""The platform's list of VMs, merged from followers with different lag."""
 
 from __future__ import annotations
 
@@ -34,12 +34,12 @@
 class TestMerge:
     @given(st.lists(records), st.integers(0, 9))
     def test_does_not_depend_on_order_or_duplicates(
-        self, news: list[ListRecord], seed: int
+        self, received: list[ListRecord], seed: int
     ) -> None:
-        """Guards against VMs that hold different lists for ever after the same news."""
+        """Guards against VMs whose lists never converge after they received the same records."""
         one, other = Directory(), Directory()
-        one.merge(news, 0.0)
-        for record in random.Random(seed).sample(news + news, 2 * len(news)):
+        one.merge(received, 0.0)
+        for record in random.Random(seed).sample(received + received, 2 * len(received)):
             other.merge([record], 0.0)
         assert {r.listed.vm: r for r in one.list_records()} == {
             r.listed.vm: r for r in other.list_records()
@@ -47,9 +47,9 @@
         assert one.digest.buckets == other.digest.buckets
 
 
-class TestRead:
+class TestApplyList:
     def test_followers_with_different_lag_do_not_flap(self) -> None:
-        """Guards against a backend server that comes back because an older list arrives later."""
+        """Guards against a backend server that reappears because an older list arrives later."""
         history = [[VM, OTHER], [replace(VM, state=LEAVING), OTHER], [OTHER], [OTHER], [OTHER]]
         fast, slow = Directory(), Directory()
         seen = []
@@ -66,8 +66,8 @@
         assert changes == [LIVE, LEAVING, GONE]
         assert fast.digest.total == slow.digest.total
 
-    def test_entry_that_the_platform_brings_back_returns_after_the_hold_time(self) -> None:
-        """Guards against a backend server that is lost for good once it was leaving."""
+    def test_restored_entry_returns_after_the_hold_down_time(self) -> None:
+        """Guards against a backend server that is never used again after it was leaving."""
         directory = Directory()
         directory.apply_list([VM], None, 0.0)
         directory.apply_list([replace(VM, state=LEAVING)], None, 1.0)
@@ -78,14 +78,14 @@
         assert directory.find(VM.vm) == VM
 
     def test_empty_list_is_ignored(self) -> None:
-        """Guards against a platform fault that takes all backend servers away."""
+        """Guards against a fault of the platform that removes all backend servers."""
         directory = Directory()
         directory.apply_list([VM], None, 0.0)
         directory.apply_list([], None, 1.0)
         assert directory.list_active() == [VM]
 
-    def test_differences_give_the_same_as_the_whole_list(self) -> None:
-        """Guards against a difference that is applied to the wrong list."""
+    def test_changes_give_the_same_result_as_the_complete_list(self) -> None:
+        """Guards against changes that are applied to the wrong list."""
         whole, parts = Directory(), Directory()
         for directory in (whole, parts):
             directory.apply_list([VM, OTHER], None, 0.0)
--- a/tests/membership/test_roster.py
+++ b/tests/membership/test_roster.py
@@ -1,4 +1,4 @@
-"""The roster of members."""
+"""Merging of member records, failure detection and the neighbour graph."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from briarfork.membership import Roster
 from tests.membership.fleet import build_member
 from tests.membership.fleet import build_roster
-from tests.membership.fleet import find_groups
+from tests.membership.fleet import find_connected_components
 from tests.membership.fleet import fleets
 from tests.membership.fleet import members
 
@@ -23,7 +23,7 @@
     def test_does_not_depend_on_order_or_duplicates(
         self, records: list[Member], generator: object
     ) -> None:
-        """Guards against VMs that hold different rosters for ever after the same news."""
+        """Guards against VMs whose rosters never converge after they received the same records."""
         shuffled = records + records
         generator.shuffle(shuffled)  # type: ignore[attr-defined]
         one, other = build_roster(OWN, records), build_roster(OWN, shuffled)
@@ -32,7 +32,7 @@
 
     @given(st.lists(members, max_size=8), st.lists(members, max_size=8), st.lists(members))
     def test_is_associative(self, a: list[Member], b: list[Member], c: list[Member]) -> None:
-        """Guards against a result that depends on which peers exchanged records first."""
+        """Guards against a result that depends on the order in which peers exchange records."""
         left = build_roster(OWN, build_roster(OWN, a + b).list_all() + c)
         right = build_roster(OWN, a + build_roster(OWN, b + c).list_all())
         assert left.list_all() == right.list_all()
@@ -41,7 +41,7 @@
     def test_leaving_member_is_not_live_again_in_its_incarnation(
         self, records: list[Member]
     ) -> None:
-        """Guards against callers that are sent to a VM which drains."""
+        """Guards against callers that are directed to a draining VM."""
         roster = Roster(OWN)
         left: set[tuple[str, int]] = set()
         for record in records:
@@ -54,36 +54,36 @@
 
     @given(st.lists(members.map(lambda m: build_member("own", state=m.state, version=m.version))))
     def test_own_record_is_live_unless_leaving(self, records: list[Member]) -> None:
-        """Guards against a VM that takes over a rumour of its own death."""
+        """Guards against a VM that accepts a record that reports itself as suspect or dead."""
         roster = Roster(OWN)
         roster.merge(records)
-        called_leaving = any(record.state is MemberState.LEAVING for record in records)
-        assert (roster.own.state is MemberState.LEAVING) == called_leaving
+        reported_leaving = any(record.state is MemberState.LEAVING for record in records)
+        assert (roster.own.state is MemberState.LEAVING) == reported_leaving
         assert roster.find("own") == roster.own
 
-    def test_restarted_vm_with_a_slow_clock_takes_over_its_name(self) -> None:
-        """Guards against a restart that others ignore because its incarnation is lower."""
+    def test_restarted_vm_with_a_slow_clock_raises_its_incarnation(self) -> None:
+        """Guards against a restarted VM that others ignore because its incarnation is lower."""
         roster = Roster(OWN)
         roster.merge([build_member("own", incarnation=9)])
         assert roster.own.incarnation == 10
 
 
-class TestSuspicion:
-    def test_peer_that_was_never_heard_becomes_suspect(self) -> None:
-        """Guards against a dead member that stays in the lookups of a VM that came later."""
+class TestFailureDetection:
+    def test_silent_peer_becomes_suspect_without_a_first_heartbeat(self) -> None:
+        """Guards against a dead member in the lookup results of a VM that started later."""
         roster = build_roster(OWN, [build_member("vm-1"), build_member("vm-2")])
         roster.suspect_silent(["vm-1", "vm-2"], SILENCE_S, 0.0)
         roster.record_heartbeat("vm-2", 4.0)
         assert [m.vm for m in roster.suspect_silent(["vm-1", "vm-2"], SILENCE_S, 4.0)] == ["vm-1"]
 
-    def test_vm_that_is_cut_off_suspects_nobody(self) -> None:
-        """Guards against a VM that empties its roster because its own link is down."""
+    def test_partitioned_vm_suspects_no_peer(self) -> None:
+        """Guards against a VM that suspects all members because its own link is down."""
         roster = build_roster(OWN, [build_member("vm-1"), build_member("vm-2")])
         roster.suspect_silent(["vm-1", "vm-2"], SILENCE_S, 0.0)
         assert roster.suspect_silent(["vm-1", "vm-2"], SILENCE_S, 9.0) == []
 
-    def test_member_that_others_reach_is_suspected_less_and_less(self) -> None:
-        """Guards against a state that flaps while two regions have lost each other."""
+    def test_member_that_others_reach_is_suspected_less_often(self) -> None:
+        """Guards against a state that flaps while two regions are disconnected from each other."""
         roster = build_roster(OWN, [build_member("vm-1"), build_member("vm-2")])
         suspected = 0
         for second in range(120):
@@ -94,21 +94,21 @@
         assert suspected <= 5
 
 
-class TestGraph:
+class TestNeighbourGraph:
     @given(fleets)
     def test_is_connected_for_any_fleet(self, fleet: list[Member]) -> None:
-        """Guards against a group of VMs that changes never reach."""
+        """Guards against a group of VMs that never receives changes."""
         links = {
             member.vm: {peer.vm for peer in build_roster(member, fleet).list_neighbours()}
             for member in fleet
         }
-        assert len(find_groups(links)) == 1
+        assert len(find_connected_components(links)) == 1
 
     @given(fleets, st.sets(st.integers(0, 39)))
-    def test_live_part_is_connected_while_others_are_suspect(
+    def test_live_members_are_connected_while_others_are_suspect(
         self, fleet: list[Member], silent: set[int]
     ) -> None:
-        """Guards against suspect members that take the place of the links between live ones."""
+        """Guards against streams to suspect members in place of those that connect live ones."""
         fleet = [
             member.with_state(MemberState.SUSPECT) if index in silent else member
             for index, member in enumerate(fleet)
@@ -119,10 +119,10 @@
             for member in fleet
             if member.vm in live
         }
-        assert len(find_groups(links)) == min(1, len(live))
+        assert len(find_connected_components(links)) == min(1, len(live))
 
-    def test_rings_connect_the_design_size(self) -> None:
-        """Guards against rings that end at a zone; the other neighbours only add links."""
+    def test_rings_connect_a_fleet_of_the_design_size(self) -> None:
+        """Guards against rings that do not cross zones; other neighbours only add links."""
         fleet = [
             build_member(f"vm-{number}", f"zone-{number % 40}", serving=True)
             for number in range(6200)
@@ -132,14 +132,14 @@
             member.vm: {peer.vm for peer in roster.list_ring_successors(member.vm)}
             for member in fleet
         }
-        assert len(find_groups(links)) == 1
+        assert len(find_connected_components(links)) == 1
         own = {peer.vm for peer in roster.list_neighbours()}
         assert links["vm-0"] <= own
         assert len(own) <= 7
 
     @given(fleets)
     def test_each_zone_that_serves_has_followers(self, fleet: list[Member]) -> None:
-        """Guards against a zone that nobody follows the store for, or a follower that cannot."""
+        """Guards against a zone without followers, or a follower that does not serve."""
         for zone in {member.zone for member in fleet}:
             serving = {m.vm for m in fleet if m.zone == zone and m.serving}
             following = {
--- a/tests/pools/test_local.py
+++ b/tests/pools/test_local.py
@@ -26,7 +26,7 @@
 class TestLocalPool:
     @pytest.mark.parametrize("policy", LOCAL_POLICIES)
     def test_refused_request_goes_to_another_server(self, policy: str) -> None:
-        """Guards against a baseline that repeats a refusal at the same server."""
+        """Guards against a policy that retries a refused request on the same server."""
         for number in range(20):
             avoid = frozenset({"s-0", "s-1"})
             server = build_pool().choose(policy, str(number), RequestClass.SHORT, avoid, 0.0)
@@ -41,8 +41,8 @@
         )
         assert set(chosen.values()) == {3}
 
-    def test_ended_request_no_longer_counts(self) -> None:
-        """Guards against counts that grow and turn the choice away from a free server."""
+    def test_finished_request_no_longer_counts(self) -> None:
+        """Guards against a request count that never falls and keeps a free server unused."""
         pool = build_pool()
         for number in range(3):
             pool.choose("least_outstanding", str(number), RequestClass.SHORT, frozenset(), 0.0)
--- a/tests/pools/test_queue.py
+++ b/tests/pools/test_queue.py
@@ -1,4 +1,4 @@
-"""Slot accounting of the permit queue, by rules and by a state machine."""
+"""Slot accounting of the permit queue, checked by examples and by a state machine."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 SERVERS = [ServerAddress(f"s-{index}", "127.0.0.1", 1000 + index) for index in range(3)]
 CLASSES = st.sampled_from(RequestClass)
 REQUESTERS = [Requester(vm, stream) for vm in ("a", "b") for stream in (1, 2)]
-A = REQUESTERS[0]
+REQUESTER = REQUESTERS[0]
 
 
 def build_queue(slots: int = 2, mixed: bool = False, servers: int = 1) -> PermitQueue:
@@ -38,13 +38,13 @@
     return queue
 
 
-def ask(
+def build_request(
     name: str,
     request_class: RequestClass = RequestClass.SHORT,
     expires_at: float = 100.0,
     avoid: frozenset[str] = frozenset(),
 ) -> SlotRequest:
-    return SlotRequest(name, A, request_class, expires_at, avoid)
+    return SlotRequest(name, REQUESTER, request_class, expires_at, avoid)
 
 
 def list_granted(decisions: Iterable[Grant | Refusal]) -> list[str]:
@@ -52,23 +52,23 @@
 
 
 class TestPermitQueue:
-    def test_draining_server_is_not_tried_again(self) -> None:
-        """Guards against a request that probes whether a server still drains."""
+    def test_draining_server_gets_no_requests(self) -> None:
+        """Guards against requests that are sent to probe whether a server is still draining."""
         queue = build_queue(slots=1, servers=2)
-        queue.submit(ask("first"), 0.0)
+        queue.submit(build_request("first"), 0.0)
         queue.release("first", Release.DRAINING, 0.0, 0.0)
         for second in range(1, 60):
-            for decision in queue.submit(ask(f"next-{second}"), float(second)):
+            for decision in queue.submit(build_request(f"next-{second}"), float(second)):
                 assert isinstance(decision, Grant)
                 assert decision.server.vm == "s-1"
             queue.release(f"next-{second}", Release.DONE, 0.01, float(second))
 
-    def test_more_urgent_request_gets_the_next_slot(self) -> None:
-        """Guards against urgent requests that wait behind a burst of others."""
+    def test_slots_are_granted_by_priority(self) -> None:
+        """Guards against urgent requests that wait behind a burst of less urgent ones."""
         queue = build_queue(slots=1)
-        queue.submit(ask("running"), 0.0)
+        queue.submit(build_request("running"), 0.0)
         for name, priority in (("low", 2), ("high", 1), ("urgent", 0)):
-            queue.submit(replace(ask(name), priority=priority), 0.0)
+            queue.submit(replace(build_request(name), priority=priority), 0.0)
         order = []
         held = "running"
         for second in range(1, 4):
@@ -77,126 +77,132 @@
             order.append(held)
         assert order == ["urgent", "high", "low"]
 
-    def test_request_waits_for_the_server_that_knows_its_object(self) -> None:
-        """Guards against runs without caches while the server that has them is free in a moment."""
+    def test_request_waits_for_the_server_that_cached_its_object(self) -> None:
+        """Guards against uncached runs while the server with the cached object is free soon."""
         queue = build_queue(slots=1, servers=2)
-        (first,) = queue.submit(replace(ask("first"), object_key="o"), 0.0)
+        (first,) = queue.submit(replace(build_request("first"), object_key="o"), 0.0)
         assert isinstance(first, Grant)
         queue.release("first", Release.DONE, 0.2, 0.2)
-        (second,) = queue.submit(replace(ask("second"), object_key="o", asked_at=0.2), 0.2)
+        (second,) = queue.submit(
+            replace(build_request("second"), object_key="o", asked_at=0.2), 0.2
+        )
         assert isinstance(second, Grant)
         assert second.server == first.server
-        assert queue.submit(replace(ask("third"), object_key="o", asked_at=0.2), 0.2) == []
+        assert (
+            queue.submit(replace(build_request("third"), object_key="o", asked_at=0.2), 0.2) == []
+        )
         assert list_granted(queue.poll(0.5)) == ["third"]
 
-    def test_cold_server_gets_a_bounded_rate(self) -> None:
-        """Guards against a server that falls over while its caches are cold."""
+    def test_cold_server_gets_a_limited_rate(self) -> None:
+        """Guards against the overload of a server whose caches are cold."""
         queue = build_queue(slots=8)
         queue.set_cold_start_limit("s-0", until=3.0, per_s=4.0)
         granted = []
         for step in range(30):
             now = step / 10
-            decided = queue.submit(replace(ask(str(step)), expires_at=9.0), now)
+            decided = queue.submit(replace(build_request(str(step)), expires_at=9.0), now)
             for name in list_granted(decided):
                 granted.append(now)
                 queue.release(name, Release.DONE, 0.01, now)
         bounds = [sum(start <= at < start + 1.0 for at in granted) for start in granted]
         assert 0 < max(bounds) <= 4
 
-    def test_blocked_repeat_does_not_hold_up_those_behind_it(self) -> None:
-        """Guards against a repeat that avoids the only free server and blocks the queue."""
+    def test_blocked_retry_does_not_block_later_requests(self) -> None:
+        """Guards against a retry that avoids the only free server and blocks the queue."""
         queue = build_queue(slots=1, servers=2)
         for name in ("first", "second"):
-            queue.submit(ask(name), 0.0)
-        queue.submit(ask("repeat", avoid=frozenset({"s-0"})), 0.0)
-        queue.submit(ask("next"), 0.0)
+            queue.submit(build_request(name), 0.0)
+        queue.submit(build_request("retry", avoid=frozenset({"s-0"})), 0.0)
+        queue.submit(build_request("next"), 0.0)
         queue.release("first", Release.DONE, 0.01, 1.0)
         assert list_granted(queue.poll(1.0)) == ["next"]
 
-    def test_repeat_uses_the_only_server_again(self) -> None:
-        """Guards against a repeat that waits for a second server until its deadline."""
+    def test_retry_reuses_the_only_server(self) -> None:
+        """Guards against a retry that waits for a second server until its deadline."""
         queue = build_queue()
-        assert list_granted(queue.submit(ask("r", avoid=frozenset({"s-0"})), 0.0)) == ["r"]
+        assert list_granted(queue.submit(build_request("r", avoid=frozenset({"s-0"})), 0.0)) == [
+            "r"
+        ]
 
     def test_expected_wait_needs_a_measured_run_time(self) -> None:
-        """Guards against refusals by an assumed run time before anything was measured."""
+        """Guards against refusals based on an assumed run time before one was measured."""
         queue = build_queue(slots=1)
         for number in range(100):
-            refused = queue.submit(ask(str(number), expires_at=0.5), 0.0)
+            refused = queue.submit(build_request(str(number), expires_at=0.5), 0.0)
             assert not any(isinstance(item, Refusal) for item in refused)
 
     def test_refuses_when_the_expected_wait_exceeds_the_time_left(self) -> None:
-        """Guards against requests that wait for a slot which comes too late."""
+        """Guards against requests that wait for a slot that becomes free too late."""
         queue = build_queue(slots=1)
-        queue.submit(ask("0"), 0.0)
+        queue.submit(build_request("0"), 0.0)
         queue.release("0", Release.DONE, 1.0, 1.0)
         for number in range(1, 4):
-            queue.submit(ask(str(number)), 1.0)
-        decided = queue.submit(ask("late", expires_at=2.5), 1.0)
+            queue.submit(build_request(str(number)), 1.0)
+        decided = queue.submit(build_request("late", expires_at=2.5), 1.0)
         assert [type(item) for item in decided] == [Refusal]
 
-    def test_failing_server_does_not_attract_requests(self) -> None:
-        """Guards against a dead server that is always the one with the fewest requests."""
+    def test_failing_server_is_avoided(self) -> None:
+        """Guards against a dead server that is selected because it has the fewest requests."""
         queue = build_queue(servers=2)
-        (grant,) = queue.submit(ask("0"), 0.0)
+        (grant,) = queue.submit(build_request("0"), 0.0)
         assert isinstance(grant, Grant)
         queue.release("0", Release.FAILED, 0.0, 0.0)
-        (other,) = queue.submit(ask("1"), 0.01)
+        (other,) = queue.submit(build_request("1"), 0.01)
         assert isinstance(other, Grant)
         assert other.server != grant.server
 
-    def test_draining_server_stays_out_while_the_list_still_shows_it(self) -> None:
-        """Guards against new work for a leaving server at each read of a list that lags."""
+    def test_draining_server_gets_no_requests_while_still_listed(self) -> None:
+        """Guards against new requests to a draining server when a lagging list still names it."""
         queue = build_queue(servers=1)
-        queue.submit(ask("0"), 0.0)
+        queue.submit(build_request("0"), 0.0)
         queue.release("0", Release.DRAINING, 0.0, 0.0)
         queue.set_servers(SERVERS[:1])
-        (decision,) = queue.submit(ask("1"), 2.0)
+        (decision,) = queue.submit(build_request("1"), 2.0)
         assert isinstance(decision, Refusal)
 
     def test_prefers_a_server_without_overdue_requests(self) -> None:
-        """Guards against more work for a server that has slowed down."""
+        """Guards against more requests to a server that has slowed down."""
         queue = build_queue(slots=3, servers=2)
         for number in range(64):
-            queue.submit(ask(str(number)), 0.0)
+            queue.submit(build_request(str(number)), 0.0)
             queue.release(str(number), Release.DONE, 0.01, 0.0)
-        grants = [queue.submit(ask(f"slow-{number}"), 0.0)[0] for number in range(3)]
+        grants = [queue.submit(build_request(f"slow-{number}"), 0.0)[0] for number in range(3)]
         servers = [item.server.vm for item in grants if isinstance(item, Grant)]
         single = min(servers, key=servers.count)
         queue.release(f"slow-{servers.index(single)}", Release.DONE, 0.01, 1.0)
-        queue.submit(ask("new"), 1.0)
-        (grant,) = queue.submit(ask("newer"), 1.0)
+        queue.submit(build_request("new"), 1.0)
+        (grant,) = queue.submit(build_request("newer"), 1.0)
         assert isinstance(grant, Grant)
         assert grant.server.vm == single
 
 
 class TestLostRequester:
-    def test_silent_requester_keeps_its_slots_until_its_requests_have_ended(self) -> None:
-        """Guards against slots granted again while a paused VM's requests still run."""
+    def test_silent_requester_keeps_its_slots_until_its_requests_expire(self) -> None:
+        """Guards against slots that are granted again while requests of a paused VM still run."""
         queue = build_queue(slots=1)
-        queue.submit(ask("0", expires_at=50.0), 0.0)
-        queue.submit(ask("1"), 0.0)
-        queue.drop_requester(A, silent=True, now=1.0)
+        queue.submit(build_request("0", expires_at=50.0), 0.0)
+        queue.submit(build_request("1"), 0.0)
+        queue.drop_requester(REQUESTER, silent=True, now=1.0)
         queue.submit(SlotRequest("2", REQUESTERS[2], RequestClass.SHORT, 100.0), 1.0)
         assert list_granted(queue.poll(49.0)) == []
         assert list_granted(queue.poll(50.0)) == ["2"]
 
-    def test_new_stream_keeps_only_what_it_declares(self) -> None:
-        """Guards against slots lost with a release that a broken stream did not carry."""
+    def test_new_stream_keeps_only_declared_permits(self) -> None:
+        """Guards against leaked slots when a release is lost with a broken stream."""
         queue = build_queue(slots=2)
-        queue.submit(ask("kept"), 0.0)
-        queue.submit(ask("released"), 0.0)
-        queue.drop_requester(A, silent=True, now=1.0)
+        queue.submit(build_request("kept"), 0.0)
+        queue.submit(build_request("released"), 0.0)
+        queue.drop_requester(REQUESTER, silent=True, now=1.0)
         queue.adopt("kept", REQUESTERS[1], "s-0", RequestClass.SHORT, 1.5)
         queue.release_earlier_streams(REQUESTERS[1], 1.5)
         assert queue.in_progress == 1
-        queue.drop_requester(A, silent=False, now=1.6)
+        queue.drop_requester(REQUESTER, silent=False, now=1.6)
         queue.poll(90.0)
         assert queue.in_progress == 1
 
 
 class PermitQueueMachine(RuleBasedStateMachine):
-    """Compares the queue with the sets of waiting and granted permits."""
+    """Compares the queue with a model of the waiting and granted permits."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -215,25 +221,25 @@
     def apply(self, decisions: list[Grant | Refusal]) -> None:
         for decision in decisions:
             permit = decision.request.permit
-            demand = self.waiting.pop(permit)
+            request = self.waiting.pop(permit)
             if isinstance(decision, Refusal):
                 continue
             vm = decision.server.vm
             assert int(vm[-1]) in self.live
             held = [item for item in self.granted.values() if item[0] == vm]
             assert len(held) < self.slots
-            if demand.request_class is RequestClass.LONG:
+            if request.request_class is RequestClass.LONG:
                 long = [item for item in held if item[1] is RequestClass.LONG]
                 assert len(long) < max(1, self.slots - 1)
             earlier = [
                 item
                 for item in self.waiting.values()
-                if item.request_class is demand.request_class
+                if item.request_class is request.request_class
                 and not item.avoid
                 and int(item.permit[1:]) < int(permit[1:])
             ]
             assert not earlier
-            self.granted[permit] = (vm, demand.request_class)
+            self.granted[permit] = (vm, request.request_class)
 
     @rule(
         request_class=CLASSES,
@@ -241,7 +247,7 @@
         avoid=st.sets(st.sampled_from(["s-0", "s-1", "s-2"]), max_size=2),
         requester=st.sampled_from(REQUESTERS),
     )
-    def demand(
+    def submit(
         self, request_class: RequestClass, left_s: float, avoid: set[str], requester: Requester
     ) -> None:
         item = SlotRequest(
@@ -293,16 +299,16 @@
 
     @rule(requester=st.sampled_from(REQUESTERS))
     def reconnect(self, requester: Requester) -> None:
-        """A new stream of the VM declares every permit that it holds."""
-        for demand in self.queue.drop_requester(requester, True, self.now):
-            del self.waiting[demand.permit]
+        """Opens a new stream of the VM, which declares every permit that the VM holds."""
+        for request in self.queue.drop_requester(requester, True, self.now):
+            del self.waiting[request.permit]
         stream = Requester(requester.vm, 100 + self.count)
         self.count += 1
         for permit, (vm, request_class) in self.granted.items():
             if self.queue._held_permits[permit].requester.vm == requester.vm:
                 self.queue.adopt(permit, stream, vm, request_class, self.now)
-        for demand in self.queue.release_earlier_streams(stream, self.now):
-            del self.waiting[demand.permit]
+        for request in self.queue.release_earlier_streams(stream, self.now):
+            del self.waiting[request.permit]
 
     @rule(passed_s=st.floats(0.0, 3.0))
     def wait(self, passed_s: float) -> None:
@@ -322,7 +328,7 @@
         assert counted == {permit: vm for permit, (vm, _) in self.granted.items()}
 
 
-# Guards against slots that are lost, granted twice or granted beyond the capacity.
+# Guards against slots that are leaked, granted twice or granted beyond the capacity.
 TestPermitQueueMachine = PermitQueueMachine.TestCase
 TestPermitQueueMachine.settings = settings(
     max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
--- a/tests/pools/test_slow_start.py
+++ b/tests/pools/test_slow_start.py
@@ -19,23 +19,27 @@
 from briarfork.pools.slow_start import MIN_WARM_UP_S
 from briarfork.pools.slow_start import SlowStart
 
-RUN_S = 0.01
-# Goal for the tail latency under backend server selection, relative to an ideal.
-P99_RATIO = 1.3
-COLD_ANSWERS = 300
+MEAN_RUN_TIME_S = 0.01
+# Maximum ratio of the 99th percentile of the latency to that of a site without a cold server.
+MAX_P99_RATIO = 1.3
+WARM_UP_RESPONSES = 300
 ADDRESSES = [ServerAddress(f"s{number}", "127.0.0.1", 80) for number in range(4)]
 
 
-class Site:
-    """Runs requests; a cold server is slow in proportion to what it runs at the same time."""
+class SimulatedSite:
+    """Simulates requests to a site whose last server is cold.
 
-    def __init__(self, listed_late: bool) -> None:
-        self.waits: list[float] = []
+    A cold server slows down in proportion to its concurrent requests. Slow start applies to that
+    server only if it is missing from the first list of servers.
+    """
+
+    def __init__(self, slow_start: bool) -> None:
+        self.latencies_s: list[float] = []
         self._queue = PermitQueue(SiteCapacity(8, 100), False, random.Random(1))
-        self._queue.set_servers(ADDRESSES[:3] if listed_late else ADDRESSES)
+        self._queue.set_servers(ADDRESSES[:3] if slow_start else ADDRESSES)
         self._queue.set_servers(ADDRESSES)
         self._random = random.Random(7)
-        self._answered = 0
+        self._cold_server_responses = 0
         self._running = dict.fromkeys((address.vm for address in ADDRESSES), 0)
         self._ends: list[tuple[float, str, str, float, float]] = []
 
@@ -46,14 +50,14 @@
             while self._ends and self._ends[0][0] <= now:
                 self._finish()
             number += 1
-            demand = SlotRequest(f"{number}", Requester("vm"), RequestClass.SHORT, now + 5.0)
-            self._start(self._queue.submit(demand, now), now)
+            request = SlotRequest(f"{number}", Requester("vm"), RequestClass.SHORT, now + 5.0)
+            self._start(self._queue.submit(request, now), now)
 
     def _finish(self) -> None:
         end, permit, vm, started, arrived = heapq.heappop(self._ends)
         self._running[vm] -= 1
-        self._answered += vm == ADDRESSES[3].vm
-        self.waits.append(end - arrived)
+        self._cold_server_responses += vm == ADDRESSES[3].vm
+        self.latencies_s.append(end - arrived)
         self._queue.release(permit, Release.DONE, end - started, end)
         self._start(self._queue.poll(end), end)
 
@@ -62,30 +66,30 @@
             assert isinstance(decision, Grant)
             vm = decision.server.vm
             self._running[vm] += 1
-            run_s = self._random.expovariate(1 / RUN_S)
-            if vm == ADDRESSES[3].vm and self._answered < COLD_ANSWERS:
+            run_s = self._random.expovariate(1 / MEAN_RUN_TIME_S)
+            if vm == ADDRESSES[3].vm and self._cold_server_responses < WARM_UP_RESPONSES:
                 run_s *= 1 + 2 * self._running[vm]
             arrived = decision.request.expires_at - 5.0
             end = (now + run_s, decision.request.permit, vm, now, arrived)
             heapq.heappush(self._ends, end)
 
-    def find_p99(self) -> float:
-        return sorted(self.waits)[int(0.99 * len(self.waits))]
+    def compute_p99(self) -> float:
+        return sorted(self.latencies_s)[int(0.99 * len(self.latencies_s))]
 
 
 class TestSlowStart:
-    def test_keeps_p99_level_while_a_cold_server_joins(self) -> None:
-        """Guards against a cold server that gets as much as the warm ones."""
-        slow, full = Site(listed_late=True), Site(listed_late=False)
-        for site in (slow, full):
+    def test_limits_p99_while_a_cold_server_joins(self) -> None:
+        """Guards against a cold server that gets as many requests as the warm ones."""
+        gradual, immediate = SimulatedSite(slow_start=True), SimulatedSite(slow_start=False)
+        for site in (gradual, immediate):
             site.run(rps=1500, duration_s=1.0)
-        warm = Site(listed_late=False)
-        warm._answered = COLD_ANSWERS
+        warm = SimulatedSite(slow_start=False)
+        warm._cold_server_responses = WARM_UP_RESPONSES
         warm.run(rps=1500, duration_s=1.0)
-        assert slow.find_p99() <= P99_RATIO * warm.find_p99() < full.find_p99()
+        assert gradual.compute_p99() <= MAX_P99_RATIO * warm.compute_p99() < immediate.compute_p99()
 
-    def test_needs_both_time_and_answers(self) -> None:
-        """Guards against a server that is full of requests before its caches are."""
+    def test_requires_both_time_and_responses(self) -> None:
+        """Guards against a server that gets all of its load before its caches are filled."""
         start = SlowStart(cold=True)
         assert start.limit(4, 0.0) == 1
         assert start.limit(4, MIN_WARM_UP_S) == 1
@@ -93,14 +97,14 @@
             start.record_response(MIN_WARM_UP_S)
         assert start.limit(4, MIN_WARM_UP_S) == 4
 
-    def test_ends_by_time_alone_for_long_requests(self) -> None:
-        """Guards against a server of downloads that never gets its slots."""
+    def test_ends_after_the_maximum_time(self) -> None:
+        """Guards against a server of long requests that never gets all of its slots."""
         start = SlowStart(cold=True)
         assert start.limit(4, 0.0) == 1
         assert start.limit(4, MAX_WARM_UP_S) == 4
 
-    def test_begins_again_after_an_idle_time(self) -> None:
-        """Guards against a burst at a site whose caches have been evicted."""
+    def test_restarts_after_idle_time(self) -> None:
+        """Guards against a burst at a server whose caches were evicted while it was idle."""
         start = SlowStart(cold=False)
         assert start.limit(4, 0.0) == 4
         start.record_response(1.0)
