State the reasons of two pool rules precisely

The comment on the slowness limit described caches where the code compares affinity, and the docstring on shares of slots left out that the rule for long requests applies to mixed services only. A test called two lists whole and parts.

--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -110,7 +110,10 @@
             server.long_slots = self._compute_long_slots(server.slots)
 
     def set_shares(self, slots: Mapping[str, int]) -> None:
-        """Limits each server to a share of its slots, of which long requests leave one free."""
+        """Limits each server to a share of its slots.
+
+        If the service has both short and long requests, long ones leave one slot of the share free.
+        """
         for vm, server in self._servers.items():
             server.slots = slots.get(vm, 0)
             server.long_slots = max(0, server.slots - 1) if self._mixed else server.slots
--- a/src/briarfork/pools/selection.py
+++ b/src/briarfork/pools/selection.py
@@ -19,7 +19,8 @@
 
 SELECTION_POLICIES: Registry[Policy] = Registry("selection policy")
 POWER_OF_TWO_CHOICES = 2
-# From this slowness on, a faster server without the object is preferred to the one that caches it.
+# From this slowness on, a faster server is preferred to the one with the highest affinity, although
+# the object may still be in the caches of the latter.
 SLOWNESS_LIMIT = 1.5
 # The only policy that requires an owner of the slots.
 PERMITS_POLICY = "permits"
--- a/tests/membership/test_directory.py
+++ b/tests/membership/test_directory.py
@@ -86,10 +86,10 @@
 
     def test_changes_give_the_same_result_as_the_complete_list(self) -> None:
         """Guards against changes that are applied to the wrong list."""
-        whole, parts = Directory(), Directory()
-        for directory in (whole, parts):
+        complete, incremental = Directory(), Directory()
+        for directory in (complete, incremental):
             directory.apply_list([VM, OTHER], None, 0.0)
-        whole.apply_list([replace(OTHER, state=LEAVING)], None, 1.0)
-        parts.apply_list([replace(OTHER, state=LEAVING)], [VM.vm], 1.0)
-        assert whole.list_active() == parts.list_active()
-        assert whole.digest.total == parts.digest.total
+        complete.apply_list([replace(OTHER, state=LEAVING)], None, 1.0)
+        incremental.apply_list([replace(OTHER, state=LEAVING)], [VM.vm], 1.0)
+        assert complete.list_active() == incremental.list_active()
+        assert complete.digest.total == incremental.digest.total
