Join the rewording of pools, requests and membership

Cause: slots, claims and the roster were described in private words (homes, lines, holdings, patience, evidence).

Change: names, comments, docstrings and texts of pools/, requests/, membership/, errors.py, hashing.py, registry.py and their tests. Two parts had chosen the name SlotRequest; the gateway's is SlotRequirements.

--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -14,11 +14,11 @@
 from briarfork.gateway.attempts import AttemptRunner
 from briarfork.gateway.attempts import Progress
 from briarfork.gateway.metrics import GatewayMetrics
-from briarfork.gateway.permits import SlotRequest
+from briarfork.gateway.permits import SlotRequirements
 from briarfork.requests import AttemptResult
-from briarfork.requests import Budget
 from briarfork.requests import Deadline
 from briarfork.requests import FailedAttempt
+from briarfork.requests import RetryBudget
 from briarfork.routing import WeightedRoundRobin
 
 if TYPE_CHECKING:
@@ -50,7 +50,7 @@
         self.metrics = GatewayMetrics()
         self._attempt_runner = AttemptRunner(permits, upstream, events, self.metrics)
         self._round_robin = WeightedRoundRobin()
-        self._retry_budgets: dict[str, Budget] = {}
+        self._retry_budgets: dict[str, RetryBudget] = {}
 
     async def handle(self, request: Request) -> Response:
         """Returns the response of a backend server.
@@ -158,7 +158,7 @@
             remaining_s = progress.deadline.remaining_s(time.monotonic())
             if remaining_s < MIN_RUN_FRACTION * route.objective_s:
                 raise NotRun(ErrorKind.OVERLOADED, "not enough time is left to run the request")
-            slot_request = SlotRequest(
+            slot_request = SlotRequirements(
                 route,
                 progress.service,
                 request.object_key,
@@ -182,7 +182,7 @@
         """
         failed = FailedAttempt(failure.result, progress.route.kind.is_idempotent, replayable=True)
         progress.may_have_run = progress.may_have_run or failed.may_have_run
-        if failed.may_repeat() and self._may_retry(progress, failure.result):
+        if failed.may_retry() and self._may_retry(progress, failure.result):
             return None
         if progress.error_response is not None:
             return progress.error_response
@@ -196,13 +196,13 @@
             return False
         return self._find_retry_budget(progress.service).spend()
 
-    def _find_retry_budget(self, service: str) -> Budget:
+    def _find_retry_budget(self, service: str) -> RetryBudget:
         limits = self._view.retry_limits
         reserve = limits.compute_reserve(len(self._view.members))
         budget = self._retry_budgets.get(service)
         if budget is None:
-            budget = self._retry_budgets[service] = Budget(limits.ratio_per_vm, reserve)
-        budget.limit_reserve(reserve)
+            budget = self._retry_budgets[service] = RetryBudget(limits.ratio_per_vm, reserve)
+        budget.set_reserve(reserve)
         return budget
 
 
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SlotRequest:
+class SlotRequirements:
     """The constraints on the slot for one attempt.
 
     Attributes:
@@ -72,7 +72,7 @@
         self._backoff_until: dict[str, float] = {}
         self._logged_shares: dict[str, float] = {}
 
-    async def acquire(self, request: SlotRequest) -> Permit:
+    async def acquire(self, request: SlotRequirements) -> Permit:
         """Returns a permit for one attempt.
 
         Raises:
@@ -156,7 +156,7 @@
             self._backoff_until[permit.server.vm] = now + OVERLOADED_SERVER_BACKOFF_S
         self._find_share_controller(service, now).record_remote(overloaded, utilization)
 
-    def _take_remote_slot(self, zones: list[str], request: SlotRequest) -> Permit | None:
+    def _take_remote_slot(self, zones: list[str], request: SlotRequirements) -> Permit | None:
         """Takes a slot in another region without asking, or returns None if none seems free.
 
         The round trip to the owner of the slots would take as long as the run itself.
@@ -177,7 +177,7 @@
                 return self.take((request.service, zone), demand, server)
         return None
 
-    async def _request_from_zones(self, zones: list[str], request: SlotRequest) -> Permit:
+    async def _request_from_zones(self, zones: list[str], request: SlotRequirements) -> Permit:
         """Requests a slot from each zone in turn.
 
         Raises:
@@ -248,7 +248,7 @@
                 Event.REMOTE_SHARE_MOVED, service=service, share=round(value, 2)
             )
 
-    def _find_wait_deadline(self, request: SlotRequest, zone: str, now: float) -> Deadline:
+    def _find_wait_deadline(self, request: SlotRequirements, zone: str, now: float) -> Deadline:
         is_own_zone = zone == self._gateway_view.location.zone
         fraction = OWN_ZONE_WAIT_FRACTION if is_own_zone else OTHER_ZONE_WAIT_FRACTION
         wait_s = min(fraction * request.route.objective_s, request.deadline.remaining_s(now) / 2)
--- a/src/briarfork/gateway/spillover.py
+++ b/src/briarfork/gateway/spillover.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from briarfork.hashing import hash_to_part
+from briarfork.hashing import hash_to_fraction
 
 if TYPE_CHECKING:
     from briarfork.entry.slots import SlotKey
@@ -147,7 +147,7 @@
         """
         share = self.compute(now)
         self._credit = min(MAX_CREDIT, self._credit + share)
-        selected = not object_key or hash_to_part(f"{object_key}|leaves") < share
+        selected = not object_key or hash_to_fraction(f"{object_key}|leaves") < share
         if self._credit < (1.0 if selected else ANY_OBJECT_CREDIT):
             return False
         self._credit -= 1.0
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -10,11 +10,11 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.gateway.spillover import estimate_remote_share
-from briarfork.hashing import hash_to_part
+from briarfork.hashing import hash_to_fraction
 from briarfork.membership import MemberState
 from briarfork.membership import rank_members
 from briarfork.pools import Inventory
-from briarfork.pools import rank_home
+from briarfork.pools import compute_affinity_score
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
@@ -105,7 +105,7 @@
 
     def list_servers(self, service: str, site: str) -> list[ServerAddress]:
         """Returns the servers that accept new requests."""
-        return [item.describe_address() for item in self.inventory.list_usable(service, site)]
+        return [item.to_server_address() for item in self.inventory.list_usable(service, site)]
 
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the serving entry VMs of a zone."""
@@ -129,7 +129,7 @@
 
         def score(zone: str) -> float:
             slots = self._count_slots(service, zone)
-            return -slots / math.log(hash_to_part(f"{object_key}|{zone}"))
+            return -slots / math.log(hash_to_fraction(f"{object_key}|{zone}"))
 
         return sorted(zones, key=score, reverse=True)
 
@@ -142,8 +142,8 @@
             for item in self.inventory.list_usable(service, zone)
             if self.inventory.find_cold_until(item) <= now
         ]
-        warm.sort(key=lambda item: rank_home(object_key, item.name), reverse=True)
-        return [item.describe_address() for item in warm]
+        warm.sort(key=lambda item: compute_affinity_score(object_key, item.name), reverse=True)
+        return [item.to_server_address() for item in warm]
 
     def estimate_remote_share(self, service: str) -> float:
         """Returns the initial share of a service's requests that is sent to other regions."""
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -14,7 +14,7 @@
 from briarfork.border.events import Event
 from briarfork.border.http_server import HttpConnectionHandler
 from briarfork.entry.forward import HOP_HEADERS
-from briarfork.errors import ANSWERS
+from briarfork.errors import ERROR_RESPONSES
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
@@ -112,7 +112,7 @@
     def _build_error(
         self, request_id: str, http_request: web.BaseRequest, error: BriarforkError
     ) -> web.Response:
-        answer = ANSWERS[error.kind]
+        answer = ERROR_RESPONSES[error.kind]
         if error.kind in PRE_DISPATCH_ERRORS:
             self._gateway.events.record(
                 Event.REQUEST_FAILED,
@@ -151,7 +151,7 @@
 
     def build_error_response(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
         """Returns the response to an error outside the request handler, where no id is known."""
-        return web.Response(status=ANSWERS[error.kind].status)
+        return web.Response(status=ERROR_RESPONSES[error.kind].status)
 
 
 async def _read_body(http_request: web.BaseRequest, limit: int) -> bytes:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -16,7 +16,7 @@
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.gateway.location import Location
 from briarfork.gateway.permits import GatewayPermits
-from briarfork.gateway.permits import SlotRequest
+from briarfork.gateway.permits import SlotRequirements
 from briarfork.gateway.process import Gateway
 from briarfork.gateway.request import Request
 from briarfork.gateway.request import Response
@@ -109,7 +109,7 @@
         self.servers = list(servers)
         self.released: list[Release] = []
 
-    async def acquire(self, request: SlotRequest) -> Permit:
+    async def acquire(self, request: SlotRequirements) -> Permit:
         if not self.servers:
             raise SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot", wait_s=0.2)
         address = ServerAddress(self.servers.pop(0), "127.0.0.1", 1)
@@ -118,7 +118,9 @@
     async def acquire_hedge(self, route: Route, first: Permit) -> Permit | None:
         if not self.servers:
             return None
-        return await self.acquire(SlotRequest(route, first.service, "", Deadline(0.0), frozenset()))
+        return await self.acquire(
+            SlotRequirements(route, first.service, "", Deadline(0.0), frozenset())
+        )
 
     def release(
         self, permit: Permit, how: Release, elapsed_s: float, slowness: float = 0.0
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -104,7 +104,7 @@
         """Guards against a server with a wrong address or without its start time."""
         instance = decode_instance("i-1", encode_entry(), now=10.0)
         assert (instance.address, instance.port, instance.slots) == ("10.0.0.1", 80, 3)
-        assert (instance.cold_until, instance.born_ms, instance.draining) == (
+        assert (instance.cold_until, instance.started_at_ms, instance.draining) == (
             10.5,
             1700000000000,
             False,
--- a/tests/pools/test_local.py
+++ b/tests/pools/test_local.py
@@ -8,13 +8,13 @@
 import pytest
 
 from briarfork.configuration import RequestClass
-from briarfork.pools import PERMITS
-from briarfork.pools import SELECTION
+from briarfork.pools import PERMITS_POLICY
+from briarfork.pools import SELECTION_POLICIES
 from briarfork.pools import LocalPool
 from briarfork.pools import ServerAddress
 
 SERVERS = [ServerAddress(f"s-{index}", "127.0.0.1", 1000 + index) for index in range(3)]
-LOCAL_POLICIES = [name for name in SELECTION.names() if name != PERMITS]
+LOCAL_POLICIES = [name for name in SELECTION_POLICIES.names() if name != PERMITS_POLICY]
 
 
 def build_pool() -> LocalPool:
@@ -26,7 +26,7 @@
 class TestLocalPool:
     @pytest.mark.parametrize("policy", LOCAL_POLICIES)
     def test_refused_request_goes_to_another_server(self, policy: str) -> None:
-        """Guards against a baseline that repeats a refusal at the same server."""
+        """Guards against a policy that retries a refused request on the same server."""
         for number in range(20):
             avoid = frozenset({"s-0", "s-1"})
             server = build_pool().choose(policy, str(number), RequestClass.SHORT, avoid, 0.0)
@@ -41,8 +41,8 @@
         )
         assert set(chosen.values()) == {3}
 
-    def test_ended_request_no_longer_counts(self) -> None:
-        """Guards against counts that grow and turn the choice away from a free server."""
+    def test_finished_request_no_longer_counts(self) -> None:
+        """Guards against a request count that never falls and keeps a free server unused."""
         pool = build_pool()
         for number in range(3):
             pool.choose("least_outstanding", str(number), RequestClass.SHORT, frozenset(), 0.0)
