--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -30,7 +30,7 @@
     from briarfork.border.documents import WithdrawalModel
     from briarfork.border.events import EventLog
     from briarfork.border.store import Store
-    from briarfork.timeline import Folded
+    from briarfork.timeline import FoldedChange
     from briarfork.timeline import Timeline
 
 # A change that only lost the race for a generation is offered again for the next one.
@@ -286,7 +286,7 @@
     return known.generation
 
 
-def _describe(entry: Change | Folded) -> str:
+def _describe(entry: Change | FoldedChange) -> str:
     name = f" (change {entry.change_id})" if isinstance(entry, Change) else ""
     return f"{entry.generation}{name}"
 
--- a/src/briarfork/admin/queries.py
+++ b/src/briarfork/admin/queries.py
@@ -107,14 +107,14 @@
     return value
 
 
-def find_shares(timeline: Timeline, at: float) -> dict[str, dict[str, Shares]]:
+def compute_shares(timeline: Timeline, at: float) -> dict[str, dict[str, Shares]]:
     """Returns the shares at a time by service and client region, also in the middle of a ramp.
 
     The region "" is for clients of regions without weights of their own.
     """
     shares: dict[str, dict[str, Shares]] = {}
     for (service, region), shift in build_shifts(timeline, at).items():
-        shares.setdefault(service, {})[region or ""] = shift.find_shares(at)
+        shares.setdefault(service, {})[region or ""] = shift.compute_shares(at)
     return shares
 
 
--- a/src/briarfork/admin/reader.py
+++ b/src/briarfork/admin/reader.py
@@ -13,7 +13,7 @@
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.steering import compact_timeline
-from briarfork.timeline import Appended
+from briarfork.timeline import AppendResult
 from briarfork.timeline import Timeline
 
 if TYPE_CHECKING:
@@ -97,7 +97,7 @@
     def _append(self, changes: list[Change]) -> None:
         # Another request of this process may have appended the same changes during the read.
         for change in changes:
-            if self._timeline.append(change) not in (Appended.ADDED, Appended.KNOWN):
+            if self._timeline.append(change) not in (AppendResult.ADDED, AppendResult.KNOWN):
                 raise self._refuse(self._timeline.generation, change.generation)
 
     def _refuse(self, known: int, found: int) -> BriarforkError:
--- a/src/briarfork/configuration/__init__.py
+++ b/src/briarfork/configuration/__init__.py
@@ -1,4 +1,4 @@
-"""Operators' configuration: documents, overlays and the plan that they render to."""
+"""Operator configuration: documents, site overlays and the plan rendered from them."""
 
 from briarfork.configuration.documents import BASE
 from briarfork.configuration.documents import SERVICE_PREFIX
--- a/src/briarfork/configuration/documents.py
+++ b/src/briarfork/configuration/documents.py
@@ -1,4 +1,4 @@
-"""The operators' documents: the base, its services, and one overlay for each site."""
+"""Configuration documents: the base, its services, and one overlay per site."""
 
 from __future__ import annotations
 
@@ -26,42 +26,42 @@
 SERVICE_PREFIX = "services/"
 SITE_PREFIX = "sites/"
 
-# Estimates for services that state none.
-ANSWER_BYTES: Final = {"short": 16 * 1024, "long": 4 * 1024 * 1024}
+# Estimated answer size by request class, for services that do not state one.
+DEFAULT_ANSWER_BYTES: Final = {"short": 16 * 1024, "long": 4 * 1024 * 1024}
 
-# The table of blocks keeps 64 bits of an IPv6 address.
-IPV6_BLOCK_BITS: Final = 64
+# The block table keeps only the first 64 bits of an IPv6 address.
+MAX_IPV6_PREFIX_BITS: Final = 64
 
 Document = dict[str, Any]
 
 
 @dataclass(frozen=True, slots=True)
-class _Index:
+class _NameIndex:
     """Names of the services, the sites and the drained sites.
 
-    It is kept up to date with each edit, because a check of the timeline looks at the documents
-    of every scheduled start.
+    It is updated with each edit rather than rebuilt, because checking a change validates the
+    documents at every scheduled start.
     """
 
     services: set[str] = field(default_factory=set)
     sites: set[str] = field(default_factory=set)
     drained: set[str] = field(default_factory=set)
 
-    def copy(self) -> _Index:
-        """Returns an index that can be updated on its own."""
-        return _Index(self.services.copy(), self.sites.copy(), self.drained.copy())
+    def copy(self) -> _NameIndex:
+        """Returns an independent copy."""
+        return _NameIndex(self.services.copy(), self.sites.copy(), self.drained.copy())
 
     def update(self, name: str, body: Document | None) -> None:
-        """Takes an edit of a document."""
-        kind, _, part = name.partition("/")
+        """Applies an edit of a document; a body of None removes it."""
+        kind, _, short_name = name.partition("/")
         if f"{kind}/" == SERVICE_PREFIX:
-            _put(self.services, part, body is not None)
+            _set_presence(self.services, short_name, body is not None)
         elif f"{kind}/" == SITE_PREFIX:
-            _put(self.sites, part, body is not None)
-            _put(self.drained, part, body is not None and body.get("drain", False))
+            _set_presence(self.sites, short_name, body is not None)
+            _set_presence(self.drained, short_name, body is not None and body.get("drain", False))
 
 
-def _put(names: set[str], name: str, present: bool) -> None:
+def _set_presence(names: set[str], name: str, present: bool) -> None:
     if present:
         names.add(name)
     else:
@@ -72,24 +72,24 @@
 class Documents:
     """The aggregate of the base document, its services and all overlays.
 
-    Operators write the services inside the base file. Each is a document of its own here, so that
-    changes to different services do not clash and a team may own one of them. A document is a
-    plain map that a border model has checked for types. The rules here are those that need more
-    than one document: references resolve, and weights and overlays fit the base.
+    Operators write the services inside the base file. Here each service is a separate document,
+    so that changes to different services do not conflict and a team can own a single service. A
+    document is a plain mapping whose types a border model has validated. This class checks the
+    rules that span several documents: references resolve, and weights and overlays fit the base.
 
     Attributes:
         by_name: Documents by name: "base", "services/<service>" and "sites/<site>".
     """
 
     by_name: dict[str, Document] = field(default_factory=dict)
-    _index: _Index = field(default_factory=_Index, init=False, repr=False, compare=False)
+    _index: _NameIndex = field(default_factory=_NameIndex, init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
         for name, body in self.by_name.items():
             self._index.update(name, body)
 
     def apply(self, edits: dict[str, Document | None]) -> Documents:
-        """Returns the documents after edits; an edit of None removes a document."""
+        """Returns the documents after the edits; a body of None removes a document."""
         by_name, index = self.by_name.copy(), self._index.copy()
         for name, body in edits.items():
             index.update(name, body)
@@ -103,19 +103,20 @@
         return edited
 
     def render(self, previous: Plan | None = None) -> Plan:
-        """Merges the overlays into the base.
+        """Returns the plan that results from merging the overlays into the base.
 
         Args:
-            previous: A plan whose blocks, if they are the same object, are not checked again.
+            previous: A previous plan; its client blocks are not validated again if they are the
+                same object.
 
         Raises:
-            InvalidConfiguration: Lists every broken rule with document and key.
+            InvalidConfiguration: If a rule is broken; lists each with its document and key.
         """
-        faults = self.find_faults(checked=previous.client_blocks if previous else None)
+        faults = self.find_faults(valid_blocks=previous.client_blocks if previous else None)
         if faults:
             raise InvalidConfiguration(faults)
         base = self.by_name[BASE]
-        overlays = self._select(SITE_PREFIX)
+        overlays = self._select_by_prefix(SITE_PREFIX)
         return Plan(
             entry_vms=base["entry_vms"],
             lookup_ttl_s=base["lookup_ttl_s"],
@@ -129,19 +130,19 @@
             },
             services={
                 name: _build_service(name, body, overlays)
-                for name, body in self._select(SERVICE_PREFIX).items()
+                for name, body in self._select_by_prefix(SERVICE_PREFIX).items()
             },
         )
 
     def find_faults(
-        self, edited: Collection[str] | None = None, checked: ClientBlocks | None = None
+        self, edited: Collection[str] | None = None, valid_blocks: ClientBlocks | None = None
     ) -> list[str]:
-        """Returns one line for each broken rule.
+        """Returns one message for each broken rule.
 
         Args:
-            edited: Names of the documents that differ from documents without faults; rules that
-                they cannot break are passed over. By default every rule is checked.
-            checked: Client blocks that are known to have no faults.
+            edited: Names of the documents that have changed since the last valid state. Rules
+                that they cannot break are skipped. By default every rule is checked.
+            valid_blocks: Client blocks that are known to be valid.
         """
         base = self.by_name.get(BASE)
         if base is None:
@@ -153,7 +154,7 @@
         if edited is None or BASE in edited:
             faults += _find_base_faults(base)
             blocks = ClientBlocks(base.get("client_blocks", ()))
-            if checked is None or blocks.records is not checked.records:
+            if valid_blocks is None or blocks.records is not valid_blocks.records:
                 faults += _find_block_faults(blocks, set(base["regions"]))
         for name in sorted(services):
             body = self.by_name[f"{SERVICE_PREFIX}{name}"]
@@ -161,7 +162,7 @@
         for name in sorted(sites):
             body = self.by_name[f"{SITE_PREFIX}{name}"]
             faults += _find_overlay_faults(name, body, zones, index.services)
-        # A site that is drained concerns every service.
+        # A drained site can leave any service without a usable site.
         drain_edited = any(name.removeprefix(SITE_PREFIX) in index.drained for name in edited or ())
         for name in sorted(index.services if drain_edited else services):
             body = self.by_name[f"{SERVICE_PREFIX}{name}"]
@@ -169,14 +170,14 @@
         return faults
 
     def _select_affected(
-        self, edited: Collection[str] | None, index: _Index
+        self, edited: Collection[str] | None, index: _NameIndex
     ) -> tuple[set[str], set[str]]:
-        """Returns the services and sites whose own rules the edits can break."""
+        """Returns the services and the sites whose rules the edits can break."""
         if edited is None or BASE in edited:
             return index.services, index.sites
         services = {name.removeprefix(SERVICE_PREFIX) for name in edited} & index.services
         sites = {name.removeprefix(SITE_PREFIX) for name in edited} & index.sites
-        # A removed document breaks rules of those that refer to it.
+        # Removing a document can break the documents that refer to it.
         removed = [name for name in edited if name not in self.by_name]
         if any(name.startswith(SITE_PREFIX) for name in removed):
             services = index.services
@@ -184,7 +185,7 @@
             sites = index.sites
         return services, sites
 
-    def _select(self, prefix: str) -> dict[str, Document]:
+    def _select_by_prefix(self, prefix: str) -> dict[str, Document]:
         return {
             name.removeprefix(prefix): body
             for name, body in sorted(self.by_name.items())
@@ -193,7 +194,7 @@
 
 
 def merge_overlay(service: Document, overlay: Document) -> Document:
-    """Returns the settings of a service at a site: the overlay's where it states them.
+    """Returns the settings of a service at a site; the overlay's values take precedence.
 
     Example:
         >>> merge_overlay({"slots": 3, "connections": 400}, {"slots": 2})
@@ -218,13 +219,15 @@
     faults = []
     seen: set[str] = set()
     for index, (prefix, region) in enumerate(blocks):
-        place = f"base: client_blocks[{index}]"
+        location = f"base: client_blocks[{index}]"
         if region not in regions:
-            faults.append(f"{place}.region: expected one of {sorted(regions)}")
+            faults.append(f"{location}.region: expected one of {sorted(regions)}")
         if prefix in seen:
-            faults.append(f"{place}.prefix: {prefix} is listed twice")
-        if ":" in prefix and int(prefix.partition("/")[2] or 128) > IPV6_BLOCK_BITS:
-            faults.append(f"{place}.prefix: expected at most {IPV6_BLOCK_BITS} bits with IPv6")
+            faults.append(f"{location}.prefix: {prefix} is listed twice")
+        if ":" in prefix and int(prefix.partition("/")[2] or 128) > MAX_IPV6_PREFIX_BITS:
+            faults.append(
+                f"{location}.prefix: expected an IPv6 prefix of at most {MAX_IPV6_PREFIX_BITS} bits"
+            )
         seen.add(prefix)
     return faults
 
@@ -234,24 +237,25 @@
 ) -> list[str]:
     faults = _find_spread_faults(f"services/{name}: spread", service["spread"], sites)
     for region, spread in service.get("regional_spread", {}).items():
-        place = f"services/{name}: regional_spread.{region}"
+        location = f"services/{name}: regional_spread.{region}"
         if region not in base["regions"]:
-            faults.append(f"{place}: expected one of {sorted(base['regions'])}")
-        faults += _find_spread_faults(place, spread, sites)
+            faults.append(f"{location}: expected one of {sorted(base['regions'])}")
+        faults += _find_spread_faults(location, spread, sites)
     if service["shift"]["cap_rps"] < base["entry_vms"]:
         faults.append(
             f"services/{name}: shift.cap_rps: expected at least entry_vms ({base['entry_vms']}), "
-            "because each VM moves whole requests"
+            "because each VM moves a whole number of requests"
         )
     return faults
 
 
-def _find_spread_faults(place: str, spread: dict[str, float], sites: set[str]) -> list[str]:
+def _find_spread_faults(location: str, spread: dict[str, float], sites: set[str]) -> list[str]:
     faults = [
-        f"{place}.{site}: expected a site with an overlay" for site in sorted(set(spread) - sites)
+        f"{location}.{site}: expected a site with an overlay"
+        for site in sorted(set(spread) - sites)
     ]
     if not any(weight > 0 for weight in spread.values()):
-        faults.append(f"{place}: expected a weight above 0")
+        faults.append(f"{location}: expected a weight above 0")
     return faults
 
 
@@ -268,7 +272,7 @@
     faults = []
     if overlay["site"] != name:
         faults.append(
-            f"sites/{name}: site: expected {name!r}, an overlay changes only its own site"
+            f"sites/{name}: site: expected {name!r}, an overlay can only change its own site"
         )
     if overlay["zone"] not in zones:
         faults.append(f"sites/{name}: zone: expected one of {sorted(zones)}")
@@ -284,7 +288,8 @@
 
 def _build_service(name: str, body: Document, overlays: dict[str, Document]) -> Service:
     capacity = {}
-    # A site that a shift has left keeps its slots: traffic above the cap stays there.
+    # A site that traffic is shifted away from keeps its slots, because the cap leaves the excess
+    # traffic there.
     for site, overlay in overlays.items():
         merged = merge_overlay(body, overlay.get("services", {}).get(name, {}))
         capacity[site] = SiteCapacity(merged["slots"], merged["connections"])
@@ -308,5 +313,5 @@
         claims=body.get("claims", "store") == "store",
         routes=routes,
         selection=body.get("selection", "permits"),
-        answer_bytes=body.get("answer_bytes") or ANSWER_BYTES[body["request_class"]],
+        answer_bytes=body.get("answer_bytes") or DEFAULT_ANSWER_BYTES[body["request_class"]],
     )
--- a/src/briarfork/configuration/model.py
+++ b/src/briarfork/configuration/model.py
@@ -1,4 +1,4 @@
-"""Parts of the operators' configuration as the running system uses them."""
+"""The rendered configuration, as the running system uses it."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class RequestClass(Enum):
-    """Expected run time of a request; long requests never hold the last slot of a server."""
+    """Expected run time of a request; long requests never use the last slot of a server."""
 
     SHORT = "short"
     LONG = "long"
@@ -25,8 +25,8 @@
     """A network link shared by all traffic between two regions.
 
     Attributes:
-        regions: The two regions that it joins, sorted.
-        gbit_s: Capacity in Gbit/s, each way.
+        regions: The two regions that it connects, sorted.
+        gbit_s: Capacity per direction in Gbit/s.
         latency_ms: Round-trip time in milliseconds.
     """
 
@@ -37,7 +37,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Site:
-    """A location with backend servers, inside one availability zone."""
+    """A location with backend servers, within one availability zone.
+
+    Attributes:
+        name: Name of the site.
+        zone: Its availability zone.
+        drain: Whether its traffic is to be shifted to other sites.
+    """
 
     name: str
     zone: str
@@ -46,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Settings of the requests of a service whose path begins with a prefix."""
+    """Settings for the requests of a service whose path starts with a prefix."""
 
     prefix: str
     request_class: RequestClass
@@ -58,9 +64,11 @@
     """Limits of a traffic shift.
 
     Attributes:
-        cap_rps: Requests a second that a shift may move to one receiving site, over all VMs.
-        slope_percent_per_minute: How fast the share of a site may change, in percentage points.
-        settled_generation: Shifts up to this generation are settled: the cap ends for them.
+        cap_rps: Requests per second that a shift may move to one receiving site, over all VMs.
+        slope_percent_per_minute: Maximum change of a site's share, in percentage points per
+            minute.
+        settled_generation: Shifts up to this generation are settled; the cap no longer applies
+            to them.
     """
 
     cap_rps: float
@@ -70,11 +78,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteCapacity:
-    """What one backend server of a service takes at one site.
+    """Capacity of one backend server of a service at one site.
 
     Attributes:
-        slots: Requests that it runs at the same time.
-        connections: Connections that it accepts.
+        slots: Number of requests that it runs at the same time.
+        connections: Number of connections that it accepts.
     """
 
     slots: int
@@ -83,16 +91,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service and how its traffic is spread.
+    """A service and the distribution of its traffic.
 
     Attributes:
-        idempotent: Whether methods other than GET and HEAD are idempotent.
-        spread: Weight for each site.
-        capacity: Capacity of one backend server, for each site.
-        regional_spread: Weights for the clients of one region, where they differ from `spread`.
+        name: Name of the service.
+        idempotent: Whether methods other than GET, HEAD and OPTIONS are idempotent.
+        request_class: Request class of paths without a route.
+        deadline_ms: Deadline of paths without a route, in milliseconds.
+        spread: Weight by site.
+        capacity: Capacity of one backend server, by site.
+        shift: Limits of traffic shifts.
+        regional_spread: Weights by site for each client region that does not use `spread`.
         claims: Whether requests with an idempotency key are claimed in the store.
+        routes: Settings by path prefix.
         selection: Name of the server selection policy.
-        answer_bytes: Estimated size of an answer, for the share of links.
+        answer_bytes: Estimated size of an answer in bytes, for the use of links.
     """
 
     name: str
@@ -109,7 +122,7 @@
     answer_bytes: int = 0
 
     def find_route(self, path: str) -> Route:
-        """Returns the route with the longest prefix that matches the path."""
+        """Returns the route with the longest prefix of the path, or one with the defaults."""
         matching = [route for route in self.routes if path.startswith(route.prefix)]
         if matching:
             return max(matching, key=lambda route: len(route.prefix))
@@ -122,19 +135,19 @@
         return len(classes) > 1
 
     def is_idempotent(self, method: str) -> bool:
-        """Returns whether a request with this method may run more than once."""
+        """Returns whether a request with this method may safely run more than once."""
         return self.idempotent or method in ("GET", "HEAD", "OPTIONS")
 
 
 @dataclass(frozen=True, slots=True, eq=False)
 class ClientBlocks:
-    """Blocks of client addresses and the region nearest to each.
+    """Blocks of client addresses and the nearest region of each.
 
-    They stay in the form of the document: at 2.2 million blocks, one more object for each would
-    take longer to build than the rest of the plan.
+    The blocks are kept as in the document. With 2.2 million blocks, creating an object for each
+    would take longer than building the rest of the plan.
 
     Attributes:
-        records: Maps with `prefix` and `region`.
+        records: Mappings with the keys `prefix` and `region`.
     """
 
     records: Sequence[Mapping[str, str]] = ()
@@ -146,13 +159,24 @@
         return len(self.records)
 
     def is_same(self, other: ClientBlocks) -> bool:
-        """Returns whether two sets of blocks are equal; quick for those of one document."""
+        """Returns whether two sets of blocks are equal; fast if they are from one document."""
         return self.records is other.records or self.records == other.records
 
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """The configuration rendered for the whole system at one point of the timeline."""
+    """The configuration of the whole system, rendered at one point of the timeline.
+
+    Attributes:
+        entry_vms: Upper bound on the number of entry VMs.
+        lookup_ttl_s: Time for which clients may cache the answer to a lookup, in seconds.
+        approval_required: Whether changes need an approver.
+        regions: Availability zones by region.
+        links: Network links between regions.
+        client_blocks: Client address blocks and their regions.
+        sites: Sites by name.
+        services: Services by name.
+    """
 
     entry_vms: int
     lookup_ttl_s: float
--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -15,7 +15,7 @@
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.membership import Roster
-from briarfork.timeline import Appended
+from briarfork.timeline import AppendResult
 from briarfork.timeline import Timeline
 
 if TYPE_CHECKING:
@@ -85,12 +85,12 @@
         gap = False
         for change in changes:
             result = self.timeline.append(change)
-            if result is Appended.FORKED:
+            if result is AppendResult.FORKED:
                 self.events.record(
                     Event.TIMELINE_FORKED, generation=change.generation, source=source
                 )
-            gap = gap or result is Appended.GAP
-            if result is Appended.ADDED:
+            gap = gap or result is AppendResult.GAP
+            if result is AppendResult.ADDED:
                 added = True
                 self.events.record(
                     Event.CHANGE_ACCEPTED,
--- a/src/briarfork/entry/failover.py
+++ b/src/briarfork/entry/failover.py
@@ -130,7 +130,7 @@
         outside = {name for name, item in plan.sites.items() if item.zone != zone}
         own = plan.find_region(zone)
         outside |= {f"{SUMMARY_PREFIX}{region}" for region in plan.regions if region != own}
-        if plan.sites[site].zone != zone or self._headroom.has_report(outside, now):
+        if plan.sites[site].zone != zone or self._headroom.has_recent_report(outside, now):
             return plan.entry_vms
         mates = sum(member.zone == zone for member in self._view.members.values())
         return max(1, min(plan.entry_vms, mates))
@@ -150,7 +150,9 @@
     def _find_free_at(self, plan: Plan, service: str, sites: list[str], report: str) -> float:
         slots = sum(self._count_slots(plan, service, site) for site in sites)
         outstanding = sum(self._permits.count_held(service, site) for site in sites)
-        return self._headroom.find_free((service, report), slots, outstanding, time.monotonic())
+        return self._headroom.compute_free_slots(
+            (service, report), slots, outstanding, time.monotonic()
+        )
 
     def _count_slots(self, plan: Plan, service: str, site: str) -> int:
         """Returns the slots of the servers that the platform lists."""
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -55,7 +55,7 @@
             return self.keep(
                 Permit(demand.permit, service, site, request_class, server, LOCAL_CHOICE)
             )
-        siblings = steering.find_siblings(service, site, time.time())
+        siblings = steering.list_sibling_sites(service, site, time.time())
         keys = [(service, name) for name in (site, *siblings)]
         demands = {key: self.build_demand(request_class, deadline, avoid) for key in keys}
         return await self._ask_sites(demands, deadline)
@@ -67,8 +67,8 @@
             NotRun: If the load is too high or no other server of the region has a free slot.
         """
         steering = self._entry_view.require_steering()
-        siblings = steering.find_siblings(first.service, first.site, time.time())
-        if steering.is_receiving(first.service, first.site, time.time()):
+        siblings = steering.list_sibling_sites(first.service, first.site, time.time())
+        if steering.is_receiving_shift(first.service, first.site, time.time()):
             raise NotRun(ErrorKind.OVERLOADED, "a second attempt would count as moved by a shift")
         avoid = frozenset({first.server.vm})
         demands = {
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -12,9 +12,9 @@
 from briarfork.errors import SiteUnreachable
 from briarfork.pools import Release
 from briarfork.requests import Deadline
-from briarfork.steering import MOVE_DELAY_S
-from briarfork.steering import Assigned
+from briarfork.steering import MAX_MOVE_DELAY_S
 from briarfork.steering import Recovery
+from briarfork.steering import SiteDecision
 from briarfork.steering import find_group
 from briarfork.steering import hash_unit
 
@@ -62,11 +62,14 @@
         site = self._view.require_steering().assign(service, client, time.time())
         returned = self._returned.setdefault((service, site), Recovery())
         if self._is_lost(service, site):
-            returned.record_loss(time.monotonic())
+            returned.record_failure(time.monotonic())
         else:
             returned.record_success(time.monotonic())
             # The same client groups return first at every lookup, so no client goes to and fro.
-            if returned.level == 1.0 or hash_unit(f"{find_group(client)}") <= returned.level:
+            if (
+                returned.traffic_ratio == 1.0
+                or hash_unit(f"{find_group(client)}") <= returned.traffic_ratio
+            ):
                 return site
         return self._failover.choose_for_lookup(service, site, client) or site
 
@@ -106,15 +109,15 @@
         reason = refused.detail if refused else f"site {assigned.site!r} is lost"
         raise NotRun(ErrorKind.OVERLOADED, f"{reason}; no other site has headroom")
 
-    def _assign(self, service: Service, client: str) -> tuple[Assigned, bool]:
+    def _assign(self, service: Service, client: str) -> tuple[SiteDecision, bool]:
         """Returns the site of a request, and whether it may go there after a loss of the site."""
         steering = self._view.require_steering()
         assigned = steering.assign_request(service.name, client, time.time(), time.monotonic())
-        if assigned.held_back:
+        if assigned.capped:
             self._metrics.count(Metric.SHIFT_HELD_BACK, service.name)
         admitted = self._find_recovery(service.name, assigned.site).admit()
-        if assigned.moved and assigned.home is not None and not admitted:
-            assigned = Assigned(assigned.home)
+        if assigned.moved and assigned.original_site is not None and not admitted:
+            assigned = SiteDecision(assigned.original_site)
             admitted = self._find_recovery(service.name, assigned.site).admit()
         return assigned, admitted
 
@@ -123,7 +126,7 @@
 
     def _note_refusal(self, error: NotRun, service: str, site: str) -> None:
         if isinstance(error, SiteUnreachable) or self._is_lost(service, site):
-            self._find_recovery(service, site).record_loss(time.monotonic())
+            self._find_recovery(service, site).record_failure(time.monotonic())
 
     def _is_lost(self, service: str, site: str) -> bool:
         """Returns whether a site has no server, or no entry VM that could own its slots."""
@@ -133,14 +136,14 @@
         )
 
     async def _acquire_assigned(
-        self, call: Call, service: Service, avoid: frozenset[str], assigned: Assigned
+        self, call: Call, service: Service, avoid: frozenset[str], assigned: SiteDecision
     ) -> Permit:
         if assigned.moved:
             return await self._acquire_moved(call, service, avoid, assigned)
         return await self._acquire_at(assigned.site, call, service, avoid, call.deadline)
 
     async def _acquire_moved(
-        self, call: Call, service: Service, avoid: frozenset[str], assigned: Assigned
+        self, call: Call, service: Service, avoid: frozenset[str], assigned: SiteDecision
     ) -> Permit:
         """Acquires a permit at a receiving site at once, or at the site before the shift.
 
@@ -148,20 +151,22 @@
         later, and the receiving site would get more than the cap in one second.
         """
         admitted_at = time.monotonic()
-        soon = Deadline(min(call.deadline.expires_at, admitted_at + MOVE_DELAY_S))
+        soon = Deadline(min(call.deadline.expires_at, admitted_at + MAX_MOVE_DELAY_S))
         try:
             permit = await self._acquire_at(assigned.site, call, service, avoid, soon)
         except NotRun as refused:
-            if assigned.home is None:
+            if assigned.original_site is None:
                 raise refused
             self._note_refusal(refused, service.name, assigned.site)
-            return await self._acquire_at(assigned.home, call, service, avoid, call.deadline)
-        if time.monotonic() - admitted_at <= MOVE_DELAY_S:
+            return await self._acquire_at(
+                assigned.original_site, call, service, avoid, call.deadline
+            )
+        if time.monotonic() - admitted_at <= MAX_MOVE_DELAY_S:
             return permit
         self._permits.release(permit, Release.UNUSED, 0.0)
-        if assigned.home is None:
+        if assigned.original_site is None:
             raise NotRun(ErrorKind.OVERLOADED, "the permit of a moved request came too late")
-        return await self._acquire_at(assigned.home, call, service, avoid, call.deadline)
+        return await self._acquire_at(assigned.original_site, call, service, avoid, call.deadline)
 
     async def _acquire_at(
         self,
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -94,7 +94,7 @@
                 if member.state is MemberState.LIVE and member.serving
             ]
             self._directory = EntryDirectory(entries, plan.regions)
-        return self._directory.order(plan.sites[site].zone, find_group(client))
+        return self._directory.rank_entries(plan.sites[site].zone, find_group(client))
 
     def list_servers(self, service: str, site: str) -> list[ServerAddress]:
         """Returns the backend servers of a service at a site that the platform lists as live."""
--- a/src/briarfork/steering/assignment.py
+++ b/src/briarfork/steering/assignment.py
@@ -20,21 +20,22 @@
 
 HASH_RANGE: Final = 2.0**64
 LOG_RANGE: Final = math.log(HASH_RANGE)
-# The largest hashes round up to the range, which would give 0.
-SMALLEST_DIVISOR: Final = 2.0**-53
-# Neighbouring clients share a point, so a shift moves whole groups and lookups stay cacheable.
+# The largest hashes round up to HASH_RANGE, which would give a divisor of 0.
+MIN_DIVISOR: Final = 2.0**-53
+# A shift moves whole groups of clients, so that results can be cached by group.
 CLIENT_GROUPS: Final = 4096
 
 
 def hash_unit(text: str) -> float:
-    """Returns a hash of the text, uniform in (0, 1]."""
+    """Returns a hash of a text, uniformly distributed in (0, 1]."""
     return (hash_text(text) + 0.5) / HASH_RANGE
 
 
 def choose_site(shares: Shares, key: str) -> str:
-    """Chooses a site by weighted rendezvous hashing.
+    """Chooses a site for a key by weighted rendezvous hashing.
 
-    When shares change, a key moves only from a site whose share fell to one whose share rose.
+    When shares change, a key moves only to a site whose share has grown relative to that of its
+    former site.
 
     Example:
         >>> choose_site({"a": 0.0, "b": 1.0}, "10.0.0.0")
@@ -42,26 +43,30 @@
     """
     return max(
         (site for site, share in shares.items() if share > 0),
-        key=lambda site: shares[site] / _find_divisor(f"{site}|{key}".encode()),
+        key=lambda site: shares[site] / _hash_to_exponential(f"{site}|{key}".encode()),
     )
 
 
-def _find_divisor(key: bytes) -> float:
-    """Returns an exponentially distributed constant for a site and a key."""
-    return max(LOG_RANGE - math.log(hash_bytes(key) + 0.5), SMALLEST_DIVISOR)
+def _hash_to_exponential(key: bytes) -> float:
+    """Returns a hash of a key, exponentially distributed."""
+    return max(LOG_RANGE - math.log(hash_bytes(key) + 0.5), MIN_DIVISOR)
 
 
 def find_group(client: str) -> int:
-    """Returns the client group of an address."""
+    """Returns the number of the client group of an address."""
     return hash_text(client) % CLIENT_GROUPS
 
 
 @dataclass(frozen=True, slots=True)
-class Movement:
-    """Shares of a site at the start and the end of a ramp.
+class SiteShares:
+    """The share of a site at the start and the end of a ramp.
 
     Attributes:
-        growth: Factor by which the share grows.
+        name: Name of the site.
+        encoded: The name in UTF-8.
+        origin: Share at the start of the ramp.
+        target: Share at the end of the ramp.
+        growth: Factor by which the share grows; infinite if it grows from 0.
     """
 
     name: str
@@ -71,28 +76,30 @@
     growth: float = field(init=False)
 
     def __post_init__(self) -> None:
-        started = self.origin > 0
-        unstarted = math.inf if self.target > 0 else 0.0
-        object.__setattr__(self, "growth", self.target / self.origin if started else unstarted)
+        has_origin = self.origin > 0
+        growth_from_zero = math.inf if self.target > 0 else 0.0
+        object.__setattr__(
+            self, "growth", self.target / self.origin if has_origin else growth_from_zero
+        )
 
 
 class Assignment:
-    """Sites of the client groups of one service while shares move from origin to target.
+    """Assigns the client groups of one service to sites during a ramp.
 
-    The score of a site is its share divided by a constant for site and group, so it is linear
-    in the progress of the ramp. The winners of a group are therefore the upper envelope of
-    lines, which is computed once for each group that is asked for and serves the whole ramp.
+    The score of a site is its share divided by a constant for site and group, so it is linear in
+    the progress of the ramp. The winning sites of a group are therefore the upper envelope of a
+    set of lines, which is computed on first use of the group and is valid for the whole ramp.
 
-    A site can overtake another only if its share grows by a larger factor. So where the winner
-    at the start is known, few sites are compared after a change of few weights.
+    A site can overtake another only if its share grows by a larger factor. If the winner at the
+    start is known, a change of a few weights therefore needs only a few sites to be compared.
     """
 
     __slots__ = (
-        "_groups",
-        "_moves",
-        "_names",
+        "_is_ramping",
+        "_segments",
         "_service",
         "_sites",
+        "_sites_by_name",
         "_winners",
         "origin",
         "target",
@@ -105,58 +112,60 @@
         self.target = target
         self._service = service
         sites = [
-            Movement(site, site.encode(), origin.get(site, 0.0), target.get(site, 0.0))
+            SiteShares(site, site.encode(), origin.get(site, 0.0), target.get(site, 0.0))
             for site in sorted(origin.keys() | target.keys())
         ]
         self._sites = sorted(sites, key=lambda site: -site.growth)
-        self._names = {site.name: site for site in sites}
+        self._sites_by_name = {site.name: site for site in sites}
         self._winners = winners or {}
-        self._moves = origin != target
-        self._groups: dict[int, tuple[tuple[float, ...], tuple[str, ...]]] = {}
+        self._is_ramping = origin != target
+        self._segments: dict[int, tuple[tuple[float, ...], tuple[str, ...]]] = {}
 
     def find_site(self, group: int, progress: float) -> str:
-        """Returns the site of a group at a progress from 0 to 1."""
-        steps = self._groups.get(group)
-        if steps is None:
-            steps = self._groups[group] = self._find_steps(group)
-        starts, sites = steps
+        """Returns the site of a client group when the ramp has the given progress, from 0 to 1."""
+        segments = self._segments.get(group)
+        if segments is None:
+            segments = self._segments[group] = self._compute_segments(group)
+        starts, sites = segments
         return sites[bisect_right(starts, progress) - 1] if len(starts) > 1 else sites[0]
 
     def list_winners(self, progress: float) -> dict[int, str]:
-        """Returns the sites of all groups that have been asked for."""
-        return {group: self.find_site(group, progress) for group in self._groups}
+        """Returns the sites of all client groups that have been looked up so far."""
+        return {group: self.find_site(group, progress) for group in self._segments}
 
-    def _find_steps(self, group: int) -> tuple[tuple[float, ...], tuple[str, ...]]:
+    def _compute_segments(self, group: int) -> tuple[tuple[float, ...], tuple[str, ...]]:
         key = f"|{self._service}|{group}".encode()
         winner = self._winners.get(group)
-        if not self._moves:
+        if not self._is_ramping:
             if winner is None:
-                scores = [(s.origin / _find_divisor(s.encoded + key), s.name) for s in self._sites]
+                scores = [
+                    (s.origin / _hash_to_exponential(s.encoded + key), s.name) for s in self._sites
+                ]
                 winner = max(scores)[1]
             return (0.0,), (winner,)
         lines = []
-        for item in self._list_rivals(winner):
-            divisor = _find_divisor(item.encoded + key)
+        for item in self._list_candidates(winner):
+            divisor = _hash_to_exponential(item.encoded + key)
             lines.append((item.origin / divisor, (item.target - item.origin) / divisor, item.name))
-        level, slope, site = max(lines)
+        score, slope, site = max(lines)
         starts, sites = [0.0], [site]
         while True:
             crossings = [
-                ((level - other[0]) / (other[1] - slope), -other[1], other)
+                ((score - other[0]) / (other[1] - slope), -other[1], other)
                 for other in lines
                 if other[1] > slope
             ]
             following = min(crossings, default=None)
             if following is None or following[0] >= 1.0:
                 break
-            start, _, (level, slope, site) = following
+            start, _, (score, slope, site) = following
             starts.append(max(start, starts[-1]))
             sites.append(site)
         return tuple(starts), tuple(sites)
 
-    def _list_rivals(self, winner: str | None) -> list[Movement]:
-        """Returns the winner at the start and the sites that may overtake it."""
+    def _list_candidates(self, winner: str | None) -> list[SiteShares]:
+        """Returns the winner at the start of the ramp and the sites that can overtake it."""
         if winner is None:
             return self._sites
-        first = self._names[winner]
-        return [first, *takewhile(lambda site: site.growth > first.growth, self._sites)]
+        winner_site = self._sites_by_name[winner]
+        return [winner_site, *takewhile(lambda site: site.growth > winner_site.growth, self._sites)]
--- a/src/briarfork/steering/blocks.py
+++ b/src/briarfork/steering/blocks.py
@@ -1,4 +1,4 @@
-"""The table from client addresses to regions, packed into sorted arrays."""
+"""Lookup table from client addresses to regions, stored in sorted arrays."""
 
 from __future__ import annotations
 
@@ -15,9 +15,9 @@
 
 NO_REGION: Final = 255
 IPV4_BITS: Final = 32
-# Prefixes of IPv6 longer than this are not kept.
+# Longest IPv6 prefix that is kept.
 IPV6_BITS: Final = 64
-OWNER_BITS: Final = 8
+REGION_BITS: Final = 8
 LENGTH_BITS: Final = 8
 
 
@@ -25,8 +25,8 @@
     """Longest-prefix match over client blocks.
 
     Nested blocks are flattened into disjoint ranges, so a lookup is one binary search. A range
-    takes 4 bytes for its start and 1 for its region with IPv4, and 8 and 1 with IPv6, where
-    prefixes longer than 64 bits are not kept.
+    takes 4 bytes (IPv4) or 8 bytes (IPv6) for its start and 1 byte for its region. IPv6 prefixes
+    longer than 64 bits are not kept.
 
     Example:
         >>> table = BlockTable([("10.0.0.0/8", "north"), ("10.1.0.0/16", "west")])
@@ -34,96 +34,96 @@
         ['west', 'north', None]
     """
 
-    __slots__ = ("_owners4", "_owners6", "_regions", "_starts4", "_starts6")
+    __slots__ = ("_range_regions4", "_range_regions6", "_region_names", "_starts4", "_starts6")
 
     def __init__(self, blocks: Iterable[tuple[str, str]]) -> None:
-        self._regions: list[str] = []
+        self._region_names: list[str] = []
         indexes: dict[str, int] = {}
         packed4 = array("Q")
         packed6: list[int] = []
         for prefix, region in blocks:
-            owner = indexes.get(region)
-            if owner is None:
-                owner = indexes[region] = len(self._regions)
-                self._regions.append(region)
+            region_index = indexes.get(region)
+            if region_index is None:
+                region_index = indexes[region] = len(self._region_names)
+                self._region_names.append(region)
             address, _, length = prefix.partition("/")
             if ":" in address:
-                first = int.from_bytes(socket.inet_pton(socket.AF_INET6, address)[:8], "big")
-                packed6.append(_pack(first, int(length or 2 * IPV6_BITS), IPV6_BITS, owner))
+                start = int.from_bytes(socket.inet_pton(socket.AF_INET6, address)[:8], "big")
+                packed6.append(_pack(start, int(length or 2 * IPV6_BITS), IPV6_BITS, region_index))
             else:
-                first = int.from_bytes(socket.inet_pton(socket.AF_INET, address), "big")
-                packed4.append(_pack(first, int(length or IPV4_BITS), IPV4_BITS, owner))
-        self._starts4, self._owners4 = _flatten(packed4, "I", IPV4_BITS)
-        self._starts6, self._owners6 = _flatten(packed6, "Q", IPV6_BITS)
+                start = int.from_bytes(socket.inet_pton(socket.AF_INET, address), "big")
+                packed4.append(_pack(start, int(length or IPV4_BITS), IPV4_BITS, region_index))
+        self._starts4, self._range_regions4 = _flatten(packed4, "I", IPV4_BITS)
+        self._starts6, self._range_regions6 = _flatten(packed6, "Q", IPV6_BITS)
 
     def __len__(self) -> int:
         return len(self._starts4) + len(self._starts6)
 
     def find_region(self, address: str) -> str | None:
-        """Returns the region of a client address, or None if no block holds it.
+        """Returns the region of a client address, or None if no block contains it.
 
         Raises:
-            ValueError: If the text is not an address.
+            ValueError: If `address` is not an IP address.
         """
         try:
             if ":" in address:
-                first = int.from_bytes(socket.inet_pton(socket.AF_INET6, address)[:8], "big")
-                starts, owners = self._starts6, self._owners6
+                start = int.from_bytes(socket.inet_pton(socket.AF_INET6, address)[:8], "big")
+                starts, regions = self._starts6, self._range_regions6
             else:
-                first = int.from_bytes(socket.inet_pton(socket.AF_INET, address), "big")
-                starts, owners = self._starts4, self._owners4
+                start = int.from_bytes(socket.inet_pton(socket.AF_INET, address), "big")
+                starts, regions = self._starts4, self._range_regions4
         except (OSError, ValueError) as error:
-            # Accepts what inet_pton leaves out, such as scoped addresses, or names the fault.
-            parsed = ip_address(address)
-            if parsed.version != 6:
+            # Parses addresses that inet_pton rejects, such as scoped ones, or raises ValueError.
+            ip = ip_address(address)
+            if ip.version != 6:
                 raise ValueError(f"{address!r} is not an address") from error
-            first, starts, owners = int(parsed) >> IPV6_BITS, self._starts6, self._owners6
-        index = bisect_right(starts, first) - 1
-        owner = owners[index] if index >= 0 else NO_REGION
-        return None if owner == NO_REGION else self._regions[owner]
+            start, starts, regions = int(ip) >> IPV6_BITS, self._starts6, self._range_regions6
+        index = bisect_right(starts, start) - 1
+        region_index = regions[index] if index >= 0 else NO_REGION
+        return None if region_index == NO_REGION else self._region_names[region_index]
 
     def count_bytes(self) -> int:
-        """Returns the size of the arrays in bytes."""
-        arrays = (self._starts4, self._owners4, self._starts6, self._owners6)
+        """Returns the memory use of the arrays in bytes."""
+        arrays = (self._starts4, self._range_regions4, self._starts6, self._range_regions6)
         return sum(len(items) * items.itemsize for items in arrays)
 
 
-def _pack(first: int, length: int, bits: int, owner: int) -> int:
-    """Packs a block into a number whose order puts outer blocks before those inside them."""
-    return ((first << LENGTH_BITS | min(length, bits + 1)) << OWNER_BITS) | owner
+def _pack(start: int, length: int, bits: int, region_index: int) -> int:
+    """Packs a block into a number that sorts enclosing blocks before the blocks inside them."""
+    return ((start << LENGTH_BITS | min(length, bits + 1)) << REGION_BITS) | region_index
 
 
 def _flatten(
-    packed: array[int] | list[int], typecode: str, bits: int
+    blocks: array[int] | list[int], typecode: str, bits: int
 ) -> tuple[array[int], array[int]]:
-    """Turns nested blocks into the starts of disjoint ranges and the owner of each."""
+    """Returns the starts of disjoint ranges and the region index of each range."""
     starts = array(typecode)
-    owners = array("B")
+    regions = array("B")
     limit = 1 << bits
-    # Ends and owners of the blocks around the current position, the innermost last.
-    ends = [limit]
-    outer = [NO_REGION]
+    # Ends and region indexes of the blocks around the current position, innermost last.
+    enclosing_ends = [limit]
+    enclosing_regions = [NO_REGION]
 
-    def begin(start: int, owner: int) -> None:
+    def start_range(start: int, region_index: int) -> None:
         if starts and starts[-1] == start:
             starts.pop()
-            owners.pop()
-        if not owners or owners[-1] != owner:
+            regions.pop()
+        if not regions or regions[-1] != region_index:
             starts.append(start)
-            owners.append(owner)
+            regions.append(region_index)
 
-    for number in chain(sorted(packed), (limit << (LENGTH_BITS + OWNER_BITS),)):
-        first = number >> (LENGTH_BITS + OWNER_BITS)
-        while ends[-1] <= first and len(ends) > 1:
-            end = ends.pop()
-            outer.pop()
+    for block in chain(sorted(blocks), (limit << (LENGTH_BITS + REGION_BITS),)):
+        start = block >> (LENGTH_BITS + REGION_BITS)
+        while enclosing_ends[-1] <= start and len(enclosing_ends) > 1:
+            end = enclosing_ends.pop()
+            enclosing_regions.pop()
             if end < limit:
-                begin(end, outer[-1])
-        length = number >> OWNER_BITS & 255
-        if first >= limit or length > bits:
+                start_range(end, enclosing_regions[-1])
+        length = block >> REGION_BITS & 255
+        if start >= limit or length > bits:
             continue
-        owner = number & 255
-        begin(first, owner)
-        ends.append(first + (1 << (bits - length)))
-        outer.append(owner)
-    return starts, owners
+        region_index = block & 255
+        start_range(start, region_index)
+        enclosing_ends.append(start + (1 << (bits - length)))
+        enclosing_regions.append(region_index)
+    return starts, regions
--- a/src/briarfork/steering/entries.py
+++ b/src/briarfork/steering/entries.py
@@ -1,4 +1,4 @@
-"""Choice of the entry VMs that a lookup answers."""
+"""Selection of the entry VMs in the answer to a lookup."""
 
 from __future__ import annotations
 
@@ -12,15 +12,16 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
-# An answer to a lookup names at most this many entry VMs.
-MAX_ENTRIES: Final = 8
-# At most this many are of the site's zone if others serve, so a client survives its loss.
+# Largest number of entry VMs in the answer to a lookup.
+MAX_LOOKUP_ENTRIES: Final = 8
+# Largest number of them from the site's own zone if others serve, so that clients survive the
+# loss of the zone.
 MAX_ZONE_ENTRIES: Final = 5
 
 
 @dataclass(frozen=True, slots=True)
 class EntryAddress:
-    """An entry VM as a lookup answers it."""
+    """An entry VM in the answer to a lookup."""
 
     vm: str
     address: str
@@ -31,8 +32,8 @@
 class EntryDirectory:
     """The serving entry VMs by zone.
 
-    Each client group has an order of its own, so clients spread evenly over the VMs of a zone.
-    Orders are kept, because ranking the VMs of a large zone takes longer than a lookup may.
+    Each client group has its own ranking, so clients are spread evenly over the VMs of a zone.
+    Rankings are cached, because ranking the VMs of a large zone takes longer than a lookup may.
     """
 
     def __init__(
@@ -42,27 +43,29 @@
         for entry in entries:
             self._zones.setdefault(entry.zone, []).append(entry)
         self._regions = {zone: region for region, zones in regions.items() for zone in zones}
-        self._orders: dict[tuple[str, int], tuple[EntryAddress, ...]] = {}
+        self._rankings: dict[tuple[str, int], tuple[EntryAddress, ...]] = {}
 
-    def order(self, zone: str, group: int) -> tuple[EntryAddress, ...]:
-        """Returns entry VMs for a client group, the best first.
+    def rank_entries(self, zone: str, group: int) -> tuple[EntryAddress, ...]:
+        """Returns entry VMs for a client group, in order of preference.
 
-        VMs in the site's zone come first, then those of its region, then all others.
+        VMs in the given zone come first, then those in its region, then all others.
         """
-        order = self._orders.get((zone, group))
-        if order is None:
-            order = self._orders[zone, group] = self._choose(zone, group)
-        return order
-
-    def _choose(self, zone: str, group: int) -> tuple[EntryAddress, ...]:
-        own = self._rank(zone, group)
-        others = self._list_others(zone, group)
-        chosen = own[:MAX_ZONE_ENTRIES] + others
-        spare = own[MAX_ZONE_ENTRIES : MAX_ZONE_ENTRIES + max(0, MAX_ENTRIES - len(chosen))]
-        return tuple((own[:MAX_ZONE_ENTRIES] + spare + others)[:MAX_ENTRIES])
-
-    def _list_others(self, zone: str, group: int) -> list[EntryAddress]:
-        """Returns enough VMs of other zones, one zone after the other."""
+        ranking = self._rankings.get((zone, group))
+        if ranking is None:
+            ranking = self._rankings[zone, group] = self._build_ranking(zone, group)
+        return ranking
+
+    def _build_ranking(self, zone: str, group: int) -> tuple[EntryAddress, ...]:
+        local = self._rank_zone(zone, group)
+        others = self._list_other_zones(zone, group)
+        preferred = local[:MAX_ZONE_ENTRIES] + others
+        spare = local[
+            MAX_ZONE_ENTRIES : MAX_ZONE_ENTRIES + max(0, MAX_LOOKUP_ENTRIES - len(preferred))
+        ]
+        return tuple((local[:MAX_ZONE_ENTRIES] + spare + others)[:MAX_LOOKUP_ENTRIES])
+
+    def _list_other_zones(self, zone: str, group: int) -> list[EntryAddress]:
+        """Returns up to `MAX_LOOKUP_ENTRIES` VMs of other zones, zone by zone."""
         region = self._regions.get(zone)
         zones = sorted(
             (name for name in self._zones if name != zone),
@@ -70,11 +73,11 @@
         )
         others: list[EntryAddress] = []
         for name in zones:
-            others += self._rank(name, group)[: MAX_ENTRIES - len(others)]
-            if len(others) >= MAX_ENTRIES:
+            others += self._rank_zone(name, group)[: MAX_LOOKUP_ENTRIES - len(others)]
+            if len(others) >= MAX_LOOKUP_ENTRIES:
                 break
         return others
 
-    def _rank(self, zone: str, group: int) -> list[EntryAddress]:
+    def _rank_zone(self, zone: str, group: int) -> list[EntryAddress]:
         entries = self._zones.get(zone, [])
         return sorted(entries, key=lambda entry: hash_text(f"{entry.vm}|{group}"))
--- a/src/briarfork/steering/headroom.py
+++ b/src/briarfork/steering/headroom.py
@@ -1,4 +1,4 @@
-"""Headroom of sites: what a VM may send to sites other than the assigned one."""
+"""Headroom of sites: how many requests a VM may send to sites other than the assigned one."""
 
 from __future__ import annotations
 
@@ -12,16 +12,17 @@
 if TYPE_CHECKING:
     from collections.abc import Container
 
-# A report counts less the older it is, and not at all from this age on. Reports are sent every
-# second and may pass a few VMs on the way.
-REPORT_LIFETIME_S: Final = 5.0
-# Part of the slots that stays free for the site's own traffic.
+# The weight of a report falls linearly to 0 at this age. Reports are sent every second and may be
+# relayed by several VMs.
+REPORT_TTL_S: Final = 5.0
+# Fraction of the slots that is reserved for the site's own traffic.
 RESERVED_RATIO: Final = 0.2
-# Part of a link that requests sent to other regions may use.
-LINK_RATIO: Final = 0.5
-# Capacity of a link that was not used cannot be stored; this allows for uneven arrival.
+# Fraction of a link's capacity that requests sent to other regions may use.
+LINK_SHARE_RATIO: Final = 0.5
+# Unused link capacity cannot be saved up; this only allows for uneven arrival.
 LINK_BURST_S: Final = 0.25
-# A site that refused gets nothing from this VM for this time: its reports lag or mislead.
+# Time for which nothing is sent to a site after it refused a request, because its reports are
+# late or wrong.
 REFUSAL_PAUSE_S: Final = 1.0
 BITS_PER_GBIT: Final = 1e9
 BITS_PER_BYTE: Final = 8.0
@@ -32,13 +33,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteLoad:
-    """A report of the slots of a service at a site.
+    """A load report for a service at a site.
 
     Attributes:
-        in_progress: Requests that run.
-        slots: Requests that may run at the same time.
-        waiting: Requests in the queue.
-        measured_at: Monotonic time of the measurement.
+        in_progress: Number of running requests.
+        slots: Number of requests that may run at the same time.
+        waiting: Number of queued requests.
+        measured_at: Monotonic time of the measurement, in seconds.
     """
 
     in_progress: int
@@ -48,75 +49,85 @@
 
 
 @dataclass(slots=True)
-class Credit:
-    """Requests, or bytes, that may be sent now; grows at a rate that may change.
+class TokenBucket:
+    """A token bucket with a variable refill rate; a token is one request or one byte.
 
     Attributes:
-        level: What may be sent. It begins below 0, at a point that differs by VM, so that many
-            VMs that see the same idle site do not choose it at the same moment.
-        updated_at: Time up to which the level is worked out.
+        tokens: Number of available tokens. A bucket for slots starts below 0 by an amount that
+            differs by VM, so that VMs that see the same idle site do not all use it at once.
+        updated_at: Monotonic time of the last refill, in seconds.
+        paused_until: Monotonic time before which no request is admitted, in seconds.
     """
 
-    level: float
+    tokens: float
     updated_at: float
     paused_until: float = -math.inf
 
-    def grow(self, rate: float, burst_s: float, smallest: float, now: float) -> None:
-        """Adds what has been earned since the last call, at most that of one burst.
+    def refill(self, rate: float, burst_s: float, min_capacity: float, now: float) -> None:
+        """Adds the tokens for the time since the last call, up to one burst.
 
-        Free slots of the past cannot be used later, so time in which nobody asked earns nothing
-        beyond the burst.
+        Slots that were free in the past cannot be used later, so idle time beyond the burst adds
+        nothing.
+
+        Args:
+            rate: Tokens per second.
+            burst_s: Longest time for which tokens accumulate, in seconds.
+            min_capacity: Lower bound of the capacity, in tokens.
+            now: Monotonic time in seconds.
         """
-        earned = rate * min(burst_s, max(0.0, now - self.updated_at))
-        limit = max(smallest, rate * burst_s)
-        self.level = max(self.level, min(limit, self.level + earned))
+        added = rate * min(burst_s, max(0.0, now - self.updated_at))
+        capacity = max(min_capacity, rate * burst_s)
+        self.tokens = max(self.tokens, min(capacity, self.tokens + added))
         self.updated_at = max(self.updated_at, now)
 
 
 class Headroom:
-    """This VM's part of the free slots of other sites and of the links to them.
+    """This VM's quota of the free slots at other sites and of the links to them.
 
-    Each VM uses an equal part, an `entry_vms`-th, of what is reported, so the sum over all VMs
-    stays within the headroom without coordination. A part is often less than one slot, so it is
-    counted in slot seconds: each request costs the mean run time of the service.
+    Each VM uses an equal quota of the reported capacity, so the sum over all VMs stays within the
+    headroom without coordination. A quota is often less than one slot, so it is accounted in slot
+    seconds: each request costs the mean run time of the service.
     """
 
     def __init__(self, vm: str) -> None:
         self._vm = vm
-        self._loads: dict[SiteKey, SiteLoad] = {}
-        self._credits: dict[SiteKey, Credit] = {}
-        self._links: dict[RegionPair, Credit] = {}
+        self._reports: dict[SiteKey, SiteLoad] = {}
+        self._slot_buckets: dict[SiteKey, TokenBucket] = {}
+        self._link_buckets: dict[RegionPair, TokenBucket] = {}
 
     def accept(self, key: SiteKey, load: SiteLoad) -> None:
-        """Takes a report unless a newer one is known or it makes no sense."""
-        known = self._loads.get(key)
+        """Stores a report unless it is invalid or a newer one is known."""
+        known = self._reports.get(key)
         if not math.isfinite(load.measured_at) or min(load.in_progress, load.waiting) < 0:
             return
         if known is None or load.measured_at > known.measured_at:
-            self._loads[key] = load
+            self._reports[key] = load
 
-    def find_free(self, key: SiteKey, known_slots: int, outstanding: int, now: float) -> float:
-        """Returns the slots that are free for requests from elsewhere, over all VMs.
+    def compute_free_slots(
+        self, key: SiteKey, listed_slots: int, outstanding: int, now: float
+    ) -> float:
+        """Returns the number of slots that overflow requests of all VMs may use.
 
         Args:
             key: Service and site.
-            known_slots: Slots of the servers that the platform lists; bounds a false report.
-            outstanding: Requests that this VM itself has in progress there.
-            now: Monotonic time.
+            listed_slots: Slots of the backend servers that the platform lists; an upper bound in
+                case a report is wrong.
+            outstanding: Requests from this VM in progress at the site.
+            now: Monotonic time in seconds.
         """
-        load = self._loads.get(key)
+        load = self._reports.get(key)
         if load is None:
             return 0.0
-        weight = 1.0 - max(0.0, now - load.measured_at) / REPORT_LIFETIME_S
-        usable = (1.0 - RESERVED_RATIO) * min(load.slots, known_slots)
+        weight = 1.0 - max(0.0, now - load.measured_at) / REPORT_TTL_S
+        usable = (1.0 - RESERVED_RATIO) * min(load.slots, listed_slots)
         used = max(load.in_progress + load.waiting, outstanding)
         return max(0.0, weight) * max(0.0, usable - used)
 
-    def has_report(self, sites: Container[str], now: float) -> bool:
-        """Returns whether a report of one of the sites still counts."""
+    def has_recent_report(self, sites: Container[str], now: float) -> bool:
+        """Returns whether an unexpired report of one of the sites is known."""
         return any(
-            key[1] in sites and now - load.measured_at < REPORT_LIFETIME_S
-            for key, load in self._loads.items()
+            key[1] in sites and now - load.measured_at < REPORT_TTL_S
+            for key, load in self._reports.items()
         )
 
     def admit(
@@ -124,49 +135,57 @@
         key: SiteKey,
         free: float,
         outstanding: int,
-        sharers: int,
+        sharing_vms: int,
         run_time_s: float,
         now: float,
     ) -> bool:
-        """Returns whether one request may go to a site, and counts it if so.
+        """Returns whether one request may be sent to a site, and counts it if so.
 
         Args:
             key: Service and site.
-            free: Slots that are free over all VMs.
-            outstanding: Requests that this VM itself has in progress there.
-            sharers: Number of VMs that may use the free slots at the same time.
-            run_time_s: Mean run time of the service.
-            now: Monotonic time.
+            free: Free slots over all VMs, from `compute_free_slots`.
+            outstanding: Requests from this VM in progress at the site.
+            sharing_vms: Number of VMs that may use the free slots at the same time.
+            run_time_s: Mean run time of the service in seconds.
+            now: Monotonic time in seconds.
         """
-        part = free / sharers
-        credit = self._find_credit(key, now)
-        credit.grow(part / run_time_s, run_time_s, 1.0, now)
-        if credit.level < 1.0 or now < credit.paused_until or outstanding >= max(1.0, part):
+        quota = free / sharing_vms
+        bucket = self._get_slot_bucket(key, now)
+        bucket.refill(quota / run_time_s, run_time_s, 1.0, now)
+        if bucket.tokens < 1.0 or now < bucket.paused_until or outstanding >= max(1.0, quota):
             return False
-        credit.level -= 1.0
+        bucket.tokens -= 1.0
         return True
 
     def admit_bytes(
         self, regions: RegionPair, gbit_s: float, size: int, entry_vms: int, now: float
     ) -> bool:
-        """Returns whether an answer fits this VM's part of a link, and counts it if so."""
-        rate = LINK_RATIO * gbit_s * BITS_PER_GBIT / BITS_PER_BYTE / entry_vms
-        credit = self._links.get(regions)
-        if credit is None:
-            credit = self._links[regions] = Credit(0.0, now)
-        credit.grow(rate, LINK_BURST_S, float(size), now)
-        if credit.level < size:
+        """Returns whether an answer fits this VM's quota of a link, and counts it if so.
+
+        Args:
+            regions: The two regions that the link connects.
+            gbit_s: Capacity of the link in Gbit/s.
+            size: Expected size of the answer in bytes.
+            entry_vms: Upper bound on the number of entry VMs.
+            now: Monotonic time in seconds.
+        """
+        rate = LINK_SHARE_RATIO * gbit_s * BITS_PER_GBIT / BITS_PER_BYTE / entry_vms
+        bucket = self._link_buckets.get(regions)
+        if bucket is None:
+            bucket = self._link_buckets[regions] = TokenBucket(0.0, now)
+        bucket.refill(rate, LINK_BURST_S, float(size), now)
+        if bucket.tokens < size:
             return False
-        credit.level -= size
+        bucket.tokens -= size
         return True
 
     def record_refusal(self, key: SiteKey, now: float) -> None:
-        """Sends nothing to a site for a while after it refused a request."""
-        self._find_credit(key, now).paused_until = now + REFUSAL_PAUSE_S
-
-    def _find_credit(self, key: SiteKey, now: float) -> Credit:
-        credit = self._credits.get(key)
-        if credit is None:
-            phase = hash_unit(f"{self._vm}|{key[0]}|{key[1]}")
-            credit = self._credits[key] = Credit(-phase, now)
-        return credit
+        """Pauses requests to a site after it refused one, for `REFUSAL_PAUSE_S`."""
+        self._get_slot_bucket(key, now).paused_until = now + REFUSAL_PAUSE_S
+
+    def _get_slot_bucket(self, key: SiteKey, now: float) -> TokenBucket:
+        bucket = self._slot_buckets.get(key)
+        if bucket is None:
+            initial_debt = hash_unit(f"{self._vm}|{key[0]}|{key[1]}")
+            bucket = self._slot_buckets[key] = TokenBucket(-initial_debt, now)
+        return bucket
--- a/src/briarfork/steering/steering.py
+++ b/src/briarfork/steering/steering.py
@@ -1,4 +1,4 @@
-"""Steering of clients: from a client address to a site, and to entry VMs for a look-up."""
+"""Traffic steering: the site that serves a client under the current plan."""
 
 from __future__ import annotations
 
@@ -23,27 +23,28 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Assigned:
-    """The site for one request.
+class SiteDecision:
+    """The site chosen for one request.
 
     Attributes:
-        site: Where it goes.
-        moved: Whether a shift moved it there, so that it has to start within `MOVE_DELAY_S`.
-        home: Where it belonged before the shifts, or None if that site is gone.
-        held_back: Whether a cap kept it from the site to which a shift would move it.
+        site: Name of the chosen site.
+        moved: Whether a shift moved the request there; it must then start within
+            `MAX_MOVE_DELAY_S`.
+        original_site: Site assigned before the unsettled shifts, or None if it was removed.
+        capped: Whether a shift cap kept the request from the site that it is assigned to.
     """
 
     site: str
     moved: bool = False
-    home: str | None = None
-    held_back: bool = False
+    original_site: str | None = None
+    capped: bool = False
 
 
 class Steering:
     """Assigns clients to sites under one plan and its shifts.
 
-    A new instance is built when the plan changes. Caps, assignments and the table of blocks are
-    carried over as far as they are unchanged.
+    A new instance is built whenever the plan changes. It reuses the caps of the previous instance,
+    and its block table and assignments where their inputs are unchanged.
     """
 
     def __init__(
@@ -64,15 +65,17 @@
         self._blocks: BlockTable = blocks
         self._assignments: dict[ShiftKey, list[Assignment]] = {}
         for key, shift in self._shifts.items():
-            before = previous._shifts.get(key) if previous else None
-            known = previous._assignments[key] if previous and before else []
-            self._assignments[key] = _build_assignments(key[0], shift, before, known)
+            previous_shift = previous._shifts.get(key) if previous else None
+            previous_assignments = previous._assignments[key] if previous and previous_shift else []
+            self._assignments[key] = _build_assignments(
+                key[0], shift, previous_shift, previous_assignments
+            )
 
     def find_region(self, address: str) -> str | None:
-        """Returns the region of a client address.
+        """Returns the region of a client address, or None if no client block contains it.
 
         Raises:
-            NotRun: If the text is not an address.
+            NotRun: If `address` is not an IP address.
         """
         try:
             return self._blocks.find_region(address)
@@ -81,74 +84,76 @@
                 ErrorKind.BAD_REQUEST, f"client: expected an IP address, found {address!r}"
             ) from error
 
-    def find_shares(self, service: str, region: str | None, now: float) -> Shares:
-        """Returns the shares of a service's sites for clients of a region.
+    def compute_shares(self, service: str, region: str | None, now: float) -> Shares:
+        """Returns the traffic share of each site of a service, for the clients of a region.
 
         Raises:
-            NotRun: If the service is unknown.
+            NotRun: If the service is not configured.
         """
-        return self._shifts[self._find_key(service, region)].find_shares(now)
+        return self._shifts[self._resolve_shift_key(service, region)].compute_shares(now)
 
     def assign(self, service: str, client: str, now: float) -> str:
-        """Returns the site to which a client's lookups are directed."""
-        key = self._find_key(service, self.find_region(client))
-        progress = self._shifts[key].current.find_progress(now)
+        """Returns the site that lookups of a client resolve to, without regard to shift caps."""
+        key = self._resolve_shift_key(service, self.find_region(client))
+        progress = self._shifts[key].current.compute_progress(now)
         return self._assignments[key][-1].find_site(find_group(client), progress)
 
-    def assign_request(self, service: str, client: str, wall_now: float, now: float) -> Assigned:
-        """Returns the site for one request, with the cap of shifts applied.
+    def assign_request(
+        self, service: str, client: str, wall_now: float, now: float
+    ) -> SiteDecision:
+        """Returns the site for one request, subject to the shift caps.
 
-        The request follows the unsettled shifts in order. Each that would move it needs the cap
-        of the receiving site; without it the request stays where the shift found it.
+        The unsettled shifts are applied in order. A shift moves the request only if the cap of
+        the receiving site admits it; otherwise the request stays at its site before that shift.
 
         Args:
             service: Name of the service.
-            client: Address of the client.
-            wall_now: Time of day, on which the timeline is scheduled.
-            now: Monotonic time, on which the cap is counted.
+            client: IP address of the client.
+            wall_now: Wall-clock time in seconds since the epoch, for scheduled changes.
+            now: Monotonic time in seconds, for the caps.
 
         Raises:
-            NotRun: If the service is unknown, or the request's former site is gone and no cap
-                admits it elsewhere.
+            NotRun: If the service is not configured, or if the original site was removed and no
+                cap admits the request to another site.
         """
-        key = self._find_key(service, self.find_region(client))
+        key = self._resolve_shift_key(service, self.find_region(client))
         group = find_group(client)
         shift = self._shifts[key]
-        progress = shift.current.find_progress(wall_now)
+        progress = shift.current.compute_progress(wall_now)
         current = self._assignments[key][-1].find_site(group, progress)
         if not shift.list_origins(wall_now):
-            return Assigned(current)
-        stages = [item.find_site(group, 0.0) for item in self._assignments[key]]
-        home = self._keep_known(stages[0])
-        site, spent = home, None
-        for stage in (*stages[1:], current):
-            if stage == site or self._keep_known(stage) is None:
+            return SiteDecision(current)
+        candidates = [item.find_site(group, 0.0) for item in self._assignments[key]]
+        original_site = self._resolve_site(candidates[0])
+        site, charged_cap = original_site, None
+        for candidate in (*candidates[1:], current):
+            if candidate == site or self._resolve_site(candidate) is None:
                 continue
-            cap = self._find_cap(service, stage)
+            cap = self._get_cap(service, candidate)
             if self._admit(service, cap, now):
-                if spent is not None:
-                    spent.take_back()
-                site, spent = stage, cap
+                if charged_cap is not None:
+                    charged_cap.undo_last_admission()
+                site, charged_cap = candidate, cap
         if site is None:
             raise NotRun(
                 ErrorKind.OVERLOADED,
-                f"the former site {stages[0]!r} is gone and the cap of the shift is spent",
+                f"site {candidates[0]!r} was removed and the shift cap is exhausted",
             )
-        return Assigned(site, spent is not None, home, site != current)
+        return SiteDecision(site, charged_cap is not None, original_site, site != current)
 
-    def find_siblings(self, service: str, site: str, wall_now: float) -> list[str]:
-        """Returns the other sites of the region that may take a request assigned to a site.
+    def list_sibling_sites(self, service: str, site: str, wall_now: float) -> list[str]:
+        """Returns the other sites in the region that may take a request assigned to a site.
 
-        There are none after a shift: its cap bounds the requests that leave their earlier site,
-        and a request that overflows would count as moved.
+        The list is empty while a shift is unsettled: its cap bounds all requests that leave their
+        original site, and a request sent to a sibling would count as moved.
         """
         region = self.plan.find_region(self.plan.sites[site].zone)
-        shift = self._shifts[self._find_key(service, region)]
+        shift = self._shifts[self._resolve_shift_key(service, region)]
         if shift.list_origins(wall_now):
             return []
         return [
             other
-            for other, share in shift.find_shares(wall_now).items()
+            for other, share in shift.compute_shares(wall_now).items()
             if share > 0
             and other != site
             and self.plan.find_region(self.plan.sites[other].zone) == region
@@ -157,38 +162,41 @@
     def admit_overflow(
         self, service: str, client: str, site: str, wall_now: float, now: float
     ) -> bool:
-        """Returns whether a request may go to a site because its own cannot take it.
+        """Returns whether a request may overflow to a site, and counts it against the site's cap.
 
-        A site to which a shift moves traffic takes all additional requests under one cap: its
-        caches are as cold for these as for those of the shift.
+        A site that receives a shift admits overflow under the cap of the shift, because its
+        caches are equally cold for both. Other sites have no cap.
         """
-        key = self._find_key(service, self.find_region(client))
-        if not self._gains(key, site, wall_now):
+        key = self._resolve_shift_key(service, self.find_region(client))
+        if not self._is_gaining_share(key, site, wall_now):
             return True
-        return self._admit(service, self._find_cap(service, site), now)
+        return self._admit(service, self._get_cap(service, site), now)
 
-    def is_receiving(self, service: str, site: str, wall_now: float) -> bool:
-        """Returns whether an open shift of the service moves requests to a site."""
+    def is_receiving_shift(self, service: str, site: str, wall_now: float) -> bool:
+        """Returns whether an unsettled shift of the service moves requests to a site."""
         keys = [key for key in self._shifts if key[0] == service]
-        return any(self._gains(key, site, wall_now) for key in keys)
+        return any(self._is_gaining_share(key, site, wall_now) for key in keys)
 
-    def _gains(self, key: ShiftKey, site: str, wall_now: float) -> bool:
+    def _is_gaining_share(self, key: ShiftKey, site: str, wall_now: float) -> bool:
+        """Returns whether the unsettled shifts have raised the share of a site."""
         shift = self._shifts[key]
         if not shift.list_origins(wall_now):
             return False
-        before = shift.ramps[0].origin.get(site, 0.0)
-        return shift.find_shares(wall_now).get(site, 0.0) > before
+        original_share = shift.ramps[0].origin.get(site, 0.0)
+        return shift.compute_shares(wall_now).get(site, 0.0) > original_share
 
-    def _find_key(self, service: str, region: str | None) -> ShiftKey:
+    def _resolve_shift_key(self, service: str, region: str | None) -> ShiftKey:
+        """Returns the key of the region's own shift, or else of the service's default shift."""
         for key in ((service, region), (service, None)):
             if key in self._shifts:
                 return key
         raise NotRun(ErrorKind.UNKNOWN_SERVICE, f"service {service!r} is not configured")
 
-    def _keep_known(self, site: str) -> str | None:
+    def _resolve_site(self, site: str) -> str | None:
+        """Returns the name of a site, or None if the site is not in the plan."""
         return site if site in self.plan.sites else None
 
-    def _find_cap(self, service: str, site: str) -> ShiftCap:
+    def _get_cap(self, service: str, site: str) -> ShiftCap:
         cap = self._caps.get((service, site))
         if cap is None:
             cap = self._caps[service, site] = ShiftCap(self._started_at)
@@ -200,35 +208,51 @@
 
 
 def _build_assignments(
-    service: str, shift: Shift, before: Shift | None, known: Sequence[Assignment]
+    service: str,
+    shift: Shift,
+    previous_shift: Shift | None,
+    previous_assignments: Sequence[Assignment],
 ) -> list[Assignment]:
-    """Returns one assignment for each ramp; only the last one moves.
+    """Returns one assignment per ramp; only that of the current ramp changes over time.
 
     Args:
         service: Name of the service.
         shift: The shift in force.
-        before: The shift that it replaces.
-        known: The assignments of that shift, whose winners are used as far as they apply.
+        previous_shift: The shift that it replaces, if any.
+        previous_assignments: Assignments of that shift; their results are reused where possible.
     """
-    wanted = [(ramp.origin, ramp.origin) for ramp in shift.ramps[:-1]]
-    wanted.append((shift.current.origin, shift.current.target))
-    built = []
-    for origin, target in wanted:
-        same = next((a for a in known if a.origin == origin and a.target == target), None)
-        built.append(
-            same or Assignment(service, origin, target, _find_winners(origin, shift, before, known))
+    ramp_shares = [(ramp.origin, ramp.origin) for ramp in shift.ramps[:-1]]
+    ramp_shares.append((shift.current.origin, shift.current.target))
+    assignments = []
+    for origin, target in ramp_shares:
+        reusable = next(
+            (a for a in previous_assignments if a.origin == origin and a.target == target), None
+        )
+        assignments.append(
+            reusable
+            or Assignment(
+                service,
+                origin,
+                target,
+                _get_known_winners(origin, shift, previous_shift, previous_assignments),
+            )
         )
-    return built
+    return assignments
 
 
-def _find_winners(
-    origin: Shares, shift: Shift, before: Shift | None, known: Sequence[Assignment]
+def _get_known_winners(
+    origin: Shares,
+    shift: Shift,
+    previous_shift: Shift | None,
+    previous_assignments: Sequence[Assignment],
 ) -> dict[int, str]:
-    """Returns the winners under some shares, as far as earlier assignments know them."""
-    for assignment in known:
+    """Returns the winning sites by client group under `origin`, if already computed."""
+    for assignment in previous_assignments:
         if assignment.origin == origin:
             return assignment.list_winners(0.0)
     start_at = shift.current.start_at
-    if before is not None and before.find_shares(start_at) == origin:
-        return known[-1].list_winners(before.current.find_progress(start_at))
+    if previous_shift is not None and previous_shift.compute_shares(start_at) == origin:
+        return previous_assignments[-1].list_winners(
+            previous_shift.current.compute_progress(start_at)
+        )
     return {}
--- a/src/briarfork/timeline/checks.py
+++ b/src/briarfork/timeline/checks.py
@@ -12,19 +12,20 @@
     from briarfork.timeline.change import Change
     from briarfork.timeline.timeline import Timeline
 
-# A withdrawal must reach every VM before the start of what it withdraws; a change is in force
-# everywhere within 12 s.
+# A withdrawal must reach every VM before the withdrawn change starts. Changes are in force on all
+# VMs within 12 s.
 WITHDRAWAL_MARGIN_S = 12.0
 
 
 def check_change(timeline: Timeline, change: Change, now: float) -> None:
     """Checks that a change can be accepted as the next one.
 
-    Every point of the timeline from its start on is checked, so a change that clashes with a
-    scheduled one is refused before either is in force.
+    All scheduled starts from the start of the change on are checked, so a conflict with a
+    scheduled change is found before either is in force.
 
     Raises:
-        BriarforkError: With the generation expected and found, or the clash and both changes.
+        BriarforkError: If the change is invalid, is not the next generation, or conflicts with a
+            scheduled change.
     """
     if change.generation != timeline.generation + 1 or change.previous_hash != timeline.last_hash:
         raise BriarforkError(
@@ -36,16 +37,16 @@
     elif change.start_at < now:
         raise BriarforkError(ErrorKind.BAD_REQUEST, "start_at: expected a time not in the past")
     _check_overwrites(timeline, change, now)
-    _check_renders(timeline, change, now)
+    _check_documents(timeline, change, now)
 
 
 def _check_withdrawal(timeline: Timeline, change: Change, now: float) -> None:
     if change.edits:
-        raise BriarforkError(ErrorKind.BAD_REQUEST, "edits: expected none in a withdrawal")
+        raise BriarforkError(ErrorKind.BAD_REQUEST, "edits: a withdrawal cannot contain edits")
     target = timeline.get(change.withdraws or 0)
     if target.generation in timeline.list_withdrawn():
         raise BriarforkError(
-            ErrorKind.CONFLICT, f"generation {target.generation} is withdrawn already"
+            ErrorKind.CONFLICT, f"generation {target.generation} is already withdrawn"
         )
     if target.start_at < now + WITHDRAWAL_MARGIN_S:
         raise BriarforkError(
@@ -61,16 +62,16 @@
         if overlap:
             raise BriarforkError(
                 ErrorKind.CONFLICT,
-                f"change {change.change_id} edits {sorted(overlap)}, to be overwritten "
-                f"by change {scheduled.change_id} (generation {scheduled.generation})",
+                f"change {change.change_id} edits {sorted(overlap)}, which would be overwritten "
+                f"by scheduled change {scheduled.change_id} (generation {scheduled.generation})",
             )
 
 
-def _check_renders(timeline: Timeline, change: Change, now: float) -> None:
-    """Checks the rules that the edits of each point can break.
+def _check_documents(timeline: Timeline, change: Change, now: float) -> None:
+    """Checks the documents at the start of the change and at each later scheduled start.
 
-    The timeline without the change holds at every point, so only what an edit touches needs a
-    look: the cost grows with the number of edits and not with documents times points.
+    The timeline without the change is valid at every start, so only rules that the edits can
+    break are checked. The cost grows with the number of edits, not with documents times starts.
     """
     start = now if change.withdraws is not None else change.start_at
     later = [
@@ -79,11 +80,11 @@
         if scheduled.generation != change.withdraws
     ]
     documents = timeline.find_documents(start)
-    points = [(start, [change])]
+    starts = [(start, [change])]
     by_start = sorted(later, key=lambda scheduled: (scheduled.start_at, scheduled.generation))
-    for point, group in groupby(by_start, key=lambda scheduled: scheduled.start_at):
-        points.append((point, list(group)))
-    for point, starting in points:
+    for start_at, group in groupby(by_start, key=lambda scheduled: scheduled.start_at):
+        starts.append((start_at, list(group)))
+    for start_at, starting in starts:
         edited: set[str] = set()
         for entry in starting:
             documents = documents.apply(entry.edits)
@@ -91,7 +92,7 @@
         faults = documents.find_faults(edited)
         if faults:
             names = ", ".join(f"{c.change_id} (generation {c.generation})" for c in starting)
-            kind = ErrorKind.INVALID_CONFIGURATION if point == start else ErrorKind.CONFLICT
+            kind = ErrorKind.INVALID_CONFIGURATION if start_at == start else ErrorKind.CONFLICT
             raise BriarforkError(
                 kind,
                 f"change {change.change_id} makes the configuration invalid at the start of "
--- a/src/briarfork/timeline/snapshot.py
+++ b/src/briarfork/timeline/snapshot.py
@@ -1,4 +1,4 @@
-"""The start of a timeline, folded to what later times still need."""
+"""Snapshots of a timeline, in which old changes are folded."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Folded:
-    """What is left of a change that has been in force for long.
+class FoldedChange:
+    """An old change in force, reduced to the edits that are still required.
 
     Attributes:
         generation: Generation of the change.
         start_at: Time from which it was in force, seconds since the epoch.
-        edits: Those of its edits that later times still need.
+        edits: The remaining edits; None marks a removed document.
     """
 
     generation: int
@@ -31,18 +31,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All changes up to a generation.
+    """The state of a timeline up to a generation.
 
     Attributes:
-        generation: Last generation that it covers.
-        hash: Hash of the change of this generation; the next change carries it.
-        folded: Edits in force, in the order in which they apply.
-        kept: Changes that are scheduled or within the retention period, in full.
+        generation: Last generation that the snapshot covers.
+        hash: Hash of the change of this generation, which the next change refers to.
+        folded: Folded changes in force, in the order in which they apply.
+        kept: Changes kept in full, because they are scheduled or within the retention period.
     """
 
     generation: int = 0
     hash: str = NO_HASH
-    folded: tuple[Folded, ...] = ()
+    folded: tuple[FoldedChange, ...] = ()
     kept: tuple[Change, ...] = ()
 
     def fold(
@@ -50,19 +50,20 @@
         changes: list[Change],
         last_hash: str,
         withdrawn: set[int],
-        needed: frozenset[int],
+        required: frozenset[int],
         horizon: float,
     ) -> Snapshot:
-        """Returns the snapshot that also covers the changes that follow it.
+        """Returns a snapshot that also covers the given changes.
 
-        Changes in force at the horizon are folded. Withdrawals and what they withdrew are dropped.
+        Changes in force at the horizon are folded. Withdrawals and the changes that they withdraw
+        are dropped.
 
         Args:
-            changes: Consecutive changes after this snapshot.
+            changes: Consecutive changes that follow this snapshot.
             last_hash: Hash of the last of them.
-            withdrawn: Generations that any known change withdraws.
-            needed: Generations of which overwritten edits are kept as well.
-            horizon: Time up to which changes in force are folded.
+            withdrawn: Generations that are withdrawn by any known change.
+            required: Generations whose edits are kept even if they were overwritten.
+            horizon: Time up to which changes in force are folded, seconds since the epoch.
         """
         own_withdrawals = {change.withdraws for change in changes}
         remaining = [
@@ -75,24 +76,26 @@
             for change in remaining
             if change.start_at <= horizon and change.generation not in withdrawn
         ]
-        taken = {change.generation for change in started}
+        folded_generations = {change.generation for change in started}
         return Snapshot(
             changes[-1].generation,
             last_hash,
-            _fold([*self.folded, *started], needed),
-            tuple(change for change in remaining if change.generation not in taken),
+            _fold([*self.folded, *started], required),
+            tuple(change for change in remaining if change.generation not in folded_generations),
         )
 
 
-def _fold(entries: Iterable[Change | Folded], needed: frozenset[int]) -> tuple[Folded, ...]:
+def _fold(
+    entries: Iterable[Change | FoldedChange], required: frozenset[int]
+) -> tuple[FoldedChange, ...]:
     histories: dict[str, list[tuple[float, int, Document | None]]] = {}
     for entry in sorted(entries, key=lambda entry: (entry.start_at, entry.generation)):
         for name, body in entry.edits.items():
-            earlier = [edit for edit in histories.get(name, []) if edit[1] in needed]
-            # A removal ends the history; it is kept to tell when the document was edited last.
+            still_required = [edit for edit in histories.get(name, []) if edit[1] in required]
+            # A removal ends the history. It is kept itself, because it is the document's last edit.
             if body is None:
-                earlier = []
-            histories[name] = [*earlier, (entry.start_at, entry.generation, body)]
+                still_required = []
+            histories[name] = [*still_required, (entry.start_at, entry.generation, body)]
     edits = [
         (start_at, generation, name, body)
         for name, history in histories.items()
@@ -100,6 +103,6 @@
     ]
     edits.sort(key=lambda edit: edit[:3])
     return tuple(
-        Folded(generation, start_at, {name: body for _, _, name, body in group})
+        FoldedChange(generation, start_at, {name: body for _, _, name, body in group})
         for (start_at, generation), group in groupby(edits, key=lambda edit: edit[:2])
     )
--- a/src/briarfork/timeline/timeline.py
+++ b/src/briarfork/timeline/timeline.py
@@ -1,4 +1,4 @@
-"""The log of accepted changes and the configuration in force at any time."""
+"""The log of accepted changes, from which the configuration in force at a time is derived."""
 
 from __future__ import annotations
 
@@ -17,16 +17,24 @@
     from collections.abc import Collection
 
     from briarfork.timeline.change import Change
-    from briarfork.timeline.snapshot import Folded
+    from briarfork.timeline.snapshot import FoldedChange
 
-FindNeeded = Callable[["Timeline", float], frozenset[int]]
+FindRequiredGenerations = Callable[["Timeline", float], frozenset[int]]
 
-# Peers that were cut off for less than this catch up change by change; others take the snapshot.
+# Peers that were disconnected for less than this time catch up with single changes, others with a
+# snapshot.
 RETENTION_S = 3600.0
 
 
-class Appended(Enum):
-    """Result of offering a change or a snapshot to a timeline."""
+class AppendResult(Enum):
+    """Result of adding a change or a snapshot to a timeline.
+
+    Attributes:
+        ADDED: It was added.
+        KNOWN: The timeline already covers it.
+        GAP: Changes before it are missing.
+        FORKED: It belongs to a different history.
+    """
 
     ADDED = "added"
     KNOWN = "known"
@@ -35,90 +43,94 @@
 
 
 class SnapshotRequired(BriarforkError):
-    """Changes were asked for that have been folded.
+    """Raised when requested changes have been folded into a snapshot.
 
     Attributes:
-        snapshot: What to send instead, before the changes that follow it.
+        snapshot: Snapshot to send in place of the folded changes.
     """
 
     def __init__(self, asked: int, snapshot: Snapshot) -> None:
         super().__init__(
             ErrorKind.CONFLICT,
-            f"expected a generation of {snapshot.generation} or later, found {asked}: "
+            f"expected generation {snapshot.generation} or later, found {asked}: "
             "earlier changes are folded into a snapshot",
         )
         self.snapshot = snapshot
 
 
 class Timeline:
-    """Accepted changes in order of generation.
+    """The accepted changes in order of generation.
 
-    The generation never falls: a change is added only if it is the next one and carries the hash
-    of the last one. The configuration in force at a time follows from the timeline alone. Old
-    changes are folded into a snapshot, so memory does not grow with the age of the system; times
-    before the snapshot cannot be asked for.
+    The generation never decreases: a change is added only if it is the next one and refers to the
+    hash of the last one. The configuration in force at a time is derived from the timeline alone.
+    Old changes are folded into a snapshot, so memory use does not grow with the age of the
+    system. The state before the snapshot cannot be queried.
     """
 
     def __init__(self, snapshot: Snapshot | None = None, retention_s: float = RETENTION_S) -> None:
         self._retention_s = retention_s
-        self._base = Snapshot()
+        self._snapshot = Snapshot()
         self._changes: list[Change] = []
         self._hashes: list[str] = []
         self._withdrawn: set[int] = set()
         self._by_id: dict[str, Change] = {}
         if snapshot is not None:
-            self._replace(snapshot)
+            self._reset_to(snapshot)
 
     @property
     def generation(self) -> int:
         """Generation of the last accepted change; 0 if there is none."""
-        return self._base.generation + len(self._changes)
+        return self._snapshot.generation + len(self._changes)
 
     @property
     def last_hash(self) -> str:
-        """Hash of the last accepted change."""
-        return self._hashes[-1] if self._hashes else self._base.hash
+        """Hash of the last accepted change; empty if there is none."""
+        return self._hashes[-1] if self._hashes else self._snapshot.hash
 
     @property
     def snapshot(self) -> Snapshot:
-        """What has been folded; its generation is 0 if nothing has."""
-        return self._base
+        """The folded part of the timeline; its generation is 0 if nothing has been folded."""
+        return self._snapshot
 
-    def append(self, change: Change) -> Appended:
-        """Adds a change if it continues the timeline; otherwise leaves the timeline as it is."""
+    def append(self, change: Change) -> AppendResult:
+        """Adds a change if it is the next one; otherwise leaves the timeline unchanged."""
         if change.generation > self.generation + 1 or change.generation < 1:
-            return Appended.GAP
+            return AppendResult.GAP
         if change.generation <= self.generation:
             known = self.find_hash(change.generation)
-            return Appended.KNOWN if known in (None, change.compute_hash()) else Appended.FORKED
+            return (
+                AppendResult.KNOWN
+                if known in (None, change.compute_hash())
+                else AppendResult.FORKED
+            )
         if change.previous_hash != self.last_hash:
-            return Appended.FORKED
-        self._add(change.share_values(), change.compute_hash())
-        return Appended.ADDED
+            return AppendResult.FORKED
+        self._add(change.intern_values(), change.compute_hash())
+        return AppendResult.ADDED
 
-    def restore(self, snapshot: Snapshot) -> Appended:
-        """Takes a snapshot that is ahead of this timeline; otherwise leaves the timeline as it is.
+    def restore(self, snapshot: Snapshot) -> AppendResult:
+        """Replaces the timeline by a snapshot that is ahead of it; otherwise leaves it unchanged.
 
-        Changes that both hold must be the same.
+        Changes that both contain must be identical.
         """
         if snapshot.generation <= self.generation:
             known = self.find_hash(snapshot.generation)
-            return Appended.KNOWN if known in (None, snapshot.hash) else Appended.FORKED
+            return AppendResult.KNOWN if known in (None, snapshot.hash) else AppendResult.FORKED
         for change in snapshot.kept:
             if self.find_hash(change.generation) not in (None, change.compute_hash()):
-                return Appended.FORKED
-        self._replace(snapshot)
-        return Appended.ADDED
+                return AppendResult.FORKED
+        self._reset_to(snapshot)
+        return AppendResult.ADDED
 
-    def compact(self, now: float, find_needed: FindNeeded) -> bool:
+    def compact(self, now: float, find_required_generations: FindRequiredGenerations) -> bool:
         """Folds changes in force that are older than the retention period.
 
-        Changes that are scheduled stay.
+        Scheduled changes are kept in full.
 
         Args:
-            now: Time of day.
-            find_needed: Names the generations of which overwritten edits are still needed at a
-                time and later.
+            now: Wall-clock time, seconds since the epoch.
+            find_required_generations: Returns the generations whose overwritten edits are still
+                required from a given time on.
 
         Returns:
             Whether anything was folded.
@@ -133,61 +145,70 @@
             return False
         old = self._changes[:count]
         last_hash = self._hashes[count - 1]
-        needed = find_needed(self, horizon)
-        base = self._base.fold(old, last_hash, self._withdrawn, needed, horizon)
+        required = find_required_generations(self, horizon)
+        base = self._snapshot.fold(old, last_hash, self._withdrawn, required, horizon)
         changes, hashes = self._changes[count:], self._hashes[count:]
-        self._replace(base)
+        self._reset_to(base)
         for change, digest in zip(changes, hashes, strict=True):
             self._add(change, digest)
         return True
 
     def get(self, generation: int) -> Change:
-        """Returns an accepted change that is held in full.
+        """Returns an accepted change that has not been folded.
 
         Raises:
-            BriarforkError: If there is no change of this generation, or it is folded.
+            BriarforkError: If there is no change of this generation, or it has been folded.
         """
         if not 1 <= generation <= self.generation:
             raise BriarforkError(
                 ErrorKind.BAD_REQUEST,
-                f"no change of generation {generation}, expected 1 to {self.generation}",
+                f"generation {generation} does not exist, expected 1 to {self.generation}",
             )
-        if generation > self._base.generation:
-            return self._changes[generation - self._base.generation - 1]
-        for change in self._base.kept:
+        if generation > self._snapshot.generation:
+            return self._changes[generation - self._snapshot.generation - 1]
+        for change in self._snapshot.kept:
             if change.generation == generation:
                 return change
         raise BriarforkError(
-            ErrorKind.CONFLICT, f"generation {generation} is in force or withdrawn for long"
+            ErrorKind.CONFLICT,
+            f"generation {generation} has been in force or withdrawn for too long",
         )
 
     def find_hash(self, generation: int) -> str | None:
-        """Returns the hash of an accepted change, or None if it is folded or not accepted yet."""
-        index = generation - self._base.generation
+        """Returns the hash of a change, or None if it has been folded or is not yet accepted."""
+        index = generation - self._snapshot.generation
         if index == 0:
-            return self._base.hash
+            return self._snapshot.hash
         return self._hashes[index - 1] if 0 < index <= len(self._hashes) else None
 
     def find_change(self, change_id: str) -> Change | None:
-        """Returns the change of this name that is held in full, or None."""
+        """Returns the change with this id, or None if it is unknown or has been folded."""
         return self._by_id.get(change_id)
 
     def list_after(self, generation: int, limit: int) -> list[Change]:
-        """Returns at most `limit` changes that follow a generation.
+        """Returns at most `limit` changes after a generation.
 
         Raises:
-            SnapshotRequired: If some of them are folded; the error has the snapshot.
+            SnapshotRequired: If some of them have been folded; carries the snapshot to use.
         """
-        if generation < self._base.generation:
-            raise SnapshotRequired(generation, self._base)
-        index = generation - self._base.generation
+        if generation < self._snapshot.generation:
+            raise SnapshotRequired(generation, self._snapshot)
+        index = generation - self._snapshot.generation
         return self._changes[index : index + limit]
 
     def find_later_edit(
         self, names: Collection[str], generation: int
-    ) -> tuple[Change | Folded, set[str]] | None:
-        """Returns a change after a generation that edited some of the documents, and which."""
-        entries: list[Change | Folded] = [*self._base.folded, *self._base.kept, *self._changes]
+    ) -> tuple[Change | FoldedChange, set[str]] | None:
+        """Returns the first change after a generation that edits any of the documents.
+
+        Returns:
+            The change and the names of the documents that it edits, or None.
+        """
+        entries: list[Change | FoldedChange] = [
+            *self._snapshot.folded,
+            *self._snapshot.kept,
+            *self._changes,
+        ]
         for entry in entries:
             overlap = entry.edits.keys() & set(names)
             if entry.generation > generation and overlap:
@@ -195,31 +216,35 @@
         return None
 
     def list_withdrawn(self) -> set[int]:
-        """Returns the generations that a later change withdraws."""
+        """Returns the generations that have been withdrawn by a later change."""
         return self._withdrawn
 
     def list_scheduled(self, now: float) -> list[Change]:
-        """Returns the changes that start later than now and are not withdrawn."""
+        """Returns the changes that start after `now` and are not withdrawn."""
         return [
             change
-            for change in (*self._base.kept, *self._changes)
+            for change in (*self._snapshot.kept, *self._changes)
             if change.start_at > now and change.generation not in self._withdrawn
         ]
 
-    def list_effective(self, now: float) -> list[Change | Folded]:
+    def list_effective(self, now: float) -> list[Change | FoldedChange]:
         """Returns the changes in force at a time, in the order in which they apply.
 
         Raises:
-            BriarforkError: With kind `bad_request` if the time is before what is folded.
+            BriarforkError: With kind `bad_request` if the time is before the last folded change.
         """
-        folded = self._base.folded
+        folded = self._snapshot.folded
         if folded and now < folded[-1].start_at:
             raise BriarforkError(
                 ErrorKind.BAD_REQUEST,
                 f"expected a time not before {folded[-1].start_at:.0f}, found {now:.0f}: earlier "
-                "changes are folded; the history has them",
+                "changes are folded, see the history",
             )
-        entries: list[Change | Folded] = [*self._base.folded, *self._base.kept, *self._changes]
+        entries: list[Change | FoldedChange] = [
+            *self._snapshot.folded,
+            *self._snapshot.kept,
+            *self._changes,
+        ]
         effective = [
             entry
             for entry in entries
@@ -231,7 +256,7 @@
         """Returns the documents in force at a time.
 
         Raises:
-            BriarforkError: With kind `bad_request` if the time is before what is folded.
+            BriarforkError: With kind `bad_request` if the time is before the last folded change.
         """
         edits: dict[str, Any] = {}
         for entry in self.list_effective(now):
@@ -239,14 +264,15 @@
         return Documents().apply(edits)
 
     def find_next_start(self, now: float) -> float | None:
-        """Returns the time of the next scheduled start after now, or None."""
+        """Returns the time of the next scheduled start after `now`, or None."""
         return min((change.start_at for change in self.list_scheduled(now)), default=None)
 
     def check(self, change: Change, now: float) -> None:
         """Checks that a change can be accepted as the next one.
 
         Raises:
-            BriarforkError: With the generation expected and found, or the clash and both changes.
+            BriarforkError: If the change is invalid, is not the next generation, or conflicts
+                with a scheduled change.
         """
         check_change(self, change, now)
 
@@ -257,8 +283,8 @@
         if change.withdraws is not None:
             self._withdrawn.add(change.withdraws)
 
-    def _replace(self, snapshot: Snapshot) -> None:
-        self._base = snapshot
+    def _reset_to(self, snapshot: Snapshot) -> None:
+        self._snapshot = snapshot
         self._changes = []
         self._hashes = []
         self._withdrawn = set()
--- a/tests/steering/test_entries.py
+++ b/tests/steering/test_entries.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from briarfork.steering import MAX_ENTRIES
+from briarfork.steering import MAX_LOOKUP_ENTRIES
 from briarfork.steering import EntryAddress
 from briarfork.steering import EntryDirectory
 
@@ -27,7 +27,7 @@
     def test_spreads_clients_evenly_over_the_vms_of_the_zone(self) -> None:
         """Guards against a VM that gets the clients of others."""
         directory = build_directory(12)
-        first = Counter(directory.order("n-a", group)[0].vm for group in range(GROUPS))
+        first = Counter(directory.rank_entries("n-a", group)[0].vm for group in range(GROUPS))
         assert all(vm.startswith("n-a-") for vm in first)
         # Five standard deviations of a binomial count.
         assert all(abs(count - GROUPS / 12) < 5 * (GROUPS / 12) ** 0.5 for count in first.values())
@@ -35,8 +35,8 @@
     def test_names_few_vms_and_some_of_other_zones(self) -> None:
         """Guards against long answers, and against clients that a lost zone leaves without VM."""
         for directory in (build_directory(2), build_directory(155)):
-            order = directory.order("n-a", 7)
-            assert len(order) == len({entry.vm for entry in order}) == MAX_ENTRIES
+            order = directory.rank_entries("n-a", 7)
+            assert len(order) == len({entry.vm for entry in order}) == MAX_LOOKUP_ENTRIES
             distances = [DISTANCES[entry.zone] for entry in order]
             assert distances == sorted(distances)
             assert order[0].zone == "n-a"
@@ -44,10 +44,13 @@
 
     def test_uses_other_zones_when_the_zone_has_no_vm(self) -> None:
         """Guards against a lookup without an answer."""
-        order = build_directory(1, "n-a").order("n-a", 7)
+        order = build_directory(1, "n-a").rank_entries("n-a", 7)
         assert order[0].zone == "n-b"
         assert len(order) == 3
 
     def test_uses_the_whole_zone_when_no_other_serves(self) -> None:
         """Guards against a cut-off zone that names fewer VMs than it has."""
-        assert len(build_directory(12, "n-b", "s-a", "s-b").order("n-a", 7)) == MAX_ENTRIES
+        assert (
+            len(build_directory(12, "n-b", "s-a", "s-b").rank_entries("n-a", 7))
+            == MAX_LOOKUP_ENTRIES
+        )
--- a/tests/steering/test_headroom.py
+++ b/tests/steering/test_headroom.py
@@ -41,7 +41,7 @@
             if rng.random() < 0.3:
                 load = SiteLoad(rng.randrange(slots), slots, rng.randrange(3), now - rng.random())
                 view.accept(KEY, load)
-            free = view.find_free(KEY, slots, 0, now)
+            free = view.compute_free_slots(KEY, slots, 0, now)
             most_free = max(most_free, free)
             demanded_s += min(run_time_s, now - last_asked[number])
             last_asked[number] = now
@@ -66,7 +66,7 @@
             number = rng.randrange(vms)
             held = [end for end in ends[number] if end > now]
             fleet[number].accept(KEY, SiteLoad(0, slots, 0, now))
-            seen = fleet[number].find_free(KEY, slots, 0, now)
+            seen = fleet[number].compute_free_slots(KEY, slots, 0, now)
             assert seen == pytest.approx(free)
             if fleet[number].admit(KEY, seen, len(held), vms, 0.1, now):
                 held.append(now + 0.1)
@@ -80,22 +80,22 @@
     def test_fades_with_the_age_of_the_report(self) -> None:
         """Guards against unlimited headroom when reports are old, missing or stopped."""
         view = Headroom("vm")
-        assert view.find_free(KEY, 10, 0, 100.0) == 0.0
+        assert view.compute_free_slots(KEY, 10, 0, 100.0) == 0.0
         view.accept(KEY, SiteLoad(0, 10, 0, 100.0))
-        assert view.find_free(KEY, 10, 0, 100.0) == pytest.approx(8.0)
-        assert view.find_free(KEY, 10, 0, 102.5) == pytest.approx(4.0)
-        assert view.find_free(KEY, 10, 0, 105.0) == 0.0
+        assert view.compute_free_slots(KEY, 10, 0, 100.0) == pytest.approx(8.0)
+        assert view.compute_free_slots(KEY, 10, 0, 102.5) == pytest.approx(4.0)
+        assert view.compute_free_slots(KEY, 10, 0, 105.0) == 0.0
 
     def test_is_bounded_by_what_the_vm_knows_itself(self) -> None:
         """Guards against a report that claims slots that do not exist or hides own requests."""
         view = Headroom("vm")
         view.accept(KEY, SiteLoad(0, 1_000_000, 0, 0.0))
-        assert view.find_free(KEY, 10, 0, 0.0) == pytest.approx(8.0)
-        assert view.find_free(KEY, 10, 6, 0.0) == pytest.approx(2.0)
+        assert view.compute_free_slots(KEY, 10, 0, 0.0) == pytest.approx(8.0)
+        assert view.compute_free_slots(KEY, 10, 6, 0.0) == pytest.approx(2.0)
         view.accept(KEY, SiteLoad(-9, 10, 0, 1.0))
         view.accept(KEY, SiteLoad(0, 10, 0, math.nan))
         view.accept(KEY, SiteLoad(8, 10, 0, -1.0))
-        assert view.find_free(KEY, 10, 0, 0.0) == pytest.approx(8.0)
+        assert view.compute_free_slots(KEY, 10, 0, 0.0) == pytest.approx(8.0)
 
     def test_ends_for_a_while_after_a_refusal(self) -> None:
         """Guards against requests that are sent on false reports again and again."""
@@ -122,11 +122,11 @@
     def test_returns_traffic_slowly(self) -> None:
         """Guards against a region that gets all of its traffic back at once."""
         recovery = Recovery()
-        recovery.record_loss(0.0)
+        recovery.record_failure(0.0)
         levels = []
         for step in range(1, 400):
             recovery.record_success(step / 10)
-            levels.append(recovery.level)
+            levels.append(recovery.traffic_ratio)
         assert all(after - before < 0.005 for before, after in pairwise(levels))
         assert levels[-1] == 1.0
 
@@ -135,17 +135,17 @@
         """Guards against traffic that swings between a weak site and the others."""
         rng = random.Random(seed)
         recovery = Recovery()
-        recovery.record_loss(0.0)
+        recovery.record_failure(0.0)
         levels = []
         for step in range(1, 20_000):
             now = step / 100
             if recovery.admit():
                 # The site fails more often the more it gets above what it takes.
-                if rng.random() < max(0.0, recovery.level - takes):
-                    recovery.record_loss(now)
+                if rng.random() < max(0.0, recovery.traffic_ratio - takes):
+                    recovery.record_failure(now)
                 else:
                     recovery.record_success(now)
-            levels.append(recovery.level)
+            levels.append(recovery.traffic_ratio)
         steady = levels[10_000:]
         assert max(steady) <= min(1.0, takes + 0.5)
         assert sum(steady) / len(steady) >= takes / 2
--- a/tests/steering/test_shift.py
+++ b/tests/steering/test_shift.py
@@ -14,7 +14,7 @@
 from briarfork.configuration import ShiftLimits
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
-from briarfork.steering import MOVE_DELAY_S
+from briarfork.steering import MAX_MOVE_DELAY_S
 from briarfork.steering import ShiftCap
 from briarfork.steering import SpreadChange
 from briarfork.steering import Steering
@@ -61,8 +61,8 @@
         limits = ShiftLimits(100, 10)
         ordered = sorted(changes, key=lambda change: change[0])
         history = [SpreadChange(start, normalize(weights), limits) for start, weights in ordered]
-        before = build_shift(history, now).find_shares(now)
-        after = build_shift(history, now + step).find_shares(now + step)
+        before = build_shift(history, now).compute_shares(now)
+        after = build_shift(history, now + step).compute_shares(now + step)
         assert sum(after.values()) == pytest.approx(1.0)
         if now < history[0].start_at:
             return
@@ -86,7 +86,7 @@
             if rng.random() < 0.02:
                 caps[vm] = ShiftCap(now)
             if caps[vm].admit(cap_rps, vms, now):
-                arrivals.append(now + rng.uniform(0, MOVE_DELAY_S))
+                arrivals.append(now + rng.uniform(0, MAX_MOVE_DELAY_S))
         assert count_worst_second(arrivals) <= cap_rps
 
 
@@ -127,7 +127,7 @@
             return
         key = f"{SERVICE}|{find_group(client)}"
         if site != choose_site(self._first, key):
-            self.arrivals[site].append(self._now + self._random.uniform(0, MOVE_DELAY_S))
+            self.arrivals[site].append(self._now + self._random.uniform(0, MAX_MOVE_DELAY_S))
 
 
 class TestMovedRequests:
@@ -196,8 +196,8 @@
         edits = {NAME: build_service({"a": 1, "b": 1}, 10, 60), **build_sites("a", drain=True)}
         schedule(timeline, 100, edits)
         steering = render(timeline, 100, 0)
-        assert steering.find_shares(SERVICE, None, 150)["a"] == pytest.approx(0.5)
-        assert steering.find_shares(SERVICE, None, 201) == {"b": 1.0}
+        assert steering.compute_shares(SERVICE, None, 150)["a"] == pytest.approx(0.5)
+        assert steering.compute_shares(SERVICE, None, 201) == {"b": 1.0}
         sites = [steering.assign_request(SERVICE, c, 300, 10).site for c in CLIENTS[:100]]
         assert sites.count("b") == 10
 
@@ -232,4 +232,7 @@
         schedule(timeline, 0, {**edits, **build_sites(*SITES)})
         schedule(timeline, 100, {NAME: build_service({"a": 1, "b": 1}, 10, 60)})
         steering = render(timeline, 300, 0)
-        assert [steering.is_receiving(SERVICE, site, 300) for site in ("a", "b")] == [False, True]
+        assert [steering.is_receiving_shift(SERVICE, site, 300) for site in ("a", "b")] == [
+            False,
+            True,
+        ]
--- a/tests/timeline/test_compaction.py
+++ b/tests/timeline/test_compaction.py
@@ -14,7 +14,7 @@
 
 from briarfork.steering import build_shifts
 from briarfork.steering import compact_timeline
-from briarfork.timeline import Appended
+from briarfork.timeline import AppendResult
 from briarfork.timeline import SnapshotRequired
 from briarfork.timeline import Timeline
 from tests.timeline.test_timeline import build_change
@@ -73,7 +73,7 @@
     shift = shifts.get((service, region)) or shifts.get((service, None))
     if shift is None:
         return None
-    return shift.find_shares(now), shift.current.target, shift.list_origins(now)
+    return shift.compute_shares(now), shift.current.target, shift.list_origins(now)
 
 
 def build_body(site: str, slope: int = 1, **regions: str) -> dict[str, Any]:
@@ -140,7 +140,7 @@
         assert (timeline.generation, timeline.snapshot.generation) == (2, 2)
         assert [change.generation for change in timeline.list_scheduled(DAY_S)] == [2]
         assert timeline.find_documents(9e9).by_name["base"] == {"number": 2}
-        assert timeline.append(build_change(timeline, DAY_S)) is Appended.ADDED
+        assert timeline.append(build_change(timeline, DAY_S)) is AppendResult.ADDED
 
     def test_withdrawn_change_stays_withdrawn(self) -> None:
         """Guards against a withdrawn change that starts after its withdrawal was folded."""
@@ -167,8 +167,8 @@
         compact_timeline(source, DAY_S)
         source.append(build_change(source, DAY_S, submitted_at=DAY_S))
         timeline = build_timeline(0.0)
-        assert timeline.restore(source.snapshot) is Appended.ADDED
-        assert timeline.append(source.get(4)) is Appended.ADDED
+        assert timeline.restore(source.snapshot) is AppendResult.ADDED
+        assert timeline.append(source.get(4)) is AppendResult.ADDED
         assert timeline.find_documents(9e9) == source.find_documents(9e9)
 
     def test_generation_never_falls(self) -> None:
@@ -176,7 +176,7 @@
         source = build_timeline(0.0)
         compact_timeline(source, DAY_S)
         timeline = build_timeline(0.0, 0.0)
-        assert timeline.restore(source.snapshot) is Appended.KNOWN
+        assert timeline.restore(source.snapshot) is AppendResult.KNOWN
         assert timeline.generation == 2
 
     def test_refuses_another_history(self) -> None:
@@ -185,9 +185,9 @@
         source.append(build_change(source, 9e9, reason="other"))
         compact_timeline(source, DAY_S)
         timeline = build_timeline(0.0, 9e9)
-        assert timeline.restore(source.snapshot) is Appended.FORKED
+        assert timeline.restore(source.snapshot) is AppendResult.FORKED
         later = build_timeline(0.0, 9e9, 0.0)
-        assert later.restore(source.snapshot) is Appended.FORKED
+        assert later.restore(source.snapshot) is AppendResult.FORKED
 
 
 class TestMemory:
--- a/tests/timeline/test_timeline.py
+++ b/tests/timeline/test_timeline.py
@@ -10,7 +10,7 @@
 
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
-from briarfork.timeline import Appended
+from briarfork.timeline import AppendResult
 from briarfork.timeline import Change
 from briarfork.timeline import Timeline
 
@@ -44,14 +44,14 @@
         """Guards against a VM that skips a change it has not seen."""
         timeline = build_timeline(0.0)
         later = build_change(timeline, generation=3)
-        assert timeline.append(later) is Appended.GAP
+        assert timeline.append(later) is AppendResult.GAP
         assert timeline.generation == 1
 
     def test_refuses_a_change_with_another_history(self) -> None:
         """Guards against a store that was restored from a different state."""
         timeline = build_timeline(0.0)
         other = build_change(timeline, previous_hash="0" * 64)
-        assert timeline.append(other) is Appended.FORKED
+        assert timeline.append(other) is AppendResult.FORKED
 
     @given(st.lists(st.integers(min_value=0, max_value=9), max_size=60))
     def test_generation_never_falls_in_any_order_of_messages(self, order: list[int]) -> None:
@@ -81,7 +81,7 @@
     def test_hash_stays_the_same(self, body: dict[str, Any]) -> None:
         """Guards against 0.0, -0.0, 0 and False, which are equal but hash to other changes."""
         change = build_change(Timeline(), edits={"base": body, "sites/a": None})
-        assert change.share_values().compute_hash() == change.compute_hash()
+        assert change.intern_values().compute_hash() == change.compute_hash()
 
 
 class TestScheduledStart:
