Reword the control process

Names such as news, hear, converse, offer_load and _spread_list were figurative, and control.link.Link had the same name as the network link of the configuration. They become has_updates, record_contact, run_peer_stream, queue_load, _publish_listed and PeerLink. Docstrings say what is sent, to whom and why.

--- a/src/briarfork/control/__init__.py
+++ b/src/briarfork/control/__init__.py
@@ -1,1 +1,1 @@
-"""The control process: configuration, membership and load view of one VM."""
+"""The control process, which maintains the configuration, membership and load view of a VM."""
--- a/src/briarfork/control/link.py
+++ b/src/briarfork/control/link.py
@@ -1,4 +1,4 @@
-"""An open stream to another process and what is still to be sent on it."""
+"""An open stream to another process, with its queue of unsent updates."""
 
 from __future__ import annotations
 
@@ -10,39 +10,40 @@
 from briarfork.border.messages import MAX_RECORDS
 from briarfork.border.messages import Heartbeat
 from briarfork.border.messages import Summary
-from briarfork.control.load import find_key
+from briarfork.control.load import get_load_key
 
 if TYPE_CHECKING:
     from briarfork.border.messages import Load
     from briarfork.border.streams import MessageStream
-    from briarfork.control.load import Regions
+    from briarfork.control.load import RegionMap
     from briarfork.control.node import ControlNode
     from briarfork.membership import ListedVm
     from briarfork.membership import ListRecord
     from briarfork.membership import Member
 
-# News on their way make the digests differ for a moment; two heartbeats in a row are a difference.
-MISMATCHES = 2
+# Updates in transit make the digests differ briefly, so a single mismatch is ignored.
+MISMATCHES_BEFORE_SUMMARY = 2
 
 
 @dataclass(slots=True, eq=False)
-class Link:
-    """An open stream and what is still to be sent on it.
+class PeerLink:
+    """An open stream to another process, with its queue of unsent updates.
 
     Attributes:
-        stream: The stream.
-        dialled: Whether this VM opened it.
-        vm: Name of the VM at the other end, once known.
-        zone: Its availability zone, once known.
-        incarnation: Incarnation of its control process.
-        generation: Generation that the peer has named.
-        news: Set when there is something to send before the next heartbeat.
+        stream: The message stream.
+        dialled: Whether this VM opened the stream.
+        vm: Name of the peer's VM; empty until known.
+        zone: Availability zone of the peer; empty until known.
+        incarnation: Incarnation of the peer's control process.
+        generation: Last generation that the peer reported.
+        has_updates: Set when there are updates to send before the next heartbeat.
         members: Member records to send, by VM.
-        removed: Names of members that were dropped, for the entry process.
-        listed: Records of the list of VMs to send, by VM.
+        removed: Names of removed members; used only for the entry process.
+        listed: Records of the VM list to send, by VM.
         load: Loads to send, by service and site.
-        parts: What has arrived of a list of VMs in parts.
-        mismatches: Heartbeats in a row whose digests differed while nothing was on its way.
+        partial_list: Entries of a VM list of which more parts are expected.
+        mismatches: Number of consecutive heartbeats with different digests and no updates in
+            transit.
     """
 
     stream: MessageStream
@@ -51,21 +52,21 @@
     zone: str = ""
     incarnation: int = 0
     generation: int = 0
-    news: asyncio.Event = field(default_factory=asyncio.Event)
+    has_updates: asyncio.Event = field(default_factory=asyncio.Event)
     members: dict[str, Member] = field(default_factory=dict)
     removed: set[str] = field(default_factory=set)
     listed: dict[str, ListRecord] = field(default_factory=dict)
     load: dict[tuple[str, str], Load] = field(default_factory=dict)
-    parts: list[ListedVm] = field(default_factory=list)
+    partial_list: list[ListedVm] = field(default_factory=list)
     mismatches: int = 0
 
     def send_heartbeat(self, node: ControlNode) -> None:
-        """Sends what the peer lacks, in several messages if it is much."""
+        """Sends all queued updates, in several heartbeats if there are many records."""
         self.removed.clear()
         while True:
             members = [self.members.pop(vm) for vm in list(self.members)[:MAX_RECORDS]]
             listed = [self.listed.pop(vm) for vm in list(self.listed)[:MAX_RECORDS]]
-            loads, self.load = node.load.age(self.load.values()), {}
+            loads, self.load = node.load.update_ages(self.load.values()), {}
             digests = (node.roster.digest.total, node.directory.digest.total)
             generation = node.timeline.generation
             self.stream.send(Heartbeat(generation, members, listed, loads, digests))
@@ -73,16 +74,16 @@
                 return
 
     def send_summary(self, node: ControlNode) -> None:
-        """Sends the digests by bucket, so that the peer finds what this VM lacks."""
+        """Sends the digests by bucket, from which the peer determines what this VM lacks."""
         self.mismatches = 0
         self.stream.send(Summary(node.roster.digest.buckets, node.directory.digest.buckets))
 
-    def compare(self, node: ControlNode, message: Heartbeat) -> None:
-        """Asks for a comparison when the digests stay different without news."""
+    def check_digests(self, node: ControlNode, message: Heartbeat) -> None:
+        """Sends a summary if the digests keep differing while no updates are in transit."""
         own = (node.roster.digest.total, node.directory.digest.total)
-        busy = message.members or message.listed or self.members or self.listed
-        self.mismatches = 0 if busy or message.digests == own else self.mismatches + 1
-        if self.mismatches >= MISMATCHES:
+        in_transit = message.members or message.listed or self.members or self.listed
+        self.mismatches = 0 if in_transit or message.digests == own else self.mismatches + 1
+        if self.mismatches >= MISMATCHES_BEFORE_SUMMARY:
             self.send_summary(node)
 
     def queue_differences(self, node: ControlNode, summary: Summary) -> None:
@@ -95,9 +96,9 @@
             records = node.directory.list_records(buckets)
             self.listed.update((record.listed.vm, record) for record in records)
         if self.members or self.listed:
-            self.news.set()
+            self.has_updates.set()
 
-    def offer_load(self, load: Load, regions: Regions, own_zone: str) -> None:
-        """Queues a load if the peer can use it: details in its own region, else summaries."""
+    def queue_load(self, load: Load, regions: RegionMap, own_zone: str) -> None:
+        """Queues a load if the peer can use it, according to `RegionMap.is_useful`."""
         if regions.is_useful(load, own_zone, self.zone):
-            self.load[find_key(load)] = load
+            self.load[get_load_key(load)] = load
--- a/src/briarfork/control/local.py
+++ b/src/briarfork/control/local.py
@@ -15,7 +15,7 @@
 from briarfork.border.messages import split_records
 from briarfork.border.streams import StreamClosed
 from briarfork.control.handlers import handle
-from briarfork.control.link import Link
+from briarfork.control.link import PeerLink
 from briarfork.errors import BriarforkError
 from briarfork.membership.directory import GONE
 
@@ -25,9 +25,9 @@
 
 
 class EntryFeed:
-    """Sends an entry process what it lacks."""
+    """Sends updates of the control process's state to the entry process."""
 
-    def __init__(self, node: ControlNode, link: Link) -> None:
+    def __init__(self, node: ControlNode, link: PeerLink) -> None:
         self._node = node
         self._link = link
         self._generation = 0
@@ -36,7 +36,7 @@
         self._following: bool | None = None
 
     async def run(self) -> None:
-        """Sends news at once, and a heartbeat when there is none."""
+        """Sends updates as soon as there are any, and otherwise heartbeats."""
         while True:
             self._send_changes()
             self._send_members()
@@ -47,10 +47,10 @@
             self._link.send_heartbeat(self._node)
             try:
                 async with asyncio.timeout(self._node.settings.timeouts.heartbeat_s):
-                    await self._link.news.wait()
+                    await self._link.has_updates.wait()
             except TimeoutError:
                 pass
-            self._link.news.clear()
+            self._link.has_updates.clear()
 
     def _send_changes(self) -> None:
         timeline = self._node.timeline
@@ -61,7 +61,7 @@
             self._generation = changes[-1].generation
 
     def _send_members(self) -> None:
-        """Sends the whole roster at first, then what changed."""
+        """Sends the whole roster once, then only differences."""
         link, roster = self._link, self._node.roster
         if not self._node.settled:
             return
@@ -76,7 +76,7 @@
             link.stream.send(Members(part, removed, more))
 
     def _send_list(self) -> None:
-        """Sends the whole list of VMs at first, then what changed."""
+        """Sends the whole VM list once, then only differences."""
         link, directory = self._link, self._node.directory
         if not directory.known:
             return
@@ -101,9 +101,9 @@
             self._link.stream.send(Follow(following, self._node.timeline.generation))
 
 
-async def feed_entry(node: ControlNode, stream: MessageStream) -> None:
-    """Serves the entry process until its stream ends."""
-    link = Link(stream, vm=node.settings.vm, zone=node.settings.zone)
+async def serve_entry_process(node: ControlNode, stream: MessageStream) -> None:
+    """Exchanges messages with the entry process until its stream ends."""
+    link = PeerLink(stream, vm=node.settings.vm, zone=node.settings.zone)
     node.add_link(link)
     node.set_serving(True)
     try:
@@ -116,8 +116,8 @@
                 feed.cancel()
     except* StreamClosed as closed:
         node.events.record(Event.PEER_LOST, peer="entry", reason=closed.exceptions[0])
-    except* BriarforkError as wrong:
-        node.events.record(Event.PEER_PROTOCOL_ERROR, peer="entry", fault=wrong.exceptions[0])
+    except* BriarforkError as invalid:
+        node.events.record(Event.PEER_PROTOCOL_ERROR, peer="entry", fault=invalid.exceptions[0])
     finally:
         node.remove_link(link)
         stream.abort()
--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -1,4 +1,4 @@
-"""What the control process of one VM knows, and what it tells others."""
+"""State of the control process of one VM, and its distribution to other processes."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from briarfork.border.metrics import Metric
 from briarfork.border.metrics import Metrics
 from briarfork.control.load import LoadView
-from briarfork.control.load import find_key
+from briarfork.control.load import get_load_key
 from briarfork.membership import Directory
 from briarfork.membership import Member
 from briarfork.membership import MemberState
@@ -24,7 +24,7 @@
     from briarfork.border.events import EventLog
     from briarfork.border.messages import Load
     from briarfork.border.settings import Settings
-    from briarfork.control.link import Link
+    from briarfork.control.link import PeerLink
     from briarfork.membership import ListedVm
     from briarfork.membership import ListRecord
     from briarfork.timeline import Change
@@ -32,28 +32,32 @@
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
 PORT_NAMES = {"entry", "permits", "control"}
-MAX_FLOODED = 100
-MILLISECONDS = 1000
-# Members are checked every heartbeat. After a longer gap this process itself was paused, and the
-# silence of the others says nothing.
-PAUSE_HEARTBEATS = 2
+MAX_FLOODED_RECORDS = 100
+MS_PER_SECOND = 1000
+# Members are checked every heartbeat. A longer gap means that this process itself was paused, so
+# the silence of other members is no evidence of their failure.
+MAX_CHECK_GAP_HEARTBEATS = 2
 
 
 class ControlNode:
-    """State of the control process; its tasks call it and send what it hands them."""
+    """State of the control process.
+
+    The tasks of the streams call it with received messages and send the updates that it queues on
+    their links.
+    """
 
     def __init__(self, settings: Settings, events: EventLog) -> None:
         self.settings = settings
         self.events = events
         self.metrics = Metrics(settings)
         self.timeline = Timeline()
-        self.roster = Roster(_describe_own(settings))
+        self.roster = Roster(_build_own_member(settings))
         self.directory = Directory()
         self.load = LoadView()
-        self.links: set[Link] = set()
+        self.links: set[PeerLink] = set()
         self.roster_changed = asyncio.Event()
-        self.entry_absent = asyncio.Event()
-        self.entry_absent.set()
+        self.entry_disconnected = asyncio.Event()
+        self.entry_disconnected.set()
         self._checked_at = time.monotonic()
         self._settled_at = time.monotonic() + settings.timeouts.silence_s
         if not settings.peers:
@@ -63,16 +67,16 @@
     def settled(self) -> bool:
         """Whether the roster is complete enough to replace that of the entry process.
 
-        A control process that has just restarted knows only itself until a peer has answered.
+        A control process that has just restarted knows only itself until a peer sends members.
         """
         return time.monotonic() >= self._settled_at
 
-    def add_link(self, link: Link) -> None:
-        """Registers a stream."""
+    def add_link(self, link: PeerLink) -> None:
+        """Registers the link of an open stream."""
         self.links.add(link)
 
-    def remove_link(self, link: Link) -> None:
-        """Forgets a stream that has ended."""
+    def remove_link(self, link: PeerLink) -> None:
+        """Removes the link of a stream that has ended."""
         self.links.discard(link)
 
     def is_linked(self, vm: str) -> bool:
@@ -80,7 +84,15 @@
         return any(link.vm == vm for link in self.links)
 
     def accept_changes(self, changes: Iterable[Change], source: str) -> bool:
-        """Adds changes to the timeline; returns whether a gap has to be pulled."""
+        """Adds changes to the timeline.
+
+        Args:
+            changes: Changes in order of generation.
+            source: Name of the VM that sent them, for the log.
+
+        Returns:
+            Whether changes in between are missing and must be requested.
+        """
         added = False
         gap = False
         for change in changes:
@@ -103,51 +115,53 @@
             self._signal_links()
         return gap
 
-    def accept_members(self, records: Iterable[Member], source: Link | None = None) -> None:
-        """Merges member records and passes on those that are new.
+    def accept_members(self, records: Iterable[Member], source: PeerLink | None = None) -> None:
+        """Merges member records and forwards those that are new.
 
-        A record of a VM that is neither live nor listed is a remnant that another VM has not
-        dropped yet. A record without all ports would be of no use.
+        Records of VMs that are neither live nor listed are stale copies that another VM has not
+        removed yet. Records that lack a port are unusable. Both are ignored.
         """
         records = [
             record
             for record in records
-            if not self._is_remnant(record) and record.ports.keys() >= PORT_NAMES
+            if not self._is_stale(record) and record.ports.keys() >= PORT_NAMES
         ]
         if source is not None and records:
             self._settled_at = 0.0
-        self._announce(self.roster.merge(records), source)
+        self._publish_members(self.roster.merge(records), source)
 
     def accept_list(self, vms: list[ListedVm], removed: list[str] | None) -> None:
-        """Takes the list of VMs, or its changes, from the own follower."""
-        self._spread_list(self.directory.read(vms, removed, time.monotonic()))
+        """Applies the VM list, or changes of it, from this VM's follower."""
+        self._publish_listed(self.directory.read(vms, removed, time.monotonic()))
 
-    def accept_listed(self, records: Iterable[ListRecord], source: Link) -> None:
-        """Merges records of the list of VMs and passes on those that are new."""
-        self._spread_list(self.directory.merge(records, time.monotonic()), source)
+    def accept_listed(self, records: Iterable[ListRecord], source: PeerLink) -> None:
+        """Merges records of the VM list and forwards those that are new."""
+        self._publish_listed(self.directory.merge(records, time.monotonic()), source)
 
-    def accept_load(self, loads: Iterable[Load], source: Link) -> None:
-        """Takes loads that are newer than the known ones and passes them on."""
+    def accept_load(self, loads: Iterable[Load], source: PeerLink) -> None:
+        """Stores loads that are newer than the known ones and forwards them."""
         regions = self.load.read_regions(self.timeline, time.time())
         now = time.monotonic()
         loads = list(loads)
         for load in self.load.accept(loads, now):
             for link in self.links:
                 if link is not source:
-                    link.offer_load(load, regions, self.settings.zone)
+                    link.queue_load(load, regions, self.settings.zone)
         for load in loads:
             if self.load.is_current(load, now):
-                source.load.pop(find_key(load), None)
+                source.load.pop(get_load_key(load), None)
 
     def check_members(self) -> None:
-        """Marks silent neighbours, and drops members that are neither live nor listed."""
+        """Suspects silent neighbours and removes members that are neither live nor listed."""
         now = time.monotonic()
-        if now - self._checked_at > PAUSE_HEARTBEATS * self.settings.timeouts.heartbeat_s:
+        if now - self._checked_at > MAX_CHECK_GAP_HEARTBEATS * self.settings.timeouts.heartbeat_s:
             self.roster.forget_evidence()
         self._checked_at = now
         peers = [member.vm for member in self.roster.list_neighbours()]
-        self._announce(self.roster.suspect_silent(peers, self.settings.timeouts.silence_s, now))
-        self._spread_list(self.directory.settle(now))
+        self._publish_members(
+            self.roster.suspect_silent(peers, self.settings.timeouts.silence_s, now)
+        )
+        self._publish_listed(self.directory.settle(now))
         if self.directory.known:
             removed = self.roster.remove_absent(lambda vm: self.directory.find(vm) is not None)
             for link in self.links:
@@ -157,26 +171,26 @@
             if removed:
                 self._signal_all()
 
-    def hear(self, vm: str) -> None:
-        """Records that a VM has shown that it is alive."""
+    def record_contact(self, vm: str) -> None:
+        """Records that a message from a VM was received."""
         self.roster.hear(vm, time.monotonic())
 
     def set_serving(self, serving: bool) -> None:
         """Records whether the entry process of this VM is connected."""
         if serving:
-            self.entry_absent.clear()
+            self.entry_disconnected.clear()
         else:
-            self.entry_absent.set()
+            self.entry_disconnected.set()
             self.directory.stop_reading()
         if serving != self.roster.own.serving:
-            self._announce([self.roster.set_serving(serving)])
+            self._publish_members([self.roster.set_serving(serving)])
 
     def leave(self) -> None:
-        """Begins the planned stop of this VM."""
+        """Starts the planned stop of this VM."""
         if self.roster.own.state is not MemberState.LEAVING:
-            self._announce([self.roster.leave()])
+            self._publish_members([self.roster.leave()])
 
-    def _announce(self, changed: list[Member], source: Link | None = None) -> None:
+    def _publish_members(self, changed: list[Member], source: PeerLink | None = None) -> None:
         for member in changed:
             self.events.record(
                 Event.MEMBER_CHANGED,
@@ -184,7 +198,7 @@
                 state=member.state.value,
                 serving=member.serving,
             )
-            for link in self._choose_links(len(changed), source):
+            for link in self._select_links(len(changed), source):
                 link.members[member.vm] = member
                 link.removed.discard(member.vm)
             if member.vm == self.settings.vm and source is not None:
@@ -193,24 +207,25 @@
             self.metrics.gauge(Metric.MEMBERS_LIVE, self.roster.count_live())
             self._signal_all()
 
-    def _spread_list(self, changed: list[ListRecord], source: Link | None = None) -> None:
+    def _publish_listed(self, changed: list[ListRecord], source: PeerLink | None = None) -> None:
         if not changed:
             return
         self.events.record(Event.LIST_CHANGED, records=len(changed))
-        for link in self._choose_links(len(changed), source):
+        for link in self._select_links(len(changed), source):
             link.listed.update((record.listed.vm, record) for record in changed)
         entries = [record.listed for record in changed if record.listed.role == ENTRY_ROLE]
         present = [vm for vm in entries if self.directory.find(vm.vm) is not None]
-        self.accept_members([self._describe_listed(vm) for vm in present])
+        self.accept_members([self._build_listed_member(vm) for vm in present])
         self._signal_all()
 
-    def _choose_links(self, count: int, source: Link | None) -> list[Link]:
-        """Returns the links on which news are passed on at once.
+    def _select_links(self, count: int, source: PeerLink | None) -> list[PeerLink]:
+        """Returns the links on which updates are forwarded at once.
 
-        Many records are a first list, a first comparison or the end of a partition. The peers have
-        most of them from others, and the digests show what they lack.
+        Large updates occur with a first list, a first comparison or at the end of a partition.
+        Peers then receive most records from others, and the digests reveal what they still lack,
+        so these are sent only to the entry process of this VM.
         """
-        if count > MAX_FLOODED:
+        if count > MAX_FLOODED_RECORDS:
             return [link for link in self.links if link.vm == self.settings.vm]
         return [link for link in self.links if link is not source]
 
@@ -220,9 +235,9 @@
 
     def _signal_links(self) -> None:
         for link in self.links:
-            link.news.set()
+            link.has_updates.set()
 
-    def _is_remnant(self, record: Member) -> bool:
+    def _is_stale(self, record: Member) -> bool:
         return (
             self.directory.known
             and record.state is not MemberState.LIVE
@@ -230,7 +245,7 @@
             and self.directory.find(record.vm) is None
         )
 
-    def _describe_listed(self, vm: ListedVm) -> Member:
+    def _build_listed_member(self, vm: ListedVm) -> Member:
         state = MemberState.LEAVING if vm.state == LEAVING_STATE else MemberState.LIVE
         known = self.roster.find(vm.vm)
         if known is not None:
@@ -238,13 +253,13 @@
         return Member(vm.vm, vm.address, vm.zone, 0, 0, state, vm.ports)
 
 
-def _describe_own(settings: Settings) -> Member:
+def _build_own_member(settings: Settings) -> Member:
     ports = {
         "entry": settings.ports.entry,
         "permits": settings.ports.permits,
         "control": settings.ports.control,
     }
-    incarnation = int(time.time() * MILLISECONDS)
+    incarnation = int(time.time() * MS_PER_SECOND)
     return Member(
         settings.vm, settings.address, settings.zone, incarnation, 1, MemberState.LIVE, ports
     )
--- a/src/briarfork/control/peers.py
+++ b/src/briarfork/control/peers.py
@@ -1,4 +1,4 @@
-"""Streams to the control processes of other VMs: one task for each connection and each peer."""
+"""Streams to the control processes of other VMs, with one task per connection and per peer."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from briarfork.border.streams import StreamClosed
 from briarfork.border.streams import dial
 from briarfork.control.handlers import handle
-from briarfork.control.link import Link
+from briarfork.control.link import PeerLink
 from briarfork.errors import BriarforkError
 
 if TYPE_CHECKING:
@@ -19,22 +19,22 @@
     from briarfork.control.node import ControlNode
 
 
-# The limit on silence includes the time that it takes to notice and to act.
-NOTICE_MARGIN_S = 0.2
+# Subtracted from the silence timeout, which includes the time to detect the failure and react.
+DETECTION_MARGIN_S = 0.2
 MAX_BACKOFF_S = 5.0
 
 
-async def converse(node: ControlNode, stream: MessageStream, dialled: bool = False) -> None:
+async def run_peer_stream(node: ControlNode, stream: MessageStream, dialled: bool = False) -> None:
     """Exchanges messages with a peer until the stream ends."""
     settings = node.settings
-    link = Link(stream, dialled)
-    silence_s = max(settings.timeouts.silence_s - NOTICE_MARGIN_S, settings.timeouts.heartbeat_s)
+    link = PeerLink(stream, dialled)
+    silence_s = max(settings.timeouts.silence_s - DETECTION_MARGIN_S, settings.timeouts.heartbeat_s)
     node.add_link(link)
     try:
         stream.send(Hello(settings.vm, settings.zone, node.roster.own.incarnation))
         others = [other for other in node.links if other.vm != settings.vm and other is not link]
         if not others:
-            # One peer is asked for everything; the digests of the others show what is missing then.
+            # Only the first peer is asked for all records; digests reveal what is still missing.
             link.send_summary(node)
         async with asyncio.TaskGroup() as group:
             sender = group.create_task(_send_heartbeats(node, link))
@@ -45,28 +45,28 @@
                 sender.cancel()
     except* StreamClosed as closed:
         node.events.record(Event.PEER_LOST, peer=link.vm, reason=closed.exceptions[0])
-    except* BriarforkError as wrong:
-        node.events.record(Event.PEER_PROTOCOL_ERROR, peer=link.vm, fault=wrong.exceptions[0])
+    except* BriarforkError as invalid:
+        node.events.record(Event.PEER_PROTOCOL_ERROR, peer=link.vm, fault=invalid.exceptions[0])
     finally:
         node.remove_link(link)
         stream.abort()
 
 
-async def keep_peers(node: ControlNode) -> None:
-    """Runs one task for each neighbour, and starts and ends them as the roster changes."""
+async def maintain_peers(node: ControlNode) -> None:
+    """Runs one task per neighbour, and starts and cancels tasks as the roster changes."""
     tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
     revision = -1
-    wanted: dict[tuple[str, int], str] = {}
+    targets: dict[tuple[str, int], str] = {}
     async with asyncio.TaskGroup() as group:
         while True:
             node.roster_changed.clear()
             if revision != node.roster.revision:
-                revision, wanted = node.roster.revision, _list_wanted(node)
-            for target in [target for target in tasks if target not in wanted]:
+                revision, targets = node.roster.revision, _list_targets(node)
+            for target in [target for target in tasks if target not in targets]:
                 tasks.pop(target).cancel()
-            for target, vm in wanted.items():
+            for target, vm in targets.items():
                 if target not in tasks:
-                    tasks[target] = group.create_task(_keep_peer(node, vm, *target))
+                    tasks[target] = group.create_task(_maintain_peer(node, vm, *target))
             node.check_members()
             try:
                 async with asyncio.timeout(node.settings.timeouts.heartbeat_s):
@@ -75,24 +75,27 @@
                 continue
 
 
-def _list_wanted(node: ControlNode) -> dict[tuple[str, int], str]:
-    """Returns the neighbours, and the seed peers that no known member answers for.
+def _list_targets(node: ControlNode) -> dict[tuple[str, int], str]:
+    """Returns the neighbours, and the seed peers whose address belongs to no known member.
 
-    Seeds that are not members yet are dialled also by a VM with neighbours, so that groups which
-    formed at start find each other without the platform.
+    Such seed peers are dialled even if there are neighbours, so that separate groups that formed
+    at startup find each other without the platform.
+
+    Returns:
+        VM names by address and port; the name of a seed peer is empty.
     """
-    wanted = {}
+    targets = {}
     for peer in node.settings.peers:
         address, _, port = peer.rpartition(":")
         if not node.roster.has_address(address, int(port)):
-            wanted[address, int(port)] = ""
+            targets[address, int(port)] = ""
     for member in node.roster.list_neighbours():
-        wanted[member.address, member.ports["control"]] = member.vm
+        targets[member.address, member.ports["control"]] = member.vm
     own = (node.settings.address, node.settings.ports.control)
-    return {target: vm for target, vm in wanted.items() if target != own}
+    return {target: vm for target, vm in targets.items() if target != own}
 
 
-async def _keep_peer(node: ControlNode, vm: str, address: str, port: int) -> None:
+async def _maintain_peer(node: ControlNode, vm: str, address: str, port: int) -> None:
     settings = node.settings
     pause_s = settings.timeouts.reconnect_s
     while True:
@@ -103,17 +106,17 @@
                 pause_s = min(MAX_BACKOFF_S, 2 * pause_s)
             else:
                 pause_s = settings.timeouts.reconnect_s
-                await converse(node, stream, dialled=True)
-        # Jitter keeps VMs that lost each other from dialling in step.
+                await run_peer_stream(node, stream, dialled=True)
+        # Jitter prevents VMs that lost each other from dialling at the same time.
         await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
 
 
-async def _send_heartbeats(node: ControlNode, link: Link) -> None:
+async def _send_heartbeats(node: ControlNode, link: PeerLink) -> None:
     while True:
         try:
             async with asyncio.timeout(node.settings.timeouts.heartbeat_s):
-                await link.news.wait()
+                await link.has_updates.wait()
         except TimeoutError:
             pass
-        link.news.clear()
+        link.has_updates.clear()
         link.send_heartbeat(node)
--- a/tests/capacity/fleet.py
+++ b/tests/capacity/fleet.py
@@ -27,8 +27,8 @@
 from briarfork.border.streams import dial
 from briarfork.border.streams import serve
 from briarfork.control.node import ControlNode
-from briarfork.control.peers import converse
-from briarfork.control.peers import keep_peers
+from briarfork.control.peers import maintain_peers
+from briarfork.control.peers import run_peer_stream
 from briarfork.membership import ListedVm
 from briarfork.membership import ListRecord
 from briarfork.membership import Member
@@ -166,9 +166,11 @@
         settings = Settings(member.vm, member.zone, member.address, URL, URL, seeds, ports)
         node = ControlNode(settings, EventLog("capacity"))
         self.nodes.append(node)
-        self._servers.append(await serve(member.address, CONTROL_PORT, partial(converse, node)))
+        self._servers.append(
+            await serve(member.address, CONTROL_PORT, partial(run_peer_stream, node))
+        )
         if self._full:
-            self._tasks.append(asyncio.ensure_future(keep_peers(node)))
+            self._tasks.append(asyncio.ensure_future(maintain_peers(node)))
         else:
             node.directory.merge(
                 [ListRecord(1, describe_listed(other)) for other in self._members], 0.0
--- a/tests/control/test_load.py
+++ b/tests/control/test_load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from briarfork.border.messages import Load
-from briarfork.control.load import REPEAT_S
+from briarfork.control.load import REFRESH_INTERVAL_S
 from briarfork.control.load import LoadView
 from tests.timeline.test_timeline import build_change
 from tests.timeline.test_timeline import build_timeline
@@ -57,5 +57,5 @@
         view.accept([build_load("s-1", 4)], 0.0)
         assert {load.site for load in view.accept([build_load("s-1", 5)], 1.0)} <= {"region:north"}
         assert {load.site for load in view.accept([build_load("s-1", 7)], 2.0)} >= {"s-1"}
-        news = view.accept([build_load("s-1", 7)], 2.0 + REPEAT_S)
+        news = view.accept([build_load("s-1", 7)], 2.0 + REFRESH_INTERVAL_S)
         assert {load.site for load in news} == {"s-1", "region:north"}
