--- a/tests/capacity/blocks.py
+++ b/tests/capacity/blocks.py
@@ -7,7 +7,7 @@
 from tests.capacity.measurement import MEASUREMENTS
 from tests.capacity.measurement import Series
 from tests.steering.measure import COUNTS
-from tests.steering.measure import measure_size
+from tests.steering.measure import measure_block_count
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -24,7 +24,7 @@
 
 @MEASUREMENTS.register("blocks")
 async def measure_blocks(_: Path) -> list[Series]:
-    sizes = {count: measure_size(count) for count in COUNTS}
+    sizes = {count: measure_block_count(count) for count in COUNTS}
     return [
         Series(
             quantity,
--- a/tests/configuration/test_documents.py
+++ b/tests/configuration/test_documents.py
@@ -1,4 +1,4 @@
-"""Operators' documents and the plan that they render to."""
+"""Tests of the configuration documents and the plan rendered from them."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 class TestOverlay:
     @given(OVERLAYS, st.sampled_from(SITES))
     def test_changes_only_its_own_site(self, fields: dict[str, Any], site: str) -> None:
-        """Guards against an overlay that reaches the settings of other sites."""
+        """Guards against an overlay that affects the settings of other sites."""
         documents = Documents(build_documents())
         edited = documents.apply({f"sites/{site}": {"site": site, "zone": site, **fields}})
         before, after = documents.render(), edited.render()
@@ -64,7 +64,7 @@
 
 class TestFaults:
     def test_lists_more_than_one(self) -> None:
-        """Guards against operators who learn of one fault with each submission."""
+        """Guards against validation that reports only the first fault of a submission."""
         documents = deepcopy(build_documents())
         documents["base"]["client_blocks"] = [
             {"prefix": "10.0.0.0/8", "region": "nowhere"},
@@ -93,7 +93,7 @@
             Documents(documents).render()
 
     def test_are_found_in_blocks_that_have_changed(self) -> None:
-        """Guards against blocks that are taken for checked because others were."""
+        """Guards against changed client blocks that skip validation."""
         documents = Documents(build_documents())
         plan = documents.render()
         assert documents.render(plan).client_blocks.is_same(plan.client_blocks)
@@ -102,7 +102,7 @@
             documents.apply({"base": base}).render(plan)
 
     def test_drained_sites_concern_every_service(self) -> None:
-        """Guards against a drain that is checked against the last service only."""
+        """Guards against a drain that is validated against a single service only."""
         documents = Documents({**build_documents(), "services/other": build_documents()[NAME]})
         drained = documents.apply(build_sites(*SITES, drain=True))
         faults = drained.find_faults()
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -1,4 +1,4 @@
-"""A cluster whose control streams, store calls and list reads pass through stand-in links."""
+"""A cluster whose control streams, store calls and list reads pass through simulated links."""
 
 from __future__ import annotations
 
@@ -28,8 +28,8 @@
 IN_FORCE = re.compile(r"name=configuration_in_force .*generation=(\d+) at=([0-9.]+)")
 
 
-def find_other_port(vm: Vm) -> int:
-    """Returns a free port that the VM has not chosen for another purpose.
+def find_unused_port(vm: Vm) -> int:
+    """Returns a free port that is not yet reserved by the VM.
 
     Ports are chosen before any is bound, so the system may offer the same one twice.
     """
@@ -39,7 +39,7 @@
 
 
 class LinkedCluster(Cluster):
-    """Links between zones, and from each zone to the store and the list of VMs."""
+    """A cluster with simulated links between VMs, and to the store and the platform by zone."""
 
     def __init__(
         self,
@@ -49,28 +49,36 @@
         lag_s: dict[str, float] | None = None,
         **options: Any,
     ) -> None:
-        """Starts a list of VMs of its own for each zone of `lag_s`, which lags by that time."""
+        """Creates the cluster.
+
+        Args:
+            work: Directory for settings and logs.
+            zones: Availability zones.
+            vms_per_zone: Number of VMs in each zone.
+            lag_s: Zones that read a separate VM list, with the lag of that list in seconds.
+            **options: Further options of `Cluster`.
+        """
         options.setdefault("network", NETWORK)
         super().__init__(FOLDER, work, zones, vms_per_zone, **options)
-        self.between: dict[tuple[str, str], Conditions] = {}
-        self.platform: dict[str, Conditions] = {zone: Conditions() for zone in zones}
+        self.peer_conditions: dict[tuple[str, str], Conditions] = {}
+        self.platform_conditions: dict[str, Conditions] = {zone: Conditions() for zone in zones}
         self.links: list[Link] = []
         self.control_links: dict[str, Link] = {}
-        self.lists: dict[str, str] = {}
+        self.list_urls: dict[str, str] = {}
         self._lag_s = lag_s or {}
         self._submitted = 0
 
-    def choose(self, source: str, target: str) -> Conditions:
-        """Returns the conditions of the control streams that one VM opens to another."""
+    def get_peer_conditions(self, source: str, target: str) -> Conditions:
+        """Returns the link conditions of control streams that one VM opens to another."""
         pair = (source, target)
-        if pair not in self.between:
-            self.between[pair] = Conditions()
-        return self.between[pair]
+        if pair not in self.peer_conditions:
+            self.peer_conditions[pair] = Conditions()
+        return self.peer_conditions[pair]
 
     def list_conditions(self, zone: str) -> list[Conditions]:
-        """Returns the conditions of all links between a zone and other zones, both ways."""
+        """Returns the conditions of all links between a zone and other zones, each way."""
         return [
-            self.choose(one.name, other.name)
+            self.get_peer_conditions(one.name, other.name)
             for one in self.vms
             for other in self.vms
             if (one.zone == zone) != (other.zone == zone)
@@ -81,19 +89,19 @@
             await self._start_links()
         await super().publish(leaving)
         body = await self.get(f"{self.platform_url}/vms")
-        for url in self.lists.values():
+        for url in self.list_urls.values():
             await self.post(f"{url}/vms", body)
 
     async def wait_for_lag(self, zone: str) -> None:
-        """Waits until the list of a zone is the same as the list of the other zones."""
-        while await self.get(f"{self.lists[zone]}/vms") != await self.get(
+        """Waits until the VM list of a zone equals that of the other zones."""
+        while await self.get(f"{self.list_urls[zone]}/vms") != await self.get(
             f"{self.platform_url}/vms"
         ):
             await asyncio.sleep(POLL_S)
 
     async def wait_for_reads(self, count: int) -> None:
-        """Waits until every list has been read some more times."""
-        for url in [self.platform_url, *self.lists.values()]:
+        """Waits until every VM list has been read `count` more times."""
+        for url in [self.platform_url, *self.list_urls.values()]:
             calls = (await self.get(f"{url}/calls"))["GET vms"]
             while (await self.get(f"{url}/calls"))["GET vms"] < calls + count:
                 await asyncio.sleep(POLL_S)
@@ -106,7 +114,7 @@
             command = ["tests.standins.platform", "--address", address, "--port", str(port)]
             name = f"platform-{zone}"
             self._processes[name] = self._spawn(name, [*command, "--lag-s", str(lag_s)])
-            self.lists[zone] = f"http://{address}:{port}"
+            self.list_urls[zone] = f"http://{address}:{port}"
             await self._wait_for_port(address, port)
 
     async def __aenter__(self) -> LinkedCluster:
@@ -118,8 +126,8 @@
         for link in self.links:
             await link.close()
 
-    async def change(self) -> tuple[int, float]:
-        """Submits a small change; returns its generation and the time just before the call."""
+    async def submit_change(self) -> tuple[int, float]:
+        """Submits a small change and returns its generation and the time before the call."""
         self._submitted += 1
         documents = load_documents(self.folder).by_name
         scoring = {**documents["services/scoring"], "deadline_ms": 2000 + self._submitted}
@@ -128,13 +136,17 @@
         assert "generation" in answer, answer
         return int(answer["generation"]), started
 
-    async def change_all(self) -> tuple[int, float]:
-        """Submits the files and waits until every VM has them in force."""
+    async def submit_all(self) -> tuple[int, float]:
+        """Submits all documents and waits until they are in force on every VM.
+
+        Returns:
+            The generation and the time at which it was in force everywhere.
+        """
         answer = await self.submit()
         await self.wait_for_generation(answer["generation"])
         return int(answer["generation"]), time.time()
 
-    async def find_in_force(self, vm: Vm, generation: int) -> float:
+    async def wait_until_in_force(self, vm: Vm, generation: int) -> float:
         """Waits until a generation is in force on a VM and returns the time of the log event."""
         while True:
             for found in IN_FORCE.finditer(self.read_log(vm, "entry")):
@@ -142,21 +154,23 @@
                     return float(found[2])
             await asyncio.sleep(POLL_S)
 
-    async def time_change(self, timeout_s: float) -> float:
+    async def measure_propagation_time(self, timeout_s: float) -> float:
         """Submits a change and returns the time until it is in force on every VM."""
-        generation, started = await self.change()
+        generation, started = await self.submit_change()
         async with asyncio.timeout(timeout_s):
-            times = await asyncio.gather(*(self.find_in_force(vm, generation) for vm in self.vms))
+            times = await asyncio.gather(
+                *(self.wait_until_in_force(vm, generation) for vm in self.vms)
+            )
         return max(times) - started
 
     async def wait_for_event(self, vm: Vm, program: str, text: str, start: int = 0) -> float:
-        """Waits until a log line after a position matches; returns the time when it was seen."""
+        """Waits until the log matches after a position; returns the monotonic time."""
         while not re.search(text, self.read_log(vm, program)[start:]):
             await asyncio.sleep(POLL_S)
         return time.monotonic()
 
     async def wait_for_lookups(self, vm: Vm, names: set[str]) -> float:
-        """Waits until a lookup names exactly these VMs; returns the time when it did."""
+        """Waits until a lookup returns exactly these VMs; returns the monotonic time."""
         while True:
             answer = await self.get(f"{vm.url}/lookup", service="scoring")
             if {entry["vm"] for entry in answer.get("entries", [])} == names:
@@ -172,16 +186,16 @@
         vm = self.vms[-1]
         for name in list(vm.ports):
             del vm.ports[name]
-            vm.ports[name] = find_other_port(vm)
+            vm.ports[name] = find_unused_port(vm)
 
     def _write_settings(self) -> None:
         super()._write_settings()
         for vm in self.vms:
             body = yaml.safe_load(vm.settings.read_text())
-            vm.ports["control_listen"] = find_other_port(vm)
+            vm.ports["control_listen"] = find_unused_port(vm)
             body["ports"] = vm.ports
             for key in ("store_url", "platform_url"):
-                port = vm.ports[f"{key}_link"] = find_other_port(vm)
+                port = vm.ports[f"{key}_link"] = find_unused_port(vm)
                 body[key] = f"http://{vm.address}:{port}"
             body["ports"] = {k: v for k, v in vm.ports.items() if not k.endswith("_link")}
             vm.settings.write_text(yaml.safe_dump(body))
@@ -191,10 +205,10 @@
         for seed, vm in enumerate(self.vms):
 
             def choose_peer(source: str, target: str = vm.name) -> Conditions:
-                return self.choose(names.get(source, source), target)
+                return self.get_peer_conditions(names.get(source, source), target)
 
             def choose_platform(_: str, zone: str = vm.zone) -> Conditions:
-                return self.platform[zone]
+                return self.platform_conditions[zone]
 
             link = Link((vm.address, vm.ports["control_listen"]), choose_peer, seed)
             await link.start(vm.address, vm.ports["control"])
@@ -203,7 +217,7 @@
             for key in ("store_url", "platform_url"):
                 url = getattr(self, key)
                 if key == "platform_url":
-                    url = self.lists.get(vm.zone, url)
+                    url = self.list_urls.get(vm.zone, url)
                 host, _, port = url.removeprefix("http://").rpartition(":")
                 link = Link((host, int(port)), choose_platform, seed)
                 await link.start(vm.address, vm.ports[f"{key}_link"])
--- a/tests/control/test_convergence.py
+++ b/tests/control/test_convergence.py
@@ -1,4 +1,4 @@
-"""The aggregates of several VMs under random messages, restarts, partitions and duplicates."""
+"""Tests of convergence under random messages, restarts, partitions and duplicates."""
 
 from __future__ import annotations
 
@@ -37,17 +37,17 @@
 
 
 class Node:
-    """What one VM knows."""
+    """The replicated state of one VM."""
 
     def __init__(self, number: int, incarnation: int) -> None:
         self.name = f"vm-{number}"
         self.roster = Roster(build_member(self.name, incarnation=incarnation))
         self.directory = Directory()
         self.timeline = Timeline()
-        self.floor = 0
+        self.highest_generation = 0
 
-    def take(self, other: Node, now: float) -> None:
-        """Does what a heartbeat, a summary and a pull do together."""
+    def merge_from(self, other: Node, now: float) -> None:
+        """Merges the state of another VM as a heartbeat, a summary and a pull do together."""
         self.roster.merge(other.roster.list_all())
         self.directory.merge(other.directory.list_records(), now)
         for change in other.timeline.list_after(self.timeline.generation, BATCH):
@@ -55,23 +55,23 @@
 
 
 class Network:
-    """VMs in two sides, and what the store has accepted."""
+    """VMs on two sides of a partition, and the changes that the store has accepted."""
 
     def __init__(self) -> None:
         self.accepted = build_timeline()
         self.nodes = [Node(number, 1) for number in range(VMS)]
         self.sides = [0] * VMS
-        self.sent: list[Node] = []
+        self.past_senders: list[Node] = []
         self.now = 0.0
 
     def run(self, action: str, first: int, second: int) -> None:
         self.now += 1.0
         node = self.nodes[first]
         if action == "exchange" and self.sides[first] == self.sides[second]:
-            self.sent.append(self.nodes[second])
-            node.take(self.nodes[second], self.now)
-        elif action == "late" and self.sent:
-            node.take(self.sent[second % len(self.sent)], self.now)
+            self.past_senders.append(self.nodes[second])
+            node.merge_from(self.nodes[second], self.now)
+        elif action == "late" and self.past_senders:
+            node.merge_from(self.past_senders[second % len(self.past_senders)], self.now)
         elif action == "accept":
             self.accepted.append(build_change(self.accepted))
             for change in self.accepted.list_after(node.timeline.generation, second):
@@ -90,7 +90,7 @@
             self.sides[first] = second
 
     def settle(self) -> None:
-        """Exchanges until nothing is new; the bound is far above what the sizes need."""
+        """Exchanges state until all VMs agree; 200 rounds are far more than needed."""
         for _ in range(200):
             for one in range(VMS):
                 for other in range(VMS):
@@ -101,7 +101,7 @@
     @given(actions)
     @settings(max_examples=60)
     def test_vms_that_reach_each_other_agree(self, history: list[tuple[str, int, int]]) -> None:
-        """Guards against VMs that differ for good after faults in any order."""
+        """Guards against VMs whose state differs permanently after faults in any order."""
         network = Network()
         for action in history:
             network.run(*action)
@@ -117,12 +117,12 @@
     def test_generation_never_falls_while_a_vm_runs(
         self, history: list[tuple[str, int, int]]
     ) -> None:
-        """Guards against a late or repeated message that takes a VM back."""
+        """Guards against a late or repeated message that reverts the state of a VM."""
         network = Network()
         for action in history:
             network.run(*action)
             for node in network.nodes:
-                assert node.timeline.generation >= node.floor
-                node.floor = node.timeline.generation
-                history_of_node = node.timeline.list_after(0, node.floor)
-                assert history_of_node == network.accepted.list_after(0, node.floor)
+                assert node.timeline.generation >= node.highest_generation
+                node.highest_generation = node.timeline.generation
+                history_of_node = node.timeline.list_after(0, node.highest_generation)
+                assert history_of_node == network.accepted.list_after(0, node.highest_generation)
--- a/tests/control/test_faults.py
+++ b/tests/control/test_faults.py
@@ -1,4 +1,4 @@
-"""Faults of processes, links, the store and the list of VMs, on real processes."""
+"""Tests of failures of processes, links, the store and the VM list, with real processes."""
 
 from __future__ import annotations
 
@@ -22,14 +22,14 @@
 
 SILENCE_S = 3.0
 IN_FORCE_S = 12.0
-# Time in which the news of a change of state reaches all VMs.
+# Time within which a change of member state reaches all VMs.
 SPREAD_S = 1.0
 
 
 @pytest_asyncio.fixture
 async def cluster(tmp_path: Path) -> AsyncIterator[LinkedCluster]:
     async with LinkedCluster(tmp_path, ZONES[:2], 3) as running:
-        await running.change_all()
+        await running.submit_all()
         for vm in running.vms:
             await running.wait_for_lookups(vm, {vm.name for vm in running.vms})
         yield running
@@ -37,7 +37,7 @@
 
 @asynccontextmanager
 async def watch_generations(cluster: LinkedCluster) -> AsyncIterator[None]:
-    """Fails if a VM ever answers with a lower generation than before."""
+    """Fails if a VM reports a lower generation than before."""
     highest = dict.fromkeys((vm.name for vm in cluster.vms), 0)
 
     async def watch() -> None:
@@ -49,9 +49,9 @@
             await asyncio.sleep(0.02)
 
     async with asyncio.TaskGroup() as group:
-        watching = group.create_task(watch())
+        watcher = group.create_task(watch())
         yield
-        watching.cancel()
+        watcher.cancel()
 
 
 def find_states(log: str, vm: str) -> list[str]:
@@ -59,8 +59,8 @@
 
 
 class TestControlProcess:
-    async def test_entry_serves_on_while_control_restarts(self, cluster: LinkedCluster) -> None:
-        """Guards against lookups that fail or get shorter when control is replaced."""
+    async def test_entry_keeps_serving_while_control_restarts(self, cluster: LinkedCluster) -> None:
+        """Guards against failed or incomplete lookups while the control process restarts."""
         vm, names = cluster.vms[0], {vm.name for vm in cluster.vms}
         start = len(cluster.read_log(vm, "entry"))
         async with watch_generations(cluster):
@@ -68,7 +68,7 @@
             await asyncio.to_thread(vm.processes["control"].wait)
             cluster.start(vm, ("control",))
             async with asyncio.timeout(IN_FORCE_S):
-                generation, _ = await cluster.change()
+                generation, _ = await cluster.submit_change()
                 while await cluster.read_generation(vm) < generation:
                     answer = await cluster.get(f"{vm.url}/lookup", service="scoring")
                     assert {entry["vm"] for entry in answer["entries"]} == names
@@ -76,8 +76,8 @@
                     await cluster.wait_for_lookups(other, names)
         assert "unusable" not in cluster.read_log(vm, "entry")[start:]
 
-    async def test_stopped_process_catches_up_when_it_wakes(self, cluster: LinkedCluster) -> None:
-        """Guards against a paused process that acts on its old state after it resumes."""
+    async def test_paused_process_catches_up_when_it_resumes(self, cluster: LinkedCluster) -> None:
+        """Guards against a paused process that acts on stale state after it resumes."""
         vm, names = cluster.vms[3], {vm.name for vm in cluster.vms}
         control = vm.processes["control"]
         async with watch_generations(cluster):
@@ -85,22 +85,22 @@
             async with asyncio.timeout(SILENCE_S + SPREAD_S + IN_FORCE_S):
                 for other in cluster.vms[:3]:
                     await cluster.wait_for_lookups(other, names - {vm.name})
-                generation, _ = await cluster.change()
-                await cluster.find_in_force(cluster.vms[0], generation)
+                generation, _ = await cluster.submit_change()
+                await cluster.wait_until_in_force(cluster.vms[0], generation)
             start = len(cluster.read_log(vm, "control"))
             control.send_signal(signal.SIGCONT)
             async with asyncio.timeout(IN_FORCE_S):
-                await cluster.find_in_force(vm, generation)
+                await cluster.wait_until_in_force(vm, generation)
                 for other in cluster.vms:
                     await cluster.wait_for_lookups(other, names)
-        woken = cluster.read_log(vm, "control")[start:]
-        suspected = re.findall(r"member_changed .*member=([\w-]+) state=suspect", woken)
+        log = cluster.read_log(vm, "control")[start:]
+        suspected = re.findall(r"member_changed .*member=([\w-]+) state=suspect", log)
         assert set(suspected) <= {vm.name}
 
 
 class TestEntryProcess:
-    async def test_next_vm_follows_and_lookups_drop_it(self, cluster: LinkedCluster) -> None:
-        """Guards against a zone without a follower, and callers sent to a dead VM."""
+    async def test_another_vm_follows_and_lookups_omit_it(self, cluster: LinkedCluster) -> None:
+        """Guards against a zone without a follower, and lookups that return a dead VM."""
         zone = [vm for vm in cluster.vms if vm.zone == ZONES[0]]
         following = [vm for vm in zone if self.find_last(cluster, vm) == "following"]
         assert len(following) == 2
@@ -124,17 +124,17 @@
 class TestPartition:
     async def test_zone_without_store_gets_changes_from_peers(self, cluster: LinkedCluster) -> None:
         """Guards against a zone that depends on its own path to the store."""
-        cluster.platform[ZONES[1]].silent_up = True
-        elapsed = [await cluster.time_change(2 * IN_FORCE_S) for _ in range(3)]
+        cluster.platform_conditions[ZONES[1]].silent_up = True
+        elapsed = [await cluster.measure_propagation_time(2 * IN_FORCE_S) for _ in range(3)]
         assert max(elapsed) <= IN_FORCE_S
 
     async def test_isolated_zone_keeps_its_generation_and_catches_up(
         self, cluster: LinkedCluster
     ) -> None:
-        """Guards against a zone that goes back, stops to serve or stays behind after a cut."""
+        """Guards against an isolated zone that reverts, stops serving or does not catch up."""
         isolated = [vm for vm in cluster.vms if vm.zone == ZONES[1]]
         names = {vm.name for vm in cluster.vms}
-        cut = [*cluster.list_conditions(ZONES[1]), cluster.platform[ZONES[1]]]
+        cut = [*cluster.list_conditions(ZONES[1]), cluster.platform_conditions[ZONES[1]]]
         before = await cluster.read_generation(isolated[0])
         async with watch_generations(cluster):
             for link in cut:
@@ -142,8 +142,8 @@
             generation = 0
             async with asyncio.timeout(IN_FORCE_S):
                 for _ in range(3):
-                    generation, _ = await cluster.change()
-                await cluster.find_in_force(cluster.vms[0], generation)
+                    generation, _ = await cluster.submit_change()
+                await cluster.wait_until_in_force(cluster.vms[0], generation)
                 for vm in isolated:
                     await cluster.wait_for_event(vm, "control", "peer_lost .*silent")
                     assert await cluster.read_generation(vm) == before
@@ -151,17 +151,17 @@
                 link.silent_up = link.silent_down = False
             async with asyncio.timeout(IN_FORCE_S):
                 for vm in isolated:
-                    await cluster.find_in_force(vm, generation)
+                    await cluster.wait_until_in_force(vm, generation)
                 for vm in cluster.vms:
                     await cluster.wait_for_lookups(vm, names)
 
-    async def test_stream_that_is_silent_one_way_is_found(self, cluster: LinkedCluster) -> None:
-        """Guards against a stream that takes messages but delivers none."""
+    async def test_one_way_silence_of_a_stream_is_detected(self, cluster: LinkedCluster) -> None:
+        """Guards against a stream that accepts messages but delivers none."""
         vm = cluster.vms[0]
         silent = time.monotonic()
         for other in cluster.vms:
-            cluster.choose(other.name, vm.name).silent_up = True
-            cluster.choose(vm.name, other.name).silent_down = True
+            cluster.get_peer_conditions(other.name, vm.name).silent_up = True
+            cluster.get_peer_conditions(vm.name, other.name).silent_down = True
         start = len(cluster.read_log(vm, "control"))
         async with asyncio.timeout(IN_FORCE_S):
             found = await cluster.wait_for_event(vm, "control", "peer_lost .*silent", start)
@@ -169,10 +169,10 @@
 
 
 class TestStore:
-    async def test_older_store_takes_no_vm_back(self, cluster: LinkedCluster) -> None:
+    async def test_older_store_does_not_revert_any_vm(self, cluster: LinkedCluster) -> None:
         """Guards against a store restored from a backup that reverts the configuration."""
         dump = await cluster.post(f"{cluster.store_url}/dump", {})
-        generation, _ = await cluster.change()
+        generation, _ = await cluster.submit_change()
         await cluster.wait_for_generation(generation)
         async with watch_generations(cluster):
             await cluster.post(f"{cluster.store_url}/restore", dump)
@@ -188,9 +188,9 @@
 
 class TestVmList:
     async def test_lists_with_different_lag_do_not_make_members_flap(self, tmp_path: Path) -> None:
-        """Guards against members that come and go because two followers read different lists."""
+        """Guards against flapping members when two followers read different VM lists."""
         async with LinkedCluster(tmp_path, ZONES[:2], 2, lag_s={ZONES[1]: 4.0}) as cluster:
-            await cluster.change_all()
+            await cluster.submit_all()
             leaving, other = cluster.vms[1], cluster.vms[0]
             for vm in cluster.vms:
                 await cluster.wait_for_listed(vm)
--- a/tests/control/test_in_force.py
+++ b/tests/control/test_in_force.py
@@ -1,4 +1,4 @@
-"""Time from the acceptance of a change until it is in force on every VM."""
+"""Tests of the time from the submission of a change until it is in force on every VM."""
 
 from __future__ import annotations
 
@@ -23,37 +23,37 @@
 
 class TestTimeToBeInForce:
     async def test_stays_within_two_seconds_with_a_healthy_store(self, tmp_path: Path) -> None:
-        """Guards against changes that wait for a heartbeat at each step to the last VM."""
+        """Guards against changes that wait for a heartbeat on every hop."""
         async with LinkedCluster(tmp_path, ZONES, 2) as cluster:
             await cluster.submit()
-            elapsed = [await cluster.time_change(IMPAIRED_S) for _ in range(CHANGES)]
+            elapsed = [await cluster.measure_propagation_time(IMPAIRED_S) for _ in range(CHANGES)]
         print(f"in force: p50 {sorted(elapsed)[15]:.3f} s, p99 {find_p99(elapsed):.3f} s")
         assert find_p99(elapsed) <= HEALTHY_S
 
     async def test_stays_within_twelve_seconds_on_a_lossy_link(self, tmp_path: Path) -> None:
-        """Guards against a zone with bad links, or a VM that restarts, that stays behind."""
+        """Guards against a zone with lossy links or a restarted VM that does not catch up."""
         async with LinkedCluster(tmp_path, ZONES, 2) as cluster:
             await cluster.submit()
-            for link in [*cluster.list_conditions(ZONES[5]), cluster.platform[ZONES[5]]]:
+            for link in [*cluster.list_conditions(ZONES[5]), cluster.platform_conditions[ZONES[5]]]:
                 link.delay_s, link.jitter_s, link.loss = 0.004, 0.02, 0.05
             elapsed = []
             for number in range(CHANGES):
                 if number == CHANGES // 2:
                     await cluster.stop(cluster.vms[4], signal.SIGKILL)
                     cluster.start(cluster.vms[4], ("control", "entry"))
-                elapsed.append(await cluster.time_change(2 * IMPAIRED_S))
+                elapsed.append(await cluster.measure_propagation_time(2 * IMPAIRED_S))
         print(f"in force: p50 {sorted(elapsed)[15]:.3f} s, max {max(elapsed):.3f} s")
         assert max(elapsed) <= IMPAIRED_S
 
 
 class TestStart:
-    async def test_takes_everything_from_seed_peers(self, tmp_path: Path) -> None:
-        """Guards against a VM that starts useless while the store and the platform are down."""
+    async def test_gets_full_state_from_seed_peers(self, tmp_path: Path) -> None:
+        """Guards against a VM that cannot serve after a start without store and platform."""
         async with LinkedCluster(tmp_path, ZONES[:3], 2) as cluster:
-            generation, _ = await cluster.change_all()
+            generation, _ = await cluster.submit_all()
             late = cluster.vms[3]
             await cluster.stop(late, signal.SIGKILL)
-            for link in cluster.platform.values():
+            for link in cluster.platform_conditions.values():
                 link.silent_up = True
             start = len(cluster.read_log(late, "entry"))
             cluster.start(late, ("control", "entry"))
@@ -64,12 +64,12 @@
                 await cluster.wait_for_lookups(late, {vm.name for vm in cluster.vms})
                 await cluster.wait_for_listed(late)
 
-    async def test_takes_more_changes_than_one_message_holds(self, tmp_path: Path) -> None:
-        """Guards against an own follower whose first read is larger than one batch."""
+    async def test_accepts_more_changes_than_fit_in_one_message(self, tmp_path: Path) -> None:
+        """Guards against a failure when the follower's first read exceeds one batch."""
         async with LinkedCluster(tmp_path, ZONES[:1]) as cluster:
             await cluster.submit()
             for _ in range(70):
-                generation, _ = await cluster.change()
+                generation, _ = await cluster.submit_change()
             vm = cluster.vms[0]
             await cluster.stop(vm, signal.SIGKILL)
             start = len(cluster.read_log(vm, "entry"))
@@ -83,11 +83,11 @@
     async def test_restarted_control_gets_changes_from_its_own_follower(
         self, tmp_path: Path
     ) -> None:
-        """Guards against a follower that sends a control process without state nothing."""
+        """Guards against a follower that sends nothing to a control process without state."""
         async with LinkedCluster(tmp_path, ZONES[:1]) as cluster:
             await cluster.submit()
             vm = cluster.vms[0]
-            await cluster.find_in_force(vm, 1)
+            await cluster.wait_until_in_force(vm, 1)
             start = len(cluster.read_log(vm, "control"))
             vm.processes["control"].kill()
             await asyncio.to_thread(vm.processes["control"].wait)
--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -15,7 +15,7 @@
 from tests.entry.sites import read_arrivals
 from tests.entry.sites import run_load
 from tests.entry.sites import write_files
-from tests.steering.test_shift import count_worst_second
+from tests.steering.test_shift import count_busiest_second
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -48,7 +48,7 @@
             arrivals = await read_arrivals(cluster, "south-a")
             assert min(arrivals) >= start_at
             assert len(arrivals) >= CAP_RPS
-            assert count_worst_second(arrivals) <= CAP_RPS
+            assert count_busiest_second(arrivals) <= CAP_RPS
             # Four parts of 10 requests in 1.25 s; the rest stays at the site before the shift.
             assert load.result()["north-a"] > load.result()["south-a"]
 
--- a/tests/steering/measure.py
+++ b/tests/steering/measure.py
@@ -1,4 +1,4 @@
-"""Prints size and speed of steering: `python -m tests.steering.measure`."""
+"""Measures the size and speed of steering; run with `python -m tests.steering.measure`."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 def build_blocks(count: int, rng: random.Random) -> list[dict[str, str]]:
-    """Returns random blocks; some lie inside others, one in ten is IPv6."""
+    """Returns random client blocks; some are nested, and one in ten is IPv6."""
     prefixes: set[str] = set()
     while len(prefixes) < count:
         if rng.random() < 0.1:
@@ -41,8 +41,8 @@
     return [{"prefix": p, "region": f"r{rng.randrange(3)}"} for p in sorted(prefixes)[:count]]
 
 
-def measure(work: Callable[[], object]) -> float:
-    """Returns the median time of three runs in seconds."""
+def median_time(work: Callable[[], object]) -> float:
+    """Returns the median run time of three calls in seconds."""
     times = []
     for _ in range(3):
         started = time.perf_counter()
@@ -68,8 +68,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Figures:
-    """What was measured for one number of blocks."""
+class Measurement:
+    """Results for one number of client blocks.
+
+    Attributes:
+        ranges: Number of disjoint ranges in the block table.
+        table_bytes: Memory use of the table's arrays.
+        build_s: Time to build the table.
+        apply_ms: Time to apply a change of the configuration.
+        first_us: Mean time of the first lookup of a client.
+        known_us: Mean time of a repeated lookup.
+        changed_us: Mean time of a lookup after a change of the weights.
+    """
 
     ranges: int
     table_bytes: float
@@ -80,8 +90,8 @@
     changed_us: float
 
 
-def measure_size(count: int) -> Figures:
-    """Measures one number of blocks."""
+def measure_block_count(count: int) -> Measurement:
+    """Returns the results for one number of client blocks."""
     rng = random.Random(SEED)
     blocks = build_blocks(count, rng)
     timeline = Timeline()
@@ -90,14 +100,14 @@
     schedule(timeline, 0.0, {"base": base, NAME: service, **build_sites(*SITES)})
     changed = build_service({**dict.fromkeys(SITES, 1.0), SITES[0]: 2.0}, 6200, 10)
     schedule(timeline, 20.0, {NAME: changed})
-    build_s = measure(lambda: BlockTable((b["prefix"], b["region"]) for b in blocks))
+    build_s = median_time(lambda: BlockTable((b["prefix"], b["region"]) for b in blocks))
     table = BlockTable((b["prefix"], b["region"]) for b in blocks)
     plan = timeline.find_documents(10.0).render()
     steering = Steering(plan, build_shifts(timeline, 10.0), 0.0)
-    apply_s = measure(lambda: apply_change(timeline, steering, 30.0))
+    apply_s = median_time(lambda: apply_change(timeline, steering, 30.0))
     first_us, known_us = measure_lookups(steering, 10.0), measure_lookups(steering, 10.0)
     changed_us = measure_lookups(apply_change(timeline, steering, 30.0), 30.0)
-    return Figures(
+    return Measurement(
         len(table),
         float(table.count_bytes()),
         build_s,
@@ -114,11 +124,11 @@
         "   blocks     ranges bytes/block  build s  apply ms  first µs  known µs  after a change µs"
     )
     for count in COUNTS:
-        figures = measure_size(count)
+        result = measure_block_count(count)
         print(
-            f"{count:>9,} {figures.ranges:>10,} {figures.table_bytes / count:>12.2f} "
-            f"{figures.build_s:>8.2f} {figures.apply_ms:>9.0f} {figures.first_us:>9.1f} "
-            f"{figures.known_us:>9.1f} {figures.changed_us:>16.1f}"
+            f"{count:>9,} {result.ranges:>10,} {result.table_bytes / count:>12.2f} "
+            f"{result.build_s:>8.2f} {result.apply_ms:>9.0f} {result.first_us:>9.1f} "
+            f"{result.known_us:>9.1f} {result.changed_us:>16.1f}"
         )
 
 
--- a/tests/steering/plans.py
+++ b/tests/steering/plans.py
@@ -1,4 +1,4 @@
-"""Small configurations and their timelines."""
+"""Builders for small configurations and timelines."""
 
 from __future__ import annotations
 
@@ -45,9 +45,9 @@
 
 def schedule(timeline: Timeline, start_at: float, edits: dict[str, Any]) -> None:
     generation = timeline.generation + 1
-    hashed = timeline.last_hash
+    previous_hash = timeline.last_hash
     change = Change(
-        generation, f"c{generation}", "a", "-", "r", None, 0.0, start_at, edits, None, hashed
+        generation, f"c{generation}", "a", "-", "r", None, 0.0, start_at, edits, None, previous_hash
     )
     timeline.append(change)
 
--- a/tests/steering/test_assignment.py
+++ b/tests/steering/test_assignment.py
@@ -1,4 +1,4 @@
-"""Assignment of client groups to sites."""
+"""Tests of the assignment of client groups to sites."""
 
 from __future__ import annotations
 
@@ -17,7 +17,9 @@
 GROUPS = range(200)
 
 
-def mix(origin: dict[str, float], target: dict[str, float], progress: float) -> dict[str, float]:
+def interpolate(
+    origin: dict[str, float], target: dict[str, float], progress: float
+) -> dict[str, float]:
     return {
         site: (1 - progress) * origin.get(site, 0.0) + progress * target.get(site, 0.0)
         for site in SITES
@@ -26,31 +28,31 @@
 
 class TestChooseSite:
     @given(WEIGHTS, WEIGHTS)
-    def test_moves_groups_only_from_losers_to_gainers(
+    def test_moves_groups_only_to_sites_that_gain_share(
         self, first: dict[str, float], second: dict[str, float]
     ) -> None:
-        """Guards against a change of shares that moves clients of sites that keep theirs."""
+        """Guards against a change of shares that moves clients of unaffected sites."""
         before, after = normalize(first), normalize(second)
         for group in GROUPS:
             old, new = choose_site(before, f"{group}"), choose_site(after, f"{group}")
             if old != new:
                 ratios = {s: after.get(s, 0.0) / before[s] for s in before if before[s] > 0}
-                # The relation is between shares: the old site lost against the new one.
+                # Only relative growth counts: the new site grew by a larger factor than the old.
                 gained = ratios.get(new, float("inf"))
                 assert ratios[old] < gained
                 assert after.get(old, 0.0) < before[old] or after[new] > before.get(new, 0.0)
 
     @given(WEIGHTS, st.sampled_from(SITES))
-    def test_leaves_other_groups_when_one_site_goes(
-        self, weights: dict[str, float], gone: str
+    def test_keeps_other_groups_when_a_site_is_removed(
+        self, weights: dict[str, float], removed: str
     ) -> None:
         """Guards against a drain that moves the clients of other sites."""
-        kept = {site: weight for site, weight in weights.items() if site != gone}
+        kept = {site: weight for site, weight in weights.items() if site != removed}
         if not any(kept.values()):
             return
         for group in GROUPS:
             old, new = choose_site(weights, f"{group}"), choose_site(kept, f"{group}")
-            assert new == old or old == gone
+            assert new == old or old == removed
 
     def test_gives_each_site_its_share(self) -> None:
         """Guards against a hash that favours some sites."""
@@ -64,32 +66,33 @@
 
 class TestAssignment:
     @given(WEIGHTS, WEIGHTS, st.lists(st.floats(0, 1), max_size=5))
-    def test_equals_a_choice_at_each_moment_of_the_ramp(
-        self, first: dict[str, float], second: dict[str, float], moments: list[float]
+    def test_matches_choose_site_throughout_the_ramp(
+        self, first: dict[str, float], second: dict[str, float], points: list[float]
     ) -> None:
-        """Guards against winners worked out for a ramp that differ from those of its shares."""
+        """Guards against precomputed segments of a ramp that disagree with its current shares."""
         origin, target = normalize(first), normalize(second)
         assignment = Assignment("results", origin, target)
-        for progress in (0.0, *moments, 1.0):
-            # Just before and after, since rounding decides at the moment of a change.
+        for progress in (0.0, *points, 1.0):
+            # At a change of site rounding decides, so results just before and after are accepted.
             near = [min(1.0, max(0.0, progress + step)) for step in (-1e-9, 0.0, 1e-9)]
             for group in GROUPS[:40]:
                 expected = {
-                    choose_site(mix(origin, target, moment), f"results|{group}") for moment in near
+                    choose_site(interpolate(origin, target, point), f"results|{group}")
+                    for point in near
                 }
                 assert assignment.find_site(group, progress) in expected
 
     @given(WEIGHTS, WEIGHTS, WEIGHTS, st.floats(0, 1))
-    def test_with_known_winners_equals_one_without(
+    def test_known_winners_do_not_change_the_result(
         self,
         first: dict[str, float],
         second: dict[str, float],
         third: dict[str, float],
         reached: float,
     ) -> None:
-        """Guards against sites that are left out although they win after a second change."""
+        """Guards against omitting a candidate site that wins after a second change."""
         before = Assignment("results", normalize(first), normalize(second))
-        shares = normalize(mix(before.origin, before.target, reached))
+        shares = normalize(interpolate(before.origin, before.target, reached))
         for group in GROUPS[:40]:
             before.find_site(group, reached)
         target = normalize(third)
--- a/tests/steering/test_blocks.py
+++ b/tests/steering/test_blocks.py
@@ -1,4 +1,4 @@
-"""The table of client blocks."""
+"""Tests of the client block table."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
     return str(network), draw(REGIONS)
 
 
-def find_naively(blocks: list[Block], address: str) -> str | None:
+def match_naively(blocks: list[Block], address: str) -> str | None:
     parsed = ip_address(address)
     best: tuple[int, str] | None = None
     for prefix, region in blocks:
@@ -39,8 +39,8 @@
     return best[1] if best else None
 
 
-def list_edges(blocks: list[Block], extra: list[str]) -> list[str]:
-    """Returns addresses at and next to the ends of all blocks."""
+def list_edge_addresses(blocks: list[Block], extra: list[str]) -> list[str]:
+    """Returns the addresses at and next to the ends of all blocks."""
     edges = list(extra)
     for prefix, _ in blocks:
         network = ip_network(prefix)
@@ -57,23 +57,23 @@
 
 class TestBlockTable:
     @given(st.lists(draw_block(4), max_size=20), st.lists(st.ip_addresses(v=4).map(str)))
-    def test_equals_a_naive_match_for_ipv4(self, blocks: list[Block], extra: list[str]) -> None:
+    def test_matches_naive_lookup_for_ipv4(self, blocks: list[Block], extra: list[str]) -> None:
         """Guards against clients of nested or adjacent blocks in the wrong region."""
         blocks = keep_distinct(blocks)
         table = BlockTable(blocks)
-        for address in list_edges(blocks, extra):
-            assert table.find_region(address) == find_naively(blocks, address)
+        for address in list_edge_addresses(blocks, extra):
+            assert table.find_region(address) == match_naively(blocks, address)
 
     @given(st.lists(draw_block(6), max_size=20), st.lists(st.ip_addresses(v=6).map(str)))
-    def test_equals_a_naive_match_for_ipv6(self, blocks: list[Block], extra: list[str]) -> None:
+    def test_matches_naive_lookup_for_ipv6(self, blocks: list[Block], extra: list[str]) -> None:
         """Guards against clients of nested or adjacent blocks in the wrong region."""
         blocks = keep_distinct(blocks)
         table = BlockTable(blocks)
-        for address in list_edges(blocks, extra):
-            assert table.find_region(address) == find_naively(blocks, address)
+        for address in list_edge_addresses(blocks, extra):
+            assert table.find_region(address) == match_naively(blocks, address)
 
     @pytest.mark.parametrize("text", ["", "north", "1.2.3", "1.2.3.4.5", "::g", "1.2.3.4\0"])
-    def test_refuses_what_is_no_address(self, text: str) -> None:
-        """Guards against a fault of the caller that ends as an internal one."""
+    def test_rejects_invalid_addresses(self, text: str) -> None:
+        """Guards against an invalid address that is reported as an internal error."""
         with pytest.raises(ValueError, match="address"):
             BlockTable([]).find_region(text)
--- a/tests/steering/test_headroom.py
+++ b/tests/steering/test_headroom.py
@@ -1,4 +1,4 @@
-"""Headroom of other sites, and the slow return to a site that was lost."""
+"""Tests of overflow headroom and of the gradual return of traffic to a recovered site."""
 
 from __future__ import annotations
 
@@ -25,10 +25,13 @@
         st.sampled_from((0.01, 0.3, 5.0)),
         st.integers(0, 2**32),
     )
-    def test_sum_over_all_vms_stays_within_it(
+    def test_sum_over_all_vms_stays_within_headroom(
         self, vms: int, slots: int, run_time_s: float, seed: int
     ) -> None:
-        """Guards against VMs that add up, with any mixture of views and any pauses of demand."""
+        """Guards against VMs that exceed the headroom together.
+
+        The VMs have different reports, and their demand pauses at random.
+        """
         rng = random.Random(seed)
         fleet = [Headroom(f"vm-{number}") for number in range(vms)]
         most_free = 0.0
@@ -37,24 +40,24 @@
         for _ in range(500):
             now += rng.expovariate(1 / run_time_s) * rng.choice((0.01, 0.3, 3))
             number = rng.randrange(vms)
-            view = fleet[number]
+            headroom = fleet[number]
             if rng.random() < 0.3:
                 load = SiteLoad(rng.randrange(slots), slots, rng.randrange(3), now - rng.random())
-                view.accept(KEY, load)
-            free = view.compute_free_slots(KEY, slots, 0, now)
+                headroom.accept(KEY, load)
+            free = headroom.compute_free_slots(KEY, slots, 0, now)
             most_free = max(most_free, free)
             demanded_s += min(run_time_s, now - last_asked[number])
             last_asked[number] = now
-            admitted += view.admit(KEY, free, 0, vms, run_time_s, now)
-            # A VM's part of the time in which it had demand is the most that it may have used.
+            admitted += headroom.admit(KEY, free, 0, vms, run_time_s, now)
+            # A VM may use at most its quota for the time in which it had demand.
             assert admitted * run_time_s <= demanded_s * most_free / vms + 1e-6
             assert admitted * run_time_s <= now * most_free + 1e-6
 
     @given(st.integers(1, 12), st.integers(1, 60), st.integers(0, 2**32))
-    def test_vms_that_see_the_same_idle_site_take_their_parts(
+    def test_vms_that_see_the_same_idle_site_stay_within_their_quotas(
         self, vms: int, slots: int, seed: int
     ) -> None:
-        """Guards against a herd: slots held at any moment, over all VMs, exceed the headroom."""
+        """Guards against a thundering herd of VMs that hold more slots than the headroom."""
         rng = random.Random(seed)
         free = 0.8 * slots
         started = 0
@@ -72,43 +75,43 @@
                 held.append(now + 0.1)
                 started += 1
             ends[number] = held
-            # A part of less than one slot is held in turns, by at most one request of each VM.
-            part = max(1, math.ceil(free / vms))
-            assert len(held) <= part
+            # With a quota of less than one slot, each VM may still hold one slot at a time.
+            quota = max(1, math.ceil(free / vms))
+            assert len(held) <= quota
             assert started * 0.1 <= free * now
 
-    def test_fades_with_the_age_of_the_report(self) -> None:
-        """Guards against unlimited headroom when reports are old, missing or stopped."""
-        view = Headroom("vm")
-        assert view.compute_free_slots(KEY, 10, 0, 100.0) == 0.0
-        view.accept(KEY, SiteLoad(0, 10, 0, 100.0))
-        assert view.compute_free_slots(KEY, 10, 0, 100.0) == pytest.approx(8.0)
-        assert view.compute_free_slots(KEY, 10, 0, 102.5) == pytest.approx(4.0)
-        assert view.compute_free_slots(KEY, 10, 0, 105.0) == 0.0
-
-    def test_is_bounded_by_what_the_vm_knows_itself(self) -> None:
-        """Guards against a report that claims slots that do not exist or hides own requests."""
-        view = Headroom("vm")
-        view.accept(KEY, SiteLoad(0, 1_000_000, 0, 0.0))
-        assert view.compute_free_slots(KEY, 10, 0, 0.0) == pytest.approx(8.0)
-        assert view.compute_free_slots(KEY, 10, 6, 0.0) == pytest.approx(2.0)
-        view.accept(KEY, SiteLoad(-9, 10, 0, 1.0))
-        view.accept(KEY, SiteLoad(0, 10, 0, math.nan))
-        view.accept(KEY, SiteLoad(8, 10, 0, -1.0))
-        assert view.compute_free_slots(KEY, 10, 0, 0.0) == pytest.approx(8.0)
-
-    def test_ends_for_a_while_after_a_refusal(self) -> None:
-        """Guards against requests that are sent on false reports again and again."""
-        view = Headroom("vm")
-        admitted = [view.admit(KEY, 8.0, 0, 1, 0.01, step / 100) for step in range(20)]
+    def test_decreases_with_the_age_of_the_report(self) -> None:
+        """Guards against unlimited headroom when reports are old or missing."""
+        headroom = Headroom("vm")
+        assert headroom.compute_free_slots(KEY, 10, 0, 100.0) == 0.0
+        headroom.accept(KEY, SiteLoad(0, 10, 0, 100.0))
+        assert headroom.compute_free_slots(KEY, 10, 0, 100.0) == pytest.approx(8.0)
+        assert headroom.compute_free_slots(KEY, 10, 0, 102.5) == pytest.approx(4.0)
+        assert headroom.compute_free_slots(KEY, 10, 0, 105.0) == 0.0
+
+    def test_is_bounded_by_local_knowledge(self) -> None:
+        """Guards against reports that claim too many slots, omit own requests or are invalid."""
+        headroom = Headroom("vm")
+        headroom.accept(KEY, SiteLoad(0, 1_000_000, 0, 0.0))
+        assert headroom.compute_free_slots(KEY, 10, 0, 0.0) == pytest.approx(8.0)
+        assert headroom.compute_free_slots(KEY, 10, 6, 0.0) == pytest.approx(2.0)
+        headroom.accept(KEY, SiteLoad(-9, 10, 0, 1.0))
+        headroom.accept(KEY, SiteLoad(0, 10, 0, math.nan))
+        headroom.accept(KEY, SiteLoad(8, 10, 0, -1.0))
+        assert headroom.compute_free_slots(KEY, 10, 0, 0.0) == pytest.approx(8.0)
+
+    def test_is_paused_after_a_refusal(self) -> None:
+        """Guards against repeated requests to a site whose reports are wrong."""
+        headroom = Headroom("vm")
+        admitted = [headroom.admit(KEY, 8.0, 0, 1, 0.01, step / 100) for step in range(20)]
         assert any(admitted)
-        view.record_refusal(KEY, 0.2)
-        assert not any(view.admit(KEY, 8.0, 0, 1, 0.01, 0.2 + step / 100) for step in range(99))
-        assert view.admit(KEY, 8.0, 0, 1, 0.01, 1.3)
+        headroom.record_refusal(KEY, 0.2)
+        assert not any(headroom.admit(KEY, 8.0, 0, 1, 0.01, 0.2 + step / 100) for step in range(99))
+        assert headroom.admit(KEY, 8.0, 0, 1, 0.01, 1.3)
 
     @given(st.integers(1, 12), st.integers(1, 10**7), st.integers(0, 2**32))
     def test_stays_within_the_share_of_a_link(self, vms: int, size: int, seed: int) -> None:
-        """Guards against large answers that fill a link between regions."""
+        """Guards against large answers that saturate a link between regions."""
         rng = random.Random(seed)
         fleet = [Headroom(f"vm-{number}") for number in range(vms)]
         sent, now = 0, 0.0
@@ -119,33 +122,33 @@
 
 
 class TestRecovery:
-    def test_returns_traffic_slowly(self) -> None:
-        """Guards against a region that gets all of its traffic back at once."""
+    def test_returns_traffic_gradually(self) -> None:
+        """Guards against a recovered site that gets all of its traffic back at once."""
         recovery = Recovery()
         recovery.record_failure(0.0)
-        levels = []
+        ratios = []
         for step in range(1, 400):
             recovery.record_success(step / 10)
-            levels.append(recovery.traffic_ratio)
-        assert all(after - before < 0.005 for before, after in pairwise(levels))
-        assert levels[-1] == 1.0
+            ratios.append(recovery.traffic_ratio)
+        assert all(after - before < 0.005 for before, after in pairwise(ratios))
+        assert ratios[-1] == 1.0
 
     @given(st.floats(0.1, 0.9), st.integers(0, 2**32))
-    def test_finds_the_level_of_a_weak_site_without_a_swing(self, takes: float, seed: int) -> None:
-        """Guards against traffic that swings between a weak site and the others."""
+    def test_settles_at_the_capacity_of_a_weak_site(self, capacity: float, seed: int) -> None:
+        """Guards against traffic that oscillates between a weak site and the others."""
         rng = random.Random(seed)
         recovery = Recovery()
         recovery.record_failure(0.0)
-        levels = []
+        ratios = []
         for step in range(1, 20_000):
             now = step / 100
             if recovery.admit():
-                # The site fails more often the more it gets above what it takes.
-                if rng.random() < max(0.0, recovery.traffic_ratio - takes):
+                # The failure rate grows with the load above the capacity of the site.
+                if rng.random() < max(0.0, recovery.traffic_ratio - capacity):
                     recovery.record_failure(now)
                 else:
                     recovery.record_success(now)
-            levels.append(recovery.traffic_ratio)
-        steady = levels[10_000:]
-        assert max(steady) <= min(1.0, takes + 0.5)
-        assert sum(steady) / len(steady) >= takes / 2
+            ratios.append(recovery.traffic_ratio)
+        steady = ratios[10_000:]
+        assert max(steady) <= min(1.0, capacity + 0.5)
+        assert sum(steady) / len(steady) >= capacity / 2
--- a/tests/steering/test_shift.py
+++ b/tests/steering/test_shift.py
@@ -1,4 +1,4 @@
-"""Shifts: ramps of shares and the cap on moved requests."""
+"""Tests of traffic shifts: ramps of shares and the cap on moved requests."""
 
 from __future__ import annotations
 
@@ -38,14 +38,14 @@
 )
 
 
-def count_worst_second(arrivals: list[float]) -> int:
+def count_busiest_second(arrivals: list[float]) -> int:
     arrivals = sorted(arrivals)
-    worst, first = 0, 0
+    busiest, first = 0, 0
     for last, arrival in enumerate(arrivals):
         while arrivals[first] <= arrival - 1.0:
             first += 1
-        worst = max(worst, last - first + 1)
-    return worst
+        busiest = max(busiest, last - first + 1)
+    return busiest
 
 
 class TestRamp:
@@ -57,7 +57,7 @@
     def test_shares_add_up_and_never_jump(
         self, changes: list[tuple[float, dict[str, float]]], now: float, step: float
     ) -> None:
-        """Guards against a chain of changes in which a share jumps or traffic is lost."""
+        """Guards against consecutive changes in which a share jumps or shares do not sum to 1."""
         limits = ShiftLimits(100, 10)
         ordered = sorted(changes, key=lambda change: change[0])
         history = [SpreadChange(start, normalize(weights), limits) for start, weights in ordered]
@@ -73,10 +73,10 @@
 
 class TestShiftCap:
     @given(st.integers(1, 8), st.integers(1, 40), st.integers(0, 2**32))
-    def test_holds_over_all_vms_with_restarts(self, vms: int, part: int, seed: int) -> None:
-        """Guards against a VM that spends its part twice, and against VMs that add up."""
+    def test_holds_over_all_vms_with_restarts(self, vms: int, quota: int, seed: int) -> None:
+        """Guards against VMs that exceed the cap together, or use a quota twice by restarting."""
         rng = random.Random(seed)
-        cap_rps = vms * part + rng.randrange(vms)
+        cap_rps = vms * quota + rng.randrange(vms)
         caps = [ShiftCap(0.0) for _ in range(vms)]
         arrivals = []
         now = 0.0
@@ -87,19 +87,19 @@
                 caps[vm] = ShiftCap(now)
             if caps[vm].admit(cap_rps, vms, now):
                 arrivals.append(now + rng.uniform(0, MAX_MOVE_DELAY_S))
-        assert count_worst_second(arrivals) <= cap_rps
+        assert count_busiest_second(arrivals) <= cap_rps
 
 
 class Fleet:
-    """VMs at their upper bound, each with a clock of its own, and the arrivals at the sites."""
+    """Simulates the largest number of VMs, with a clock each, and records arrivals by site."""
 
     def __init__(self, timeline: Timeline, vms: int, first: dict[str, float], seed: int) -> None:
         self.arrivals: dict[str, list[float]] = defaultdict(list)
         self._timeline = timeline
         self._random = random.Random(seed)
-        self._first = normalize(first)
+        self._original_shares = normalize(first)
         self._clocks = [self._random.uniform(-3, 3) for _ in range(vms)]
-        self._built: list[tuple[Steering, float] | None] = [None] * vms
+        self._renderings: list[tuple[Steering, float] | None] = [None] * vms
         self._now = 0.0
 
     def run(self, end: float, rps: float) -> None:
@@ -108,25 +108,25 @@
             vm = self._random.randrange(len(self._clocks))
             event = self._random.random()
             if event < 0.01:
-                self._built[vm] = None
+                self._renderings[vm] = None
             elif event < 0.02:
                 self._clocks[vm] = self._random.uniform(-30, 30)
             self._send(vm)
 
     def _send(self, vm: int) -> None:
         wall = max(1.0, self._now + self._clocks[vm])
-        built = self._built[vm]
-        # A VM that is cut off renders late, so it may send under a plan of several seconds ago.
-        if built is None or built[1] < self._now - 5:
-            steering = render(self._timeline, wall, self._now, built[0] if built else None)
-            built = self._built[vm] = (steering, self._now)
+        rendering = self._renderings[vm]
+        # An isolated VM renders late, so it may use a plan that is several seconds old.
+        if rendering is None or rendering[1] < self._now - 5:
+            steering = render(self._timeline, wall, self._now, rendering[0] if rendering else None)
+            rendering = self._renderings[vm] = (steering, self._now)
         client = self._random.choice(CLIENTS)
         try:
-            site = built[0].assign_request(SERVICE, client, wall, self._now).site
+            site = rendering[0].assign_request(SERVICE, client, wall, self._now).site
         except NotRun:
             return
         key = f"{SERVICE}|{find_group(client)}"
-        if site != choose_site(self._first, key):
+        if site != choose_site(self._original_shares, key):
             self.arrivals[site].append(self._now + self._random.uniform(0, MAX_MOVE_DELAY_S))
 
 
@@ -134,7 +134,7 @@
     @settings(max_examples=50)
     @given(st.data())
     def test_stay_under_the_cap_in_a_chain_of_changes(self, data: Any) -> None:
-        """Guards against traffic that jumps when a second shift, a drain or a removal follows."""
+        """Guards against a jump of traffic when a shift, a drain or a removal follows a shift."""
         vms = data.draw(st.integers(1, 4))
         cap = vms * data.draw(st.integers(1, 3))
         first = data.draw(WEIGHTS)
@@ -161,7 +161,7 @@
         fleet = Fleet(timeline, vms, first, data.draw(st.integers(0, 2**32)))
         fleet.run(13.0, 30.0)
         for arrivals in fleet.arrivals.values():
-            assert count_worst_second(arrivals) <= cap
+            assert count_busiest_second(arrivals) <= cap
 
     def build_chain(self, **shift: int) -> Steering:
         timeline = Timeline()
@@ -179,12 +179,12 @@
             counts[steering.assign_request(SERVICE, client, 30, 10).site] += 1
         return counts
 
-    def test_above_two_caps_stay_at_the_first_site(self) -> None:
-        """Guards against a second shift that releases what the first one holds back."""
+    def test_above_the_caps_of_two_shifts_stay_at_the_first_site(self) -> None:
+        """Guards against a second shift that lifts the cap of the first one."""
         assert self.count_sites(self.build_chain()) == {"a": 80, "b": 10, "c": 10}
 
     def test_of_a_settled_shift_have_no_cap(self) -> None:
-        """Guards against a cap that the operators cannot end."""
+        """Guards against a cap that operators cannot lift."""
         assert self.count_sites(self.build_chain(settled_generation=2)) == {"b": 90, "c": 10}
         assert self.count_sites(self.build_chain(settled_generation=3)) == {"c": 100}
 
@@ -201,8 +201,8 @@
         sites = [steering.assign_request(SERVICE, c, 300, 10).site for c in CLIENTS[:100]]
         assert sites.count("b") == 10
 
-    def test_of_a_site_that_is_gone_are_refused_above_the_cap(self) -> None:
-        """Guards against traffic of a removed site that jumps to the others."""
+    def test_of_a_removed_site_are_refused_above_the_cap(self) -> None:
+        """Guards against traffic of a removed site that moves to other sites above the cap."""
         timeline = Timeline()
         edits = {"base": build_base(SITES, 1), NAME: build_service({"a": 1}, 10, 60)}
         schedule(timeline, 0, {**edits, **build_sites(*SITES)})
@@ -215,7 +215,7 @@
         assert caught.value.kind is ErrorKind.OVERLOADED
 
     def test_overflow_to_a_receiving_site_shares_its_cap(self) -> None:
-        """Guards against a lost site whose traffic passes the cap as overflow."""
+        """Guards against overflow traffic of a failed site that bypasses the shift cap."""
         timeline = Timeline()
         edits = {"base": build_base(SITES, 1), NAME: build_service({"a": 1}, 10, 60)}
         schedule(timeline, 0, {**edits, **build_sites(*SITES)})
@@ -226,7 +226,7 @@
         assert all(steering.admit_overflow(*arguments, "a", 300, 10) for _ in range(99))
 
     def test_second_attempts_stay_away_from_a_receiving_site(self) -> None:
-        """Guards against second attempts that reach a receiving site beside its cap."""
+        """Guards against second attempts that reach a receiving site outside its cap."""
         timeline = Timeline()
         edits = {"base": build_base(SITES, 1), NAME: build_service({"a": 1}, 10, 60)}
         schedule(timeline, 0, {**edits, **build_sites(*SITES)})
--- a/tests/timeline/test_compaction.py
+++ b/tests/timeline/test_compaction.py
@@ -1,4 +1,4 @@
-"""Folding of old changes into a snapshot."""
+"""Tests of folding old changes into a snapshot."""
 
 from __future__ import annotations
 
@@ -59,17 +59,19 @@
     for pause, delay, name, body in changes:
         now += pause
         if body and "shift" in body:
-            # A shift that is settled stays so.
+            # Settled shifts stay settled.
             settled = max(settled, body["shift"].get("settled_generation", 0))
             body = {**body, "shift": {**body["shift"], "settled_generation": settled}}
-        # A change that a scheduled one would overwrite later is refused.
+        # A change that a scheduled one would overwrite is rejected, so starts must not decrease.
         starts[name] = max(now + delay, starts.get(name, 0.0))
         change = build_change(timeline, starts[name], submitted_at=now, edits={name: body})
         timeline.append(change)
     return timeline, now
 
 
-def describe(shifts: dict[ShiftKey, Shift], service: str, region: str | None, now: float) -> Any:
+def summarize_shift(
+    shifts: dict[ShiftKey, Shift], service: str, region: str | None, now: float
+) -> Any:
     shift = shifts.get((service, region)) or shifts.get((service, None))
     if shift is None:
         return None
@@ -84,12 +86,12 @@
     }
 
 
-class TestCompact:
+class TestCompaction:
     @given(st.lists(steps, min_size=1, max_size=25), st.integers(0, 9000), st.integers(0, 9000))
     def test_later_ramps_and_documents_are_the_same(
         self, changes: list[tuple[int, int, str, Any]], first: int, second: int
     ) -> None:
-        """Guards against a shift that jumps, or loses its cap, when its history is folded."""
+        """Guards against a shift that jumps or loses its cap when its history is folded."""
         full, now = build_history(changes)
         folded = Timeline(retention_s=600)
         for change in full.list_after(0, full.generation):
@@ -101,7 +103,7 @@
                 shifts, expected = build_shifts(folded, later), build_shifts(full, later)
                 for service in ("x", "y"):
                     for region in (None, "north", "south"):
-                        assert describe(shifts, service, region, later) == describe(
+                        assert summarize_shift(shifts, service, region, later) == summarize_shift(
                             expected, service, region, later
                         )
 
@@ -122,7 +124,7 @@
     def test_result_does_not_depend_on_earlier_compactions(
         self, changes: list[tuple[int, int, str, Any]]
     ) -> None:
-        """Guards against two admin processes that write different snapshots of a generation."""
+        """Guards against admin processes that write different snapshots of a generation."""
         full, now = build_history(changes)
         often, once = Timeline(retention_s=600), Timeline(retention_s=600)
         for change in full.list_after(0, full.generation):
@@ -143,14 +145,14 @@
         assert timeline.append(build_change(timeline, DAY_S)) is AppendResult.ADDED
 
     def test_withdrawn_change_stays_withdrawn(self) -> None:
-        """Guards against a withdrawn change that starts after its withdrawal was folded."""
+        """Guards against a withdrawn change that starts once its withdrawal is folded."""
         timeline = build_timeline(0.0, DAY_S)
         timeline.append(build_change(timeline, 10.0, edits={}, withdraws=2))
         compact_timeline(timeline, 2 * DAY_S)
         assert timeline.find_documents(2 * DAY_S).by_name["base"] == {"number": 1}
 
     def test_retention_period_is_kept_in_full(self) -> None:
-        """Guards against a peer that was cut off for a moment and needs the whole snapshot."""
+        """Guards against a briefly disconnected peer that needs a whole snapshot."""
         timeline = build_timeline(0.0)
         timeline.append(build_change(timeline, DAY_S, submitted_at=DAY_S))
         compact_timeline(timeline, DAY_S + HOUR_S - 1)
@@ -161,7 +163,7 @@
 
 
 class TestRestore:
-    def test_takes_a_snapshot_that_is_ahead(self) -> None:
+    def test_accepts_a_snapshot_that_is_ahead(self) -> None:
         """Guards against a VM that cannot catch up when the changes it lacks are folded."""
         source = build_timeline(0.0, 0.0, 9e9)
         compact_timeline(source, DAY_S)
@@ -172,7 +174,7 @@
         assert timeline.find_documents(9e9) == source.find_documents(9e9)
 
     def test_generation_never_falls(self) -> None:
-        """Guards against an older snapshot that arrives late and takes effect."""
+        """Guards against an older snapshot that arrives late and replaces newer changes."""
         source = build_timeline(0.0)
         compact_timeline(source, DAY_S)
         timeline = build_timeline(0.0, 0.0)
@@ -192,7 +194,7 @@
 
 class TestMemory:
     def test_stays_within_a_few_megabytes(self) -> None:
-        """Guards against a control process that outgrows its 32 MB with the age of the system."""
+        """Guards against a control process whose memory use exceeds its 32 MB over time."""
         timeline = Timeline()
         tracemalloc.start()
         try:
@@ -202,7 +204,7 @@
                 name = f"services/service-{number % 40}"
                 body = {
                     "spread": {f"site-{n}": float(n + number % 7) for n in range(1, 26)},
-                    # Each service has at most 16 shifts that are not settled.
+                    # Each service has at most 16 unsettled shifts.
                     "shift": {
                         "cap_rps": 1000.0,
                         "slope_percent_per_minute": 10.0,
@@ -222,7 +224,7 @@
 
 class TestCheckTime:
     def test_thousand_sites_and_thousand_scheduled_changes(self) -> None:
-        """Guards against a check that is quadratic and holds up every other submission."""
+        """Guards against a check that takes quadratic time and delays other submissions."""
         timeline = Timeline()
         sites = {f"sites/s-{n}": {"site": f"s-{n}", "zone": "z"} for n in range(1000)}
         spread = {f"s-{n}": 1.0 for n in range(1000)}
@@ -239,5 +241,5 @@
         change = build_change(timeline, 10.0, edits={name: {"spread": spread, "shift": shift}})
         started = time.process_time()
         timeline.check(change, now=5.0)
-        # One core takes 3,700 checks a day; a submission waits for those before it.
+        # One core runs 3,700 checks a day, and each submission waits for those before it.
         assert time.process_time() - started < 1.0
--- a/tests/timeline/test_timeline.py
+++ b/tests/timeline/test_timeline.py
@@ -1,4 +1,4 @@
-"""The timeline of accepted changes."""
+"""Tests of the timeline of accepted changes."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 class TestAppend:
     def test_refuses_a_gap(self) -> None:
-        """Guards against a VM that skips a change it has not seen."""
+        """Guards against a VM that skips a change that it has not received."""
         timeline = build_timeline(0.0)
         later = build_change(timeline, generation=3)
         assert timeline.append(later) is AppendResult.GAP
@@ -55,7 +55,7 @@
 
     @given(st.lists(st.integers(min_value=0, max_value=9), max_size=60))
     def test_generation_never_falls_in_any_order_of_messages(self, order: list[int]) -> None:
-        """Guards against an older configuration that arrives late and takes effect."""
+        """Guards against an older configuration that arrives late and replaces a newer one."""
         source = build_timeline(*[0.0] * 10)
         timeline = Timeline()
         for index in order:
@@ -66,7 +66,7 @@
         assert timeline.list_after(0, timeline.generation) == expected
 
 
-class TestSharedValues:
+class TestInternValues:
     @given(
         st.dictionaries(
             st.sampled_from("abc"),
@@ -79,14 +79,14 @@
         )
     )
     def test_hash_stays_the_same(self, body: dict[str, Any]) -> None:
-        """Guards against 0.0, -0.0, 0 and False, which are equal but hash to other changes."""
+        """Guards against sharing 0.0, -0.0, 0 and False, which are equal but hash differently."""
         change = build_change(Timeline(), edits={"base": body, "sites/a": None})
         assert change.intern_values().compute_hash() == change.compute_hash()
 
 
 class TestScheduledStart:
     def test_follows_from_the_timeline_alone(self) -> None:
-        """Guards against a start that needs the store at its time."""
+        """Guards against a scheduled start that depends on the store being reachable."""
         timeline = build_timeline(0.0, 100.0)
         assert timeline.find_documents(99.9).by_name["base"] == {"number": 1}
         assert timeline.find_documents(100.0).by_name["base"] == {"number": 2}
@@ -101,7 +101,7 @@
 
 class TestCheck:
     def test_refuses_a_withdrawal_that_may_come_too_late(self) -> None:
-        """Guards against a change that starts on the VMs that have not heard of its withdrawal."""
+        """Guards against a change that starts on VMs that have not received its withdrawal."""
         timeline = build_timeline(0.0, 100.0)
         late = build_change(timeline, 89.0, edits={}, withdraws=2)
         with pytest.raises(BriarforkError) as caught:
