Restore two names outside the reworded packages

compute_shares in admin/queries.py and MAX_LOOKUP_ENTRIES in platform/lookups.py had followed a rename of other names with the same spelling. They are find_shares and MAX_ENTRIES again. The message about a folded generation says so now.

--- a/src/briarfork/admin/http.py
+++ b/src/briarfork/admin/http.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from briarfork.admin.queries import compute_shares
+from briarfork.admin.queries import find_shares
 from briarfork.admin.queries import list_page
 from briarfork.admin.queries import read_filter
 from briarfork.admin.queries import read_number
@@ -101,7 +101,7 @@
         at = read_time(request.query, "at", time.time())
         body = {
             "documents": timeline.find_documents(at).by_name,
-            "shares": compute_shares(timeline, at),
+            "shares": find_shares(timeline, at),
             "generation": timeline.generation,
             "at": at,
         }
--- a/src/briarfork/admin/queries.py
+++ b/src/briarfork/admin/queries.py
@@ -107,7 +107,7 @@
     return value
 
 
-def compute_shares(timeline: Timeline, at: float) -> dict[str, dict[str, Shares]]:
+def find_shares(timeline: Timeline, at: float) -> dict[str, dict[str, Shares]]:
     """Returns the shares at a time by service and client region, also in the middle of a ramp.
 
     The region "" is for clients of regions without weights of their own.
--- a/src/briarfork/platform/lookups.py
+++ b/src/briarfork/platform/lookups.py
@@ -14,7 +14,7 @@
     from briarfork.gateway.process import Gateway
 
 # Entry VMs named in one answer.
-MAX_LOOKUP_ENTRIES = 64
+MAX_ENTRIES = 64
 
 
 def build_ready_app(gateway: Gateway) -> web.Application:
@@ -52,7 +52,7 @@
     async def look_up(request: web.Request) -> web.Response:
         zone = request.query.get("zone", gateway.view.place.zone)
         region = request.query.get("region", gateway.view.place.region)
-        entries = gateway.view.order_entries(zone, region)[:MAX_LOOKUP_ENTRIES]
+        entries = gateway.view.order_entries(zone, region)[:MAX_ENTRIES]
         if not entries:
             return web.Response(status=503)
         return web.json_response(
--- a/src/briarfork/timeline/timeline.py
+++ b/src/briarfork/timeline/timeline.py
@@ -171,7 +171,7 @@
                 return change
         raise BriarforkError(
             ErrorKind.CONFLICT,
-            f"generation {generation} has been in force or withdrawn for too long",
+            f"generation {generation} is folded, because it is long in force or withdrawn",
         )
 
     def find_hash(self, generation: int) -> str | None:
