--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -30,7 +30,7 @@
     from briarfork.border.documents import WithdrawalModel
     from briarfork.border.events import EventLog
     from briarfork.border.store import Store
-    from briarfork.timeline import Folded
+    from briarfork.timeline import FoldedChange
     from briarfork.timeline import Timeline
 
 # A change whose generation was taken by a concurrent change is retried with the next generation.
@@ -310,7 +310,7 @@
     return existing.generation
 
 
-def _describe_entry(entry: Change | Folded) -> str:
+def _describe_entry(entry: Change | FoldedChange) -> str:
     name = f" (change {entry.change_id})" if isinstance(entry, Change) else ""
     return f"{entry.generation}{name}"
 
--- a/src/briarfork/admin/queries.py
+++ b/src/briarfork/admin/queries.py
@@ -118,7 +118,7 @@
     """
     shares: dict[str, dict[str, Shares]] = {}
     for (service, region), shift in build_shifts(timeline, at).items():
-        shares.setdefault(service, {})[region or ""] = shift.find_shares(at)
+        shares.setdefault(service, {})[region or ""] = shift.compute_shares(at)
     return shares
 
 
--- a/src/briarfork/admin/reader.py
+++ b/src/briarfork/admin/reader.py
@@ -13,7 +13,7 @@
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.steering import compact_timeline
-from briarfork.timeline import Appended
+from briarfork.timeline import AppendResult
 from briarfork.timeline import Timeline
 
 if TYPE_CHECKING:
@@ -99,7 +99,7 @@
     def _append(self, changes: list[Change]) -> None:
         # A concurrent request in this process may have appended the same changes.
         for change in changes:
-            if self._timeline.append(change) not in (Appended.ADDED, Appended.KNOWN):
+            if self._timeline.append(change) not in (AppendResult.ADDED, AppendResult.KNOWN):
                 raise self._report_divergence(self._timeline.generation, change.generation)
 
     def _report_divergence(self, known: int, found: int) -> BriarforkError:
