Keep the text of the event that a peer fell silent

Cause: the rewording of the streams changed the detail of peer_lost from "silent for" to "no message within". tests/control/test_faults.py looks for "silent" in the log, and so may operators.

Change: the old text is back, and the test of the streams matches it again.

Run: tests/border/test_streams.py and tests/control/test_faults.py, 20 passed, 1 error at the set-up of the test that replaces a control process, beside a load of 20; that test alone passed.

--- a/src/briarfork/border/streams.py
+++ b/src/briarfork/border/streams.py
@@ -78,7 +78,7 @@
                 while (data := self._pop_frame()) is None:
                     await self._read_more()
         except TimeoutError as error:
-            raise StreamTimeout(f"{self.peer}: no message within {timeout_s:g} s") from error
+            raise StreamTimeout(f"{self.peer}: silent for {timeout_s:g} s") from error
         return decode(data)
 
     def abort(self) -> None:
--- a/tests/border/test_streams.py
+++ b/tests/border/test_streams.py
@@ -96,7 +96,7 @@
 
         async with asyncio.TaskGroup() as group:
             feeder = group.create_task(feed_slowly())
-            with pytest.raises(StreamClosed, match="no message within"):
+            with pytest.raises(StreamClosed, match="silent"):
                 await stream.receive(0.1)
             feeder.cancel()
 
