--- a/src/briarfork/entry/claims.py
+++ b/src/briarfork/entry/claims.py
@@ -1,4 +1,4 @@
-"""Claims on idempotency keys, kept in the store."""
+"""Repository of the claims on idempotency keys, which the store holds."""
 
 from __future__ import annotations
 
@@ -26,17 +26,17 @@
 
 CLAIM_TTL_S = 24 * 3600.0
 LEASE_RENEWAL_S = 3600.0
-# Creating the same claim again is idempotent and settles a write whose answer was lost.
-OPEN_ATTEMPTS = 3
-# A repeated write after the first covers a lost response without holding the caller for long.
+# Creating the same claim again is idempotent and resolves a write whose response was lost.
+CREATE_ATTEMPTS = 3
+# One retry covers a lost response without delaying the caller for long.
 REPLACE_ATTEMPTS = 2
-# Bounds the memory for an outage of the store: 4 KiB of answer each.
-MAX_POSTPONED = 1000
-POSTPONED_PAUSE_S = 1.0
+# Bounds the memory during an outage of the store; each write holds up to 4 KiB of a response.
+MAX_PENDING_WRITES = 1000
+PENDING_WRITES_INTERVAL_S = 1.0
 
 
 class ClaimRecord(msgspec.Struct, frozen=True):
-    """The form in which the store keeps a claim; the body is in base64."""
+    """Stored form of a claim, with the body of the response in base64."""
 
     attempt: str
     body_digest: str
@@ -46,84 +46,84 @@
     body: str | None = None
 
 
-class ClaimBook:
-    """Opens, finishes and abandons claims."""
+class ClaimRepository:
+    """Opens, finishes and abandons claims in the store."""
 
     def __init__(self, store: Store, events: EventLog) -> None:
         self._store = store
         self._events = events
         self._lease = ""
         self._lease_created_at = 0.0
-        self._postponed: deque[tuple[Claim, Claim | None]] = deque(maxlen=MAX_POSTPONED)
+        self._pending_writes: deque[tuple[Claim, Claim | None]] = deque(maxlen=MAX_PENDING_WRITES)
 
     async def open(self, claim: Claim) -> StoredAnswer | None:
-        """Records a claim before its request is sent.
+        """Stores a claim before its request is sent.
 
         Returns:
-            None if the request may be sent, or the stored answer of the first request.
+            None if the request may be sent, or the stored response to the first request.
 
         Raises:
             NotRun: If the store does not confirm the claim.
-            BriarforkError: If the first request has started and its answer is not known.
+            BriarforkError: If the first request has started and its response is not known.
         """
         try:
-            lease = await self._find_lease()
+            lease = await self._ensure_lease()
             return await self._create(claim, lease)
         except StoreUnavailable as error:
-            # The write may have taken effect, and a repeat of the request would find it.
-            self._postpone(claim, None)
+            # The write may have taken effect and would block a retry of the request.
+            self._enqueue_write(claim, None)
             raise NotRun(
                 ErrorKind.CLAIM_UNAVAILABLE,
                 f"the store did not confirm the idempotency key: {error.detail}",
             ) from error
 
     async def finish(self, claim: Claim, answer: StoredAnswer) -> None:
-        """Records the answer for repeats of the request, later if the store is down."""
+        """Stores the response for retries of the request, later if the store is unavailable."""
         await self._replace(claim, claim.finish(answer))
 
     async def abandon(self, claim: Claim) -> bool:
         """Removes the claim of a request that provably did not run.
 
         Returns:
-            Whether the store has confirmed it; if not, it is tried again later.
+            Whether the store has confirmed the removal; if not, it is retried later.
         """
         return await self._replace(claim, None)
 
     async def run(self) -> None:
-        """Makes the updates that the store did not confirm."""
+        """Retries the writes that the store did not confirm."""
         while True:
-            while self._postponed:
-                claim, replacement = self._postponed.popleft()
+            while self._pending_writes:
+                claim, replacement = self._pending_writes.popleft()
                 try:
                     await self._write(claim, replacement)
                 except StoreUnavailable:
-                    self._postpone(claim, replacement)
+                    self._enqueue_write(claim, replacement)
                     break
-            await asyncio.sleep(POSTPONED_PAUSE_S)
+            await asyncio.sleep(PENDING_WRITES_INTERVAL_S)
 
     async def _create(self, claim: Claim, lease: str) -> StoredAnswer | None:
-        for attempt in range(OPEN_ATTEMPTS):
+        for attempt in range(CREATE_ATTEMPTS):
             try:
-                await self._store.put(_name(claim), _encode(claim), ABSENT, lease)
+                await self._store.put(_build_key(claim), _encode(claim), ABSENT, lease)
                 return None
             except StoreConflict:
                 return await self._resolve_conflict(claim)
             except StoreUnavailable:
-                # A store that was restored does not know the lease.
+                # A store that was restored from a backup does not know the lease.
                 self._lease = ""
-                if attempt == OPEN_ATTEMPTS - 1:
+                if attempt == CREATE_ATTEMPTS - 1:
                     raise
-                lease = await self._find_lease()
+                lease = await self._ensure_lease()
         return None
 
     async def _resolve_conflict(self, claim: Claim) -> StoredAnswer | None:
-        entry = await self._store.get(_name(claim))
+        entry = await self._store.get(_build_key(claim))
         if entry is None:
-            raise NotRun(ErrorKind.CLAIM_UNAVAILABLE, "the claim changed; try again")
-        known = _decode(claim, entry.value)
-        if known.attempt == claim.attempt:
+            raise NotRun(ErrorKind.CLAIM_UNAVAILABLE, "the claim was removed meanwhile; try again")
+        existing = _decode(claim, entry.value)
+        if existing.attempt == claim.attempt:
             return None
-        return known.replay(claim.body_digest)
+        return existing.replay(claim.body_digest)
 
     async def _replace(self, claim: Claim, replacement: Claim | None) -> bool:
         for _ in range(REPLACE_ATTEMPTS):
@@ -132,30 +132,30 @@
                 return True
             except StoreUnavailable as error:
                 detail = error.detail
-        self._events.record(Event.CLAIM_LEFT, claim=_name(claim), reason=detail)
-        self._postpone(claim, replacement)
+        self._events.record(Event.CLAIM_LEFT, claim=_build_key(claim), reason=detail)
+        self._enqueue_write(claim, replacement)
         return False
 
     async def _write(self, claim: Claim, replacement: Claim | None) -> None:
-        """Replaces or removes a claim that is still the own one; does nothing otherwise."""
-        entry = await self._store.get(_name(claim))
+        """Replaces or removes a claim if the same attempt still holds it."""
+        entry = await self._store.get(_build_key(claim))
         if entry is None or _decode(claim, entry.value).attempt != claim.attempt:
             return
         try:
             if replacement is None:
-                await self._store.delete(_name(claim), entry.revision)
+                await self._store.delete(_build_key(claim), entry.revision)
             else:
-                lease = await self._find_lease()
+                lease = await self._ensure_lease()
                 value = _encode(replacement)
-                await self._store.put(_name(claim), value, entry.revision, lease)
+                await self._store.put(_build_key(claim), value, entry.revision, lease)
         except StoreConflict:
-            # Nobody else writes an own claim: an earlier write whose answer was lost did.
+            # Only its holder writes a claim, so an earlier write with a lost response took effect.
             return
 
-    def _postpone(self, claim: Claim, replacement: Claim | None) -> None:
-        self._postponed.append((claim, replacement))
+    def _enqueue_write(self, claim: Claim, replacement: Claim | None) -> None:
+        self._pending_writes.append((claim, replacement))
 
-    async def _find_lease(self) -> str:
+    async def _ensure_lease(self) -> str:
         now = time.monotonic()
         if not self._lease or now - self._lease_created_at > LEASE_RENEWAL_S:
             self._lease = await self._store.create_lease(CLAIM_TTL_S)
@@ -163,7 +163,7 @@
         return self._lease
 
 
-def _name(claim: Claim) -> str:
+def _build_key(claim: Claim) -> str:
     return f"claims/{claim.service}/{claim.digest}"
 
 
--- a/src/briarfork/entry/failover.py
+++ b/src/briarfork/entry/failover.py
@@ -1,4 +1,4 @@
-"""Sends requests to sites other than the assigned one, within headroom."""
+"""Failover to sites other than the assigned one, within their headroom."""
 
 from __future__ import annotations
 
@@ -25,18 +25,19 @@
     from briarfork.entry.permits import PermitClient
     from briarfork.entry.view import EntryView
 
-# Wait for a free slot elsewhere, on top of the round trip; headroom means that one is free now.
+# Longest wait for a slot at another site, on top of the round trip. It is short because headroom
+# means that a slot is free now.
 FAILOVER_WAIT_S = 0.03
-# Assumed before the first measurement; long, so that little is sent.
+# Run time assumed before the first measurement. A high value admits few requests.
 INITIAL_RUN_TIME_S = 1.0
-SHORTEST_RUN_TIME_S = 0.001
-# A request that sites refuse again and again would be refused too late.
-MAX_SITES = 2
-MILLISECONDS = 1000.0
+MIN_RUN_TIME_S = 0.001
+# More attempts would delay the refusal of a request that no site accepts.
+MAX_SITES_TRIED = 2
+MS_PER_S = 1000.0
 
 
 class Failover:
-    """Finds sites with headroom for requests whose assigned site cannot take them."""
+    """Finds sites with headroom for requests that their assigned site cannot serve."""
 
     def __init__(self, view: EntryView, permits: PermitClient) -> None:
         self._view = view
@@ -44,7 +45,7 @@
         self._headroom = Headroom(view.settings.vm)
 
     def accept_load(self, loads: Iterable[Load]) -> None:
-        """Takes the loads that owners of slots have reported."""
+        """Updates the headroom of sites from the loads that owners of slots have reported."""
         now = time.monotonic()
         for load in loads:
             if not math.isfinite(load.age_s):
@@ -53,46 +54,51 @@
             report = SiteLoad(load.in_progress, load.slots, load.waiting, measured_at)
             self._headroom.accept((load.service, load.site), report)
 
-    def choose_for_lookup(self, service: str, lost: str, client: str) -> str | None:
-        """Returns a site for the clients of a lost one, in proportion to headroom, or None."""
+    def choose_for_lookup(self, service: str, lost_site: str, client: str) -> str | None:
+        """Returns a site for a client of a lost site, or None if no site has free slots.
+
+        The clients are spread over sites in proportion to their free slots.
+        """
         plan = self._view.require_steering().plan
         group = f"{service}|{find_group(client)}"
-        for sites in self._list_by_distance(plan, plan.services[service], lost):
-            free = {site: self._find_free(plan, service, site) for site in sites}
-            if any(slots > 0 for slots in free.values()):
-                return choose_site(free, group)
+        for sites in self._list_by_distance(plan, plan.services[service], lost_site):
+            free_slots = {site: self._estimate_free_slots(plan, service, site) for site in sites}
+            if any(slots > 0 for slots in free_slots.values()):
+                return choose_site(free_slots, group)
         return None
 
     async def acquire(
-        self, call: Call, service: Service, client: str, avoid: frozenset[str], refused: str
+        self, call: Call, service: Service, client: str, avoid: frozenset[str], refusing_site: str
     ) -> Permit | None:
         """Returns a permit of a site with headroom, or None.
 
-        Sites of the same region as the one that refused come first, then those of others.
+        Sites in the region of the refusing site come first, then those of other regions.
         """
         steering = self._view.require_steering()
         plan = steering.plan
-        tried = 0
-        for sites in self._list_by_distance(plan, service, refused):
-            free = {site: self._find_free(plan, service.name, site) for site in sites}
-            for site in sorted(free, key=lambda name: -free[name]):
-                if not self._admit(plan, service, site, free[site]):
+        attempts = 0
+        for sites in self._list_by_distance(plan, service, refusing_site):
+            free_slots = {
+                site: self._estimate_free_slots(plan, service.name, site) for site in sites
+            }
+            for site in sorted(free_slots, key=lambda name: -free_slots[name]):
+                if not self._admit(plan, service, site, free_slots[site]):
                     continue
                 wall_now, now = time.time(), time.monotonic()
                 if not steering.admit_overflow(service.name, client, site, wall_now, now):
                     continue
-                permit = await self._ask(plan, call, service, avoid, site)
-                tried += 1
-                if permit is not None or tried == MAX_SITES:
+                permit = await self._request_permit(plan, call, service, avoid, site)
+                attempts += 1
+                if permit is not None or attempts == MAX_SITES_TRIED:
                     return permit
         return None
 
-    async def _ask(
+    async def _request_permit(
         self, plan: Plan, call: Call, service: Service, avoid: frozenset[str], site: str
     ) -> Permit | None:
         now = time.monotonic()
-        link = plan.find_link(*self._find_regions(plan, site))
-        wait_s = FAILOVER_WAIT_S + (link.latency_ms / MILLISECONDS if link else 0.0)
+        link = plan.find_link(*self._find_own_and_site_region(plan, site))
+        wait_s = FAILOVER_WAIT_S + (link.latency_ms / MS_PER_S if link else 0.0)
         deadline = Deadline(min(call.deadline.expires_at, now + wait_s))
         request_class = service.find_route(call.path).request_class
         try:
@@ -101,80 +107,89 @@
             self._headroom.record_refusal((service.name, site), time.monotonic())
             return None
 
-    def _admit(self, plan: Plan, service: Service, site: str, free: float) -> bool:
-        if free <= 0:
+    def _admit(self, plan: Plan, service: Service, site: str, free_slots: float) -> bool:
+        if free_slots <= 0:
             return False
         now = time.monotonic()
         key = (service.name, site)
-        run_time_s = self._permits.run_times.get(service.name, INITIAL_RUN_TIME_S)
-        run_time_s = max(SHORTEST_RUN_TIME_S, run_time_s)
+        run_time_s = self._permits.mean_run_times_s.get(service.name, INITIAL_RUN_TIME_S)
+        run_time_s = max(MIN_RUN_TIME_S, run_time_s)
         outstanding = self._permits.count_held(*key)
-        sharers = self._count_sharers(plan, site, now)
-        if not self._headroom.admit(key, free, outstanding, sharers, run_time_s, now):
+        sharers = self._count_sharing_vms(plan, site, now)
+        if not self._headroom.admit(key, free_slots, outstanding, sharers, run_time_s, now):
             return False
-        own, other = self._find_regions(plan, site)
-        if own == other:
+        own_region, site_region = self._find_own_and_site_region(plan, site)
+        if own_region == site_region:
             return True
-        link = plan.find_link(own, other)
+        link = plan.find_link(own_region, site_region)
         return link is not None and self._headroom.admit_bytes(
-            (other, own), link.gbit_s, service.answer_bytes, plan.entry_vms, now
+            (site_region, own_region), link.gbit_s, service.answer_bytes, plan.entry_vms, now
         )
 
-    def _count_sharers(self, plan: Plan, site: str, now: float) -> int:
-        """Returns how many VMs may use the free slots of a site.
+    def _count_sharing_vms(self, plan: Plan, site: str, now: float) -> int:
+        """Returns the number of VMs that may use the free slots of a site.
 
-        While nothing is heard from outside the zone, the zone is cut off and only its own VMs can
-        reach its sites.
+        Without any recent load report from outside the zone, the zone counts as partitioned from
+        the others, and only its own VMs can reach its sites.
         """
         zone = self._view.settings.zone
         outside = {name for name, item in plan.sites.items() if item.zone != zone}
-        own = plan.find_region(zone)
-        outside |= {f"{SUMMARY_PREFIX}{region}" for region in plan.regions if region != own}
+        own_region = plan.find_region(zone)
+        outside |= {f"{SUMMARY_PREFIX}{region}" for region in plan.regions if region != own_region}
         if plan.sites[site].zone != zone or self._headroom.has_report(outside, now):
             return plan.entry_vms
-        mates = sum(member.zone == zone for member in self._view.members.values())
-        return max(1, min(plan.entry_vms, mates))
+        zone_vms = sum(member.zone == zone for member in self._view.members.values())
+        return max(1, min(plan.entry_vms, zone_vms))
 
-    def _find_free(self, plan: Plan, service: str, site: str) -> float:
+    def _estimate_free_slots(self, plan: Plan, service: str, site: str) -> float:
         if self._view.find_owner(service, site) is None:
             return 0.0
-        own, other = self._find_regions(plan, site)
-        if own == other:
-            return self._find_free_at(plan, service, [site], site)
-        # Of other regions only a summary is known; each site has the part that its slots make up.
-        sites = [name for name in plan.sites if self._find_regions(plan, name)[1] == other]
+        own_region, site_region = self._find_own_and_site_region(plan, site)
+        if own_region == site_region:
+            return self._estimate_free_slots_of(plan, service, [site], site)
+        # Only a summary is known of other regions. Its free slots are split over the sites in
+        # proportion to their slots.
+        sites = [
+            name
+            for name in plan.sites
+            if self._find_own_and_site_region(plan, name)[1] == site_region
+        ]
         slots = {name: self._count_slots(plan, service, name) for name in sites}
-        free = self._find_free_at(plan, service, sites, f"{SUMMARY_PREFIX}{other}")
-        return free * slots[site] / max(1, sum(slots.values()))
+        free_slots = self._estimate_free_slots_of(
+            plan, service, sites, f"{SUMMARY_PREFIX}{site_region}"
+        )
+        return free_slots * slots[site] / max(1, sum(slots.values()))
 
-    def _find_free_at(self, plan: Plan, service: str, sites: list[str], report: str) -> float:
+    def _estimate_free_slots_of(
+        self, plan: Plan, service: str, sites: list[str], report: str
+    ) -> float:
         slots = sum(self._count_slots(plan, service, site) for site in sites)
         outstanding = sum(self._permits.count_held(service, site) for site in sites)
         return self._headroom.find_free((service, report), slots, outstanding, time.monotonic())
 
     def _count_slots(self, plan: Plan, service: str, site: str) -> int:
-        """Returns the slots of the servers that the platform lists."""
+        """Returns the total slots of the servers that the platform lists."""
         capacity = plan.services[service].capacity.get(site)
         servers = len(self._view.list_servers(service, site))
         return servers * capacity.slots if capacity else 0
 
-    def _find_regions(self, plan: Plan, site: str) -> tuple[str, str]:
-        """Returns the region of this VM and that of a site."""
-        own = plan.find_region(self._view.settings.zone)
-        return own or "", plan.find_region(plan.sites[site].zone) or ""
+    def _find_own_and_site_region(self, plan: Plan, site: str) -> tuple[str, str]:
+        """Returns the region of this VM and the region of a site."""
+        own_region = plan.find_region(self._view.settings.zone)
+        return own_region or "", plan.find_region(plan.sites[site].zone) or ""
 
     def _list_by_distance(
-        self, plan: Plan, service: Service, refused: str
+        self, plan: Plan, service: Service, excluded_site: str
     ) -> tuple[list[str], list[str]]:
-        """Returns the other sites of the service: those of the same region, then the rest."""
+        """Returns the other sites of a service: those in the same region, and the rest."""
         spreads = (service.spread, *service.regional_spread.values())
         sites = {site for spread in spreads for site, weight in spread.items() if weight > 0}
-        region = plan.find_region(plan.sites[refused].zone)
+        region = plan.find_region(plan.sites[excluded_site].zone)
         near: list[str] = []
         far: list[str] = []
-        for site in sorted(sites - {refused}):
+        for site in sorted(sites - {excluded_site}):
             if plan.sites[site].drain:
                 continue
-            same = plan.find_region(plan.sites[site].zone) == region
-            (near if same else far).append(site)
+            is_near = plan.find_region(plan.sites[site].zone) == region
+            (near if is_near else far).append(site)
         return near, far
--- a/src/briarfork/entry/hedging.py
+++ b/src/briarfork/entry/hedging.py
@@ -1,4 +1,4 @@
-"""Attempts under a permit, with a second attempt at another server when the first one is late."""
+"""Hedged requests: a second attempt at another server when the first one is late."""
 
 from __future__ import annotations
 
@@ -29,15 +29,15 @@
     Result = web.StreamResponse | KeptAnswer
 
 
-# At the 95th percentile itself the usual tail alone asks for more than the budget, so nothing is
-# left for a server that has slowed down.
-PATIENCE_FACTOR = 1.5
-# Shortest pause before a refused second attempt is asked for again.
-SHORTEST_PAUSE_S = 0.01
+# Factor on the 95th percentile of the run times after which an attempt is hedged. With a factor of
+# 1 the normal tail uses up the budget, and nothing is left for a server that has slowed down.
+HEDGE_DELAY_FACTOR = 1.5
+# Shortest delay before another try at a hedge that was refused.
+MIN_HEDGE_RETRY_S = 0.01
 
 
 class Hedger:
-    """Sends a call under a permit and returns every permit that it uses."""
+    """Sends calls under permits, hedges late ones and releases every permit that it uses."""
 
     def __init__(self, process: EntryProcess) -> None:
         self._process = process
@@ -45,10 +45,10 @@
         self._budgets: dict[str, HedgeBudget] = {}
 
     async def send(self, delivery: Delivery, service: Service, permit: Permit) -> Result:
-        """Makes an attempt, and a second one if the first is late and the rules allow it.
+        """Makes an attempt, and hedges it if it is late and may run twice.
 
         Raises:
-            AttemptFailed: If the caller did not get a whole answer.
+            AttemptFailed: If the caller did not get a complete response.
         """
         if not may_hedge(delivery, permit):
             return await self._attempt(delivery, permit, None)
@@ -65,32 +65,34 @@
     async def _race(
         self, delivery: Delivery, permit: Permit, latencies: RunTimes, budget: HedgeBudget
     ) -> Result | AttemptFailed:
-        """Runs one or two attempts; the first that begins to answer cancels the other.
+        """Runs one or two attempts; the first one to respond cancels the other.
 
-        A second attempt that is not allowed yet is asked for again while the first one is late.
+        While the first attempt is late, a refused hedge is tried again.
         """
-        race = Race()
-        patience_s = PATIENCE_FACTOR * latencies.overdue_s
+        race = AttemptRace()
+        delay_s = HEDGE_DELAY_FACTOR * latencies.overdue_s
         async with asyncio.TaskGroup() as group:
 
-            def start(number: int, under: Permit) -> None:
-                work = self._try(delivery, under, lambda: race.win(number))
-                race.add(group.create_task(work))
+            def start_attempt(index: int, permit: Permit) -> None:
+                attempt = self._attempt_without_raising(
+                    delivery, permit, lambda: race.cancel_others(index)
+                )
+                race.add(group.create_task(attempt))
 
-            start(0, permit)
-            while not await race.wait_for_answer(patience_s):
-                second = await self._acquire(delivery, permit, budget)
-                if second is not None and race.is_decided:
+            start_attempt(0, permit)
+            while not await race.wait_for_response(delay_s):
+                hedge_permit = await self._acquire_hedge_permit(delivery, permit, budget)
+                if hedge_permit is not None and race.is_decided:
                     budget.return_unused()
-                    self._process.permits.release(second, Release.UNUSED, 0.0)
-                elif second is not None:
+                    self._process.permits.release(hedge_permit, Release.UNUSED, 0.0)
+                elif hedge_permit is not None:
                     self._process.metrics.count(Metric.HEDGES, permit.service)
-                    start(1, second)
+                    start_attempt(1, hedge_permit)
                     break
-                patience_s = max(SHORTEST_PAUSE_S, latencies.mean_s)
+                delay_s = max(MIN_HEDGE_RETRY_S, latencies.mean_s)
         return race.find_result()
 
-    async def _acquire(
+    async def _acquire_hedge_permit(
         self, delivery: Delivery, first: Permit, budget: HedgeBudget
     ) -> Permit | None:
         if not budget.spend():
@@ -101,78 +103,78 @@
             budget.return_unused()
             return None
 
-    async def _try(
-        self, delivery: Delivery, permit: Permit, on_answer: Callable[[], None]
+    async def _attempt_without_raising(
+        self, delivery: Delivery, permit: Permit, on_response: Callable[[], None]
     ) -> Result | AttemptFailed:
         try:
-            return await self._attempt(delivery, permit, on_answer)
+            return await self._attempt(delivery, permit, on_response)
         except AttemptFailed as failure:
             return failure
 
     async def _attempt(
-        self, delivery: Delivery, permit: Permit, on_answer: Callable[[], None] | None
+        self, delivery: Delivery, permit: Permit, on_response: Callable[[], None] | None
     ) -> Result:
         started_at = time.monotonic()
-        how = Release.CANCELLED
+        outcome = Release.CANCELLED
         try:
-            answer = await self._process.forwarder.attempt(delivery, permit, on_answer)
-            how = Release.DONE
-            return answer
+            response = await self._process.forwarder.attempt(delivery, permit, on_response)
+            outcome = Release.DONE
+            return response
         except AttemptFailed as failure:
-            how = failure.release
+            outcome = failure.release
             raise
         finally:
             elapsed_s = time.monotonic() - started_at
-            self._process.permits.release(permit, how, elapsed_s)
+            self._process.permits.release(permit, outcome, elapsed_s)
             self._process.metrics.time(Metric.REQUEST_TIME, elapsed_s, permit.service)
 
 
-class Race:
-    """Attempts of one call, of which only one may answer the caller."""
+class AttemptRace:
+    """Concurrent attempts of one call, of which only one may respond to the caller."""
 
     def __init__(self) -> None:
         self.tasks: list[asyncio.Task[Result | AttemptFailed]] = []
-        self._answered = asyncio.Event()
+        self._decided = asyncio.Event()
 
     @property
     def is_decided(self) -> bool:
-        """Whether an attempt has begun to answer or the only one has ended."""
-        return self._answered.is_set() or all(task.done() for task in self.tasks)
+        """Whether an attempt has begun to respond or all attempts have ended."""
+        return self._decided.is_set() or all(task.done() for task in self.tasks)
 
     def add(self, task: asyncio.Task[Result | AttemptFailed]) -> None:
         """Adds an attempt."""
-        task.add_done_callback(lambda _: self._answered.set())
+        task.add_done_callback(lambda _: self._decided.set())
         self.tasks.append(task)
 
-    def win(self, number: int) -> None:
-        """Cancels all attempts but the one that has begun to answer."""
-        self._answered.set()
+    def cancel_others(self, index: int) -> None:
+        """Cancels all attempts except the one that has begun to respond."""
+        self._decided.set()
         for other, task in enumerate(self.tasks):
-            if other != number:
+            if other != index:
                 task.cancel()
 
-    async def wait_for_answer(self, patience_s: float) -> bool:
-        """Waits until the first attempt answers or fails; returns whether it did in time."""
+    async def wait_for_response(self, delay_s: float) -> bool:
+        """Waits until the first attempt responds or fails; returns whether it did in time."""
         try:
-            async with asyncio.timeout(None if patience_s == math.inf else patience_s):
-                await self._answered.wait()
+            async with asyncio.timeout(None if delay_s == math.inf else delay_s):
+                await self._decided.wait()
         except TimeoutError:
             return False
         return True
 
     def find_result(self) -> Result | AttemptFailed:
-        """Returns the answer, else the failure of the attempt that came furthest."""
-        ended = [task.result() for task in self.tasks if not task.cancelled()]
-        failures = [result for result in ended if isinstance(result, AttemptFailed)]
-        answers = [result for result in ended if not isinstance(result, AttemptFailed)]
-        if answers:
-            return answers[0]
-        # An answer that was cut decides what the caller may be told.
+        """Returns the response, or else the failure of the attempt that got furthest."""
+        results = [task.result() for task in self.tasks if not task.cancelled()]
+        failures = [result for result in results if isinstance(result, AttemptFailed)]
+        responses = [result for result in results if not isinstance(result, AttemptFailed)]
+        if responses:
+            return responses[0]
+        # A response that was cut off determines which error the caller may get.
         return max(failures, key=lambda failure: failure.caller_has_part)
 
 
 def may_hedge(delivery: Delivery, permit: Permit) -> bool:
-    """Returns whether a second attempt does no harm: the request may run twice and is short."""
+    """Returns whether the request may be hedged: it is short and safe to run twice."""
     return (
         delivery.call.idempotent
         and delivery.call.is_replayable
--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -1,4 +1,4 @@
-"""Permits that this entry VM grants to itself, without the owner of the slots."""
+"""Permits that an entry VM grants to itself, without the owner of the slots."""
 
 from __future__ import annotations
 
@@ -30,9 +30,16 @@
 
 
 def divide_slots(servers: list[str], slots: int, sharers: list[str], vm: str) -> dict[str, int]:
-    """Returns the slots of each server that one VM may use without the owner.
+    """Returns the number of slots of each server that one VM may use without the owner.
 
-    The slots of all servers are dealt to the VMs in turn, so the shares add up to the slots.
+    The slots of all servers are assigned to the VMs round robin, so that the shares of all VMs add
+    up to the slots.
+
+    Args:
+        servers: Names of the servers.
+        slots: Slots of one server.
+        sharers: Names of the VMs that share the slots.
+        vm: The VM whose share is returned.
 
     Example:
         >>> [divide_slots(["s", "t"], 3, ["a", "b"], vm) for vm in ("a", "b")]
@@ -49,7 +56,7 @@
 
 
 class ShareView(Protocol):
-    """What a VM must know to use its share of slots without their owner."""
+    """The configuration, servers and members that local shares need."""
 
     @property
     def settings(self) -> Settings:
@@ -59,35 +66,35 @@
         """Returns the availability zone of a site."""
 
     def find_capacity(self, key: SlotKey) -> tuple[SiteCapacity, bool]:
-        """Returns what a server of a service takes at a site, and if classes are mixed."""
+        """Returns the capacity of a server at a site, and whether both classes are served."""
 
     def list_servers(self, service: str, site: str) -> list[ServerAddress]:
-        """Returns the servers that take new requests."""
+        """Returns the servers that accept new requests."""
 
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the entry VMs of a zone that can own slots."""
 
 
 class LocalShares:
-    """This VM's share of the slots of its own zone, for times without a reachable owner."""
+    """This VM's share of the slots of its own zone, used while their owner is unreachable."""
 
     def __init__(self, view: ShareView) -> None:
         self._view = view
         self._queues: dict[SlotKey, PermitQueue] = {}
-        self._deliveries: dict[str, asyncio.Future[Grant | Refusal]] = {}
+        self._futures: dict[str, asyncio.Future[Grant | Refusal]] = {}
 
-    async def take(
+    async def acquire(
         self, key: SlotKey, demand: PermitDemand, held: Counter[str], wait_s: float
     ) -> ServerAddress | None:
-        """Waits for a permit from the share; returns None if there was none in time.
+        """Waits for a permit from the share; returns None if none is granted in time.
 
-        Requests that waited for the owner come all at once when it is found unreachable, so they
-        queue for the share.
+        The requests that waited for the owner all arrive at once when it is found unreachable, so
+        they queue for the share.
 
         Args:
-            key: The slots.
-            demand: The request.
-            held: Permits of owners that this VM holds at each server; they count in the share.
+            key: The service and the site.
+            demand: The request for a permit.
+            held: Permits that owners granted to this VM at each server; they count in the share.
             wait_s: How long to wait.
 
         Raises:
@@ -95,9 +102,9 @@
         """
         queue = self._refresh_queue(key, held)
         future: asyncio.Future[Grant | Refusal] = asyncio.get_running_loop().create_future()
-        self._deliveries[demand.permit] = future
+        self._futures[demand.permit] = future
         try:
-            self._deliver(queue.demand(demand, time.monotonic()))
+            self._resolve_futures(queue.demand(demand, time.monotonic()))
             async with asyncio.timeout(wait_s):
                 decision = await future
         except TimeoutError:
@@ -107,7 +114,7 @@
             queue.cancel(demand.permit, time.monotonic())
             raise
         finally:
-            self._deliveries.pop(demand.permit, None)
+            self._futures.pop(demand.permit, None)
         if isinstance(decision, Refusal):
             raise NotRun(ErrorKind.OVERLOADED, decision.reason)
         return decision.server
@@ -116,12 +123,12 @@
         """Returns a permit of the share."""
         now = time.monotonic()
         self._queues[key].release(permit, how, elapsed_s, now)
-        self._deliver(self._queues[key].poll(now))
+        self._resolve_futures(self._queues[key].poll(now))
 
     def _refresh_queue(self, key: SlotKey, held: Counter[str]) -> PermitQueue:
         service, site = key
-        own_zone = self._view.settings.zone
-        if self._view.find_zone(site) != own_zone:
+        local_zone = self._view.settings.zone
+        if self._view.find_zone(site) != local_zone:
             raise SiteUnreachable(f"the owner of the slots of {site!r} is unreachable")
         capacity, mixed = self._view.find_capacity(key)
         queue = self._queues.get(key)
@@ -131,7 +138,7 @@
         queue.set_capacity(capacity, mixed)
         servers = self._view.list_servers(service, site)
         queue.set_servers(servers)
-        sharers = sorted({member.vm for member in self._view.list_zone_entries(own_zone)})
+        sharers = sorted({member.vm for member in self._view.list_zone_entries(local_zone)})
         share = divide_slots(
             sorted(server.vm for server in servers),
             capacity.slots,
@@ -141,22 +148,22 @@
         queue.set_shares({vm: max(0, slots - held[vm]) for vm, slots in share.items()})
         return queue
 
-    def _deliver(self, decisions: list[Grant | Refusal]) -> None:
+    def _resolve_futures(self, decisions: list[Grant | Refusal]) -> None:
         for decision in decisions:
-            future = self._deliveries.get(decision.demand.permit)
+            future = self._futures.get(decision.demand.permit)
             if future is not None and not future.done():
                 future.set_result(decision)
 
 
-class LocalChoice:
-    """Choice of servers for services that the plan gives a policy without an owner."""
+class LocalSelector:
+    """Selects servers for services whose selection policy needs no owner of slots."""
 
     def __init__(self, view: EntryView) -> None:
         self._view = view
         self._pools: dict[SlotKey, LocalPool] = {}
 
-    def take(self, key: SlotKey, demand: PermitDemand, policy: str) -> ServerAddress:
-        """Chooses a server by the policy.
+    def select(self, key: SlotKey, demand: PermitDemand, policy: str) -> ServerAddress:
+        """Selects a server by the policy.
 
         Raises:
             NotRun: If the site has no server.
@@ -174,6 +181,6 @@
         return server
 
     def release(self, key: SlotKey, permit: str) -> None:
-        """Counts the end of a request; a permit of another kind is ignored."""
+        """Records the end of a request; permits of other kinds are ignored."""
         if key in self._pools:
             self._pools[key].release(permit)
--- a/src/briarfork/entry/overflow.py
+++ b/src/briarfork/entry/overflow.py
@@ -1,4 +1,4 @@
-"""Permits, and requests for one at several sites of a region of which the first counts."""
+"""Permits, and staggered requests for a permit at several sites of a region."""
 
 from __future__ import annotations
 
@@ -19,15 +19,16 @@
     from briarfork.entry.slots import SlotKey
     from briarfork.pools import ServerAddress
 
-    Ask = Callable[[], Coroutine[Any, Any, "Permit | NotRun"]]
-    Asked = asyncio.Task["Permit | NotRun"]
+    PermitRequester = Callable[[], Coroutine[Any, Any, "Permit | NotRun"]]
+    PermitTask = asyncio.Task["Permit | NotRun"]
 
-# Names of VMs begin with a letter or a digit, so these cannot be owners.
+# Owners of permits that were granted locally. Names of VMs begin with a letter or a digit, so
+# these values never collide with one.
 LOCAL_SHARE = "-share"
-LOCAL_CHOICE = "-choice"
-# A request that gets no slot in its own site within the round-trip time to another zone of the
-# region also waits there.
-OVERFLOW_AFTER_S = 0.004
+LOCAL_SELECTION = "-choice"
+# Delay before the next site is asked as well, equal to the round-trip time between two zones of a
+# region.
+OVERFLOW_DELAY_S = 0.004
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +36,8 @@
     """The right to send one request to one server.
 
     Attributes:
-        owner: Entry VM that granted it, or the kind of a permit that needs no owner.
+        name: Unique name.
+        owner: Entry VM that granted the permit, or the kind of a permit that this VM granted.
     """
 
     name: str
@@ -47,17 +49,23 @@
 
     @property
     def key(self) -> SlotKey:
-        """The slots that it belongs to."""
+        """Service and site of the slot."""
         return self.service, self.site
 
     @property
     def is_local(self) -> bool:
-        """Whether this VM granted it without the owner of the slots."""
-        return self.owner in (LOCAL_SHARE, LOCAL_CHOICE)
+        """Whether this VM granted the permit without the owner of the slots."""
+        return self.owner in (LOCAL_SHARE, LOCAL_SELECTION)
 
 
-async def ask_in_turn(asks: Sequence[Ask], give_back: Callable[[Permit], None]) -> list[Permit]:
-    """Asks the first site and, while it does not grant, the next ones as well.
+async def request_staggered(
+    requesters: Sequence[PermitRequester], release_unused: Callable[[Permit], None]
+) -> list[Permit]:
+    """Requests a permit at the first site and, after a delay or a refusal, at the next ones too.
+
+    Args:
+        requesters: Start the request at each site, in order of preference.
+        release_unused: Called with each granted permit if this call fails or is cancelled.
 
     Returns:
         The permits that were granted, at least one; those after the first are not needed.
@@ -65,19 +73,21 @@
     Raises:
         NotRun: The refusal of the first site, if all refuse.
     """
-    tasks: list[Asked] = []
+    tasks: list[PermitTask] = []
     try:
         async with asyncio.TaskGroup() as group:
-            for ask in asks:
-                tasks.append(group.create_task(ask()))
-                await _wait_for_permit(tasks, OVERFLOW_AFTER_S if len(tasks) < len(asks) else None)
+            for start_request in requesters:
+                tasks.append(group.create_task(start_request()))
+                await _wait_for_permit(
+                    tasks, OVERFLOW_DELAY_S if len(tasks) < len(requesters) else None
+                )
                 if _list_permits(tasks):
                     break
             for task in tasks:
                 task.cancel()
     except BaseException:
         for permit in _list_permits(tasks):
-            give_back(permit)
+            release_unused(permit)
         raise
     permits = _list_permits(tasks)
     if not permits:
@@ -85,19 +95,19 @@
     return permits
 
 
-def _list_results(tasks: Iterable[Asked]) -> list[Permit | NotRun]:
-    ended = [task for task in tasks if task.done() and not task.cancelled()]
-    return [task.result() for task in ended if task.exception() is None]
+def _list_results(tasks: Iterable[PermitTask]) -> list[Permit | NotRun]:
+    done = [task for task in tasks if task.done() and not task.cancelled()]
+    return [task.result() for task in done if task.exception() is None]
 
 
-def _list_permits(tasks: Iterable[Asked]) -> list[Permit]:
+def _list_permits(tasks: Iterable[PermitTask]) -> list[Permit]:
     return [result for result in _list_results(tasks) if isinstance(result, Permit)]
 
 
-async def _wait_for_permit(tasks: list[Asked], patience_s: float | None) -> None:
-    """Waits until a task has a permit, all tasks are refused, or the patience ends."""
+async def _wait_for_permit(tasks: list[PermitTask], timeout_s: float | None) -> None:
+    """Waits until a task has a permit, all tasks are refused, or the time is over."""
     try:
-        async with asyncio.timeout(patience_s):
+        async with asyncio.timeout(timeout_s):
             pending = set(tasks)
             while pending:
                 done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
--- a/src/briarfork/entry/owner_link.py
+++ b/src/briarfork/entry/owner_link.py
@@ -24,50 +24,55 @@
     from briarfork.border.streams import MessageStream
     from briarfork.membership import Member
 
-HeldPermits = Callable[[str], "list[PermitHeld]"]
+ListHeldPermits = Callable[[str], "list[PermitHeld]"]
 
 
 class OwnerUnreachable(BriarforkError):
-    """The owner of the slots did not decide; it is not known to have refused."""
+    """The owner of the slots sent no decision, so the request is neither granted nor refused."""
 
     def __init__(self, detail: str) -> None:
         super().__init__(ErrorKind.OVERLOADED, detail)
 
 
 class OwnerLink:
-    """The stream to one owner; one task keeps it."""
+    """The stream to one owner, kept open by one task."""
 
     def __init__(self, owner: Member, settings: Settings) -> None:
         self.owner = owner
         self._settings = settings
         self._stream: MessageStream | None = None
-        # Set after the first attempt to reach the owner; requests never wait for a later one.
-        self._tried = asyncio.Event()
+        # Set after the first connection attempt; requests never wait for a later one.
+        self._connection_tried = asyncio.Event()
         self._pending: dict[str, asyncio.Future[Message]] = {}
 
-    async def run(self, list_held: HeldPermits) -> None:
-        """Dials the owner, declares held permits and takes decisions, again after every loss."""
+    async def run(self, list_held: ListHeldPermits) -> None:
+        """Connects to the owner, declares permits and receives decisions; reconnects on a loss."""
         timeouts = self._settings.timeouts
         while True:
             try:
                 stream = await dial(
                     self.owner.address, self.owner.ports["permits"], timeouts.connect_s
                 )
-                await self._converse(stream, list_held)
+                await self._run_stream(stream, list_held)
             except StreamClosed:
                 pass
-            self._close()
+            self._fail_pending()
             await asyncio.sleep(timeouts.permit_heartbeat_s)
 
-    async def ask(self, message: PermitRequest, wait_s: float) -> Message:
+    async def request_permit(self, message: PermitRequest, wait_s: float) -> Message:
         """Sends a request for a permit and returns the decision.
 
+        Args:
+            message: The request.
+            wait_s: Longest wait for the decision, in seconds.
+
         Raises:
             OwnerUnreachable: If the stream is not open or ends before the decision.
+            TimeoutError: If there is no decision in time; the request is cancelled at the owner.
         """
         try:
             async with asyncio.timeout(min(wait_s, self._settings.timeouts.connect_s)):
-                await self._tried.wait()
+                await self._connection_tried.wait()
         except TimeoutError as error:
             raise OwnerUnreachable(f"no stream to {self.owner.vm}") from error
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
@@ -101,42 +106,42 @@
         except StreamClosed:
             return
 
-    async def _converse(self, stream: MessageStream, list_held: HeldPermits) -> None:
+    async def _run_stream(self, stream: MessageStream, list_held: ListHeldPermits) -> None:
         settings = self._settings
         silence_s = settings.timeouts.permit_silence_s
         try:
             stream.send(Hello(settings.vm, settings.zone))
-            # The kernel accepts connections for an owner that is stopped, so only a message from
-            # it shows that it runs. Permits are declared after it, so that none is missed.
-            self._decide(await stream.receive(silence_s))
+            # The kernel accepts connections for a stopped process, so only a message from the owner
+            # shows that it runs. Permits are declared after this message, so that none is missed.
+            self._resolve(await stream.receive(silence_s))
             for held in list_held(self.owner.vm):
                 stream.send(held)
             self._stream = stream
-            self._tried.set()
+            self._connection_tried.set()
             async with asyncio.TaskGroup() as group:
-                beats = group.create_task(
+                heartbeats = group.create_task(
                     send_heartbeats(stream, settings.timeouts.permit_heartbeat_s)
                 )
                 try:
                     while True:
-                        self._decide(await stream.receive(silence_s))
+                        self._resolve(await stream.receive(silence_s))
                 finally:
-                    beats.cancel()
+                    heartbeats.cancel()
         except* BriarforkError:
             pass
         finally:
             stream.abort()
 
-    def _decide(self, message: Message) -> None:
+    def _resolve(self, message: Message) -> None:
         if not isinstance(message, PermitGrant | PermitRefusal):
             return
         future = self._pending.get(message.permit)
         if future is not None and not future.done():
             future.set_result(message)
 
-    def _close(self) -> None:
+    def _fail_pending(self) -> None:
         self._stream = None
-        self._tried.set()
+        self._connection_tried.set()
         for future in self._pending.values():
             if not future.done():
                 future.set_exception(OwnerUnreachable(f"the stream to {self.owner.vm} ended"))
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -1,4 +1,4 @@
-"""Permits for backend server slots, as the request path asks for them."""
+"""Permits for slots of backend servers, as the request path acquires them."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from briarfork.entry.local import LocalChoice
-from briarfork.entry.overflow import LOCAL_CHOICE
+from briarfork.entry.local import LocalSelector
+from briarfork.entry.overflow import LOCAL_SELECTION
 from briarfork.entry.overflow import Permit
-from briarfork.entry.overflow import ask_in_turn
+from briarfork.entry.overflow import request_staggered
 from briarfork.entry.slot_client import SlotClient
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
@@ -20,19 +20,19 @@
 
 if TYPE_CHECKING:
     from briarfork.configuration import RequestClass
-    from briarfork.entry.slots import SlotDesk
     from briarfork.entry.slots import SlotKey
+    from briarfork.entry.slots import SlotManager
     from briarfork.entry.view import EntryView
     from briarfork.requests import Deadline
 
 
 class PermitClient(SlotClient):
-    """Acquires permits at a site and its siblings, by the selection policy of the service."""
+    """Acquires permits at a site and the other sites of its region, by the selection policy."""
 
-    def __init__(self, view: EntryView, desk: SlotDesk) -> None:
+    def __init__(self, view: EntryView, desk: SlotManager) -> None:
         super().__init__(view, desk)
         self._entry_view = view
-        self._choice = LocalChoice(view)
+        self._local_selector = LocalSelector(view)
 
     async def acquire(
         self,
@@ -42,26 +42,26 @@
         deadline: Deadline,
         avoid: frozenset[str],
     ) -> Permit:
-        """Waits for a permit until the deadline, at the site first and then in its region, too.
+        """Waits for a permit until the deadline, at the site first and then also in its region.
 
         Raises:
-            NotRun: If there is none in time.
+            NotRun: If no permit is granted in time.
         """
         steering = self._entry_view.require_steering()
         policy = steering.plan.services[service].selection
         if policy != PERMITS:
             demand = self.build_demand(request_class, deadline, avoid)
-            server = self._choice.take((service, site), demand, policy)
-            return self.keep(
-                Permit(demand.permit, service, site, request_class, server, LOCAL_CHOICE)
+            server = self._local_selector.select((service, site), demand, policy)
+            return self.track(
+                Permit(demand.permit, service, site, request_class, server, LOCAL_SELECTION)
             )
         siblings = steering.find_siblings(service, site, time.time())
         keys = [(service, name) for name in (site, *siblings)]
         demands = {key: self.build_demand(request_class, deadline, avoid) for key in keys}
-        return await self._ask_sites(demands, deadline)
+        return await self._request_at_sites(demands, deadline)
 
     async def acquire_hedge(self, first: Permit, deadline: Deadline) -> Permit:
-        """Acquires a permit for a second attempt at another server, without a wait for a slot.
+        """Acquires a permit for a hedged attempt at another server, without a wait for a slot.
 
         Raises:
             NotRun: If the load is too high or no other server of the region has a free slot.
@@ -69,7 +69,9 @@
         steering = self._entry_view.require_steering()
         siblings = steering.find_siblings(first.service, first.site, time.time())
         if steering.is_receiving(first.service, first.site, time.time()):
-            raise NotRun(ErrorKind.OVERLOADED, "a second attempt would count as moved by a shift")
+            raise NotRun(
+                ErrorKind.OVERLOADED, "a hedged attempt would count against the cap of a shift"
+            )
         avoid = frozenset({first.server.vm})
         demands = {
             (first.service, site): replace(
@@ -77,27 +79,31 @@
             )
             for site in (first.site, *siblings)
         }
-        return await self._ask_sites(demands, deadline)
+        return await self._request_at_sites(demands, deadline)
 
     def release(
-        self, permit: Permit, how: Release, elapsed_s: float, slowness: float = 0.0
+        self, permit: Permit, outcome: Release, elapsed_s: float, slowness: float = 0.0
     ) -> None:
-        """Returns a permit."""
-        if permit.owner == LOCAL_CHOICE:
-            self._choice.release(permit.key, permit.name)
-        super().release(permit, how, elapsed_s, slowness)
+        """Releases a permit."""
+        if permit.owner == LOCAL_SELECTION:
+            self._local_selector.release(permit.key, permit.name)
+        super().release(permit, outcome, elapsed_s, slowness)
 
-    async def _ask_sites(self, demands: dict[SlotKey, PermitDemand], deadline: Deadline) -> Permit:
-        """Asks one site after the other and takes the first permit.
+    async def _request_at_sites(
+        self, demands: dict[SlotKey, PermitDemand], deadline: Deadline
+    ) -> Permit:
+        """Requests a permit at each site in turn and returns the first one granted.
 
         Raises:
-            NotRun: If all refuse.
+            NotRun: If all sites refuse.
         """
-        asks = [partial(self.ask_site, key, demand, deadline) for key, demand in demands.items()]
-        permits = await ask_in_turn(asks, self._return_unused)
+        requesters = [
+            partial(self.request_permit, key, demand, deadline) for key, demand in demands.items()
+        ]
+        permits = await request_staggered(requesters, self._release_unused)
         for permit in permits[1:]:
-            self._return_unused(permit)
-        return self.keep(permits[0])
+            self._release_unused(permit)
+        return self.track(permits[0])
 
-    def _return_unused(self, permit: Permit) -> None:
+    def _release_unused(self, permit: Permit) -> None:
         self.release(permit, Release.UNUSED, 0.0)
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -14,7 +14,8 @@
 from briarfork.border.platform import Platform
 from briarfork.border.store import Store
 from briarfork.border.streams import serve
-from briarfork.entry.claims import ClaimBook
+from briarfork.entry.claimed_requests import ClaimedRequests
+from briarfork.entry.claims import ClaimRepository
 from briarfork.entry.connections import ServerConnections
 from briarfork.entry.control_link import ControlLink
 from briarfork.entry.follower import Follower
@@ -24,8 +25,7 @@
 from briarfork.entry.http import build_app
 from briarfork.entry.permits import PermitClient
 from briarfork.entry.routing import Router
-from briarfork.entry.runs import RunningClaims
-from briarfork.entry.slots import SlotDesk
+from briarfork.entry.slots import SlotManager
 from briarfork.entry.view import EntryView
 
 if TYPE_CHECKING:
@@ -53,17 +53,17 @@
         self.metrics = Metrics(settings)
         self.leaving = False
         self.view = EntryView(settings, events)
-        self.slots = SlotDesk(settings, events, self.view)
+        self.slots = SlotManager(settings, events, self.view)
         self.permits = PermitClient(self.view, self.slots)
         self.router = Router(self.view, self.permits, self.metrics)
         self.control = ControlLink(self)
         store = Store(settings, platform_session)
         self.follower = Follower(self, store, Platform(settings, platform_session))
-        self.claims = ClaimBook(store, events)
+        self.claims = ClaimRepository(store, events)
         self.connections = ServerConnections(settings)
         self.forwarder = Forwarder(settings, self.connections)
         self.hedger = Hedger(self)
-        self.runs = RunningClaims()
+        self.claimed_requests = ClaimedRequests()
 
     def refresh_slots(self) -> None:
         """Applies a change of the view to the slots that this VM owns."""
@@ -110,10 +110,10 @@
                     self.follower.follow_list(),
                     self.slots.poll(),
                     self._report_load(),
-                    self.permits.keep_links(),
+                    self.permits.maintain_links(),
                     self.connections.run(),
                     self.claims.run(),
-                    self.runs.run(),
+                    self.claimed_requests.run(),
                 )
             ]
             await stopping.wait()
@@ -136,4 +136,4 @@
         callers.close()
         # Closes idle connections, then waits for requests in progress.
         await runner.cleanup()
-        await self.runs.wait_until_ended(timeouts.stop_s)
+        await self.claimed_requests.wait_until_done(timeouts.stop_s)
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -68,7 +68,9 @@
             answer = await self._send(call, service)
             assert isinstance(answer, web.StreamResponse)
             return answer
-        return await self._process.runs.finish(self._send_claimed(call, service, claim))
+        return await self._process.claimed_requests.run_to_completion(
+            self._send_claimed(call, service, claim)
+        )
 
     async def _read_call(self, request: web.Request, service: Service) -> Call:
         path = read_path(request)
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -1,4 +1,4 @@
-"""Chooses the site of a request and acquires a permit there."""
+"""Selects the site of a request and acquires a permit there."""
 
 from __future__ import annotations
 
@@ -30,15 +30,15 @@
     from briarfork.entry.view import EntryView
 
 UNKNOWN_CLIENT = "0.0.0.0"
-# Refusals that another site may make good.
-REFUSED_BY_SITE = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_SERVER})
+# Errors of one site after which the request may succeed at another one.
+FAILOVER_ERRORS = frozenset({ErrorKind.OVERLOADED, ErrorKind.NO_SERVER})
 
 
 class Router:
-    """Decides where a request goes.
+    """Routes requests to sites.
 
-    The assigned site comes first, then other sites within this VM's part of their headroom. What
-    none of them takes is refused as not run.
+    The assigned site comes first, then other sites within this VM's share of their headroom. A
+    request that no site accepts is refused as not run.
     """
 
     def __init__(self, view: EntryView, permits: PermitClient, metrics: Metrics) -> None:
@@ -46,27 +46,28 @@
         self._permits = permits
         self._metrics = metrics
         self._failover = Failover(view, permits)
-        self._returned: dict[tuple[str, str], Recovery] = {}
-        self._recoveries: dict[tuple[str, str], Recovery] = {}
+        self._lookup_recoveries: dict[tuple[str, str], Recovery] = {}
+        self._request_recoveries: dict[tuple[str, str], Recovery] = {}
 
     def accept_load(self, loads: Iterable[Load]) -> None:
-        """Takes the loads that owners of slots have reported."""
+        """Updates the headroom of sites from the loads that owners of slots have reported."""
         self._failover.accept_load(loads)
 
     def find_lookup_site(self, service: str, client: str) -> str:
-        """Returns the site to which a lookup directs a client.
+        """Returns the site that a lookup returns to a client.
 
         Raises:
             NotRun: If the service is unknown or the client is not an address.
         """
         site = self._view.require_steering().assign(service, client, time.time())
-        returned = self._returned.setdefault((service, site), Recovery())
+        recovery = self._lookup_recoveries.setdefault((service, site), Recovery())
         if self._is_lost(service, site):
-            returned.record_loss(time.monotonic())
+            recovery.record_loss(time.monotonic())
         else:
-            returned.record_success(time.monotonic())
-            # The same client groups return first at every lookup, so no client goes to and fro.
-            if returned.level == 1.0 or hash_unit(f"{find_group(client)}") <= returned.level:
+            recovery.record_success(time.monotonic())
+            # The hash returns the same client groups first at every lookup, so that no client
+            # switches back and forth.
+            if recovery.level == 1.0 or hash_unit(f"{find_group(client)}") <= recovery.level:
                 return site
         return self._failover.choose_for_lookup(service, site, client) or site
 
@@ -75,39 +76,39 @@
 
         Args:
             call: The request.
-            service: Its service.
+            service: The service of the request.
             avoid: Backend servers that earlier attempts of the request have used.
 
         Raises:
-            NotRun: If no site can take the request.
+            NotRun: If no site accepts the request.
         """
         client = call.request.remote or UNKNOWN_CLIENT
         assigned, admitted = self._assign(service, client)
-        refused: NotRun | None = None
+        refusal: NotRun | None = None
         if admitted:
             try:
                 permit = await self._acquire_assigned(call, service, avoid, assigned)
             except NotRun as error:
-                if error.kind not in REFUSED_BY_SITE:
+                if error.kind not in FAILOVER_ERRORS:
                     raise
-                refused = error
-                self._note_refusal(error, service.name, assigned.site)
+                refusal = error
+                self._record_refusal(error, service.name, assigned.site)
             else:
                 if permit.site == assigned.site:
                     recovery = self._find_recovery(service.name, assigned.site)
                     recovery.record_success(time.monotonic())
                 return permit
-        permit_elsewhere = await self._failover.acquire(call, service, client, avoid, assigned.site)
-        if permit_elsewhere is not None:
+        failover_permit = await self._failover.acquire(call, service, client, avoid, assigned.site)
+        if failover_permit is not None:
             self._metrics.count(Metric.OVERFLOWS, service.name)
-            return permit_elsewhere
-        if refused is None and not self._is_lost(service.name, assigned.site):
+            return failover_permit
+        if refusal is None and not self._is_lost(service.name, assigned.site):
             return await self._acquire_assigned(call, service, avoid, assigned)
-        reason = refused.detail if refused else f"site {assigned.site!r} is lost"
+        reason = refusal.detail if refusal else f"site {assigned.site!r} is unavailable"
         raise NotRun(ErrorKind.OVERLOADED, f"{reason}; no other site has headroom")
 
     def _assign(self, service: Service, client: str) -> tuple[Assigned, bool]:
-        """Returns the site of a request, and whether it may go there after a loss of the site."""
+        """Returns the assigned site, and whether the recovery after a loss admits the request."""
         steering = self._view.require_steering()
         assigned = steering.assign_request(service.name, client, time.time(), time.monotonic())
         if assigned.held_back:
@@ -119,14 +120,14 @@
         return assigned, admitted
 
     def _find_recovery(self, service: str, site: str) -> Recovery:
-        return self._recoveries.setdefault((service, site), Recovery())
+        return self._request_recoveries.setdefault((service, site), Recovery())
 
-    def _note_refusal(self, error: NotRun, service: str, site: str) -> None:
+    def _record_refusal(self, error: NotRun, service: str, site: str) -> None:
         if isinstance(error, SiteUnreachable) or self._is_lost(service, site):
             self._find_recovery(service, site).record_loss(time.monotonic())
 
     def _is_lost(self, service: str, site: str) -> bool:
-        """Returns whether a site has no server, or no entry VM that could own its slots."""
+        """Returns whether a site has no backend server, or no entry VM that can own its slots."""
         return (
             not self._view.list_servers(service, site)
             or self._view.find_owner(service, site) is None
@@ -142,25 +143,27 @@
     async def _acquire_moved(
         self, call: Call, service: Service, avoid: frozenset[str], assigned: Assigned
     ) -> Permit:
-        """Acquires a permit at a receiving site at once, or at the site before the shift.
+        """Acquires a permit at the receiving site of a shift within a short time, or else at home.
 
-        A moved request that waited longer could start together with requests that the cap admits
-        later, and the receiving site would get more than the cap in one second.
+        A moved request that waits longer could start together with requests that the cap admits
+        later, so that the receiving site would get more than the cap within one second.
         """
         admitted_at = time.monotonic()
-        soon = Deadline(min(call.deadline.expires_at, admitted_at + MOVE_DELAY_S))
+        move_deadline = Deadline(min(call.deadline.expires_at, admitted_at + MOVE_DELAY_S))
         try:
-            permit = await self._acquire_at(assigned.site, call, service, avoid, soon)
-        except NotRun as refused:
+            permit = await self._acquire_at(assigned.site, call, service, avoid, move_deadline)
+        except NotRun as refusal:
             if assigned.home is None:
-                raise refused
-            self._note_refusal(refused, service.name, assigned.site)
+                raise refusal
+            self._record_refusal(refusal, service.name, assigned.site)
             return await self._acquire_at(assigned.home, call, service, avoid, call.deadline)
         if time.monotonic() - admitted_at <= MOVE_DELAY_S:
             return permit
         self._permits.release(permit, Release.UNUSED, 0.0)
         if assigned.home is None:
-            raise NotRun(ErrorKind.OVERLOADED, "the permit of a moved request came too late")
+            raise NotRun(
+                ErrorKind.OVERLOADED, "the receiving site of a shift granted no permit in time"
+            )
         return await self._acquire_at(assigned.home, call, service, avoid, call.deadline)
 
     async def _acquire_at(
@@ -173,5 +176,5 @@
     ) -> Permit:
         request_class = service.find_route(call.path).request_class
         half = call.deadline.leave_half(time.monotonic())
-        limit = Deadline(min(deadline.expires_at, half.expires_at))
-        return await self._permits.acquire(service.name, site, request_class, limit, avoid)
+        wait_deadline = Deadline(min(deadline.expires_at, half.expires_at))
+        return await self._permits.acquire(service.name, site, request_class, wait_deadline, avoid)
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -1,4 +1,4 @@
-"""Permits as any request path asks for them, from this process or from owners elsewhere."""
+"""Client side of the permit protocol: requests to slot owners in this process or on other VMs."""
 
 from __future__ import annotations
 
@@ -36,22 +36,23 @@
     from collections.abc import Mapping
 
     from briarfork.configuration import RequestClass
-    from briarfork.entry.slots import SlotDesk
     from briarfork.entry.slots import SlotKey
+    from briarfork.entry.slots import SlotManager
     from briarfork.membership import Member
     from briarfork.requests import Deadline
 
-# Pause before the new owner of moved slots is asked; views of the roster differ for a moment.
-MOVED_PAUSE_S = 0.05
-# Weight of the newest run time in the moving mean of a service.
+# Delay before the next request after a change of owner, because VMs see the change at slightly
+# different times.
+OWNER_CHANGE_DELAY_S = 0.05
+# Weight of the newest value in the moving average of a service's run times.
 RUN_TIME_WEIGHT = 0.1
 
 
 class SlotRefused(NotRun):
-    """A permit that was refused.
+    """A request for a permit was refused.
 
     Attributes:
-        wait_s: Expected time until there is room, 0 if unknown.
+        wait_s: Expected time until a slot becomes free, 0 if unknown.
     """
 
     def __init__(self, kind: ErrorKind, detail: str, wait_s: float = 0.0) -> None:
@@ -59,8 +60,8 @@
         self.wait_s = wait_s
 
 
-class ClientView(SlotView, ShareView, Protocol):
-    """What a requester must know beside what an owner of slots knows."""
+class SlotClientView(SlotView, ShareView, Protocol):
+    """The configuration, servers and members that a requester of permits needs."""
 
     @property
     def members(self) -> Mapping[str, Member]:
@@ -68,69 +69,70 @@
 
 
 class SlotClient:
-    """Asks the owners of slots for permits and returns them.
+    """Requests permits from the owners of slots and releases them.
 
-    While an owner cannot be reached, a share of the slots of this VM's own zone takes its place.
+    While the owner of slots in this VM's zone is unreachable, permits come from this VM's share of
+    these slots instead.
     """
 
-    def __init__(self, view: ClientView, desk: SlotDesk) -> None:
+    def __init__(self, view: SlotClientView, desk: SlotManager) -> None:
         self._view = view
-        self._desk = desk
+        self._slot_manager = desk
         self._links: dict[str, OwnerLink] = {}
-        self._wanted = asyncio.Event()
+        self._link_added = asyncio.Event()
         self._held: dict[str, Permit] = {}
-        self._numbers = itertools.count(1)
-        self._self = Requester(view.settings.vm)
-        self._prefix = f"{view.settings.vm}-{time.time_ns():x}"
-        self._shares = LocalShares(view)
-        self.run_times: dict[str, float] = {}
+        self._permit_numbers = itertools.count(1)
+        self._requester = Requester(view.settings.vm)
+        self._permit_prefix = f"{view.settings.vm}-{time.time_ns():x}"
+        self._local_shares = LocalShares(view)
+        self.mean_run_times_s: dict[str, float] = {}
 
     def count_held(self, service: str, site: str) -> int:
-        """Returns how many permits of a service at a site this process holds."""
+        """Returns the number of permits of a service at a site that this process holds."""
         return sum(permit.key == (service, site) for permit in self._held.values())
 
     def release(
-        self, permit: Permit, how: Release, elapsed_s: float, slowness: float = 0.0
+        self, permit: Permit, outcome: Release, elapsed_s: float, slowness: float = 0.0
     ) -> None:
-        """Returns a permit.
+        """Releases a permit and updates the mean run time of its service.
 
         Args:
             permit: The permit.
-            how: How the request ended at the server.
-            elapsed_s: Time from the permit to the end of the response.
-            slowness: What the server said about its machine, 0 if nothing.
+            outcome: How the request ended at the server.
+            elapsed_s: Time from the grant of the permit to the end of the response, in seconds.
+            slowness: Slowness of its machine that the server reported, 0 if none.
         """
-        if how is Release.DONE:
-            known = self.run_times.get(permit.service, elapsed_s)
-            self.run_times[permit.service] = known + RUN_TIME_WEIGHT * (elapsed_s - known)
+        if outcome is Release.DONE:
+            mean_s = self.mean_run_times_s.get(permit.service, elapsed_s)
+            self.mean_run_times_s[permit.service] = mean_s + RUN_TIME_WEIGHT * (elapsed_s - mean_s)
         # The owner may have changed since the permit was granted.
         permit = self._held.pop(permit.name, permit)
         if permit.owner == LOCAL_SHARE:
-            self._shares.release(permit.key, permit.name, how, elapsed_s)
-        elif permit.owner == self._self.vm:
-            self._desk.release(permit.key, permit.name, how, elapsed_s, slowness)
+            self._local_shares.release(permit.key, permit.name, outcome, elapsed_s)
+        elif permit.owner == self._requester.vm:
+            self._slot_manager.release(permit.key, permit.name, outcome, elapsed_s, slowness)
         elif permit.owner in self._links:
-            message = PermitRelease(permit.name, *permit.key, how, elapsed_s * 1000.0, slowness)
+            message = PermitRelease(permit.name, *permit.key, outcome, elapsed_s * 1000.0, slowness)
             self._links[permit.owner].send_if_open(message)
 
     def refresh(self) -> None:
-        """Declares held permits to the owners that have taken over their slots."""
+        """Declares held permits to the new owners of their slots after a change of owner."""
         for permit in list(self._held.values()):
             owner = self._view.find_owner(*permit.key)
             if permit.is_local or owner is None or owner.vm == permit.owner:
                 continue
             self._held[permit.name] = replace(permit, owner=owner.vm)
-            if owner.vm == self._self.vm:
-                self._desk.adopt(self._self, _describe(permit))
+            if owner.vm == self._requester.vm:
+                self._slot_manager.adopt(self._requester, _build_declaration(permit))
             else:
-                self._find_link(owner).send_if_open(_describe(permit))
+                self._ensure_link(owner).send_if_open(_build_declaration(permit))
 
-    async def keep_links(self) -> None:
-        """Runs one task for each owner that this process has asked, until the owner is gone."""
+    async def maintain_links(self) -> None:
+        """Runs one task for each owner with a link, until the owner is no longer a member."""
         tasks: dict[str, asyncio.Task[None]] = {}
         async with asyncio.TaskGroup() as group:
             while True:
-                self._wanted.clear()
+                self._link_added.clear()
                 for vm in [vm for vm in tasks if vm not in self._view.members]:
                     tasks.pop(vm).cancel()
                     self._links.pop(vm, None)
@@ -139,52 +141,57 @@
                         tasks[vm] = group.create_task(link.run(self._list_held))
                 try:
                     async with asyncio.timeout(self._view.settings.timeouts.heartbeat_s):
-                        await self._wanted.wait()
+                        await self._link_added.wait()
                 except TimeoutError:
                     continue
 
-    async def ask_site(
+    async def request_permit(
         self, key: SlotKey, demand: PermitDemand, deadline: Deadline
     ) -> Permit | NotRun:
-        """Asks the owners of one site's slots until one decides; a refusal is returned.
+        """Requests a permit of one site, also from a new owner if the slots change hands.
 
         Args:
             key: The service and the site.
-            demand: The request.
-            deadline: When the wait for a decision ends.
+            demand: The request for a permit.
+            deadline: Latest time of a decision.
+
+        Returns:
+            The permit, or the refusal as an error that is not raised.
         """
         while True:
             owner = self._view.find_owner(*key)
             if owner is None:
-                return SlotRefused(ErrorKind.NO_SERVER, f"no entry VM serves site {key[1]!r}")
+                return SlotRefused(
+                    ErrorKind.NO_SERVER, f"no entry VM owns the slots of site {key[1]!r}"
+                )
             try:
-                answer = await self._ask(owner, key, demand, deadline)
-                if isinstance(answer, ServerAddress):
-                    return Permit(demand.permit, *key, demand.request_class, answer, owner.vm)
-                if not answer.moved:
-                    return SlotRefused(ErrorKind.OVERLOADED, answer.reason, answer.wait_s)
+                decision = await self._request_from_owner(owner, key, demand, deadline)
+                if isinstance(decision, ServerAddress):
+                    return Permit(demand.permit, *key, demand.request_class, decision, owner.vm)
+                if not decision.moved:
+                    return SlotRefused(ErrorKind.OVERLOADED, decision.reason, decision.wait_s)
                 async with asyncio.timeout(deadline.remaining_s(time.monotonic())):
-                    await asyncio.sleep(MOVED_PAUSE_S)
+                    await asyncio.sleep(OWNER_CHANGE_DELAY_S)
             except OwnerUnreachable as error:
                 if demand.hedge:
                     return SlotRefused(error.kind, error.detail)
-                self._desk.events.record(
+                self._slot_manager.events.record(
                     Event.OWNER_UNREACHABLE, owner=owner.vm, reason=error.detail
                 )
-                share = await self._take_share(key, demand, deadline)
-                if share is not None:
-                    return share
+                permit = await self._acquire_from_share(key, demand, deadline)
+                if permit is not None:
+                    return permit
                 if not deadline.remaining_s(time.monotonic()):
                     return SlotRefused(ErrorKind.OVERLOADED, "no slot became free in time")
             except TimeoutError:
                 return SlotRefused(ErrorKind.OVERLOADED, "no slot became free in time")
 
-    async def _ask(
+    async def _request_from_owner(
         self, owner: Member, key: SlotKey, demand: PermitDemand, deadline: Deadline
     ) -> ServerAddress | Refusal:
         wait_s = deadline.remaining_s(time.monotonic())
-        if owner.vm == self._self.vm:
-            return await self._ask_desk(key, demand, wait_s)
+        if owner.vm == self._requester.vm:
+            return await self._request_in_process(key, demand, wait_s)
         message = PermitRequest(
             permit=demand.permit,
             service=key[0],
@@ -196,34 +203,34 @@
             priority=demand.priority,
             object_key=demand.object_key,
         )
-        answer = await self._find_link(owner).ask(message, wait_s)
-        if isinstance(answer, PermitGrant):
-            return ServerAddress(answer.vm, answer.address, answer.port)
-        assert isinstance(answer, PermitRefusal)
-        return Refusal(demand, answer.reason, answer.moved, answer.wait_s)
+        decision = await self._ensure_link(owner).request_permit(message, wait_s)
+        if isinstance(decision, PermitGrant):
+            return ServerAddress(decision.vm, decision.address, decision.port)
+        assert isinstance(decision, PermitRefusal)
+        return Refusal(demand, decision.reason, decision.moved, decision.wait_s)
 
-    async def _ask_desk(
+    async def _request_in_process(
         self, key: SlotKey, demand: PermitDemand, wait_s: float
     ) -> ServerAddress | Refusal:
         future: asyncio.Future[Grant | Refusal] = asyncio.get_running_loop().create_future()
 
-        def deliver(decision: Grant | Refusal) -> None:
+        def resolve(decision: Grant | Refusal) -> None:
             if not future.done():
                 future.set_result(decision)
 
-        self._desk.demand(key, demand, deliver)
+        self._slot_manager.request_permit(key, demand, resolve)
         try:
             async with asyncio.timeout(wait_s):
                 decision = await future
         except (TimeoutError, asyncio.CancelledError):
-            self._desk.cancel(key, demand.permit)
+            self._slot_manager.cancel(key, demand.permit)
             raise
         return decision.server if isinstance(decision, Grant) else decision
 
-    async def _take_share(
+    async def _acquire_from_share(
         self, key: SlotKey, demand: PermitDemand, deadline: Deadline
     ) -> Permit | NotRun | None:
-        """Waits for a permit of the local share until it is time to look for an owner again."""
+        """Waits for a permit of the local share, up to the time for another try at the owner."""
         held = Counter(
             permit.server.vm
             for permit in self._held.values()
@@ -232,35 +239,37 @@
         silence_s = self._view.settings.timeouts.permit_silence_s
         wait_s = min(silence_s, deadline.remaining_s(time.monotonic()))
         try:
-            server = await self._shares.take(key, demand, held, wait_s)
+            server = await self._local_shares.acquire(key, demand, held, wait_s)
         except NotRun as refusal:
-            # Its type tells whether the whole site is out of reach.
+            # The type distinguishes an unreachable site from one without free slots.
             return refusal
         if server is None:
             return None
         return Permit(demand.permit, *key, demand.request_class, server, LOCAL_SHARE)
 
-    def keep(self, permit: Permit) -> Permit:
-        """Records a permit that is in use, so that a new owner of its slots hears of it."""
+    def track(self, permit: Permit) -> Permit:
+        """Records a permit that is in use, to be declared to a new owner of its slots."""
         self._held[permit.name] = permit
         return permit
 
-    def take(self, key: SlotKey, demand: PermitDemand, server: ServerAddress) -> Permit | None:
-        """Uses a slot without asking and declares it to the owner of the slots.
+    def acquire_optimistically(
+        self, key: SlotKey, demand: PermitDemand, server: ServerAddress
+    ) -> Permit | None:
+        """Uses a slot without a grant and declares the permit to the owner of the slots.
 
-        Saves the round trip to an owner far away; the owner counts the slot as soon as it hears
-        of it. Returns None if no owner is known.
+        Saves the round trip to an owner in another region, which counts the slot as used from the
+        arrival of the declaration. Returns None if no owner is known.
         """
         owner = self._view.find_owner(*key)
         if owner is None:
             return None
         permit = Permit(demand.permit, *key, demand.request_class, server, owner.vm)
-        declared = _describe(permit, demand.object_key)
-        if owner.vm == self._self.vm:
-            self._desk.adopt(self._self, declared)
+        declaration = _build_declaration(permit, demand.object_key)
+        if owner.vm == self._requester.vm:
+            self._slot_manager.adopt(self._requester, declaration)
         else:
-            self._find_link(owner).send_if_open(declared)
-        return self.keep(permit)
+            self._ensure_link(owner).send_if_open(declaration)
+        return self.track(permit)
 
     def build_demand(
         self,
@@ -270,11 +279,11 @@
         priority: int = 0,
         object_key: str = "",
     ) -> PermitDemand:
-        """Returns a demand with a new name."""
-        name = f"{self._prefix}-{next(self._numbers)}"
+        """Returns a demand under a new, unique permit name."""
+        name = f"{self._permit_prefix}-{next(self._permit_numbers)}"
         return PermitDemand(
             permit=name,
-            requester=self._self,
+            requester=self._requester,
             request_class=request_class,
             expires_at=deadline.expires_at,
             avoid=avoid,
@@ -283,19 +292,21 @@
             asked_at=time.monotonic(),
         )
 
-    def _find_link(self, owner: Member) -> OwnerLink:
+    def _ensure_link(self, owner: Member) -> OwnerLink:
         link = self._links.get(owner.vm)
         if link is None:
             link = OwnerLink(owner, self._view.settings)
             self._links[owner.vm] = link
-            self._wanted.set()
+            self._link_added.set()
         return link
 
     def _list_held(self, owner: str) -> list[PermitHeld]:
-        return [_describe(permit) for permit in self._held.values() if permit.owner == owner]
+        return [
+            _build_declaration(permit) for permit in self._held.values() if permit.owner == owner
+        ]
 
 
-def _describe(permit: Permit, object_key: str = "") -> PermitHeld:
+def _build_declaration(permit: Permit, object_key: str = "") -> PermitHeld:
     return PermitHeld(
         permit.name,
         permit.service,
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -1,4 +1,4 @@
-"""Slots of the sites that this entry process owns, and the streams of those who ask for them."""
+"""Permit queues for the slots that this VM owns, and the streams of VMs that request permits."""
 
 from __future__ import annotations
 
@@ -45,39 +45,39 @@
     from briarfork.pools import ServerAddress
 
 SlotKey = tuple[str, str]
-Deliver = Callable[[Grant | Refusal], None]
-
-# How often waiting requests are checked for expiry and pauses of servers for their end.
-POLL_S = 0.02
-# A new owner waits this long for requesters to declare the permits of the former owner. They
-# dial again after a heartbeat and a connection attempt.
-ADOPTION_S = 0.5
-# Bounds what requesters declare before this VM knows that it owns the slots.
-MAX_EARLY = 4096
-MILLISECONDS = 1000.0
+DecisionCallback = Callable[[Grant | Refusal], None]
+
+# Interval at which waiting requests are checked for expiry and paused servers for reactivation.
+POLL_INTERVAL_S = 0.02
+# A new owner grants nothing until requesters had time to declare the permits of the former owner.
+# They reconnect within one heartbeat interval and one connection attempt.
+ADOPTION_PERIOD_S = 0.5
+# Bounds the memory for declarations that arrive before this VM knows that it owns the slots.
+MAX_EARLY_DECLARATIONS = 4096
+MS_PER_S = 1000.0
 NOT_OWNER = "this VM does not own the slots"
 
-HANDLERS: Registry[Callable[[Any, Any, Any], None]] = Registry("message for an owner of slots")
+HANDLERS: Registry[Callable[[Any, Any, Any], None]] = Registry("permit message")
 
 
 class SlotView(Protocol):
-    """What an owner of slots must know of services, servers and other VMs."""
+    """The configuration, servers and members that an owner of slots needs."""
 
     def list_capacities(self) -> list[tuple[SlotKey, SiteCapacity, bool]]:
-        """Returns each service and site, what a server takes there, and if classes are mixed."""
+        """Returns service and site, capacity of a server, and whether both classes are served."""
 
     def find_owner(self, service: str, site: str) -> Member | None:
         """Returns the entry VM that owns the slots of a service at a site."""
 
     def list_servers(self, service: str, site: str) -> list[ServerAddress]:
-        """Returns the servers that take new requests."""
+        """Returns the servers that accept new requests."""
 
 
-class SlotDesk:
-    """All permit queues of one entry process.
+class SlotManager:
+    """Owns the permit queues of one entry process.
 
-    Decisions of a queue are delivered to the requester: over its stream, or by a call in this
-    process.
+    The decisions of a queue are passed to the requester by a callback, which writes to the stream
+    of a remote requester or completes a future in this process.
     """
 
     def __init__(
@@ -88,75 +88,77 @@
         self.events = events
         self._view = view
         self._queues: dict[SlotKey, PermitQueue] = {}
-        self._opens_at: dict[SlotKey, float] = {}
-        self._deliveries: dict[str, Deliver] = {}
-        self._early: dict[str, tuple[Requester, PermitHeld]] = {}
-        self._streams = itertools.count(1)
+        self._adoption_ends_at: dict[SlotKey, float] = {}
+        self._callbacks: dict[str, DecisionCallback] = {}
+        self._early_declarations: dict[str, tuple[Requester, PermitHeld]] = {}
+        self._stream_numbers = itertools.count(1)
 
     def refresh(self) -> None:
-        """Applies the plan, the roster and the list of servers."""
+        """Applies the current plan, membership and list of servers to the queues."""
         for key, capacity, mixed in self._view.list_capacities():
             owner = self._view.find_owner(*key)
             if owner is None or owner.vm != self.settings.vm:
-                self._close(key)
+                self._relinquish(key)
                 continue
-            opened = key not in self._queues
-            if opened:
+            is_new = key not in self._queues
+            if is_new:
                 self._queues[key] = PermitQueue(
                     capacity, mixed, random.Random(), slow_start=self._slow_start
                 )
-                self._opens_at[key] = time.monotonic() + ADOPTION_S
+                self._adoption_ends_at[key] = time.monotonic() + ADOPTION_PERIOD_S
             self._queues[key].set_capacity(capacity, mixed)
             self._queues[key].set_servers(self._view.list_servers(*key))
-            if opened:
-                self._adopt_early(key)
+            if is_new:
+                self._adopt_early_declarations(key)
 
-    def demand(self, key: SlotKey, demand: PermitDemand, deliver: Deliver) -> None:
-        """Adds a demand; its decision is delivered now or later."""
+    def request_permit(
+        self, key: SlotKey, demand: PermitDemand, on_decision: DecisionCallback
+    ) -> None:
+        """Requests a permit; the callback gets the decision, now or later."""
         queue = self._queues.get(key)
         if queue is None:
-            deliver(Refusal(demand, NOT_OWNER, moved=True))
+            on_decision(Refusal(demand, NOT_OWNER, moved=True))
             return
-        self._deliveries[demand.permit] = deliver
+        self._callbacks[demand.permit] = on_decision
         now = time.monotonic()
-        if now < self._opens_at[key]:
+        if now < self._adoption_ends_at[key]:
             if demand.hedge:
-                self._deliver([Refusal(demand, "the slots have a new owner")])
+                self._notify_requesters([Refusal(demand, "the slots have a new owner")])
             else:
                 queue.enqueue(demand)
             return
-        self._deliver(queue.demand(demand, now))
+        self._notify_requesters(queue.demand(demand, now))
 
     def find_queue(self, key: SlotKey) -> PermitQueue | None:
         """Returns the queue of slots that this VM owns, or None."""
         return self._queues.get(key)
 
     def release(
-        self, key: SlotKey, permit: str, how: Release, elapsed_s: float, slowness: float = 0.0
+        self, key: SlotKey, permit: str, outcome: Release, elapsed_s: float, slowness: float = 0.0
     ) -> None:
-        """Frees a slot and grants it to the next request."""
-        self._early.pop(permit, None)
+        """Releases a permit and grants the free slot to the next request."""
+        self._early_declarations.pop(permit, None)
         queue = self._queues.get(key)
         if queue is not None:
             now = time.monotonic()
-            queue.release(permit, how, elapsed_s, now, slowness)
-            if now >= self._opens_at[key]:
-                self._deliver(queue.poll(now))
+            queue.release(permit, outcome, elapsed_s, now, slowness)
+            if now >= self._adoption_ends_at[key]:
+                self._notify_requesters(queue.poll(now))
 
     def cancel(self, key: SlotKey, permit: str) -> None:
-        """Withdraws a demand."""
-        self._deliveries.pop(permit, None)
+        """Cancels a waiting request for a permit."""
+        self._callbacks.pop(permit, None)
         queue = self._queues.get(key)
         if queue is not None:
             now = time.monotonic()
             queue.cancel(permit, now)
-            self._deliver(queue.poll(now))
+            self._notify_requesters(queue.poll(now))
 
     def adopt(self, requester: Requester, held: PermitHeld) -> None:
-        """Takes over a permit of the former owner.
+        """Adopts a permit that the former owner granted.
 
-        The requester may learn of the change of owner first; then the permit is kept until this
-        VM knows of it, too.
+        The requester may learn of the change of owner before this VM does; the declaration is then
+        kept until this VM becomes the owner.
         """
         queue = self._queues.get((held.service, held.site))
         if queue is not None:
@@ -168,24 +170,24 @@
                 time.monotonic(),
                 held.object_key,
             )
-        elif len(self._early) < MAX_EARLY:
-            self._early[held.permit] = (requester, held)
+        elif len(self._early_declarations) < MAX_EARLY_DECLARATIONS:
+            self._early_declarations[held.permit] = (requester, held)
 
     def settle_requester(self, requester: Requester) -> None:
-        """Frees what earlier streams of a VM held and the new one has not declared."""
+        """Releases permits of earlier streams of a VM that its new stream has not declared."""
         now = time.monotonic()
         for key, queue in self._queues.items():
-            self._forget(queue.settle_requester(requester, now))
-            if now >= self._opens_at[key]:
-                self._deliver(queue.poll(now))
+            self._discard_callbacks(queue.settle_requester(requester, now))
+            if now >= self._adoption_ends_at[key]:
+                self._notify_requesters(queue.poll(now))
 
     def drop_requester(self, requester: Requester, silent: bool) -> None:
-        """Removes what a requester waited for whose stream is gone, and marks what it held."""
+        """Cancels the requests of a closed stream and marks its permits as orphaned."""
         now = time.monotonic()
-        for permit in [p for p, (vm, _) in self._early.items() if vm == requester]:
-            del self._early[permit]
+        for permit in [p for p, (vm, _) in self._early_declarations.items() if vm == requester]:
+            del self._early_declarations[permit]
         for queue in self._queues.values():
-            self._forget(queue.drop_requester(requester, silent, now))
+            self._discard_callbacks(queue.drop_requester(requester, silent, now))
 
     def list_load(self) -> list[Load]:
         """Returns the load of all owned slots."""
@@ -195,13 +197,13 @@
         ]
 
     async def poll(self) -> None:
-        """Expires waiting requests and reopens servers after a pause."""
+        """Expires waiting requests and uses servers again when their pause has ended."""
         while True:
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
             now = time.monotonic()
             for key, queue in self._queues.items():
-                if queue.waiting and now >= self._opens_at[key]:
-                    self._deliver(queue.poll(now))
+                if queue.waiting and now >= self._adoption_ends_at[key]:
+                    self._notify_requesters(queue.poll(now))
 
     async def serve(self, stream: MessageStream) -> None:
         """Serves one requester until its stream ends."""
@@ -212,86 +214,86 @@
             hello = await stream.receive(timeouts.permit_silence_s)
             if not isinstance(hello, Hello):
                 raise BriarforkError(ErrorKind.PEER_PROTOCOL, "expected hello")
-            requester = Requester(hello.vm, next(self._streams))
+            requester = Requester(hello.vm, next(self._stream_numbers))
             async with asyncio.TaskGroup() as group:
-                beats = group.create_task(send_heartbeats(stream, timeouts.permit_heartbeat_s))
+                heartbeats = group.create_task(send_heartbeats(stream, timeouts.permit_heartbeat_s))
                 try:
                     await self._receive_all(requester, stream)
                 finally:
-                    beats.cancel()
-        except* StreamClosed as closed:
-            silent = closed.subgroup(StreamSilent) is not None
-        except* BriarforkError as wrong:
+                    heartbeats.cancel()
+        except* StreamClosed as errors:
+            silent = errors.subgroup(StreamSilent) is not None
+        except* BriarforkError as errors:
             self.events.record(
-                Event.PEER_PROTOCOL_ERROR, peer=stream.peer, fault=wrong.exceptions[0]
+                Event.PEER_PROTOCOL_ERROR, peer=stream.peer, fault=errors.exceptions[0]
             )
         finally:
             if requester is not None:
                 self.drop_requester(requester, silent)
 
     async def _receive_all(self, requester: Requester, stream: MessageStream) -> None:
-        """Handles the messages of a stream; the first heartbeat ends the declaration of permits."""
+        """Handles the messages of a stream; its first heartbeat follows the last declaration."""
         settled = False
         while True:
             message = await stream.receive(self.settings.timeouts.permit_silence_s)
-            self._handle(requester, stream, message)
+            self._dispatch(requester, stream, message)
             if not settled and isinstance(message, Heartbeat):
                 settled = True
                 self.settle_requester(requester)
 
-    def _handle(self, requester: Requester, stream: MessageStream, message: Message) -> None:
+    def _dispatch(self, requester: Requester, stream: MessageStream, message: Message) -> None:
         if message.name not in HANDLERS.names():
             raise BriarforkError(ErrorKind.PEER_PROTOCOL, f"unexpected message {message.name!r}")
         HANDLERS.get(message.name)(self, (requester, stream), message)
 
-    def _close(self, key: SlotKey) -> None:
-        """Gives up the slots of a site; who waits for them asks the new owner."""
+    def _relinquish(self, key: SlotKey) -> None:
+        """Removes the queue of lost slots; waiting requesters are referred to the new owner."""
         queue = self._queues.pop(key, None)
         if queue is not None:
-            moved = [Refusal(item, NOT_OWNER, moved=True) for item in queue.withdraw_all()]
-            self._deliver(moved)
+            refusals = [Refusal(item, NOT_OWNER, moved=True) for item in queue.withdraw_all()]
+            self._notify_requesters(refusals)
 
-    def _adopt_early(self, key: SlotKey) -> None:
-        for permit, (requester, held) in list(self._early.items()):
+    def _adopt_early_declarations(self, key: SlotKey) -> None:
+        for permit, (requester, held) in list(self._early_declarations.items()):
             if (held.service, held.site) == key:
-                del self._early[permit]
+                del self._early_declarations[permit]
                 self.adopt(requester, held)
 
-    def _forget(self, dropped: Iterable[PermitDemand]) -> None:
+    def _discard_callbacks(self, dropped: Iterable[PermitDemand]) -> None:
         for demand in dropped:
-            self._deliveries.pop(demand.permit, None)
+            self._callbacks.pop(demand.permit, None)
 
-    def _deliver(self, decisions: Iterable[Grant | Refusal]) -> None:
+    def _notify_requesters(self, decisions: Iterable[Grant | Refusal]) -> None:
         for decision in decisions:
-            deliver = self._deliveries.pop(decision.demand.permit, None)
-            if deliver is not None:
-                deliver(decision)
+            on_decision = self._callbacks.pop(decision.demand.permit, None)
+            if on_decision is not None:
+                on_decision(decision)
 
 
-async def send_heartbeats(stream: MessageStream, pause_s: float) -> None:
+async def send_heartbeats(stream: MessageStream, interval_s: float) -> None:
     """Sends heartbeats until the stream closes."""
     while True:
         stream.send(Heartbeat())
-        await asyncio.sleep(pause_s)
+        await asyncio.sleep(interval_s)
 
 
 Sender = tuple[Requester, "MessageStream"]
 
 
 @HANDLERS.register(Heartbeat.name)
-def handle_heartbeat(desk: SlotDesk, sender: Sender, message: Heartbeat) -> None:
-    """Only keeps the stream alive."""
+def handle_heartbeat(manager: SlotManager, sender: Sender, message: Heartbeat) -> None:
+    """Does nothing; receiving the message has already reset the silence timeout."""
 
 
 @HANDLERS.register(PermitRequest.name)
-def handle_request(desk: SlotDesk, sender: Sender, message: PermitRequest) -> None:
-    """Adds a demand whose decision goes back on the stream."""
+def handle_request(manager: SlotManager, sender: Sender, message: PermitRequest) -> None:
+    """Requests a permit and sends the decision back on the stream."""
     requester, stream = sender
     demand = PermitDemand(
         permit=message.permit,
         requester=requester,
         request_class=message.request_class,
-        expires_at=time.monotonic() + message.wait_ms / MILLISECONDS,
+        expires_at=time.monotonic() + message.wait_ms / MS_PER_S,
         avoid=frozenset(message.avoid),
         hedge=message.hedge,
         priority=message.priority,
@@ -299,36 +301,36 @@
         asked_at=time.monotonic(),
     )
 
-    def deliver(decision: Grant | Refusal) -> None:
+    def send_decision(decision: Grant | Refusal) -> None:
         try:
-            stream.send(_describe(decision))
+            stream.send(_encode_decision(decision))
         except StreamClosed:
             return
 
-    desk.demand((message.service, message.site), demand, deliver)
+    manager.request_permit((message.service, message.site), demand, send_decision)
 
 
 @HANDLERS.register(PermitRelease.name)
-def handle_release(desk: SlotDesk, sender: Sender, message: PermitRelease) -> None:
-    """Frees the slot of a permit."""
+def handle_release(manager: SlotManager, sender: Sender, message: PermitRelease) -> None:
+    """Releases a permit."""
     key = (message.service, message.site)
-    elapsed_s = message.elapsed_ms / MILLISECONDS
-    desk.release(key, message.permit, message.how, elapsed_s, message.slowness)
+    elapsed_s = message.elapsed_ms / MS_PER_S
+    manager.release(key, message.permit, message.how, elapsed_s, message.slowness)
 
 
 @HANDLERS.register(PermitCancel.name)
-def handle_cancel(desk: SlotDesk, sender: Sender, message: PermitCancel) -> None:
-    """Withdraws a demand."""
-    desk.cancel((message.service, message.site), message.permit)
+def handle_cancel(manager: SlotManager, sender: Sender, message: PermitCancel) -> None:
+    """Cancels a waiting request for a permit."""
+    manager.cancel((message.service, message.site), message.permit)
 
 
 @HANDLERS.register(PermitHeld.name)
-def handle_held(desk: SlotDesk, sender: Sender, message: PermitHeld) -> None:
-    """Takes over a permit of the former owner."""
-    desk.adopt(sender[0], message)
+def handle_held(manager: SlotManager, sender: Sender, message: PermitHeld) -> None:
+    """Adopts a permit that the former owner granted."""
+    manager.adopt(sender[0], message)
 
 
-def _describe(decision: Grant | Refusal) -> PermitGrant | PermitRefusal:
+def _encode_decision(decision: Grant | Refusal) -> PermitGrant | PermitRefusal:
     permit = decision.demand.permit
     if isinstance(decision, Grant):
         server = decision.server
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -134,7 +134,7 @@
         route = progress.route
         if not route.kind.is_repeatable or len(progress.tried) + MAX_HEDGED > route.max_attempts:
             return True
-        run_s = HEDGE_RUN_TIMES * self._permits.run_times.get(progress.service, 0.0)
+        run_s = HEDGE_RUN_TIMES * self._permits.mean_run_times_s.get(progress.service, 0.0)
         wait_s = max(HEDGE_OBJECTIVE_SHARE * route.objective_s, run_s)
         done, _ = await asyncio.wait({task}, timeout=wait_s)
         return bool(done)
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -20,7 +20,7 @@
 from briarfork.routing import RequestKind
 
 if TYPE_CHECKING:
-    from briarfork.entry.slots import SlotDesk
+    from briarfork.entry.slots import SlotManager
     from briarfork.gateway.view import GatewayView
     from briarfork.routing import Route
 
@@ -63,7 +63,7 @@
 class GatewayPermits(SlotClient):
     """Asks zone after zone until one grants a slot."""
 
-    def __init__(self, view: GatewayView, desk: SlotDesk) -> None:
+    def __init__(self, view: GatewayView, desk: SlotManager) -> None:
         super().__init__(view, desk)
         self._gateway_view = view
         self._refusals = Refusals()
@@ -118,15 +118,18 @@
             demand = self.build_demand(
                 RequestClass.SHORT, limit, frozenset({first.server.vm}), route.priority
             )
-            answer = await self.ask_site((first.service, zone), replace(demand, hedge=True), limit)
+            answer = await self.request_permit(
+                (first.service, zone), replace(demand, hedge=True), limit
+            )
             if isinstance(answer, Permit):
-                return self.keep(answer)
+                return self.track(answer)
         return None
 
     def count_waiting(self, service: str) -> int:
         """Returns the requests that wait for slots of a service that this VM owns."""
         queues = [
-            self._desk.find_queue((service, zone)) for zone in self._gateway_view.place.regions
+            self._slot_manager.find_queue((service, zone))
+            for zone in self._gateway_view.place.regions
         ]
         return sum(queue.waiting for queue in queues if queue is not None)
 
@@ -169,7 +172,7 @@
                     need.route.priority,
                     need.object_key,
                 )
-                return self.take((need.service, zone), demand, server)
+                return self.acquire_optimistically((need.service, zone), demand, server)
         return None
 
     async def _ask_all(self, zones: list[str], need: SlotNeed) -> Permit:
@@ -194,9 +197,9 @@
                 need.route.priority,
                 need.object_key if need.route.sticky else "",
             )
-            answer = await self.ask_site(key, demand, limit)
+            answer = await self.request_permit(key, demand, limit)
             if isinstance(answer, Permit):
-                return self.keep(answer)
+                return self.track(answer)
             wait_s = answer.wait_s if isinstance(answer, SlotRefused) else 0.0
             self._refusals.record(key, need.route.priority, wait_s, time.monotonic())
             refusal = _choose_sooner(refusal, wait_s)
@@ -234,7 +237,7 @@
     def _log_share(self, service: str, value: float) -> None:
         if abs(value - self._logged_shares.get(service, 0.0)) >= LOGGED_STEP:
             self._logged_shares[service] = value
-            self._desk.events.record(
+            self._slot_manager.events.record(
                 Event.REMOTE_SHARE_MOVED, service=service, share=round(value, 2)
             )
 
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -8,7 +8,7 @@
 
 from briarfork.border.streams import serve
 from briarfork.entry.connections import ServerConnections
-from briarfork.entry.slots import SlotDesk
+from briarfork.entry.slots import SlotManager
 from briarfork.gateway.permits import GatewayPermits
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
         self.events = events
         self.leaving = False
         self.view = view
-        self.slots = SlotDesk(view.settings, events, view, slow_start=False)
+        self.slots = SlotManager(view.settings, events, view, slow_start=False)
         self.permits = GatewayPermits(self.view, self.slots)
         self.connections = ServerConnections(view.settings)
 
@@ -66,7 +66,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.slots.poll())
-                group.create_task(self.permits.keep_links())
+                group.create_task(self.permits.maintain_links())
                 group.create_task(self.connections.run())
         finally:
             permits.close()
--- a/tests/entry/test_slot_client.py
+++ b/tests/entry/test_slot_client.py
@@ -20,5 +20,5 @@
         gateway.accept_members({"c-1": build_member("c-1", "c")})
         deadline = Deadline(time.monotonic() + 2.0)
         demand = gateway.permits.build_demand(RequestClass.SHORT, deadline, frozenset())
-        answer = await gateway.permits.ask_site(("s", "c"), demand, deadline)
+        answer = await gateway.permits.request_permit(("s", "c"), demand, deadline)
         assert isinstance(answer, SiteUnreachable)
