--- a/src/briarfork/entry/control_link.py
+++ b/src/briarfork/entry/control_link.py
@@ -34,16 +34,16 @@
 
 @HANDLERS.register(Changes.name)
 def handle_changes(process: EntryProcess, message: Changes) -> None:
-    """Takes accepted changes."""
+    """Adds accepted changes to the timeline."""
     process.view.accept_changes(message.changes)
     process.refresh_slots()
 
 
 @HANDLERS.register(Members.name)
 def handle_members(process: EntryProcess, message: Members) -> None:
-    """Takes the roster, or what changed in it."""
+    """Replaces the members, or applies what changed in them."""
     known = {} if message.removed is None else dict(process.view.members)
-    members = process.control.gather_members(message)
+    members = process.control.collect_members(message)
     if members is None:
         return
     known.update((member.vm, member) for member in members)
@@ -55,58 +55,58 @@
 
 @HANDLERS.register(VmList.name)
 def handle_vm_list(process: EntryProcess, message: VmList) -> None:
-    """Takes the platform's list of VMs, or what changed in it."""
-    known = {} if message.removed is None else {vm.vm: vm for vm in process.view.listed}
-    vms = process.control.gather_list(message)
+    """Replaces the platform's list of VMs, or applies what changed in it."""
+    known = {} if message.removed is None else {vm.vm: vm for vm in process.view.listed_vms}
+    vms = process.control.collect_vm_list(message)
     if vms is None:
         return
     known.update((vm.vm, vm) for vm in vms)
     for vm in message.removed or ():
         known.pop(vm, None)
-    process.view.accept_list(list(known.values()))
+    process.view.accept_vm_list(list(known.values()))
     process.refresh_slots()
 
 
 @HANDLERS.register(Follow.name)
 def handle_follow(process: EntryProcess, message: Follow) -> None:
-    """Begins or ends following the store."""
+    """Starts or stops following the store."""
     process.follower.set_enabled(message.enabled, message.generation)
 
 
 @HANDLERS.register(Heartbeat.name)
 def handle_heartbeat(process: EntryProcess, message: Heartbeat) -> None:
-    """Takes the loads that other VMs have reported."""
+    """Updates the headroom of sites from the loads that other VMs have reported."""
     process.accept_load(message.load)
 
 
 class ControlLink:
-    """Keeps the stream to the control process; while it is lost the last view stays in use."""
+    """The stream to the control process; while it is down, the last view stays in use."""
 
     def __init__(self, process: EntryProcess) -> None:
         self._process = process
         self._stream: MessageStream | None = None
         self._leaving = False
-        self._members: list[Member] = []
-        self._listed: list[ListedVm] = []
+        self._received_members: list[Member] = []
+        self._received_vms: list[ListedVm] = []
 
-    def gather_members(self, message: Members) -> list[Member] | None:
-        """Returns the members of all parts, or None while parts are missing."""
-        self._members += message.members
+    def collect_members(self, message: Members) -> list[Member] | None:
+        """Returns the members of all parts after the last part, else None."""
+        self._received_members += message.members
         if message.more:
             return None
-        members, self._members = self._members, []
+        members, self._received_members = self._received_members, []
         return members
 
-    def gather_list(self, message: VmList) -> list[ListedVm] | None:
-        """Returns the VMs of all parts, or None while parts are missing."""
-        self._listed += message.vms
+    def collect_vm_list(self, message: VmList) -> list[ListedVm] | None:
+        """Returns the VMs of all parts after the last part, else None."""
+        self._received_vms += message.vms
         if message.more:
             return None
-        listed, self._listed = self._listed, []
-        return listed
+        listed_vms, self._received_vms = self._received_vms, []
+        return listed_vms
 
     def send(self, message: Message) -> None:
-        """Sends a message if the stream is open."""
+        """Sends a message if the stream is open; drops it otherwise."""
         if self._stream is None:
             return
         try:
@@ -114,54 +114,54 @@
         except StreamClosed:
             self._stream = None
 
-    def leave(self) -> None:
-        """Tells the control process that this VM has begun a planned stop."""
+    def announce_stop(self) -> None:
+        """Notifies the control process that this VM has begun a planned stop."""
         self._leaving = True
         self.send(Leaving())
 
     async def run(self) -> None:
-        """Dials the control process and takes its messages, again after every loss."""
+        """Connects to the control process and handles its messages; reconnects on a loss."""
         settings = self._process.settings
         while True:
             try:
                 stream = await dial(
                     settings.address, settings.ports.local, settings.timeouts.connect_s
                 )
-                await self._converse(stream)
+                await self._run_stream(stream)
             except StreamClosed:
                 pass
             self._stream = None
-            # Without a control process nothing takes the changes; it asks again when it is back.
+            # Nothing consumes the changes now; a new control process sends its own instructions.
             self._process.follower.set_enabled(False, 0)
             await asyncio.sleep(settings.timeouts.reconnect_s)
 
-    async def _converse(self, stream: MessageStream) -> None:
+    async def _run_stream(self, stream: MessageStream) -> None:
         settings = self._process.settings
         self._stream = stream
-        self._members, self._listed = [], []
+        self._received_members, self._received_vms = [], []
         stream.send(Hello(settings.vm, settings.zone))
         if self._leaving:
             stream.send(Leaving())
         try:
             async with asyncio.TaskGroup() as group:
-                sender = group.create_task(self._report(stream))
+                heartbeats = group.create_task(self._send_heartbeats(stream))
                 try:
                     while True:
-                        self._handle(await stream.receive(settings.timeouts.silence_s))
+                        self._dispatch(await stream.receive(settings.timeouts.silence_s))
                 finally:
-                    sender.cancel()
-        except* BriarforkError as group_error:
-            reason = group_error.exceptions[0]
+                    heartbeats.cancel()
+        except* BriarforkError as errors:
+            reason = errors.exceptions[0]
             self._process.events.record(Event.PEER_LOST, peer="control", reason=reason)
         finally:
             stream.abort()
 
-    def _handle(self, message: Message) -> None:
+    def _dispatch(self, message: Message) -> None:
         if message.name not in HANDLERS.names():
             raise BriarforkError(ErrorKind.PEER_PROTOCOL, f"unexpected message {message.name!r}")
         HANDLERS.get(message.name)(self._process, message)
 
-    async def _report(self, stream: MessageStream) -> None:
+    async def _send_heartbeats(self, stream: MessageStream) -> None:
         while True:
             stream.send(Heartbeat())
             await asyncio.sleep(self._process.settings.timeouts.heartbeat_s)
--- a/src/briarfork/entry/delivery.py
+++ b/src/briarfork/entry/delivery.py
@@ -1,4 +1,4 @@
-"""Passes the answer to one call on to its caller, from one backend server or from several."""
+"""Streams the response to one call to its caller, from one or several backend servers."""
 
 from __future__ import annotations
 
@@ -22,22 +22,22 @@
 
     from briarfork.requests import Deadline
 
-# struct linger: on, 0 seconds. The connection ends with RST.
+# struct linger: enabled, 0 seconds, so that closing the socket sends RST.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A caller's request, ready to be sent.
+    """A caller's request, ready to be sent to a backend server.
 
     Attributes:
         request: The request as the caller sent it.
         path: Path and query at the backend server.
-        body: The whole body, or None if it is streamed from the request.
+        body: The complete body, or None if it is streamed from the request.
         deadline: When the caller stops waiting.
-        generation: Generation of the configuration that routes the call.
-        idempotent: Whether running the request again does no harm.
-        keep_answer: Whether the answer is held back until it is complete, to be stored.
+        generation: Generation of the configuration that was in force at the start of the call.
+        idempotent: Whether the request is safe to run more than once.
+        buffer_response: Whether the complete response is buffered, to be stored with a claim.
     """
 
     request: web.Request
@@ -46,28 +46,28 @@
     deadline: Deadline
     generation: int
     idempotent: bool
-    keep_answer: bool = False
+    buffer_response: bool = False
 
     @property
     def is_replayable(self) -> bool:
-        """Whether the body can be sent again."""
+        """Whether the body can be sent more than once."""
         return self.body is not None
 
 
 class ProgressTimer:
-    """Ends an attempt at its deadline, or earlier when no byte has moved for the progress time.
+    """Times an attempt out at its deadline, or after the progress time without any transfer.
 
     Attributes:
-        blames_caller: Whether the caller is the one who is waited for.
+        awaits_caller: Whether the attempt waits for the caller, not for the server.
     """
 
-    __slots__ = ("_deadline", "_limit", "_progress_s", "blames_caller")
+    __slots__ = ("_deadline", "_limit", "_progress_s", "awaits_caller")
 
     def __init__(self, deadline: Deadline, progress_s: float) -> None:
         self._deadline = deadline
         self._progress_s = progress_s
         self._limit = asyncio.timeout(self._wait_s())
-        self.blames_caller = False
+        self.awaits_caller = False
 
     async def __aenter__(self) -> ProgressTimer:
         await self._limit.__aenter__()
@@ -81,8 +81,8 @@
     ) -> None:
         await self._limit.__aexit__(kind, error, trace)
 
-    def touch(self) -> None:
-        """Records that a byte has moved."""
+    def record_progress(self) -> None:
+        """Restarts the progress time after a transfer of data."""
         self._limit.reschedule(asyncio.get_running_loop().time() + self._wait_s())
 
     def _wait_s(self) -> float:
@@ -90,7 +90,7 @@
 
 
 class Delivery:
-    """The answer to one call as far as the caller has it."""
+    """The response to one call, as far as it was sent to the caller."""
 
     def __init__(self, call: Call, leaving: bool) -> None:
         self.call = call
@@ -101,83 +101,94 @@
 
     @property
     def started(self) -> bool:
-        """Whether the caller may hold part of the answer."""
+        """Whether the caller may have part of the response."""
         return self._response is not None
 
     @property
     def may_resume(self) -> bool:
-        """Whether another server may send the missing bytes."""
+        """Whether another server may send the rest of the response."""
         transport = self.call.request.transport
         connected = transport is not None and not transport.is_closing()
         return connected and self._download is not None and self._download.is_open
 
     def build_range_headers(self) -> dict[str, str]:
-        """Returns the headers that ask for the missing bytes only."""
+        """Returns the headers that request only the missing bytes."""
         if self._download is None:
             return {}
         return {"Range": self._download.range_header, "If-Range": self._download.entity_tag}
 
-    def accepts(self, answer: aiohttp.ClientResponse) -> bool:
-        """Returns whether an answer continues what the caller has."""
+    def accepts(self, server_response: aiohttp.ClientResponse) -> bool:
+        """Returns whether a response continues the part that the caller has."""
         if not self.started:
             return True
-        return self._download is not None and self._download.may_continue(_read_head(answer))
+        return self._download is not None and self._download.may_continue(
+            _read_head(server_response)
+        )
 
-    async def pass_on(
-        self, answer: aiohttp.ClientResponse, headers: CIMultiDict[str], timer: ProgressTimer
+    async def stream_response(
+        self,
+        server_response: aiohttp.ClientResponse,
+        headers: CIMultiDict[str],
+        timer: ProgressTimer,
     ) -> web.StreamResponse:
-        """Hands the body of an answer to the caller as it arrives."""
+        """Streams the body of a server's response to the caller."""
         response = self._response
         if response is None:
-            response = await self._start(answer, headers)
+            response = await self._start(server_response, headers)
         while True:
-            timer.touch()
-            chunk = await answer.content.readany()
+            timer.record_progress()
+            chunk = await server_response.content.readany()
             if not chunk:
                 break
-            timer.touch()
-            timer.blames_caller = True
+            timer.record_progress()
+            timer.awaits_caller = True
             await response.write(chunk)
-            timer.blames_caller = False
+            timer.awaits_caller = False
             if self._download is not None:
                 self._download.advance(len(chunk))
-        timer.blames_caller = True
+        timer.awaits_caller = True
         await response.write_eof()
         self._finished = True
         return response
 
-    def cut(self) -> bool:
-        """Resets the caller's stream if its answer has begun and is not whole.
+    def abort_if_incomplete(self) -> bool:
+        """Resets the caller's connection if the response has begun and is incomplete.
+
+        A reset in the middle of the body is the only signal that the caller cannot mistake for the
+        end of the response.
 
-        A closed connection in the middle of the body is the only sign that the caller cannot
-        take for the end of the answer.
+        Returns:
+            Whether the response was incomplete.
         """
         if not self.started or self._finished:
             return False
         transport = self.call.request.transport
         if transport is not None:
-            # abort() alone sends FIN, which ends an HTTP/1.0 answer without a length as if whole.
+            # abort() alone sends FIN, which is the normal end of an HTTP/1.0 response without a
+            # Content-Length.
             connection = transport.get_extra_info("socket")
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             transport.abort()
         return True
 
     async def _start(
-        self, answer: aiohttp.ClientResponse, headers: CIMultiDict[str]
+        self, server_response: aiohttp.ClientResponse, headers: CIMultiDict[str]
     ) -> web.StreamResponse:
-        self._response = response = web.StreamResponse(status=answer.status, headers=headers)
+        self._response = response = web.StreamResponse(
+            status=server_response.status, headers=headers
+        )
         if self._leaving:
             response.force_close()
         if self.call.request.method == "GET" and self.call.idempotent:
-            self._download = Download.start(_read_head(answer))
+            self._download = Download.start(_read_head(server_response))
         await response.prepare(self.call.request)
         return response
 
 
-def _read_head(answer: aiohttp.ClientResponse) -> AnswerHead:
+def _read_head(server_response: aiohttp.ClientResponse) -> AnswerHead:
     return AnswerHead(
-        status=answer.status,
-        entity_tag=answer.headers.get("ETag"),
-        content_length=answer.content_length,
-        content_range=answer.headers.get("Content-Range"),
+        status=server_response.status,
+        entity_tag=server_response.headers.get("ETag"),
+        content_length=server_response.content_length,
+        content_range=server_response.headers.get("Content-Range"),
     )
--- a/src/briarfork/entry/follower.py
+++ b/src/briarfork/entry/follower.py
@@ -1,4 +1,4 @@
-"""Follows the store and the list of VMs on behalf of the control process."""
+"""Follows the store and the platform's list of VMs on behalf of the control process."""
 
 from __future__ import annotations
 
@@ -26,43 +26,43 @@
 
 
 class Follower:
-    """Reads the platform while the control process asks for it."""
+    """Forwards changes of the store and of the list of VMs while the control process wants them."""
 
     def __init__(self, process: EntryProcess, store: Store, platform: Platform) -> None:
         self._process = process
         self._log = ChangeLog(store)
         self._platform = platform
         self._enabled = asyncio.Event()
-        self._asked = asyncio.Event()
+        self._instructions_changed = asyncio.Event()
         self._generation = 0
-        self._listed: dict[str, ListedVm] | None = None
+        self._known_vms: dict[str, ListedVm] | None = None
         self._reachable = True
 
     def set_enabled(self, enabled: bool, generation: int) -> None:
-        """Begins after a generation, or stops.
+        """Starts to follow after a generation, or stops.
 
-        A control process that restarted names a lower generation and is sent all after it again.
+        A restarted control process names a lower generation and gets all later changes again.
         """
         self._generation = generation
-        self._listed = None
-        self._asked.set()
+        self._known_vms = None
+        self._instructions_changed.set()
         if enabled:
             self._enabled.set()
         else:
             self._enabled.clear()
 
     async def follow_changes(self) -> None:
-        """Hands on every change that the store accepts."""
+        """Forwards every change that the store accepts."""
         while True:
             await self._enabled.wait()
-            self._asked.clear()
+            self._instructions_changed.clear()
             async with asyncio.TaskGroup() as group:
-                reading = group.create_task(self._keep_reading())
-                # A waiting watch ends at once when control asks for something else.
-                await self._asked.wait()
-                reading.cancel()
+                reader = group.create_task(self._read_with_backoff())
+                # Ends a waiting watch as soon as the control process sends new instructions.
+                await self._instructions_changed.wait()
+                reader.cancel()
 
-    async def _keep_reading(self) -> None:
+    async def _read_with_backoff(self) -> None:
         backoff_s = 0.0
         while True:
             try:
@@ -71,60 +71,60 @@
             except BriarforkError as error:
                 self._set_reachable(False, error)
                 backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s + 0.1)
-                # Jitter keeps the followers of all zones from returning in step after an outage.
+                # Jitter keeps the followers of all zones from retrying in lockstep after an outage.
                 await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
 
     async def follow_list(self) -> None:
-        """Hands on every change of the list of VMs, the whole list after each request."""
+        """Forwards changes of the list of VMs, and the whole list after each new instruction."""
         while True:
             await self._enabled.wait()
             try:
-                listed = {vm.vm: vm for vm in await self._platform.list_vms()}
+                vms = {vm.vm: vm for vm in await self._platform.list_vms()}
             except BriarforkError:
                 pass
             else:
-                self._hand_on_list(listed)
+                self._forward_list(vms)
             await asyncio.sleep(self._process.settings.timeouts.list_s)
 
-    def _hand_on_list(self, listed: dict[str, ListedVm]) -> None:
-        known, self._listed = self._listed, listed
+    def _forward_list(self, vms: dict[str, ListedVm]) -> None:
+        known, self._known_vms = self._known_vms, vms
         if known is None:
-            for part, more in split_records(list(listed.values())):
+            for part, more in split_records(list(vms.values())):
                 self._process.control.send(VmList(part, None, more))
             return
-        changed = [vm for name, vm in listed.items() if known.get(name) != vm]
-        removed = [name for name in known if name not in listed]
-        if listed and (changed or removed):
+        changed = [vm for name, vm in vms.items() if known.get(name) != vm]
+        removed = [name for name in known if name not in vms]
+        if vms and (changed or removed):
             for part, more in split_records(changed):
                 self._process.control.send(VmList(part, removed, more))
 
     async def _read_and_watch(self) -> None:
-        """Reads what is new and waits for more, until the store turns out to be another state."""
+        """Forwards stored and new changes until the store is restored to an older state."""
         revision = 0
         while True:
             changes, revision = await self._log.read_after(self._generation)
             self._set_reachable(True)
             if not changes:
                 break
-            self._hand_on(changes)
+            self._forward_changes(changes)
         await self._report_generation()
         while True:
-            changes, found = await self._log.watch(revision)
+            changes, current_revision = await self._log.watch(revision)
             self._set_reachable(True)
-            if found < revision:
-                # The store was restored to an older state, whose revisions count from there.
+            if current_revision < revision:
+                # The store was restored to an older state and counts revisions from there.
                 return
-            revision = found
-            self._hand_on(changes)
+            revision = current_revision
+            self._forward_changes(changes)
 
-    def _hand_on(self, changes: list[Change]) -> None:
+    def _forward_changes(self, changes: list[Change]) -> None:
         if changes:
             self._generation = max(self._generation, changes[-1].generation)
             for batch in split_changes(changes):
                 self._process.control.send(Changes(batch))
 
     async def _report_generation(self) -> None:
-        """Lets control compare the store with what it has, which may be newer."""
+        """Lets the control process compare the store with its own changes, which may be newer."""
         expected = self._generation
         generation = await self._log.find_generation(expected)
         self._process.control.send(StoreState(True, generation, expected))
--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -1,4 +1,4 @@
-"""One attempt to send a request to a backend server and to pass its answer to the caller."""
+"""Sends one attempt of a request to a backend server and forwards the response to the caller."""
 
 from __future__ import annotations
 
@@ -36,8 +36,8 @@
 SERVER_HEADER = "Briarfork-Server"
 GENERATION_HEADER = "Briarfork-Generation"
 STATE_HEADER = "Backend-State"
-# Headers that concern one connection only (RFC 9110, section 7.6.1).
-HOP_HEADERS = frozenset(
+# Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1).
+HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
         "keep-alive",
@@ -50,21 +50,21 @@
         "upgrade",
     }
 )
-REQUEST_HEADERS = HOP_HEADERS | {"content-length", "expect", DEADLINE_HEADER.lower()}
-# The caller's own conditions are settled by the answer that a resumed one continues.
-CONDITION_HEADERS = frozenset(
+DROPPED_REQUEST_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "expect", DEADLINE_HEADER.lower()}
+# Dropped when a response is resumed: its first part has already settled the caller's conditions.
+CONDITIONAL_HEADERS = frozenset(
     {"if-match", "if-modified-since", "if-none-match", "if-range", "if-unmodified-since", "range"}
 )
-# Answers that have no body whatever their headers say (RFC 9112, section 6.3).
-EMPTY_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+# Responses with these statuses never have a body (RFC 9112, section 6.3).
+BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
 class AttemptFailed(Exception):
-    """An attempt that brought no whole answer.
+    """An attempt ended without a complete response.
 
     Attributes:
-        result: How far it came.
-        release: What the owner of the slot is told.
+        result: How far the attempt got.
+        release: Outcome that is reported to the owner of the slot.
     """
 
     def __init__(self, result: AttemptResult, release: Release, detail: str) -> None:
@@ -73,18 +73,18 @@
         self.release = release
 
     @property
-    def caller_has_part(self) -> bool:
-        """Whether the caller got the beginning of an answer."""
+    def response_started(self) -> bool:
+        """Whether the caller got the beginning of a response."""
         return self.result is AttemptResult.ANSWER_STARTED
 
 
-class EndUnknown(aiohttp.ClientPayloadError):
-    """An answer whose end cannot be told from a lost connection."""
+class UnusableResponse(aiohttp.ClientPayloadError):
+    """A response that cannot be forwarded, such as one without a recognizable end."""
 
 
 @dataclass(frozen=True, slots=True)
-class KeptAnswer:
-    """A complete answer that was held back."""
+class BufferedResponse:
+    """A complete response that was buffered instead of streamed to the caller."""
 
     status: int
     headers: CIMultiDict[str]
@@ -93,12 +93,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptGuard:
-    """Tells an attempt that the client library is about to write its request."""
+    """Marks an attempt as sent when the client library is about to write its request."""
 
     attempt: Attempt
 
     def approve(self) -> None:
-        """Raises SendForbidden if the request must not be written now."""
+        """Marks the attempt as sent.
+
+        Raises:
+            SendForbidden: If the request must not be written now.
+        """
         self.attempt.mark_sent(time.monotonic())
 
 
@@ -110,33 +114,36 @@
         self._connections = connections
 
     async def attempt(
-        self, delivery: Delivery, permit: Permit, on_answer: Callable[[], None] | None = None
-    ) -> web.StreamResponse | KeptAnswer:
-        """Sends a request under a permit and passes the answer on as it arrives.
+        self, delivery: Delivery, permit: Permit, on_response: Callable[[], None] | None = None
+    ) -> web.StreamResponse | BufferedResponse:
+        """Sends a request under a permit and streams the response to the caller.
 
         Args:
-            delivery: The call, and what its caller has of the answer.
-            permit: Names the server.
-            on_answer: Called when the server has begun to answer, before the caller gets a part.
+            delivery: The call, and the part of the response that its caller has.
+            permit: The permit, which names the server.
+            on_response: Called when the server has begun to respond, before the caller gets a part
+                of the response.
 
         Raises:
-            AttemptFailed: If the caller did not get a whole answer.
+            AttemptFailed: If the caller did not get a complete response.
         """
         call = delivery.call
         attempt = Attempt(call.deadline)
         timer = ProgressTimer(call.deadline, self._settings.timeouts.progress_s)
         try:
-            with self._connections.use(permit.server, cautious=not call.idempotent) as session:
+            with self._connections.borrow_session(
+                permit.server, avoid_stale=not call.idempotent
+            ) as session:
                 async with timer:
-                    answered = on_answer or _ignore_answer
-                    return await self._exchange(session, delivery, permit, attempt, timer, answered)
+                    callback = on_response or _ignore_response
+                    return await self._exchange(session, delivery, permit, attempt, timer, callback)
         except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden) as error:
             release = Release.FAILED
-            if timer.blames_caller or isinstance(error, SendForbidden):
+            if timer.awaits_caller or isinstance(error, SendForbidden):
                 release = Release.UNUSED
             elif isinstance(error, TimeoutError) and attempt.result is not AttemptResult.NOT_SENT:
-                # Connections become unresponsive for good while new ones work.
-                self._connections.give_up(permit.server)
+                # Kept connections can become unresponsive for good while new ones work.
+                self._connections.retire_connections(permit.server)
                 release = Release.UNUSED
             detail = str(error) or type(error).__name__
             raise AttemptFailed(attempt.result, release, detail) from error
@@ -148,8 +155,8 @@
         permit: Permit,
         attempt: Attempt,
         timer: ProgressTimer,
-        on_answer: Callable[[], None],
-    ) -> web.StreamResponse | KeptAnswer:
+        on_response: Callable[[], None],
+    ) -> web.StreamResponse | BufferedResponse:
         call, server = delivery.call, permit.server
         async with session.request(
             call.request.method,
@@ -158,81 +165,89 @@
             data=_stream_body(call, timer) if call.body is None else call.body or None,
             allow_redirects=False,
             trace_request_ctx=AttemptGuard(attempt),
-        ) as answer:
-            if _is_refusal(answer):
+        ) as response:
+            if _is_refusal(response):
                 attempt.mark_refused()
-                draining = answer.headers.get(STATE_HEADER) == "draining"
+                draining = response.headers.get(STATE_HEADER) == "draining"
                 release = Release.DRAINING if draining else Release.NOT_RUN
                 raise AttemptFailed(attempt.result, release, "the server refused the request")
-            _check_end(call, answer)
-            on_answer()
-            headers = _build_answer_headers(answer.headers)
+            _check_framing(call, response)
+            on_response()
+            headers = _build_response_headers(response.headers)
             headers[SERVER_HEADER] = server.vm
             headers[GENERATION_HEADER] = str(call.generation)
-            if call.keep_answer:
-                return await self._keep(answer, headers, timer)
-            if not delivery.accepts(answer):
-                raise EndUnknown("the server has no answer that continues the one of the caller")
+            if call.buffer_response:
+                return await self._buffer(response, headers, timer)
+            if not delivery.accepts(response):
+                raise UnusableResponse(
+                    "the response does not continue the part that the caller has"
+                )
             attempt.mark_started()
-            return await delivery.pass_on(answer, headers, timer)
+            return await delivery.stream_response(response, headers, timer)
 
-    async def _keep(
-        self, answer: aiohttp.ClientResponse, headers: CIMultiDict[str], timer: ProgressTimer
-    ) -> KeptAnswer:
+    async def _buffer(
+        self, response: aiohttp.ClientResponse, headers: CIMultiDict[str], timer: ProgressTimer
+    ) -> BufferedResponse:
         limit = self._settings.limits.keyed_body_bytes
         parts: list[bytes] = []
         size = 0
         while True:
-            timer.touch()
-            chunk = await answer.content.readany()
+            timer.record_progress()
+            chunk = await response.content.readany()
             if not chunk:
-                return KeptAnswer(answer.status, headers, b"".join(parts))
+                return BufferedResponse(response.status, headers, b"".join(parts))
             parts.append(chunk)
             size += len(chunk)
             if size > limit:
                 raise OutcomeUnknown(
-                    f"the request ran with status {answer.status}; its answer is over {limit} bytes"
+                    f"the request ran with status {response.status}; "
+                    f"its response exceeds {limit} bytes"
                 )
 
 
-def _ignore_answer() -> None:
-    """Takes the place of a callback for attempts that compete with no other."""
+def _ignore_response() -> None:
+    """Default callback, for attempts that are not hedged."""
 
 
 async def _stream_body(call: Call, timer: ProgressTimer) -> AsyncIterator[bytes]:
     while True:
-        timer.blames_caller = True
+        timer.awaits_caller = True
         chunk = await call.request.content.readany()
-        timer.blames_caller = False
+        timer.awaits_caller = False
         if not chunk:
             return
-        timer.touch()
+        timer.record_progress()
         yield chunk
 
 
-def _is_refusal(answer: aiohttp.ClientResponse) -> bool:
-    refused = answer.status == HTTPStatus.SERVICE_UNAVAILABLE
-    return refused and answer.headers.get(OUTCOME_HEADER) == "not-run"
+def _is_refusal(response: aiohttp.ClientResponse) -> bool:
+    refused = response.status == HTTPStatus.SERVICE_UNAVAILABLE
+    return refused and response.headers.get(OUTCOME_HEADER) == "not-run"
 
 
-def _check_end(call: Call, answer: aiohttp.ClientResponse) -> None:
-    """Checks that a lost connection cannot look like the end of the answer.
+def _check_framing(call: Call, response: aiohttp.ClientResponse) -> None:
+    """Checks that a lost connection cannot be mistaken for the end of the response.
 
     Raises:
-        EndUnknown: If the body ends by closing the connection, or is no answer at all.
+        UnusableResponse: If only the close of the connection delimits the body, or if the response
+            is not a final one.
     """
-    if answer.status < HTTPStatus.OK:
-        raise EndUnknown(f"the server sent status {answer.status}")
-    if call.request.method == "HEAD" or answer.status in EMPTY_STATUSES:
+    if response.status < HTTPStatus.OK:
+        raise UnusableResponse(f"the server sent status {response.status}")
+    if call.request.method == "HEAD" or response.status in BODILESS_STATUSES:
         return
-    codings = answer.headers.get("Transfer-Encoding", "").lower()
-    if not codings.endswith("chunked") and (codings or "Content-Length" not in answer.headers):
-        raise EndUnknown("the answer states neither its length nor chunks")
+    codings = response.headers.get("Transfer-Encoding", "").lower()
+    if not codings.endswith("chunked") and (codings or "Content-Length" not in response.headers):
+        raise UnusableResponse("the response has neither a Content-Length nor chunked encoding")
 
 
 def _build_request_headers(delivery: Delivery) -> CIMultiDict[str]:
     call = delivery.call
-    dropped = REQUEST_HEADERS | CONDITION_HEADERS if delivery.started else REQUEST_HEADERS
+    dropped = (
+        DROPPED_REQUEST_HEADERS | CONDITIONAL_HEADERS
+        if delivery.started
+        else DROPPED_REQUEST_HEADERS
+    )
     headers = CIMultiDict(
         (name, value) for name, value in call.request.headers.items() if name.lower() not in dropped
     )
@@ -243,7 +258,7 @@
     return headers
 
 
-def _build_answer_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
+def _build_response_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
     return CIMultiDict(
-        (name, value) for name, value in headers.items() if name.lower() not in HOP_HEADERS
+        (name, value) for name, value in headers.items() if name.lower() not in HOP_BY_HOP_HEADERS
     )
--- a/src/briarfork/entry/hedging.py
+++ b/src/briarfork/entry/hedging.py
@@ -22,11 +22,11 @@
 
     from briarfork.configuration import Service
     from briarfork.entry.delivery import Delivery
-    from briarfork.entry.forward import KeptAnswer
+    from briarfork.entry.forward import BufferedResponse
     from briarfork.entry.overflow import Permit
     from briarfork.entry.process import EntryProcess
 
-    Result = web.StreamResponse | KeptAnswer
+    Result = web.StreamResponse | BufferedResponse
 
 
 # Factor on the 95th percentile of the run times after which an attempt is hedged. With a factor of
@@ -170,7 +170,7 @@
         if responses:
             return responses[0]
         # A response that was cut off determines which error the caller may get.
-        return max(failures, key=lambda failure: failure.caller_has_part)
+        return max(failures, key=lambda failure: failure.response_started)
 
 
 def may_hedge(delivery: Delivery, permit: Permit) -> bool:
--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -1,4 +1,4 @@
-"""HTTP towards callers: routes and the form of errors."""
+"""HTTP interface for callers: routes and error responses."""
 
 from __future__ import annotations
 
@@ -29,22 +29,22 @@
 def build_app(process: EntryProcess) -> web.Application:
     """Returns the HTTP application of an entry process."""
     proxy = Proxy(process)
-    front = CallerFront(process)
-    app = web.Application(middlewares=[front.answer_errors])
-    app.router.add_get("/lookup", front.look_up)
-    app.router.add_get("/healthz", front.report_health)
+    handlers = CallerHandlers(process)
+    app = web.Application(middlewares=[handlers.handle_errors])
+    app.router.add_get("/lookup", handlers.look_up)
+    app.router.add_get("/healthz", handlers.report_health)
     app.router.add_route("*", "/services/{service}/{path:.*}", proxy.handle)
     return app
 
 
-class CallerFront:
-    """Lookups, health and the answers to errors."""
+class CallerHandlers:
+    """Handlers of lookups, health checks and errors."""
 
     def __init__(self, process: EntryProcess) -> None:
         self._process = process
 
     async def look_up(self, request: web.Request) -> web.Response:
-        """Answers which entry VMs a client should use for a service, the best first.
+        """Returns the entry VMs for a client of a service, in order of preference.
 
         Raises:
             NotRun: If the service is unknown or the client is not an address.
@@ -75,32 +75,32 @@
         )
 
     async def report_health(self, request: web.Request) -> web.Response:
-        """Answers whether this VM takes new callers."""
+        """Returns whether this VM accepts new callers."""
         if self._process.leaving:
             return web.Response(status=503, text="leaving\n")
         return web.Response(text="serving\n")
 
     @web.middleware
-    async def answer_errors(self, request: web.Request, handler: Handler) -> web.StreamResponse:
-        """Turns errors into answers by the table."""
+    async def handle_errors(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Converts errors to error responses."""
         try:
             self._check_headers(request)
             response = await handler(request)
         except BriarforkError as error:
-            response = build_answer(self._process, request, error)
+            response = build_error_response(self._process, request, error)
         except web.HTTPNotFound:
-            missing = NotRun(ErrorKind.UNKNOWN_PATH, f"{request.path}: no such path")
-            response = build_answer(self._process, request, missing)
-        except web.HTTPException as refusal:
-            wrong = NotRun(ErrorKind.BAD_REQUEST, f"{request.path}: {refusal.reason}")
-            response = build_answer(self._process, request, wrong)
+            unknown_path = NotRun(ErrorKind.UNKNOWN_PATH, f"{request.path}: no such path")
+            response = build_error_response(self._process, request, unknown_path)
+        except web.HTTPException as rejection:
+            bad_request = NotRun(ErrorKind.BAD_REQUEST, f"{request.path}: {rejection.reason}")
+            response = build_error_response(self._process, request, bad_request)
         except ConnectionError:
-            # The caller has gone; the server closes the connection.
+            # The caller has disconnected; aiohttp closes the connection.
             raise
         except Exception as error:
             self._process.events.record(Event.TASK_FAILED, error=repr(error), path=request.path)
-            fault = BriarforkError(ErrorKind.INTERNAL, "the entry process failed")
-            response = build_answer(self._process, request, fault)
+            internal_error = BriarforkError(ErrorKind.INTERNAL, "the entry process failed")
+            response = build_error_response(self._process, request, internal_error)
         if self._process.leaving and not response.prepared:
             response.force_close()
         return response
@@ -132,19 +132,19 @@
 
     @property
     def events(self) -> EventLog:
-        """Where faults of the program are logged."""
+        """Log of internal errors."""
         return self._process.events
 
     def build_error(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
-        """Returns the answer to an error."""
-        return build_answer(self._process, request, error)
+        """Returns the response to an error."""
+        return build_error_response(self._process, request, error)
 
 
-def build_answer(
+def build_error_response(
     process: EntryProcess, request: web.BaseRequest, error: BriarforkError
 ) -> web.Response:
-    """Returns the answer to an error, by the table."""
-    answer = ANSWERS[error.kind]
+    """Returns the response to an error, with status and outcome from the table of errors."""
+    properties = ANSWERS[error.kind]
     process.metrics.count(Metric.ERRORS, error.kind.value)
     process.events.record(
         Event.REQUEST_FAILED, kind=error.kind.value, path=request.path, detail=error.detail
@@ -152,8 +152,8 @@
     body = {
         "error": error.kind.value,
         "detail": error.detail,
-        "outcome": answer.outcome.value,
-        "retryable": answer.retryable,
+        "outcome": properties.outcome.value,
+        "retryable": properties.retryable,
     }
-    headers = {ERROR_HEADER: error.kind.value, OUTCOME_HEADER: answer.outcome.value}
-    return web.json_response(body, status=answer.status, headers=headers)
+    headers = {ERROR_HEADER: error.kind.value, OUTCOME_HEADER: properties.outcome.value}
+    return web.json_response(body, status=properties.status, headers=headers)
--- a/src/briarfork/entry/main.py
+++ b/src/briarfork/entry/main.py
@@ -17,7 +17,7 @@
     from briarfork.border.settings import Settings
 
 PROGRAM = "briarfork-entry"
-DESCRIPTION = "Answers lookups and passes requests to backend servers."
+DESCRIPTION = "Answers lookups and forwards requests to backend servers."
 
 
 async def run(settings: Settings, events: EventLog, stopping: asyncio.Event) -> None:
@@ -28,7 +28,7 @@
 
 
 def main() -> None:
-    """Entry point."""
+    """Runs the program."""
     run_service(PROGRAM, DESCRIPTION, run)
 
 
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -1,4 +1,4 @@
-"""The parts of an entry process and their tasks."""
+"""The components of an entry process and their tasks."""
 
 from __future__ import annotations
 
@@ -35,12 +35,12 @@
     from briarfork.border.messages import Load
     from briarfork.border.settings import Settings
 
-# Connections of callers that wait to be accepted while the process is busy.
-CALLER_BACKLOG = 1024
+# Connections of callers that may wait to be accepted while the process is busy.
+ACCEPT_BACKLOG = 1024
 
 
 class EntryProcess:
-    """Holds the parts together; each part has one job and one or more tasks."""
+    """Creates the components of an entry process and runs their tasks."""
 
     def __init__(
         self,
@@ -66,17 +66,20 @@
         self.claimed_requests = ClaimedRequests()
 
     def refresh_slots(self) -> None:
-        """Applies a change of the view to the slots that this VM owns."""
+        """Applies a change of the view to the owned slots and the held permits."""
         if self.view.timeline.generation:
             self.slots.refresh()
             self.permits.refresh()
 
     def accept_load(self, loads: Iterable[Load]) -> None:
-        """Takes the loads that other VMs have reported."""
+        """Updates the headroom of sites from the loads that owners of slots have reported."""
         self.router.accept_load(loads)
 
     async def _report_load(self) -> None:
-        """Reports the slots that this VM owns, also to itself: it may be cut off from control."""
+        """Reports the load of owned slots.
+
+        The report is also applied directly, because the control process may be unreachable.
+        """
         while True:
             loads = self.slots.list_load()
             self.accept_load(loads)
@@ -85,7 +88,7 @@
             await asyncio.sleep(self.settings.timeouts.heartbeat_s)
 
     async def run(self, stopping: asyncio.Event) -> None:
-        """Serves until a planned stop has ended."""
+        """Serves requests until a planned stop is complete."""
         settings = self.settings
         runner = web.AppRunner(
             build_app(self), handler_cancellation=True, shutdown_timeout=settings.timeouts.stop_s
@@ -93,18 +96,18 @@
         await runner.setup()
         manager = runner.server
         assert manager is not None
-        callers = await asyncio.get_running_loop().create_server(
+        caller_server = await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(self, manager),
             settings.address,
             settings.ports.entry,
-            backlog=CALLER_BACKLOG,
+            backlog=ACCEPT_BACKLOG,
         )
-        permits = await serve(settings.address, settings.ports.permits, self.slots.serve)
+        permit_server = await serve(settings.address, settings.ports.permits, self.slots.serve)
         self.events.record(Event.STARTED, entry=settings.ports.entry)
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(work)
-                for work in (
+                group.create_task(coroutine)
+                for coroutine in (
                     self.control.run(),
                     self.follower.follow_changes(),
                     self.follower.follow_list(),
@@ -117,23 +120,23 @@
                 )
             ]
             await stopping.wait()
-            await self._leave(callers, runner)
+            await self._drain(caller_server, runner)
             for task in tasks:
                 task.cancel()
-        permits.close()
+        permit_server.close()
 
-    async def _leave(self, callers: asyncio.Server, runner: web.AppRunner) -> None:
-        """Stops without cutting a request.
+    async def _drain(self, caller_server: asyncio.Server, runner: web.AppRunner) -> None:
+        """Stops accepting requests and completes those in progress.
 
-        Callers cache lookups, so requests arrive until the time-to-live is over.
+        Callers cache lookups, so new requests arrive until the time-to-live of the last one ends.
         """
         timeouts = self.settings.timeouts
         self.leaving = True
-        self.control.leave()
+        self.control.announce_stop()
         if self.view.timeline.generation:
             ttl_s = self.view.require_steering().plan.lookup_ttl_s
             await asyncio.sleep(ttl_s + timeouts.spread_s)
-        callers.close()
+        caller_server.close()
         # Closes idle connections, then waits for requests in progress.
         await runner.cleanup()
         await self.claimed_requests.wait_until_done(timeouts.stop_s)
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -1,4 +1,4 @@
-"""The request path: from a caller's request to an answer or an error of the closed list."""
+"""The request path: from a caller's request to a response or an error of `ErrorKind`."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from briarfork.entry.delivery import Delivery
 from briarfork.entry.forward import DEADLINE_HEADER
 from briarfork.entry.forward import AttemptFailed
-from briarfork.entry.forward import KeptAnswer
+from briarfork.entry.forward import BufferedResponse
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.errors import OutcomeUnknown
@@ -36,23 +36,23 @@
     from briarfork.configuration import Service
     from briarfork.entry.process import EntryProcess
 
-KEY_HEADER = "Idempotency-Key"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 MAX_ATTEMPTS = 3
 
 
 class Proxy:
-    """Serves the requests of callers."""
+    """Forwards the requests of callers to backend servers."""
 
     def __init__(self, process: EntryProcess) -> None:
         self._process = process
         self._settings = process.settings
-        self._retries = Budget(RETRY_RATIO)
+        self._retry_budget = Budget(RETRY_RATIO)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
-        """Answers one request.
+        """Handles one request.
 
         Raises:
-            BriarforkError: An error of the closed list.
+            BriarforkError: If the caller gets an error response.
         """
         steering = self._process.view.require_steering()
         service = steering.plan.services.get(request.match_info["service"])
@@ -65,9 +65,9 @@
         call = await self._read_call(request, service)
         claim = self._build_claim(call, service)
         if claim is None:
-            answer = await self._send(call, service)
-            assert isinstance(answer, web.StreamResponse)
-            return answer
+            response = await self._send(call, service)
+            assert isinstance(response, web.StreamResponse)
+            return response
         return await self._process.claimed_requests.run_to_completion(
             self._send_claimed(call, service, claim)
         )
@@ -77,7 +77,7 @@
         route = service.find_route(path)
         now = time.monotonic()
         deadline = Deadline.read(request.headers.get(DEADLINE_HEADER), route.deadline_ms, now)
-        keys = request.headers.getall(KEY_HEADER, [])
+        keys = request.headers.getall(IDEMPOTENCY_KEY_HEADER, [])
         if keys:
             check_key(*keys)
         idempotent = service.is_idempotent(request.method)
@@ -89,7 +89,7 @@
                     body = await self._read_body(request, claimed)
             except TimeoutError as error:
                 raise NotRun(
-                    ErrorKind.DEADLINE_EXPIRED, "the deadline was over before the body arrived"
+                    ErrorKind.DEADLINE_EXPIRED, "the deadline expired before the body arrived"
                 ) from error
         return Call(
             request=request,
@@ -98,17 +98,17 @@
             deadline=deadline,
             generation=self._process.view.timeline.generation,
             idempotent=idempotent,
-            keep_answer=claimed,
+            buffer_response=claimed,
         )
 
-    async def _read_body(self, request: web.Request, whole: bool) -> bytes | None:
+    async def _read_body(self, request: web.Request, must_buffer: bool) -> bytes | None:
         limits = self._settings.limits
         length = request.content_length
-        if whole:
+        if must_buffer:
             if length is None or length > limits.keyed_body_bytes:
                 raise NotRun(
                     ErrorKind.BODY_TOO_LARGE,
-                    f"a request with {KEY_HEADER} states a Content-Length of at most "
+                    f"a request with {IDEMPOTENCY_KEY_HEADER} needs a Content-Length of at most "
                     f"{limits.keyed_body_bytes} bytes",
                 )
             return await request.content.read()
@@ -117,9 +117,9 @@
         return None
 
     def _build_claim(self, call: Call, service: Service) -> Claim | None:
-        if not call.keep_answer:
+        if not call.buffer_response:
             return None
-        key = call.request.headers[KEY_HEADER]
+        key = call.request.headers[IDEMPOTENCY_KEY_HEADER]
         return Claim(
             service=service.name,
             digest=digest_request(service.name, call.request.method, call.path, key),
@@ -128,33 +128,37 @@
         )
 
     async def _send_claimed(self, call: Call, service: Service, claim: Claim) -> web.StreamResponse:
-        stored = await self._process.claims.open(claim)
-        if stored is not None:
+        stored_response = await self._process.claims.open(claim)
+        if stored_response is not None:
             return web.Response(
-                status=stored.status,
-                body=stored.body,
-                headers={"Content-Type": stored.content_type, "Briarfork-Replayed": "true"},
+                status=stored_response.status,
+                body=stored_response.body,
+                headers={
+                    "Content-Type": stored_response.content_type,
+                    "Briarfork-Replayed": "true",
+                },
             )
         try:
-            answer = await self._send(call, service)
+            response = await self._send(call, service)
         except NotRun as error:
             if not await self._process.claims.abandon(claim):
-                # A repeat would find the claim and be told "unknown", so this caller is too.
+                # A retry would find the claim and get an unknown outcome, so this caller does too.
                 raise OutcomeUnknown(
-                    f"the request did not run ({error}), but its key could not be released"
+                    f"the request did not run ({error}), "
+                    "but its idempotency key could not be released"
                 ) from error
             raise
-        assert isinstance(answer, KeptAnswer)
-        content_type = answer.headers.get("Content-Type", "application/octet-stream")
-        # Stored before the caller gets it, so that a repeat after a lost answer finds it.
+        assert isinstance(response, BufferedResponse)
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        # Stored before the caller gets it, so that a retry after a lost response finds it.
         await self._process.claims.finish(
-            claim, StoredAnswer(answer.status, content_type, answer.body)
+            claim, StoredAnswer(response.status, content_type, response.body)
         )
-        return web.Response(status=answer.status, headers=answer.headers, body=answer.body)
+        return web.Response(status=response.status, headers=response.headers, body=response.body)
 
-    async def _send(self, call: Call, service: Service) -> web.StreamResponse | KeptAnswer:
-        """Makes attempts until one succeeds or the rules allow no more."""
-        self._retries.earn()
+    async def _send(self, call: Call, service: Service) -> web.StreamResponse | BufferedResponse:
+        """Makes attempts until one succeeds or no retry is allowed."""
+        self._retry_budget.earn()
         delivery = Delivery(call, self._process.leaving)
         avoid: frozenset[str] = frozenset()
         try:
@@ -163,34 +167,34 @@
                 try:
                     return await self._process.hedger.send(delivery, service, permit)
                 except AttemptFailed as failure:
-                    self._decide_after(failure, delivery, service, number)
+                    self._check_retry(failure, delivery, service, number)
                 avoid |= {permit.server.vm}
                 self._process.metrics.count(Metric.RETRIES, service.name)
             raise AssertionError("unreachable")
         finally:
-            if delivery.cut():
+            if delivery.abort_if_incomplete():
                 self._process.events.record(Event.ANSWER_CUT, service=service.name, path=call.path)
 
-    def _decide_after(
+    def _check_retry(
         self, failure: AttemptFailed, delivery: Delivery, service: Service, number: int
     ) -> None:
-        """Returns if another attempt is allowed, else raises what the caller is told."""
+        """Returns if a retry is allowed, else raises the error for the caller."""
         call = delivery.call
         result = AttemptResult.ANSWER_STARTED if delivery.started else failure.result
         attempt = FailedAttempt(result, call.idempotent, call.is_replayable, delivery.may_resume)
         expired = call.deadline.is_over(time.monotonic())
         allowed = number < MAX_ATTEMPTS and not expired and attempt.may_repeat()
-        if allowed and self._retries.spend():
+        if allowed and self._retry_budget.spend():
             return
         if attempt.may_have_run:
             self._process.events.record(Event.OUTCOME_UNKNOWN, service=service.name, reason=failure)
-            raise OutcomeUnknown(f"the request was sent and brought no answer: {failure}")
+            raise OutcomeUnknown(f"the request was sent but got no complete response: {failure}")
         kind = ErrorKind.DEADLINE_EXPIRED if expired else ErrorKind.OVERLOADED
         raise NotRun(kind, str(failure)) from failure
 
 
 def read_path(request: web.Request) -> str:
-    """Returns path and query for the backend server, exactly as the caller encoded them.
+    """Returns path and query for the backend server in the encoding of the caller.
 
     Raises:
         NotRun: If the path has dot segments, which servers resolve in different ways.
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -1,4 +1,4 @@
-"""What an entry process knows of configuration, members and servers."""
+"""The view of an entry process: configuration, members and servers."""
 
 from __future__ import annotations
 
@@ -36,13 +36,13 @@
 
 
 class EntryView:
-    """The entry process's copy of what its control process sends; it survives a loss of control."""
+    """Copy of the state that the control process sends; it stays in use without that process."""
 
     def __init__(self, settings: Settings, events: EventLog) -> None:
         self.settings = settings
         self.timeline = Timeline()
         self.members: dict[str, Member] = {}
-        self.listed: list[ListedVm] = []
+        self.listed_vms: list[ListedVm] = []
         self._servers: dict[tuple[str, str], list[ServerAddress]] = {}
         self._owners: dict[tuple[str, str], Member | None] = {}
         self._events = events
@@ -51,22 +51,22 @@
         self._directory: EntryDirectory | None = None
 
     def accept_changes(self, changes: Iterable[Change]) -> None:
-        """Adds changes to the timeline and renders what is in force now."""
+        """Adds changes to the timeline and renders the configuration in force now."""
         for change in changes:
             self.timeline.append(change)
         self._render(time.time())
 
     def accept_members(self, members: Iterable[Member]) -> None:
-        """Replaces the roster."""
+        """Replaces the members."""
         self.members = {member.vm: member for member in members}
         self._owners.clear()
         self._directory = None
 
-    def accept_list(self, listed: list[ListedVm]) -> None:
+    def accept_vm_list(self, listed_vms: list[ListedVm]) -> None:
         """Replaces the platform's list of VMs."""
-        self.listed = listed
+        self.listed_vms = listed_vms
         self._servers = {}
-        for vm in listed:
+        for vm in listed_vms:
             if vm.role == BACKEND_ROLE and vm.state == LIVE_STATE:
                 address = ServerAddress(vm.vm, vm.address, vm.ports["http"])
                 self._servers.setdefault((vm.service, vm.site), []).append(address)
@@ -85,7 +85,7 @@
         return self._steering
 
     def order_entries(self, site: str, client: str) -> tuple[EntryAddress, ...]:
-        """Returns the entry VMs that a client directed to a site may use, the best first."""
+        """Returns the entry VMs for a client of a site, in order of preference."""
         plan = self.require_steering().plan
         if self._directory is None:
             entries = [
@@ -109,7 +109,7 @@
         ]
 
     def list_capacities(self) -> list[tuple[tuple[str, str], SiteCapacity, bool]]:
-        """Returns each service and site, what a server takes there, and if classes are mixed."""
+        """Returns service and site, capacity of a server, and whether both classes are served."""
         return [
             ((service.name, site), capacity, service.is_mixed)
             for service in self.require_steering().plan.services.values()
@@ -117,7 +117,7 @@
         ]
 
     def find_capacity(self, key: tuple[str, str]) -> tuple[SiteCapacity, bool]:
-        """Returns what a server of a service takes at a site, and if classes are mixed."""
+        """Returns the capacity of a server at a site, and whether both classes are served."""
         service = self.require_steering().plan.services[key[0]]
         return service.capacity[key[1]], service.is_mixed
 
@@ -128,7 +128,7 @@
     def find_owner(self, service: str, site: str) -> Member | None:
         """Returns the entry VM that owns the slots of a service at a site.
 
-        It is in the site's zone; if none serves there, one of the site's region takes over.
+        The owner is in the zone of the site, or in its region if no VM of the zone is serving.
         """
         plan = self.require_steering().plan
         if (service, site) not in self._owners:
@@ -150,8 +150,8 @@
         if self.timeline.generation == 0:
             return
         try:
-            known = self._steering.plan if self._steering else None
-            plan = self.timeline.find_documents(wall_now).render(known)
+            current = self._steering.plan if self._steering else None
+            plan = self.timeline.find_documents(wall_now).render(current)
         except BriarforkError as error:
             self._events.record(Event.CONFIGURATION_UNUSABLE, fault=error.detail)
             return
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -13,7 +13,7 @@
 
 from briarfork.border.callers import CallerProtocol
 from briarfork.border.events import Event
-from briarfork.entry.forward import HOP_HEADERS
+from briarfork.entry.forward import HOP_BY_HOP_HEADERS
 from briarfork.errors import ANSWERS
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
@@ -45,7 +45,7 @@
 OWN_HEADERS = frozenset(
     name.lower() for name in (names.ATTEMPT_ID, names.DEADLINE_MS, names.EXPECTED_INSTANCE)
 )
-DROPPED_HEADERS = HOP_HEADERS | OWN_HEADERS | {"content-length", "expect"}
+DROPPED_HEADERS = HOP_BY_HOP_HEADERS | OWN_HEADERS | {"content-length", "expect"}
 # When to come back if the wait for a slot is not known, and the spread that keeps callers apart.
 RETRY_AFTER_S = 0.25
 RETRY_SPREAD = 0.5
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -11,8 +11,8 @@
 import aiohttp
 from yarl import URL
 
-from briarfork.entry.connections import TracedResponse
-from briarfork.entry.forward import HOP_HEADERS
+from briarfork.entry.connections import ServerResponse
+from briarfork.entry.forward import HOP_BY_HOP_HEADERS
 from briarfork.entry.forward import AttemptGuard
 from briarfork.gateway.attempts import AttemptEnded
 from briarfork.gateway.request import Reply
@@ -76,13 +76,13 @@
         now = time.monotonic()
         limit_s = min(deadline.remaining_s(now) + ANSWER_MARGIN_S, request.answer_by - now)
         try:
-            with self._connections.use(server, cautious=not repeatable) as session:
+            with self._connections.borrow_session(server, avoid_stale=not repeatable) as session:
                 async with asyncio.timeout(limit_s):
                     return await self._exchange(session, request, server, deadline, attempt)
         except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden, ValueError) as error:
             if isinstance(error, TimeoutError) and attempt.result is not AttemptResult.NOT_SENT:
                 # Connections become unresponsive for good while new ones work.
-                self._connections.give_up(server)
+                self._connections.retire_connections(server)
             release = Release.UNUSED if isinstance(error, SendForbidden) else Release.FAILED
             raise AttemptEnded(
                 attempt.result, release, f"{type(error).__name__}: {error}"
@@ -165,11 +165,11 @@
     """Returns whether a body without a length ended by a reset, not by an orderly close."""
     if "Content-Length" in answer.headers or "Transfer-Encoding" in answer.headers:
         return False
-    return not isinstance(answer, TracedResponse) or answer.was_reset
+    return not isinstance(answer, ServerResponse) or answer.was_reset
 
 
 def _list_headers(answer: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
-    dropped = HOP_HEADERS | {"content-length", names.LOAD.lower()}
+    dropped = HOP_BY_HOP_HEADERS | {"content-length", names.LOAD.lower()}
     return tuple(
         (name, value) for name, value in answer.headers.items() if name.lower() not in dropped
     )
