State plainly which failure each test of the entry process guards against

Test names and docstrings used figures of speech (an answer reaches nobody, a cut zone heals, a server is blamed) and the fixture was called a scene. They now name the fault and the expected behaviour; the fixture module is environment. What the tests check is unchanged.

--- a/src/briarfork/entry/overflow.py
+++ b/src/briarfork/entry/overflow.py
@@ -26,8 +26,8 @@
 # these values never collide with one.
 LOCAL_SHARE = "-share"
 LOCAL_SELECTION = "-choice"
-# Delay before the next site is asked as well, equal to the round-trip time between two zones of a
-# region.
+# Delay before a permit is also requested at the next site. It equals the round-trip time between
+# two zones of a region.
 OVERFLOW_DELAY_S = 0.004
 
 
--- a/src/briarfork/entry/routing.py
+++ b/src/briarfork/entry/routing.py
@@ -143,7 +143,7 @@
     async def _acquire_moved(
         self, call: Call, service: Service, avoid: frozenset[str], assigned: Assigned
     ) -> Permit:
-        """Acquires a permit at the receiving site of a shift within a short time, or else at home.
+        """Acquires a permit at the receiving site at once, or else at the site before the shift.
 
         A moved request that waits longer could start together with requests that the cap admits
         later, so that the receiving site would get more than the cap within one second.
--- a/tests/bench/overhead.py
+++ b/tests/bench/overhead.py
@@ -22,10 +22,10 @@
 from tests.cluster import Cluster
 from tests.cluster import Pool
 from tests.cluster import find_port
-from tests.entry.scene import CLIENT
-from tests.entry.scene import NETWORK
-from tests.entry.scene import ZONE
-from tests.entry.scene import write_documents
+from tests.entry.environment import CLIENT
+from tests.entry.environment import NETWORK
+from tests.entry.environment import ZONE
+from tests.entry.environment import write_documents
 
 ADDRESS = f"127.{NETWORK}.210.1"
 ROUNDS = 5
--- a/tests/entry/scene.py
+++ b/tests/entry/environment.py
@@ -1,4 +1,4 @@
-"""One availability zone with scripted backend servers, for tests of the request path."""
+"""Test environment of one availability zone with scripted backend servers."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
 
 
 @dataclass
-class Scene:
+class Environment:
     cluster: Cluster
     servers: list[Scripted]
     ledger: Counter[str]
@@ -47,24 +47,24 @@
     def url(self, path: str, vm: int = 0) -> str:
         return f"{self.cluster.vms[vm].url}/services/{path}"
 
-    async def ask(
+    async def request(
         self, method: str, path: str, name: str, vm: int = 0, keyed: bool = False, **options: Any
     ) -> Reply:
         header = "Idempotency-Key" if keyed else "Test-Request"
         headers = {header: name, **options.pop("headers", {})}
         url = self.url(path, vm)
-        async with self.cluster.session.request(method, url, headers=headers, **options) as answer:
-            return await read(answer)
+        async with self.cluster.session.request(method, url, headers=headers, **options) as result:
+            return await read_reply(result)
 
-    async def wait(self, condition: Callable[[], bool], timeout_s: float = 10.0) -> None:
+    async def wait_until(self, condition: Callable[[], bool], timeout_s: float = 10.0) -> None:
         async with asyncio.timeout(timeout_s):
             while not condition():
                 await asyncio.sleep(POLL_S)
 
 
-async def read(answer: aiohttp.ClientResponse) -> Reply:
-    error, outcome = answer.headers.get("Briarfork-Error"), answer.headers.get("Briarfork-Outcome")
-    return Reply(answer.status, error, outcome, await answer.read(), answer.headers)
+async def read_reply(result: aiohttp.ClientResponse) -> Reply:
+    error, outcome = result.headers.get("Briarfork-Error"), result.headers.get("Briarfork-Outcome")
+    return Reply(result.status, error, outcome, await result.read(), result.headers)
 
 
 def write_documents(folder: Path, **changes: Any) -> Path:
@@ -94,9 +94,9 @@
 
 
 @asynccontextmanager
-async def build_scene(
+async def run_environment(
     work: Path, servers: int = 3, vms: int = 2, **extra_timeouts: float
-) -> AsyncIterator[Scene]:
+) -> AsyncIterator[Environment]:
     folder = write_documents(work / "documents")
     ledger: Counter[str] = Counter()
     scripted = [Scripted(f"127.{NETWORK}.1.{100 + index}", ledger) for index in range(servers)]
@@ -115,14 +115,16 @@
                 name = f"{service}-{index}"
                 cluster.list_server(name, service, ZONE, server.address, server.port)
         await cluster.publish()
-        answer = await cluster.submit()
-        await cluster.wait_for_generation(answer["generation"])
-        scene = Scene(cluster, scripted, ledger)
+        submitted = await cluster.submit()
+        await cluster.wait_for_generation(submitted["generation"])
+        environment = Environment(cluster, scripted, ledger)
         async with asyncio.timeout(15.0):
             for vm in range(vms):
                 for service in SERVICES:
-                    while (await scene.ask("GET", f"{service}/ok", "ready", vm)).status != 200:
+                    while (
+                        await environment.request("GET", f"{service}/ok", "ready", vm)
+                    ).status != 200:
                         await asyncio.sleep(POLL_S)
-        yield scene
+        yield environment
         for server in scripted:
             server.stop()
--- a/tests/entry/sites.py
+++ b/tests/entry/sites.py
@@ -1,4 +1,4 @@
-"""Operators' files for a few sites, and an open-loop load on entry VMs."""
+"""Configuration files for a few sites, and open-loop load on entry VMs."""
 
 from __future__ import annotations
 
@@ -56,7 +56,7 @@
 
 
 async def send(cluster: Cluster, vm: Vm, answers: Counter[str], path: str = "x") -> None:
-    """Sends one request and counts the site that ran it, or the kind of error."""
+    """Sends one request and counts it under the site that ran it, or under its error."""
     try:
         async with cluster.session.get(f"{vm.url}/services/{SERVICE}/{path}") as answer:
             await answer.read()
@@ -68,7 +68,7 @@
 
 
 async def run_load(cluster: Cluster, vms: list[Vm], rps: float, duration_s: float) -> Counter[str]:
-    """Sends requests at a fixed rate, whatever the answers, to the VMs in turn."""
+    """Sends open-loop load at a fixed rate to the VMs in turn and returns the counts."""
     answers: Counter[str] = Counter()
     started = time.monotonic()
     async with asyncio.TaskGroup() as group:
--- a/tests/entry/test_deadline.py
+++ b/tests/entry/test_deadline.py
@@ -1,4 +1,4 @@
-"""The deadline of a request whose answer has begun."""
+"""Tests of a deadline that expires while the response is being sent."""
 
 from __future__ import annotations
 
@@ -17,9 +17,9 @@
 SLOW = ("--rate-bytes-s", "100000")
 
 
-class TestDeadlineWithinTheAnswer:
-    async def test_caller_sees_that_the_answer_was_cut(self, tmp_path: Path) -> None:
-        """Guards against a caller that waits for the rest of an answer after its deadline."""
+class TestDeadlineDuringResponse:
+    async def test_caller_detects_truncation(self, tmp_path: Path) -> None:
+        """Guards against a caller that waits for the rest of a response after its deadline."""
         pools = [Pool("archive", ZONE, 2, options=SLOW)]
         folder = ROOT / "examples" / "estonia"
         async with Cluster(
--- a/tests/entry/test_hedging.py
+++ b/tests/entry/test_hedging.py
@@ -1,4 +1,4 @@
-"""Second attempts of requests that a slow server holds up, through separate processes."""
+"""Tests of hedged requests to a slow server, with separate processes."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 CLIENT = "127.10.0.9"
 ZONE = "far-north-a"
 WARM_UP = 200
-# First attempts without a second one after which the budget holds all that it can save.
+# Number of first attempts that fills the hedge budget.
 FULL_BUDGET = FIRST_ATTEMPTS_PER_HEDGE * HedgeBudget.MAX_SAVED
 RUN_S = 0.01
 SLOW_FACTOR = 100.0
@@ -70,9 +70,9 @@
 
 
 async def warm_up(cluster: Cluster, service: str) -> None:
-    """Sends requests until run times are known and the budget of second attempts is full.
+    """Sends requests until run times are known and the hedge budget is full.
 
-    A stall of the machine makes a request of the warm-up late, which spends from the budget.
+    A stall of the machine delays a request of the warm-up, which spends from the budget.
     """
     for number in range(WARM_UP):
         await send(cluster, service, f"warm-{number}")
@@ -85,8 +85,8 @@
 
 
 class TestHedging:
-    async def test_late_request_is_answered_by_another_server(self, cluster: Cluster) -> None:
-        """Guards against a lookup that waits for a straggler, and a loser that runs on."""
+    async def test_late_request_is_served_by_another_server(self, cluster: Cluster) -> None:
+        """Guards against a request that waits for a slow server, and an attempt that runs on."""
         await warm_up(cluster, "hearing-status")
         await slow_down(cluster, "hearing-status")
         names = [f"late-{number}" for number in range(4)]
@@ -98,8 +98,8 @@
                 if any(ledger["cancelled"] for ledger in ledgers):
                     break
 
-    async def test_order_is_never_sent_twice(self, cluster: Cluster) -> None:
-        """Guards against a second attempt of a request that must not run twice."""
+    async def test_non_idempotent_request_is_not_hedged(self, cluster: Cluster) -> None:
+        """Guards against a hedge of a request that must not run twice."""
         for number in range(WARM_UP):
             await send(cluster, "ordering", f"warm-{number}", "POST")
         await slow_down(cluster, "ordering")
--- a/tests/entry/test_input.py
+++ b/tests/entry/test_input.py
@@ -1,4 +1,4 @@
-"""Bad input from callers ends in an error of the closed list."""
+"""Tests that invalid input of callers ends in an error of `ErrorKind`."""
 
 from __future__ import annotations
 
@@ -9,8 +9,8 @@
 import pytest_asyncio
 
 from briarfork.errors import ErrorKind
-from tests.entry.scene import Scene
-from tests.entry.scene import build_scene
+from tests.entry.environment import Environment
+from tests.entry.environment import run_environment
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -20,14 +20,14 @@
 
 
 @pytest_asyncio.fixture
-async def scene(tmp_path: Path) -> AsyncIterator[Scene]:
-    async with build_scene(tmp_path, vms=1) as running:
+async def environment(tmp_path: Path) -> AsyncIterator[Environment]:
+    async with run_environment(tmp_path, vms=1) as running:
         yield running
 
 
-async def send_bytes(scene: Scene, data: bytes, wait_s: float = 5.0) -> bytes:
-    """Sends bytes and returns one answer, or nothing if the connection closes or none comes."""
-    vm = scene.cluster.vms[0]
+async def send_bytes(environment: Environment, data: bytes, wait_s: float = 5.0) -> bytes:
+    """Sends bytes and returns one response, or nothing if none arrives in time."""
+    vm = environment.cluster.vms[0]
     reader, writer = await asyncio.open_connection(vm.address, vm.ports["entry"])
     try:
         async with asyncio.timeout(wait_s):
@@ -48,8 +48,8 @@
 
 
 class TestBadRequests:
-    async def test_each_fault_has_its_kind(self, scene: Scene) -> None:
-        """Guards against an answer that callers cannot tell apart by its kind."""
+    async def test_each_error_has_its_kind(self, environment: Environment) -> None:
+        """Guards against errors that callers cannot distinguish by their kind."""
         line = "GET /services/results/ok HTTP/1.1\r\nHost: x\r\n"
         post = "POST /services/scoring/ok HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
         cases = {
@@ -70,17 +70,17 @@
             "not HTTP at all\r\n\r\n": "bad_request",
             "GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n": "bad_request",
         }
-        found = {case: read_kind(await send_bytes(scene, case.encode())) for case in cases}
+        found = {case: read_kind(await send_bytes(environment, case.encode())) for case in cases}
         assert found == cases
 
-    async def test_path_is_passed_on_as_it_came(self, scene: Scene) -> None:
-        """Guards against an encoded slash that becomes a separator on the way."""
+    async def test_path_is_forwarded_unchanged(self, environment: Environment) -> None:
+        """Guards against an encoded slash that is decoded to a path separator."""
         data = b"GET /services/results/ok/a%2Fb%20c?d=%26 HTTP/1.1\r\nHost: x\r\n\r\n"
-        answer = await send_bytes(scene, data)
+        answer = await send_bytes(environment, data)
         assert answer.endswith(b"- /ok/a%2Fb%20c?d=%26")
 
-    async def test_arbitrary_bytes_crash_nothing(self, scene: Scene) -> None:
-        """Guards against bytes that end the process or bring an answer outside the list."""
+    async def test_arbitrary_bytes_cause_no_crash(self, environment: Environment) -> None:
+        """Guards against bytes that end the process or cause an error outside `ErrorKind`."""
         source = random.Random(SEED)
         valid = b"POST /services/scoring/ok HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n1"
         kinds = {kind.value for kind in ErrorKind}
@@ -88,10 +88,12 @@
             data = bytearray(valid)
             for _ in range(source.randrange(1, 8)):
                 data[source.randrange(len(data))] = source.randrange(256)
-            answer = await send_bytes(scene, bytes(data), wait_s=0.2)
+            answer = await send_bytes(environment, bytes(data), wait_s=0.2)
             if answer and not answer.startswith(b"HTTP/1.1 200"):
                 assert read_kind(answer) in kinds, bytes(data)
         for size in (1, 100, 100_000):
-            await send_bytes(scene, source.randbytes(size), wait_s=0.2)
-        assert (await scene.ask("GET", "results/ok", "alive")).status == 200
-        assert "name=task_failed" not in scene.cluster.read_log(scene.cluster.vms[0], "entry")
+            await send_bytes(environment, source.randbytes(size), wait_s=0.2)
+        assert (await environment.request("GET", "results/ok", "alive")).status == 200
+        assert "name=task_failed" not in environment.cluster.read_log(
+            environment.cluster.vms[0], "entry"
+        )
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -1,4 +1,4 @@
-"""Planned stops of entry VMs and of backend servers cut nothing."""
+"""Tests that planned stops of entry VMs and backend servers abort no request."""
 
 from __future__ import annotations
 
@@ -11,9 +11,9 @@
 import pytest_asyncio
 
 from tests.cluster import PROGRAMS
-from tests.entry.scene import CLIENT
-from tests.entry.scene import Scene
-from tests.entry.scene import build_scene
+from tests.entry.environment import CLIENT
+from tests.entry.environment import Environment
+from tests.entry.environment import run_environment
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -27,16 +27,16 @@
 
 
 @pytest_asyncio.fixture
-async def scene(tmp_path: Path) -> AsyncIterator[Scene]:
-    async with build_scene(tmp_path, vms=3) as running:
+async def environment(tmp_path: Path) -> AsyncIterator[Environment]:
+    async with run_environment(tmp_path, vms=3) as running:
         yield running
 
 
 class CachingCaller:
-    """Uses the first entry VM of a lookup for its whole time-to-live, on kept connections."""
+    """Uses one entry VM of a lookup for the whole time-to-live, with kept connections."""
 
-    def __init__(self, scene: Scene, number: int) -> None:
-        self._scene = scene
+    def __init__(self, environment: Environment, number: int) -> None:
+        self._environment = environment
         self._number = number
         self._url = ""
         self._expires_at = 0.0
@@ -64,7 +64,7 @@
     async def _look_up(self, session: aiohttp.ClientSession) -> None:
         if time.monotonic() < self._expires_at:
             return
-        for vm in self._scene.cluster.vms:
+        for vm in self._environment.cluster.vms:
             try:
                 async with session.get(f"{vm.url}/lookup?service=scoring") as answer:
                     body = await answer.json()
@@ -78,54 +78,57 @@
 
 
 class TestEntryVm:
-    async def test_stops_in_turn_cut_nothing(self, scene: Scene) -> None:
-        """Guards against a rolling restart that cuts callers with an old lookup."""
+    async def test_rolling_restart_aborts_no_request(self, environment: Environment) -> None:
+        """Guards against a rolling restart that aborts requests of callers with a cached lookup."""
         stopping = asyncio.Event()
-        callers = [CachingCaller(scene, number) for number in range(12)]
+        callers = [CachingCaller(environment, number) for number in range(12)]
         drains = []
         async with asyncio.TaskGroup() as group:
             for caller in callers:
                 group.create_task(caller.run(stopping))
-            for vm in scene.cluster.vms:
-                drains.append(await scene.cluster.stop(vm))
-                log = scene.cluster.read_log(vm, "entry")
+            for vm in environment.cluster.vms:
+                drains.append(await environment.cluster.stop(vm))
+                log = environment.cluster.read_log(vm, "entry")
                 assert "name=stopped" in log
-                scene.cluster.start(vm, PROGRAMS[:2])
-                await scene.cluster.wait_for_generation(1)
+                environment.cluster.start(vm, PROGRAMS[:2])
+                await environment.cluster.wait_for_generation(1)
             stopping.set()
         assert [failure for caller in callers for failure in caller.failures] == []
-        assert all(runs == 1 for name, runs in scene.ledger.items() if name != "ready")
+        assert all(runs == 1 for name, runs in environment.ledger.items() if name != "ready")
         limit_s = LOOKUP_TTL_S + SPREAD_S + LONGEST_REQUEST_S + DRAIN_GRACE_S
         assert max(drains) < limit_s
 
-    async def test_kept_connections_are_told_to_close(self, scene: Scene) -> None:
-        """Guards against callers that keep a connection to a VM that is about to stop."""
-        vm = scene.cluster.vms[0]
+    async def test_kept_connections_are_told_to_close(self, environment: Environment) -> None:
+        """Guards against callers that keep a connection to a VM that is stopping."""
+        vm = environment.cluster.vms[0]
         vm.processes["entry"].send_signal(signal.SIGTERM)
         async with asyncio.timeout(5.0):
             while True:
-                reply = await scene.ask("GET", "results/ok", "leaving")
+                reply = await environment.request("GET", "results/ok", "leaving")
                 if reply.headers.get("Connection") == "close":
                     break
-        async with scene.cluster.session.get(f"{vm.url}/healthz") as answer:
+        async with environment.cluster.session.get(f"{vm.url}/healthz") as answer:
             assert answer.status == 503
 
 
 class TestBackendServer:
-    async def test_draining_server_gets_no_new_work(self, scene: Scene) -> None:
-        """Guards against requests that meet a leaving server again and again."""
-        reply = await scene.ask("POST", "scoring/drain/x", "first", data=b"1")
+    async def test_draining_server_gets_no_new_work(self, environment: Environment) -> None:
+        """Guards against requests that keep being sent to a draining server."""
+        reply = await environment.request("POST", "scoring/drain/x", "first", data=b"1")
         assert reply.status in (200, 503)
-        # The owner of the slots hears of the drain from the requester; the target is 2 s.
+        # The requester reports the drain to the owner of the slots; the target is 2 s.
         drained_by = time.monotonic() + NO_NEW_WORK_S
         while time.monotonic() < drained_by:
-            await scene.ask("POST", "scoring/ok", "meanwhile", data=b"1")
+            await environment.request("POST", "scoring/ok", "meanwhile", data=b"1")
         before = time.monotonic()
-        counts = [len(server.seen) for server in scene.servers]
+        counts = [len(server.seen) for server in environment.servers]
         for number in range(60):
-            await scene.ask("POST", "scoring/ok", f"next-{number}", data=b"1", vm=number % 3)
+            await environment.request(
+                "POST", "scoring/ok", f"next-{number}", data=b"1", vm=number % 3
+            )
         taken = [
-            len(server.seen) - count for server, count in zip(scene.servers, counts, strict=True)
+            len(server.seen) - count
+            for server, count in zip(environment.servers, counts, strict=True)
         ]
         assert time.monotonic() - before < 30.0
         assert 0 in taken
--- a/tests/entry/test_overload.py
+++ b/tests/entry/test_overload.py
@@ -1,4 +1,4 @@
-"""Offered load of twice the capacity, and the time after it."""
+"""Tests of an offered load of twice the capacity, and of the recovery after it."""
 
 from __future__ import annotations
 
@@ -14,10 +14,10 @@
 
 from tests.cluster import Cluster
 from tests.cluster import Pool
-from tests.entry.scene import CLIENT
-from tests.entry.scene import NETWORK
-from tests.entry.scene import ZONE
-from tests.entry.scene import write_documents
+from tests.entry.environment import CLIENT
+from tests.entry.environment import NETWORK
+from tests.entry.environment import ZONE
+from tests.entry.environment import write_documents
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -28,13 +28,13 @@
 RUN_MS = 160.0
 DEADLINE_MS = 2000
 CAPACITY_S = 3.0
-# `make bench` uses the 30 s of the target.
+# Shorter than the 30 s of the target, which `make bench` uses.
 OVERLOAD_S = 6.0
 
 
 @dataclass
 class Load:
-    """Requests at a constant rate, whatever becomes of them."""
+    """Open-loop load at a constant rate."""
 
     cluster: Cluster
     served_s: list[tuple[float, float]] = field(default_factory=list)
@@ -93,9 +93,9 @@
 
 
 async def measure_capacity(cluster: Cluster) -> float:
-    """Returns the requests a second that the servers run with all slots in use, asked directly.
+    """Returns the requests per second of the servers with all slots in use, without entry VMs.
 
-    The nominal capacity is no measure: the cost of HTTP in the stand-ins counts.
+    It is lower than the nominal capacity, because the stand-ins also spend time on HTTP.
     """
     served = 0
     stops_at = time.monotonic() + CAPACITY_S
@@ -117,7 +117,7 @@
 
 class TestOverload:
     async def test_goodput_refusals_and_recovery(self, cluster: Cluster) -> None:
-        """Guards against a collapse under twice the capacity, and against one that lasts."""
+        """Guards against a collapse of goodput under overload, and against one that persists."""
         capacity = await measure_capacity(cluster)
         calm, over, after = Load(cluster), Load(cluster), Load(cluster)
         await calm.offer(capacity / 2, 2.0, "calm")
--- a/tests/entry/test_owner_loss.py
+++ b/tests/entry/test_owner_loss.py
@@ -1,4 +1,4 @@
-"""Requests while the owner of the slots dies, is stopped or no longer answers."""
+"""Tests of requests while the owner of the slots dies, is stopped or does not respond."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 SLOTS = 3
 RATE = 40.0
 RUN_MS = 30
-# Silence of 0.5 s, one more attempt to reach the owner, and a margin for a busy machine.
+# Silence timeout of 0.5 s, one more attempt to reach the owner, and a margin for a busy machine.
 LONGEST_STALL_S = 1.5
 FAULTS = {
     "dies": (signal.SIGKILL, ("entry", "control")),
@@ -48,7 +48,7 @@
     return min(cluster.vms, key=lambda vm: hash_text(f"{service}|{ZONE}|{vm.name}"))
 
 
-def strike(vm: Vm, fault: str) -> None:
+def inject_fault(vm: Vm, fault: str) -> None:
     number, programs = FAULTS[fault]
     for program in programs:
         vm.processes[program].send_signal(number)
@@ -57,7 +57,7 @@
 async def send(
     cluster: Cluster, vm: Vm, service: str, name: str, run_ms: int, deadline_ms: int
 ) -> tuple[int, str, float]:
-    """Returns status, outcome and how long the request took beyond its run time."""
+    """Returns status, outcome and the time beyond the run time, in seconds."""
     loop = asyncio.get_running_loop()
     started = loop.time()
     headers = {
@@ -72,7 +72,7 @@
         return answer.status, outcome, loop.time() - started - run_ms / 1000.0
 
 
-async def sum_ledgers(cluster: Cluster, service: str, field: str) -> list[int]:
+async def read_ledger_field(cluster: Cluster, service: str, field: str) -> list[int]:
     return [
         (await cluster.get(f"http://{address}:{port}/ledger"))[field]
         for name, (address, port) in cluster.backends.items()
@@ -104,19 +104,19 @@
             for number in range(int(RATE * 6)):
                 await asyncio.sleep(max(0.0, start + number / RATE - loop.time()))
                 if number == RATE:
-                    strike(owner, fault)
+                    inject_fault(owner, fault)
                 vm = others[number % 2]
                 work = send(cluster, vm, "results", f"r-{number}", RUN_MS, 2000)
                 tasks.append(group.create_task(work))
         results = [task.result() for task in tasks]
         assert [item for item in results if item[0] != 200] == []
         assert max(item[2] for item in results) < LONGEST_STALL_S
-        # Permits of the former owner and shares may overlap for one request in each slot.
-        assert sum(await sum_ledgers(cluster, "results", "shed")) <= SERVERS * SLOTS
-        assert max(await sum_ledgers(cluster, "results", "peak")) <= SLOTS
+        # Permits of the former owner and of local shares may overlap, by one request for each slot.
+        assert sum(await read_ledger_field(cluster, "results", "shed")) <= SERVERS * SLOTS
+        assert max(await read_ledger_field(cluster, "results", "peak")) <= SLOTS
 
     async def test_new_owner_counts_the_requests_that_still_run(self, cluster: Cluster) -> None:
-        """Guards against a new owner that grants slots which the former owner had granted."""
+        """Guards against a new owner that grants slots which are still in use."""
         owner = find_owner(cluster, "archive")
         first, second = (vm for vm in cluster.vms if vm is not owner)
         async with asyncio.TaskGroup() as group:
@@ -129,16 +129,19 @@
                 for number in range(SERVERS * SLOTS)
             ]
             async with asyncio.timeout(5.0):
-                while sum(await sum_ledgers(cluster, "archive", "in_progress")) < SERVERS * SLOTS:
+                while (
+                    sum(await read_ledger_field(cluster, "archive", "in_progress"))
+                    < SERVERS * SLOTS
+                ):
                     continue
-            strike(owner, "dies")
+            inject_fault(owner, "dies")
             await wait_for_owner_change(cluster, owner)
             for vm in (first, second):
                 status, outcome, _ = await send(cluster, vm, "archive", "late", 10, 1000)
                 assert (status, outcome) == (503, "not-run")
             assert not any(task.done() for task in held)
         assert [task.result()[0] for task in held] == [200] * len(held)
-        assert sum(await sum_ledgers(cluster, "archive", "shed")) == 0
+        assert sum(await read_ledger_field(cluster, "archive", "shed")) == 0
         statuses = await asyncio.gather(
             *(send(cluster, first, "archive", f"n-{n}", 50, 5000) for n in range(SERVERS * SLOTS))
         )
@@ -147,7 +150,7 @@
 
 class TestLossOfRequester:
     async def test_paused_requester_keeps_its_slots(self, cluster: Cluster) -> None:
-        """Guards against slots granted again while the requests of a paused VM still run."""
+        """Guards against slots that are granted again while requests of a paused VM still run."""
         owner = find_owner(cluster, "archive")
         paused, other = (vm for vm in cluster.vms if vm is not owner)
         async with asyncio.TaskGroup() as group:
@@ -156,11 +159,14 @@
                 for number in range(SERVERS * SLOTS)
             ]
             async with asyncio.timeout(5.0):
-                while sum(await sum_ledgers(cluster, "archive", "in_progress")) < SERVERS * SLOTS:
+                while (
+                    sum(await read_ledger_field(cluster, "archive", "in_progress"))
+                    < SERVERS * SLOTS
+                ):
                     continue
             paused.processes["entry"].send_signal(signal.SIGSTOP)
             status, _, _ = await send(cluster, other, "archive", "late", 10, 2500)
             paused.processes["entry"].send_signal(signal.SIGCONT)
             assert status == 503
         assert [task.result()[0] for task in held] == [200] * len(held)
-        assert sum(await sum_ledgers(cluster, "archive", "shed")) == 0
+        assert sum(await read_ledger_field(cluster, "archive", "shed")) == 0
--- a/tests/entry/test_path.py
+++ b/tests/entry/test_path.py
@@ -1,4 +1,4 @@
-"""The whole path through separate processes."""
+"""End-to-end tests of the request path with separate processes."""
 
 from __future__ import annotations
 
@@ -39,8 +39,8 @@
 
 
 class TestRequestPath:
-    async def test_repeat_through_another_vm_runs_once(self, cluster: Cluster) -> None:
-        """Guards against a registration that is stored twice after a lost answer."""
+    async def test_retry_through_another_vm_runs_once(self, cluster: Cluster) -> None:
+        """Guards against a write that runs twice after a lost response."""
         headers = {"Idempotency-Key": "shift-1"}
         bodies = []
         for vm in cluster.vms:
@@ -51,8 +51,8 @@
         assert len(set(bodies)) == 1
         assert await count_runs(cluster, "shift-1") == 1
 
-    async def test_download_arrives_whole(self, cluster: Cluster) -> None:
-        """Guards against an answer that is cut or mixed up on the way."""
+    async def test_download_is_complete(self, cluster: Cluster) -> None:
+        """Guards against a response that is truncated or corrupted."""
         url = f"{cluster.vms[0].url}/services/archive/videos/arch?bytes=2000000"
         async with cluster.session.get(url) as answer:
             assert await answer.read() == make_content(0, 2_000_000)
@@ -69,15 +69,15 @@
 
 
 class TestErrors:
-    async def test_unknown_service_names_the_fault(self, cluster: Cluster) -> None:
-        """Guards against an error that does not tell the caller what is wrong."""
+    async def test_unknown_service_is_named_in_the_error(self, cluster: Cluster) -> None:
+        """Guards against an error without a cause that the caller can act on."""
         async with cluster.session.get(f"{cluster.vms[0].url}/services/none/x") as answer:
             assert answer.status == 404
             assert answer.headers["Briarfork-Error"] == "unknown_service"
             assert "'none'" in (await answer.json())["detail"]
 
     async def test_expired_deadline_is_refused_as_not_run(self, cluster: Cluster) -> None:
-        """Guards against work whose caller no longer waits."""
+        """Guards against work for a caller that no longer waits."""
         headers = {"Briarfork-Deadline-Ms": "0"}
         url = f"{cluster.vms[0].url}/services/results/table"
         async with cluster.session.get(url, headers=headers) as answer:
--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -1,4 +1,4 @@
-"""Choice of a site on the request path, through separate processes."""
+"""Tests of the choice of a site on the request path, with separate processes."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 class TestScheduledShift:
     async def test_stays_under_the_cap_while_vms_restart(self, tmp_path: Path) -> None:
-        """Guards against restarted VMs that move their part twice, and against queued bursts."""
+        """Guards against restarted VMs that use their share of the cap twice, and queued bursts."""
         regions = {"north": ["north-a"], "south": ["south-a"]}
         before = write_files(tmp_path / "before", regions, spread={"north-a": 1})
         after = write_files(tmp_path / "after", regions, spread={"south-a": 1})
@@ -49,13 +49,15 @@
             assert min(arrivals) >= start_at
             assert len(arrivals) >= CAP_RPS
             assert count_worst_second(arrivals) <= CAP_RPS
-            # Four parts of 10 requests in 1.25 s; the rest stays at the site before the shift.
+            # Each of four VMs moves 10 requests in 1.25 s; the rest stays at the former site.
             assert load.result()["north-a"] > load.result()["south-a"]
 
 
 class TestLostRegion:
-    async def test_traffic_moves_within_headroom_and_returns_slowly(self, tmp_path: Path) -> None:
-        """Guards against a lost region whose traffic is refused, or overloads the others."""
+    async def test_traffic_moves_within_headroom_and_returns_gradually(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against a lost region whose traffic is refused or overloads other regions."""
         zones = ["north-a", "south-a", "west-a"]
         regions = {zone.removesuffix("-a"): [zone] for zone in zones}
         folder = write_files(
@@ -78,24 +80,28 @@
             assert answers["south-a"] + answers["west-a"] >= 0.95 * 180
             lookup = await cluster.get(f"{others[0].url}/lookup", service=SERVICE)
             assert lookup["entries"][0]["zone"] in ("south-a", "west-a")
-            # Far above the headroom: the rest is refused, and no server gets more than its slots.
+            # Load far above the headroom is refused, and no server gets more than its slots.
             answers = await run_load(cluster, others, 700, 2.0)
             assert set(answers) == {"south-a", "west-a", "overloaded"}
             for address, port in cluster.backends.values():
                 ledger = await cluster.get(f"http://{address}:{port}/ledger")
                 assert (ledger["shed"], ledger["peak"] <= 3) == (0, True)
             cluster.start(lost, PROGRAMS[:2])
-            returned = [
+            returned_shares = [
                 (await run_load(cluster, others, 60, 3.0))["north-a"] / 180 for _ in range(4)
             ]
             # All of the traffic returns in 30 s at the earliest.
-            assert all(part <= (number + 1) * 0.1 + 0.05 for number, part in enumerate(returned))
-            assert returned[-1] > returned[0]
+            assert all(
+                share <= (number + 1) * 0.1 + 0.05 for number, share in enumerate(returned_shares)
+            )
+            assert returned_shares[-1] > returned_shares[0]
 
 
-class TestCutOff:
-    async def test_zone_serves_with_its_own_servers_and_heals(self, tmp_path: Path) -> None:
-        """Guards against a cut-off zone that waits for owners whose silence it cannot see."""
+class TestPartition:
+    async def test_partitioned_zone_serves_with_its_own_servers_and_recovers(
+        self, tmp_path: Path
+    ) -> None:
+        """Guards against a partitioned zone that waits for owners it cannot reach."""
         zones = ["north-a", "south-a", "west-a"]
         regions = {zone.removesuffix("-a"): [zone] for zone in zones}
         folder = write_files(tmp_path / "files", regions, spread={"south-a": 1, "north-a": 1e-9})
@@ -105,16 +111,18 @@
             await cluster.wait_for_generation(answer["generation"])
             own, *others = cluster.vms
             assert await run_load(cluster, [own], 60, 2.0) == {"south-a": 120}
-            elsewhere = [p for vm in others for p in vm.processes.values()]
-            elsewhere += cluster._processes.values()
-            elsewhere = [p for p in elsewhere if p is not cluster._processes[f"{SERVICE}-north-a"]]
-            for process in elsewhere:
+            other_processes = [p for vm in others for p in vm.processes.values()]
+            other_processes += cluster._processes.values()
+            other_processes = [
+                p for p in other_processes if p is not cluster._processes[f"{SERVICE}-north-a"]
+            ]
+            for process in other_processes:
                 process.send_signal(signal.SIGSTOP)
-            # Silence is noticed after 3 s, and reports from outside end after 5 s.
+            # Members count as silent after 3 s, and load reports expire after 5 s.
             await run_load(cluster, [own], 60, 8.0)
             answers = await run_load(cluster, [own], 60, 4.0)
             assert answers["north-a"] >= 0.95 * 240
-            for process in elsewhere:
+            for process in other_processes:
                 process.send_signal(signal.SIGCONT)
             await run_load(cluster, [own], 60, 4.0)
             answers = await run_load(cluster, [own], 60, 4.0)
--- a/tests/entry/test_slot_client.py
+++ b/tests/entry/test_slot_client.py
@@ -1,4 +1,4 @@
-"""What a requester tells its caller when it gets no slot."""
+"""Tests of the errors of a permit client that gets no slot."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 
 
 class TestSlotClient:
-    async def test_unreachable_owner_elsewhere_is_told_from_a_refusal(self) -> None:
-        """Guards against a lost site that counts as full and gets all traffic at its return."""
+    async def test_unreachable_remote_owner_is_distinct_from_a_refusal(self) -> None:
+        """Guards against a lost site that counts as full and gets all traffic when it returns."""
         gateway = build_gateway(ROUTE, [build_instance("i-c", "c")])
         gateway.accept_members({"c-1": build_member("c-1", "c")})
         deadline = Deadline(time.monotonic() + 2.0)
