Join the rewording of the entry process

Cause: the entry process was described in private words (desks, books, demands, races, answers that are kept or cut).

Change: names, comments, docstrings and texts of entry/ and its tests. Lines that several parts had changed follow the new names of all; a request for a slot is a SlotRequest in all three packages that handle it, and its variables say so. Statements, numbers, defaults and their order are those of before, by a comparison of the syntax trees.

Run: Black, ruff, mypy and the import rules; tests of gateway, pools, the slot client, the lost site and the upstream.

--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -138,7 +138,7 @@
             or len(progress.tried_servers) + MAX_PARALLEL_ATTEMPTS > route.max_attempts
         ):
             return True
-        run_s = HEDGE_RUN_TIME_FACTOR * self._permits.run_times.get(progress.service, 0.0)
+        run_s = HEDGE_RUN_TIME_FACTOR * self._permits.mean_run_times_s.get(progress.service, 0.0)
         wait_s = max(HEDGE_OBJECTIVE_FRACTION * route.objective_s, run_s)
         done, _ = await asyncio.wait({task}, timeout=wait_s)
         return bool(done)
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -20,7 +20,7 @@
 from briarfork.routing import RequestKind
 
 if TYPE_CHECKING:
-    from briarfork.entry.slots import SlotDesk
+    from briarfork.entry.slots import SlotManager
     from briarfork.gateway.view import GatewayView
     from briarfork.routing import Route
 
@@ -63,7 +63,7 @@
 class GatewayPermits(SlotClient):
     """Requests a slot from one zone after another until one grants it."""
 
-    def __init__(self, view: GatewayView, desk: SlotDesk) -> None:
+    def __init__(self, view: GatewayView, desk: SlotManager) -> None:
         super().__init__(view, desk)
         self._gateway_view = view
         self._refusal_cache = RefusalCache()
@@ -116,20 +116,21 @@
             return None
         for zone in local:
             wait_deadline = Deadline(time.monotonic() + HEDGE_PERMIT_TIMEOUT_S)
-            demand = self.build_demand(
+            slot_request = self.build_slot_request(
                 RequestClass.SHORT, wait_deadline, frozenset({first.server.vm}), route.priority
             )
-            decision = await self.ask_site(
-                (first.service, zone), replace(demand, hedge=True), wait_deadline
+            decision = await self.request_permit(
+                (first.service, zone), replace(slot_request, hedge=True), wait_deadline
             )
             if isinstance(decision, Permit):
-                return self.keep(decision)
+                return self.track(decision)
         return None
 
     def count_waiting(self, service: str) -> int:
         """Returns the number of requests waiting for slots of a service that this VM owns."""
         queues = [
-            self._desk.find_queue((service, zone)) for zone in self._gateway_view.location.regions
+            self._slot_manager.find_queue((service, zone))
+            for zone in self._gateway_view.location.regions
         ]
         return sum(queue.waiting for queue in queues if queue is not None)
 
@@ -167,14 +168,14 @@
             for server in ranked[:MAX_REMOTE_CANDIDATES]:
                 if server.vm in request.avoid or self._backoff_until.get(server.vm, 0.0) > now:
                     continue
-                demand = self.build_demand(
+                slot_request = self.build_slot_request(
                     RequestClass.SHORT,
                     request.deadline,
                     request.avoid,
                     request.route.priority,
                     request.object_key,
                 )
-                return self.take((request.service, zone), demand, server)
+                return self.acquire_optimistically((request.service, zone), slot_request, server)
         return None
 
     async def _request_from_zones(self, zones: list[str], request: SlotRequirements) -> Permit:
@@ -192,16 +193,16 @@
                 refusal = _keep_shorter_wait(refusal, wait_s)
                 continue
             wait_deadline = self._find_wait_deadline(request, zone, now)
-            demand = self.build_demand(
+            slot_request = self.build_slot_request(
                 RequestClass.SHORT,
                 wait_deadline,
                 request.avoid,
                 request.route.priority,
                 request.object_key if request.route.sticky else "",
             )
-            decision = await self.ask_site(key, demand, wait_deadline)
+            decision = await self.request_permit(key, slot_request, wait_deadline)
             if isinstance(decision, Permit):
-                return self.keep(decision)
+                return self.track(decision)
             wait_s = decision.wait_s if isinstance(decision, SlotRefused) else 0.0
             self._refusal_cache.record(key, request.route.priority, wait_s, time.monotonic())
             refusal = _keep_shorter_wait(refusal, wait_s)
@@ -244,7 +245,7 @@
     def _log_share(self, service: str, value: float) -> None:
         if abs(value - self._logged_shares.get(service, 0.0)) >= MIN_LOGGED_SHARE_CHANGE:
             self._logged_shares[service] = value
-            self._desk.events.record(
+            self._slot_manager.events.record(
                 Event.REMOTE_SHARE_MOVED, service=service, share=round(value, 2)
             )
 
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -13,7 +13,7 @@
 
 from briarfork.border.events import Event
 from briarfork.border.http_server import HttpConnectionHandler
-from briarfork.entry.forward import HOP_HEADERS
+from briarfork.entry.forward import HOP_BY_HOP_HEADERS
 from briarfork.errors import ERROR_RESPONSES
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
@@ -45,7 +45,7 @@
 GATEWAY_HEADERS = frozenset(
     name.lower() for name in (names.ATTEMPT_ID, names.DEADLINE_MS, names.PINNED_INSTANCE)
 )
-DROPPED_HEADERS = HOP_HEADERS | GATEWAY_HEADERS | {"content-length", "expect"}
+DROPPED_HEADERS = HOP_BY_HOP_HEADERS | GATEWAY_HEADERS | {"content-length", "expect"}
 # Retry-After if the wait for a slot is unknown, and the jitter that spreads the callers' retries.
 DEFAULT_RETRY_AFTER_S = 0.25
 RETRY_AFTER_JITTER = 0.5
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -11,8 +11,8 @@
 import aiohttp
 from yarl import URL
 
-from briarfork.entry.connections import TracedResponse
-from briarfork.entry.forward import HOP_HEADERS
+from briarfork.entry.connections import ServerResponse
+from briarfork.entry.forward import HOP_BY_HOP_HEADERS
 from briarfork.entry.forward import AttemptGuard
 from briarfork.gateway.attempts import AttemptError
 from briarfork.gateway.request import Response
@@ -76,13 +76,13 @@
         now = time.monotonic()
         timeout_s = min(deadline.remaining_s(now) + RESPONSE_MARGIN_S, request.respond_by - now)
         try:
-            with self._connections.use(server, cautious=not idempotent) as session:
+            with self._connections.borrow_session(server, avoid_stale=not idempotent) as session:
                 async with asyncio.timeout(timeout_s):
                     return await self._exchange(session, request, server, deadline, attempt)
         except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden, ValueError) as error:
             if isinstance(error, TimeoutError) and attempt.result is not AttemptResult.NOT_SENT:
                 # A connection can become permanently unresponsive while new ones still work.
-                self._connections.give_up(server)
+                self._connections.retire_connections(server)
             release = Release.UNUSED if isinstance(error, SendForbidden) else Release.FAILED
             raise AttemptError(
                 attempt.result, release, f"{type(error).__name__}: {error}"
@@ -175,11 +175,11 @@
     """Returns whether a body without a length ended with a reset instead of an orderly close."""
     if "Content-Length" in response.headers or "Transfer-Encoding" in response.headers:
         return False
-    return not isinstance(response, TracedResponse) or response.was_reset
+    return not isinstance(response, ServerResponse) or response.was_reset
 
 
 def _list_headers(response: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
-    dropped = HOP_HEADERS | {"content-length", names.SERVER_LOAD.lower()}
+    dropped = HOP_BY_HOP_HEADERS | {"content-length", names.SERVER_LOAD.lower()}
     return tuple(
         (name, value) for name, value in response.headers.items() if name.lower() not in dropped
     )
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -79,10 +79,10 @@
             key = f"o-{number}"
             queue = PermitQueue(SiteCapacity(2, 100), False, Random(1), slow_start=False)
             queue.set_servers(gateway.view.list_servers("s", "a"))
-            demand = gateway.permits.build_demand(
+            slot_request = gateway.permits.build_slot_request(
                 RequestClass.SHORT, Deadline(9.0), frozenset(), object_key=key
             )
-            (grant,) = queue.submit(demand, 0.0)
+            (grant,) = queue.submit(slot_request, 0.0)
             assert isinstance(grant, Grant)
             assert grant.server == gateway.view.rank_servers("s", "a", key, 0.0)[0]
 
