Use standard terms in the operators' command line

Private and vague wording made the commands hard to read: drafting.py holds no drafts but computes edits, `show` and `_describe` did not say what they do, and every `run` had the same docstring.

Change: drafting.py becomes edits.py; functions are named after what they compute or parse; docstrings state arguments, units and errors; help and error texts use the usual terms. Commands, flags, JSON keys, exit statuses and environment variables are unchanged.

--- a/src/briarfork/commands/__init__.py
+++ b/src/briarfork/commands/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command line, one small module for each command."""
+"""Command-line interface for operators, with one module per command."""
--- a/src/briarfork/commands/client.py
+++ b/src/briarfork/commands/client.py
@@ -1,4 +1,4 @@
-"""Client of the administration API."""
+"""HTTP client for the administration API."""
 
 from __future__ import annotations
 
@@ -18,73 +18,82 @@
 if TYPE_CHECKING:
     import argparse
 
-CALL_TIMEOUT_S = 30.0
-PROGRESS_AFTER_S = 2.0
-ADMIN_VARIABLE = "BRIARFORK_ADMIN"
-TOKEN_VARIABLE = "BRIARFORK_TOKEN"
+REQUEST_TIMEOUT_S = 30.0
+PROGRESS_DELAY_S = 2.0
+ADMIN_URL_ENV = "BRIARFORK_ADMIN"
+TOKEN_ENV = "BRIARFORK_TOKEN"
 DEFAULT_URL = "http://127.0.0.1:8081"
 
 
-def add_client_arguments(parser: argparse.ArgumentParser) -> None:
-    """Declares the arguments that say where the administration API is."""
+def add_connection_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments for the URL and the token of the administration API."""
     parser.add_argument(
         "--admin",
-        default=os.environ.get(ADMIN_VARIABLE, DEFAULT_URL),
+        default=os.environ.get(ADMIN_URL_ENV, DEFAULT_URL),
         metavar="URL",
-        help=f"administration API; default: {ADMIN_VARIABLE} of the environment",
+        help=f"URL of the administration API; default: {ADMIN_URL_ENV} in the environment",
     )
-    # Other users of the computer can read the arguments of a command, but not its environment.
+    # Other users of the host can read the arguments of a process, but not its environment, so
+    # the token should be passed through the environment variable.
     parser.add_argument(
         "--token",
-        default=os.environ.get(TOKEN_VARIABLE),
+        default=os.environ.get(TOKEN_ENV),
         metavar="TOKEN",
-        help=f"token of your team; default: {TOKEN_VARIABLE} of the environment",
+        help=f"token of your team; default: {TOKEN_ENV} in the environment",
     )
 
 
 class AdminClient:
-    """Calls the administration API and turns its errors into those of the closed list."""
+    """Calls the administration API and converts its error responses to `BriarforkError`."""
 
     def __init__(self, arguments: argparse.Namespace) -> None:
         self._url = arguments.admin
         self._token = arguments.token
 
     def get(self, path: str, **params: str) -> dict[str, Any]:
-        """Reads a resource."""
-        return asyncio.run(self._call("GET", path, params, None))
+        """Returns the JSON body of a GET request.
+
+        Raises:
+            BriarforkError: If the API responds with an error or does not respond in time.
+        """
+        return asyncio.run(self._request("GET", path, params, None))
 
     def post(self, path: str, body: dict[str, Any], **params: str) -> dict[str, Any]:
-        """Sends a body to a resource."""
-        return asyncio.run(self._call("POST", path, params, body))
+        """Returns the JSON body of the response to a POST request.
+
+        Raises:
+            BriarforkError: If the API responds with an error or does not respond in time.
+        """
+        return asyncio.run(self._request("POST", path, params, body))
 
-    async def _call(
+    async def _request(
         self, method: str, path: str, params: dict[str, str], body: dict[str, Any] | None
     ) -> dict[str, Any]:
         loop = asyncio.get_running_loop()
-        notice = loop.call_later(
-            PROGRESS_AFTER_S, lambda: print(f"waiting for {self._url} ...", file=sys.stderr)
+        progress_timer = loop.call_later(
+            PROGRESS_DELAY_S, lambda: print(f"waiting for {self._url} ...", file=sys.stderr)
         )
         headers = {"Authorization": f"Bearer {self._token}"} if self._token else {}
         try:
             async with (
-                asyncio.timeout(CALL_TIMEOUT_S),
+                asyncio.timeout(REQUEST_TIMEOUT_S),
                 aiohttp.ClientSession(headers=headers) as session,
-                session.request(method, self._url + path, params=params, json=body) as answer,
+                session.request(method, self._url + path, params=params, json=body) as response,
             ):
-                content = await answer.json()
+                payload = await response.json()
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise BriarforkError(
                 ErrorKind.STORE_UNAVAILABLE,
-                f"{self._url} does not answer: {error or type(error).__name__}",
+                f"{self._url} does not respond: {error or type(error).__name__}",
             ) from error
         finally:
-            notice.cancel()
-        if answer.status >= HTTPStatus.BAD_REQUEST:
-            raise _read_error(content)
-        return dict(content)
+            progress_timer.cancel()
+        if response.status >= HTTPStatus.BAD_REQUEST:
+            raise _parse_error(payload)
+        return dict(payload)
 
 
-def _read_error(content: dict[str, Any]) -> BriarforkError:
-    if content.get("faults"):
-        return InvalidConfiguration(list(content["faults"]))
-    return BriarforkError(ErrorKind(content["error"]), content["detail"])
+def _parse_error(payload: dict[str, Any]) -> BriarforkError:
+    if payload.get("faults"):
+        return InvalidConfiguration(list(payload["faults"]))
+    return BriarforkError(ErrorKind(payload["error"]), payload["detail"])
--- a/src/briarfork/commands/command.py
+++ b/src/briarfork/commands/command.py
@@ -1,4 +1,4 @@
-"""What every command of `briarfork` has."""
+"""Base class and registry of the `briarfork` commands."""
 
 from __future__ import annotations
 
@@ -17,10 +17,10 @@
 
 
 class Command(ABC):
-    """A command; the registry holds one class for each.
+    """Base class of a command; each subclass is registered under the name of its command.
 
     Attributes:
-        summary: One line for --help.
+        summary: One-line description shown by --help.
     """
 
     summary: ClassVar[str]
@@ -28,7 +28,7 @@
     @classmethod
     @abstractmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
-        """Declares the arguments of this command."""
+        """Adds the arguments of this command to its parser."""
 
     def __init__(self, arguments: argparse.Namespace) -> None:
         self.arguments = arguments
@@ -38,19 +38,24 @@
         """Runs the command.
 
         Raises:
-            BriarforkError: Its kind tells the exit status.
+            BriarforkError: If the command fails; the kind of error determines the exit status.
         """
 
-    def show(self, body: Any, lines: list[str]) -> None:
-        """Prints a result: the body with --json, else the lines."""
+    def print_result(self, body: Any, lines: list[str]) -> None:
+        """Prints the result to standard output.
+
+        Args:
+            body: Result as JSON, printed with --json.
+            lines: Result as text, printed without --json.
+        """
         if self.arguments.json:
             print(json.dumps(body, indent=2, sort_keys=True))
         else:
             for line in lines:
                 print(line)
 
-    def report(self, line: str) -> None:
-        """Prints a line about progress."""
+    def print_progress(self, line: str) -> None:
+        """Prints a progress message to standard error."""
         print(line, file=sys.stderr, flush=True)
 
 
--- a/src/briarfork/commands/diff.py
+++ b/src/briarfork/commands/diff.py
@@ -1,4 +1,4 @@
-"""`briarfork diff`."""
+"""The `briarfork diff` command."""
 
 from __future__ import annotations
 
@@ -7,14 +7,14 @@
 
 from briarfork.border.files import load_documents
 from briarfork.commands.client import AdminClient
-from briarfork.commands.client import add_client_arguments
+from briarfork.commands.client import add_connection_arguments
 from briarfork.commands.command import COMMANDS
 from briarfork.commands.command import Command
-from briarfork.commands.drafting import add_rate_argument
-from briarfork.commands.drafting import find_edits
-from briarfork.commands.drafting import format_edits
-from briarfork.commands.drafting import preview
-from briarfork.commands.drafting import read_rates
+from briarfork.commands.edits import add_rate_argument
+from briarfork.commands.edits import compute_edits
+from briarfork.commands.edits import format_edits
+from briarfork.commands.edits import parse_rates
+from briarfork.commands.edits import preview_effects
 from briarfork.commands.effects import format_effects
 
 if TYPE_CHECKING:
@@ -23,30 +23,32 @@
 
 @COMMANDS.register("diff")
 class Diff(Command):
-    """Compares a folder with another folder or with what is in force."""
+    """Compares a folder with the configuration in force or with another folder."""
 
-    summary = "Show what a folder would change, against what is in force or another folder."
+    summary = "Show how a folder differs from the configuration in force or from another folder."
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
-        """Declares the arguments of this command."""
+        """Adds the arguments of this command to its parser."""
         parser.add_argument("folder", type=Path)
-        parser.add_argument("--against", type=Path, metavar="FOLDER", help="compare two folders")
+        parser.add_argument(
+            "--against", type=Path, metavar="FOLDER", help="compare with this folder"
+        )
         add_rate_argument(parser)
-        add_client_arguments(parser)
+        add_connection_arguments(parser)
 
     def run(self) -> None:
-        """Runs the command."""
-        rates = read_rates(self.arguments.rate)
+        """Prints the edits as a unified diff, followed by their effects on the traffic."""
+        rates = parse_rates(self.arguments.rate)
         wanted = load_documents(self.arguments.folder)
         if self.arguments.against:
             current = load_documents(self.arguments.against).by_name
-            in_force = {}
+            current_shares = {}
         else:
-            answer = AdminClient(self.arguments).get("/v1/documents")
-            current, in_force = answer["documents"], answer["shares"]
-        edits = find_edits(current, wanted)
-        effects = preview(current, wanted, in_force) if edits else []
+            response = AdminClient(self.arguments).get("/v1/documents")
+            current, current_shares = response["documents"], response["shares"]
+        edits = compute_edits(current, wanted)
+        effects = preview_effects(current, wanted, current_shares) if edits else []
         lines = [*format_edits(current, edits), *format_effects(effects, rates)]
         body = {"edits": edits, "effects": [effect.to_record() for effect in effects]}
-        self.show(body, lines or ["no difference"])
+        self.print_result(body, lines or ["no difference"])
--- a/src/briarfork/commands/drafting.py
+++ b/src/briarfork/commands/edits.py
@@ -1,4 +1,4 @@
-"""Edits that turn the documents in force into those of a folder."""
+"""Edits that turn the current documents into the documents of a folder."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 import yaml
 
-from briarfork.commands.effects import find_effects
+from briarfork.commands.effects import compute_effects
 from briarfork.configuration import BASE
 from briarfork.configuration import Documents
 from briarfork.errors import BriarforkError
@@ -16,19 +16,21 @@
 if TYPE_CHECKING:
     import argparse
 
+    from briarfork.commands.effects import CurrentShares
     from briarfork.commands.effects import Effect
-    from briarfork.commands.effects import SharesInForce
     from briarfork.configuration import Document
 
 Edits = dict[str, "Document | None"]
 
 
-def find_edits(current: dict[str, Document], wanted: Documents) -> Edits:
-    """Returns the edits that lead from the current documents to the wanted ones.
+def compute_edits(current: dict[str, Document], wanted: Documents) -> Edits:
+    """Returns the edits that turn the current documents into the wanted ones.
+
+    An edit replaces a whole document; None deletes it.
 
     Example:
         >>> from briarfork.configuration import Documents
-        >>> find_edits({"a": {"x": 1}, "b": {}}, Documents({"a": {"x": 2}}))
+        >>> compute_edits({"a": {"x": 1}, "b": {}}, Documents({"a": {"x": 2}}))
         {'a': {'x': 2}, 'b': None}
     """
     edits: Edits = {
@@ -41,40 +43,40 @@
 
 
 def format_edits(current: dict[str, Document], edits: Edits) -> list[str]:
-    """Returns the edits as a unified diff of YAML, line by line."""
+    """Returns the lines of a unified diff of the documents as YAML."""
     lines: list[str] = []
     for name, body in edits.items():
-        before = _dump(current.get(name))
+        before = _dump_lines(current.get(name))
         lines += difflib.unified_diff(
-            before, _dump(body), f"in force: {name}", f"submitted: {name}", lineterm=""
+            before, _dump_lines(body), f"in force: {name}", f"submitted: {name}", lineterm=""
         )
     return lines
 
 
-def preview(
-    current: dict[str, Document], wanted: Documents, in_force: SharesInForce
+def preview_effects(
+    current: dict[str, Document], wanted: Documents, current_shares: CurrentShares
 ) -> list[Effect]:
-    """Returns what wanted documents do to the traffic."""
+    """Returns the effects on the traffic of replacing the current documents."""
     before = Documents(current).render() if BASE in current else None
-    return find_effects(before, wanted.render(), in_force)
+    return compute_effects(before, wanted.render(), current_shares)
 
 
 def add_rate_argument(parser: argparse.ArgumentParser) -> None:
-    """Declares the argument that states rates, which the configuration does not have."""
+    """Adds --rate, since the configuration does not contain the request rates of services."""
     parser.add_argument(
         "--rate",
         action="append",
         default=[],
         metavar="SERVICE=RPS",
-        help="requests a second of a service, to tell whether the shift exceeds its cap",
+        help="request rate of a service, to check whether the shift would exceed its cap",
     )
 
 
-def read_rates(texts: list[str]) -> dict[str, float]:
-    """Returns rates by service.
+def parse_rates(texts: list[str]) -> dict[str, float]:
+    """Parses --rate arguments and returns the requests per second by service.
 
     Raises:
-        BriarforkError: With kind `bad_request` if a text is no rate.
+        BriarforkError: With kind `bad_request` if an argument is not SERVICE=RPS.
     """
     rates = {}
     for text in texts:
@@ -88,5 +90,5 @@
     return rates
 
 
-def _dump(body: Document | None) -> list[str]:
+def _dump_lines(body: Document | None) -> list[str]:
     return yaml.safe_dump(body, sort_keys=True).splitlines() if body is not None else []
--- a/src/briarfork/commands/effects.py
+++ b/src/briarfork/commands/effects.py
@@ -1,4 +1,4 @@
-"""What a change does to the traffic: shares before and after, ramps and caps."""
+"""Effects of a change on the traffic: shares before and after, ramps and caps."""
 
 from __future__ import annotations
 
@@ -17,28 +17,30 @@
     from briarfork.configuration import Service
     from briarfork.steering.shift import Shares
 
-OTHER_CLIENTS = ""
-# Differences below this are rounding.
-SMALLEST_SHARE = 1e-9
+# Stands for the clients of all regions without weights of their own.
+DEFAULT_REGION = ""
+# Smaller differences are rounding errors.
+MIN_SHARE_DIFFERENCE = 1e-9
 
-# Shares at the start of a change, by service and client region, where a ramp is in progress.
-SharesInForce = dict[str, dict[str, "Shares"]]
+# Shares at the start of a change, by service and client region, for ramps that are in progress.
+CurrentShares = dict[str, dict[str, "Shares"]]
 
 
 @dataclass(frozen=True, slots=True)
 class Effect:
-    """What a change does to one service for the clients of one region.
+    """Effect of a change on one service for the clients of one region.
 
     Attributes:
         service: Name of the service.
-        region: Region of the clients, "" for clients of regions without weights of their own.
+        region: Region of the clients; "" stands for all regions without weights of their own.
         before: Share of each site before the change, without drained sites.
-        after: Share of each site when the change is complete.
-        moved: Share of the requests that moves to another site.
-        ramp_s: Duration of the ramp at the scheduled slope, in seconds.
-        cap_rps: Requests a second that may move to one receiving site.
-        full_rate_rps: Rate of the service above which the moved requests can exceed the cap; the
-            rest stays at the old site. None if nothing moves under the cap.
+        after: Share of each site when the ramp is complete, without drained sites.
+        moved: Share of the requests that move to another site.
+        ramp_s: Duration of the ramp at the configured slope, in seconds.
+        cap_rps: Maximum requests per second that may move to one receiving site.
+        full_rate_rps: Request rate of the service, in requests per second, above which the moved
+            requests can exceed the cap; the excess stays at the old site. None if no site gains
+            traffic.
     """
 
     service: str
@@ -51,39 +53,41 @@
     full_rate_rps: float | None
 
     def to_record(self) -> dict[str, Any]:
-        """Returns the fields as a plain map."""
+        """Returns the fields as a dictionary for JSON output."""
         return asdict(self)
 
 
-def find_effects(before: Plan | None, after: Plan, in_force: SharesInForce) -> list[Effect]:
-    """Returns the effects of a change, one for each service and region whose shares move.
+def compute_effects(
+    before: Plan | None, after: Plan, current_shares: CurrentShares
+) -> list[Effect]:
+    """Returns the effects of a change, one for each service and region whose shares change.
 
     Args:
-        before: Plan before the change, or None if there is none.
-        after: Plan with the change.
-        in_force: Shares at the start of the change, which differ from the plan during a ramp.
+        before: Plan before the change, or None if no configuration exists yet.
+        after: Plan after the change.
+        current_shares: Shares at the start of the change; during a ramp they differ from the plan.
     """
     effects = []
     old_services = before.services if before else {}
     for name, service in {**old_services, **after.services}.items():
         known = old_services.get(name)
         regions = {*service.regional_spread, *(known.regional_spread if known else ())}
-        for region in (OTHER_CLIENTS, *sorted(regions)):
-            origin = in_force.get(name, {}).get(region)
+        for region in (DEFAULT_REGION, *sorted(regions)):
+            origin = current_shares.get(name, {}).get(region)
             if known is not None and origin is None:
-                origin = _find_shares(known, region)
-            effect = _find_effect(service, region, origin or {}, before, after)
+                origin = _get_shares(known, region)
+            effect = _compute_effect(service, region, origin or {}, before, after)
             if effect is not None:
                 effects.append(effect)
     return effects
 
 
 def format_effects(effects: list[Effect], rates: Mapping[str, float]) -> list[str]:
-    """Returns the effects for people.
+    """Returns the effects as lines of text.
 
     Args:
-        effects: What to show.
-        rates: Requests a second of services, where the operator stated them.
+        effects: Effects to format.
+        rates: Requests per second by service, for the services given by the operator.
     """
     lines = []
     for effect in effects:
@@ -91,7 +95,7 @@
         lines.append(f"{effect.service}, {clients}: {effect.moved:.0%} of the requests move")
         for site in sorted(effect.before.keys() | effect.after.keys()):
             old, new = effect.before.get(site, 0.0), effect.after.get(site, 0.0)
-            if abs(old - new) > SMALLEST_SHARE:
+            if abs(old - new) > MIN_SHARE_DIFFERENCE:
                 lines.append(f"  {site}: {old:.1%} -> {new:.1%}")
         if not effect.after:
             lines.append("  no site is left: every request is refused")
@@ -114,17 +118,17 @@
     return [f"{cap}; exceeded at {rate:g} requests/s, the rest stays at the old site"]
 
 
-def _find_effect(
+def _compute_effect(
     service: Service, region: str, origin: Shares, before: Plan | None, after: Plan
 ) -> Effect | None:
-    target = _find_shares(service, region) if service.name in after.services else {}
-    old = _drop_drained(origin, before) if before else {}
-    new = _drop_drained(target, after)
+    target = _get_shares(service, region) if service.name in after.services else {}
+    old = _exclude_drained(origin, before) if before else {}
+    new = _exclude_drained(target, after)
     sites = old.keys() | new.keys()
-    # Requests that find no site any more count as moved.
+    # Requests whose last site is removed also count as moved.
     change = sum(abs(new.get(site, 0.0) - old.get(site, 0.0)) for site in sites)
     moved = change / 2 if old and new else change
-    if moved <= SMALLEST_SHARE:
+    if moved <= MIN_SHARE_DIFFERENCE:
         return None
     ramp = Ramp(0.0, old or new, new or old, service.shift)
     gain = max((new[site] - ramp.origin.get(site, 0.0) for site in new), default=0.0)
@@ -136,11 +140,11 @@
         moved=moved,
         ramp_s=ramp.duration_s,
         cap_rps=service.shift.cap_rps,
-        full_rate_rps=service.shift.cap_rps / gain if gain > SMALLEST_SHARE else None,
+        full_rate_rps=service.shift.cap_rps / gain if gain > MIN_SHARE_DIFFERENCE else None,
     )
 
 
-def _find_shares(service: Service, region: str) -> Shares:
+def _get_shares(service: Service, region: str) -> Shares:
     return normalize(service.regional_spread.get(region, service.spread))
 
 
@@ -149,6 +153,6 @@
     return known is None or known.drain
 
 
-def _drop_drained(shares: Shares, plan: Plan) -> Shares:
+def _exclude_drained(shares: Shares, plan: Plan) -> Shares:
     kept = {site: share for site, share in shares.items() if not _is_drained(plan, site)}
     return normalize(kept) if sum(kept.values()) > 0 else {}
--- a/src/briarfork/commands/history.py
+++ b/src/briarfork/commands/history.py
@@ -1,4 +1,4 @@
-"""`briarfork history`."""
+"""The `briarfork history` command."""
 
 from __future__ import annotations
 
@@ -8,64 +8,70 @@
 from typing import Any
 
 from briarfork.commands.client import AdminClient
-from briarfork.commands.client import add_client_arguments
+from briarfork.commands.client import add_connection_arguments
 from briarfork.commands.command import COMMANDS
 from briarfork.commands.command import Command
-from briarfork.commands.times import read_time
-from briarfork.commands.verification import ChainVerifier
-from briarfork.commands.verification import read_anchor
+from briarfork.commands.times import parse_time
+from briarfork.commands.verification import HashChainVerifier
+from briarfork.commands.verification import parse_anchor
 from briarfork.errors import InvalidConfiguration
 
 if TYPE_CHECKING:
     import argparse
     from collections.abc import Iterator
 
-PAGE = 1000
+PAGE_SIZE = 1000
 
 
 @COMMANDS.register("history")
 class History(Command):
-    """Reads the audit trail and proves that it is complete."""
+    """Shows the audit trail or verifies its hash chain."""
 
-    summary = "Show the audit trail: who changed what, when and why; --verify checks it."
+    summary = "Show the audit trail: who changed what, when and why; --verify checks its integrity."
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
-        """Declares the arguments of this command."""
+        """Adds the arguments of this command to its parser."""
         parser.add_argument("--after", type=int, default=0, metavar="GENERATION")
-        parser.add_argument("--limit", type=int, default=100, help="changes to show")
+        parser.add_argument("--limit", type=int, default=100, help="maximum number of changes")
         parser.add_argument("--author", help="only changes of this author")
         parser.add_argument("--team", help="only changes of this team")
-        parser.add_argument("--document", metavar="PATTERN", help="only edits of documents like it")
+        parser.add_argument(
+            "--document", metavar="PATTERN", help="only changes of documents matching this pattern"
+        )
         parser.add_argument("--since", metavar="TIME", help="submitted at or after, ISO 8601")
         parser.add_argument("--until", metavar="TIME", help="submitted before, ISO 8601")
         parser.add_argument(
             "--verify",
             action="store_true",
-            help="check that no entry is missing or altered, and show the last hash",
+            help="check that no entry is missing or altered, and print the last hash",
         )
         parser.add_argument(
             "--anchor",
             metavar="GENERATION:HASH",
-            help="with --verify: an entry noted earlier, which proves that the trail is the same",
+            help="with --verify: an entry recorded earlier that the trail must still contain",
         )
-        add_client_arguments(parser)
+        add_connection_arguments(parser)
 
     def run(self) -> None:
-        """Runs the command."""
+        """Prints the matching changes or, with --verify, the result of the verification.
+
+        Raises:
+            InvalidConfiguration: If the verification finds a missing or altered entry.
+        """
         if self.arguments.verify:
             self._verify()
             return
         changes: list[dict[str, Any]] = []
-        for change in self._read_pages(self.arguments.after, self._read_filters()):
+        for change in self._iterate_changes(self.arguments.after, self._build_filters()):
             if len(changes) == self.arguments.limit:
                 break
             changes.append(change)
-        self.show({"changes": changes}, [_format(change) for change in changes])
+        self.print_result({"changes": changes}, [_format_change(change) for change in changes])
 
     def _verify(self) -> None:
-        verifier = ChainVerifier(read_anchor(self.arguments.anchor))
-        for change in self._read_pages(0, {}):
+        verifier = HashChainVerifier(parse_anchor(self.arguments.anchor))
+        for change in self._iterate_changes(0, {}):
             verifier.add(change)
         status = AdminClient(self.arguments).get("/v1/status")
         faults = verifier.finish(status["generation"], status["hash"])
@@ -73,26 +79,28 @@
             raise InvalidConfiguration(faults)
         body = {"verified": verifier.generation, "hash": verifier.hash}
         line = f"verified: {verifier.generation} changes, none missing or altered"
-        self.show(body, [line, f"anchor: {verifier.generation}:{verifier.hash}"])
+        self.print_result(body, [line, f"anchor: {verifier.generation}:{verifier.hash}"])
 
-    def _read_filters(self) -> dict[str, str]:
+    def _build_filters(self) -> dict[str, str]:
         arguments = self.arguments
         filters = {name: getattr(arguments, name) for name in ("author", "team", "document")}
         for name in ("since", "until"):
-            time = read_time(f"--{name}", getattr(arguments, name))
+            time = parse_time(f"--{name}", getattr(arguments, name))
             filters[name] = None if time is None else str(time)
         return {name: value for name, value in filters.items() if value is not None}
 
-    def _read_pages(self, after: int | None, filters: dict[str, str]) -> Iterator[dict[str, Any]]:
+    def _iterate_changes(
+        self, after: int | None, filters: dict[str, str]
+    ) -> Iterator[dict[str, Any]]:
         client = AdminClient(self.arguments)
         while after is not None:
-            params = {"after": str(after), "limit": str(PAGE), **filters}
+            params = {"after": str(after), "limit": str(PAGE_SIZE), **filters}
             page = client.get("/v1/changes", **params)
             yield from page["changes"]
             after = page["next"]
 
 
-def _format(change: dict[str, Any]) -> str:
+def _format_change(change: dict[str, Any]) -> str:
     start = datetime.fromtimestamp(change["start_at"], UTC).isoformat(timespec="seconds")
     what = f"withdraws {change['withdraws']}" if change["withdraws"] else ", ".join(change["edits"])
     state = " (withdrawn)" if change["withdrawn"] else ""
--- a/src/briarfork/commands/main.py
+++ b/src/briarfork/commands/main.py
@@ -1,4 +1,4 @@
-"""The program `briarfork`."""
+"""Entry point of the `briarfork` program."""
 
 from __future__ import annotations
 
@@ -26,9 +26,9 @@
   1  the command failed
   2  bad arguments
   3  conflict with another change
-  4  the administration API or the store does not answer"""
+  4  the administration API or the store does not respond"""
 
-# Importing a command module registers its command.
+# Importing a command module registers its command; the tuple keeps the imports in use.
 _MODULES = (
     _approve,
     _diff,
@@ -43,7 +43,7 @@
 
 
 def build_parser() -> argparse.ArgumentParser:
-    """Returns the parser with one subcommand for each registered command."""
+    """Returns the argument parser with a subcommand for each registered command."""
     parser = argparse.ArgumentParser(
         prog="briarfork",
         description="Submits and schedules changes to the traffic configuration.",
@@ -54,13 +54,13 @@
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     for name, command in COMMANDS:
         subparser = commands.add_parser(name, help=command.summary, description=command.summary)
-        subparser.add_argument("--json", action="store_true", help="print JSON for programs")
+        subparser.add_argument("--json", action="store_true", help="print the result as JSON")
         command.add_arguments(subparser)
     return parser
 
 
 def main() -> None:
-    """Entry point."""
+    """Runs the command given on the command line."""
     arguments = build_parser().parse_args()
     try:
         COMMANDS.get(arguments.command)(arguments).run()
--- a/src/briarfork/commands/render.py
+++ b/src/briarfork/commands/render.py
@@ -1,4 +1,4 @@
-"""`briarfork render`."""
+"""The `briarfork render` command."""
 
 from __future__ import annotations
 
@@ -20,18 +20,22 @@
 
 @COMMANDS.register("render")
 class Render(Command):
-    """Shows a site with the overlay merged into the base."""
+    """Shows the effective configuration of one site."""
 
     summary = "Show the configuration of one site, with its overlay merged into the base."
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
-        """Declares the arguments of this command."""
+        """Adds the arguments of this command to its parser."""
         parser.add_argument("folder", type=Path)
         parser.add_argument("--site", required=True)
 
     def run(self) -> None:
-        """Runs the command."""
+        """Prints the configuration of the site as YAML.
+
+        Raises:
+            BriarforkError: With kind `bad_request` if the site does not exist.
+        """
         plan = load_documents(self.arguments.folder).render()
         site = plan.sites.get(self.arguments.site)
         if site is None:
@@ -48,4 +52,4 @@
             if site.name in service.capacity
         }
         body = {**asdict(site), "region": plan.find_region(site.zone), "services": services}
-        self.show(body, [yaml.safe_dump(body, sort_keys=False).rstrip()])
+        self.print_result(body, [yaml.safe_dump(body, sort_keys=False).rstrip()])
--- a/src/briarfork/commands/status.py
+++ b/src/briarfork/commands/status.py
@@ -1,4 +1,4 @@
-"""`briarfork status`."""
+"""The `briarfork status` command."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.commands.client import AdminClient
-from briarfork.commands.client import add_client_arguments
+from briarfork.commands.client import add_connection_arguments
 from briarfork.commands.command import COMMANDS
 from briarfork.commands.command import Command
 
@@ -17,17 +17,17 @@
 
 @COMMANDS.register("status")
 class Status(Command):
-    """Shows the generation accepted, what is scheduled and what waits for approval."""
+    """Shows the latest accepted generation, the scheduled changes and the pending drafts."""
 
-    summary = "Show the accepted generation, the scheduled changes and the drafts."
+    summary = "Show the latest accepted generation, the scheduled changes and the drafts."
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
-        """Declares the arguments of this command."""
-        add_client_arguments(parser)
+        """Adds the arguments of this command to its parser."""
+        add_connection_arguments(parser)
 
     def run(self) -> None:
-        """Runs the command."""
+        """Prints the status of the configuration."""
         client = AdminClient(self.arguments)
         status = client.get("/v1/status")
         drafts = client.get("/v1/drafts")["drafts"]
@@ -41,4 +41,4 @@
         for draft in drafts:
             documents = ", ".join(sorted(draft["edits"]))
             lines.append(f"draft: {draft['change_id']} by {draft['author']}, edits {documents}")
-        self.show({**status, "drafts": drafts}, lines)
+        self.print_result({**status, "drafts": drafts}, lines)
--- a/src/briarfork/commands/validate.py
+++ b/src/briarfork/commands/validate.py
@@ -1,4 +1,4 @@
-"""`briarfork validate`."""
+"""The `briarfork validate` command."""
 
 from __future__ import annotations
 
@@ -15,17 +15,23 @@
 
 @COMMANDS.register("validate")
 class Validate(Command):
-    """Checks the files in a folder."""
+    """Validates the configuration files in a folder."""
 
-    summary = "Check base.yaml and sites/*.yaml and list every fault."
+    summary = "Check base.yaml and sites/*.yaml and list every error."
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
-        """Declares the arguments of this command."""
+        """Adds the arguments of this command to its parser."""
         parser.add_argument("folder", type=Path)
 
     def run(self) -> None:
-        """Runs the command."""
+        """Prints the number of services and sites of a valid configuration.
+
+        Raises:
+            InvalidConfiguration: If the files contain errors.
+        """
         plan = load_documents(self.arguments.folder).render()
         counts = {"services": len(plan.services), "sites": len(plan.sites)}
-        self.show(counts, [f"valid: {counts['services']} services at {counts['sites']} sites"])
+        self.print_result(
+            counts, [f"valid: {counts['services']} services at {counts['sites']} sites"]
+        )
--- a/tests/commands/test_pages.py
+++ b/tests/commands/test_pages.py
@@ -1,4 +1,4 @@
-"""The operators' pages."""
+"""Tests of the operators' documentation pages."""
 
 from __future__ import annotations
 
@@ -16,20 +16,20 @@
 
 class TestPages:
     @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.stem)
-    def test_every_command_is_one_of_the_program(self, page: Path) -> None:
-        """Guards against a page whose commands no longer exist or take other arguments."""
+    def test_every_command_is_valid(self, page: Path) -> None:
+        """Guards against documented commands that no longer exist or take other arguments."""
         commands = re.findall(r"^\$ briarfork (.*)$", page.read_text(), re.MULTILINE)
         assert commands
         for command in commands:
             build_parser().parse_args(shlex.split(command))
 
     @pytest.mark.parametrize("page", [DOCS / "README.md", *PAGES], ids=lambda page: page.stem)
-    def test_every_link_leads_somewhere(self, page: Path) -> None:
-        """Guards against a link to a page that was renamed."""
+    def test_every_link_target_exists(self, page: Path) -> None:
+        """Guards against links to renamed or deleted pages."""
         for target in re.findall(r"\]\(([^)#]+)\)", page.read_text()):
             assert (page.parent / target).exists(), target
 
     def test_every_page_is_linked(self) -> None:
-        """Guards against a page that nobody finds."""
+        """Guards against a page that is missing from the table of contents."""
         contents = (DOCS / "README.md").read_text()
         assert all(f"(operators/{page.name})" in contents for page in PAGES)
