--- a/tests/bench/overhead.py
+++ b/tests/bench/overhead.py
@@ -21,7 +21,7 @@
 
 from tests.cluster import Cluster
 from tests.cluster import Pool
-from tests.cluster import find_port
+from tests.cluster import find_free_port
 from tests.entry.scene import CLIENT
 from tests.entry.scene import NETWORK
 from tests.entry.scene import ZONE
@@ -108,7 +108,7 @@
             answer = await cluster.submit()
             await cluster.wait_for_generation(answer["generation"])
             address, target = next(iter(cluster.backends.values()))
-            port = find_port(ADDRESS)
+            port = find_free_port(ADDRESS)
             bare = start("bare", str(port), f"http://{address}:{target}")
             try:
                 # Both answer before the first round; the list of VMs is read every second.
--- a/tests/border/test_process.py
+++ b/tests/border/test_process.py
@@ -9,7 +9,7 @@
 
 from tests.cluster import Cluster
 from tests.cluster import Pool
-from tests.cluster import restrict_example
+from tests.cluster import copy_example_zones
 
 
 def list_descriptors(pid: int) -> list[str]:
@@ -20,7 +20,7 @@
     async def test_no_program_uses_io_uring_or_starts_a_process(self, tmp_path: Path) -> None:
         """Guards against an event loop that uses io_uring, and against helper processes."""
         zones = ["north-a", "south-a"]
-        folder = restrict_example("estonia", zones, tmp_path / "configuration")
+        folder = copy_example_zones("estonia", zones, tmp_path / "configuration")
         pools = [Pool("results", zone, 1) for zone in zones]
         async with Cluster(folder, tmp_path, zones, pools=pools, network=3) as cluster:
             answer = await cluster.submit()
--- a/tests/capacity/fleet.py
+++ b/tests/capacity/fleet.py
@@ -34,7 +34,7 @@
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.membership import Roster
-from tests.cluster import find_port
+from tests.cluster import find_free_port
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -83,7 +83,7 @@
         self._full = size <= 100
         self._settings = work / f"control-{size}.yaml"
         self._log = work / f"control-{size}.log"
-        self._local = find_port(self._members[0].address)
+        self._local = find_free_port(self._members[0].address)
         self._streams: set[MessageStream] = set()
         self.nodes: list[ControlNode] = []
         self._tasks: list[asyncio.Task[None]] = []
--- a/tests/capacity/store.py
+++ b/tests/capacity/store.py
@@ -24,7 +24,7 @@
 from tests.capacity.fleet import describe_member
 from tests.capacity.measurement import MEASUREMENTS
 from tests.capacity.measurement import Series
-from tests.cluster import find_port
+from tests.cluster import find_free_port
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -109,7 +109,7 @@
 
 @MEASUREMENTS.register("store")
 async def measure_store(work: Path) -> list[Series]:
-    port = find_port(ADDRESS)
+    port = find_free_port(ADDRESS)
     url = f"http://{ADDRESS}:{port}"
     store = start_store(port)
     by_size, by_zone = [], []
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,4 +1,4 @@
-"""Starts stand-ins and entry VMs as processes on loopback addresses, one address for each VM."""
+"""Runs entry VMs and stand-ins as processes; each VM has its own loopback address."""
 
 from __future__ import annotations
 
@@ -22,48 +22,71 @@
 ROOT = Path(__file__).parent.parent
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
-POLL_S = 0.05
+POLL_INTERVAL_S = 0.05
 PORT_NAMES = ("entry", "permits", "control", "local", "admin")
 PROGRAMS = ("control", "entry", "admin")
 
 
-def find_port(address: str) -> int:
+def find_free_port(address: str) -> int:
+    """Returns a port that is free on an address."""
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         probe.bind((address, 0))
         return int(probe.getsockname()[1])
 
 
-def restrict_example(example: str, zones: list[str], folder: Path) -> Path:
-    """Copies an example with only some of its zones, so that every site has its VMs."""
-    source = ROOT / "examples" / example
-    base = yaml.safe_load((source / "base.yaml").read_text())
+def copy_example_zones(example: str, zones: list[str], folder: Path) -> Path:
+    """Copies an example restricted to some zones, so that each remaining site has running VMs.
+
+    Args:
+        example: Name of a folder in examples/.
+        zones: Zones to keep.
+        folder: Folder to create.
+
+    Returns:
+        The created folder.
+    """
+    example_folder = ROOT / "examples" / example
+    base = yaml.safe_load((example_folder / "base.yaml").read_text())
     for service in base["services"].values():
         service["spread"] = {zone: 1 for zone in zones}
         service["regional_spread"] = {
-            region: kept
+            region: remaining_weights
             for region, weights in service["regional_spread"].items()
-            if (kept := {zone: weight for zone, weight in weights.items() if zone in zones})
+            if (
+                remaining_weights := {
+                    zone: weight for zone, weight in weights.items() if zone in zones
+                }
+            )
         }
     (folder / "sites").mkdir(parents=True)
     (folder / "base.yaml").write_text(yaml.safe_dump(base, sort_keys=False))
     for zone in zones:
-        overlay = (source / "sites" / f"{zone}.yaml").read_text()
+        overlay = (example_folder / "sites" / f"{zone}.yaml").read_text()
         (folder / "sites" / f"{zone}.yaml").write_text(overlay)
     return folder
 
 
-def find_ports(address: str) -> dict[str, int]:
-    """Returns a port for each name; probed one by one, two could be the same."""
+def find_free_ports(address: str) -> dict[str, int]:
+    """Returns distinct free ports by name; retried, since one port can be found twice."""
     ports: dict[str, int] = {}
     while len(set(ports.values())) < len(PORT_NAMES):
-        ports = {name: find_port(address) for name in PORT_NAMES}
+        ports = {name: find_free_port(address) for name in PORT_NAMES}
     return ports
 
 
 @dataclass
 class Pool:
-    """Backend servers of one service in one zone."""
+    """Backend servers of one service in one zone.
+
+    Attributes:
+        service: Name of the service.
+        zone: Zone of the servers.
+        count: Number of servers.
+        slots: Slots of each server.
+        run_ms: Mean run time of a request, in milliseconds.
+        options: Further arguments of the backend stand-in.
+    """
 
     service: str
     zone: str
@@ -75,7 +98,16 @@
 
 @dataclass
 class Vm:
-    """An entry VM with its processes."""
+    """An entry VM and its processes.
+
+    Attributes:
+        name: Name of the VM.
+        zone: Zone of the VM.
+        address: Loopback address of the VM.
+        ports: Listening ports by name.
+        settings: Path of the settings file.
+        processes: Running processes by program.
+    """
 
     name: str
     zone: str
@@ -94,7 +126,19 @@
 
 
 class Cluster:
-    """Stand-ins and entry VMs; an async context manager that leaves no process behind."""
+    """Stand-ins and entry VMs; an async context manager that kills all processes on exit.
+
+    Args:
+        folder: Folder with the configuration files to submit.
+        work: Folder for settings and logs.
+        zones: Zones in which entry VMs run.
+        vms_per_zone: Number of entry VMs in each zone.
+        pools: Backend servers to start.
+        timeouts: Overrides of the timeouts in the settings, in seconds.
+        admins: Number of VMs that also run the administration API.
+        network: Second octet of all loopback addresses of the cluster.
+        client: Source address of the requests.
+    """
 
     def __init__(
         self,
@@ -122,14 +166,14 @@
         self._network = network
         self._client = client
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
-        self._listed: list[dict[str, Any]] = []
+        self._listed_servers: list[dict[str, Any]] = []
         self.session: aiohttp.ClientSession
 
     async def __aenter__(self) -> Cluster:
         connector = aiohttp.TCPConnector(limit=0, local_addr=(self._client, 0))
         self.session = aiohttp.ClientSession(connector=connector)
         try:
-            await self._start_platform()
+            await self._start_platform_services()
             await self._start_backends()
             for index, zone in enumerate(self.zones):
                 for number in range(1, self._vms_per_zone + 1):
@@ -138,20 +182,20 @@
             await self.publish()
             for index, vm in enumerate(self.vms):
                 self.start(vm, PROGRAMS if index < self._admins else PROGRAMS[:2])
-            await self._wait_ready()
+            await self._wait_until_ready()
         except BaseException:
             await self.__aexit__()
             raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        everything = [*self._processes.values()]
-        everything += [process for vm in self.vms for process in vm.processes.values()]
-        for process in everything:
+        processes = [*self._processes.values()]
+        processes += [process for vm in self.vms for process in vm.processes.values()]
+        for process in processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
-        for process in everything:
+        for process in processes:
             process.wait(STOP_TIMEOUT_S)
         await self.session.close()
 
@@ -162,19 +206,23 @@
             vm.processes[program] = self._spawn(log, command, append=True)
 
     async def stop(
-        self, vm: Vm, how: signal.Signals = signal.SIGTERM, timeout_s: float = 30.0
+        self, vm: Vm, signal_number: signal.Signals = signal.SIGTERM, timeout_s: float = 30.0
     ) -> float:
-        """Ends the processes of a VM and returns how long that took."""
+        """Signals the processes of a VM, waits for their exit and returns the elapsed seconds."""
         started = time.monotonic()
         for process in vm.processes.values():
             if process.poll() is None:
-                process.send_signal(how)
+                process.send_signal(signal_number)
         for process in vm.processes.values():
             await asyncio.to_thread(process.wait, timeout_s)
         return time.monotonic() - started
 
     async def publish(self, leaving: frozenset[str] = frozenset()) -> None:
-        """Publishes the list of VMs, with some of them leaving."""
+        """Publishes the platform's list of VMs.
+
+        Args:
+            leaving: Names of the VMs to list as leaving.
+        """
         entries = [
             {
                 "vm": vm.name,
@@ -188,13 +236,13 @@
         ]
         vms = [
             {**vm, "state": "leaving" if vm["vm"] in leaving else vm["state"]}
-            for vm in entries + self._listed
+            for vm in entries + self._listed_servers
         ]
         await self.post(f"{self.platform_url}/vms", {"vms": vms})
 
-    def list_server(self, vm: str, service: str, zone: str, address: str, port: int) -> None:
-        """Adds a backend server to the list of VMs that `publish` publishes."""
-        self._listed.append(
+    def add_listed_server(self, vm: str, service: str, zone: str, address: str, port: int) -> None:
+        """Adds a backend server to the list of VMs; `publish` must be called afterwards."""
+        self._listed_servers.append(
             {
                 "vm": vm,
                 "address": address,
@@ -216,12 +264,22 @@
             return await answer.json()
 
     async def submit(self, folder: Path | None = None, admin: int = 0, **fields: Any) -> Any:
-        """Submits the files of a folder through an administration API."""
+        """Submits the files of a folder and returns the response of the administration API.
+
+        Args:
+            folder: Folder to submit; default: the folder of the cluster.
+            admin: Index of the VM whose administration API is called.
+            fields: Overrides of the fields of the change request.
+        """
         url = self.vms[admin].admin_url
         current = await self.get(f"{url}/v1/documents")
-        wanted = load_documents(folder or self.folder).by_name
-        known = current["documents"]
-        edits = {name: body for name, body in wanted.items() if known.get(name) != body}
+        target_documents = load_documents(folder or self.folder).by_name
+        current_documents = current["documents"]
+        edits = {
+            name: body
+            for name, body in target_documents.items()
+            if current_documents.get(name) != body
+        }
         body = {
             "change_id": f"change-{time.time_ns()}",
             "author": "test",
@@ -233,40 +291,41 @@
         return await self.post(f"{url}/v1/changes", body)
 
     async def wait_for_generation(self, generation: int, timeout_s: float = 15.0) -> None:
-        """Waits until every VM answers lookups with at least this generation."""
+        """Waits until the lookups of every VM report at least this generation."""
         async with asyncio.timeout(timeout_s):
             for vm in self.vms:
                 while await self.read_generation(vm) < generation:
-                    await asyncio.sleep(POLL_S)
+                    await asyncio.sleep(POLL_INTERVAL_S)
 
     async def wait_for_members(self, timeout_s: float = 15.0) -> None:
-        """Waits until every VM names all VMs in its lookups."""
-        service = self.services()[0]
+        """Waits until the lookups of every VM return all VMs."""
+        service = self.list_services()[0]
         async with asyncio.timeout(timeout_s):
             for vm in self.vms:
                 while True:
                     answer = await self.get(f"{vm.url}/lookup", service=service)
                     if len(answer["entries"]) == len(self.vms):
                         break
-                    await asyncio.sleep(POLL_S)
+                    await asyncio.sleep(POLL_INTERVAL_S)
 
     async def read_generation(self, vm: Vm) -> int:
-        service = next(iter(self.services()))
+        """Returns the generation reported by a lookup; -1 if the VM does not respond."""
+        service = next(iter(self.list_services()))
         try:
             async with self.session.get(f"{vm.url}/lookup", params={"service": service}) as answer:
                 return int((await answer.json()).get("generation", 0))
         except aiohttp.ClientError:
             return -1
 
-    def services(self) -> list[str]:
+    def list_services(self) -> list[str]:
         return sorted(load_documents(self.folder).render().services)
 
     def read_log(self, vm: Vm, program: str) -> str:
         return (self.work / f"{vm.name}-{program}.log").read_text()
 
-    async def _start_platform(self) -> None:
+    async def _start_platform_services(self) -> None:
         address = f"127.{self._network}.0.1"
-        store, platform = find_port(address), find_port(address)
+        store, platform = find_free_port(address), find_free_port(address)
         self.store_url = f"http://{address}:{store}"
         self.platform_url = f"http://{address}:{platform}"
         for name, port in (("store", store), ("platform", platform)):
@@ -276,26 +335,28 @@
         await self._wait_for_port(address, platform)
 
     async def _start_backends(self) -> None:
-        """Starts one process for each service and zone."""
+        """Starts one process per pool, which runs all servers of the pool."""
         for pool in self._pools:
             zone = self.zones.index(pool.zone)
             name = f"{pool.service}-{pool.zone}"
-            listens = []
+            listen_addresses = []
             for index in range(pool.count):
-                address = f"127.{self._network}.{zone + 1}.{100 + len(self._listed) % 100}"
-                port = find_port(address)
-                listens.append(f"{address}:{port}")
+                address = f"127.{self._network}.{zone + 1}.{100 + len(self._listed_servers) % 100}"
+                port = find_free_port(address)
+                listen_addresses.append(f"{address}:{port}")
                 self.backends[f"{name}-{index + 1}"] = (address, port)
-                self.list_server(f"{name}-{index + 1}", pool.service, pool.zone, address, port)
+                self.add_listed_server(
+                    f"{name}-{index + 1}", pool.service, pool.zone, address, port
+                )
             command = ["tests.standins.backend", "--name", name, "--slots", str(pool.slots)]
-            command += ["--run-ms", str(pool.run_ms), *pool.options, "--listen", *listens]
+            command += ["--run-ms", str(pool.run_ms), *pool.options, "--listen", *listen_addresses]
             self._processes[name] = self._spawn(name, command)
         for address, port in self.backends.values():
             await self._wait_for_port(address, port)
 
     def _add_vm(self, index: int, zone: str, number: int) -> None:
         address = f"127.{self._network}.{index + 1}.{number}"
-        ports = find_ports(address)
+        ports = find_free_ports(address)
         name = f"entry-{zone}-{number}"
         self.vms.append(Vm(name, zone, address, ports, self.work / f"{name}.yaml"))
 
@@ -327,7 +388,7 @@
                 env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
             )
 
-    async def _wait_ready(self) -> None:
+    async def _wait_until_ready(self) -> None:
         for vm in self.vms:
             for program in vm.processes:
                 await self._wait_for_port(vm.address, vm.ports[program])
@@ -338,7 +399,7 @@
                 try:
                     _, writer = await asyncio.open_connection(address, port)
                 except OSError:
-                    await asyncio.sleep(POLL_S)
+                    await asyncio.sleep(POLL_INTERVAL_S)
                     continue
                 writer.close()
                 return
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Settings shared by all tests."""
+"""Hypothesis profiles for all tests."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 from hypothesis import settings
 
-# The verdict of a run must not depend on the run: examples are derived from the test alone.
+# Derandomized, so that test results are reproducible.
 settings.register_profile("ci", derandomize=True, deadline=None, max_examples=100)
 settings.register_profile("fuzz", deadline=None, max_examples=5000)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -13,7 +13,7 @@
 
 from briarfork.border.files import load_documents
 from tests.cluster import Cluster
-from tests.cluster import find_port
+from tests.cluster import find_free_port
 from tests.standins.link import Conditions
 from tests.standins.link import Link
 
@@ -24,7 +24,7 @@
 FOLDER = ROOT / "examples" / "estonia"
 ZONES = ["north-a", "north-b", "south-a", "south-b", "west-a", "west-b"]
 NETWORK = 21
-POLL_S = 0.02
+POLL_INTERVAL_S = 0.02
 IN_FORCE = re.compile(r"name=configuration_in_force .*generation=(\d+) at=([0-9.]+)")
 
 
@@ -33,7 +33,7 @@
 
     Ports are chosen before any is bound, so the system may offer the same one twice.
     """
-    while (port := find_port(vm.address)) in vm.ports.values():
+    while (port := find_free_port(vm.address)) in vm.ports.values():
         continue
     return port
 
@@ -89,20 +89,20 @@
         while await self.get(f"{self.lists[zone]}/vms") != await self.get(
             f"{self.platform_url}/vms"
         ):
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     async def wait_for_reads(self, count: int) -> None:
         """Waits until every list has been read some more times."""
         for url in [self.platform_url, *self.lists.values()]:
             calls = (await self.get(f"{url}/calls"))["GET vms"]
             while (await self.get(f"{url}/calls"))["GET vms"] < calls + count:
-                await asyncio.sleep(POLL_S)
+                await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _start_platform(self) -> None:
-        await super()._start_platform()
+    async def _start_platform_services(self) -> None:
+        await super()._start_platform_services()
         for zone, lag_s in self._lag_s.items():
             address = f"127.{self._network}.0.1"
-            port = find_port(address)
+            port = find_free_port(address)
             command = ["tests.standins.platform", "--address", address, "--port", str(port)]
             name = f"platform-{zone}"
             self._processes[name] = self._spawn(name, [*command, "--lag-s", str(lag_s)])
@@ -140,7 +140,7 @@
             for found in IN_FORCE.finditer(self.read_log(vm, "entry")):
                 if int(found[1]) >= generation:
                     return float(found[2])
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     async def time_change(self, timeout_s: float) -> float:
         """Submits a change and returns the time until it is in force on every VM."""
@@ -152,7 +152,7 @@
     async def wait_for_event(self, vm: Vm, program: str, text: str, start: int = 0) -> float:
         """Waits until a log line after a position matches; returns the time when it was seen."""
         while not re.search(text, self.read_log(vm, program)[start:]):
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
         return time.monotonic()
 
     async def wait_for_lookups(self, vm: Vm, names: set[str]) -> float:
@@ -161,7 +161,7 @@
             answer = await self.get(f"{vm.url}/lookup", service="scoring")
             if {entry["vm"] for entry in answer.get("entries", [])} == names:
                 return time.monotonic()
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     async def wait_for_listed(self, vm: Vm) -> None:
         """Waits until the control process of a VM has the platform's list."""
--- a/tests/entry/scene.py
+++ b/tests/entry/scene.py
@@ -11,9 +11,9 @@
 
 import yaml
 
-from tests.cluster import POLL_S
+from tests.cluster import POLL_INTERVAL_S
 from tests.cluster import Cluster
-from tests.standins.scripted import Scripted
+from tests.standins.scripted import ScriptedServer
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -41,7 +41,7 @@
 @dataclass
 class Scene:
     cluster: Cluster
-    servers: list[Scripted]
+    servers: list[ScriptedServer]
     ledger: Counter[str]
 
     def url(self, path: str, vm: int = 0) -> str:
@@ -59,7 +59,7 @@
     async def wait(self, condition: Callable[[], bool], timeout_s: float = 10.0) -> None:
         async with asyncio.timeout(timeout_s):
             while not condition():
-                await asyncio.sleep(POLL_S)
+                await asyncio.sleep(POLL_INTERVAL_S)
 
 
 async def read(answer: aiohttp.ClientResponse) -> Reply:
@@ -99,7 +99,9 @@
 ) -> AsyncIterator[Scene]:
     folder = write_documents(work / "documents")
     ledger: Counter[str] = Counter()
-    scripted = [Scripted(f"127.{NETWORK}.1.{100 + index}", ledger) for index in range(servers)]
+    scripted = [
+        ScriptedServer(f"127.{NETWORK}.1.{100 + index}", ledger) for index in range(servers)
+    ]
     timeouts = {
         "progress_s": PROGRESS_S,
         "store_s": 0.5,
@@ -113,7 +115,7 @@
             await server.start()
             for service in SERVICES:
                 name = f"{service}-{index}"
-                cluster.list_server(name, service, ZONE, server.address, server.port)
+                cluster.add_listed_server(name, service, ZONE, server.address, server.port)
         await cluster.publish()
         answer = await cluster.submit()
         await cluster.wait_for_generation(answer["generation"])
@@ -122,7 +124,7 @@
             for vm in range(vms):
                 for service in SERVICES:
                     while (await scene.ask("GET", f"{service}/ok", "ready", vm)).status != 200:
-                        await asyncio.sleep(POLL_S)
+                        await asyncio.sleep(POLL_INTERVAL_S)
         yield scene
         for server in scripted:
             server.stop()
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -121,11 +121,12 @@
         while time.monotonic() < drained_by:
             await scene.ask("POST", "scoring/ok", "meanwhile", data=b"1")
         before = time.monotonic()
-        counts = [len(server.seen) for server in scene.servers]
+        counts = [len(server.exchanges) for server in scene.servers]
         for number in range(60):
             await scene.ask("POST", "scoring/ok", f"next-{number}", data=b"1", vm=number % 3)
         taken = [
-            len(server.seen) - count for server, count in zip(scene.servers, counts, strict=True)
+            len(server.exchanges) - count
+            for server, count in zip(scene.servers, counts, strict=True)
         ]
         assert time.monotonic() - before < 30.0
         assert 0 in taken
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -52,19 +52,21 @@
         """Guards against a backend server that works longer than its caller waits."""
         headers = {"Briarfork-Deadline-Ms": "700"}
         await scene.ask("GET", "results/ok", "handed", headers=headers)
-        seen = [item for server in scene.servers for item in server.seen if item.name == "handed"]
+        seen = [
+            item for server in scene.servers for item in server.exchanges if item.name == "handed"
+        ]
         assert 0 < int(seen[0].headers["briarfork-deadline-ms"]) <= 700
 
     async def test_deadline_ends_the_request_and_its_work(self, scene: Scene) -> None:
         """Guards against a caller that waits past its deadline, and work that nobody awaits."""
-        lost = sum(server.lost for server in scene.servers)
+        lost = sum(server.lost_connections for server in scene.servers)
         started = time.monotonic()
         headers = {"Briarfork-Deadline-Ms": "400"}
         reply = await scene.ask("POST", "scoring/silent/x", "late", headers=headers, data=b"1")
         assert reply.error == "outcome_unknown"
         # Half a second for a busy machine.
         assert time.monotonic() - started < 0.4 + 0.5
-        await scene.wait(lambda: sum(server.lost for server in scene.servers) > lost)
+        await scene.wait(lambda: sum(server.lost_connections for server in scene.servers) > lost)
 
     async def test_body_that_does_not_arrive_ends_at_the_deadline(self, scene: Scene) -> None:
         """Guards against a caller that holds a task for ever with half a body."""
@@ -84,7 +86,7 @@
         """Guards against slow callers that fill the memory of a small VM, or hold slots."""
         before = measure_memory(scene)
         # On a busy machine the first callers are cut while the last ones still ask.
-        lost = sum(server.lost for server in scene.servers)
+        lost = sum(server.lost_connections for server in scene.servers)
         callers = [SlowCaller(scene) for _ in range(20)]
         for number, caller in enumerate(callers):
             await caller.ask("results/flood/always", f"flood-{number}")
@@ -92,7 +94,9 @@
         assert measure_memory(scene) - before < len(callers) * CALLER_BYTES
         # The servers see the cut once the progress time is over.
         expected = lost + len(callers)
-        await scene.wait(lambda: sum(server.lost for server in scene.servers) >= expected, 2.0)
+        await scene.wait(
+            lambda: sum(server.lost_connections for server in scene.servers) >= expected, 2.0
+        )
         for caller in callers:
             caller.writer.close()
 
@@ -111,7 +115,9 @@
         reply = await scene.ask("POST", "scoring/ok", "upload", data=send())
         assert reply.status == 200
         assert measure_memory(scene) - before < 4 * MIB
-        seen = [item for server in scene.servers for item in server.seen if item.name == "upload"]
+        seen = [
+            item for server in scene.servers for item in server.exchanges if item.name == "upload"
+        ]
         assert [len(item.body) for item in seen] == [size]
 
 
@@ -131,7 +137,8 @@
             *(scene.ask("GET", "results/slow/x", f"next-{number}") for number in range(12))
         )
         served = [
-            any(item.name.startswith("next") for item in server.seen) for server in scene.servers
+            any(item.name.startswith("next") for item in server.exchanges)
+            for server in scene.servers
         ]
         assert all(served), "the server of the silent connection is blamed"
         assert sum(server.connections for server in scene.servers) > opened
--- a/tests/entry/test_once.py
+++ b/tests/entry/test_once.py
@@ -67,7 +67,7 @@
     async def test_close_of_idle_connections_is_not_met(self, scene: Scene) -> None:
         """Guards against requests that are unknown only because the server gave up a connection."""
         for server in scene.servers:
-            server.idle_s = 1.5
+            server.idle_timeout_s = 1.5
         for number in range(8):
             tasks = [
                 scene.ask("POST", "scoring/slow/x", f"idle-{number}-{n}", data=b"1")
@@ -114,11 +114,11 @@
 
     async def test_caller_that_leaves_without_a_key_is_cancelled(self, scene: Scene) -> None:
         """Guards against work at a server for a caller that has gone."""
-        lost = sum(server.lost for server in scene.servers)
+        lost = sum(server.lost_connections for server in scene.servers)
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.3):
                 await scene.ask("GET", "results/silent/x", "gone")
-        await scene.wait(lambda: sum(server.lost for server in scene.servers) > lost)
+        await scene.wait(lambda: sum(server.lost_connections for server in scene.servers) > lost)
 
     async def test_many_callers_with_one_key_run_once(self, scene: Scene) -> None:
         """Guards against two entry VMs that both believe that they hold the claim."""
--- a/tests/entry/test_owner_loss.py
+++ b/tests/entry/test_owner_loss.py
@@ -13,7 +13,7 @@
 from tests.cluster import Cluster
 from tests.cluster import Pool
 from tests.cluster import Vm
-from tests.cluster import restrict_example
+from tests.cluster import copy_example_zones
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -37,7 +37,7 @@
 @pytest_asyncio.fixture
 async def cluster(tmp_path: Path) -> AsyncIterator[Cluster]:
     pools = [Pool(service, ZONE, SERVERS, SLOTS) for service in ("results", "archive")]
-    folder = restrict_example("estonia", [ZONE], tmp_path / "configuration")
+    folder = copy_example_zones("estonia", [ZONE], tmp_path / "configuration")
     async with Cluster(folder, tmp_path, [ZONE], 3, pools, network=31, client=CLIENT) as running:
         answer = await running.submit()
         await running.wait_for_generation(answer["generation"])
--- a/tests/scenarios/steps.py
+++ b/tests/scenarios/steps.py
@@ -13,7 +13,7 @@
 from briarfork.registry import Registry
 from tests.cluster import Cluster
 from tests.cluster import Pool
-from tests.cluster import restrict_example
+from tests.cluster import copy_example_zones
 from tests.scenarios.world import Caller
 from tests.scenarios.world import LoadResult
 
@@ -208,7 +208,7 @@
 def build_cluster(world: World, network: int) -> Cluster:
     """Returns the cluster that the first steps describe."""
     return Cluster(
-        restrict_example(world.example, world.zones, world.work / "configuration"),
+        copy_example_zones(world.example, world.zones, world.work / "configuration"),
         world.work,
         world.zones,
         vms_per_zone=world.vms_per_zone,
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -1,11 +1,18 @@
-"""Stand-in for backend servers; one process can hold several, each on an address of its own.
-
-Every server has slots, sheds with "not run" when they are taken, keeps a ledger of every execution
-and serves long downloads with a strong entity tag. `POST /control` sets: `state` ("live" or
-"draining"), `slow_factor`, `fault` ("", "close-before", "close-after", "short", "hang",
-"endless-chunk") and `load` (a fixed report, for reports that mislead). The ledger counts runs by
-idempotency key, or by the header Test-Request. The header Test-Run-Ms sets the run time of a
-request, so that a bench can offer the same work to every policy.
+"""Stand-in for backend servers; one process runs several servers, each on its own address.
+
+Each server has a number of slots and refuses requests as "not run" while all slots are in use. It
+serves long downloads with a strong entity tag. Its ledger counts the executions of each request by
+idempotency key or, without one, by the header Test-Request.
+
+`POST /control` sets attributes of the server:
+
+- `state`: "live" or "draining"
+- `slow_factor`: multiplier of all run times
+- `fault`: "", "close-before", "close-after", "short", "hang" or "endless-chunk"
+- `load`: a fixed load report, to simulate misleading reports
+
+The header Test-Run-Ms sets the run time of a request, so that a benchmark can offer the same work
+to every selection policy.
 """
 
 from __future__ import annotations
@@ -26,6 +33,24 @@
 
 @dataclass(slots=True)
 class Server:
+    """State of one backend server.
+
+    Attributes:
+        vm: Name of the VM.
+        slots: Maximum number of requests in progress.
+        run_ms: Mean run time in milliseconds.
+        download_bytes: Default size of a download.
+        rate_bytes_s: Download rate in bytes per second; 0 means unlimited.
+        random: Source of the run times.
+        cold_until: Monotonic time until which run times are five times as long.
+        peak: Maximum number of requests in progress so far.
+        shed: Number of refused requests.
+        cancelled: Number of requests whose connection was closed by the caller.
+        ledger: Number of executions by request.
+        arrivals: Wall-clock times at which requests started.
+        steady: Whether all requests take exactly `run_ms` instead of exponential run times.
+    """
+
     vm: str
     slots: int
     run_ms: float
@@ -47,7 +72,7 @@
     last_start: float = 0.0
     steady: bool = False
 
-    def choose_run_s(self) -> float:
+    def draw_run_time_s(self) -> float:
         cold = 5.0 if time.monotonic() < self.cold_until else 1.0
         if self.steady:
             return self.run_ms / 1000.0 * self.slow_factor * cold
@@ -59,7 +84,7 @@
 
 
 @routes.get("/health")
-async def health(request: web.Request) -> web.Response:
+async def get_health(request: web.Request) -> web.Response:
     return web.Response(text="ok")
 
 
@@ -71,7 +96,7 @@
 
 
 @routes.post("/control")
-async def control(request: web.Request) -> web.Response:
+async def set_control(request: web.Request) -> web.Response:
     for name, value in (await request.json()).items():
         setattr(request.app[SERVER], name, value)
     return web.json_response({})
@@ -85,7 +110,7 @@
 
 
 @routes.route("*", "/{path:.*}")
-async def run(request: web.Request) -> web.StreamResponse:
+async def handle_request(request: web.Request) -> web.StreamResponse:
     server = request.app[SERVER]
     if server.state == "draining":
         return _refuse(server, {"Backend-State": "draining"})
@@ -96,7 +121,7 @@
     server.arrivals.append(time.time())
     server.last_start = time.time()
     try:
-        return await _execute(server, request)
+        return await _run_request(server, request)
     except asyncio.CancelledError:
         server.cancelled += 1
         raise
@@ -109,51 +134,55 @@
     return web.Response(status=503, headers={"Briarfork-Outcome": "not-run", **headers})
 
 
-async def _execute(server: Server, request: web.Request) -> web.StreamResponse:
+async def _run_request(server: Server, request: web.Request) -> web.StreamResponse:
     if server.fault == "close-before":
-        return _cut(request)
+        return _abort_connection(request)
     body = await request.read()
     name = request.headers.get("Idempotency-Key") or request.headers.get("Test-Request") or "-"
     if server.fault == "hang":
         await asyncio.sleep(HANG_S)
     server.ledger[name] = server.ledger.get(name, 0) + 1
-    timed = "Test-Run-Ms" in request.headers
-    if not timed and request.path.startswith(("/videos", "/recordings", "/drawings")):
+    has_run_time = "Test-Run-Ms" in request.headers
+    if not has_run_time and request.path.startswith(("/videos", "/recordings", "/drawings")):
         return await _download(server, request)
-    await asyncio.sleep(_find_run_s(server, request))
+    await asyncio.sleep(_get_run_time_s(server, request))
     if server.fault == "close-after":
-        return _cut(request)
+        return _abort_connection(request)
     if server.fault == "short":
-        return await _end_short(request)
+        return await _send_truncated_body(request)
     return web.json_response(
         {"server": server.vm, "path": request.path, "bytes": len(body), "request": name}
     )
 
 
-def _find_run_s(server: Server, request: web.Request) -> float:
-    fixed_ms = request.headers.get("Test-Run-Ms")
-    return float(fixed_ms) / 1000.0 * server.slow_factor if fixed_ms else server.choose_run_s()
+def _get_run_time_s(server: Server, request: web.Request) -> float:
+    run_ms_header = request.headers.get("Test-Run-Ms")
+    return (
+        float(run_ms_header) / 1000.0 * server.slow_factor
+        if run_ms_header
+        else server.draw_run_time_s()
+    )
 
 
 async def _download(server: Server, request: web.Request) -> web.StreamResponse:
     total = int(request.query.get("bytes", server.download_bytes))
     start = 0
-    wanted = request.headers.get("Range", "")
-    if wanted.startswith("bytes=") and request.headers.get("If-Range", ETAG) == ETAG:
-        start = int(wanted.removeprefix("bytes=").split("-")[0])
+    range_header = request.headers.get("Range", "")
+    if range_header.startswith("bytes=") and request.headers.get("If-Range", ETAG) == ETAG:
+        start = int(range_header.removeprefix("bytes=").split("-")[0])
     headers = {"ETag": ETAG, "Content-Length": str(total - start), "Accept-Ranges": "bytes"}
     if start:
         headers["Content-Range"] = f"bytes {start}-{total - 1}/{total}"
-    answer = web.StreamResponse(status=206 if start else 200, headers=headers)
-    await answer.prepare(request)
+    response = web.StreamResponse(status=206 if start else 200, headers=headers)
+    await response.prepare(request)
     for offset in range(start, total, CHUNK_BYTES):
         if server.fault == "short" and offset > total // 2:
-            return _cut(request)
+            return _abort_connection(request)
         size = min(CHUNK_BYTES, total - offset)
-        await answer.write(make_content(offset, size))
+        await response.write(make_content(offset, size))
         if server.rate_bytes_s:
             await asyncio.sleep(size / server.rate_bytes_s * server.slow_factor)
-    return answer
+    return response
 
 
 ETAG = '"content-1"'
@@ -165,21 +194,21 @@
     return words[offset % 8 : offset % 8 + size]
 
 
-async def _end_short(request: web.Request) -> web.StreamResponse:
-    answer = web.StreamResponse(headers={"Content-Length": "1000"})
-    await answer.prepare(request)
-    await answer.write(b"x" * 500)
-    return _cut(request)
+async def _send_truncated_body(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse(headers={"Content-Length": "1000"})
+    await response.prepare(request)
+    await response.write(b"x" * 500)
+    return _abort_connection(request)
 
 
-def _cut(request: web.Request) -> web.Response:
+def _abort_connection(request: web.Request) -> web.Response:
     if request.transport is not None:
         request.transport.abort()
     return web.Response()
 
 
 async def serve(arguments: argparse.Namespace) -> None:
-    for index, listen in enumerate(arguments.listen):
+    for index, address_and_port in enumerate(arguments.listen):
         app = web.Application(client_max_size=64 * 1024 * 1024)
         app[SERVER] = Server(
             vm=f"{arguments.name}-{index + 1}",
@@ -194,7 +223,7 @@
         app.add_routes(routes)
         runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.2)
         await runner.setup()
-        address, _, port = listen.rpartition(":")
+        address, _, port = address_and_port.rpartition(":")
         await web.TCPSite(runner, address, int(port)).start()
     await asyncio.Event().wait()
 
@@ -208,7 +237,7 @@
     parser.add_argument("--download-bytes", type=int, default=1_000_000)
     parser.add_argument("--rate-bytes-s", type=float, default=0.0)
     parser.add_argument("--cold-s", type=float, default=0.0)
-    parser.add_argument("--steady", action="store_true", help="the same run time for all")
+    parser.add_argument("--steady", action="store_true", help="same run time for all requests")
     parser.add_argument("--seed", type=int, default=1)
     asyncio.run(serve(parser.parse_args()))
 
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's key-value service, with leases, history and watches."""
+"""Stand-in for the platform's key-value service with leases, history and watches."""
 
 from __future__ import annotations
 
@@ -14,14 +14,14 @@
 from aiohttp import web
 
 FIRST_REVISION = 10
-LAPSE_POLL_S = 0.05
+LEASE_POLL_INTERVAL_S = 0.05
 PAGE_ITEMS = 500
 
 
 @dataclass(slots=True)
 class Lease:
     ttl_s: float
-    ends_at: float
+    expires_at: float
 
 
 @dataclass(slots=True)
@@ -32,7 +32,7 @@
     lease: int = 0
     deleted: bool = False
 
-    def describe(self) -> dict[str, Any]:
+    def to_json(self) -> dict[str, Any]:
         if self.deleted:
             return {"key": self.key, "revision": self.revision, "deleted": True}
         value = base64.b64encode(self.value).decode()
@@ -47,44 +47,49 @@
 
 @dataclass
 class KeyValueStore:
-    """The content and what is wrong with it.
+    """HTTP server with the stored items and the injected faults.
 
     Attributes:
-        down: Whether every call is answered with 503; leases run on.
-        delay_s: Added to each answer.
-        lose: Number of writes whose answers are lost although they took effect.
+        items: Current items by key.
+        history: All writes and deletions since the last compaction.
+        compacted_revision: Watches from an earlier revision are rejected with status 410.
+        down: Whether every call is answered with status 503; leases still expire.
+        delay_s: Delay before each response, in seconds.
+        lose: Number of upcoming writes whose responses are lost after the write took effect.
+        calls: Number of calls so far.
+        changed: Notified after each write.
     """
 
     items: dict[str, Item] = field(default_factory=dict)
     history: list[Item] = field(default_factory=list)
     leases: dict[int, Lease] = field(default_factory=dict)
     revision: int = FIRST_REVISION
-    compacted: int = FIRST_REVISION
+    compacted_revision: int = FIRST_REVISION
     down: bool = False
     delay_s: float = 0.0
     lose: int = 0
     calls: int = 0
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
-    numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    lease_ids: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
     async def start(self, address: str, port: int) -> None:
-        app = web.Application(middlewares=[self._misbehave])
-        app.router.add_get("/v1/kv-range", self._range)
+        app = web.Application(middlewares=[self._inject_faults])
+        app.router.add_get("/v1/kv-range", self._list_range)
         app.router.add_get("/v1/kv-watch", self._watch)
-        app.router.add_post("/v1/kv-txn", self._commit)
-        app.router.add_post("/v1/kv-lease", self._grant)
-        app.router.add_post("/v1/kv-keep/{lease}", self._keep)
+        app.router.add_post("/v1/kv-txn", self._commit_transaction)
+        app.router.add_post("/v1/kv-lease", self._grant_lease)
+        app.router.add_post("/v1/kv-keep/{lease}", self._renew_lease)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, address, port).start()
-        self._lapsing = asyncio.create_task(self._lapse())
+        self._expiry_task = asyncio.create_task(self._expire_leases())
 
     async def close(self) -> None:
-        self._lapsing.cancel()
+        self._expiry_task.cancel()
         await self._runner.cleanup()
 
     async def put(self, key: str, value: Any, lease: int = 0) -> int:
-        """Writes a key as JSON, as operators and backend servers do, and returns the revision."""
+        """Writes a JSON value, as operators and backend servers do, and returns the revision."""
         return await self.write({key: (json.dumps(value).encode(), lease)}, [])
 
     async def delete(self, key: str) -> int:
@@ -103,58 +108,61 @@
         return self.revision
 
     async def forget_history(self) -> None:
-        self.compacted = self.revision
+        """Compacts the history, so that watches from earlier revisions fail."""
+        self.compacted_revision = self.revision
         self.history.clear()
         async with self.changed:
             self.changed.notify_all()
 
     @web.middleware
-    async def _misbehave(self, request: web.Request, handler: Any) -> web.StreamResponse:
+    async def _inject_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         self.calls += 1
         if self.down:
             return web.Response(status=503)
-        answer: web.StreamResponse = await handler(request)
+        response: web.StreamResponse = await handler(request)
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
         if self.lose and request.method == "POST":
             self.lose -= 1
-            # A caller that has left meanwhile has lost its answer already.
+            # The transport is None if the caller has closed the connection in the meantime.
             if request.transport is not None:
                 request.transport.abort()
-        return web.Response(status=503) if self.down else answer
+        return web.Response(status=503) if self.down else response
 
-    async def _lapse(self) -> None:
+    async def _expire_leases(self) -> None:
         while True:
-            await asyncio.sleep(LAPSE_POLL_S)
+            await asyncio.sleep(LEASE_POLL_INTERVAL_S)
             now = time.monotonic()
-            for number in [number for number, lease in self.leases.items() if lease.ends_at <= now]:
+            for number in [
+                number for number, lease in self.leases.items() if lease.expires_at <= now
+            ]:
                 del self.leases[number]
                 await self.write(
                     {}, [key for key, item in self.items.items() if item.lease == number]
                 )
 
-    async def _range(self, request: web.Request) -> web.Response:
+    async def _list_range(self, request: web.Request) -> web.Response:
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-        page = [self.items[key].describe() for key in keys[:PAGE_ITEMS]]
-        return self._answer(items=page, has_more=len(keys) > PAGE_ITEMS)
+        page = [self.items[key].to_json() for key in keys[:PAGE_ITEMS]]
+        return self._respond(items=page, has_more=len(keys) > PAGE_ITEMS)
 
     async def _watch(self, request: web.Request) -> web.Response:
         prefix, after = request.query["prefix"], int(request.query["after"])
-        ends_at = time.monotonic() + int(request.query["wait_ms"]) / 1000.0
-        while after >= self.compacted:
-            seen = [i for i in self.history if i.revision > after and i.key.startswith(prefix)]
-            left_s = ends_at - time.monotonic()
-            if seen or left_s <= 0.0 or self.down:
-                return self._answer(events=[item.describe() for item in seen])
+        expires_at = time.monotonic() + int(request.query["wait_ms"]) / 1000.0
+        while after >= self.compacted_revision:
+            events = [i for i in self.history if i.revision > after and i.key.startswith(prefix)]
+            remaining_s = expires_at - time.monotonic()
+            if events or remaining_s <= 0.0 or self.down:
+                return self._respond(events=[item.to_json() for item in events])
             try:
-                async with asyncio.timeout(left_s), self.changed:
+                async with asyncio.timeout(remaining_s), self.changed:
                     await self.changed.wait()
             except TimeoutError:
                 continue
         return web.Response(status=410)
 
-    async def _commit(self, request: web.Request) -> web.Response:
+    async def _commit_transaction(self, request: web.Request) -> web.Response:
         body = await request.json()
         for row in body["expected"]:
             known = self.items.get(row["key"])
@@ -165,20 +173,20 @@
         puts = {r["key"]: (base64.b64decode(r["value"]), r["lease"]) for r in body["puts"]}
         return web.json_response({"revision": await self.write(puts, body["deletes"])})
 
-    async def _grant(self, request: web.Request) -> web.Response:
-        text = (await request.json())["ttl_time"]
-        scale = 1000.0 if text.endswith("ms") else 1.0
-        ttl_s = float(text.rstrip("ms")) / scale
-        number = next(self.numbers)
+    async def _grant_lease(self, request: web.Request) -> web.Response:
+        ttl_text = (await request.json())["ttl_time"]
+        units_per_s = 1000.0 if ttl_text.endswith("ms") else 1.0
+        ttl_s = float(ttl_text.rstrip("ms")) / units_per_s
+        number = next(self.lease_ids)
         self.leases[number] = Lease(ttl_s, time.monotonic() + ttl_s)
-        return web.json_response({"lease": number, "ttl_time": text})
+        return web.json_response({"lease": number, "ttl_time": ttl_text})
 
-    async def _keep(self, request: web.Request) -> web.Response:
+    async def _renew_lease(self, request: web.Request) -> web.Response:
         lease = self.leases.get(int(request.match_info["lease"]))
         if lease is None:
             return web.Response(status=404)
-        lease.ends_at = time.monotonic() + lease.ttl_s
+        lease.expires_at = time.monotonic() + lease.ttl_s
         return web.json_response({})
 
-    def _answer(self, **fields: Any) -> web.Response:
+    def _respond(self, **fields: Any) -> web.Response:
         return web.json_response({**fields, "store_revision": self.revision})
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -1,8 +1,8 @@
-"""Stand-in for a network link: a TCP proxy that delays, loses, cuts and holds back.
+"""Stand-in for a network link: a TCP proxy that injects delay, loss, resets and silence.
 
-The conditions may change at any time, also for open streams. A lost segment of a TCP stream is
-modelled as the delay until it is sent again. A silent direction keeps what it was given and hands
-it on after healing, as TCP does.
+The conditions can change at any time and also apply to open streams. A lost TCP segment is modelled
+as the delay until its retransmission. A silent direction buffers data and delivers it after the
+link has recovered, as TCP does.
 """
 
 from __future__ import annotations
@@ -16,15 +16,24 @@
     from collections.abc import Callable
 
 READ_BYTES = 65536
-# The shortest retransmission timeout of Linux.
-RETRANSMISSION_S = 0.2
-HELD_CHUNKS = 64
-HEAL_POLL_S = 0.05
+# Minimum retransmission timeout of Linux.
+RETRANSMISSION_TIMEOUT_S = 0.2
+MAX_QUEUED_CHUNKS = 64
+SILENCE_POLL_INTERVAL_S = 0.05
 
 
 @dataclass(slots=True)
 class Conditions:
-    """State of a link; `silent_up` is the direction from the dialling side to the target."""
+    """Conditions of a link.
+
+    Attributes:
+        delay_s: Minimum delay in seconds.
+        jitter_s: Upper bound of the random additional delay, in seconds.
+        loss: Probability that a segment is lost.
+        cut: Whether streams are reset and new ones rejected.
+        silent_up: Whether data from the connecting side to the target is held back.
+        silent_down: Whether data from the target to the connecting side is held back.
+    """
 
     delay_s: float = 0.0
     jitter_s: float = 0.0
@@ -33,23 +42,29 @@
     silent_up: bool = False
     silent_down: bool = False
 
-    def draw_delay(self, generator: random.Random) -> float:
+    def draw_delay_s(self, generator: random.Random) -> float:
         delay_s = self.delay_s + generator.uniform(0.0, self.jitter_s)
         while generator.random() < self.loss:
-            delay_s += RETRANSMISSION_S
+            delay_s += RETRANSMISSION_TIMEOUT_S
         return delay_s
 
 
 class Link:
-    """Forwards a listening port to a target; `choose` gives the conditions by source address."""
+    """Forwards a listening port to a target address.
+
+    Args:
+        target: Address and port to connect to.
+        select_conditions: Returns the conditions for the source address of a stream.
+        seed: Seed of the random delays and losses.
+    """
 
     def __init__(
-        self, target: tuple[str, int], choose: Callable[[str], Conditions], seed: int = 1
+        self, target: tuple[str, int], select_conditions: Callable[[str], Conditions], seed: int = 1
     ) -> None:
         self._target = target
-        self._choose = choose
+        self._select_conditions = select_conditions
         self._random = random.Random(seed)
-        self._open: set[asyncio.StreamWriter] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -66,59 +81,59 @@
             await asyncio.wait(self._tasks)
 
     def reset(self) -> None:
-        """Closes all open streams."""
-        for writer in list(self._open):
+        """Resets all open streams."""
+        for writer in list(self._writers):
             writer.transport.abort()
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        conditions = self._choose(str(writer.get_extra_info("peername")[0]))
+        conditions = self._select_conditions(str(writer.get_extra_info("peername")[0]))
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
-        self._open.add(writer)
+        self._writers.add(writer)
         try:
             if not conditions.cut:
-                await self._join(conditions, reader, writer)
+                await self._connect_target(conditions, reader, writer)
         except* (OSError, asyncio.CancelledError):
             pass
         finally:
             self._tasks.discard(task)
-            self._open.discard(writer)
+            self._writers.discard(writer)
             writer.transport.abort()
 
-    async def _join(
+    async def _connect_target(
         self,
         conditions: Conditions,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        far_reader, far_writer = await asyncio.open_connection(*self._target)
-        self._open.add(far_writer)
+        target_reader, target_writer = await asyncio.open_connection(*self._target)
+        self._writers.add(target_writer)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._carry(conditions, reader, far_writer, True))
-                group.create_task(self._carry(conditions, far_reader, writer, False))
+                group.create_task(self._forward_direction(conditions, reader, target_writer, True))
+                group.create_task(self._forward_direction(conditions, target_reader, writer, False))
         finally:
-            self._open.discard(far_writer)
-            far_writer.transport.abort()
+            self._writers.discard(target_writer)
+            target_writer.transport.abort()
 
-    async def _carry(
+    async def _forward_direction(
         self,
         conditions: Conditions,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        up: bool,
+        upstream: bool,
     ) -> None:
-        """Reads and delivers in separate tasks, so that a delay does not limit the throughput."""
-        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(HELD_CHUNKS)
+        """Forwards one direction; separate tasks read and deliver, so delay costs no throughput."""
+        queue: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(MAX_QUEUED_CHUNKS)
         loop = asyncio.get_running_loop()
 
         async def deliver() -> None:
             while True:
-                due, data = await queue.get()
-                await asyncio.sleep(due - loop.time())
-                while conditions.silent_up if up else conditions.silent_down:
-                    await asyncio.sleep(HEAL_POLL_S)
+                deliver_at, data = await queue.get()
+                await asyncio.sleep(deliver_at - loop.time())
+                while conditions.silent_up if upstream else conditions.silent_down:
+                    await asyncio.sleep(SILENCE_POLL_INTERVAL_S)
                 if conditions.cut or not data:
                     raise ConnectionResetError("the link is cut or a side has closed")
                 writer.write(data)
@@ -129,4 +144,4 @@
             data = b"-"
             while data:
                 data = await reader.read(READ_BYTES)
-                await queue.put((loop.time() + conditions.draw_delay(self._random), data))
+                await queue.put((loop.time() + conditions.draw_delay_s(self._random), data))
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,7 +1,7 @@
 """Stand-in for the platform's list of live and leaving VMs.
 
-`POST /vms` sets the list that is published after `--lag-s`; `POST /fault` with `mode` "down"
-leaves calls without an answer.
+`POST /vms` sets the list, which is published after the delay `--lag-s`. `POST /fault` with the
+`mode` "down" leaves calls without a response.
 """
 
 from __future__ import annotations
@@ -19,6 +19,15 @@
 
 @dataclass(slots=True)
 class PlatformState:
+    """Published list and injected faults.
+
+    Attributes:
+        lag_s: Delay in seconds until a new list is published.
+        vms: Published list.
+        mode: "up" or "down".
+        calls: Number of reads of the list.
+    """
+
     lag_s: float
     vms: list[dict[str, Any]] = field(default_factory=list)
     mode: str = "up"
--- a/tests/standins/scripted.py
+++ b/tests/standins/scripted.py
@@ -1,8 +1,9 @@
-"""Stand-in for a backend server that breaks off an exchange at a chosen point.
+"""Stand-in for a backend server that aborts an exchange at a chosen point.
 
-It speaks HTTP on the bare socket, so that it can send what no library would. The first part of the
-path names the script. A script with a fault applies to the first run of a request; a later run is
-answered whole, so that a request that is sent twice shows in the ledger and not as a second fault.
+It implements HTTP directly on the socket, so that it can send malformed messages. The first segment
+of the path selects the script. A script that injects a fault applies to the first execution of a
+request only; later executions get a complete response, so that a duplicate request shows up in the
+ledger instead of as a second fault.
 """
 
 from __future__ import annotations
@@ -22,15 +23,17 @@
 
 HANG_S = 60.0
 DOWNLOAD_BYTES = 2_000_000
-DOWNLOAD_PART_BYTES = 500_003
-DOWNLOAD_BREAKS = 2
+PARTIAL_DOWNLOAD_BYTES = 500_003
+DOWNLOAD_INTERRUPTIONS = 2
 FLOOD_BYTES = 40_000_000
 SCRIPTS: Registry[Callable[[Exchange], Awaitable[None]]] = Registry("script")
 
 
 @dataclass
 class Exchange:
-    server: Scripted
+    """One request and the connection on which it is answered."""
+
+    server: ScriptedServer
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     method: str
@@ -46,7 +49,7 @@
         self.writer.write(data)
         await self.writer.drain()
 
-    async def answer(self, body: bytes, head: str = "HTTP/1.1 200 OK") -> None:
+    async def respond(self, body: bytes, head: str = "HTTP/1.1 200 OK") -> None:
         await self.send(f"{head}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
 
     def close(self) -> None:
@@ -54,20 +57,31 @@
 
 
 @dataclass
-class Scripted:
-    """One server; several may share a ledger."""
+class ScriptedServer:
+    """One backend server; several servers can share a ledger.
+
+    Attributes:
+        address: Address to listen on.
+        ledger: Number of executions by request.
+        connections: Number of accepted connections.
+        lost_connections: Number of connections that failed or that the caller closed.
+        exchanges: All received requests.
+        port: Listening port; assigned by `start`.
+        idle_timeout_s: Time in seconds after which an idle connection is closed.
+        writers: Open connections.
+    """
 
     address: str
     ledger: Counter[str] = field(default_factory=Counter)
     connections: int = 0
-    lost: int = 0
-    seen: list[Exchange] = field(default_factory=list)
+    lost_connections: int = 0
+    exchanges: list[Exchange] = field(default_factory=list)
     port: int = 0
-    idle_s: float = HANG_S
+    idle_timeout_s: float = HANG_S
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, self.address, 0)
+        self._server = await asyncio.start_server(self._handle_connection, self.address, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self) -> None:
@@ -75,26 +89,28 @@
         for writer in self.writers:
             writer.close()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _handle_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         self.connections += 1
         self.writers.add(writer)
         try:
-            while await self._take_request(reader, writer):
+            while await self._handle_request(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError):
-            self.lost += 1
+            self.lost_connections += 1
         except asyncio.CancelledError:
-            # The end of the test; the stream server would report it as a fault.
+            # Raised at the end of a test; asyncio's stream server would log it as an error.
             return
         finally:
             self.writers.discard(writer)
             writer.close()
 
-    async def _take_request(
+    async def _handle_request(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         try:
-            async with asyncio.timeout(self.idle_s):
+            async with asyncio.timeout(self.idle_timeout_s):
                 head = await reader.readuntil(b"\r\n\r\n")
         except TimeoutError:
             return False
@@ -107,7 +123,7 @@
             self.ledger[f"closed {exchange.name}"] += 1
             return False
         exchange.body = await _read_body(reader, headers)
-        self.seen.append(exchange)
+        self.exchanges.append(exchange)
         self.ledger[exchange.name] += 1
         if self.ledger[exchange.name] > 1 and not target.endswith("/always"):
             script = "ok"
@@ -129,74 +145,74 @@
 
 
 @SCRIPTS.register("ok")
-async def answer_whole(exchange: Exchange) -> None:
-    await exchange.answer(f"{exchange.name} {exchange.path}".encode())
+async def send_complete_response(exchange: Exchange) -> None:
+    await exchange.respond(f"{exchange.name} {exchange.path}".encode())
 
 
 @SCRIPTS.register("close-on-headers")
-async def answer_after_close(exchange: Exchange) -> None:
-    await answer_whole(exchange)
+async def send_response_after_close(exchange: Exchange) -> None:
+    await send_complete_response(exchange)
 
 
 @SCRIPTS.register("close-after-run")
-async def close_without_answer(exchange: Exchange) -> None:
+async def close_without_response(exchange: Exchange) -> None:
     exchange.close()
 
 
 @SCRIPTS.register("half-head")
-async def send_half_head(exchange: Exchange) -> None:
+async def send_partial_head(exchange: Exchange) -> None:
     await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Le")
     exchange.close()
 
 
 @SCRIPTS.register("short")
-async def send_short_body(exchange: Exchange) -> None:
+async def send_truncated_body(exchange: Exchange) -> None:
     await exchange.send(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + b"x" * 500)
     exchange.close()
 
 
 @SCRIPTS.register("open-chunks")
-async def send_chunks_without_end(exchange: Exchange) -> None:
+async def send_unterminated_chunks(exchange: Exchange) -> None:
     await exchange.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n")
     exchange.close()
 
 
 @SCRIPTS.register("until-close")
-async def end_by_closing(exchange: Exchange) -> None:
+async def send_close_delimited_body(exchange: Exchange) -> None:
     await exchange.send(b"HTTP/1.0 200 OK\r\n\r\nhello")
     exchange.close()
 
 
 @SCRIPTS.register("silent")
-async def stay_silent(exchange: Exchange) -> None:
-    """Says nothing until the caller closes the connection."""
+async def send_nothing(exchange: Exchange) -> None:
+    """Sends nothing until the caller closes the connection."""
     async with asyncio.timeout(HANG_S):
         await exchange.reader.readexactly(1)
 
 
 @SCRIPTS.register("refuse")
-async def refuse(exchange: Exchange) -> None:
+async def refuse_request(exchange: Exchange) -> None:
     exchange.server.ledger[exchange.name] -= 1
-    await exchange.answer(b"", "HTTP/1.1 503 Busy\r\nBriarfork-Outcome: not-run")
+    await exchange.respond(b"", "HTTP/1.1 503 Busy\r\nBriarfork-Outcome: not-run")
 
 
 @SCRIPTS.register("slow")
-async def answer_late(exchange: Exchange) -> None:
+async def send_delayed_response(exchange: Exchange) -> None:
     await asyncio.sleep(0.5)
-    await answer_whole(exchange)
+    await send_complete_response(exchange)
 
 
 @SCRIPTS.register("unasked")
-async def send_unasked_answer(exchange: Exchange) -> None:
-    await answer_whole(exchange)
+async def send_unsolicited_response(exchange: Exchange) -> None:
+    await send_complete_response(exchange)
     await asyncio.sleep(0.05)
-    await exchange.answer(b"nobody asked for this")
+    await exchange.respond(b"nobody asked for this")
 
 
 @SCRIPTS.register("informed")
-async def send_informational(exchange: Exchange) -> None:
+async def send_informational_response(exchange: Exchange) -> None:
     await exchange.send(b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
-    await answer_whole(exchange)
+    await send_complete_response(exchange)
 
 
 @SCRIPTS.register("empty")
@@ -223,33 +239,33 @@
 @SCRIPTS.register("changed")
 @SCRIPTS.register("download")
 async def send_download(exchange: Exchange) -> None:
-    """Sends numbered bytes; the server that sends the first part breaks off in the middle.
+    """Sends a download with a strong entity tag and closes the first attempts prematurely.
 
-    With the script "changed" every server has a version of its own.
+    With the script "changed", each server has its own version and entity tag.
     """
     server = exchange.server
-    changed = exchange.path.startswith("/changed")
-    tag = f'"{server.address if changed else 1}"'
-    first, total = 0, DOWNLOAD_BYTES
-    wanted = exchange.headers.get("range", "")
-    if wanted and exchange.headers.get("if-range") == tag:
-        first = int(wanted.removeprefix("bytes=").split("-")[0])
-    head = f"HTTP/1.1 {206 if first else 200} OK\r\nETag: {tag}\r\n"
+    is_changed = exchange.path.startswith("/changed")
+    etag = f'"{server.address if is_changed else 1}"'
+    first, total_bytes = 0, DOWNLOAD_BYTES
+    range_header = exchange.headers.get("range", "")
+    if range_header and exchange.headers.get("if-range") == etag:
+        first = int(range_header.removeprefix("bytes=").split("-")[0])
+    head = f"HTTP/1.1 {206 if first else 200} OK\r\nETag: {etag}\r\n"
     if first:
-        head += f"Content-Range: bytes {first}-{total - 1}/{total}\r\n"
-    await exchange.send(f"{head}Content-Length: {total - first}\r\n\r\n".encode())
-    content = make_content(first, total - first)
-    if server.ledger[exchange.name] > DOWNLOAD_BREAKS:
+        head += f"Content-Range: bytes {first}-{total_bytes - 1}/{total_bytes}\r\n"
+    await exchange.send(f"{head}Content-Length: {total_bytes - first}\r\n\r\n".encode())
+    content = make_content(first, total_bytes - first)
+    if server.ledger[exchange.name] > DOWNLOAD_INTERRUPTIONS:
         await exchange.send(content)
         return
-    await exchange.send(content[:DOWNLOAD_PART_BYTES])
-    # The client acknowledges by taking the bytes; a close at once could drop them.
+    await exchange.send(content[:PARTIAL_DOWNLOAD_BYTES])
+    # Closing immediately could discard data that the caller has not received yet.
     await asyncio.sleep(0.1)
     exchange.close()
 
 
 @SCRIPTS.register("flood")
-async def send_without_pause(exchange: Exchange) -> None:
+async def send_large_body(exchange: Exchange) -> None:
     await exchange.send(f"HTTP/1.1 200 OK\r\nContent-Length: {FLOOD_BYTES}\r\n\r\n".encode())
     for _ in range(FLOOD_BYTES // DOWNLOAD_BYTES):
         await exchange.send(bytes(DOWNLOAD_BYTES))
@@ -259,4 +275,4 @@
 async def refuse_as_draining(exchange: Exchange) -> None:
     exchange.server.ledger[exchange.name] -= 1
     head = "HTTP/1.1 503 Leaving\r\nBriarfork-Outcome: not-run\r\nBackend-State: draining"
-    await exchange.answer(b"", head)
+    await exchange.respond(b"", head)
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,17 +1,17 @@
 """Stand-in for the platform's key-value service.
 
-`POST /fault` sets the behaviour, `mode`:
-
-- "up"
-- "down": no answer
-- "refuse": connection closed
-- "slow": every call waits for `delay_s`
-- "lose": the next `count` answers to writes are lost after the write took effect
-- "late": the next `count` writes take effect only after `delay_s`, also if the caller has given up
-- "hold": the next `count` answers to `method` are ready but wait until the mode changes
-
-`GET /calls` counts calls; a waiting watch counts as one. `GET /held` answers once an answer waits.
-`POST /dump` and `POST /restore` copy the content out and back.
+`POST /fault` sets the fault to inject, `mode`:
+
+- "up": no fault
+- "down": no response
+- "refuse": the connection is closed
+- "slow": each call is delayed by `delay_s`
+- "lose": the responses to the next `count` writes are lost after the write took effect
+- "late": the next `count` writes are applied after `delay_s`, even if the caller has given up
+- "hold": the next `count` responses to `method` are held back until the mode changes
+
+`GET /calls` returns the number of calls; a waiting watch counts as one. `GET /held` responds once a
+response is held back. `POST /dump` returns the content and `POST /restore` replaces it.
 """
 
 from __future__ import annotations
@@ -41,6 +41,25 @@
 
 @dataclass(slots=True)
 class StoreState:
+    """Stored items, leases and injected faults.
+
+    Attributes:
+        items: Current items by key.
+        leases: Duration in seconds and monotonic expiry time by lease.
+        revision: Revision of the latest write.
+        calls: Number of calls by method and resource.
+        mode: Injected fault; see the module docstring.
+        delay_s: Delay in seconds of the modes "slow" and "late".
+        lose: Number of upcoming writes whose responses are lost.
+        late: Number of upcoming writes to delay.
+        late_handled: Number of delayed writes that have been processed.
+        hold: Number of upcoming responses to hold back.
+        hold_method: Method whose responses are held back.
+        held: Set once a response is held back.
+        released: Set when the mode changes, which sends the held responses.
+        write_condition: Notified after each write.
+    """
+
     items: dict[str, Item] = field(default_factory=dict)
     leases: dict[str, tuple[float, float]] = field(default_factory=dict)
     revision: int = 0
@@ -54,18 +73,18 @@
     hold_method: str = ""
     held: asyncio.Event = field(default_factory=asyncio.Event)
     released: asyncio.Event = field(default_factory=asyncio.Event)
-    written: asyncio.Condition = field(default_factory=asyncio.Condition)
-    lease_names: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    write_condition: asyncio.Condition = field(default_factory=asyncio.Condition)
+    lease_numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
-    def drop_lapsed(self) -> None:
+    def expire_leases(self) -> None:
         now = time.monotonic()
-        lapsed = {name for name, (_, expires_at) in self.leases.items() if expires_at <= now}
-        for name in lapsed:
+        expired = {name for name, (_, expires_at) in self.leases.items() if expires_at <= now}
+        for name in expired:
             del self.leases[name]
-        for key in [key for key, item in self.items.items() if item.lease in lapsed]:
+        for key in [key for key, item in self.items.items() if item.lease in expired]:
             del self.items[key]
 
-    def select(
+    def list_items(
         self, prefix: str, after_key: str = "", after_revision: int = 0
     ) -> list[dict[str, object]]:
         return [
@@ -92,26 +111,26 @@
     state = request.app[STATE]
     body = await request.json()
     key = request.match_info["key"]
-    known = state.items.get(key)
-    found = known.revision if known else 0
-    if body["expect"] != found:
-        return web.json_response({"revision": found}, status=409)
+    item = state.items.get(key)
+    revision = item.revision if item else 0
+    if body["expect"] != revision:
+        return web.json_response({"revision": revision}, status=409)
     if body.get("lease") and body["lease"] not in state.leases:
         return web.json_response({"error": "no such lease"}, status=400)
-    async with state.written:
+    async with state.write_condition:
         state.revision += 1
         state.items[key] = Item(body["value"], state.revision, body.get("lease"))
-        state.written.notify_all()
+        state.write_condition.notify_all()
     return web.json_response({"revision": state.revision})
 
 
 @routes.delete("/kv/{key:.+}")
 async def delete_key(request: web.Request) -> web.Response:
     state = request.app[STATE]
-    known = state.items.get(request.match_info["key"])
-    found = known.revision if known else 0
-    if int(request.query["expect"]) != found:
-        return web.json_response({"revision": found}, status=409)
+    item = state.items.get(request.match_info["key"])
+    revision = item.revision if item else 0
+    if int(request.query["expect"]) != revision:
+        return web.json_response({"revision": revision}, status=409)
     state.items.pop(request.match_info["key"], None)
     return web.json_response({})
 
@@ -119,7 +138,7 @@
 @routes.get("/range")
 async def list_range(request: web.Request) -> web.Response:
     state = request.app[STATE]
-    entries = state.select(request.query["prefix"], request.query.get("after", ""))
+    entries = state.list_items(request.query["prefix"], request.query.get("after", ""))
     limit = int(request.query.get("limit", "100"))
     return web.json_response({"entries": entries[:limit], "revision": state.revision})
 
@@ -129,11 +148,13 @@
     state = request.app[STATE]
     prefix, after = request.query["prefix"], int(request.query["after"])
     try:
-        async with asyncio.timeout(float(request.query["timeout_s"])), state.written:
-            await state.written.wait_for(lambda: state.select(prefix, after_revision=after))
+        async with asyncio.timeout(float(request.query["timeout_s"])), state.write_condition:
+            await state.write_condition.wait_for(
+                lambda: state.list_items(prefix, after_revision=after)
+            )
     except TimeoutError:
         pass
-    entries = state.select(prefix, after_revision=after)
+    entries = state.list_items(prefix, after_revision=after)
     return web.json_response({"entries": entries, "revision": state.revision})
 
 
@@ -141,7 +162,7 @@
 async def create_lease(request: web.Request) -> web.Response:
     state = request.app[STATE]
     ttl_s = float((await request.json())["ttl_s"])
-    name = f"lease-{next(state.lease_names)}"
+    name = f"lease-{next(state.lease_numbers)}"
     state.leases[name] = (ttl_s, time.monotonic() + ttl_s)
     return web.json_response({"lease": name})
 
@@ -163,7 +184,7 @@
     name = request.match_info["name"]
     if name in state.leases:
         state.leases[name] = (0.0, 0.0)
-    state.drop_lapsed()
+    state.expire_leases()
     return web.json_response({})
 
 
@@ -221,27 +242,27 @@
     if state.mode == "down":
         await asyncio.sleep(HANG_S)
     if state.mode in ("down", "refuse"):
-        _cut(request)
+        _abort_connection(request)
     if state.mode == "slow":
         await asyncio.sleep(state.delay_s)
     if state.late > 0 and request.method in ("PUT", "DELETE"):
         state.late -= 1
         await request.read()
-        # The write goes on although the caller gives up and closes its connection.
-        return await asyncio.shield(_handle_late(request, handler))
-    state.drop_lapsed()
-    answer = await handler(request)
+        # Shielded, so that the write is applied even if the caller closes its connection.
+        return await asyncio.shield(_handle_delayed_write(request, handler))
+    state.expire_leases()
+    response = await handler(request)
     if state.lose > 0 and request.method in ("PUT", "DELETE"):
         state.lose -= 1
-        _cut(request)
+        _abort_connection(request)
     if state.hold > 0 and request.method == state.hold_method:
         state.hold -= 1
         state.held.set()
         await state.released.wait()
-    return answer
+    return response
 
 
-async def _handle_late(request: web.Request, handler: Handler) -> web.StreamResponse:
+async def _handle_delayed_write(request: web.Request, handler: Handler) -> web.StreamResponse:
     state = request.app[STATE]
     await asyncio.sleep(state.delay_s)
     try:
@@ -250,7 +271,7 @@
         state.late_handled += 1
 
 
-def _cut(request: web.Request) -> None:
+def _abort_connection(request: web.Request) -> None:
     if request.transport is not None:
         request.transport.abort()
 
