--- a/tests/bench/arrivals.py
+++ b/tests/bench/arrivals.py
@@ -1,4 +1,4 @@
-"""Open-loop arrivals with a fixed seed, and one ideal shared queue that serves them."""
+"""Seeded open-loop arrivals and the ideal shared queue that serves as a baseline."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A request that starts at a fixed time, whatever became of earlier requests."""
+    """A request that starts at a fixed time, independent of earlier requests."""
 
     at_s: float
     name: str
@@ -37,35 +37,39 @@
 def build_arrivals(
     workloads: Sequence[Workload], duration_s: float, seed: int, label: str
 ) -> list[Arrival]:
-    """Draws exponential gaps and run times; equal seeds give equal arrivals for every policy."""
+    """Draws exponential gaps and run times; equal seeds yield equal arrivals for every policy."""
     clients = list_clients()
     arrivals: list[Arrival] = []
-    for item in workloads:
-        source = random.Random(f"{seed}-{item.service}-{item.path}")
-        at_s = source.expovariate(item.rate)
+    for workload in workloads:
+        generator = random.Random(f"{seed}-{workload.service}-{workload.path}")
+        at_s = generator.expovariate(workload.rate)
         while at_s < duration_s:
             arrivals.append(
                 Arrival(
                     at_s=at_s,
-                    name=f"{label}-{item.service}-{len(arrivals)}",
-                    service=item.service,
-                    method=item.method,
-                    path=item.path,
-                    run_ms=0.0 if item.download_bytes else source.expovariate(1.0 / item.run_ms),
-                    deadline_s=item.deadline_s,
-                    client=source.choice(clients),
+                    name=f"{label}-{workload.service}-{len(arrivals)}",
+                    service=workload.service,
+                    method=workload.method,
+                    path=workload.path,
+                    run_ms=(
+                        0.0
+                        if workload.download_bytes
+                        else generator.expovariate(1.0 / workload.run_ms)
+                    ),
+                    deadline_s=workload.deadline_s,
+                    client=generator.choice(clients),
                 )
             )
-            at_s += source.expovariate(item.rate)
+            at_s += generator.expovariate(workload.rate)
     return sorted(arrivals, key=lambda arrival: arrival.at_s)
 
 
-def serve_ideally(arrivals: Sequence[Arrival], slots: int) -> list[float]:
-    """Returns the latencies in seconds of one queue in order of arrival over all slots.
+def simulate_ideal_queue(arrivals: Sequence[Arrival], slots: int) -> list[float]:
+    """Returns the latencies in seconds of a single first-come, first-served queue for all slots.
 
     >>> first = Arrival(0.0, "a", "s", "GET", "/", 1000.0, 5.0, "c")
     >>> second = Arrival(0.5, "b", "s", "GET", "/", 1000.0, 5.0, "c")
-    >>> serve_ideally([first, second], 1)
+    >>> simulate_ideal_queue([first, second], 1)
     [1.0, 1.5]
     """
     free_at = [0.0] * slots
--- a/tests/bench/deployments.py
+++ b/tests/bench/deployments.py
@@ -1,7 +1,8 @@
-"""The deployments of examples/, scaled down to one region of three, with their mix of services.
+"""Deployments of examples/ with their service mix, scaled down to one of three regions.
 
-Servers and offered load are a third of the deployment; slots, run times, mix and the 12 entry VMs
-are kept. The examples state no run times, so the mean run times are set here.
+The number of servers and the offered load are a third of the deployment; slots, run times, service
+mix and the 12 entry VMs are unchanged. The examples contain no run times, so the mean run times are
+defined here.
 """
 
 from __future__ import annotations
@@ -21,10 +22,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Workload:
-    """One service: its servers at each of the two sites and the requests that callers send.
-
-    `load` is the share of slots in use on average. A workload with `download_bytes` is a download
-    whose run time follows from the rate of the server.
+    """Servers of one service and the requests that callers send to it.
+
+    Attributes:
+        service: Name of the service.
+        servers_per_site: Number of servers at each of the two sites.
+        slots: Slots of each server.
+        run_ms: Mean run time in milliseconds.
+        load: Average share of slots in use.
+        method: HTTP method.
+        path: Path of the requests.
+        deadline_s: Time limit of the caller in seconds.
+        download_bytes: Size of the download, whose run time follows from the rate of the server;
+            0 for other requests.
     """
 
     service: str
@@ -48,9 +58,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """A deployment of examples/ and the region of it that runs.
-
-    `short` and `downloads` are the requests of the comparison with saturating downloads.
+    """A deployment of examples/ and its region that is benchmarked.
+
+    Attributes:
+        name: Name of the example.
+        zones: Zones of the region.
+        workloads: Workloads of the deployment.
+        short: Short requests of the comparison with saturating downloads.
+        downloads: Downloads of that comparison.
     """
 
     name: str
@@ -61,14 +76,21 @@
 
     def list_pools(self) -> list[Pool]:
         return [
-            Pool(item.service, zone, item.servers_per_site, item.slots, item.run_ms, RATE_OPTIONS)
+            Pool(
+                workload.service,
+                zone,
+                workload.servers_per_site,
+                workload.slots,
+                workload.run_ms,
+                RATE_OPTIONS,
+            )
             for zone in self.zones
-            for item in self.workloads
+            for workload in self.workloads
         ]
 
 
 def build_download(service: str, prefix: str) -> Workload:
-    """Returns downloads that offer 1.2 times the slots of all servers."""
+    """Returns a download workload that offers 1.2 times the capacity of all slots."""
     path = f"{prefix}/item?bytes={DOWNLOAD_BYTES}"
     return Workload(
         service, 2, 3, DOWNLOAD_MS, 1.2, path=path, deadline_s=3.0, download_bytes=DOWNLOAD_BYTES
@@ -87,7 +109,7 @@
             Workload("schedule", 2, 3, 80.0, method="POST"),
             Workload("archive", 2, 3, 1000.0, load=0.6, path="/drawings", deadline_s=30.0),
         ),
-        # Downloads hold two of three slots; short requests use 60% of the slots that remain.
+        # Downloads occupy two of three slots; short requests use 60% of the remaining slots.
         short=(
             Workload("results", 3, 3, 60.0, deadline_s=2.0),
             Workload("scoring", 2, 3, 100.0, load=0.2, method="POST"),
@@ -100,7 +122,7 @@
         "chile",
         ("far-north-a", "far-north-b"),
         (
-            # 20 servers in three regions; a third is rounded down to 3 for each site.
+            # 20 servers in three regions; a third of them is rounded down to 3 servers per site.
             Workload("hearing-status", 3, 9, 150.0, deadline_s=2.0),
             Workload("ordering", 2, 8, 200.0, method="POST"),
             Workload("transcripts", 2, 3, 100.0),
--- a/tests/bench/generator.py
+++ b/tests/bench/generator.py
@@ -1,8 +1,8 @@
-"""Load generator: a process that sends its part of the arrivals at their intended times.
+"""Load generator process that sends its share of the arrivals at their intended times.
 
-Each line on standard input names the file of a plan; the outcomes are written next to it, and then
-a line is printed. A refusal as not run is sent again after a pause until the deadline, as callers
-do; latency counts from the intended start of the first attempt.
+Each line on standard input is the path of a plan. The outcomes are written next to the plan, and
+then a line is printed. Requests refused as not run are retried after a delay until the deadline, as
+callers do. Latencies are measured from the intended start of the first attempt.
 """
 
 from __future__ import annotations
@@ -17,12 +17,14 @@
 import aiohttp
 import uvloop
 
-REFUSAL_PAUSE_S = 0.02
-# An answer that is still missing at this time after the deadline counts as stalled.
-STALL_S = 1.0
+RETRY_DELAY_S = 0.02
+# A response that is missing for this long after the deadline counts as stalled.
+STALL_TIMEOUT_S = 1.0
 
 
 class Generator:
+    """Sends the arrivals of one plan and records their outcomes."""
+
     def __init__(self, plan: dict[str, Any]) -> None:
         self._plan = plan
         self._sessions: dict[str, aiohttp.ClientSession] = {}
@@ -42,14 +44,14 @@
 
     async def _send(self, arrival: dict[str, Any], start_at: float) -> None:
         refusals = 0
-        late_s = time.time() - start_at
-        give_up_at = start_at + arrival["deadline_s"]
+        delay_s = time.time() - start_at
+        deadline_at = start_at + arrival["deadline_s"]
         while True:
-            result = await self._attempt(arrival, give_up_at - time.time())
-            if result != "not-run" or time.time() + REFUSAL_PAUSE_S >= give_up_at:
+            result = await self._attempt(arrival, deadline_at - time.time())
+            if result != "not-run" or time.time() + RETRY_DELAY_S >= deadline_at:
                 break
             refusals += 1
-            await asyncio.sleep(REFUSAL_PAUSE_S)
+            await asyncio.sleep(RETRY_DELAY_S)
         self.outcomes.append(
             {
                 "service": arrival["service"],
@@ -57,7 +59,7 @@
                 "result": result,
                 "refusals": refusals + (result == "not-run"),
                 "latency_s": time.time() - start_at,
-                "late_s": late_s,
+                "late_s": delay_s,
             }
         )
 
@@ -72,15 +74,15 @@
             headers["Test-Run-Ms"] = f"{arrival['run_ms']:.3f}"
         try:
             async with (
-                asyncio.timeout(max(0.0, remaining_s) + STALL_S),
+                asyncio.timeout(max(0.0, remaining_s) + STALL_TIMEOUT_S),
                 session.request(
                     arrival["method"], url + arrival["path"], headers=headers
-                ) as answer,
+                ) as response,
             ):
-                await answer.read()
-                if answer.status < 300:
+                await response.read()
+                if response.status < 300:
                     return "done"
-                return answer.headers.get("Briarfork-Outcome", "error")
+                return response.headers.get("Briarfork-Outcome", "error")
         except TimeoutError:
             return "stalled"
         except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError, OSError):
--- a/tests/bench/main.py
+++ b/tests/bench/main.py
@@ -1,4 +1,4 @@
-"""The bench that `make bench` runs; scenarios are in a registry."""
+"""Benchmark run by `make bench`; the scenarios are in a registry."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from tests.bench.deployments import SCALE
 from tests.bench.results import HEADER
 from tests.bench.runner import ROOT
-from tests.bench.runner import Bench
+from tests.bench.runner import BenchmarkRunner
 from tests.bench.scenarios import SCENARIOS
 from tests.bench.scenarios import Options
 
@@ -29,18 +29,18 @@
 async def run(options: Options, deployments: list[str], scenarios: list[str], network: int) -> None:
     for name in deployments:
         with tempfile.TemporaryDirectory() as work:
-            async with Bench(DEPLOYMENTS.get(name), Path(work), network) as bench:
-                await warm_up(bench)
+            async with BenchmarkRunner(DEPLOYMENTS.get(name), Path(work), network) as runner:
+                await warm_up(runner)
                 for scenario in scenarios:
                     print(f"\n{name}, {scenario}\n\n{HEADER}", flush=True)
-                    await SCENARIOS.get(scenario)(bench, options)
+                    await SCENARIOS.get(scenario)(runner, options)
 
 
-async def warm_up(bench: Bench) -> None:
-    """Opens the connections and streams that the first run would otherwise pay for."""
-    await bench.use_policy(PERMITS)
-    arrivals = build_arrivals(bench.deployment.short, WARM_UP_S, WARM_UP_SEED, "warm-up")
-    await bench.measure(arrivals, "warm-up")
+async def warm_up(runner: BenchmarkRunner) -> None:
+    """Opens connections and streams, so that the first run does not include their setup."""
+    await runner.use_policy(PERMITS)
+    arrivals = build_arrivals(runner.deployment.short, WARM_UP_S, WARM_UP_SEED, "warm-up")
+    await runner.measure(arrivals, "warm-up")
 
 
 def describe_commit() -> str:
@@ -51,8 +51,8 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--quick", action="store_true", help="short runs, under 60 s in all")
-    parser.add_argument("--seconds", type=float, help="offered load of each run")
+    parser.add_argument("--quick", action="store_true", help="short runs, under 60 s in total")
+    parser.add_argument("--seconds", type=float, help="duration of each run in seconds")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--network", type=int, default=31)
     parser.add_argument("--deployments", nargs="+", default=DEPLOYMENTS.names())
--- a/tests/bench/overhead.py
+++ b/tests/bench/overhead.py
@@ -1,7 +1,7 @@
-"""Throughput of requests and lookups against bare aiohttp, in alternating rounds of one run.
+"""Compares the throughput of requests and lookups with plain aiohttp in alternating rounds.
 
-Run `python -m tests.bench.overhead`. Each program under test has one process; the load comes from
-processes of its own, so that the client is not what is measured.
+Run `python -m tests.bench.overhead`. Each program under test has one process. The load comes from
+separate processes, so that the load generator does not limit the measured throughput.
 """
 
 from __future__ import annotations
@@ -32,19 +32,23 @@
 ROUND_S = 2.0
 CLIENTS = 3
 CONNECTIONS = 8
-GOALS = {"requests": 0.8, "lookups": 0.7}
+TARGET_RATIOS = {"requests": 0.8, "lookups": 0.7}
 
 
-async def serve_bare(port: int, target: str) -> None:
-    """Passes requests on, and answers lookups with a constant, with nothing but aiohttp."""
+async def serve_plain_proxy(port: int, target: str) -> None:
+    """Runs a plain aiohttp proxy that forwards requests and answers lookups with a constant."""
     session = aiohttp.ClientSession(auto_decompress=False)
 
-    async def pass_on(request: web.Request) -> web.StreamResponse:
+    async def forward(request: web.Request) -> web.StreamResponse:
         url = f"{target}/{request.match_info['path']}"
-        async with session.request(request.method, url, headers=request.headers) as answer:
-            response = web.StreamResponse(status=answer.status, headers=answer.headers)
+        async with session.request(
+            request.method, url, headers=request.headers
+        ) as upstream_response:
+            response = web.StreamResponse(
+                status=upstream_response.status, headers=upstream_response.headers
+            )
             await response.prepare(request)
-            async for chunk in answer.content.iter_any():
+            async for chunk in upstream_response.content.iter_any():
                 await response.write(chunk)
             await response.write_eof()
             return response
@@ -54,48 +58,51 @@
 
     app = web.Application()
     app.router.add_get("/lookup", look_up)
-    app.router.add_route("*", "/services/{service}/{path:.*}", pass_on)
+    app.router.add_route("*", "/services/{service}/{path:.*}", forward)
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     await web.TCPSite(runner, ADDRESS, port).start()
     await asyncio.Event().wait()
 
 
-async def load(url: str) -> None:
-    """Prints the answers a second of a closed loop."""
+async def run_closed_loop(url: str) -> None:
+    """Sends requests in a closed loop and prints the responses per second."""
     served = 0
-    stops_at = time.monotonic() + ROUND_S
+    ends_at = time.monotonic() + ROUND_S
 
-    async def repeat(session: aiohttp.ClientSession) -> None:
+    async def send_requests(session: aiohttp.ClientSession) -> None:
         nonlocal served
-        while time.monotonic() < stops_at:
-            async with session.get(url) as answer:
-                await answer.read()
-                served += answer.status == 200
+        while time.monotonic() < ends_at:
+            async with session.get(url) as response:
+                await response.read()
+                served += response.status == 200
 
     connector = aiohttp.TCPConnector(local_addr=(CLIENT, 0))
     async with aiohttp.ClientSession(connector=connector) as session, asyncio.TaskGroup() as group:
         for _ in range(CONNECTIONS):
-            group.create_task(repeat(session))
+            group.create_task(send_requests(session))
     print(served / ROUND_S)
 
 
-def start(*arguments: str) -> subprocess.Popen[bytes]:
+def start_process(*arguments: str) -> subprocess.Popen[bytes]:
     command = [sys.executable, "-m", "tests.bench.overhead", *arguments]
     return subprocess.Popen(command, stdout=subprocess.PIPE)
 
 
 async def measure(url: str) -> float:
-    clients = [start("load", url) for _ in range(CLIENTS)]
+    clients = [start_process("load", url) for _ in range(CLIENTS)]
     outputs = [await asyncio.to_thread(client.communicate) for client in clients]
     return sum(float(output[0]) for output in outputs)
 
 
-async def compare(name: str, briarfork: str, bare: str) -> None:
-    pairs = [(await measure(briarfork), await measure(bare)) for _ in range(ROUNDS)]
-    ratio = statistics.median(own / other for own, other in pairs)
-    own, other = (statistics.median(column) for column in zip(*pairs, strict=True))
-    print(f"{name}: {own:.0f}/s against {other:.0f}/s, ratio {ratio:.2f}, goal {GOALS[name]}")
+async def compare(name: str, briarfork_url: str, plain_url: str) -> None:
+    pairs = [(await measure(briarfork_url), await measure(plain_url)) for _ in range(ROUNDS)]
+    ratio = statistics.median(briarfork_rate / plain_rate for briarfork_rate, plain_rate in pairs)
+    briarfork_rate, plain_rate = (statistics.median(column) for column in zip(*pairs, strict=True))
+    print(
+        f"{name}: {briarfork_rate:.0f}/s against {plain_rate:.0f}/s, "
+        f"ratio {ratio:.2f}, goal {TARGET_RATIOS[name]}"
+    )
 
 
 async def run() -> None:
@@ -105,23 +112,24 @@
         async with Cluster(
             folder, Path(work), [ZONE], 1, pools=pools, network=NETWORK, client=CLIENT
         ) as cluster:
-            answer = await cluster.submit()
-            await cluster.wait_for_generation(answer["generation"])
+            response = await cluster.submit()
+            await cluster.wait_for_generation(response["generation"])
             address, target = next(iter(cluster.backends.values()))
             port = find_free_port(ADDRESS)
-            bare = start("bare", str(port), f"http://{address}:{target}")
+            plain_process = start_process("bare", str(port), f"http://{address}:{target}")
             try:
-                # Both answer before the first round; the list of VMs is read every second.
+                # Both programs must respond before the first round; the list of VMs is read once
+                # per second.
                 await asyncio.sleep(3.0)
-                own, other = cluster.vms[0].url, f"http://{ADDRESS}:{port}"
+                briarfork_url, plain_url = cluster.vms[0].url, f"http://{ADDRESS}:{port}"
                 for name, path in (
                     ("requests", "/services/results/x"),
                     ("lookups", "/lookup?service=results"),
                 ):
-                    await compare(name, own + path, other + path)
+                    await compare(name, briarfork_url + path, plain_url + path)
             finally:
-                bare.terminate()
-                bare.wait()
+                plain_process.terminate()
+                plain_process.wait()
 
 
 def main() -> None:
@@ -130,9 +138,9 @@
     parser.add_argument("values", nargs="*")
     arguments = parser.parse_args()
     if arguments.part == "bare":
-        uvloop.run(serve_bare(int(arguments.values[0]), arguments.values[1]))
+        uvloop.run(serve_plain_proxy(int(arguments.values[0]), arguments.values[1]))
     elif arguments.part == "load":
-        uvloop.run(load(arguments.values[0]))
+        uvloop.run(run_closed_loop(arguments.values[0]))
     else:
         uvloop.run(run())
 
--- a/tests/bench/results.py
+++ b/tests/bench/results.py
@@ -1,4 +1,4 @@
-"""Figures of one run: latencies by service, goodput, refusals, duplicates and cut answers."""
+"""Results of a run: latencies by service, goodput, refusals, duplicates and cut responses."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 PERCENTILES = (50.0, 99.0, 99.9)
 
 
-def find_percentiles(latencies_s: Iterable[float]) -> tuple[float, ...]:
+def compute_percentiles_ms(latencies_s: Iterable[float]) -> tuple[float, ...]:
     """Returns p50, p99 and p99.9 in milliseconds."""
     histogram = HdrHistogram(1, LONGEST_US, 3)
     for latency_s in latencies_s:
@@ -24,8 +24,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Row:
-    """One line of the result: a run of one kind of request."""
+class ResultRow:
+    """One row of the result table: a run of one kind of request."""
 
     run: str
     requests: int
@@ -49,13 +49,13 @@
 )
 
 
-def summarize(run: str, outcomes: list[dict[str, Any]], duplicates: int) -> Row:
-    """Goodput is the share of requests answered in full before their deadline."""
+def summarize(run: str, outcomes: list[dict[str, Any]], duplicates: int) -> ResultRow:
+    """Summarizes outcomes; goodput is the share of complete responses before the deadline."""
     done = [item for item in outcomes if item["result"] == "done"]
-    return Row(
+    return ResultRow(
         run=run,
         requests=len(outcomes),
-        percentiles_ms=find_percentiles(item["latency_s"] for item in outcomes),
+        percentiles_ms=compute_percentiles_ms(item["latency_s"] for item in outcomes),
         goodput=len(done) / max(1, len(outcomes)),
         refusals=sum(item["refusals"] for item in outcomes),
         duplicates=duplicates,
--- a/tests/bench/runner.py
+++ b/tests/bench/runner.py
@@ -1,4 +1,4 @@
-"""Runs arrivals against a cluster, with load generators in processes of their own."""
+"""Runs arrivals against a cluster, using separate processes as load generators."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 from tests.bench.arrivals import CLIENT_PREFIX
 from tests.bench.arrivals import list_clients
 from tests.bench.deployments import ENTRY_VMS_PER_ZONE
-from tests.bench.results import find_percentiles
+from tests.bench.results import compute_percentiles_ms
 from tests.cluster import Cluster
 
 if TYPE_CHECKING:
@@ -31,16 +31,16 @@
 ROOT = Path(__file__).parent.parent.parent
 GENERATORS = 2
 START_DELAY_S = 0.5
-# A generator that is later than this adds to the measured latencies.
-LATE_MS = 10.0
-SLOW_EVERY_S = 5.0
-SLOW_S = 1.5
+# Larger delays of the generator would distort the measured latencies.
+MAX_GENERATOR_DELAY_MS = 10.0
+SLOW_PERIOD_S = 5.0
+SLOW_DURATION_S = 1.5
 SLOW_FACTOR = 10.0
 LOCAL_CLIENT = f"{CLIENT_PREFIX}.0.1"
 
 
-class Bench:
-    """A running deployment; measures arrivals and changes the selection policy."""
+class BenchmarkRunner:
+    """Runs a deployment with its load generators; an async context manager."""
 
     def __init__(self, deployment: Deployment, work: Path, network: int) -> None:
         self.deployment = deployment
@@ -59,7 +59,7 @@
             client=LOCAL_CLIENT,
         )
 
-    async def __aenter__(self) -> Bench:
+    async def __aenter__(self) -> BenchmarkRunner:
         await self.cluster.__aenter__()
         for _ in range(GENERATORS):
             self._generators.append(
@@ -82,19 +82,19 @@
         await self.cluster.__aexit__()
 
     async def use_policy(self, policy: str) -> None:
-        """Submits a change that selects the policy for every service."""
+        """Submits a change that selects the policy for every service and waits for it."""
         path = self._folder / "base.yaml"
         base = yaml.safe_load(path.read_text())
         for service in base["services"].values():
             service["selection"] = policy
         path.write_text(yaml.safe_dump(base, sort_keys=False))
-        answer = await self.cluster.submit()
-        await self.cluster.wait_for_generation(answer["generation"])
+        response = await self.cluster.submit()
+        await self.cluster.wait_for_generation(response["generation"])
         if not self._urls:
             await self._look_up()
 
     async def measure(self, arrivals: Sequence[Arrival], label: str) -> list[dict[str, Any]]:
-        """Sends the arrivals and returns the outcome of each."""
+        """Sends the arrivals and returns their outcomes."""
         plans = []
         start_at = time.time() + START_DELAY_S
         for index, generator in enumerate(self._generators):
@@ -102,7 +102,7 @@
             body = {
                 "start_at": start_at,
                 "urls": self._urls,
-                "arrivals": [asdict(item) for item in arrivals[index::GENERATORS]],
+                "arrivals": [asdict(arrival) for arrival in arrivals[index::GENERATORS]],
             }
             plan.write_text(json.dumps(body))
             plans.append(plan)
@@ -113,22 +113,24 @@
             if not await generator.stdout.readline():
                 raise RuntimeError(f"the load generator failed in run {label}")
         outcomes = [
-            item for plan in plans for item in json.loads(plan.with_suffix(".out").read_text())
+            outcome
+            for plan in plans
+            for outcome in json.loads(plan.with_suffix(".out").read_text())
         ]
-        late_ms = find_percentiles(item["late_s"] for item in outcomes)[1]
-        if late_ms > LATE_MS:
+        late_ms = compute_percentiles_ms(outcome["late_s"] for outcome in outcomes)[1]
+        if late_ms > MAX_GENERATOR_DELAY_MS:
             print(f"(the load generator was late by {late_ms:.0f} ms at p99 in run {label})")
         return outcomes
 
     async def read_ledgers(self) -> list[dict[str, Any]]:
-        """Returns what the backend servers have recorded."""
+        """Returns the ledgers of all backend servers."""
         return [
             await self.cluster.get(f"http://{address}:{port}/ledger")
             for address, port in self.cluster.backends.values()
         ]
 
     async def count_duplicates(self, label: str, service: str) -> int:
-        """Counts requests that ran more than once."""
+        """Returns the number of requests that ran more than once."""
         runs: dict[str, int] = {}
         for server in await self.read_ledgers():
             for name, count in server["ledger"].items():
@@ -136,24 +138,26 @@
                     runs[name] = runs.get(name, 0) + count
         return sum(1 for count in runs.values() if count > 1)
 
-    async def sum_ledgers(self, service: str) -> dict[str, int]:
-        """Returns how many requests of a service have run and were cancelled so far."""
-        servers = [item for item in await self.read_ledgers() if item["vm"].startswith(service)]
+    async def sum_execution_counts(self, service: str) -> dict[str, int]:
+        """Returns the number of executed and of cancelled requests of a service so far."""
+        servers = [
+            server for server in await self.read_ledgers() if server["vm"].startswith(service)
+        ]
         return {
             "runs": sum(sum(server["ledger"].values()) for server in servers),
             "cancelled": sum(server["cancelled"] for server in servers),
         }
 
-    async def slow_in_turn(self, service: str) -> None:
-        """Makes one server after the other slow for moments, until it is cancelled."""
+    async def slow_servers_in_turn(self, service: str) -> None:
+        """Slows down one server after the other for a short time, until cancelled."""
         names = [name for name in sorted(self.cluster.backends) if name.startswith(service)]
         for name in itertools.cycle(names):
             address, port = self.cluster.backends[name]
             url = f"http://{address}:{port}/control"
-            await asyncio.sleep(SLOW_EVERY_S - SLOW_S)
+            await asyncio.sleep(SLOW_PERIOD_S - SLOW_DURATION_S)
             await self.cluster.post(url, {"slow_factor": SLOW_FACTOR})
             try:
-                await asyncio.sleep(SLOW_S)
+                await asyncio.sleep(SLOW_DURATION_S)
             finally:
                 await self.cluster.post(url, {"slow_factor": 1.0})
 
@@ -161,9 +165,9 @@
         url = f"{self.cluster.vms[0].url}/lookup"
         for client in list_clients():
             self._urls[client] = {}
-            for item in self.deployment.workloads:
-                answer = await self.cluster.get(url, service=item.service, client=client)
-                entry = answer["entries"][0]
+            for workload in self.deployment.workloads:
+                response = await self.cluster.get(url, service=workload.service, client=client)
+                entry = response["entries"][0]
                 self._urls[client][
-                    item.service
-                ] = f"http://{entry['address']}:{entry['port']}/services/{item.service}"
+                    workload.service
+                ] = f"http://{entry['address']}:{entry['port']}/services/{workload.service}"
--- a/tests/bench/scenarios.py
+++ b/tests/bench/scenarios.py
@@ -1,4 +1,4 @@
-"""Comparisons of the bench; each compares runs on the same processes."""
+"""Scenarios of the benchmark; each compares several runs on the same processes."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 from briarfork.pools import PERMITS
 from briarfork.registry import Registry
 from tests.bench.arrivals import build_arrivals
-from tests.bench.arrivals import serve_ideally
-from tests.bench.results import Row
-from tests.bench.results import find_percentiles
+from tests.bench.arrivals import simulate_ideal_queue
+from tests.bench.results import ResultRow
+from tests.bench.results import compute_percentiles_ms
 from tests.bench.results import summarize
 
 if TYPE_CHECKING:
@@ -21,11 +21,12 @@
     from typing import Any
 
     from tests.bench.deployments import Workload
-    from tests.bench.runner import Bench
+    from tests.bench.runner import BenchmarkRunner
 
-# The region keeps a sixth of its slots in a straggler, so 80% would leave no slot for a hedge.
+# One straggler holds a sixth of the slots of the region, so a load of 80% would leave no slots for
+# hedged requests.
 STRAGGLER_LOAD = 0.6
-LONG_RUN_MS = 1000.0
+LONG_RUN_TIME_MS = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,94 +37,101 @@
     quick: bool = False
 
 
-SCENARIOS: Registry[Callable[[Bench, Options], Awaitable[None]]] = Registry("scenario")
+SCENARIOS: Registry[Callable[[BenchmarkRunner, Options], Awaitable[None]]] = Registry("scenario")
 
 
-def pick(outcomes: list[dict[str, Any]], item: Workload) -> list[dict[str, Any]]:
+def select_outcomes(outcomes: list[dict[str, Any]], workload: Workload) -> list[dict[str, Any]]:
     return [
         outcome
         for outcome in outcomes
-        if outcome["service"] == item.service and outcome["path"] == item.path
+        if outcome["service"] == workload.service and outcome["path"] == workload.path
     ]
 
 
 @SCENARIOS.register("selection")
-async def compare_policies(bench: Bench, options: Options) -> None:
-    """All policies and one ideal shared queue over both sites, with the same arrivals."""
-    workloads = bench.deployment.workloads
+async def compare_policies(runner: BenchmarkRunner, options: Options) -> None:
+    """Compares all policies and an ideal queue shared by both sites, with the same arrivals."""
+    workloads = runner.deployment.workloads
     if options.quick:
-        # The run times of timed downloads would be most of a short run.
-        workloads = tuple(item for item in workloads if item.run_ms < LONG_RUN_MS)
-    for item in workloads:
-        arrivals = build_arrivals([item], options.seconds, options.seed, "ideal")
-        ideal = find_percentiles(serve_ideally(arrivals, item.total_slots))
-        print(Row(f"{item.service}, ideal", len(arrivals), ideal, 1.0).format())
+        # Downloads with a run time would dominate a short run.
+        workloads = tuple(workload for workload in workloads if workload.run_ms < LONG_RUN_TIME_MS)
+    for workload in workloads:
+        arrivals = build_arrivals([workload], options.seconds, options.seed, "ideal")
+        ideal = compute_percentiles_ms(simulate_ideal_queue(arrivals, workload.total_slots))
+        print(ResultRow(f"{workload.service}, ideal", len(arrivals), ideal, 1.0).format())
     for policy in options.policies:
-        await bench.use_policy(policy)
+        await runner.use_policy(policy)
         arrivals = build_arrivals(workloads, options.seconds, options.seed, policy)
-        outcomes = await bench.measure(arrivals, policy)
-        for item in workloads:
-            chosen = pick(outcomes, item)
-            duplicates = await bench.count_duplicates(policy, item.service)
-            print(summarize(f"{item.service}, {policy}", chosen, duplicates).format(), flush=True)
+        outcomes = await runner.measure(arrivals, policy)
+        for workload in workloads:
+            selected = select_outcomes(outcomes, workload)
+            duplicates = await runner.count_duplicates(policy, workload.service)
+            print(
+                summarize(f"{workload.service}, {policy}", selected, duplicates).format(),
+                flush=True,
+            )
 
 
 @SCENARIOS.register("head_of_line")
-async def compare_downloads(bench: Bench, options: Options) -> None:
-    """Short requests with and without downloads that saturate their share of the slots.
+async def compare_downloads(runner: BenchmarkRunner, options: Options) -> None:
+    """Compares short requests with and without downloads that saturate their share of the slots.
 
-    Short runs leave out the deployment in which no service has both classes.
+    Quick runs skip the deployment in which no service has both request classes.
     """
-    deployment = bench.deployment
-    if options.quick and not any(item.service == "scoring" for item in deployment.short):
+    deployment = runner.deployment
+    if options.quick and not any(workload.service == "scoring" for workload in deployment.short):
         return
-    await bench.use_policy(PERMITS)
+    await runner.use_policy(PERMITS)
     p99: dict[str, list[float]] = {}
     for run, workloads in (
         ("quiet", deployment.short),
         ("downloads", deployment.short + deployment.downloads),
     ):
         arrivals = build_arrivals(workloads, options.seconds, options.seed, run)
-        outcomes = await bench.measure(arrivals, run)
-        for item in workloads:
-            duplicates = await bench.count_duplicates(run, item.service)
-            name = f"{item.service}{item.path if item.download_bytes else ''}, {run}"
-            row = summarize(name, pick(outcomes, item), duplicates)
+        outcomes = await runner.measure(arrivals, run)
+        for workload in workloads:
+            duplicates = await runner.count_duplicates(run, workload.service)
+            name = f"{workload.service}{workload.path if workload.download_bytes else ''}, {run}"
+            row = summarize(name, select_outcomes(outcomes, workload), duplicates)
             print(row.format(), flush=True)
-            if not item.download_bytes:
-                p99.setdefault(item.service, []).append(row.percentiles_ms[1])
-    for service, (quiet, loud) in p99.items():
-        print(f"\n{service}: p99 with downloads {loud / quiet:.2f} times the p99 without")
+            if not workload.download_bytes:
+                p99.setdefault(workload.service, []).append(row.percentiles_ms[1])
+    for service, (baseline, with_downloads) in p99.items():
+        print(
+            f"\n{service}: p99 with downloads {with_downloads / baseline:.2f} times the p99 without"
+        )
 
 
 @SCENARIOS.register("stragglers")
-async def compare_stragglers(bench: Bench, options: Options) -> None:
-    """Lookups of hearings with and without servers that are ten times slower for moments.
+async def compare_stragglers(runner: BenchmarkRunner, options: Options) -> None:
+    """Compares lookups of hearings with and without servers that are temporarily ten times slower.
 
-    Each of the 6 servers is slow in turn for 1.5 s in every 5 s, which is 1/20 of all server time,
-    and its load report shows nothing.
+    Every 5 s, one of the 6 servers in turn is slow for 1.5 s, which is 1/20 of the total server
+    time. The load reports do not reflect the slowdown.
     """
-    hearings = [item for item in bench.deployment.workloads if item.service == "hearing-status"]
-    if not hearings:
+    candidates = [
+        workload for workload in runner.deployment.workloads if workload.service == "hearing-status"
+    ]
+    if not candidates:
         return
-    workload = replace(hearings[0], load=STRAGGLER_LOAD)
-    await bench.use_policy(PERMITS)
+    workload = replace(candidates[0], load=STRAGGLER_LOAD)
+    await runner.use_policy(PERMITS)
     rows = []
     for run in ("even", "stragglers"):
         arrivals = build_arrivals([workload], options.seconds, options.seed, run)
-        before = await bench.sum_ledgers(workload.service)
+        before = await runner.sum_execution_counts(workload.service)
         async with asyncio.TaskGroup() as group:
             slowing = None
             if run == "stragglers":
-                slowing = group.create_task(bench.slow_in_turn(workload.service))
-            outcomes = await bench.measure(arrivals, run)
+                slowing = group.create_task(runner.slow_servers_in_turn(workload.service))
+            outcomes = await runner.measure(arrivals, run)
             if slowing is not None:
                 slowing.cancel()
-        after = await bench.sum_ledgers(workload.service)
+        after = await runner.sum_execution_counts(workload.service)
         rows.append(summarize(f"{workload.service}, {run}", outcomes, 0))
         print(rows[-1].format(), flush=True)
         runs, cancelled = (after[name] - before[name] for name in ("runs", "cancelled"))
         extra = runs / len(arrivals) - 1.0
         print(f"{run}: {extra:.2%} extra requests, {cancelled} seen cancelled by the servers")
-    even, slow = (row.percentiles_ms[2] for row in rows)
-    print(f"\np99.9 with stragglers {slow / even:.2f} times the p99.9 without")
+    baseline, with_stragglers = (row.percentiles_ms[2] for row in rows)
+    print(f"\np99.9 with stragglers {with_stragglers / baseline:.2f} times the p99.9 without")
--- a/tests/capacity/blocks.py
+++ b/tests/capacity/blocks.py
@@ -1,4 +1,4 @@
-"""The block table and lookups in it, up to the number of blocks at design size."""
+"""Measures the client block table and its lookups up to the design number of blocks."""
 
 from __future__ import annotations
 
--- a/tests/capacity/fleet.py
+++ b/tests/capacity/fleet.py
@@ -1,4 +1,4 @@
-"""One control process among light peers, which run the same code in this process."""
+"""A measured control process and its peers, which run the same code inside this process."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 NETWORK = 21
 CONTROL_PORT = 7100
 ZONES = 40
-STEADY_SHARE = 0.2
+STEADY_TOLERANCE = 0.2
 SAMPLE_S = 2.0
 STEADY_TIMEOUT_S = 30.0
 URL = "http://127.0.0.1:1"
@@ -51,39 +51,46 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """Use of a control process: processor share in percent, bytes a second, resident MB."""
+    """Resource usage of a control process.
+
+    Attributes:
+        cpu_percent: Processor time in percent of one core.
+        bytes_s: Bytes sent and received on its streams per second.
+        resident_mb: Resident memory in MB.
+    """
 
     cpu_percent: float
     bytes_s: float
     resident_mb: float
 
 
-def describe_member(number: int, zones: int) -> Member:
+def build_member(number: int, zones: int) -> Member:
     address = f"127.{NETWORK}.{100 + number // 250}.{1 + number % 250}"
     ports = {"entry": 8080, "permits": 7101, "control": CONTROL_PORT}
     name, zone = f"entry-{number:05d}", f"zone-{number % zones:02d}"
     return Member(name, address, zone, 1, 1, MemberState.LIVE, ports, True)
 
 
-def describe_listed(member: Member) -> ListedVm:
+def build_listed_vm(member: Member) -> ListedVm:
     return ListedVm(
         member.vm, member.address, member.zone, "entry", "live", member.ports, member.zone
     )
 
 
 class Fleet:
-    """A control process under measurement, its entry stand-in and its light peers.
+    """A measured control process with a stand-in of its entry process and in-process peers.
 
-    Up to 100 members all are light peers with links among themselves; beyond that only the
-    neighbours of the measured process run, and the other members are records.
+    In fleets of up to 100 members, all other members run as peers that are connected to each other.
+    In larger fleets only the neighbours of the measured process run; the other members exist only
+    as records.
     """
 
     def __init__(self, work: Path, size: int, zones: int = ZONES) -> None:
-        self._members = [describe_member(number, zones) for number in range(size)]
-        self._full = size <= 100
+        self._members = [build_member(number, zones) for number in range(size)]
+        self._is_full_mesh = size <= 100
         self._settings = work / f"control-{size}.yaml"
         self._log = work / f"control-{size}.log"
-        self._local = find_free_port(self._members[0].address)
+        self._local_port = find_free_port(self._members[0].address)
         self._streams: set[MessageStream] = set()
         self.nodes: list[ControlNode] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -91,14 +98,14 @@
         self._process: subprocess.Popen[bytes]
 
     async def __aenter__(self) -> Fleet:
-        own = self._members[0]
-        roster = Roster(own)
+        measured_member = self._members[0]
+        roster = Roster(measured_member)
         roster.merge(self._members)
-        peers = self._members[1:] if self._full else roster.list_neighbours()
+        peers = self._members[1:] if self._is_full_mesh else roster.list_neighbours()
         for peer in peers:
             await self._start_peer(peer)
         self._start_control(peers)
-        self._tasks.append(asyncio.ensure_future(self._stand_in_for_entry()))
+        self._tasks.append(asyncio.ensure_future(self._run_entry_stand_in()))
         return self
 
     async def __aexit__(
@@ -115,24 +122,34 @@
             stream.abort()
         await asyncio.sleep(0)
 
-    async def wait_steady(self) -> None:
-        """Waits until the rate of bytes has stopped to change."""
-        before = 0.0
+    async def wait_until_steady(self) -> None:
+        """Waits until the byte rate is stable or `STEADY_TIMEOUT_S` has passed."""
+        previous_bytes_s = 0.0
         deadline = time.monotonic() + STEADY_TIMEOUT_S
         while time.monotonic() < deadline:
-            rate = (await self.measure(SAMPLE_S)).bytes_s
-            if before and abs(rate - before) <= STEADY_SHARE * before:
+            bytes_s = (await self.measure(SAMPLE_S)).bytes_s
+            if (
+                previous_bytes_s
+                and abs(bytes_s - previous_bytes_s) <= STEADY_TOLERANCE * previous_bytes_s
+            ):
                 return
-            before = rate
+            previous_bytes_s = bytes_s
 
     async def measure(self, window_s: float) -> Usage:
+        """Returns the mean usage during a time window in seconds."""
         process = psutil.Process(self._process.pid)
-        started, cpu, count = time.monotonic(), process.cpu_times(), self._count_bytes()
+        started, cpu_before, bytes_before = (
+            time.monotonic(),
+            process.cpu_times(),
+            self._count_bytes(),
+        )
         await asyncio.sleep(window_s)
-        elapsed, after = time.monotonic() - started, process.cpu_times()
-        used = after.user + after.system - cpu.user - cpu.system
+        elapsed, cpu_after = time.monotonic() - started, process.cpu_times()
+        cpu_s = cpu_after.user + cpu_after.system - cpu_before.user - cpu_before.system
         resident_mb = process.memory_info().rss / 1e6
-        return Usage(100 * used / elapsed, (self._count_bytes() - count) / elapsed, resident_mb)
+        return Usage(
+            100 * cpu_s / elapsed, (self._count_bytes() - bytes_before) / elapsed, resident_mb
+        )
 
     def _count_bytes(self) -> int:
         for node in self.nodes:
@@ -140,16 +157,16 @@
         return sum(stream.bytes_sent + stream.bytes_received for stream in self._streams)
 
     def _start_control(self, peers: list[Member]) -> None:
-        own = self._members[0]
+        measured_member = self._members[0]
         seeds = [f"{peer.address}:{CONTROL_PORT}" for peer in peers[:6]]
         body = {
-            "vm": own.vm,
-            "zone": own.zone,
-            "address": own.address,
+            "vm": measured_member.vm,
+            "zone": measured_member.zone,
+            "address": measured_member.address,
             "store_url": URL,
             "platform_url": URL,
             "peers": seeds,
-            "ports": {"control": CONTROL_PORT, "local": self._local},
+            "ports": {"control": CONTROL_PORT, "local": self._local_port},
         }
         self._settings.write_text(yaml.safe_dump(body))
         with self._log.open("wb") as log:
@@ -167,33 +184,33 @@
         node = ControlNode(settings, EventLog("capacity"))
         self.nodes.append(node)
         self._servers.append(await serve(member.address, CONTROL_PORT, partial(converse, node)))
-        if self._full:
+        if self._is_full_mesh:
             self._tasks.append(asyncio.ensure_future(keep_peers(node)))
         else:
             node.directory.merge(
-                [ListRecord(1, describe_listed(other)) for other in self._members], 0.0
+                [ListRecord(1, build_listed_vm(other)) for other in self._members], 0.0
             )
             node.roster.merge(other for other in self._members[1:] if other != member)
 
-    async def _stand_in_for_entry(self) -> None:
-        """Takes the part of the entry process of a follower."""
+    async def _run_entry_stand_in(self) -> None:
+        """Connects like the entry process of a follower and sends heartbeats."""
         while True:
             try:
-                stream = await dial(self._members[0].address, self._local, 1.0)
+                stream = await dial(self._members[0].address, self._local_port, 1.0)
                 break
             except StreamClosed:
                 await asyncio.sleep(0.05)
         stream.send(Hello(self._members[0].vm, self._members[0].zone))
-        listed = [describe_listed(member) for member in self._members]
+        listed = [build_listed_vm(member) for member in self._members]
         for part, more in split_records(listed):
             stream.send(VmList(part, None, more))
 
-        async def beat() -> None:
+        async def send_heartbeats() -> None:
             while True:
                 stream.send(Heartbeat())
                 await asyncio.sleep(1.0)
 
         async with asyncio.TaskGroup() as group:
-            group.create_task(beat())
+            group.create_task(send_heartbeats())
             while True:
                 await stream.receive(30.0)
--- a/tests/capacity/load.py
+++ b/tests/capacity/load.py
@@ -1,4 +1,4 @@
-"""Bytes of load reports on one stream, to a peer of the own region and to one of another."""
+"""Measures the bytes of load reports on a stream to a peer in the same or in another region."""
 
 from __future__ import annotations
 
@@ -17,13 +17,13 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-# Pairs of service and site in a region; 100 sites with 4 services each at design size.
+# Pairs of service and site in a region; the design size is 100 sites with 4 services each.
 PAIRS = (48, 200, 400)
 SERVICES = 4
 SLOTS = 36
 SECONDS = 60
 SEED = 7
-BYTES_S = 10_000
+MAX_BYTES_S = 10_000
 
 
 def build_view(sites: int) -> LoadView:
@@ -37,23 +37,26 @@
 
 
 def measure_stream(pairs: int, peer_zone: str) -> float:
-    """Returns bytes a second while each load changes by up to one slot a second."""
+    """Returns the bytes per second while each load changes by up to one slot per second."""
     view, generator = build_view(pairs // SERVICES), random.Random(SEED)
     regions = view.regions
-    running = [SLOTS // 2] * pairs
+    loads_in_progress = [SLOTS // 2] * pairs
     sent = 0
     for second in range(SECONDS):
-        running = [min(SLOTS, max(0, each + generator.randint(-1, 1))) for each in running]
+        loads_in_progress = [
+            min(SLOTS, max(0, in_progress + generator.randint(-1, 1)))
+            for in_progress in loads_in_progress
+        ]
         loads = [
-            Load(f"service-{n % SERVICES}", f"s-{n // SERVICES:03d}", each, SLOTS, 0)
-            for n, each in enumerate(running)
+            Load(f"service-{n % SERVICES}", f"s-{n // SERVICES:03d}", in_progress, SLOTS, 0)
+            for n, in_progress in enumerate(loads_in_progress)
         ]
-        news = [
+        updates = [
             load
             for load in view.accept(loads, float(second))
             if regions.is_useful(load, "north-a", peer_zone)
         ]
-        sent += len(encode(Heartbeat(load=news))) - len(encode(Heartbeat()))
+        sent += len(encode(Heartbeat(load=updates))) - len(encode(Heartbeat()))
     return sent / SECONDS
 
 
@@ -63,5 +66,5 @@
     for quantity, zone in (("own region", "north-a"), ("other region", "south-a")):
         points = tuple((float(pairs), measure_stream(pairs, zone)) for pairs in PAIRS)
         name = f"loads on one stream, {quantity}"
-        series.append(Series(name, "B/s", "pairs of service and site", points, 400, BYTES_S))
+        series.append(Series(name, "B/s", "pairs of service and site", points, 400, MAX_BYTES_S))
     return series
--- a/tests/capacity/main.py
+++ b/tests/capacity/main.py
@@ -1,4 +1,4 @@
-"""Measures what state, messages and processor time grow with; prints a table in Markdown."""
+"""Measures how state, messages and processor time grow; prints the results as Markdown."""
 
 from __future__ import annotations
 
--- a/tests/capacity/measurement.py
+++ b/tests/capacity/measurement.py
@@ -1,4 +1,4 @@
-"""Registry of measurements, the fit of a line to their points and the table."""
+"""Registry of measurements, linear fit of their points and output as a table."""
 
 from __future__ import annotations
 
@@ -16,7 +16,13 @@
 class Series:
     """Values of one quantity at three or more sizes.
 
-    `extrapolate_to` is the size at the design size of 6,200 nodes, and `budget` the limit there.
+    Attributes:
+        quantity: Name of the quantity.
+        unit: Unit of the values.
+        size: What the sizes count.
+        points: Pairs of size and value.
+        extrapolate_to: Size that corresponds to the design size of 6,200 nodes.
+        budget: Upper limit of the value at that size.
     """
 
     quantity: str
@@ -28,42 +34,46 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
-    """Least-squares line through points, with the root of the mean squared residual."""
+class LinearFit:
+    """Least-squares line; `residual` is the root of the mean squared residual."""
 
     slope: float
     intercept: float
     residual: float
 
-    def value_at(self, size: float) -> float:
+    def evaluate(self, size: float) -> float:
         return self.intercept + self.slope * size
 
 
-Measure = Callable[[Path], Awaitable[list[Series]]]
-MEASUREMENTS: Registry[Measure] = Registry("measurement")
+MeasureFunction = Callable[[Path], Awaitable[list[Series]]]
+MEASUREMENTS: Registry[MeasureFunction] = Registry("measurement")
 
 
-def fit_line(points: tuple[tuple[float, float], ...]) -> Line:
+def fit_line(points: tuple[tuple[float, float], ...]) -> LinearFit:
     count = len(points)
     mean_x = sum(x for x, _ in points) / count
     mean_y = sum(y for _, y in points) / count
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread if spread else 0.0
+    squared_deviations = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = (
+        sum((x - mean_x) * (y - mean_y) for x, y in points) / squared_deviations
+        if squared_deviations
+        else 0.0
+    )
     intercept = mean_y - slope * mean_x
-    squares = sum((y - intercept - slope * x) ** 2 for x, y in points)
-    return Line(slope, intercept, (squares / count) ** 0.5)
+    squared_residuals = sum((y - intercept - slope * x) ** 2 for x, y in points)
+    return LinearFit(slope, intercept, (squared_residuals / count) ** 0.5)
 
 
 def render_table(series: list[Series]) -> str:
     head = ["quantity", "size", "values", "slope", "intercept", "residual", "at design size"]
     rows = [[*head, "budget"], ["---"] * (len(head) + 1)]
-    for each in series:
-        line = fit_line(each.points)
-        values = ", ".join(f"{x:g}: {y:.4g}" for x, y in each.points)
-        at_design = f"{line.value_at(each.extrapolate_to):.4g} at {each.extrapolate_to:g}"
-        budget = f"{each.budget:g}" if each.budget is not None else "-"
-        numbers = [f"{number:.4g}" for number in (line.slope, line.intercept, line.residual)]
+    for item in series:
+        fit = fit_line(item.points)
+        values = ", ".join(f"{x:g}: {y:.4g}" for x, y in item.points)
+        at_design = f"{fit.evaluate(item.extrapolate_to):.4g} at {item.extrapolate_to:g}"
+        budget = f"{item.budget:g}" if item.budget is not None else "-"
+        numbers = [f"{number:.4g}" for number in (fit.slope, fit.intercept, fit.residual)]
         rows.append(
-            [f"{each.quantity}, {each.unit}", each.size, values, *numbers, at_design, budget]
+            [f"{item.quantity}, {item.unit}", item.size, values, *numbers, at_design, budget]
         )
     return "\n".join("| " + " | ".join(row) + " |" for row in rows)
--- a/tests/capacity/store.py
+++ b/tests/capacity/store.py
@@ -1,4 +1,4 @@
-"""Calls to the store by the followers of a fleet."""
+"""Measures the calls to the store by the followers of a fleet."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 from briarfork.entry.follower import Follower
 from briarfork.membership import Roster
 from tests.capacity.fleet import ROOT
-from tests.capacity.fleet import describe_member
+from tests.capacity.fleet import build_member
 from tests.capacity.measurement import MEASUREMENTS
 from tests.capacity.measurement import Series
 from tests.cluster import find_free_port
@@ -33,16 +33,16 @@
     from briarfork.membership import Member
 
 ADDRESS = "127.21.0.1"
-# Members and zones; the zones of today are 6, those of the design 40.
-FLEETS = ((12, 6), (50, 6), (100, 6), (6200, 40))
+# Members and zones; there are 6 zones at present and 40 at design size.
+FLEET_SIZES = ((12, 6), (50, 6), (100, 6), (6200, 40))
 WINDOW_S = 10.0
 START_TIMEOUT_S = 10.0
-READS_S = 2000
+MAX_CALLS_S = 2000
 
 
 @dataclass
 class EntryStandIn:
-    """What a follower needs of its entry process."""
+    """The parts of an entry process that a follower uses."""
 
     settings: Settings
     events: EventLog = field(default_factory=lambda: EventLog("capacity"))
@@ -52,19 +52,19 @@
         return self
 
     def send(self, message: Message) -> None:
-        """Takes the place of the stream to control."""
+        """Discards a message to the control process."""
 
 
 def list_followers(size: int, zones: int) -> list[Member]:
-    members = [describe_member(number, zones) for number in range(size)]
+    members = [build_member(number, zones) for number in range(size)]
     roster = Roster(members[0])
     roster.merge(members)
     return [m for zone in {m.zone for m in members} for m in roster.list_followers(zone)]
 
 
 async def count_calls(session: aiohttp.ClientSession, url: str) -> int:
-    async with session.get(f"{url}/calls") as answer:
-        return sum((await answer.json()).values())
+    async with session.get(f"{url}/calls") as response:
+        return sum((await response.json()).values())
 
 
 async def wait_for_store(session: aiohttp.ClientSession, url: str) -> None:
@@ -88,7 +88,7 @@
 
 
 async def measure_fleet(session: aiohttp.ClientSession, url: str, followers: list[Any]) -> float:
-    """Returns calls a second without changes, the waiting watches included."""
+    """Returns the calls per second in the absence of changes, including waiting watches."""
     tasks = []
     for member in followers:
         settings = Settings(member.vm, member.zone, member.address, url, url)
@@ -116,11 +116,11 @@
     try:
         async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
             await wait_for_store(session, url)
-            for size, zones in FLEETS:
+            for size, zones in FLEET_SIZES:
                 calls_s = await measure_fleet(session, url, list_followers(size, zones))
-                if zones == FLEETS[0][1]:
+                if zones == FLEET_SIZES[0][1]:
                     by_size.append((float(size), calls_s))
-                if size != FLEETS[1][0] and size != FLEETS[2][0]:
+                if size != FLEET_SIZES[1][0] and size != FLEET_SIZES[2][0]:
                     by_zone.append((float(zones), calls_s))
             calls_s = await measure_fleet(session, url, list_followers(1000, 20))
             by_zone.insert(1, (20.0, calls_s))
@@ -128,6 +128,6 @@
         store.kill()
         store.wait()
     return [
-        Series("store calls, 6 zones", "calls/s", "VMs", tuple(by_size), 100, budget=READS_S),
-        Series("store calls", "calls/s", "zones", tuple(by_zone), 40, budget=READS_S),
+        Series("store calls, 6 zones", "calls/s", "VMs", tuple(by_size), 100, budget=MAX_CALLS_S),
+        Series("store calls", "calls/s", "zones", tuple(by_zone), 40, budget=MAX_CALLS_S),
     ]
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -256,12 +256,12 @@
         )
 
     async def post(self, url: str, body: Any) -> Any:
-        async with self.session.post(url, json=body) as answer:
-            return await answer.json()
+        async with self.session.post(url, json=body) as response:
+            return await response.json()
 
     async def get(self, url: str, **params: str) -> Any:
-        async with self.session.get(url, params=params) as answer:
-            return await answer.json()
+        async with self.session.get(url, params=params) as response:
+            return await response.json()
 
     async def submit(self, folder: Path | None = None, admin: int = 0, **fields: Any) -> Any:
         """Submits the files of a folder and returns the response of the administration API.
@@ -303,8 +303,8 @@
         async with asyncio.timeout(timeout_s):
             for vm in self.vms:
                 while True:
-                    answer = await self.get(f"{vm.url}/lookup", service=service)
-                    if len(answer["entries"]) == len(self.vms):
+                    response = await self.get(f"{vm.url}/lookup", service=service)
+                    if len(response["entries"]) == len(self.vms):
                         break
                     await asyncio.sleep(POLL_INTERVAL_S)
 
@@ -312,8 +312,10 @@
         """Returns the generation reported by a lookup; -1 if the VM does not respond."""
         service = next(iter(self.list_services()))
         try:
-            async with self.session.get(f"{vm.url}/lookup", params={"service": service}) as answer:
-                return int((await answer.json()).get("generation", 0))
+            async with self.session.get(
+                f"{vm.url}/lookup", params={"service": service}
+            ) as response:
+                return int((await response.json()).get("generation", 0))
         except aiohttp.ClientError:
             return -1
 
