--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -122,7 +122,7 @@
     incarnations: int = 0
 
     async def __aenter__(self) -> SoakEnvironment:
-        await self.store.start(self._build_address(0, 1), STORE_PORT)
+        await self.store.start(self._get_address(0, 1), STORE_PORT)
         for zone in ZONES:
             for service in SERVICES:
                 for _ in range(SERVERS_PER_ZONE):
@@ -161,14 +161,14 @@
         except (OSError, TimeoutError):
             return False
 
-    async def write_configuration(self, moving: str) -> None:
+    async def write_configuration(self, move_service: str) -> None:
         """Writes a configuration that sends the route "move" to a service."""
         self.version += self.random.randint(1, 3)
         rows = [
             ["lookup", HOST, "/lookup/", "idempotent", "3s", "0.6s", "lookups", 3],
             ["order", HOST, "/order/", "non_idempotent", "4s", "1s", "orders", 2],
             ["load", HOST, "/load/", "download", "3s", "0.6s", "archive", 2],
-            ["move", HOST, "/move/", "idempotent", "3s", "0.6s", moving, 2],
+            ["move", HOST, "/move/", "idempotent", "3s", "0.6s", move_service, 2],
         ]
         services = [[name, 200, "1s", 10.0] for name in SERVICES]
         body = {
@@ -177,7 +177,7 @@
             "services": {"columns": SERVICE_COLUMNS, "rows": services},
         }
         await self.store.put(names.CONFIGURATION_KEY, body)
-        self.ledger.configurations.append((time.monotonic(), moving))
+        self.ledger.configurations.append((time.monotonic(), move_service))
 
     async def start_vm(self, vm: Vm) -> None:
         """Starts the gateway process of a VM, which is restarted whenever it exits."""
@@ -220,7 +220,7 @@
 
     async def _restart_on_exit(self, vm: Vm, process: Process) -> None:
         code = await process.wait()
-        # A process that is stopped before it has installed its handlers is killed by the signal.
+        # A process that is stopped before its startup is complete is terminated by the signal.
         if not vm.stopping or code not in (0, -signal.SIGKILL, -signal.SIGTERM):
             self.ledger.unexpected_exits.append(f"{vm.name} exited unexpectedly with status {code}")
         await asyncio.sleep(RESTART_DELAY_S)
@@ -235,13 +235,13 @@
                 if endpoint.listed and now - endpoint.last_heartbeat >= HEARTBEAT_S:
                     await self.register(endpoint, now)
                 key = names.SERVER_PREFIX + endpoint.backend.name
-                silent = now - endpoint.last_heartbeat > MISSED_HEARTBEATS * HEARTBEAT_S
-                if silent and not endpoint.listed and key in self.store.items:
+                is_expired = now - endpoint.last_heartbeat > MISSED_HEARTBEATS * HEARTBEAT_S
+                if is_expired and not endpoint.listed and key in self.store.items:
                     await self.store.delete(key)
             await asyncio.sleep(HEARTBEAT_S / 5)
 
     async def _add_endpoint(self, service: str, zone: str) -> None:
-        address = self._build_address(1, len(self.endpoints) + 1)
+        address = self._get_address(1, len(self.endpoints) + 1)
         conditions = Conditions()
         link = Link((self._get_backend_address(address), SERVER_PORT), lambda _: conditions)
         self.incarnations += 1
@@ -255,11 +255,9 @@
         await self.register(endpoint, time.monotonic())
 
     async def _add_vm(self, name: str, zone: str, number: int) -> None:
-        address, store_address = self._build_address(3, number + 1), self._build_address(
-            4, number + 1
-        )
+        address, store_address = self._get_address(3, number + 1), self._get_address(4, number + 1)
         conditions = Conditions()
-        link = Link((self._build_address(0, 1), STORE_PORT), lambda _: conditions)
+        link = Link((self._get_address(0, 1), STORE_PORT), lambda _: conditions)
         await link.start(store_address, STORE_PORT)
         vm = Vm(name, zone, address, link, conditions)
         settings = {
@@ -281,7 +279,7 @@
         self.vms[name] = vm
         await self.start_vm(vm)
 
-    def _build_address(self, part: int, number: int) -> str:
+    def _get_address(self, part: int, number: int) -> str:
         return f"127.{self.network}.{part}.{number}"
 
     def _get_backend_address(self, address: str) -> str:
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -100,11 +100,11 @@
     for service, times in retry_times.items():
         for window_start in times:
             window_end = window_start + BUDGET_WINDOW_S
-            count = sum(window_start <= at < window_end for at in times)
+            count = sum(window_start <= time_s < window_end for time_s in times)
             requests = (
                 sum(
-                    window_start - BUDGET_WINDOW_S <= at < window_end
-                    for at in first_run_times[service]
+                    window_start - BUDGET_WINDOW_S <= time_s < window_end
+                    for time_s in first_run_times[service]
                 )
                 / 2
             )
@@ -162,8 +162,8 @@
             continue
         allowed_services = [
             service
-            for at, service in ledger.configurations
-            if earlier[-1][0] <= at <= run.started_at
+            for time_s, service in ledger.configurations
+            if earlier[-1][0] <= time_s <= run.started_at
         ]
         fault_free = ledger.is_fault_free(
             [call.vm, STORE], earlier[-1][0] - FAULT_EFFECT_S, run.started_at
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -70,8 +70,8 @@
     started_at: float
     ended_at: float = math.inf
 
-    def overlaps(self, since: float, until: float) -> bool:
-        return self.started_at <= until and self.ended_at >= since
+    def overlaps(self, start: float, end: float) -> bool:
+        return self.started_at <= end and self.ended_at >= start
 
 
 @dataclass
@@ -101,14 +101,14 @@
     unexpected_exits: list[str] = field(default_factory=list)
 
     def start_fault(self, subject: str, kind: str, now: float) -> FaultInterval:
-        span = FaultInterval(kind, now)
-        self.fault_intervals[subject].append(span)
-        return span
+        interval = FaultInterval(kind, now)
+        self.fault_intervals[subject].append(interval)
+        return interval
 
-    def is_fault_free(self, subjects: list[str], since: float, until: float) -> bool:
+    def is_fault_free(self, subjects: list[str], start: float, end: float) -> bool:
         """Returns whether no fault of any of the subjects overlaps a time interval."""
         return not any(
-            span.overlaps(since, until)
+            interval.overlaps(start, end)
             for name in subjects
-            for span in self.fault_intervals.get(name, [])
+            for interval in self.fault_intervals.get(name, [])
         )
