Join the rewording of the commands, the stand-ins and the test programs

Cause: commands, stand-ins, soak, scenarios, bench and capacity programs used private words (terminals, worlds, promises, misbehaviour, strikes).

--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -121,13 +121,13 @@
         while time.monotonic() < drained_by:
             await environment.request("POST", "scoring/ok", "meanwhile", data=b"1")
         before = time.monotonic()
-        counts = [len(server.seen) for server in environment.servers]
+        counts = [len(server.exchanges) for server in environment.servers]
         for number in range(60):
             await environment.request(
                 "POST", "scoring/ok", f"next-{number}", data=b"1", vm=number % 3
             )
         taken = [
-            len(server.seen) - count
+            len(server.exchanges) - count
             for server, count in zip(environment.servers, counts, strict=True)
         ]
         assert time.monotonic() - before < 30.0
--- a/tests/entry/test_limits.py
+++ b/tests/entry/test_limits.py
@@ -53,7 +53,10 @@
         headers = {"Briarfork-Deadline-Ms": "700"}
         await environment.request("GET", "results/ok", "handed", headers=headers)
         seen = [
-            item for server in environment.servers for item in server.seen if item.name == "handed"
+            item
+            for server in environment.servers
+            for item in server.exchanges
+            if item.name == "handed"
         ]
         assert 0 < int(seen[0].headers["briarfork-deadline-ms"]) <= 700
 
@@ -61,7 +64,7 @@
         self, environment: Environment
     ) -> None:
         """Guards against a caller that waits past its deadline, and work for no caller."""
-        lost = sum(server.lost for server in environment.servers)
+        lost = sum(server.lost_connections for server in environment.servers)
         started = time.monotonic()
         headers = {"Briarfork-Deadline-Ms": "400"}
         reply = await environment.request(
@@ -71,7 +74,7 @@
         # The half second allows for a busy machine.
         assert time.monotonic() - started < 0.4 + 0.5
         await environment.wait_until(
-            lambda: sum(server.lost for server in environment.servers) > lost
+            lambda: sum(server.lost_connections for server in environment.servers) > lost
         )
 
     async def test_incomplete_body_ends_at_the_deadline(self, environment: Environment) -> None:
@@ -94,7 +97,7 @@
         """Guards against slow callers that exhaust the memory of a small VM or hold slots."""
         before = measure_memory(environment)
         # On a busy machine the first callers are disconnected before the last ones have sent.
-        lost = sum(server.lost for server in environment.servers)
+        lost = sum(server.lost_connections for server in environment.servers)
         callers = [SlowCaller(environment) for _ in range(20)]
         for number, caller in enumerate(callers):
             await caller.request("results/flood/always", f"flood-{number}")
@@ -103,7 +106,7 @@
         # The servers see the disconnect once the progress time is over.
         expected = lost + len(callers)
         await environment.wait_until(
-            lambda: sum(server.lost for server in environment.servers) >= expected, 2.0
+            lambda: sum(server.lost_connections for server in environment.servers) >= expected, 2.0
         )
         for caller in callers:
             caller.writer.close()
@@ -124,7 +127,10 @@
         assert reply.status == 200
         assert measure_memory(environment) - before < 4 * MIB
         seen = [
-            item for server in environment.servers for item in server.seen if item.name == "upload"
+            item
+            for server in environment.servers
+            for item in server.exchanges
+            if item.name == "upload"
         ]
         assert [len(item.body) for item in seen] == [size]
 
@@ -153,7 +159,7 @@
             )
         )
         served = [
-            any(item.name.startswith("next") for item in server.seen)
+            any(item.name.startswith("next") for item in server.exchanges)
             for server in environment.servers
         ]
         assert all(served), "the server of the unresponsive connection was excluded"
--- a/tests/entry/test_once.py
+++ b/tests/entry/test_once.py
@@ -77,7 +77,7 @@
     ) -> None:
         """Guards against unknown outcomes that are only due to the close of idle connections."""
         for server in environment.servers:
-            server.idle_s = 1.5
+            server.idle_timeout_s = 1.5
         for number in range(8):
             tasks = [
                 environment.request("POST", "scoring/slow/x", f"idle-{number}-{n}", data=b"1")
@@ -134,12 +134,12 @@
         self, environment: Environment
     ) -> None:
         """Guards against work at a server for a caller that has disconnected."""
-        lost = sum(server.lost for server in environment.servers)
+        lost = sum(server.lost_connections for server in environment.servers)
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.3):
                 await environment.request("GET", "results/silent/x", "gone")
         await environment.wait_until(
-            lambda: sum(server.lost for server in environment.servers) > lost
+            lambda: sum(server.lost_connections for server in environment.servers) > lost
         )
 
     async def test_many_callers_with_one_key_run_once(self, environment: Environment) -> None:
