--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -34,11 +34,13 @@
 
     STARTED = EventDefinition(1001, "notice", "The program has started and accepts work.")
     STOPPING = EventDefinition(1002, "notice", "A planned stop has begun.")
-    STOPPED = EventDefinition(1003, "notice", "The program has stopped; nothing was cut.")
+    STOPPED = EventDefinition(
+        1003, "notice", "The program has stopped gracefully; no request was aborted."
+    )
     TASK_FAILED = EventDefinition(1004, "error", "A task failed in a way that is not expected.")
     RELOADED = EventDefinition(1005, "notice", "A signal to read the settings again was received.")
     LINES_LEFT_OUT = EventDefinition(
-        1006, "warning", "Lines of one event were left out to bound the volume of the log."
+        1006, "warning", "Log lines of an event were suppressed by the rate limit."
     )
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
@@ -46,7 +48,9 @@
         2003, "notice", "A new configuration is in force on this VM."
     )
     STORE_BEHIND = EventDefinition(
-        2004, "error", "The store is older than this VM or differs from it; the VM keeps its own."
+        2004,
+        "error",
+        "The store is older than this VM's timeline or differs from it; the VM keeps its own.",
     )
     TIMELINE_FORKED = EventDefinition(
         2005, "error", "A peer offered a change that contradicts the timeline; it was ignored."
@@ -60,12 +64,12 @@
     SNAPSHOT_FAILED = EventDefinition(
         2008, "warning", "A snapshot of the timeline could not be read or written."
     )
-    STORE_LOST = EventDefinition(3001, "warning", "The store does not answer.")
-    STORE_BACK = EventDefinition(3002, "notice", "The store answers again.")
+    STORE_LOST = EventDefinition(3001, "warning", "The store does not respond.")
+    STORE_BACK = EventDefinition(3002, "notice", "The store responds again.")
     FOLLOWING = EventDefinition(3003, "info", "This VM follows the store for its zone.")
     NOT_FOLLOWING = EventDefinition(3004, "info", "This VM no longer follows the store.")
     HISTORY_LOST = EventDefinition(
-        3005, "notice", "The store has dropped its history; everything is read again."
+        3005, "notice", "The store has compacted its history; all data is read again."
     )
     RECORD_IGNORED = EventDefinition(
         3006, "warning", "A record in the store could not be read and is ignored."
@@ -79,22 +83,22 @@
     LIST_CHANGED = EventDefinition(4005, "info", "The list of VMs has changed.")
     REQUEST_FAILED = EventDefinition(5001, "info", "A request was answered with an error.")
     ANSWER_CUT = EventDefinition(
-        5002, "warning", "A backend server ended an answer early; the caller's stream was reset."
+        5002, "warning", "A backend server truncated a response; the caller's connection was reset."
     )
     OUTCOME_UNKNOWN = EventDefinition(
-        5003, "warning", "A non-idempotent request was sent and brought no answer."
+        5003, "warning", "A non-idempotent request was sent but got no complete response."
     )
     CLAIM_LEFT = EventDefinition(
-        5004, "warning", "A claim could not be updated; repeats of the request are refused."
+        5004, "warning", "A claim could not be updated; retries of the request are refused."
     )
     OWNER_UNREACHABLE = EventDefinition(
-        5005, "info", "The owner of a site's slots does not answer; the local share is used."
+        5005, "info", "The owner of a site's slots does not respond; the local share is used."
     )
     ATTEMPT_FAILED = EventDefinition(
-        5006, "info", "An attempt to run a request at a backend server brought no whole answer."
+        5006, "info", "An attempt at a backend server got no complete response."
     )
     REQUEST_SERVED = EventDefinition(
-        5007, "info", "A request was answered by a backend server; a sample is written."
+        5007, "info", "A request was served by a backend server; only a sample is logged."
     )
     REMOTE_SHARE_MOVED = EventDefinition(
         5008, "info", "The share of a service's requests that leaves the region has moved."
