--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -29,8 +29,8 @@
 class PermitClient(SlotClient):
     """Acquires permits at a site and the other sites of its region, by the selection policy."""
 
-    def __init__(self, view: EntryView, desk: SlotManager) -> None:
-        super().__init__(view, desk)
+    def __init__(self, view: EntryView, slot_manager: SlotManager) -> None:
+        super().__init__(view, slot_manager)
         self._entry_view = view
         self._local_selector = LocalSelector(view)
 
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -75,9 +75,9 @@
     these slots instead.
     """
 
-    def __init__(self, view: SlotClientView, desk: SlotManager) -> None:
+    def __init__(self, view: SlotClientView, slot_manager: SlotManager) -> None:
         self._view = view
-        self._slot_manager = desk
+        self._slot_manager = slot_manager
         self._links: dict[str, OwnerLink] = {}
         self._link_added = asyncio.Event()
         self._held: dict[str, Permit] = {}
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -63,8 +63,8 @@
 class GatewayPermits(SlotClient):
     """Requests a slot from one zone after another until one grants it."""
 
-    def __init__(self, view: GatewayView, desk: SlotManager) -> None:
-        super().__init__(view, desk)
+    def __init__(self, view: GatewayView, slot_manager: SlotManager) -> None:
+        super().__init__(view, slot_manager)
         self._gateway_view = view
         self._refusal_cache = RefusalCache()
         self._spillover_limit = SpilloverLimit()
--- a/src/briarfork/membership/directory.py
+++ b/src/briarfork/membership/directory.py
@@ -163,7 +163,7 @@
         return [record for record in changed if record is not None]
 
     def apply_pending(self, now: float) -> list[ListRecord]:
-        """Applies entries of the own list that differ from their records after the hold-down time.
+        """Applies entries of this VM's list that differ from their records after the hold-down.
 
         Expired tombstones are removed as well.
 
--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -246,7 +246,7 @@
             self._heard_at.pop(record.vm, None)
 
     def _refute(self, record: Member) -> Member:
-        """Replaces the own record after another VM sent one that supersedes it.
+        """Replaces this VM's record after another VM sent one that supersedes it.
 
         A higher incarnation comes from a former process whose clock was ahead.
         """
