Keep the field of the event draft_left

Cause: the rewording of the drafts renamed the field fault of the log event to reason.

Change: the old name.

--- a/src/briarfork/admin/drafts.py
+++ b/src/briarfork/admin/drafts.py
@@ -117,7 +117,7 @@
                 continue
             except StoreUnavailable as error:
                 reason = error.detail
-        self._events.record(Event.DRAFT_LEFT, change=change_id, reason=reason)
+        self._events.record(Event.DRAFT_LEFT, change=change_id, fault=reason)
 
 
 def _decode(entry: Entry) -> Draft:
