Follow the new name of the check before a send

Cause: the guard of an attempt kept the method name approve, while the trace of the client library calls check_send since the rewording of the border.

Change: the new name there, and release_earlier_streams in the slot manager, as in the queue.

Run: tests of the platform, of the path and of at-most-once.

--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -97,7 +97,7 @@
 
     attempt: Attempt
 
-    def approve(self) -> None:
+    def check_send(self) -> None:
         """Marks the attempt as sent.
 
         Raises:
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -173,7 +173,7 @@
         elif len(self._early_declarations) < MAX_EARLY_DECLARATIONS:
             self._early_declarations[held.permit] = (requester, held)
 
-    def settle_requester(self, requester: Requester) -> None:
+    def release_earlier_streams(self, requester: Requester) -> None:
         """Releases permits of earlier streams of a VM that its new stream has not declared."""
         now = time.monotonic()
         for key, queue in self._queues.items():
@@ -239,7 +239,7 @@
             self._dispatch(requester, stream, message)
             if not settled and isinstance(message, Heartbeat):
                 settled = True
-                self.settle_requester(requester)
+                self.release_earlier_streams(requester)
 
     def _dispatch(self, requester: Requester, stream: MessageStream, message: Message) -> None:
         if message.name not in HANDLERS.names():
