Log the request and the place of an internal error

Change: the line gives the request, its path, and the file, line and function that raised the error.

--- a/src/briarfork/border/http_server.py
+++ b/src/briarfork/border/http_server.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import traceback
 from http import HTTPStatus
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -31,6 +33,10 @@
         """Returns the response to an error."""
         raise NotImplementedError
 
+    def identify(self, request: web.BaseRequest) -> dict[str, str]:
+        """Returns the log fields by which a request can be found, empty if it has no id."""
+        return {}
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -43,7 +49,13 @@
             raise ConnectionError("the response has already started") from exc
         error: BriarforkError
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            self.events.record(Event.TASK_FAILED, error=repr(exc))
+            self.events.record(
+                Event.TASK_FAILED,
+                error=repr(exc),
+                path=request.path,
+                place=_find_place(exc),
+                **self.identify(request),
+            )
             error = BriarforkError(ErrorKind.INTERNAL, "the entry process failed")
         elif isinstance(exc, LineTooLong):
             error = NotRun(ErrorKind.HEADER_TOO_LARGE, "headers: line is too long")
@@ -52,3 +64,11 @@
         response = self.build_error_response(request, error)
         response.force_close()
         return response
+
+
+def _find_place(error: BaseException | None) -> str:
+    """Returns the file, line and function in which an error was raised."""
+    frames = traceback.extract_tb(error.__traceback__) if error else []
+    if not frames:
+        return ""
+    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno} {frames[-1].name}"
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -149,6 +149,10 @@
         """Log for internal errors."""
         return self._gateway.events
 
+    def identify(self, request: web.BaseRequest) -> dict[str, str]:
+        """Returns the id of a request."""
+        return {"request": request.headers.get(names.ATTEMPT_ID, "")}
+
     def build_error_response(self, request: web.BaseRequest, error: BriarforkError) -> web.Response:
         """Returns the response to an error outside the request handler, where no id is known."""
         return web.Response(status=ERROR_RESPONSES[error.kind].status)
