Log delays of the event loop and the work that caused them

Change: a timer each 50 ms; a delay of 0.2 s or more is logged as loop_delayed with the time spent on permits and on changes since the last check. Both totals and a histogram of the delays are metrics.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -42,6 +42,9 @@
     LINES_LEFT_OUT = EventDefinition(
         1006, "warning", "Log lines of an event were suppressed by the rate limit."
     )
+    LOOP_DELAYED = EventDefinition(
+        1007, "warning", "The event loop ran late, so that connections and deadlines had to wait."
+    )
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
     CONFIGURATION_IN_FORCE = EventDefinition(
--- a/src/briarfork/commands/explain.py
+++ b/src/briarfork/commands/explain.py
@@ -33,6 +33,7 @@
         "remote_share_moved",
         "owner_unreachable",
         "lines_left_out",
+        "loop_delayed",
     }
 )
 # Fields that are left out of the key=value part of a formatted line.
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -11,6 +11,8 @@
 from typing import Any
 from typing import Protocol
 
+from briarfork.border.busy_times import BusyTimes
+from briarfork.border.busy_times import Work
 from briarfork.border.events import Event
 from briarfork.border.messages import Heartbeat
 from briarfork.border.messages import Hello
@@ -78,12 +80,16 @@
 
     The decisions of a queue are passed to the requester by a callback, which writes to the stream
     of a remote requester or completes a future in this process.
+
+    Attributes:
+        busy_times: Time for which the event loop has been busy with each kind of work.
     """
 
     def __init__(
         self, settings: Settings, events: EventLog, view: SlotView, slow_start: bool = True
     ) -> None:
         self._slow_start = slow_start
+        self.busy_times = BusyTimes()
         self.settings = settings
         self.events = events
         self._view = view
@@ -127,7 +133,9 @@
             else:
                 queue.enqueue(slot_request)
             return
-        self._notify_requesters(queue.submit(slot_request, now))
+        with self.busy_times.measure(Work.PERMITS):
+            decisions = queue.submit(slot_request, now)
+        self._notify_requesters(decisions)
 
     def find_queue(self, key: SlotKey) -> PermitQueue | None:
         """Returns the queue of slots that this VM owns, or None."""
@@ -143,7 +151,7 @@
             now = time.monotonic()
             queue.release(permit, outcome, elapsed_s, now, slowness)
             if now >= self._adoption_ends_at[key]:
-                self._notify_requesters(queue.poll(now))
+                self._grant_waiting(queue, now)
 
     def cancel(self, key: SlotKey, permit: str) -> None:
         """Cancels a waiting request for a permit."""
@@ -152,7 +160,7 @@
         if queue is not None:
             now = time.monotonic()
             queue.cancel(permit, now)
-            self._notify_requesters(queue.poll(now))
+            self._grant_waiting(queue, now)
 
     def adopt(self, requester: Requester, held: PermitHeld) -> None:
         """Adopts a permit that the former owner granted.
@@ -179,7 +187,7 @@
         for key, queue in self._queues.items():
             self._discard_callbacks(queue.release_earlier_streams(requester, now))
             if now >= self._adoption_ends_at[key]:
-                self._notify_requesters(queue.poll(now))
+                self._grant_waiting(queue, now)
 
     def drop_requester(self, requester: Requester, silent: bool) -> None:
         """Cancels the requests of a closed stream and marks its permits as orphaned."""
@@ -203,7 +211,7 @@
             now = time.monotonic()
             for key, queue in self._queues.items():
                 if queue.waiting and now >= self._adoption_ends_at[key]:
-                    self._notify_requesters(queue.poll(now))
+                    self._grant_waiting(queue, now)
 
     async def serve(self, stream: MessageStream) -> None:
         """Serves one requester until its stream ends."""
@@ -246,6 +254,11 @@
             raise BriarforkError(ErrorKind.PEER_PROTOCOL, f"unexpected message {message.name!r}")
         HANDLERS.get(message.name)(self, (requester, stream), message)
 
+    def _grant_waiting(self, queue: PermitQueue, now: float) -> None:
+        with self.busy_times.measure(Work.PERMITS):
+            decisions = queue.poll(now)
+        self._notify_requesters(decisions)
+
     def _relinquish(self, key: SlotKey) -> None:
         """Removes the queue of lost slots; waiting requesters are referred to the new owner."""
         queue = self._queues.pop(key, None)
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -15,6 +15,8 @@
 
 # Histogram buckets in seconds: latency objectives are 0.2 to 3 s, timeouts up to 20 s.
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0)
+# Buckets in seconds for delays of the event loop.
+LOOP_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 
 class GatewayMetrics:
@@ -57,6 +59,19 @@
             registry=self._registry,
         )
 
+        self._loop_delays = Histogram(
+            "briarfork_loop_delay_seconds",
+            "How late timers of the event loop run.",
+            buckets=LOOP_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._busy_seconds = Gauge(
+            "briarfork_busy_seconds",
+            "Time for which the event loop has been busy with one kind of work.",
+            ["work"],
+            registry=self._registry,
+        )
+
     def count_request(self, service: str, route: Route, outcome: str, elapsed_s: float) -> None:
         """Counts a finished request.
 
@@ -90,6 +105,14 @@
         """Sets the gauge for the age of this VM's view of the store, in seconds."""
         self._view_age.set(age_s)
 
+    def observe_loop_delay(self, delay_s: float) -> None:
+        """Counts how late a timer of the event loop ran, in seconds."""
+        self._loop_delays.observe(delay_s)
+
+    def set_busy_time(self, work: str, total_s: float) -> None:
+        """Sets for how long the event loop has been busy with one kind of work, in seconds."""
+        self._busy_seconds.labels(work).set(total_s)
+
     def render(self) -> bytes:
         """Returns all metrics in the text format."""
         return generate_latest(self._registry)
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -12,6 +12,7 @@
 from briarfork.gateway.permits import GatewayPermits
 
 if TYPE_CHECKING:
+    from briarfork.border.busy_times import BusyTimes
     from briarfork.border.events import EventLog
     from briarfork.gateway.view import GatewayView
     from briarfork.membership import Member
@@ -30,6 +31,11 @@
         self.permits = GatewayPermits(self.view, self.slots)
         self.connections = ServerConnections(view.settings)
 
+    @property
+    def busy_times(self) -> BusyTimes:
+        """Time for which the event loop has been busy with each kind of work."""
+        return self.slots.busy_times
+
     @property
     def is_ready(self) -> bool:
         """Whether this VM accepts new callers."""
--- a/src/briarfork/platform/endpoints.py
+++ b/src/briarfork/platform/endpoints.py
@@ -10,6 +10,7 @@
 from briarfork.platform.units import format_duration
 
 if TYPE_CHECKING:
+    from briarfork.border.busy_times import BusyTimes
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
     from briarfork.platform.store_health import StoreHealth
@@ -29,11 +30,15 @@
     return app
 
 
-def build_metrics_app(dispatcher: Dispatcher, health: StoreHealth) -> web.Application:
+def build_metrics_app(
+    dispatcher: Dispatcher, health: StoreHealth, busy_times: BusyTimes
+) -> web.Application:
     """Returns the application for the metrics."""
 
     async def report(request: web.Request) -> web.Response:
         dispatcher.metrics.set_view_age(health.compute_view_age())
+        for work, total_s in busy_times.totals_s.items():
+            dispatcher.metrics.set_busy_time(work.value, total_s)
         if dispatcher.has_configuration:
             dispatcher.update_gauges()
         return web.Response(body=dispatcher.metrics.render(), content_type="text/plain")
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -19,6 +19,7 @@
 from briarfork.border.events import EventLog
 from briarfork.border.events import LogRateLimiter
 from briarfork.border.events import install_json_handler
+from briarfork.border.loop_monitor import LoopMonitor
 from briarfork.border.program import EXIT_STATUSES
 from briarfork.errors import BadSettings
 from briarfork.errors import BriarforkError
@@ -118,9 +119,12 @@
         # Settings are not reloaded, but SIGHUP must not end the process.
         loop.add_signal_handler(signal.SIGHUP, self._log_reload)
         async with StoreClient(self._settings.common, self._events) as store:
+            dispatcher = self._build_dispatcher()
             watcher = StoreWatcher(self._settings, self._gateway, store, self._events)
             registration = Registration(self._settings, store, watcher, self._build_member())
-            dispatcher = self._build_dispatcher()
+            monitor = LoopMonitor(
+                self._events, self._gateway.busy_times, dispatcher.metrics.observe_loop_delay
+            )
             callers = await self._open_caller_server(dispatcher)
             auxiliary_servers = [
                 await self._open(build_ready_app(self._gateway), self._settings.ready),
@@ -129,7 +133,8 @@
                     self._settings.lookup,
                 ),
                 await self._open(
-                    build_metrics_app(dispatcher, store.health), self._settings.metrics
+                    build_metrics_app(dispatcher, store.health, self._gateway.busy_times),
+                    self._settings.metrics,
                 ),
             ]
             self._events.record(Event.STARTED, entry=self._settings.common.ports.entry)
@@ -139,6 +144,7 @@
                     group.create_task(self._gateway.run()),
                     group.create_task(watcher.run()),
                     group.create_task(watcher.expire()),
+                    group.create_task(monitor.run()),
                 ]
                 await self._stopping.wait()
                 registration_task.cancel()
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -6,6 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from briarfork.border.busy_times import Work
 from briarfork.border.events import Event
 from briarfork.border.store import StoreUnavailable
 from briarfork.platform.names import CONFIGURATION_KEY
@@ -136,13 +137,16 @@
         self._apply(items)
 
     def _apply(self, items: list[Item]) -> None:
-        for item in items:
-            prefix = next((name for name in HANDLERS.names() if item.key.startswith(name)), None)
-            if prefix is not None:
-                HANDLERS.get(prefix)(self, item)
-        self.gateway.replace_members(self.members)
-        self.gateway.evacuate(self.evacuated)
-        self.gateway.refresh()
+        with self.gateway.busy_times.measure(Work.CHANGES):
+            for item in items:
+                prefix = next(
+                    (name for name in HANDLERS.names() if item.key.startswith(name)), None
+                )
+                if prefix is not None:
+                    HANDLERS.get(prefix)(self, item)
+            self.gateway.replace_members(self.members)
+            self.gateway.evacuate(self.evacuated)
+            self.gateway.refresh()
 
 
 @HANDLERS.register(CONFIGURATION_KEY)
