Add a failing test of the cost of granting slots

The owner of a service's slots looks for a server for every waiting request at each release, each request and each 20 ms, and compares it with every server each time. Test: counts function calls, so that it does not depend on the machine.

--- /dev/null
+++ b/tests/pools/test_cost.py
@@ -0,0 +1,79 @@
+"""Cost of granting slots, counted in function calls, which do not depend on the machine."""
+
+from __future__ import annotations
+
+import sys
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+
+from briarfork.configuration import RequestClass
+from briarfork.configuration import SiteCapacity
+from briarfork.pools import Grant
+from briarfork.pools import PermitQueue
+from briarfork.pools import Release
+from briarfork.pools import Requester
+from briarfork.pools import ServerAddress
+from briarfork.pools import SlotRequest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import FrameType
+
+# The largest zone of the grown deployments.
+SERVERS, SLOTS = 64, 9
+OBJECTS = 200
+# An owner with 0.43 of a core decides about 480 times a second in such a zone. At 0.1 us for each
+# call, 10 calls for each of 64 servers and 100 waiting requests take a sixth of that processor.
+MAX_CALLS_PER_ITEM = 10
+
+
+def build_request(number: int) -> SlotRequest:
+    return SlotRequest(
+        f"p-{number}",
+        Requester("vm"),
+        RequestClass.SHORT,
+        expires_at=9.0,
+        object_key=str(number % OBJECTS),
+    )
+
+
+def build_full_queue(waiting: int) -> PermitQueue:
+    """Returns a queue whose servers are all full, with a number of waiting requests."""
+    queue = PermitQueue(SiteCapacity(SLOTS, 400), False, Random(1), slow_start=False)
+    queue.set_servers(ServerAddress(f"s-{number}", "127.0.0.1", 1) for number in range(SERVERS))
+    for number in range(SERVERS * SLOTS):
+        (grant,) = queue.submit(build_request(number), 0.0)
+        assert isinstance(grant, Grant)
+    for number in range(SERVERS * SLOTS, SERVERS * SLOTS + waiting):
+        queue.enqueue(build_request(number))
+    return queue
+
+
+def count_calls(function: Callable[[], object]) -> int:
+    calls = 0
+
+    def count(frame: FrameType, event: str, argument: object) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(count)
+    try:
+        function()
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+class TestCostOfGrants:
+    @pytest.mark.parametrize("waiting", [20, 100, 400])
+    def test_release_does_not_compare_all_requests_with_all_servers(self, waiting: int) -> None:
+        """Guards against owners of slots whose event loop is late because they grant slots."""
+        queue = build_full_queue(waiting)
+
+        def grant_freed_slot() -> None:
+            queue.release("p-0", Release.DONE, 2.0, 2.0)
+            assert len(queue.poll(2.0)) == 1
+
+        assert count_calls(grant_freed_slot) <= MAX_CALLS_PER_ITEM * (SERVERS + waiting)
