Give no requests to a server without a slot in the local share

Cause: while the owner of slots is unreachable, a VM uses its share of them. The share of a server can be 0 slots. For a server that joined after the first list, slow start then divides by 10 responses * 0 slots, and its limit of at least one slot would have granted a slot that belongs to another VM. Ruled out: rendezvous ranking of zones (a float division, with another message), load reports and the remote share (guarded). Change: a server whose requests in progress reach its slots accepts none, before slow start is asked. Test: tests/pools/test_slow_start.py, failed before with the ZeroDivisionError.

--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -112,9 +112,10 @@
 
     def can_accept(self, request_class: RequestClass, now: float) -> bool:
         """Returns whether the server may be sent a request of this class now."""
-        if self.leaving or now < self.paused_until:
+        in_progress = len(self.permits)
+        if in_progress >= self.slots or self.leaving or now < self.paused_until:
             return False
-        if self.in_progress >= self.slow_start.limit(self.slots, now):
+        if in_progress >= self.slow_start.limit(self.slots, now):
             return False
         if self.cold_start_limiter is not None and not self.cold_start_limiter.allows(now):
             return False
--- a/tests/pools/test_slow_start.py
+++ b/tests/pools/test_slow_start.py
@@ -111,3 +111,16 @@
         assert start.limit(4, IDLE_LIMIT_S) == 4
         assert start.limit(4, IDLE_LIMIT_S + 1.0) == 1
         assert start.limit(4, IDLE_LIMIT_S + 1.5) == 1
+
+
+class TestSharesOfSlots:
+    def test_new_server_without_a_slot_in_the_share_gets_no_request(self) -> None:
+        """Guards against an internal error, or a slot of another VM, where slots are shared out."""
+        queue = PermitQueue(SiteCapacity(8, 100), False, random.Random(1))
+        queue.set_servers(ADDRESSES[:1])
+        queue.set_servers(ADDRESSES[:2])
+        queue.set_shares({ADDRESSES[0].vm: 1, ADDRESSES[1].vm: 0})
+        for number in range(2):
+            request = SlotRequest(f"{number}", Requester("vm"), RequestClass.SHORT, 9.0)
+            granted = [item for item in queue.submit(request, 0.0) if isinstance(item, Grant)]
+            assert [item.server for item in granted] == ADDRESSES[: 1 - number]
