Look only at free servers when slots are granted

The owner of a service's slots compared every waiting request with every server of the zone at each release, each request and each 20 ms. In the zones with 54 or 64 servers that took all of the owner's processor, and its event loop ran up to 3 s late: closes, deadlines, changes of the configuration and readiness checks had to wait. Change: only free servers are looked at for a waiting request, and an index gives the servers that have an object cached. Overdue requests are counted from the oldest.

--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from briarfork.configuration import RequestClass
 from briarfork.pools.cold_start import ColdStartLimiter
+from briarfork.pools.objects import ObjectIndex
 from briarfork.pools.permit import Grant
 from briarfork.pools.permit import HeldPermit
 from briarfork.pools.permit import Refusal
@@ -21,7 +23,6 @@
 from briarfork.pools.wait_queue import WaitQueue
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
     from random import Random
@@ -46,6 +47,8 @@
 # How long a request waits for a server that has its object cached, as a multiple of the mean run
 # time. A run on a server without the object takes about three times as long.
 AFFINITY_WAIT_FACTOR = 1.0
+# Selects one of the free servers for a waiting request, or none.
+FindServer = Callable[["SlotRequest", "Mapping[str, Server]", float], "Server | None"]
 # Index of the request class in CLASS_ORDER and priority within the class; lower ranks go first.
 QueueRank = tuple[int, int]
 CLASS_ORDER = (RequestClass.SHORT, RequestClass.LONG)
@@ -78,6 +81,7 @@
         self._slow_start = slow_start
         self._wait_queues: dict[QueueRank, WaitQueue] = {}
         self._run_times = {request_class: RunTimes() for request_class in RequestClass}
+        self._objects = ObjectIndex()
         self._held_permits: dict[str, HeldPermit] = {}
         self._next_orphan_expiry = math.inf
         self._first_list_applied = False
@@ -124,7 +128,7 @@
         for vm, server in list(self._servers.items()):
             server.leaving = vm not in listed
             if server.leaving and not server.permits:
-                del self._servers[vm]
+                self._remove_server(vm)
         for vm, address in listed.items():
             if vm not in self._servers or self._servers[vm].address != address:
                 held = self._servers[vm].permits if vm in self._servers else {}
@@ -133,9 +137,14 @@
                 server.permits = held
                 # Servers on the first list may have run for long; those added later are new.
                 server.slow_start = SlowStart(cold=self._first_list_applied and self._slow_start)
+                self._remove_server(vm)
                 self._servers[vm] = server
         self._first_list_applied = self._first_list_applied or bool(self._servers)
 
+    def _remove_server(self, vm: str) -> None:
+        self._servers.pop(vm, None)
+        self._objects.remove_server(vm)
+
     def submit(self, request: SlotRequest, now: float) -> list[Grant | Refusal]:
         """Queues a request and returns all decisions that can be made now."""
         if self.waiting >= MAX_QUEUE_LENGTH:
@@ -153,7 +162,9 @@
     def _decide_hedge(self, request: SlotRequest, now: float) -> Grant | Refusal:
         if self.waiting or self.in_progress >= MAX_HEDGE_UTILIZATION * self.slots:
             return Refusal(request, "hedged attempts are not allowed at this load")
-        server = self._select(request, now)
+        free = self._find_free(request.request_class, now)
+        self._update_health(free, now)
+        server = self._select(request, free, now)
         if server is None:
             return Refusal(request, "no other server has a free slot")
         return self._grant(request, server, now)
@@ -198,7 +209,15 @@
         for wait_queue in self._wait_queues.values():
             for request in wait_queue.expire(now):
                 decided.append(Refusal(request, "no slot became free in time"))
-            decided += self._grant_waiting(wait_queue, now)
+        if not self.waiting:
+            return decided
+        free = self._find_free(RequestClass.SHORT, now)
+        for (class_index, _), wait_queue in self._wait_queues.items():
+            if not wait_queue:
+                continue
+            if CLASS_ORDER[class_index] is RequestClass.LONG:
+                free = self._find_free(RequestClass.LONG, now)
+            decided += self._grant_waiting(wait_queue, free, now)
         return decided
 
     def remove_all_waiting(self) -> list[SlotRequest]:
@@ -236,7 +255,7 @@
         elif how is Release.FAILED:
             server.back_off(now)
         if server.leaving and not server.permits:
-            del self._servers[held.vm]
+            self._remove_server(held.vm)
 
     def cancel(self, permit: str, now: float) -> None:
         """Removes a waiting request, or releases a permit that the requester no longer needs.
@@ -264,7 +283,7 @@
         elif server is not None:
             server.start(permit, request_class, now)
             if object_key:
-                server.objects.add(object_key)
+                self._objects.add(object_key, vm)
             self._held_permits[permit] = HeldPermit(requester, vm, request_class)
 
     def release_earlier_streams(self, requester: Requester, now: float) -> list[SlotRequest]:
@@ -318,59 +337,101 @@
             self._wait_queues[queue_rank].remove(request.permit)
         return removed
 
-    def _grant_waiting(self, wait_queue: WaitQueue, now: float) -> list[Grant | Refusal]:
+    def _find_free(self, request_class: RequestClass, now: float) -> dict[str, Server]:
+        """Returns the servers that can accept a request of a class, by name."""
+        return {
+            vm: server
+            for vm, server in self._servers.items()
+            if server.can_accept(request_class, now)
+        }
+
+    def _grant_waiting(
+        self, wait_queue: WaitQueue, free: dict[str, Server], now: float
+    ) -> list[Grant]:
         """Grants free slots, first to requests whose objects are cached on a free server.
 
         Strict order of arrival would give a slot to a request that takes three times as long on
         that server, and the next request in the queue would do the same on another server.
+
+        Only free servers are looked at for each waiting request: with hundreds of both, looking at
+        all servers would occupy the event loop for longer than the time between two releases.
+
+        Args:
+            wait_queue: Waiting requests of one class and priority.
+            free: Servers that can accept a request of the class; full ones are removed.
+            now: Time, in seconds.
         """
-        granted: list[Grant | Refusal] = []
-        for request in [item for item in wait_queue if item.object_key]:
-            server = self._find_caching_server(request, now)
-            if server is not None:
-                granted.append(self._grant(request, server, now))
-                wait_queue.remove(request.permit)
-        for request in wait_queue:
-            server = self._select(request, now)
-            if server is not None:
-                granted.append(self._grant(request, server, now))
-            elif not request.avoid and not request.object_key:
+        granted = self._grant_in_order(wait_queue, free, self._find_caching_server, now)
+        if wait_queue:
+            self._update_health(free, now)
+        return granted + self._grant_in_order(wait_queue, free, self._select, now)
+
+    def _grant_in_order(
+        self,
+        wait_queue: WaitQueue,
+        free: dict[str, Server],
+        find_server: FindServer,
+        now: float,
+    ) -> list[Grant]:
+        """Grants slots in order of arrival and removes full servers."""
+        granted: list[Grant] = []
+        for request in list(wait_queue):
+            if not free:
                 break
-        for decision in granted:
-            wait_queue.remove(decision.request.permit)
+            server = find_server(request, free, now)
+            if server is None:
+                continue
+            granted.append(self._grant(request, server, now))
+            wait_queue.remove(request.permit)
+            if not server.can_accept(request.request_class, now):
+                del free[server.address.vm]
         return granted
 
-    def _find_caching_server(self, request: SlotRequest, now: float) -> Server | None:
-        """Returns a free server that has recently handled the object of a request."""
-        servers = self._list_eligible(request)
-        for server in _list_caching_servers(request.object_key, servers, now):
-            if server.can_accept(request.request_class, now):
-                return server
-        return None
-
-    def _list_eligible(self, request: SlotRequest) -> list[Server]:
-        active = [server for server in self._servers.values() if not server.leaving]
-        untried = [server for server in active if server.address.vm not in request.avoid]
-        return untried if untried or request.hedge else active
-
-    def _select(self, request: SlotRequest, now: float) -> Server | None:
-        eligible = self._list_eligible(request)
-        free = [server for server in eligible if server.can_accept(request.request_class, now)]
-        if not free:
-            return None
+    def _update_health(self, free: Mapping[str, Server], now: float) -> None:
         overdue_s = self._run_times[RequestClass.SHORT].overdue_s
-        for server in free:
+        for server in free.values():
             server.count_overdue(now, overdue_s)
             server.slowness = server.get_slowness(now)
-        if request.object_key:
-            caching = _list_caching_servers(request.object_key, eligible, now)
-            cached = [server for server in caching if server in free]
-            if cached:
-                return cached[0]
-            if caching and now - request.asked_at < self._compute_affinity_wait_s():
+
+    def _find_caching_server(
+        self, request: SlotRequest, free: Mapping[str, Server], now: float
+    ) -> Server | None:
+        """Returns a free server that has recently handled the object of a request."""
+        caching = [free[vm] for vm in self._objects.list_servers(request.object_key) if vm in free]
+        eligible = self._filter_eligible(request, caching)
+        return max(
+            (server for server in eligible if server.is_prompt(now)),
+            key=lambda server: compute_affinity_score(request.object_key, server.address.vm),
+            default=None,
+        )
+
+    def _filter_eligible(self, request: SlotRequest, servers: list[Server]) -> list[Server]:
+        """Returns the servers that a request may use: untried ones, or any if all were tried."""
+        if not request.avoid:
+            return servers
+        active = [vm for vm, server in self._servers.items() if not server.leaving]
+        if not request.hedge and request.avoid.issuperset(active):
+            return servers
+        return [server for server in servers if server.address.vm not in request.avoid]
+
+    def _select(
+        self, request: SlotRequest, free: Mapping[str, Server], now: float
+    ) -> Server | None:
+        """Returns the best free server, or None if the request waits for a better one."""
+        eligible = self._filter_eligible(request, list(free.values()))
+        if not eligible:
+            return None
+        if not request.object_key:
+            return SELECTION_POLICIES.get(PERMITS_POLICY)(eligible, self._random)
+        cached = self._find_caching_server(request, free, now)
+        if cached is not None:
+            return cached
+        if now - request.asked_at < self._compute_affinity_wait_s():
+            names = self._objects.list_servers(request.object_key)
+            caching = [item for item in map(self._servers.__getitem__, names) if not item.leaving]
+            if any(item.is_prompt(now) for item in self._filter_eligible(request, caching)):
                 return None
-            return select_by_affinity(free, request.object_key)
-        return SELECTION_POLICIES.get(PERMITS_POLICY)(free, self._random)
+        return select_by_affinity(eligible, request.object_key)
 
     def _compute_affinity_wait_s(self) -> float:
         return AFFINITY_WAIT_FACTOR * self._run_times[RequestClass.SHORT].mean_s
@@ -378,7 +439,7 @@
     def _grant(self, request: SlotRequest, server: Server, now: float) -> Grant:
         server.start(request.permit, request.request_class, now)
         if request.object_key:
-            server.objects.add(request.object_key)
+            self._objects.add(request.object_key, server.address.vm)
         self._held_permits[request.permit] = HeldPermit(
             request.requester, server.address.vm, request.request_class, request.expires_at
         )
@@ -388,23 +449,5 @@
         return max(1, slots - 1) if self._mixed else slots
 
 
-def _list_caching_servers(object_key: str, servers: list[Server], now: float) -> list[Server]:
-    """Returns the servers that have recently handled an object in descending order of affinity.
-
-    Returning to the server of the highest affinity once it is free avoids copies in the caches of
-    other servers, which would evict their own objects.
-    """
-    healthy = [
-        server
-        for server in servers
-        if object_key in server.objects and not server.overdue and now >= server.paused_until
-    ]
-    return sorted(
-        healthy,
-        key=lambda server: compute_affinity_score(object_key, server.address.vm),
-        reverse=True,
-    )
-
-
 def _get_queue_rank(request_class: RequestClass, priority: int) -> QueueRank:
     return CLASS_ORDER.index(request_class), priority
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -8,7 +8,6 @@
 from typing import Final
 
 from briarfork.configuration import RequestClass
-from briarfork.pools.objects import RecentObjects
 from briarfork.pools.slow_start import SlowStart
 
 if TYPE_CHECKING:
@@ -83,7 +82,6 @@
         slow_start: Limits the slots while the server warms up.
         cold_start_limiter: Limits the request rate while the caches of the server are cold, or
             None if the rate is not limited.
-        objects: Objects that the server has handled recently.
         slowness: Last reported ratio of the run time to the usual one.
         slowness_at: Time at which the report arrived.
     """
@@ -101,7 +99,6 @@
     times_selected: int = 0
     slow_start: SlowStart = field(default_factory=lambda: SlowStart(cold=False))
     cold_start_limiter: ColdStartLimiter | None = None
-    objects: RecentObjects = field(default_factory=RecentObjects)
     slowness: float = 1.0
     slowness_at: float = 0.0
 
@@ -128,6 +125,10 @@
         """Returns whether the server is neither leaving nor draining; a backoff is ignored."""
         return not self.leaving and self.paused_until <= now + MAX_BACKOFF_S
 
+    def is_prompt(self, now: float) -> bool:
+        """Returns whether the server is not paused and none of its requests is overdue."""
+        return not self.overdue and now >= self.paused_until
+
     def record_run_time(self, elapsed_s: float) -> None:
         """Adds a run time to the moving average."""
         if self.run_time_s == 0.0:
@@ -153,11 +154,12 @@
 
     def count_overdue(self, now: float, limit_s: float) -> None:
         """Updates the number of short requests that have run for longer than the limit."""
-        self.overdue = sum(
-            1
-            for request in self.permits.values()
-            if request.request_class is RequestClass.SHORT and now - request.started_at > limit_s
-        )
+        self.overdue = 0
+        # Permits are in order of their start.
+        for request in self.permits.values():
+            if now - request.started_at <= limit_s:
+                break
+            self.overdue += request.request_class is RequestClass.SHORT
 
     def record_refusal(self, now: float) -> None:
         """Records a refusal, and backs off after several refusals in a row."""
