Cancel requests whose callers left while the event loop was late

A permit that is granted while the event loop is late is used at once, before the loop reads the closes of connections that have arrived meanwhile. Change: after a permit is granted, also for a hedged attempt, the event loop gets three turns, enough under uvloop and asyncio for a close that has arrived to cancel the request. The permit is released. Test: tests/platform/test_callers.py, with real connections; before, the request was sent although its caller had closed its connection 0.1 s earlier.

--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -29,6 +29,9 @@
 # run time, whichever is later. Most requests that take longer lost their response or their server.
 HEDGE_OBJECTIVE_FRACTION = 0.6
 HEDGE_RUN_TIME_FACTOR = 2.0
+# Turns of the event loop until the close of a connection, once it has arrived, has cancelled the
+# request: one reads it, one ends the connection, and uvloop or asyncio may need one more.
+CLOSE_TURNS = 3
 # Attempts at one request that run in parallel.
 MAX_PARALLEL_ATTEMPTS = 2
 
@@ -117,6 +120,8 @@
             tasks = [group.create_task(self._send(request, progress, permit))]
             if not await self._ends_before_hedge(tasks[0], progress) and budget.spend():
                 second = await self._permits.acquire_hedge(progress.route, permit)
+                if second is not None:
+                    await confirm_permit(self._permits, second)
                 if second is None or tasks[0].done():
                     budget.return_unused()
                     if second is not None:
@@ -189,6 +194,20 @@
         )
 
 
+async def confirm_permit(permits: GatewayPermits, permit: Permit) -> None:
+    """Lets the close of the caller's connection, if it has arrived, cancel the request.
+
+    A busy event loop grants permits before it reads closes that arrived earlier. A request whose
+    caller has left must not be sent; its permit is released.
+    """
+    try:
+        for _ in range(CLOSE_TURNS):
+            await asyncio.sleep(0)
+    except asyncio.CancelledError:
+        permits.release(permit, Release.UNUSED, 0.0)
+        raise
+
+
 async def _wait_for_response(
     tasks: list[asyncio.Task[Response | AttemptError]],
 ) -> Response | AttemptError:
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from briarfork.gateway.attempts import AttemptError
 from briarfork.gateway.attempts import AttemptRunner
 from briarfork.gateway.attempts import Progress
+from briarfork.gateway.attempts import confirm_permit
 from briarfork.gateway.metrics import GatewayMetrics
 from briarfork.gateway.permits import SlotRequirements
 from briarfork.requests import AttemptResult
@@ -165,7 +166,9 @@
                 progress.deadline,
                 frozenset(progress.tried_servers),
             )
-            return await self._permits.acquire(slot_request)
+            permit = await self._permits.acquire(slot_request)
+            await confirm_permit(self._permits, permit)
+            return permit
         except NotRun as error:
             progress.detail = error.detail
             if progress.error_response is not None:
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,94 @@
+"""Tests of requests whose callers leave while the event loop is late."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import pytest_asyncio
+from aiohttp import web
+
+from briarfork.border.events import EventLog
+from briarfork.gateway.dispatch import Dispatcher
+from briarfork.platform import names
+from briarfork.platform.callers import CallerConnection
+from briarfork.platform.callers import CallerRequestHandler
+from tests.gateway.harness import RESPONSE
+from tests.gateway.harness import ScriptedPermits
+from tests.gateway.harness import ScriptedUpstream
+from tests.gateway.harness import build_gateway
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from briarfork.entry.overflow import Permit
+    from briarfork.gateway.permits import SlotRequirements
+
+ADDRESS = "127.62.9.9"
+REQUEST = f"GET /a/x HTTP/1.1\r\nHost: h\r\n{names.ATTEMPT_ID}: r1\r\n\r\n".encode()
+BLOCKED_S = 0.1
+
+
+class LatePermits(ScriptedPermits):
+    """Grants a permit when the test says so."""
+
+    requested: asyncio.Event
+    granted: asyncio.Event
+
+    async def acquire(self, request: SlotRequirements) -> Permit:
+        self.requested.set()
+        await self.granted.wait()
+        return await super().acquire(request)
+
+
+class CallerHarness:
+    """A gateway with one server, and a caller with a connection to it."""
+
+    async def start(self) -> None:
+        gateway = build_gateway()
+        self.permits = LatePermits(gateway, "i-0")
+        self.permits.requested = asyncio.Event()
+        self.permits.granted = asyncio.Event()
+        self.upstream = ScriptedUpstream(RESPONSE)
+        dispatcher = Dispatcher(gateway.view, self.permits, self.upstream, EventLog("test"))
+        handler = CallerRequestHandler(gateway, dispatcher)
+        manager = web.Server(handler.handle, handler_cancellation=True)
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(gateway, manager), ADDRESS, 0
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.reader, self.writer = await asyncio.open_connection(ADDRESS, port)
+
+    def close(self) -> None:
+        self.writer.close()
+        self._server.close()
+
+
+@pytest_asyncio.fixture
+async def harness() -> AsyncIterator[CallerHarness]:
+    harness = CallerHarness()
+    await harness.start()
+    yield harness
+    harness.close()
+
+
+class TestLateEventLoop:
+    async def test_request_whose_caller_has_left_is_not_sent(self, harness: CallerHarness) -> None:
+        """Guards against work for a caller whose close is not read before a permit is used."""
+        harness.writer.write(REQUEST)
+        await harness.permits.requested.wait()
+        harness.writer.close()
+        harness.permits.granted.set()
+        # The close arrives while the event loop is busy, after the permit.
+        time.sleep(BLOCKED_S)  # noqa: ASYNC251
+        await asyncio.sleep(BLOCKED_S)
+        assert harness.upstream.sent == []
+
+    async def test_request_of_a_waiting_caller_is_sent(self, harness: CallerHarness) -> None:
+        """Guards against a check that takes callers that still wait for ones that have left."""
+        harness.writer.write(REQUEST)
+        await harness.permits.requested.wait()
+        harness.permits.granted.set()
+        assert (await harness.reader.readline()).startswith(b"HTTP/1.1 200")
+        assert harness.upstream.sent == ["i-0"]
