Check the deadline again when a permit is granted

Cause: the time left was checked before a slot was requested, and the wait for the slot is bounded by a timer, which a late event loop runs late. The permit was then used whatever the time. Change: the same check again after the permit is granted; the permit is returned unused and the request gets its final answer at once. Test: tests/gateway/test_dispatch.py, failed before (the request was sent after its deadline).

--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -16,6 +16,7 @@
 from briarfork.gateway.attempts import confirm_permit
 from briarfork.gateway.metrics import GatewayMetrics
 from briarfork.gateway.permits import SlotRequirements
+from briarfork.pools import Release
 from briarfork.requests import AttemptResult
 from briarfork.requests import Deadline
 from briarfork.requests import FailedAttempt
@@ -156,9 +157,7 @@
         """
         route = progress.route
         try:
-            remaining_s = progress.deadline.remaining_s(time.monotonic())
-            if remaining_s < MIN_RUN_FRACTION * route.objective_s:
-                raise NotRun(ErrorKind.OVERLOADED, "not enough time is left to run the request")
+            _require_time_to_run(progress)
             slot_request = SlotRequirements(
                 route,
                 progress.service,
@@ -168,6 +167,11 @@
             )
             permit = await self._permits.acquire(slot_request)
             await confirm_permit(self._permits, permit)
+            try:
+                _require_time_to_run(progress)
+            except NotRun:
+                self._permits.release(permit, Release.UNUSED, 0.0)
+                raise
             return permit
         except NotRun as error:
             progress.detail = error.detail
@@ -209,6 +213,17 @@
         return budget
 
 
+def _require_time_to_run(progress: Progress) -> None:
+    """Checks that a server has enough time to respond before the deadline.
+
+    Raises:
+        NotRun: If it has not.
+    """
+    remaining_s = progress.deadline.remaining_s(time.monotonic())
+    if remaining_s < MIN_RUN_FRACTION * progress.route.objective_s:
+        raise NotRun(ErrorKind.OVERLOADED, "not enough time is left to run the request")
+
+
 def _build_failure(progress: Progress, failure: AttemptError) -> BriarforkError:
     if progress.may_have_run:
         return OutcomeUnknown(str(failure))
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -12,6 +14,7 @@
 from briarfork.errors import OutcomeUnknown
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.gateway.process import Gateway
+from briarfork.gateway.request import Request
 from briarfork.gateway.request import Response
 from briarfork.gateway.view import GatewayView
 from briarfork.pools import Release
@@ -28,11 +31,37 @@
 from tests.gateway.harness import DispatchHarness
 from tests.gateway.harness import ScriptedPermits
 from tests.gateway.harness import ScriptedUpstream
+from tests.gateway.harness import build_gateway
 
+if TYPE_CHECKING:
+    from briarfork.entry.overflow import Permit
+    from briarfork.gateway.permits import SlotRequirements
+
+CALLER_TIMEOUT_S = 0.2
 NON_IDEMPOTENT = RequestKind.NON_IDEMPOTENT
 
 
+class SlowPermits(ScriptedPermits):
+    """Grants permits after a time in which the event loop does not run."""
+
+    async def acquire(self, request: SlotRequirements) -> Permit:
+        time.sleep(CALLER_TIMEOUT_S)  # noqa: ASYNC251
+        return await super().acquire(request)
+
+
 class TestDispatcher:
+    async def test_request_whose_deadline_passed_during_a_delay_is_not_sent(self) -> None:
+        """Guards against work for a caller that has given up while the event loop was late."""
+        harness = DispatchHarness(RESPONSE)
+        gateway = build_gateway()
+        permits = SlowPermits(gateway, "i-0")
+        dispatcher = Dispatcher(gateway.view, permits, harness.upstream, EventLog("test"))
+        request = Request("r1", "h", "GET", "/a/x", (), b"", "", CALLER_TIMEOUT_S)
+        with pytest.raises(NotRun):
+            await dispatcher.handle(request)
+        assert harness.upstream.sent == []
+        assert permits.released == [Release.UNUSED]
+
     async def test_unanswered_non_idempotent_request_is_not_retried(self) -> None:
         """Guards against a non-idempotent request that runs twice or is reported as not run."""
         harness = DispatchHarness(UNANSWERED, RESPONSE, kind=NON_IDEMPOTENT)
