Reject records with deep nesting or numbers out of range

Callers would have seen whole VMs end: a registration or configuration with 100,000 nested brackets in an unknown field raised RecursionError, which nothing caught, so that the watcher and with it the program ended on each VM that read it. Ports 0 and 99999, 10.0.0.256, 10^18 slots and a cold time without end were taken as valid, for members' ports as well. Cause: the decoder's own errors were the only ones expected, and numbers had no upper bounds. Change: one place decodes all records of the store; entries of servers and VMs have bounded types.

--- a/src/briarfork/platform/records.py
+++ b/src/briarfork/platform/records.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 from typing import Annotated
 from typing import Any
 from typing import Literal
+from typing import TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -12,6 +14,7 @@
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.membership import Member
+from briarfork.membership import MemberState
 from briarfork.platform.units import parse_duration
 from briarfork.pools import Instance
 from briarfork.routing import CallerLimits
@@ -24,8 +27,17 @@
 NonEmptyStr = Annotated[str, Meta(min_length=1)]
 NonNegativeInt = Annotated[int, Meta(ge=0)]
 PositiveInt = Annotated[int, Meta(ge=1)]
+Port = Annotated[int, Meta(ge=1, le=65535)]
+# Bounds for values of other writers; real servers have a few slots and are cold for seconds.
+Slots = Annotated[int, Meta(ge=1, le=10_000)]
+Int64 = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
+MAX_COLD_S = 3600.0
+# Ports that other VMs and callers connect to.
+MEMBER_PORTS = ("entry", "permits")
 Prefix = Annotated[str, Meta(pattern=r"^/(.*/)?$")]
-MS_PER_S = 1000.0
+
+
+RecordT = TypeVar("RecordT")
 
 
 class InvalidRecord(BriarforkError):
@@ -149,7 +161,7 @@
 
     service: NonEmptyStr
     zone: NonEmptyStr
-    slots: PositiveInt
+    slots: Slots
 
 
 class InstanceStatus(msgspec.Struct, frozen=True):
@@ -160,9 +172,20 @@
     """
 
     state: Literal["ready", "draining"]
-    sequence: int
+    sequence: Int64
     cold_remaining: str = "0ms"
 
+    def parse_cold_s(self) -> float:
+        """Returns how long the caches of the server stay cold, in seconds.
+
+        Raises:
+            ValueError: If the text is not a duration or the duration is too long.
+        """
+        cold_s = parse_duration(self.cold_remaining)
+        if cold_s > MAX_COLD_S:
+            raise ValueError(f"cold_remaining: expected at most {MAX_COLD_S:.0f} s")
+        return cold_s
+
 
 class InstanceRecord(msgspec.Struct, frozen=True):
     """The registration entry of a backend server.
@@ -174,7 +197,41 @@
     address: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
     info: InstanceInfo
     status: InstanceStatus
-    born: int = 0
+    born: Int64 = 0
+
+    def parse_address(self) -> tuple[str, int]:
+        """Returns the IP address and the port.
+
+        Raises:
+            ValueError: If one of them is invalid.
+        """
+        host, _, port = self.address.rpartition(":")
+        return str(IPv4Address(host)), msgspec.convert(int(port), Port)
+
+
+class MemberRecord(msgspec.Struct, frozen=True):
+    """The entry of an entry VM, with the fields of `Member`."""
+
+    vm: NonEmptyStr
+    address: str
+    zone: NonEmptyStr
+    incarnation: Int64
+    version: Int64
+    state: MemberState
+    ports: dict[str, Port]
+    serving: bool = False
+
+    def build_member(self) -> Member:
+        """Returns the entry VM.
+
+        Raises:
+            ValueError: If its address is invalid or it has no port for callers or permits.
+        """
+        for name in MEMBER_PORTS:
+            if name not in self.ports:
+                raise ValueError(f"ports: expected a port named {name!r}")
+        IPv4Address(self.address)
+        return Member(**msgspec.structs.asdict(self))
 
 
 def decode_configuration(value: bytes) -> RouteTable:
@@ -183,8 +240,8 @@
     Raises:
         InvalidRecord: If any part of the record is invalid or a route names an unknown service.
     """
+    record = _decode("configuration", value, ConfigurationRecord)
     try:
-        record = msgspec.json.decode(value, type=ConfigurationRecord)
         services = [
             msgspec.convert(row, ServiceRow).build_policy() for row in record.services.list_rows()
         ]
@@ -212,21 +269,21 @@
     Raises:
         InvalidRecord: If the entry cannot be decoded.
     """
+    record = _decode(f"server {name}", value, InstanceRecord)
     try:
-        record = msgspec.json.decode(value, type=InstanceRecord)
-        host, _, port = record.address.rpartition(":")
+        host, port = record.parse_address()
         return Instance(
             name=name,
             service=record.info.service,
             zone=record.info.zone,
             address=host,
-            port=int(port),
+            port=port,
             slots=record.info.slots,
             draining=record.status.state == "draining",
-            cold_until=now + parse_duration(record.status.cold_remaining),
+            cold_until=now + record.status.parse_cold_s(),
             started_at_ms=record.born,
         )
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise InvalidRecord(f"server {name}: {error}") from error
 
 
@@ -236,9 +293,10 @@
     Raises:
         InvalidRecord: If the record cannot be decoded.
     """
+    record = _decode("member", value, MemberRecord)
     try:
-        return msgspec.json.decode(value, type=Member)
-    except msgspec.DecodeError as error:
+        return record.build_member()
+    except ValueError as error:
         raise InvalidRecord(f"member: {error}") from error
 
 
@@ -247,6 +305,18 @@
     return msgspec.json.encode(member)
 
 
+def _decode(name: str, value: bytes, expected: type[RecordT]) -> RecordT:
+    """Returns a record.
+
+    Raises:
+        InvalidRecord: If the value is not a record of this type.
+    """
+    try:
+        return msgspec.json.decode(value, type=expected)
+    except (msgspec.DecodeError, ValueError, RecursionError, OverflowError) as error:
+        raise InvalidRecord(f"{name}: {error}") from error
+
+
 def _check_routes(routes: list[Route], services: set[str]) -> None:
     seen = set()
     for route in routes:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -3,16 +3,28 @@
 from __future__ import annotations
 
 import json
+from typing import TYPE_CHECKING
 from typing import Any
 
 import pytest
 
+from briarfork.membership import Member
+from briarfork.membership import MemberState
 from briarfork.platform.records import InvalidRecord
 from briarfork.platform.records import decode_configuration
 from briarfork.platform.records import decode_instance
+from briarfork.platform.records import decode_member
+from briarfork.platform.records import encode_member
 from briarfork.platform.units import parse_duration
 from briarfork.routing import RequestKind
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+NESTING_DEPTH = 100_000
+MEMBER = Member(
+    "vm", "10.0.0.1", "a", 1, 1, MemberState.LIVE, {"entry": 80, "permits": 81}, serving=True
+)
 ROUTE = ["r", "h", "/a/", "idempotent", "1500ms", "400ms", 2, "s", 2, True, ["north"], None]
 COLUMNS = [
     "name",
@@ -118,6 +130,15 @@
             {"info": {"service": "s"}},
             {"status": {"state": "odd", "sequence": 1}},
             {"status": None},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:99999"},
+            {"address": "10.0.0.256:80"},
+            {"address": "10.0.1:80"},
+            {"info": {"service": "s", "zone": "a", "slots": 10**18}},
+            {"status": {"state": "ready", "sequence": 10**30}},
+            {"status": {"state": "ready", "sequence": 1, "cold_remaining": "9" * 400 + "s"}},
+            {"status": {"state": "ready", "sequence": 1, "cold_remaining": "99999s"}},
+            {"born": 10**400},
         ],
     )
     def test_entry_of_another_writer_is_rejected(self, changes: dict[str, Any]) -> None:
@@ -126,6 +147,41 @@
             decode_instance("i-1", encode_entry(**changes), now=0.0)
 
 
+class TestMember:
+    def test_written_record_is_read_again(self) -> None:
+        """Guards against VMs that cannot read each other's entries."""
+        assert decode_member(encode_member(MEMBER)) == MEMBER
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"address": "10.0.0"},
+            {"ports": {"entry": 80}},
+            {"ports": {"entry": 80, "permits": 0}},
+            {"ports": {"entry": 99999, "permits": 81}},
+            {"incarnation": 10**30},
+            {"state": "odd"},
+        ],
+    )
+    def test_entry_of_another_writer_is_rejected(self, changes: dict[str, Any]) -> None:
+        """Guards against callers that are sent to an address at which no VM serves."""
+        with pytest.raises(InvalidRecord):
+            decode_member(json.dumps(json.loads(encode_member(MEMBER)) | changes).encode())
+
+
+class TestNesting:
+    @pytest.mark.parametrize(
+        "decode",
+        [decode_configuration, decode_member, lambda value: decode_instance("i-1", value, 0.0)],
+        ids=["configuration", "member", "instance"],
+    )
+    def test_deeply_nested_record_is_rejected(self, decode: Callable[[bytes], object]) -> None:
+        """Guards against an entry of another writer that ends each program that reads it."""
+        nested = b"[" * NESTING_DEPTH + b"]" * NESTING_DEPTH
+        with pytest.raises(InvalidRecord):
+            decode(b'{"other":' + nested + b"}")
+
+
 class TestDuration:
     @pytest.mark.parametrize("text", ["", "5", "-1s", "1m", "1 s", "xs"])
     def test_malformed_duration_is_rejected(self, text: str) -> None:
