Carry what a server says about itself in one type

Change: ServerReport in pools/; the messages between VMs stay as they are. No behaviour changes. Test: the existing tests of pools, gateway, platform and border.

--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -14,6 +14,7 @@
 from briarfork.entry.slot_client import SlotClient
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.pools import NO_REPORT
 from briarfork.pools import PERMITS_POLICY
 from briarfork.pools import Release
 from briarfork.pools import SlotRequest
@@ -23,6 +24,7 @@
     from briarfork.entry.slots import SlotKey
     from briarfork.entry.slots import SlotManager
     from briarfork.entry.view import EntryView
+    from briarfork.pools import ServerReport
     from briarfork.requests import Deadline
 
 
@@ -84,12 +86,12 @@
         return await self._request_at_sites(slot_requests, deadline)
 
     def release(
-        self, permit: Permit, outcome: Release, elapsed_s: float, slowness: float = 0.0
+        self, permit: Permit, outcome: Release, elapsed_s: float, report: ServerReport = NO_REPORT
     ) -> None:
         """Releases a permit."""
         if permit.owner == LOCAL_SELECTION:
             self._local_selector.release(permit.key, permit.name)
-        super().release(permit, outcome, elapsed_s, slowness)
+        super().release(permit, outcome, elapsed_s, report)
 
     async def _request_at_sites(
         self, slot_requests: dict[SlotKey, SlotRequest], deadline: Deadline
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -25,6 +25,7 @@
 from briarfork.entry.slots import SlotView
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.pools import NO_REPORT
 from briarfork.pools import Grant
 from briarfork.pools import Refusal
 from briarfork.pools import Release
@@ -39,6 +40,7 @@
     from briarfork.entry.slots import SlotKey
     from briarfork.entry.slots import SlotManager
     from briarfork.membership import Member
+    from briarfork.pools import ServerReport
     from briarfork.requests import Deadline
 
 # Delay before the next request after a change of owner, because VMs see the change at slightly
@@ -46,6 +48,7 @@
 OWNER_CHANGE_DELAY_S = 0.05
 # Weight of the newest value in the moving average of a service's run times.
 RUN_TIME_WEIGHT = 0.1
+MS_PER_S = 1000.0
 
 
 class SlotRefused(NotRun):
@@ -92,7 +95,7 @@
         return sum(permit.key == (service, site) for permit in self._held.values())
 
     def release(
-        self, permit: Permit, outcome: Release, elapsed_s: float, slowness: float = 0.0
+        self, permit: Permit, outcome: Release, elapsed_s: float, report: ServerReport = NO_REPORT
     ) -> None:
         """Releases a permit and updates the mean run time of its service.
 
@@ -100,7 +103,7 @@
             permit: The permit.
             outcome: How the request ended at the server.
             elapsed_s: Time from the grant of the permit to the end of the response, in seconds.
-            slowness: Slowness of its machine that the server reported, 0 if none.
+            report: What the server said with its response.
         """
         if outcome is Release.DONE:
             mean_s = self.mean_run_times_s.get(permit.service, elapsed_s)
@@ -110,9 +113,11 @@
         if permit.owner == LOCAL_SHARE:
             self._local_shares.release(permit.key, permit.name, outcome, elapsed_s)
         elif permit.owner == self._requester.vm:
-            self._slot_manager.release(permit.key, permit.name, outcome, elapsed_s, slowness)
+            self._slot_manager.release(permit.key, permit.name, outcome, elapsed_s, report)
         elif permit.owner in self._links:
-            message = PermitRelease(permit.name, *permit.key, outcome, elapsed_s * 1000.0, slowness)
+            message = PermitRelease(
+                permit.name, *permit.key, outcome, elapsed_s * MS_PER_S, report.slowness
+            )
             self._links[permit.owner].send_if_open(message)
 
     def refresh(self) -> None:
@@ -199,7 +204,7 @@
             service=key[0],
             site=key[1],
             request_class=slot_request.request_class,
-            wait_ms=int(wait_s * 1000),
+            wait_ms=int(wait_s * MS_PER_S),
             avoid=sorted(slot_request.avoid),
             hedge=slot_request.hedge,
             priority=slot_request.priority,
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -28,10 +28,12 @@
 from briarfork.border.streams import StreamTimeout
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
+from briarfork.pools import NO_REPORT
 from briarfork.pools import Grant
 from briarfork.pools import PermitQueue
 from briarfork.pools import Refusal
 from briarfork.pools import Requester
+from briarfork.pools import ServerReport
 from briarfork.pools import SlotRequest
 from briarfork.registry import Registry
 
@@ -142,14 +144,19 @@
         return self._queues.get(key)
 
     def release(
-        self, key: SlotKey, permit: str, outcome: Release, elapsed_s: float, slowness: float = 0.0
+        self,
+        key: SlotKey,
+        permit: str,
+        outcome: Release,
+        elapsed_s: float,
+        report: ServerReport = NO_REPORT,
     ) -> None:
         """Releases a permit and grants the free slot to the next request."""
         self._early_declarations.pop(permit, None)
         queue = self._queues.get(key)
         if queue is not None:
             now = time.monotonic()
-            queue.release(permit, outcome, elapsed_s, now, slowness)
+            queue.release(permit, outcome, elapsed_s, now, report)
             if now >= self._adoption_ends_at[key]:
                 self._grant_waiting(queue, now)
 
@@ -328,7 +335,8 @@
     """Releases a permit."""
     key = (message.service, message.site)
     elapsed_s = message.elapsed_ms / MS_PER_S
-    manager.release(key, message.permit, message.how, elapsed_s, message.slowness)
+    report = ServerReport(slowness=message.slowness)
+    manager.release(key, message.permit, message.how, elapsed_s, report)
 
 
 @HANDLERS.register(PermitCancel.name)
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from briarfork.border.events import Event
+from briarfork.pools import NO_REPORT
 from briarfork.pools import Release
 from briarfork.requests import AttemptResult
 from briarfork.requests import HedgeBudget
@@ -22,6 +23,7 @@
     from briarfork.gateway.request import Request
     from briarfork.gateway.request import Response
     from briarfork.pools import ServerAddress
+    from briarfork.pools import ServerReport
     from briarfork.requests import Deadline
     from briarfork.routing import Route
 
@@ -42,16 +44,20 @@
     Attributes:
         result: How far the attempt got.
         release: Outcome that is reported to the owner of the slot.
-        slowness: Slowdown factor that the server reported, 0 if none.
+        report: What the server says about itself with its response, if there was one.
     """
 
     def __init__(
-        self, result: AttemptResult, release: Release, detail: str, slowness: float = 0.0
+        self,
+        result: AttemptResult,
+        release: Release,
+        detail: str,
+        report: ServerReport = NO_REPORT,
     ) -> None:
         super().__init__(detail)
         self.result = result
         self.release = release
-        self.slowness = slowness
+        self.report = report
 
 
 class Upstream(Protocol):
@@ -156,14 +162,14 @@
         progress.tried_servers.add(permit.server.vm)
         progress.zone = permit.site
         progress.slot_wait_s = started - progress.started
-        release, slowness = Release.CANCELLED, 0.0
+        release, report = Release.CANCELLED, NO_REPORT
         try:
             response = await self._upstream.send(
                 request, permit.server, progress.deadline, progress.route.kind.is_idempotent
             )
-            release, slowness = Release.DONE, response.slowness
+            release, report = Release.DONE, response.report
             self._permits.record_load(
-                permit, progress.service, response.waiting > 0, response.utilization
+                permit, progress.service, report.waiting > 0, report.utilization
             )
             if not response.is_server_error:
                 return response
@@ -171,11 +177,11 @@
             progress.error_response = response
             failure = AttemptError(AttemptResult.SENT_WITHOUT_ANSWER, release, f"{response.status}")
         except AttemptError as error:
-            release, slowness = error.release, error.slowness
+            release, report = error.release, error.report
             self._permits.record_load(permit, progress.service, release is not Release.UNUSED)
             failure = error
         finally:
-            self._permits.release(permit, release, time.monotonic() - started, slowness)
+            self._permits.release(permit, release, time.monotonic() - started, report)
         self._record_failure(request, progress, permit, failure)
         return failure
 
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -5,6 +5,9 @@
 import math
 from dataclasses import dataclass
 
+from briarfork.pools import NO_REPORT
+from briarfork.pools import ServerReport
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -41,18 +44,13 @@
     """A complete response of a backend server.
 
     Attributes:
-        slowness: Slowdown factor that the server reported, 0 if none.
-        waiting: Number of requests waiting at the server when it responded.
-        utilization: Fraction of its slots in use at that time, including this request's; 0 if
-            unknown.
+        report: What the server says about itself with the response.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    slowness: float = 0.0
-    waiting: int = 0
-    utilization: float = 0.0
+    report: ServerReport = NO_REPORT
 
     @property
     def is_server_error(self) -> bool:
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -17,7 +16,9 @@
 from briarfork.gateway.attempts import AttemptError
 from briarfork.gateway.request import Response
 from briarfork.platform import names
+from briarfork.pools import NO_REPORT
 from briarfork.pools import Release
+from briarfork.pools import ServerReport
 from briarfork.requests import Attempt
 from briarfork.requests import AttemptResult
 from briarfork.requests import Deadline
@@ -45,21 +46,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
-    """The load that a server reports with a response.
-
-    Attributes:
-        utilization: Fraction of its slots in use, 0 if unknown.
-        waiting: Number of requests waiting at the server.
-        slowness: Slowdown factor relative to normal run times, 0 if unknown.
-    """
-
-    utilization: float = 0.0
-    waiting: int = 0
-    slowness: float = 0.0
-
-
 class HttpUpstream:
     """Sends requests to backend servers and checks that responses are complete and authentic."""
 
@@ -106,7 +92,7 @@
             allow_redirects=False,
             trace_request_ctx=AttemptGuard(attempt),
         ) as response:
-            load = _read_load(response)
+            report = _read_report(response)
             if _is_refusal(request, response):
                 attempt.mark_refused()
                 await _read_body(response)
@@ -114,7 +100,7 @@
                     attempt.result,
                     Release.NOT_RUN,
                     f"refused with status {response.status}",
-                    load.slowness,
+                    report,
                 )
             reason = _find_response_error(request, response)
             body = await _read_body(response) if reason is None else b""
@@ -122,15 +108,8 @@
                 reason = "the connection was reset before the end of the response"
             if reason is not None:
                 response.close()
-                raise AttemptError(attempt.result, Release.FAILED, reason, load.slowness)
-            return Response(
-                response.status,
-                _list_headers(response),
-                body,
-                load.slowness,
-                load.waiting,
-                load.utilization,
-            )
+                raise AttemptError(attempt.result, Release.FAILED, reason, report)
+            return Response(response.status, _list_headers(response), body, report)
 
 
 def _build_headers(
@@ -208,14 +187,14 @@
     )
 
 
-def _read_load(response: aiohttp.ClientResponse) -> LoadReport:
+def _read_report(response: aiohttp.ClientResponse) -> ServerReport:
     """Returns the load report of a response; a missing or malformed one counts as unknown."""
     parts = response.headers.get(names.SERVER_LOAD, "").split(",")
     try:
         numbers = [int(part) for part in parts]
     except ValueError:
-        return LoadReport()
+        return NO_REPORT
     if len(numbers) < REQUIRED_LOAD_FIELDS or numbers[2] <= 0:
-        return LoadReport()
+        return NO_REPORT
     slowness = numbers[3] / PERCENT if len(numbers) > REQUIRED_LOAD_FIELDS else 0.0
-    return LoadReport(numbers[0] / numbers[2], numbers[1], slowness)
+    return ServerReport(numbers[0] / numbers[2], numbers[1], slowness)
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -15,8 +15,11 @@
 from briarfork.pools.selection import compute_affinity_score
 from briarfork.pools.server import Server
 from briarfork.pools.server import ServerAddress
+from briarfork.pools.server_report import NO_REPORT
+from briarfork.pools.server_report import ServerReport
 
 __all__ = [
+    "NO_REPORT",
     "PERMITS_POLICY",
     "SELECTION_POLICIES",
     "Grant",
@@ -30,6 +33,7 @@
     "RunTimes",
     "Server",
     "ServerAddress",
+    "ServerReport",
     "SlotRequest",
     "compute_affinity_score",
 ]
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -19,6 +19,7 @@
 from briarfork.pools.selection import compute_affinity_score
 from briarfork.pools.selection import select_by_affinity
 from briarfork.pools.server import Server
+from briarfork.pools.server_report import NO_REPORT
 from briarfork.pools.slow_start import SlowStart
 from briarfork.pools.wait_queue import WaitQueue
 
@@ -31,6 +32,7 @@
     from briarfork.pools.permit import Requester
     from briarfork.pools.permit import SlotRequest
     from briarfork.pools.server import ServerAddress
+    from briarfork.pools.server_report import ServerReport
 
 # Share of slots in use above which a hedged attempt would delay first attempts.
 MAX_HEDGE_UTILIZATION = 0.9
@@ -225,7 +227,12 @@
         return self._remove_waiting(lambda _: True)
 
     def release(
-        self, permit: str, how: Release, elapsed_s: float, now: float, slowness: float = 0.0
+        self,
+        permit: str,
+        how: Release,
+        elapsed_s: float,
+        now: float,
+        report: ServerReport = NO_REPORT,
     ) -> None:
         """Frees the slot of a permit; an unknown permit is ignored.
 
@@ -234,14 +241,14 @@
             how: How the request ended.
             elapsed_s: Run time of the request.
             now: Time, in seconds.
-            slowness: Reported ratio of run time to usual run time, 0 if not reported.
+            report: What the server said with its response.
         """
         held = self._held_permits.pop(permit, None)
         if held is None:
             return
         server = self._servers[held.vm]
         server.permits.pop(permit)
-        server.record_slowness(slowness, now)
+        server.record_slowness(report.slowness, now)
         if how is Release.DONE:
             server.reset_backoff()
             server.slow_start.record_response(now)
--- /dev/null
+++ b/src/briarfork/pools/server_report.py
@@ -0,0 +1,24 @@
+"""What a backend server says about itself with a response."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReport:
+    """The state of a backend server as of one response.
+
+    Attributes:
+        utilization: Fraction of its slots in use, including that of the request; 0 if unknown.
+        waiting: Number of requests waiting at the server.
+        slowness: Ratio of the run time on its machine to the usual one, 0 if unknown.
+    """
+
+    utilization: float = 0.0
+    waiting: int = 0
+    slowness: float = 0.0
+
+
+NO_REPORT: Final = ServerReport()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -22,9 +22,11 @@
 from briarfork.gateway.request import Response
 from briarfork.gateway.retries import RetryLimits
 from briarfork.gateway.view import GatewayView
+from briarfork.pools import NO_REPORT
 from briarfork.pools import Instance
 from briarfork.pools import Release
 from briarfork.pools import ServerAddress
+from briarfork.pools import ServerReport
 from briarfork.requests import AttemptResult
 from briarfork.requests import Deadline
 from briarfork.routing import CallerLimits
@@ -123,7 +125,7 @@
         )
 
     def release(
-        self, permit: Permit, how: Release, elapsed_s: float, slowness: float = 0.0
+        self, permit: Permit, how: Release, elapsed_s: float, report: ServerReport = NO_REPORT
     ) -> None:
         self.released.append(how)
 
