Keep to the limits that servers name

Callers saw: nothing; a server in need got 33 requests in 4 s with a limit of 1.8 a second (allowed 16). Header Server-Limit was read nowhere. Cause, as a class: a bound of a server over all VMs that nobody kept. The owner of its slots sees all permits of its region; requests from other regions go without its word. Change: a limit is one more bound of the server in the permit queue, a token bucket of 0.75 of it, so that two owners, for a moment, stay below 1.5 times the limit. Each release tells the owner what the server said. A VM that knows of a limit does not use the server from another region, and returns a permit whose owner does not know it; permits that are declared to a new owner carry it. A share of slots, used while the owner is unreachable, has its part of the limit. The expected wait counts what the limit leaves of the slots, so that requests without a chance are refused at once. Fields of messages with default values are not sent, so that processes of an earlier version read the others.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from functools import cache
 from functools import reduce
@@ -40,9 +41,18 @@
 
 
 class Message(
-    msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field=TYPE_KEY, tag=_build_type_tag
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+    tag_field=TYPE_KEY,
+    tag=_build_type_tag,
 ):
-    """Base class of all messages."""
+    """Base class of all messages.
+
+    Fields with default values are not sent, so that processes of an earlier version, which do not
+    know some of them, can read the other messages.
+    """
 
     name: ClassVar[str] = ""
 
@@ -225,13 +235,19 @@
 
 @MESSAGES.register("permit_grant")
 class PermitGrant(Message, frozen=True):
-    """Allows one request to a backend server."""
+    """Allows one request to a backend server.
+
+    Attributes:
+        limit_per_s: Requests per second that the sender grants for the server, infinite if it knows
+            of no limit.
+    """
 
     name = "permit_grant"
     permit: str
     vm: str
     address: str
     port: int
+    limit_per_s: float = math.inf
 
 
 @MESSAGES.register("permit_refusal")
@@ -256,6 +272,8 @@
 
     Attributes:
         slowness: Run time on the server's machine relative to its typical run time, 0 if unknown.
+        limit_per_s: Requests per second that the server accepts from all VMs together, infinite if
+            it names no limit, None if it did not respond.
     """
 
     name = "permit_release"
@@ -265,6 +283,7 @@
     how: Release
     elapsed_ms: float
     slowness: float = 0.0
+    limit_per_s: float | None = None
 
 
 @MESSAGES.register("permit_cancel")
@@ -279,7 +298,12 @@
 
 @MESSAGES.register("permit_held")
 class PermitHeld(Message, frozen=True):
-    """Reports a permit granted by a previous owner, or used without a request to any owner."""
+    """Reports a permit granted by a previous owner, or used without a request to any owner.
+
+    Attributes:
+        limit_per_s: Requests per second that the server accepts from all VMs together, infinite if
+            the sender knows of no limit.
+    """
 
     name = "permit_held"
     permit: str
@@ -288,6 +312,7 @@
     vm: str
     request_class: RequestClass
     object_key: str = ""
+    limit_per_s: float = math.inf
 
 
 def encode(message: Message) -> bytes:
--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -74,6 +74,9 @@
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the entry VMs of a zone that can own slots."""
 
+    def find_limit(self, vm: str) -> float:
+        """Returns the requests per second that a server accepts, infinite if it names no limit."""
+
 
 class LocalShares:
     """This VM's share of the slots of its own zone, used while their owner is unreachable."""
@@ -146,6 +149,9 @@
             self._view.settings.vm,
         )
         queue.set_shares({vm: max(0, slots - held[vm]) for vm, slots in share.items()})
+        now = time.monotonic()
+        for vm in share:
+            queue.limit_rate(vm, self._view.find_limit(vm) / len(sharers), now)
         return queue
 
     def _resolve_futures(self, decisions: list[Grant | Refusal]) -> None:
--- a/src/briarfork/entry/overflow.py
+++ b/src/briarfork/entry/overflow.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,8 @@
     Attributes:
         name: Unique name.
         owner: Entry VM that granted the permit, or the kind of a permit that this VM granted.
+        limit_per_s: Requests per second that the owner grants for the server, infinite if it knows
+            of no limit.
     """
 
     name: str
@@ -46,6 +49,7 @@
     request_class: RequestClass
     server: ServerAddress
     owner: str
+    limit_per_s: float = math.inf
 
     @property
     def key(self) -> SlotKey:
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -116,7 +116,12 @@
             self._slot_manager.release(permit.key, permit.name, outcome, elapsed_s, report)
         elif permit.owner in self._links:
             message = PermitRelease(
-                permit.name, *permit.key, outcome, elapsed_s * MS_PER_S, report.slowness
+                permit.name,
+                *permit.key,
+                outcome,
+                elapsed_s * MS_PER_S,
+                report.slowness,
+                report.limit_per_s,
             )
             self._links[permit.owner].send_if_open(message)
 
@@ -128,9 +133,9 @@
                 continue
             self._held[permit.name] = replace(permit, owner=owner.vm)
             if owner.vm == self._requester.vm:
-                self._slot_manager.adopt(self._requester, _build_declaration(permit))
+                self._slot_manager.adopt(self._requester, self._build_declaration(permit))
             else:
-                self._ensure_link(owner).send_if_open(_build_declaration(permit))
+                self._ensure_link(owner).send_if_open(self._build_declaration(permit))
 
     async def maintain_links(self) -> None:
         """Runs one task for each owner with a link, until the owner is no longer a member."""
@@ -171,9 +176,14 @@
                 )
             try:
                 decision = await self._request_from_owner(owner, key, slot_request, deadline)
-                if isinstance(decision, ServerAddress):
+                if isinstance(decision, Grant):
                     return Permit(
-                        slot_request.permit, *key, slot_request.request_class, decision, owner.vm
+                        slot_request.permit,
+                        *key,
+                        slot_request.request_class,
+                        decision.server,
+                        owner.vm,
+                        decision.limit_per_s,
                     )
                 if not decision.moved:
                     return SlotRefused(ErrorKind.OVERLOADED, decision.reason, decision.wait_s)
@@ -195,7 +205,7 @@
 
     async def _request_from_owner(
         self, owner: Member, key: SlotKey, slot_request: SlotRequest, deadline: Deadline
-    ) -> ServerAddress | Refusal:
+    ) -> Grant | Refusal:
         wait_s = deadline.remaining_s(time.monotonic())
         if owner.vm == self._requester.vm:
             return await self._request_in_process(key, slot_request, wait_s)
@@ -212,13 +222,14 @@
         )
         decision = await self._ensure_link(owner).request_permit(message, wait_s)
         if isinstance(decision, PermitGrant):
-            return ServerAddress(decision.vm, decision.address, decision.port)
+            server = ServerAddress(decision.vm, decision.address, decision.port)
+            return Grant(slot_request, server, decision.limit_per_s)
         assert isinstance(decision, PermitRefusal)
         return Refusal(slot_request, decision.reason, decision.moved, decision.wait_s)
 
     async def _request_in_process(
         self, key: SlotKey, slot_request: SlotRequest, wait_s: float
-    ) -> ServerAddress | Refusal:
+    ) -> Grant | Refusal:
         future: asyncio.Future[Grant | Refusal] = asyncio.get_running_loop().create_future()
 
         def resolve(decision: Grant | Refusal) -> None:
@@ -232,7 +243,7 @@
         except (TimeoutError, asyncio.CancelledError):
             self._slot_manager.cancel(key, slot_request.permit)
             raise
-        return decision.server if isinstance(decision, Grant) else decision
+        return decision
 
     async def _acquire_from_share(
         self, key: SlotKey, slot_request: SlotRequest, deadline: Deadline
@@ -271,7 +282,7 @@
         if owner is None:
             return None
         permit = Permit(slot_request.permit, *key, slot_request.request_class, server, owner.vm)
-        declaration = _build_declaration(permit, slot_request.object_key)
+        declaration = self._build_declaration(permit, slot_request.object_key)
         if owner.vm == self._requester.vm:
             self._slot_manager.adopt(self._requester, declaration)
         else:
@@ -312,16 +323,18 @@
 
     def _list_held(self, owner: str) -> list[PermitHeld]:
         return [
-            _build_declaration(permit) for permit in self._held.values() if permit.owner == owner
+            self._build_declaration(permit)
+            for permit in self._held.values()
+            if permit.owner == owner
         ]
 
-
-def _build_declaration(permit: Permit, object_key: str = "") -> PermitHeld:
-    return PermitHeld(
-        permit.name,
-        permit.service,
-        permit.site,
-        permit.server.vm,
-        permit.request_class,
-        object_key,
-    )
+    def _build_declaration(self, permit: Permit, object_key: str = "") -> PermitHeld:
+        return PermitHeld(
+            permit.name,
+            permit.service,
+            permit.site,
+            permit.server.vm,
+            permit.request_class,
+            object_key,
+            self._view.find_limit(permit.server.vm),
+        )
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -184,6 +184,7 @@
                 held.request_class,
                 time.monotonic(),
                 held.object_key,
+                held.limit_per_s,
             )
         elif len(self._early_declarations) < MAX_EARLY_DECLARATIONS:
             self._early_declarations[held.permit] = (requester, held)
@@ -335,7 +336,7 @@
     """Releases a permit."""
     key = (message.service, message.site)
     elapsed_s = message.elapsed_ms / MS_PER_S
-    report = ServerReport(slowness=message.slowness)
+    report = ServerReport(slowness=message.slowness, limit_per_s=message.limit_per_s)
     manager.release(key, message.permit, message.how, elapsed_s, report)
 
 
@@ -355,5 +356,5 @@
     permit = decision.request.permit
     if isinstance(decision, Grant):
         server = decision.server
-        return PermitGrant(permit, server.vm, server.address, server.port)
+        return PermitGrant(permit, server.vm, server.address, server.port, decision.limit_per_s)
     return PermitRefusal(permit, decision.reason, decision.moved, decision.wait_s)
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -100,6 +100,10 @@
         """Returns the backend servers of a service at a site that the platform lists as live."""
         return list(self._servers.get((service, site), ()))
 
+    def find_limit(self, vm: str) -> float:
+        """Returns infinity: servers of the product's own interface name no limit on requests."""
+        return math.inf
+
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the entry VMs of a zone that can own slots."""
         return [
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from dataclasses import dataclass
 from dataclasses import replace
@@ -16,7 +17,9 @@
 from briarfork.gateway.spillover import RefusalCache
 from briarfork.gateway.spillover import RemoteShareController
 from briarfork.gateway.spillover import SpilloverLimit
+from briarfork.pools import NO_REPORT
 from briarfork.pools import Release
+from briarfork.pools import ServerReport
 from briarfork.requests import Deadline
 from briarfork.routing import RequestKind
 
@@ -128,10 +131,17 @@
             decision = await self.request_permit(
                 (first.service, zone), replace(slot_request, hedge=True), wait_deadline
             )
-            if isinstance(decision, Permit) and not self._release_if_left(decision):
+            if isinstance(decision, Permit) and not self._return_if_unusable(decision):
                 return self.track(decision)
         return None
 
+    def release(
+        self, permit: Permit, outcome: Release, elapsed_s: float, report: ServerReport = NO_REPORT
+    ) -> None:
+        """Releases a permit and records what the server said."""
+        self._gateway_view.inventory.record_report(permit.server.vm, report)
+        super().release(permit, outcome, elapsed_s, report)
+
     def count_waiting(self, service: str) -> int:
         """Returns the number of requests waiting for slots of a service that this VM owns."""
         queues = [
@@ -217,20 +227,37 @@
     async def _request_usable(
         self, key: SlotKey, slot_request: SlotRequest, deadline: Deadline
     ) -> Permit | NotRun:
-        """Requests a permit for a server that this VM does not know to have left.
+        """Requests a permit that agrees with what this VM knows of the server.
 
-        An owner that is cut off from the store grants servers that have left since.
+        An owner that is cut off from the store grants servers that have left since, and a new owner
+        does not know the limits that servers have named.
         """
         for _ in range(MAX_RETURNED_PERMITS):
             decision = await self.request_permit(key, slot_request, deadline)
-            if not isinstance(decision, Permit) or not self._release_if_left(decision):
+            if not isinstance(decision, Permit) or not self._return_if_unusable(decision):
                 return decision
             slot_request = replace(
                 slot_request,
                 permit=self.build_permit_name(),
                 avoid=slot_request.avoid | {decision.server.vm},
             )
-        return SlotRefused(ErrorKind.OVERLOADED, "the owner grants only servers that have left")
+        return SlotRefused(ErrorKind.OVERLOADED, "the owner grants only unusable servers")
+
+    def _return_if_unusable(self, permit: Permit) -> bool:
+        """Returns a permit that this VM must not use; tells whether it did."""
+        return self._release_if_left(permit) or self._release_if_limited(permit)
+
+    def _release_if_limited(self, permit: Permit) -> bool:
+        """Releases a permit if its owner does not know the server's limit; returns whether it did.
+
+        The release tells the owner. Shares of slots apply the limits that this VM knows.
+        """
+        limit_per_s = self._gateway_view.find_limit(permit.server.vm)
+        if permit.is_local or limit_per_s == math.inf or permit.limit_per_s != math.inf:
+            return False
+        report = ServerReport(limit_per_s=limit_per_s)
+        self.release(permit, Release.UNUSED, 0.0, report)
+        return True
 
     def _release_if_left(self, permit: Permit) -> bool:
         """Releases a permit if its server has left; returns whether it did.
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -108,6 +108,10 @@
         """Returns the servers that accept new requests."""
         return [item.to_server_address() for item in self.inventory.list_usable(service, site)]
 
+    def find_limit(self, vm: str) -> float:
+        """Returns the requests per second that a server accepts, infinite if it names no limit."""
+        return self.inventory.find_limit(vm)
+
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the serving entry VMs of a zone."""
         return [item for item in self._list_serving() if item.zone == zone]
@@ -137,11 +141,16 @@
     def rank_servers(
         self, service: str, zone: str, object_key: str, now: float
     ) -> list[ServerAddress]:
-        """Returns warm servers in an order that is the same for an object on every VM."""
+        """Returns warm servers in an order that is the same for an object on every VM.
+
+        Servers that name a limit on their requests are left out: only their owner knows how many
+        they get.
+        """
         warm = [
             item
             for item in self.inventory.list_usable(service, zone)
             if self.inventory.find_cold_until(item) <= now
+            and self.inventory.find_limit(item.name) == math.inf
         ]
         warm.sort(key=lambda item: compute_affinity_score(object_key, item.name), reverse=True)
         return [item.to_server_address() for item in warm]
--- a/src/briarfork/platform/names.py
+++ b/src/briarfork/platform/names.py
@@ -12,6 +12,8 @@
 PINNED_INSTANCE: Final = "X-Briarfork-Pin-Instance"
 # Running requests, waiting requests, slots, and optionally the slowdown in percent.
 SERVER_LOAD: Final = "X-Briarfork-Server-Load"
+# Requests per second that a server accepts from all VMs together, as long as it names them.
+SERVER_LIMIT: Final = "Server-Limit"
 NOT_EXECUTED: Final = "X-Briarfork-Not-Executed"
 
 READY_PATH: Final = "/v1/readyz"
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import re
 import time
+from dataclasses import replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -36,6 +39,7 @@
 # Required fields of a load report (running, waiting, slots); the fourth, the slowdown, is optional.
 REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100.0
+LIMIT_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?")
 # Statuses that tell a caller that the request did not run.
 NOT_RUN_STATUSES = frozenset(
     {
@@ -188,13 +192,26 @@
 
 
 def _read_report(response: aiohttp.ClientResponse) -> ServerReport:
-    """Returns the load report of a response; a missing or malformed one counts as unknown."""
-    parts = response.headers.get(names.SERVER_LOAD, "").split(",")
+    """Returns what the server says about itself; what is missing or malformed counts as unknown."""
+    return replace(
+        _read_load(response.headers.get(names.SERVER_LOAD, "")),
+        limit_per_s=_read_limit(response.headers.get(names.SERVER_LIMIT)),
+    )
+
+
+def _read_load(header: str) -> ServerReport:
     try:
-        numbers = [int(part) for part in parts]
+        numbers = [int(part) for part in header.split(",")]
     except ValueError:
         return NO_REPORT
     if len(numbers) < REQUIRED_LOAD_FIELDS or numbers[2] <= 0:
         return NO_REPORT
     slowness = numbers[3] / PERCENT if len(numbers) > REQUIRED_LOAD_FIELDS else 0.0
     return ServerReport(numbers[0] / numbers[2], numbers[1], slowness)
+
+
+def _read_limit(header: str | None) -> float | None:
+    """Returns the requests per second that the server accepts, infinite without a limit."""
+    if header is None:
+        return math.inf
+    return float(header) if LIMIT_PATTERN.fullmatch(header) else None
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from briarfork.pools.server_report import ServerReport
+
 # Entries that expired during an outage of the store are registered again within this time after
 # the outage.
 LAPSED_ENTRY_GRACE_S: Final = 2.2
@@ -68,6 +70,7 @@
     _lapsed_until: dict[str, float] = field(default_factory=dict)
     _removed_at: dict[str, float] = field(default_factory=dict)
     _evacuated_zones: set[str] = field(default_factory=set)
+    _limits_per_s: dict[str, float] = field(default_factory=dict)
     _zone_cold_until: dict[str, float] = field(default_factory=dict)
 
     def put(self, instance: Instance) -> None:
@@ -120,6 +123,17 @@
         has_moved = (instance.address, instance.port) != (server.address, server.port)
         return has_moved or not self._is_usable(instance)
 
+    def record_report(self, name: str, report: ServerReport) -> None:
+        """Records what a server has said to this VM."""
+        if report.limit_per_s == math.inf:
+            self._limits_per_s.pop(name, None)
+        elif report.limit_per_s is not None and name in self._instances:
+            self._limits_per_s[name] = report.limit_per_s
+
+    def find_limit(self, name: str) -> float:
+        """Returns the requests per second that a server accepts, infinite if it names no limit."""
+        return self._limits_per_s.get(name, math.inf)
+
     def evacuate(self, zones: set[str], cold_s: float, now: float) -> None:
         """Sets the evacuated zones, whose servers get no requests.
 
@@ -155,6 +169,7 @@
     def _delete(self, name: str, now: float) -> None:
         self._unlist(name)
         self._lapsed_until.pop(name, None)
+        self._limits_per_s.pop(name, None)
         self._removed_at[name] = now
 
     def _unlist(self, name: str) -> None:
--- a/src/briarfork/pools/permit.py
+++ b/src/briarfork/pools/permit.py
@@ -66,10 +66,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """A permit to send one request to one server."""
+    """A permit to send one request to one server.
+
+    Attributes:
+        limit_per_s: Requests per second that the owner of the slots grants for the server, infinite
+            if it knows of no limit.
+    """
 
     request: SlotRequest
     server: ServerAddress
+    limit_per_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -186,7 +186,14 @@
         for queue_rank, wait_queue in self._wait_queues.items():
             if queue_rank <= own:
                 wait_s += len(wait_queue) * self._run_times[CLASS_ORDER[queue_rank[0]]].mean_s
-        return wait_s / max(1, self.slots)
+        run_s = self._run_times[RequestClass.SHORT].mean_s
+        active = (server for server in self._servers.values() if not server.leaving)
+        return wait_s / max(1.0, sum(server.count_effective_slots(run_s) for server in active))
+
+    def limit_rate(self, vm: str, per_s: float, now: float) -> None:
+        """Sets how many requests per second a server accepts, infinite for no limit."""
+        if vm in self._servers:
+            self._servers[vm].limit_rate(per_s, now)
 
     def set_cold_start_limit(self, vm: str, until: float, per_s: float) -> None:
         """Limits the requests per second to a server until its caches are warm.
@@ -249,6 +256,8 @@
         server = self._servers[held.vm]
         server.permits.pop(permit)
         server.record_slowness(report.slowness, now)
+        if report.limit_per_s is not None:
+            server.limit_rate(report.limit_per_s, now)
         if how is Release.DONE:
             server.reset_backoff()
             server.slow_start.record_response(now)
@@ -281,9 +290,12 @@
         request_class: RequestClass,
         now: float,
         object_key: str = "",
+        limit_per_s: float = math.inf,
     ) -> None:
         """Takes over a permit that a former owner granted or that was taken without an owner."""
         server = self._servers.get(vm)
+        if server is not None and limit_per_s != math.inf:
+            server.limit_rate(limit_per_s, now)
         if permit in self._held_permits:
             self._held_permits[permit].requester = requester
             self._held_permits[permit].orphaned_until = math.inf
@@ -450,7 +462,7 @@
         self._held_permits[request.permit] = HeldPermit(
             request.requester, server.address.vm, request.request_class, request.expires_at
         )
-        return Grant(request, server.address)
+        return Grant(request, server.address, server.limit_per_s)
 
     def _compute_long_slots(self, slots: int) -> int:
         return max(1, slots - 1) if self._mixed else slots
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Final
 
 from briarfork.configuration import RequestClass
+from briarfork.pools.rate_limiter import RateLimiter
 from briarfork.pools.slow_start import SlowStart
 
 if TYPE_CHECKING:
@@ -82,6 +84,8 @@
         slow_start: Limits the slots while the server warms up.
         cold_start_limiter: Limits the request rate while the caches of the server are cold, or
             None if the rate is not limited.
+        rate_limiter: Limits the request rate to what the server says that it accepts, or None if it
+            names no limit.
         slowness: Last reported ratio of the run time to the usual one.
         slowness_at: Time at which the report arrived.
     """
@@ -99,6 +103,7 @@
     times_selected: int = 0
     slow_start: SlowStart = field(default_factory=lambda: SlowStart(cold=False))
     cold_start_limiter: ColdStartLimiter | None = None
+    rate_limiter: RateLimiter | None = None
     slowness: float = 1.0
     slowness_at: float = 0.0
 
@@ -116,6 +121,8 @@
             return False
         if self.cold_start_limiter is not None and not self.cold_start_limiter.allows(now):
             return False
+        if self.rate_limiter is not None and not self.rate_limiter.allows(now):
+            return False
         if request_class is RequestClass.SHORT:
             return True
         held = sum(1 for item in self.permits.values() if item.request_class is RequestClass.LONG)
@@ -141,6 +148,29 @@
         self.times_selected += 1
         if self.cold_start_limiter is not None:
             self.cold_start_limiter.record(now)
+        if self.rate_limiter is not None:
+            self.rate_limiter.record(now)
+
+    @property
+    def limit_per_s(self) -> float:
+        """Requests per second that the server accepts, infinite if it names no limit."""
+        return self.rate_limiter.per_s if self.rate_limiter else math.inf
+
+    def limit_rate(self, per_s: float, now: float) -> None:
+        """Sets how many requests per second the server accepts, infinite for no limit."""
+        if per_s == math.inf:
+            self.rate_limiter = None
+        elif self.rate_limiter is None:
+            self.rate_limiter = RateLimiter(per_s, now)
+        else:
+            self.rate_limiter.per_s = per_s
+
+    def count_effective_slots(self, run_s: float) -> float:
+        """Returns how many requests of a run time the server can run at once."""
+        slots = min(self.slots, self.slow_start.current_limit or self.slots)
+        if self.rate_limiter is None or not run_s:
+            return slots
+        return min(slots, self.rate_limiter.usable_per_s * run_s)
 
     def record_slowness(self, slowness: float, now: float) -> None:
         """Records a reported ratio of the run time to the usual one; 0 means no report."""
--- a/src/briarfork/pools/server_report.py
+++ b/src/briarfork/pools/server_report.py
@@ -14,11 +14,14 @@
         utilization: Fraction of its slots in use, including that of the request; 0 if unknown.
         waiting: Number of requests waiting at the server.
         slowness: Ratio of the run time on its machine to the usual one, 0 if unknown.
+        limit_per_s: Requests per second that it accepts from all VMs together, infinite if it names
+            no limit; None if there was no response that could name one.
     """
 
     utilization: float = 0.0
     waiting: int = 0
     slowness: float = 0.0
+    limit_per_s: float | None = None
 
 
 NO_REPORT: Final = ServerReport()
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -19,6 +20,8 @@
 from briarfork.gateway.view import GatewayView
 from briarfork.membership import Member
 from briarfork.membership import MemberState
+from briarfork.pools import Release
+from briarfork.pools import ServerReport
 from briarfork.requests import Deadline
 from tests.gateway.harness import LOCATION
 from tests.gateway.harness import RETRY_LIMITS
@@ -39,6 +42,7 @@
 )
 # A request waits for a new owner, which grants nothing at first, for half of the objective.
 PATIENT_ROUTE = replace(ROUTE, objective_s=2.0)
+LIMITED = ServerReport(limit_per_s=2.0)
 SERVERS = [build_instance("i-1"), build_instance("i-2")]
 
 
@@ -103,3 +107,32 @@
         requester = build_peer("requester", [SERVERS[0]])
         async with run_gateways(owner, requester):
             assert (await acquire(requester)).server.vm == "i-2"
+
+
+class TestLimitOfAServer:
+    async def test_new_owner_learns_the_limit_before_a_permit_is_used(self) -> None:
+        """Guards against a change of owner that forgets what servers have said."""
+        owner = build_peer("owner", SERVERS[:1])
+        requester = build_peer("requester", SERVERS[:1])
+        requester.view.inventory.record_report("i-1", LIMITED)
+        async with run_gateways(owner, requester):
+            permit = await acquire(requester)
+        assert permit.limit_per_s == LIMITED.limit_per_s
+
+    async def test_release_tells_the_owner_the_limit(self) -> None:
+        """Guards against an owner that learns of a limit only from its own requests."""
+        owner = build_peer("owner", SERVERS[:1])
+        requester = build_peer("requester", SERVERS[:1])
+        async with run_gateways(owner, requester):
+            held = await acquire(requester)
+            requester.permits.release(held, Release.DONE, 0.1, LIMITED)
+            assert (await acquire(requester)).limit_per_s == LIMITED.limit_per_s
+
+    def test_server_of_another_region_is_not_used_without_its_owner(self) -> None:
+        """Guards against requests that the owner of a limited server cannot count."""
+        gateway = build_peer("requester", [build_instance("i-3", "c")])
+        assert gateway.view.rank_servers("s", "c", "o", now=1.0)
+        gateway.view.inventory.record_report("i-3", LIMITED)
+        assert not gateway.view.rank_servers("s", "c", "o", now=1.0)
+        gateway.view.inventory.record_report("i-3", ServerReport(limit_per_s=math.inf))
+        assert gateway.view.rank_servers("s", "c", "o", now=1.0)
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import struct
 import time
@@ -212,6 +213,24 @@
         failure = await harness.send_expecting_error(head + SEALED + b"\r\npart", "close")
         assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
 
+    @pytest.mark.parametrize(
+        ("header", "limit_per_s"),
+        [
+            (b"", math.inf),
+            (b"Server-Limit: 2.5\r\n", 2.5),
+            (b"Server-Limit: many\r\n", None),
+            (b"Server-Limit: -1\r\n", None),
+            (b"Server-Limit: nan\r\n", None),
+        ],
+    )
+    async def test_limit_of_the_server_is_read(
+        self, harness: UpstreamHarness, header: bytes, limit_per_s: float | None
+    ) -> None:
+        """Guards against a limit that is missed, or one that a faulty server cannot mean."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + header
+        harness.server.answer = head + SEALED + b"\r\nx"
+        assert (await harness.send()).report.limit_per_s == limit_per_s
+
     async def test_response_to_another_request_is_rejected(self, harness: UpstreamHarness) -> None:
         """Guards against taking a late extra response for the next one."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r0\r\n"
