Heed servers that say that they leave

Cause: header Server-Leaving was not read; only the entry in the store said that a server drains. Change: the inventory keeps what a server said until it is started again under its name, which its start time shows. The release tells the owner of its slots, which stops granting the server; a permit from an owner that has not heard of it is returned, as for entries in the store.

--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -140,6 +140,8 @@
     ) -> None:
         """Releases a permit and records what the server said."""
         self._gateway_view.inventory.record_report(permit.server.vm, report)
+        if report.is_leaving:
+            outcome = Release.DRAINING
         super().release(permit, outcome, elapsed_s, report)
 
     def count_waiting(self, service: str) -> int:
--- a/src/briarfork/platform/names.py
+++ b/src/briarfork/platform/names.py
@@ -14,6 +14,8 @@
 SERVER_LOAD: Final = "X-Briarfork-Server-Load"
 # Requests per second that a server accepts from all VMs together, as long as it names them.
 SERVER_LIMIT: Final = "Server-Limit"
+# "1" on every response of a server that is leaving.
+SERVER_LEAVING: Final = "Server-Leaving"
 NOT_EXECUTED: Final = "X-Briarfork-Not-Executed"
 
 READY_PATH: Final = "/v1/readyz"
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -196,6 +196,7 @@
     return replace(
         _read_load(response.headers.get(names.SERVER_LOAD, "")),
         limit_per_s=_read_limit(response.headers.get(names.SERVER_LIMIT)),
+        is_leaving=response.headers.get(names.SERVER_LEAVING) == "1",
     )
 
 
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -70,12 +70,15 @@
     _lapsed_until: dict[str, float] = field(default_factory=dict)
     _removed_at: dict[str, float] = field(default_factory=dict)
     _evacuated_zones: set[str] = field(default_factory=set)
+    # Servers that said that they leave, with their start times as far as these are known.
+    _leaving: dict[str, int | None] = field(default_factory=dict)
     _limits_per_s: dict[str, float] = field(default_factory=dict)
     _zone_cold_until: dict[str, float] = field(default_factory=dict)
 
     def put(self, instance: Instance) -> None:
         """Adds or replaces a server."""
         self._unlist(instance.name)
+        self._update_leaving(instance)
         self._instances[instance.name] = instance
         zones = self._names.setdefault(instance.service, {})
         zones.setdefault(instance.zone, {})[instance.name] = None
@@ -110,6 +113,8 @@
             self._delete(name, now)
         oldest = now - REMOVED_SERVER_MEMORY_S
         self._removed_at = {name: at for name, at in self._removed_at.items() if at > oldest}
+        for name in [name for name in self._leaving if not self._is_known(name)]:
+            del self._leaving[name]
         return bool(expired)
 
     def has_left(self, server: ServerAddress) -> bool:
@@ -117,6 +122,8 @@
 
         A server that was never listed here may be new, so it counts as present.
         """
+        if server.vm in self._leaving:
+            return True
         instance = self._instances.get(server.vm)
         if instance is None:
             return server.vm in self._removed_at
@@ -125,6 +132,10 @@
 
     def record_report(self, name: str, report: ServerReport) -> None:
         """Records what a server has said to this VM."""
+        if report.is_leaving and name not in self._leaving:
+            instance = self._instances.get(name)
+            self._leaving[name] = instance.started_at_ms if instance else None
+            self._discard_usable(name)
         if report.limit_per_s == math.inf:
             self._limits_per_s.pop(name, None)
         elif report.limit_per_s is not None and name in self._instances:
@@ -172,11 +183,30 @@
         self._limits_per_s.pop(name, None)
         self._removed_at[name] = now
 
+    def _update_leaving(self, instance: Instance) -> None:
+        """Forgets that a server leaves if it has been started again under its name."""
+        if instance.name not in self._leaving:
+            return
+        started_at_ms = self._leaving[instance.name]
+        if started_at_ms is None:
+            self._leaving[instance.name] = instance.started_at_ms
+        elif started_at_ms != instance.started_at_ms:
+            del self._leaving[instance.name]
+
+    def _is_known(self, name: str) -> bool:
+        return name in self._instances or name in self._removed_at
+
+    def _discard_usable(self, name: str) -> None:
+        instance = self._instances.get(name)
+        if instance is not None:
+            self._usable.pop((instance.service, instance.zone), None)
+
     def _unlist(self, name: str) -> None:
+        self._discard_usable(name)
         instance = self._instances.pop(name, None)
         if instance is not None:
             del self._names[instance.service][instance.zone][name]
-            self._usable.pop((instance.service, instance.zone), None)
 
     def _is_usable(self, instance: Instance) -> bool:
-        return not instance.draining and instance.zone not in self._evacuated_zones
+        has_left = instance.draining or instance.name in self._leaving
+        return not has_left and instance.zone not in self._evacuated_zones
--- a/src/briarfork/pools/server_report.py
+++ b/src/briarfork/pools/server_report.py
@@ -16,12 +16,14 @@
         slowness: Ratio of the run time on its machine to the usual one, 0 if unknown.
         limit_per_s: Requests per second that it accepts from all VMs together, infinite if it names
             no limit; None if there was no response that could name one.
+        is_leaving: Whether it accepts no new requests and will end soon.
     """
 
     utilization: float = 0.0
     waiting: int = 0
     slowness: float = 0.0
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 NO_REPORT: Final = ServerReport()
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -42,6 +42,7 @@
 )
 # A request waits for a new owner, which grants nothing at first, for half of the objective.
 PATIENT_ROUTE = replace(ROUTE, objective_s=2.0)
+LEAVING = ServerReport(is_leaving=True)
 LIMITED = ServerReport(limit_per_s=2.0)
 SERVERS = [build_instance("i-1"), build_instance("i-2")]
 
@@ -109,6 +110,28 @@
             assert (await acquire(requester)).server.vm == "i-2"
 
 
+class TestLeavingServer:
+    async def test_answer_of_a_leaving_server_stops_its_owner(self) -> None:
+        """Guards against requests to a leaving server until its entry in the store says so."""
+        owner = build_peer("owner", SERVERS)
+        requester = build_peer("requester", SERVERS)
+        async with run_gateways(owner, requester):
+            first = await acquire(requester)
+            requester.permits.release(first, Release.DONE, 0.1, LEAVING)
+            # The second request of this VM reaches the owner after the release.
+            permits = [await acquire(requester), await acquire(owner)]
+        assert first.server not in [permit.server for permit in permits]
+
+    async def test_permit_for_a_server_that_said_that_it_leaves_is_returned(self) -> None:
+        """Guards against an owner that has not heard yet that a server leaves."""
+        owner = build_peer("owner", SERVERS)
+        requester = build_peer("requester", SERVERS)
+        requester.view.inventory.record_report("i-1", LEAVING)
+        async with run_gateways(owner, requester):
+            permits = [await acquire(requester) for _ in range(SERVERS[1].slots)]
+        assert [permit.server.vm for permit in permits] == ["i-2", "i-2"]
+
+
 class TestLimitOfAServer:
     async def test_new_owner_learns_the_limit_before_a_permit_is_used(self) -> None:
         """Guards against a change of owner that forgets what servers have said."""
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -231,6 +231,20 @@
         harness.server.answer = head + SEALED + b"\r\nx"
         assert (await harness.send()).report.limit_per_s == limit_per_s
 
+    async def test_leaving_server_is_noticed_in_answers_and_refusals(
+        self, harness: UpstreamHarness
+    ) -> None:
+        """Guards against a leaving server that only refuses requests."""
+        leaving = b"Server-Leaving: 1\r\n"
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+        harness.server.answer = head + leaving + SEALED + b"\r\nx"
+        assert (await harness.send()).report.is_leaving
+        harness.server.answer = head + SEALED + b"\r\nx"
+        assert not (await harness.send()).report.is_leaving
+        head = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Briarfork-Not-Executed: 1\r\n"
+        failure = await harness.send_expecting_error(head + leaving + SEALED + b"\r\n")
+        assert failure.report.is_leaving
+
     async def test_response_to_another_request_is_rejected(self, harness: UpstreamHarness) -> None:
         """Guards against taking a late extra response for the next one."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r0\r\n"
