Observe the pauses that servers ask for

Cause: Retry-After of a server was not read. The owner pauses a server only after two refusals in a row, and for all VMs; servers of other regions were tried again after 0.3 s. Change: the inventory keeps the pause. Requests avoid the server, a permit for it is returned unused, and it is not used from another region until the pause is over. Test: tests/gateway/test_permits.py, tests/platform/test_upstream.py.

--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -97,7 +97,7 @@
         controller = self._find_share_controller(request.service, started)
         self._log_share(request.service, controller.compute(started))
         if controller.sends_remote(request.object_key, started):
-            permit = self._take_remote_slot(remote, request)
+            permit = self.take_remote_slot(remote, request)
             if permit is not None:
                 return permit
         try:
@@ -107,7 +107,7 @@
             if not self._spillover_limit.allows_spillover(time.monotonic()):
                 raise
             self._spillover_limit.record_spillover(time.monotonic())
-            permit = self._take_remote_slot(remote, request)
+            permit = self.take_remote_slot(remote, request)
             if permit is None:
                 raise
             return permit
@@ -139,7 +139,8 @@
         self, permit: Permit, outcome: Release, elapsed_s: float, report: ServerReport = NO_REPORT
     ) -> None:
         """Releases a permit and records what the server said."""
-        self._gateway_view.inventory.record_report(permit.server.vm, report)
+        inventory = self._gateway_view.inventory
+        inventory.record_report(permit.server.vm, report, time.monotonic())
         if report.is_leaving:
             outcome = Release.DRAINING
         super().release(permit, outcome, elapsed_s, report)
@@ -175,16 +176,17 @@
             self._backoff_until[permit.server.vm] = now + OVERLOADED_SERVER_BACKOFF_S
         self._find_share_controller(service, now).record_remote(overloaded, utilization)
 
-    def _take_remote_slot(self, zones: list[str], request: SlotRequirements) -> Permit | None:
+    def take_remote_slot(self, zones: list[str], request: SlotRequirements) -> Permit | None:
         """Takes a slot in another region without asking, or returns None if none seems free.
 
         The round trip to the owner of the slots would take as long as the run itself.
         """
         now = time.monotonic()
+        avoid = request.avoid | self._gateway_view.inventory.list_paused(now)
         for zone in zones:
             ranked = self._gateway_view.rank_servers(request.service, zone, request.object_key, now)
             for server in ranked[:MAX_REMOTE_CANDIDATES]:
-                if server.vm in request.avoid or self._backoff_until.get(server.vm, 0.0) > now:
+                if server.vm in avoid or self._backoff_until.get(server.vm, 0.0) > now:
                     continue
                 slot_request = self.build_slot_request(
                     RequestClass.SHORT,
@@ -214,7 +216,7 @@
             slot_request = self.build_slot_request(
                 RequestClass.SHORT,
                 wait_deadline,
-                request.avoid,
+                request.avoid | self._gateway_view.inventory.list_paused(now),
                 request.route.priority,
                 request.object_key if request.route.sticky else "",
             )
@@ -247,6 +249,9 @@
 
     def _return_if_unusable(self, permit: Permit) -> bool:
         """Returns a permit that this VM must not use; tells whether it did."""
+        if permit.server.vm in self._gateway_view.inventory.list_paused(time.monotonic()):
+            self.release(permit, Release.UNUSED, 0.0)
+            return True
         return self._release_if_left(permit) or self._release_if_limited(permit)
 
     def _release_if_limited(self, permit: Permit) -> bool:
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -39,7 +39,9 @@
 # Required fields of a load report (running, waiting, slots); the fourth, the slowdown, is optional.
 REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100.0
-LIMIT_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?")
+DECIMAL_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?")
+# A longer pause would outlast the server in most cases.
+MAX_PAUSE_S = 300.0
 # Statuses that tell a caller that the request did not run.
 NOT_RUN_STATUSES = frozenset(
     {
@@ -197,6 +199,7 @@
         _read_load(response.headers.get(names.SERVER_LOAD, "")),
         limit_per_s=_read_limit(response.headers.get(names.SERVER_LIMIT)),
         is_leaving=response.headers.get(names.SERVER_LEAVING) == "1",
+        pause_s=_read_pause(response),
     )
 
 
@@ -211,8 +214,16 @@
     return ServerReport(numbers[0] / numbers[2], numbers[1], slowness)
 
 
+def _read_pause(response: aiohttp.ClientResponse) -> float:
+    """Returns for how long a server that refuses a request wants no others, in seconds."""
+    header = response.headers.get("Retry-After", "")
+    if response.status != HTTPStatus.SERVICE_UNAVAILABLE or not DECIMAL_PATTERN.fullmatch(header):
+        return 0.0
+    return min(MAX_PAUSE_S, float(header))
+
+
 def _read_limit(header: str | None) -> float | None:
     """Returns the requests per second that the server accepts, infinite without a limit."""
     if header is None:
         return math.inf
-    return float(header) if LIMIT_PATTERN.fullmatch(header) else None
+    return float(header) if DECIMAL_PATTERN.fullmatch(header) else None
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -73,6 +73,7 @@
     # Servers that said that they leave, with their start times as far as these are known.
     _leaving: dict[str, int | None] = field(default_factory=dict)
     _limits_per_s: dict[str, float] = field(default_factory=dict)
+    _paused_until: dict[str, float] = field(default_factory=dict)
     _zone_cold_until: dict[str, float] = field(default_factory=dict)
 
     def put(self, instance: Instance) -> None:
@@ -130,8 +131,16 @@
         has_moved = (instance.address, instance.port) != (server.address, server.port)
         return has_moved or not self._is_usable(instance)
 
-    def record_report(self, name: str, report: ServerReport) -> None:
-        """Records what a server has said to this VM."""
+    def record_report(self, name: str, report: ServerReport, now: float) -> None:
+        """Records what a server has said to this VM.
+
+        Args:
+            name: Name of the server.
+            report: What it said with a response.
+            now: Time, in seconds on the monotonic clock.
+        """
+        if report.pause_s > 0.0:
+            self._paused_until[name] = max(self._paused_until.get(name, 0.0), now + report.pause_s)
         if report.is_leaving and name not in self._leaving:
             instance = self._instances.get(name)
             self._leaving[name] = instance.started_at_ms if instance else None
@@ -145,6 +154,15 @@
         """Returns the requests per second that a server accepts, infinite if it names no limit."""
         return self._limits_per_s.get(name, math.inf)
 
+    def list_paused(self, now: float) -> frozenset[str]:
+        """Returns the names of the servers that want no requests from this VM for now."""
+        if not self._paused_until:
+            return frozenset()
+        self._paused_until = {
+            name: until for name, until in self._paused_until.items() if until > now
+        }
+        return frozenset(self._paused_until)
+
     def evacuate(self, zones: set[str], cold_s: float, now: float) -> None:
         """Sets the evacuated zones, whose servers get no requests.
 
@@ -181,6 +199,7 @@
         self._unlist(name)
         self._lapsed_until.pop(name, None)
         self._limits_per_s.pop(name, None)
+        self._paused_until.pop(name, None)
         self._removed_at[name] = now
 
     def _update_leaving(self, instance: Instance) -> None:
--- a/src/briarfork/pools/server_report.py
+++ b/src/briarfork/pools/server_report.py
@@ -17,6 +17,7 @@
         limit_per_s: Requests per second that it accepts from all VMs together, infinite if it names
             no limit; None if there was no response that could name one.
         is_leaving: Whether it accepts no new requests and will end soon.
+        pause_s: How long it wants no requests from this VM, in seconds, 0 if it did not say so.
     """
 
     utilization: float = 0.0
@@ -24,6 +25,7 @@
     slowness: float = 0.0
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 NO_REPORT: Final = ServerReport()
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -43,6 +43,7 @@
 # A request waits for a new owner, which grants nothing at first, for half of the objective.
 PATIENT_ROUTE = replace(ROUTE, objective_s=2.0)
 LEAVING = ServerReport(is_leaving=True)
+PAUSED = ServerReport(pause_s=0.6)
 LIMITED = ServerReport(limit_per_s=2.0)
 SERVERS = [build_instance("i-1"), build_instance("i-2")]
 
@@ -69,11 +70,13 @@
             task.cancel()
 
 
-async def acquire(gateway: Gateway) -> Permit:
+def build_requirements() -> SlotRequirements:
     deadline = Deadline(time.monotonic() + 4.0)
-    return await gateway.permits.acquire(
-        SlotRequirements(PATIENT_ROUTE, "s", "", deadline, frozenset())
-    )
+    return SlotRequirements(PATIENT_ROUTE, "s", "", deadline, frozenset())
+
+
+async def acquire(gateway: Gateway) -> Permit:
+    return await gateway.permits.acquire(build_requirements())
 
 
 class TestOwnerBehindTheStore:
@@ -126,18 +129,41 @@
         """Guards against an owner that has not heard yet that a server leaves."""
         owner = build_peer("owner", SERVERS)
         requester = build_peer("requester", SERVERS)
-        requester.view.inventory.record_report("i-1", LEAVING)
+        requester.view.inventory.record_report("i-1", LEAVING, 0.0)
         async with run_gateways(owner, requester):
             permits = [await acquire(requester) for _ in range(SERVERS[1].slots)]
         assert [permit.server.vm for permit in permits] == ["i-2", "i-2"]
 
 
+class TestPausedServer:
+    async def test_server_gets_no_request_until_its_pause_is_over(self) -> None:
+        """Guards against requests to a server that has asked this VM for a pause."""
+        owner = build_peer("owner", SERVERS)
+        requester = build_peer("requester", SERVERS)
+        async with run_gateways(owner, requester):
+            first = await acquire(requester)
+            requester.permits.release(first, Release.NOT_RUN, 0.0, PAUSED)
+            permits = [await acquire(requester) for _ in range(SERVERS[0].slots)]
+            assert first.server not in [permit.server for permit in permits]
+            with pytest.raises(SlotRefused):
+                await acquire(requester)
+            await asyncio.sleep(PAUSED.pause_s)
+            assert (await acquire(requester)).server == first.server
+
+    def test_server_of_another_region_is_paused_as_well(self) -> None:
+        """Guards against a pause that only the owner of the slots observes."""
+        gateway = build_peer("requester", [build_instance("i-3", "c")])
+        assert gateway.permits.take_remote_slot(["c"], build_requirements()) is not None
+        gateway.view.inventory.record_report("i-3", PAUSED, time.monotonic())
+        assert gateway.permits.take_remote_slot(["c"], build_requirements()) is None
+
+
 class TestLimitOfAServer:
     async def test_new_owner_learns_the_limit_before_a_permit_is_used(self) -> None:
         """Guards against a change of owner that forgets what servers have said."""
         owner = build_peer("owner", SERVERS[:1])
         requester = build_peer("requester", SERVERS[:1])
-        requester.view.inventory.record_report("i-1", LIMITED)
+        requester.view.inventory.record_report("i-1", LIMITED, 0.0)
         async with run_gateways(owner, requester):
             permit = await acquire(requester)
         assert permit.limit_per_s == LIMITED.limit_per_s
@@ -155,7 +181,7 @@
         """Guards against requests that the owner of a limited server cannot count."""
         gateway = build_peer("requester", [build_instance("i-3", "c")])
         assert gateway.view.rank_servers("s", "c", "o", now=1.0)
-        gateway.view.inventory.record_report("i-3", LIMITED)
+        gateway.view.inventory.record_report("i-3", LIMITED, 0.0)
         assert not gateway.view.rank_servers("s", "c", "o", now=1.0)
-        gateway.view.inventory.record_report("i-3", ServerReport(limit_per_s=math.inf))
+        gateway.view.inventory.record_report("i-3", ServerReport(limit_per_s=math.inf), 0.0)
         assert gateway.view.rank_servers("s", "c", "o", now=1.0)
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -245,6 +245,25 @@
         failure = await harness.send_expecting_error(head + leaving + SEALED + b"\r\n")
         assert failure.report.is_leaving
 
+    @pytest.mark.parametrize(
+        ("status", "header", "pause_s"),
+        [
+            (b"503", b"Retry-After: 1.5\r\n", 1.5),
+            (b"503", b"Retry-After: soon\r\n", 0.0),
+            (b"503", b"", 0.0),
+            (b"429", b"Retry-After: 1.5\r\n", 0.0),
+        ],
+    )
+    async def test_pause_of_a_refusal_is_read(
+        self, harness: UpstreamHarness, status: bytes, header: bytes, pause_s: float
+    ) -> None:
+        """Guards against requests to a server that has asked for a pause."""
+        head = b"HTTP/1.1 " + status + b" No\r\nContent-Length: 0\r\n" + header
+        failure = await harness.send_expecting_error(
+            head + b"X-Briarfork-Not-Executed: 1\r\n" + SEALED + b"\r\n"
+        )
+        assert failure.report.pause_s == pause_s
+
     async def test_response_to_another_request_is_rejected(self, harness: UpstreamHarness) -> None:
         """Guards against taking a late extra response for the next one."""
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Attempt-Id: r0\r\n"
--- a/tests/pools/test_inventory.py
+++ b/tests/pools/test_inventory.py
@@ -62,27 +62,27 @@
     def test_server_that_says_that_it_leaves_is_not_used(self) -> None:
         """Guards against requests to a server whose entry does not say yet that it drains."""
         inventory = build_inventory(1)
-        inventory.record_report("i-0-0", ServerReport(is_leaving=True))
+        inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
         assert "i-0-0" not in [item.name for item in inventory.list_usable("s", "z-0")]
         assert inventory.has_left(build_server().to_server_address())
 
     def test_later_entry_of_the_same_process_does_not_bring_it_back(self) -> None:
         """Guards against a heartbeat that was sent before the server began to leave."""
         inventory = build_inventory(1)
-        inventory.record_report("i-0-0", ServerReport(is_leaving=True))
+        inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
         inventory.put(build_server())
         assert inventory.has_left(build_server().to_server_address())
 
     def test_report_before_the_first_entry_counts(self) -> None:
         """Guards against a VM that learns of a server from another VM and of its leaving first."""
         inventory = Inventory()
-        inventory.record_report("i-0-0", ServerReport(is_leaving=True))
+        inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
         inventory.put(build_server())
         assert inventory.list_usable("s", "z-0") == []
 
     def test_server_that_was_started_again_is_used(self) -> None:
         """Guards against a server that is left out for good after a restart under its name."""
         inventory = build_inventory(1)
-        inventory.record_report("i-0-0", ServerReport(is_leaving=True))
+        inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
         inventory.put(build_server(started_at_ms=7))
         assert len(inventory.list_usable("s", "z-0")) == SERVERS_PER_ZONE
