Refuse requests that a stopping VM would break off

Cause: a stopping VM serves its callers until the lookups that name it have expired, and did not ask whether a server can respond before it breaks off requests in progress. Change: while a VM stops, a request for which less than 1.3 times the mean run time is left is refused as not run, with a Retry-After of 0.02 s, because another VM can take it at once. Test: tests/gateway/test_dispatch.py; before, the request was sent.

--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
+from briarfork.entry.slot_client import SlotRefused
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
@@ -38,6 +39,10 @@
 MAX_UNSENT_ATTEMPTS = 4
 # With less of the latency objective left, a server cannot respond in time.
 MIN_RUN_FRACTION = 0.15
+# A stopping VM sends a request only if this multiple of the mean run time is left. One that may be
+# broken off is refused, so that its caller can send it to another VM.
+STOP_RUN_TIME_FACTOR = 1.3
+OTHER_VM_RETRY_S = 0.02
 
 
 class Dispatcher:
@@ -157,7 +162,7 @@
         """
         route = progress.route
         try:
-            _require_time_to_run(progress)
+            self._require_time_to_run(progress)
             slot_request = SlotRequirements(
                 route,
                 progress.service,
@@ -168,7 +173,7 @@
             permit = await self._permits.acquire(slot_request)
             await confirm_permit(self._permits, permit)
             try:
-                _require_time_to_run(progress)
+                self._require_time_to_run(progress)
             except NotRun:
                 self._permits.release(permit, Release.UNUSED, 0.0)
                 raise
@@ -181,6 +186,24 @@
                 raise OutcomeUnknown(f"sent without a response, then: {error.detail}") from error
             raise
 
+    def _require_time_to_run(self, progress: Progress) -> None:
+        """Checks that a server can respond before the deadline, and before this VM stops.
+
+        Raises:
+            NotRun: If it cannot.
+        """
+        now = time.monotonic()
+        if progress.deadline.remaining_s(now) < MIN_RUN_FRACTION * progress.route.objective_s:
+            raise NotRun(ErrorKind.OVERLOADED, "not enough time is left to run the request")
+        objective_s = progress.route.objective_s
+        run_s = self._permits.mean_run_times_s.get(progress.service, objective_s)
+        if now + STOP_RUN_TIME_FACTOR * run_s > self._view.stops_at:
+            raise SlotRefused(
+                ErrorKind.OVERLOADED,
+                "this VM stops before a server would respond",
+                OTHER_VM_RETRY_S,
+            )
+
     def _handle_failure(self, progress: Progress, failure: AttemptError) -> Response | None:
         """Returns None to retry, or the server's error response if no retry is allowed.
 
@@ -213,17 +236,6 @@
         return budget
 
 
-def _require_time_to_run(progress: Progress) -> None:
-    """Checks that a server has enough time to respond before the deadline.
-
-    Raises:
-        NotRun: If it has not.
-    """
-    remaining_s = progress.deadline.remaining_s(time.monotonic())
-    if remaining_s < MIN_RUN_FRACTION * progress.route.objective_s:
-        raise NotRun(ErrorKind.OVERLOADED, "not enough time is left to run the request")
-
-
 def _build_failure(progress: Progress, failure: AttemptError) -> BriarforkError:
     if progress.may_have_run:
         return OutcomeUnknown(str(failure))
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -33,6 +33,10 @@
     """The gateway's copy of the configuration and the fleet, kept while the store is unavailable.
 
     The gateway uses availability zones as the sites of slots.
+
+    Attributes:
+        stops_at: Time at which this VM breaks off requests in progress, in seconds on the monotonic
+            clock; infinite unless it is stopping.
     """
 
     def __init__(
@@ -42,6 +46,7 @@
         self.location = location
         self.retry_limits = retry_limits
         self.inventory = Inventory()
+        self.stops_at = math.inf
         self.members: dict[str, Member] = {}
         self._route_table: RouteTable | None = None
         self._events = events
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -211,11 +211,14 @@
     ) -> None:
         """Stops accepting callers and waits for requests in progress.
 
-        Callers cache lookups, so new connections arrive for a while after deregistration.
+        Callers cache lookups, so new connections arrive for a while after deregistration. Their
+        requests are refused if they would not end before the VM stops.
         """
         server, runner = callers
+        now = time.monotonic()
         self._gateway.draining = True
-        accept_until = time.monotonic() + ACCEPT_FRACTION * self._settings.grace_s
+        self._gateway.view.stops_at = now + self._settings.grace_s - EXIT_MARGIN_S
+        accept_until = now + ACCEPT_FRACTION * self._settings.grace_s
         await registration.deregister()
         await asyncio.sleep(max(0.0, accept_until - time.monotonic()))
         server.close()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -140,6 +140,7 @@
         slots: int = 9,
     ) -> None:
         gateway = build_gateway(replace(ROUTE, kind=kind))
+        self.view = gateway.view
         self.upstream = ScriptedUpstream(*outcomes)
         self.permits = ScriptedPermits(gateway, *(f"i-{number}" for number in range(slots)))
         self.dispatcher = Dispatcher(gateway.view, self.permits, self.upstream, EventLog("test"))
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -157,3 +157,22 @@
         with pytest.raises(NotRun) as caught:
             await harness.send()
         assert caught.value.kind is ErrorKind.NO_CONFIGURATION
+
+
+class TestStoppingVm:
+    @pytest.mark.parametrize("kind", RequestKind)
+    async def test_request_that_would_be_broken_off_is_refused(self, kind: RequestKind) -> None:
+        """Guards against a planned stop that ends requests which came late in its grace period."""
+        harness = DispatchHarness(RESPONSE, kind=kind)
+        harness.permits.mean_run_times_s["s"] = 1.0
+        harness.view.stops_at = time.monotonic() + 1.0
+        with pytest.raises(NotRun):
+            await harness.send()
+        assert harness.upstream.sent == []
+
+    async def test_request_that_ends_before_the_stop_is_served(self) -> None:
+        """Guards against refusing all requests from the start of a planned stop."""
+        harness = DispatchHarness(RESPONSE)
+        harness.permits.mean_run_times_s["s"] = 1.0
+        harness.view.stops_at = time.monotonic() + 2.0
+        assert await harness.send() == RESPONSE
