Move the permits that are held out of the permit queue

Change: HeldPermits keeps the granted permits and those of lost streams. The names of the servers that accept requests are kept with the list, so that a waiting request that avoids servers costs no more. Test: tests/pools/test_cost.py has the case of a retry; the state machine of the queue is unchanged.

--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -8,6 +8,7 @@
 
 from briarfork.configuration import RequestClass
 from briarfork.pools.cold_start import ColdStartLimiter
+from briarfork.pools.held_permits import HeldPermits
 from briarfork.pools.objects import ObjectIndex
 from briarfork.pools.permit import Grant
 from briarfork.pools.permit import HeldPermit
@@ -39,10 +40,6 @@
 # Bounds memory and the work that a burst causes. The check of the expected wait refuses requests
 # long before this length is reached.
 MAX_QUEUE_LENGTH = 4096
-# A requester whose stream was closed reconnects and declares its permits within this time, unless
-# its process died. In that case its connections to the servers are closed as well, which cancels
-# its requests there.
-ORPHAN_GRACE_S = 2.0
 # Run times vary, so a request is refused at once unless twice the expected wait is left. With a
 # factor of 1, half of the requests at the limit would be refused only after they had expired.
 WAIT_SAFETY_FACTOR = 2.0
@@ -84,8 +81,8 @@
         self._wait_queues: dict[QueueRank, WaitQueue] = {}
         self._run_times = {request_class: RunTimes() for request_class in RequestClass}
         self._objects = ObjectIndex()
-        self._held_permits: dict[str, HeldPermit] = {}
-        self._next_orphan_expiry = math.inf
+        self._held_permits = HeldPermits()
+        self._active: frozenset[str] = frozenset()
         self._first_list_applied = False
 
     @property
@@ -141,6 +138,7 @@
                 server.slow_start = SlowStart(cold=self._first_list_applied and self._slow_start)
                 self._remove_server(vm)
                 self._servers[vm] = server
+        self._active = frozenset(listed)
         self._first_list_applied = self._first_list_applied or bool(self._servers)
 
     def _remove_server(self, vm: str) -> None:
@@ -250,7 +248,7 @@
             now: Time, in seconds.
             report: What the server said with its response.
         """
-        held = self._held_permits.pop(permit, None)
+        held = self._held_permits.pop(permit)
         if held is None:
             return
         server = self._servers[held.vm]
@@ -296,14 +294,12 @@
         server = self._servers.get(vm)
         if server is not None and limit_per_s != math.inf:
             server.limit_rate(limit_per_s, now)
-        if permit in self._held_permits:
-            self._held_permits[permit].requester = requester
-            self._held_permits[permit].orphaned_until = math.inf
-        elif server is not None:
-            server.start(permit, request_class, now)
-            if object_key:
-                self._objects.add(object_key, vm)
-            self._held_permits[permit] = HeldPermit(requester, vm, request_class)
+        if self._held_permits.change_requester(permit, requester) or server is None:
+            return
+        server.start(permit, request_class, now)
+        if object_key:
+            self._objects.add(object_key, vm)
+        self._held_permits.add(permit, HeldPermit(requester, vm, request_class))
 
     def release_earlier_streams(self, requester: Requester, now: float) -> list[SlotRequest]:
         """Releases all permits of a VM's earlier streams that its new stream has not declared.
@@ -311,12 +307,7 @@
         Returns:
             The waiting requests of the earlier streams, which are removed.
         """
-        earlier = {
-            held.requester
-            for held in self._held_permits.values()
-            if held.requester.vm == requester.vm and held.requester != requester
-        }
-        for permit in [p for p, item in self._held_permits.items() if item.requester in earlier]:
+        for permit in self._held_permits.list_of_earlier_streams(requester):
             self.release(permit, Release.CANCELLED, 0.0, now)
         return self._remove_waiting(
             lambda item: item.requester.vm == requester.vm and item.requester != requester
@@ -325,27 +316,14 @@
     def drop_requester(self, requester: Requester, silent: bool, now: float) -> list[SlotRequest]:
         """Removes and returns the waiting requests of a requester whose stream is lost.
 
-        Its permits are kept as orphans, because its requests may still run. They are kept until
-        the requester declares them again, or for a grace period if the stream was closed. If the
-        stream went silent, they are kept until the requests have expired, because a process that
-        is paused or partitioned keeps its connections to the servers.
+        Its permits are kept for a time, because its requests may still run.
         """
-        for held in self._held_permits.values():
-            if held.requester == requester:
-                grace_end = now + ORPHAN_GRACE_S
-                request_end = held.expires_at if held.expires_at < math.inf else grace_end
-                held.orphaned_until = max(request_end, grace_end) if silent else grace_end
-                self._next_orphan_expiry = min(self._next_orphan_expiry, held.orphaned_until)
+        self._held_permits.orphan(requester, silent, now)
         return self._remove_waiting(lambda item: item.requester == requester)
 
     def _free_orphans(self, now: float) -> None:
-        if now < self._next_orphan_expiry:
-            return
-        ended = [p for p, held in self._held_permits.items() if held.orphaned_until <= now]
-        for permit in ended:
+        for permit in self._held_permits.list_expired_orphans(now):
             self.release(permit, Release.CANCELLED, 0.0, now)
-        ends = (held.orphaned_until for held in self._held_permits.values())
-        self._next_orphan_expiry = min(ends, default=math.inf)
 
     def _remove_waiting(self, match: Callable[[SlotRequest], bool]) -> list[SlotRequest]:
         removed = [
@@ -426,10 +404,7 @@
 
     def _filter_eligible(self, request: SlotRequest, servers: list[Server]) -> list[Server]:
         """Returns the servers that a request may use: untried ones, or any if all were tried."""
-        if not request.avoid:
-            return servers
-        active = [vm for vm, server in self._servers.items() if not server.leaving]
-        if not request.hedge and request.avoid.issuperset(active):
+        if not request.avoid or (not request.hedge and request.avoid >= self._active):
             return servers
         return [server for server in servers if server.address.vm not in request.avoid]
 
@@ -459,8 +434,11 @@
         server.start(request.permit, request.request_class, now)
         if request.object_key:
             self._objects.add(request.object_key, server.address.vm)
-        self._held_permits[request.permit] = HeldPermit(
-            request.requester, server.address.vm, request.request_class, request.expires_at
+        self._held_permits.add(
+            request.permit,
+            HeldPermit(
+                request.requester, server.address.vm, request.request_class, request.expires_at
+            ),
         )
         return Grant(request, server.address, server.limit_per_s)
 
--- a/tests/pools/test_cost.py
+++ b/tests/pools/test_cost.py
@@ -29,17 +29,18 @@
 MAX_CALLS_PER_ITEM = 10
 
 
-def build_request(number: int) -> SlotRequest:
+def build_request(number: int, avoid: frozenset[str] = frozenset()) -> SlotRequest:
     return SlotRequest(
         f"p-{number}",
         Requester("vm"),
         RequestClass.SHORT,
         expires_at=9.0,
+        avoid=avoid,
         object_key=str(number % OBJECTS),
     )
 
 
-def build_full_queue(waiting: int) -> PermitQueue:
+def build_full_queue(waiting: int, avoid: frozenset[str]) -> PermitQueue:
     """Returns a queue whose servers are all full, with a number of waiting requests."""
     queue = PermitQueue(SiteCapacity(SLOTS, 400), False, Random(1), slow_start=False)
     queue.set_servers(ServerAddress(f"s-{number}", "127.0.0.1", 1) for number in range(SERVERS))
@@ -47,7 +48,7 @@
         (grant,) = queue.submit(build_request(number), 0.0)
         assert isinstance(grant, Grant)
     for number in range(SERVERS * SLOTS, SERVERS * SLOTS + waiting):
-        queue.enqueue(build_request(number))
+        queue.enqueue(build_request(number, avoid))
     return queue
 
 
@@ -68,9 +69,12 @@
 
 class TestCostOfGrants:
     @pytest.mark.parametrize("waiting", [20, 100, 400])
-    def test_release_does_not_compare_all_requests_with_all_servers(self, waiting: int) -> None:
+    @pytest.mark.parametrize("avoid", [frozenset(), frozenset({"s-2"})], ids=["first", "retry"])
+    def test_release_does_not_compare_all_requests_with_all_servers(
+        self, waiting: int, avoid: frozenset[str]
+    ) -> None:
         """Guards against owners of slots whose event loop is late because they grant slots."""
-        queue = build_full_queue(waiting)
+        queue = build_full_queue(waiting, avoid)
 
         def grant_freed_slot() -> None:
             queue.release("p-0", Release.DONE, 2.0, 2.0)
