Let servers name limits, leave and ask for pauses in the soak

Change: a fault lets the servers of a service name a limit, or refuse requests and ask for pauses; a server that leaves says so, half of them in their responses only; entries with a port, slots or a start time out of range are written. Invariants check what VMs do that have been told.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -11,6 +11,8 @@
 from briarfork.platform import names
 from briarfork.registry import Registry
 from tests.soak.ledger import Run
+from tests.soak.ledger import Statement
+from tests.soak.ledger import StatementKind
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -22,6 +24,7 @@
 QUEUE_CAPACITY = 3
 FAULT_PROBABILITY = 0.3
 SLOW_DELAY_S = 0.8
+PAUSE_S = 4.0
 BACKEND_FAULTS: Registry[Callable[[Backend, web.BaseRequest, bytes], Awaitable[web.StreamResponse]]]
 BACKEND_FAULTS = Registry("backend server fault")
 
@@ -39,7 +42,13 @@
 
 
 class Backend:
-    """One incarnation of a backend server; requests succeed unless `fault` names a fault."""
+    """One incarnation of a backend server; requests succeed unless `fault` names a fault.
+
+    Attributes:
+        limit_per_s: Limit that it names, 0 for none.
+        leaving: Whether it says that it leaves.
+        refusing: Whether it refuses some requests and asks for a pause.
+    """
 
     def __init__(
         self, name: str, service: str, zone: str, slots: int, ledger: Ledger, random: Random
@@ -49,6 +58,9 @@
         self.zone = zone
         self.slots = slots
         self.fault = ""
+        self.limit_per_s = 0.0
+        self.leaving = False
+        self.refusing = False
         self.random = random
         self.in_progress = 0
         self._ledger = ledger
@@ -67,8 +79,11 @@
         request_id = request.headers[names.ATTEMPT_ID]
         if request.headers.get(names.PINNED_INSTANCE) != self.name:
             return build_refusal(request_id, 421)
+        self._ledger.arrivals[self.name].append((time.monotonic(), request_id))
         if self.in_progress >= self.slots + QUEUE_CAPACITY:
             return build_refusal(request_id, 503)
+        if self.refusing and self.random.random() < FAULT_PROBABILITY:
+            return self._refuse_for_a_while(request_id)
         deadline_s = int(request.headers[names.DEADLINE_MS]) / 1000.0
         run = Run(self.name, self.service, self.zone, time.monotonic(), deadline_s)
         self._ledger.runs[request_id].append(run)
@@ -82,6 +97,16 @@
             self.in_progress -= 1
             run.ended_at = time.monotonic()
 
+    def _refuse_for_a_while(self, request_id: str) -> web.Response:
+        response = build_refusal(request_id, 503)
+        response.headers["Retry-After"] = str(PAUSE_S)
+        self._record(request_id, StatementKind.PAUSE, PAUSE_S)
+        return response
+
+    def _record(self, request_id: str, kind: StatementKind, value: float = 0.0) -> None:
+        statement = Statement(self.name, request_id, kind, time.monotonic(), value)
+        self._ledger.statements.append(statement)
+
     async def _handle_request(
         self, request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
@@ -97,6 +122,12 @@
             names.RESPONSE_SEAL: f"{self.name}.{request_id}",
             names.SERVER_LOAD: f"{self.in_progress},0,{self.slots},100",
         }
+        if self.leaving:
+            headers[names.SERVER_LEAVING] = "1"
+            self._record(request_id, StatementKind.LEAVING)
+        if self.limit_per_s:
+            headers[names.SERVER_LIMIT] = str(self.limit_per_s)
+            self._record(request_id, StatementKind.LIMIT, self.limit_per_s)
         return web.Response(status=status, body=body, headers=headers)
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,7 +30,20 @@
 Fault = Callable[["SoakEnvironment", "Random"], Awaitable[str]]
 FAULTS: Registry[Fault] = Registry("fault")
 STORE = "store"
-MALFORMED_RECORDS: list[object] = [[], {"address": 7}, "x", {"info": None}, {"version": "1"}]
+INFO = {"service": "orders", "zone": "a", "slots": 4}
+STATUS = {"state": "ready", "sequence": 1}
+MALFORMED_RECORDS: list[object] = [
+    [],
+    {"address": 7},
+    "x",
+    {"info": None},
+    {"version": "1"},
+    {"address": "127.0.0.1:99999", "info": INFO, "status": STATUS},
+    {"address": "127.0.0.1:80", "info": INFO | {"slots": 10**30}, "status": STATUS},
+    {"address": "127.0.0.1:80", "info": INFO, "status": STATUS, "born": -(10**400)},
+]
+# Without a limit, a server gets about 3 requests a second.
+LIMIT_PER_S = 0.2
 ADDRESS_REUSE_DELAY_S = 2.0
 # Time between the two resets of a link.
 RESET_INTERVAL_S = 0.2
@@ -106,6 +119,7 @@
     process = vm.process
     started_at = time.monotonic()
     environment.signal(vm, signal.SIGTERM)
+    environment.ledger.restart_times[vm.name].append(started_at)
     if process is not None:
         try:
             async with asyncio.timeout(GRACE_S):
@@ -221,12 +235,15 @@
 
 @FAULTS.register("server leaves")
 async def drain_server(environment: SoakEnvironment, random: Random) -> str:
+    """Stops a server gracefully; some say that they leave in their responses only."""
     endpoint = choose_endpoint(environment, random)
     name = endpoint.backend.name
-    endpoint.state = "draining"
-    await environment.register(endpoint, time.monotonic())
-    if not environment.store.down:
-        environment.ledger.drain_times[name] = time.monotonic()
+    endpoint.backend.leaving = True
+    if random.random() < 0.5:
+        endpoint.state = "draining"
+        await environment.register(endpoint, time.monotonic())
+        if not environment.store.down:
+            environment.ledger.drain_times[name] = time.monotonic()
     await asyncio.sleep(DRAIN_S + random.uniform(0.5, 2.0))
     endpoint.listed = False
     await environment.store.delete(names.SERVER_PREFIX + name)
@@ -250,6 +267,21 @@
     return f"{backend.name} {mode}"
 
 
+@FAULTS.register("server limits")
+async def limit_server(environment: SoakEnvironment, random: Random) -> str:
+    """Lets the servers of a service name limits, or refuse some requests and ask for pauses."""
+    service = random.choice(SERVICES)
+    backends = [item.backend for item in environment.endpoints if item.backend.service == service]
+    refusing = random.random() < 0.5
+    for backend in backends:
+        backend.limit_per_s = 0.0 if refusing else LIMIT_PER_S
+        backend.refusing = refusing
+    await asyncio.sleep(random.uniform(6.0, 9.0))
+    for backend in backends:
+        backend.limit_per_s, backend.refusing = 0.0, False
+    return f"{service} {'pauses' if refusing else 'limits'}"
+
+
 @FAULTS.register("evacuation")
 async def evacuate_zone(environment: SoakEnvironment, random: Random) -> str:
     zone = random.choice(list(ZONES))
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -13,11 +13,13 @@
 from tests.soak.environment import DRAIN_S
 from tests.soak.environment import EVACUATE_S
 from tests.soak.faults import STORE
+from tests.soak.ledger import StatementKind
 
 if TYPE_CHECKING:
     from tests.soak.ledger import Call
     from tests.soak.ledger import Ledger
     from tests.soak.ledger import Run
+    from tests.soak.ledger import Statement
 
 Invariant = Callable[["Ledger"], Iterator[str]]
 INVARIANTS: Registry[Invariant] = Registry("invariant")
@@ -32,6 +34,12 @@
 FAULT_EFFECT_S = 4.0
 # A VM notices a change within this time, and a request can be in transit for equally long.
 CANCELLATION_SLACK_S = 0.5
+# A VM heeds what a server says within this time.
+STATEMENT_SLACK_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXCESS = 5
+MAX_PAUSED_REQUESTS = 2
 MAX_CALL_DURATION_S = 60.0
 # At most this share of the abandoned requests may still run after the slack.
 MAX_ABANDONED_SHARE = 0.25
@@ -139,6 +147,81 @@
             )
 
 
+def list_told_vms(ledger: Ledger, kind: StatementKind) -> dict[tuple[str, str], Statement]:
+    """Returns the first statement of a kind that each server made to each VM."""
+    told: dict[tuple[str, str], Statement] = {}
+    for statement in ledger.statements:
+        call = ledger.calls.get(statement.request)
+        if call is not None and call.status and statement.kind is kind:
+            told.setdefault((statement.server, call.vm), statement)
+    return told
+
+
+@INVARIANTS.register("leaving servers")
+def check_leaving_servers(ledger: Ledger) -> Iterator[str]:
+    """A VM that a server told that it leaves sends it no request after the drain time."""
+    told = list_told_vms(ledger, StatementKind.LEAVING)
+    for call, run in list_runs(ledger):
+        statement = told.get((run.server, call.vm))
+        if statement is None or call.sent_at <= statement.at + DRAIN_S:
+            continue
+        if ledger.has_kept_state(call.vm, statement.at, run.started_at):
+            yield f"{call.name} at {run.server} {call.sent_at - statement.at:.2f} s after its word"
+
+
+@INVARIANTS.register("limits")
+def check_limits(ledger: Ledger) -> Iterator[str]:
+    """A server with a limit gets few more requests than that from the VMs that it told."""
+    told = list_told_vms(ledger, StatementKind.LIMIT)
+    for server in {server for server, _ in told}:
+        per_s = max(item.value for (name, _), item in told.items() if name == server)
+        times = list(list_limited_arrivals(ledger, server, told))
+        counts = [sum(start <= at < start + LIMIT_WINDOW_S for at in times) for start in times]
+        if max(counts, default=0) > LIMIT_FACTOR * per_s * LIMIT_WINDOW_S + LIMIT_EXCESS:
+            yield f"{server}: {max(counts)} requests in {LIMIT_WINDOW_S} s at {per_s} a second"
+
+
+def list_limited_arrivals(
+    ledger: Ledger, server: str, told: dict[tuple[str, str], Statement]
+) -> Iterator[float]:
+    """Yields when requests of VMs that know the limit of a server reached it."""
+    named = [
+        item.at
+        for item in ledger.statements
+        if item.server == server and item.kind is StatementKind.LIMIT
+    ]
+    for time_s, request in ledger.arrivals[server]:
+        if not named[0] + FAULT_EFFECT_S <= time_s <= named[-1] or request not in ledger.calls:
+            continue
+        vm = ledger.calls[request].vm
+        statement = told.get((server, vm))
+        if statement is None or statement.at + STATEMENT_SLACK_S > time_s:
+            continue
+        if ledger.has_kept_state(vm, statement.at, time_s):
+            yield time_s
+
+
+@INVARIANTS.register("pauses")
+def check_pauses(ledger: Ledger) -> Iterator[str]:
+    """A VM that a server asked for a pause sends it nearly nothing until the pause is over."""
+    for statement in ledger.statements:
+        asked = ledger.calls.get(statement.request)
+        if statement.kind is not StatementKind.PAUSE or asked is None:
+            continue
+        start, end = statement.at + STATEMENT_SLACK_S, statement.at + statement.value
+        arrived = [
+            request
+            for time_s, request in ledger.arrivals[statement.server]
+            if start < time_s < end
+            and request in ledger.calls
+            and ledger.calls[request].vm == asked.vm
+        ]
+        if len(arrived) > MAX_PAUSED_REQUESTS and ledger.has_kept_state(
+            asked.vm, statement.at, end
+        ):
+            yield f"{statement.server}: {len(arrived)} requests from {asked.vm} during a pause"
+
+
 @INVARIANTS.register("evacuated zones")
 def check_evacuated_zones(ledger: Ledger) -> Iterator[str]:
     """An evacuated zone gets no new requests after the evacuation time."""
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
 
 
 @dataclass(slots=True)
@@ -62,6 +63,33 @@
     ended_at: float = math.inf
 
 
+class StatementKind(Enum):
+    """What a backend server can say about itself with a response."""
+
+    LIMIT = "limit"
+    LEAVING = "leaving"
+    PAUSE = "pause"
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """What a backend server said with the response to a request.
+
+    Attributes:
+        server: Name of the server incarnation.
+        request: ID of the request.
+        kind: What the server said.
+        at: Monotonic time of the response.
+        value: Requests per second of a limit, or seconds of a pause.
+    """
+
+    server: str
+    request: str
+    kind: StatementKind
+    at: float
+    value: float = 0.0
+
+
 @dataclass(slots=True)
 class FaultInterval:
     """Time interval of an injected fault."""
@@ -86,6 +114,9 @@
         stop_times: Times at which servers stopped.
         evacuations: Intervals of the evacuations by zone.
         configurations: Acknowledged configurations: time and service of the route "move".
+        arrivals: Times and IDs of all requests that reached a server, also of refused ones.
+        statements: What servers said about themselves.
+        restart_times: Times of planned stops by VM.
         unexpected_exits: Descriptions of processes that exited or failed to stop.
     """
 
@@ -98,6 +129,9 @@
     stop_times: dict[str, float] = field(default_factory=dict)
     evacuations: dict[str, list[FaultInterval]] = field(default_factory=lambda: defaultdict(list))
     configurations: list[tuple[float, str]] = field(default_factory=list)
+    arrivals: dict[str, list[tuple[float, str]]] = field(default_factory=lambda: defaultdict(list))
+    statements: list[Statement] = field(default_factory=list)
+    restart_times: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     unexpected_exits: list[str] = field(default_factory=list)
 
     def start_fault(self, subject: str, kind: str, now: float) -> FaultInterval:
@@ -105,6 +139,11 @@
         self.fault_intervals[subject].append(interval)
         return interval
 
+    def has_kept_state(self, vm: str, start: float, end: float) -> bool:
+        """Returns whether a VM neither restarted nor had a fault in a time interval."""
+        restarted = any(start <= time_s <= end for time_s in self.restart_times.get(vm, []))
+        return not restarted and self.is_fault_free([vm], start, end)
+
     def is_fault_free(self, subjects: list[str], start: float, end: float) -> bool:
         """Returns whether no fault of any of the subjects overlaps a time interval."""
         return not any(
