Split the records of the platform by who writes them

Change: the configuration, the entries of servers and VMs, and what they share are modules of their own, with their tests.

--- /dev/null
+++ b/src/briarfork/platform/configuration_record.py
@@ -0,0 +1,168 @@
+"""The configuration as operators write it to the platform's store."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import Any
+
+import msgspec
+from msgspec import Meta
+
+from briarfork.platform.records import InvalidRecord
+from briarfork.platform.records import NonEmptyStr
+from briarfork.platform.records import decode_record
+from briarfork.platform.units import parse_duration
+from briarfork.routing import CallerLimits
+from briarfork.routing import RequestKind
+from briarfork.routing import Route
+from briarfork.routing import RouteTable
+from briarfork.routing import ServicePolicy
+from briarfork.routing import TrafficShare
+
+NonNegativeInt = Annotated[int, Meta(ge=0)]
+PositiveInt = Annotated[int, Meta(ge=1)]
+Prefix = Annotated[str, Meta(pattern=r"^/(.*/)?$")]
+
+
+class Columns(msgspec.Struct, frozen=True):
+    """A table of column names and rows of values in the order of the columns."""
+
+    columns: list[str]
+    rows: list[list[Any]]
+
+    def list_rows(self) -> list[dict[str, Any]]:
+        """Returns the rows as maps from column to value, without null values."""
+        return [
+            {
+                name: value
+                for name, value in zip(self.columns, row, strict=True)
+                if value is not None
+            }
+            for row in self.rows
+        ]
+
+
+class SplitRow(msgspec.Struct, frozen=True):
+    """The weight of one service in the traffic split of a route."""
+
+    service: NonEmptyStr
+    weight: Annotated[float, Meta(ge=0)]
+
+
+class RouteRow(msgspec.Struct, frozen=True):
+    """A route as operators write it.
+
+    Attributes:
+        slo: Response-time objective, as duration text.
+        timeout: Longest time that a caller waits for its response, as duration text.
+    """
+
+    name: NonEmptyStr
+    host: NonEmptyStr
+    prefix: Prefix
+    kind: RequestKind
+    timeout: str
+    slo: str
+    priority: NonNegativeInt = 0
+    service: NonEmptyStr | None = None
+    traffic_split: list[SplitRow] | None = None
+    max_attempts: PositiveInt = 1
+    sticky_sessions: bool = False
+    allowed_regions: list[str] = []
+
+    def build_route(self) -> Route:
+        """Returns the route of this row.
+
+        Raises:
+            ValueError: If the row names no service or a duration is malformed.
+        """
+        parts = self.traffic_split or []
+        shares = tuple(TrafficShare(part.service, part.weight) for part in parts if part.weight > 0)
+        if not shares:
+            if self.service is None:
+                raise ValueError(f"route {self.name!r}: expected a service")
+            shares = (TrafficShare(self.service, 1.0),)
+        return Route(
+            name=self.name,
+            host=self.host,
+            prefix=self.prefix,
+            kind=self.kind,
+            timeout_s=parse_duration(self.timeout),
+            objective_s=parse_duration(self.slo),
+            priority=self.priority,
+            shares=shares,
+            max_attempts=self.max_attempts,
+            sticky=self.sticky_sessions,
+            regions=frozenset(self.allowed_regions),
+        )
+
+
+class ServiceRow(msgspec.Struct, frozen=True):
+    """A service as operators write it."""
+
+    name: NonEmptyStr
+    max_connections: PositiveInt = 100
+    cold_start: str = "0s"
+    cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
+
+    def build_policy(self) -> ServicePolicy:
+        """Returns the service policy of this row.
+
+        Raises:
+            ValueError: If a duration is malformed.
+        """
+        cold_s = parse_duration(self.cold_start)
+        return ServicePolicy(self.name, self.max_connections, cold_s, self.cold_per_s)
+
+
+class LimitsRow(msgspec.Struct, frozen=True):
+    """Limits on the requests of callers."""
+
+    max_header_bytes: PositiveInt = 16384
+    max_body_bytes: PositiveInt = 67108864
+    header_timeout: str = "3s"
+    idle_timeout: str = "15s"
+
+
+class ConfigurationRecord(msgspec.Struct, frozen=True):
+    """The whole configuration."""
+
+    version: PositiveInt
+    routes: Columns
+    services: Columns
+    limits: LimitsRow = LimitsRow()
+
+
+def decode_configuration(value: bytes) -> RouteTable:
+    """Returns the route table of a configuration record.
+
+    Raises:
+        InvalidRecord: If any part of the record is invalid or a route names an unknown service.
+    """
+    record = decode_record("configuration", value, ConfigurationRecord)
+    try:
+        services = [
+            msgspec.convert(row, ServiceRow).build_policy() for row in record.services.list_rows()
+        ]
+        routes = [msgspec.convert(row, RouteRow).build_route() for row in record.routes.list_rows()]
+        limits = CallerLimits(
+            record.limits.max_header_bytes,
+            record.limits.max_body_bytes,
+            parse_duration(record.limits.header_timeout),
+            parse_duration(record.limits.idle_timeout),
+        )
+    except (msgspec.DecodeError, ValueError) as error:
+        raise InvalidRecord(f"configuration: {error}") from error
+    _check_routes(routes, {service.name for service in services})
+    return RouteTable(record.version, routes, services, limits)
+
+
+def _check_routes(routes: list[Route], services: set[str]) -> None:
+    seen = set()
+    for route in routes:
+        for share in route.shares:
+            if share.service not in services:
+                raise InvalidRecord(f"route {route.name!r}: unknown service {share.service!r}")
+        if (route.host, route.prefix) in seen:
+            raise InvalidRecord(f"route {route.name!r}: another route has the same host and prefix")
+        seen.add((route.host, route.prefix))
--- a/src/briarfork/platform/registration.py
+++ b/src/briarfork/platform/registration.py
@@ -8,7 +8,7 @@
 
 from briarfork.border.store import StoreUnavailable
 from briarfork.platform.names import MEMBER_PREFIX
-from briarfork.platform.records import encode_member
+from briarfork.platform.registration_records import encode_member
 from briarfork.platform.store import LeaseExpired
 
 if TYPE_CHECKING:
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -9,14 +9,14 @@
 from briarfork.border.busy_times import Work
 from briarfork.border.events import Event
 from briarfork.border.store import StoreUnavailable
+from briarfork.platform.configuration_record import decode_configuration
 from briarfork.platform.names import CONFIGURATION_KEY
 from briarfork.platform.names import EVACUATION_PREFIX
 from briarfork.platform.names import MEMBER_PREFIX
 from briarfork.platform.names import SERVER_PREFIX
 from briarfork.platform.records import InvalidRecord
-from briarfork.platform.records import decode_configuration
-from briarfork.platform.records import decode_instance
-from briarfork.platform.records import decode_member
+from briarfork.platform.registration_records import decode_instance
+from briarfork.platform.registration_records import decode_member
 from briarfork.platform.store import HistoryUnavailable
 from briarfork.registry import Registry
 
--- /dev/null
+++ b/tests/platform/test_configuration_record.py
@@ -0,0 +1,87 @@
+"""Tests of decoding the configuration."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from briarfork.platform.configuration_record import decode_configuration
+from briarfork.platform.records import InvalidRecord
+from briarfork.routing import RequestKind
+
+ROUTE = ["r", "h", "/a/", "idempotent", "1500ms", "400ms", 2, "s", 2, True, ["north"], None]
+COLUMNS = [
+    "name",
+    "host",
+    "prefix",
+    "kind",
+    "timeout",
+    "slo",
+    "priority",
+    "service",
+    "max_attempts",
+    "sticky_sessions",
+    "allowed_regions",
+    "traffic_split",
+]
+
+
+def build_configuration(**changes: Any) -> dict[str, Any]:
+    row = [changes.get(name, value) for name, value in zip(COLUMNS, ROUTE, strict=True)]
+    return {
+        "version": 7,
+        "routes": {"columns": COLUMNS, "rows": [row]},
+        "services": {"columns": ["name", "cold_start", "cold_per_s"], "rows": [["s", "3s", 4.0]]},
+        "limits": {"max_header_bytes": 100, "idle_timeout": "15000ms"},
+    }
+
+
+class TestConfiguration:
+    def test_every_field_reaches_the_route(self) -> None:
+        """Guards against reading a column as another one."""
+        table = decode_configuration(json.dumps(build_configuration()).encode())
+        route = table.find("h", "/a/b")
+        assert route is not None
+        assert (route.kind, route.timeout_s, route.objective_s) == (
+            RequestKind.IDEMPOTENT,
+            1.5,
+            0.4,
+        )
+        assert (route.priority, route.max_attempts, route.sticky) == (2, 2, True)
+        assert route.allows_region("north")
+        assert not route.allows_region("south")
+        assert (table.version, table.limits.header_bytes, table.limits.idle_s) == (7, 100, 15.0)
+        assert table.services["s"].cold_per_s == 4.0
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"service": "unknown"},
+            {"kind": "odd"},
+            {"host": None},
+            {"prefix": "/a"},
+            {"timeout": "soon"},
+            {"service": None},
+            {"max_attempts": 0},
+        ],
+    )
+    def test_invalid_configuration_is_rejected_as_a_whole(self, changes: dict[str, Any]) -> None:
+        """Guards against applying a part of a configuration."""
+        with pytest.raises(InvalidRecord):
+            decode_configuration(json.dumps(build_configuration(**changes)).encode())
+
+    def test_two_routes_with_the_same_prefix_are_rejected(self) -> None:
+        """Guards against a route that depends on the order of rows."""
+        body = build_configuration()
+        body["routes"]["rows"] *= 2
+        with pytest.raises(InvalidRecord):
+            decode_configuration(json.dumps(body).encode())
+
+    def test_truncated_record_is_rejected(self) -> None:
+        """Guards against an undecodable value that stops the watcher."""
+        encoded = json.dumps(build_configuration()).encode()
+        for size in (0, 1, len(encoded) // 2, len(encoded) - 1):
+            with pytest.raises(InvalidRecord):
+                decode_configuration(encoded[:size])
