Name a missing limit to owners of slots only if it ends one

Cause: each release of an answered request named a limit, infinite in nearly all cases. Processes of an earlier version reject messages with fields that they do not know, so during an upgrade they would have closed the permit streams of each new VM. Change: the field is left out unless the owner or this VM knows of a limit. Test: tests/gateway/test_permits.py, failed before.

--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -138,9 +138,16 @@
     def release(
         self, permit: Permit, outcome: Release, elapsed_s: float, report: ServerReport = NO_REPORT
     ) -> None:
-        """Releases a permit and records what the server said."""
+        """Releases a permit and records what the server said.
+
+        The owner is told of a missing limit only if it ends one that it or this VM knows: owners of
+        an earlier version reject messages with a limit.
+        """
         inventory = self._gateway_view.inventory
+        known_limit = min(permit.limit_per_s, inventory.find_limit(permit.server.vm))
         inventory.record_report(permit.server.vm, report, time.monotonic())
+        if report.limit_per_s == known_limit == math.inf:
+            report = replace(report, limit_per_s=None)
         if report.is_leaving:
             outcome = Release.DRAINING
         super().release(permit, outcome, elapsed_s, report)
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -12,8 +12,10 @@
 import pytest
 
 from briarfork.border.events import EventLog
+from briarfork.border.messages import PermitRelease
 from briarfork.border.settings import Ports
 from briarfork.border.settings import Settings
+from briarfork.entry.owner_link import OwnerLink
 from briarfork.entry.slot_client import SlotRefused
 from briarfork.gateway.permits import SlotRequirements
 from briarfork.gateway.process import Gateway
@@ -32,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from briarfork.border.messages import Message
     from briarfork.entry.overflow import Permit
     from briarfork.pools import Instance
 
@@ -44,6 +47,7 @@
 PATIENT_ROUTE = replace(ROUTE, objective_s=2.0)
 LEAVING = ServerReport(is_leaving=True)
 PAUSED = ServerReport(pause_s=0.6)
+UNLIMITED = ServerReport(limit_per_s=math.inf)
 LIMITED = ServerReport(limit_per_s=2.0)
 SERVERS = [build_instance("i-1"), build_instance("i-2")]
 
@@ -168,6 +172,21 @@
             permit = await acquire(requester)
         assert permit.limit_per_s == LIMITED.limit_per_s
 
+    async def test_release_names_a_limit_only_if_one_is_or_was_known(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a field that owners of an earlier version reject in every message."""
+        sent: list[Message] = []
+        monkeypatch.setattr(OwnerLink, "send_if_open", lambda _, message: sent.append(message))
+        owner = build_peer("owner", SERVERS[:1])
+        requester = build_peer("requester", SERVERS[:1])
+        async with run_gateways(owner, requester):
+            permit = await acquire(requester)
+        for report in (UNLIMITED, LIMITED, UNLIMITED, UNLIMITED):
+            requester.permits.release(permit, Release.DONE, 0.1, report)
+        limits = [item.limit_per_s for item in sent if isinstance(item, PermitRelease)]
+        assert limits == [None, LIMITED.limit_per_s, math.inf, None]
+
     async def test_release_tells_the_owner_the_limit(self) -> None:
         """Guards against an owner that learns of a limit only from its own requests."""
         owner = build_peer("owner", SERVERS[:1])
