Keep what servers said with the process that said it

Cause: a VM forgot within 0.3 s that a server leaves if it had not seen its entry yet, and kept limits and pauses of a server that was started again under its name. Change: such a server counts as one that was removed, for 60 s; an entry with another start time ends limits and pauses. Test: tests/pools/test_inventory.py, two cases failed before.

--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -78,6 +78,9 @@
 
     def put(self, instance: Instance) -> None:
         """Adds or replaces a server."""
+        earlier = self._instances.get(instance.name)
+        if earlier is not None and earlier.started_at_ms != instance.started_at_ms:
+            self._forget_limits(instance.name)
         self._unlist(instance.name)
         self._update_leaving(instance)
         self._instances[instance.name] = instance
@@ -145,6 +148,8 @@
             instance = self._instances.get(name)
             self._leaving[name] = instance.started_at_ms if instance else None
             self._discard_usable(name)
+            if instance is None:
+                self._removed_at.setdefault(name, now)
         if report.limit_per_s == math.inf:
             self._limits_per_s.pop(name, None)
         elif report.limit_per_s is not None and name in self._instances:
@@ -198,9 +203,12 @@
     def _delete(self, name: str, now: float) -> None:
         self._unlist(name)
         self._lapsed_until.pop(name, None)
+        self._forget_limits(name)
+        self._removed_at[name] = now
+
+    def _forget_limits(self, name: str) -> None:
         self._limits_per_s.pop(name, None)
         self._paused_until.pop(name, None)
-        self._removed_at[name] = now
 
     def _update_leaving(self, instance: Instance) -> None:
         """Forgets that a server leaves if it has been started again under its name."""
--- a/tests/pools/test_inventory.py
+++ b/tests/pools/test_inventory.py
@@ -80,6 +80,24 @@
         inventory.put(build_server())
         assert inventory.list_usable("s", "z-0") == []
 
+    def test_report_is_kept_until_the_first_entry(self) -> None:
+        """Guards against a report that is forgotten before the entry of its server arrives."""
+        inventory = Inventory()
+        inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
+        inventory.expire(1.0)
+        inventory.put(build_server())
+        assert inventory.list_usable("s", "z-0") == []
+
+    def test_server_that_was_started_again_has_no_limit(self) -> None:
+        """Guards against a limit of an earlier process of the server."""
+        inventory = build_inventory(1)
+        inventory.record_report("i-0-0", ServerReport(limit_per_s=2.0, pause_s=9.0), 0.0)
+        inventory.put(build_server())
+        assert inventory.find_limit("i-0-0") == 2.0
+        inventory.put(build_server(started_at_ms=7))
+        assert inventory.find_limit("i-0-0") == float("inf")
+        assert not inventory.list_paused(1.0)
+
     def test_server_that_was_started_again_is_used(self) -> None:
         """Guards against a server that is left out for good after a restart under its name."""
         inventory = build_inventory(1)
