--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -9,16 +9,12 @@
 from briarfork.configuration import RequestClass
 from briarfork.pools.cold_start import ColdStartLimiter
 from briarfork.pools.held_permits import HeldPermits
-from briarfork.pools.objects import ObjectIndex
 from briarfork.pools.permit import Grant
 from briarfork.pools.permit import HeldPermit
 from briarfork.pools.permit import Refusal
 from briarfork.pools.permit import Release
+from briarfork.pools.placement import Placement
 from briarfork.pools.run_times import RunTimes
-from briarfork.pools.selection import PERMITS_POLICY
-from briarfork.pools.selection import SELECTION_POLICIES
-from briarfork.pools.selection import compute_affinity_score
-from briarfork.pools.selection import select_by_affinity
 from briarfork.pools.server import Server
 from briarfork.pools.server_report import NO_REPORT
 from briarfork.pools.slow_start import SlowStart
@@ -43,9 +39,6 @@
 # Run times vary, so a request is refused at once unless twice the expected wait is left. With a
 # factor of 1, half of the requests at the limit would be refused only after they had expired.
 WAIT_SAFETY_FACTOR = 2.0
-# How long a request waits for a server that has its object cached, as a multiple of the mean run
-# time. A run on a server without the object takes about three times as long.
-AFFINITY_WAIT_FACTOR = 1.0
 # Selects one of the free servers for a waiting request, or none.
 FindServer = Callable[["SlotRequest", "Mapping[str, Server]", float], "Server | None"]
 # Index of the request class in CLASS_ORDER and priority within the class; lower ranks go first.
@@ -75,14 +68,12 @@
         """
         self._capacity = capacity
         self._mixed = mixed
-        self._random = random
-        self._servers: dict[str, Server] = {}
         self._slow_start = slow_start
         self._wait_queues: dict[QueueRank, WaitQueue] = {}
         self._run_times = {request_class: RunTimes() for request_class in RequestClass}
-        self._objects = ObjectIndex()
+        self._placement = Placement(random, self._run_times[RequestClass.SHORT])
+        self._servers = self._placement.servers
         self._held_permits = HeldPermits()
-        self._active: frozenset[str] = frozenset()
         self._first_list_applied = False
 
     @property
@@ -127,7 +118,7 @@
         for vm, server in list(self._servers.items()):
             server.leaving = vm not in listed
             if server.leaving and not server.permits:
-                self._remove_server(vm)
+                self._placement.remove_server(vm)
         for vm, address in listed.items():
             if vm not in self._servers or self._servers[vm].address != address:
                 held = self._servers[vm].permits if vm in self._servers else {}
@@ -136,15 +127,11 @@
                 server.permits = held
                 # Servers on the first list may have run for long; those added later are new.
                 server.slow_start = SlowStart(cold=self._first_list_applied and self._slow_start)
-                self._remove_server(vm)
+                self._placement.remove_server(vm)
                 self._servers[vm] = server
-        self._active = frozenset(listed)
+        self._placement.active = frozenset(listed)
         self._first_list_applied = self._first_list_applied or bool(self._servers)
 
-    def _remove_server(self, vm: str) -> None:
-        self._servers.pop(vm, None)
-        self._objects.remove_server(vm)
-
     def submit(self, request: SlotRequest, now: float) -> list[Grant | Refusal]:
         """Queues a request and returns all decisions that can be made now."""
         if self.waiting >= MAX_QUEUE_LENGTH:
@@ -162,9 +149,9 @@
     def _decide_hedge(self, request: SlotRequest, now: float) -> Grant | Refusal:
         if self.waiting or self.in_progress >= MAX_HEDGE_UTILIZATION * self.slots:
             return Refusal(request, "hedged attempts are not allowed at this load")
-        free = self._find_free(request.request_class, now)
-        self._update_health(free, now)
-        server = self._select(request, free, now)
+        free = self._placement.find_free(request.request_class, now)
+        self._placement.update_health(free, now)
+        server = self._placement.select(request, free, now)
         if server is None:
             return Refusal(request, "no other server has a free slot")
         return self._grant(request, server, now)
@@ -218,12 +205,12 @@
                 decided.append(Refusal(request, "no slot became free in time"))
         if not self.waiting:
             return decided
-        free = self._find_free(RequestClass.SHORT, now)
+        free = self._placement.find_free(RequestClass.SHORT, now)
         for (class_index, _), wait_queue in self._wait_queues.items():
             if not wait_queue:
                 continue
             if CLASS_ORDER[class_index] is RequestClass.LONG:
-                free = self._find_free(RequestClass.LONG, now)
+                free = self._placement.find_free(RequestClass.LONG, now)
             decided += self._grant_waiting(wait_queue, free, now)
         return decided
 
@@ -269,7 +256,7 @@
         elif how is Release.FAILED:
             server.back_off(now)
         if server.leaving and not server.permits:
-            self._remove_server(held.vm)
+            self._placement.remove_server(held.vm)
 
     def cancel(self, permit: str, now: float) -> None:
         """Removes a waiting request, or releases a permit that the requester no longer needs.
@@ -298,7 +285,7 @@
             return
         server.start(permit, request_class, now)
         if object_key:
-            self._objects.add(object_key, vm)
+            self._placement.objects.add(object_key, vm)
         self._held_permits.add(permit, HeldPermit(requester, vm, request_class))
 
     def release_earlier_streams(self, requester: Requester, now: float) -> list[SlotRequest]:
@@ -334,14 +321,6 @@
             self._wait_queues[queue_rank].remove(request.permit)
         return removed
 
-    def _find_free(self, request_class: RequestClass, now: float) -> dict[str, Server]:
-        """Returns the servers that can accept a request of a class, by name."""
-        return {
-            vm: server
-            for vm, server in self._servers.items()
-            if server.can_accept(request_class, now)
-        }
-
     def _grant_waiting(
         self, wait_queue: WaitQueue, free: dict[str, Server], now: float
     ) -> list[Grant]:
@@ -358,10 +337,10 @@
             free: Servers that can accept a request of the class; full ones are removed.
             now: Time, in seconds.
         """
-        granted = self._grant_in_order(wait_queue, free, self._find_caching_server, now)
+        granted = self._grant_in_order(wait_queue, free, self._placement.find_caching_server, now)
         if wait_queue:
-            self._update_health(free, now)
-        return granted + self._grant_in_order(wait_queue, free, self._select, now)
+            self._placement.update_health(free, now)
+        return granted + self._grant_in_order(wait_queue, free, self._placement.select, now)
 
     def _grant_in_order(
         self,
@@ -384,56 +363,10 @@
                 del free[server.address.vm]
         return granted
 
-    def _update_health(self, free: Mapping[str, Server], now: float) -> None:
-        overdue_s = self._run_times[RequestClass.SHORT].overdue_s
-        for server in free.values():
-            server.count_overdue(now, overdue_s)
-            server.slowness = server.get_slowness(now)
-
-    def _find_caching_server(
-        self, request: SlotRequest, free: Mapping[str, Server], now: float
-    ) -> Server | None:
-        """Returns a free server that has recently handled the object of a request."""
-        caching = [free[vm] for vm in self._objects.list_servers(request.object_key) if vm in free]
-        eligible = self._filter_eligible(request, caching)
-        return max(
-            (server for server in eligible if server.is_prompt(now)),
-            key=lambda server: compute_affinity_score(request.object_key, server.address.vm),
-            default=None,
-        )
-
-    def _filter_eligible(self, request: SlotRequest, servers: list[Server]) -> list[Server]:
-        """Returns the servers that a request may use: untried ones, or any if all were tried."""
-        if not request.avoid or (not request.hedge and request.avoid >= self._active):
-            return servers
-        return [server for server in servers if server.address.vm not in request.avoid]
-
-    def _select(
-        self, request: SlotRequest, free: Mapping[str, Server], now: float
-    ) -> Server | None:
-        """Returns the best free server, or None if the request waits for a better one."""
-        eligible = self._filter_eligible(request, list(free.values()))
-        if not eligible:
-            return None
-        if not request.object_key:
-            return SELECTION_POLICIES.get(PERMITS_POLICY)(eligible, self._random)
-        cached = self._find_caching_server(request, free, now)
-        if cached is not None:
-            return cached
-        if now - request.asked_at < self._compute_affinity_wait_s():
-            names = self._objects.list_servers(request.object_key)
-            caching = [item for item in map(self._servers.__getitem__, names) if not item.leaving]
-            if any(item.is_prompt(now) for item in self._filter_eligible(request, caching)):
-                return None
-        return select_by_affinity(eligible, request.object_key)
-
-    def _compute_affinity_wait_s(self) -> float:
-        return AFFINITY_WAIT_FACTOR * self._run_times[RequestClass.SHORT].mean_s
-
     def _grant(self, request: SlotRequest, server: Server, now: float) -> Grant:
         server.start(request.permit, request.request_class, now)
         if request.object_key:
-            self._objects.add(request.object_key, server.address.vm)
+            self._placement.objects.add(request.object_key, server.address.vm)
         self._held_permits.add(
             request.permit,
             HeldPermit(
