End the limit of a server soon after the server ends it

Cause: two ways in which a limit outlived its end. A VM that had heard of it told the owner again with each permit that it returned, although the server had named none to others since. And requests that were declared to the owner, not granted by it, put its token bucket into debt, so that no request was sent that could show the end of the limit. Change: a VM tells owners only of limits that are at most 5 s old, and forgets them after 60 s. Test: tests/gateway/test_permits.py, tests/pools/test_inventory.py, tests/pools/test_rate_limits.py; the debt was seen failing before.

--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -70,6 +70,9 @@
     def members(self) -> Mapping[str, Member]:
         """All entry VMs by name."""
 
+    def find_recent_limit(self, vm: str) -> float:
+        """Returns a server's limit that may be news for the owner of its slots, else infinity."""
+
 
 class SlotClient:
     """Requests permits from the owners of slots and releases them.
@@ -336,5 +339,5 @@
             permit.server.vm,
             permit.request_class,
             object_key,
-            self._view.find_limit(permit.server.vm),
+            self._view.find_recent_limit(permit.server.vm),
         )
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -104,6 +104,10 @@
         """Returns infinity: servers of the product's own interface name no limit on requests."""
         return math.inf
 
+    def find_recent_limit(self, vm: str) -> float:
+        """Returns infinity, as `find_limit` does."""
+        return math.inf
+
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the entry VMs of a zone that can own slots."""
         return [
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -144,7 +144,7 @@
         an earlier version reject messages with a limit.
         """
         inventory = self._gateway_view.inventory
-        known_limit = min(permit.limit_per_s, inventory.find_limit(permit.server.vm))
+        known_limit = min(permit.limit_per_s, self._gateway_view.find_limit(permit.server.vm))
         inventory.record_report(permit.server.vm, report, time.monotonic())
         if report.limit_per_s == known_limit == math.inf:
             report = replace(report, limit_per_s=None)
@@ -266,7 +266,7 @@
 
         The release tells the owner. Shares of slots apply the limits that this VM knows.
         """
-        limit_per_s = self._gateway_view.find_limit(permit.server.vm)
+        limit_per_s = self._gateway_view.find_recent_limit(permit.server.vm)
         if permit.is_local or limit_per_s == math.inf or permit.limit_per_s != math.inf:
             return False
         report = ServerReport(limit_per_s=limit_per_s)
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
@@ -115,7 +116,11 @@
 
     def find_limit(self, vm: str) -> float:
         """Returns the requests per second that a server accepts, infinite if it names no limit."""
-        return self.inventory.find_limit(vm)
+        return self.inventory.find_limit(vm, time.monotonic())
+
+    def find_recent_limit(self, vm: str) -> float:
+        """Returns a limit that may be news for the owner of the server's slots, else infinity."""
+        return self.inventory.find_recent_limit(vm, time.monotonic())
 
     def list_zone_entries(self, zone: str) -> list[Member]:
         """Returns the serving entry VMs of a zone."""
@@ -155,7 +160,7 @@
             item
             for item in self.inventory.list_usable(service, zone)
             if self.inventory.find_cold_until(item) <= now
-            and self.inventory.find_limit(item.name) == math.inf
+            and self.inventory.find_limit(item.name, now) == math.inf
         ]
         warm.sort(key=lambda item: compute_affinity_score(object_key, item.name), reverse=True)
         return [item.to_server_address() for item in warm]
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -23,6 +23,27 @@
 REMOVED_SERVER_MEMORY_S: Final = 60.0
 
 
+# A limit ends with the first response that does not name it. A VM that sends the server nothing
+# does not see that, so it forgets the limit after this time.
+LIMIT_MEMORY_S: Final = 60.0
+# A new owner of slots hears of a limit within this time, or from the server itself. Later, the
+# owner knows better than a VM that was told earlier.
+LIMIT_NEWS_S: Final = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A limit that a server has named to this VM.
+
+    Attributes:
+        per_s: Requests per second that it accepts from all VMs together.
+        named_at: Time at which it last named the limit, in seconds on the monotonic clock.
+    """
+
+    per_s: float
+    named_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Instance:
     """One incarnation of a backend server.
@@ -72,7 +93,7 @@
     _evacuated_zones: set[str] = field(default_factory=set)
     # Servers that said that they leave, with their start times as far as these are known.
     _leaving: dict[str, int | None] = field(default_factory=dict)
-    _limits_per_s: dict[str, float] = field(default_factory=dict)
+    _limits: dict[str, NamedLimit] = field(default_factory=dict)
     _paused_until: dict[str, float] = field(default_factory=dict)
     _zone_cold_until: dict[str, float] = field(default_factory=dict)
 
@@ -151,13 +172,21 @@
             if instance is None:
                 self._removed_at.setdefault(name, now)
         if report.limit_per_s == math.inf:
-            self._limits_per_s.pop(name, None)
+            self._limits.pop(name, None)
         elif report.limit_per_s is not None and name in self._instances:
-            self._limits_per_s[name] = report.limit_per_s
+            self._limits[name] = NamedLimit(report.limit_per_s, now)
 
-    def find_limit(self, name: str) -> float:
+    def find_limit(self, name: str, now: float) -> float:
         """Returns the requests per second that a server accepts, infinite if it names no limit."""
-        return self._limits_per_s.get(name, math.inf)
+        limit = self._limits.get(name)
+        is_known = limit is not None and now - limit.named_at <= LIMIT_MEMORY_S
+        return limit.per_s if limit is not None and is_known else math.inf
+
+    def find_recent_limit(self, name: str, now: float) -> float:
+        """Returns a limit that may be news for the owner of the server's slots, else infinity."""
+        limit = self._limits.get(name)
+        is_recent = limit is not None and now - limit.named_at <= LIMIT_NEWS_S
+        return limit.per_s if limit is not None and is_recent else math.inf
 
     def list_paused(self, now: float) -> frozenset[str]:
         """Returns the names of the servers that want no requests from this VM for now."""
@@ -207,7 +236,7 @@
         self._removed_at[name] = now
 
     def _forget_limits(self, name: str) -> None:
-        self._limits_per_s.pop(name, None)
+        self._limits.pop(name, None)
         self._paused_until.pop(name, None)
 
     def _update_leaving(self, instance: Instance) -> None:
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -133,7 +133,7 @@
         """Guards against an owner that has not heard yet that a server leaves."""
         owner = build_peer("owner", SERVERS)
         requester = build_peer("requester", SERVERS)
-        requester.view.inventory.record_report("i-1", LEAVING, 0.0)
+        requester.view.inventory.record_report("i-1", LEAVING, time.monotonic())
         async with run_gateways(owner, requester):
             permits = [await acquire(requester) for _ in range(SERVERS[1].slots)]
         assert [permit.server.vm for permit in permits] == ["i-2", "i-2"]
@@ -167,11 +167,19 @@
         """Guards against a change of owner that forgets what servers have said."""
         owner = build_peer("owner", SERVERS[:1])
         requester = build_peer("requester", SERVERS[:1])
-        requester.view.inventory.record_report("i-1", LIMITED, 0.0)
+        requester.view.inventory.record_report("i-1", LIMITED, time.monotonic())
         async with run_gateways(owner, requester):
             permit = await acquire(requester)
         assert permit.limit_per_s == LIMITED.limit_per_s
 
+    async def test_limit_that_has_ended_does_not_come_back(self) -> None:
+        """Guards against a VM that heard of a limit long ago and tells its owner again."""
+        owner = build_peer("owner", SERVERS[:1])
+        requester = build_peer("requester", SERVERS[:1])
+        requester.view.inventory.record_report("i-1", LIMITED, time.monotonic() - 10.0)
+        async with run_gateways(owner, requester):
+            assert (await acquire(requester)).limit_per_s == math.inf
+
     async def test_release_names_a_limit_only_if_one_is_or_was_known(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
@@ -200,7 +208,9 @@
         """Guards against requests that the owner of a limited server cannot count."""
         gateway = build_peer("requester", [build_instance("i-3", "c")])
         assert gateway.view.rank_servers("s", "c", "o", now=1.0)
-        gateway.view.inventory.record_report("i-3", LIMITED, 0.0)
+        gateway.view.inventory.record_report("i-3", LIMITED, time.monotonic())
         assert not gateway.view.rank_servers("s", "c", "o", now=1.0)
-        gateway.view.inventory.record_report("i-3", ServerReport(limit_per_s=math.inf), 0.0)
+        gateway.view.inventory.record_report(
+            "i-3", ServerReport(limit_per_s=math.inf), time.monotonic()
+        )
         assert gateway.view.rank_servers("s", "c", "o", now=1.0)
--- a/tests/pools/test_inventory.py
+++ b/tests/pools/test_inventory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import timeit
 
 from briarfork.pools import Instance
@@ -88,14 +89,23 @@
         inventory.put(build_server())
         assert inventory.list_usable("s", "z-0") == []
 
+    def test_old_limit_is_not_news_for_owners(self) -> None:
+        """Guards against a VM that tells the owner of a limit that has ended since."""
+        inventory = build_inventory(1)
+        inventory.record_report("i-0-0", ServerReport(limit_per_s=2.0), 0.0)
+        assert inventory.find_recent_limit("i-0-0", 1.0) == inventory.find_limit("i-0-0", 1.0)
+        assert inventory.find_recent_limit("i-0-0", 10.0) == math.inf
+        assert inventory.find_limit("i-0-0", 10.0) == 2.0
+        assert inventory.find_limit("i-0-0", 100.0) == math.inf
+
     def test_server_that_was_started_again_has_no_limit(self) -> None:
         """Guards against a limit of an earlier process of the server."""
         inventory = build_inventory(1)
         inventory.record_report("i-0-0", ServerReport(limit_per_s=2.0, pause_s=9.0), 0.0)
         inventory.put(build_server())
-        assert inventory.find_limit("i-0-0") == 2.0
+        assert inventory.find_limit("i-0-0", 1.0) == 2.0
         inventory.put(build_server(started_at_ms=7))
-        assert inventory.find_limit("i-0-0") == float("inf")
+        assert inventory.find_limit("i-0-0", 1.0) == math.inf
         assert not inventory.list_paused(1.0)
 
     def test_server_that_was_started_again_is_used(self) -> None:
--- a/tests/pools/test_rate_limits.py
+++ b/tests/pools/test_rate_limits.py
@@ -91,6 +91,21 @@
         unlimited = run_owners([owner], ServerReport(limit_per_s=math.inf), DURATION_S)
         assert len(unlimited) > 3 * len(limited)
 
+    def test_declared_permits_do_not_stop_the_server(self) -> None:
+        """Guards against a new owner that waits for many seconds before its first request."""
+        owner = SimulatedOwner()
+        for number in range(SLOTS - 1):
+            owner.queue.adopt(
+                f"held-{number}",
+                Requester("other"),
+                SERVER.vm,
+                RequestClass.SHORT,
+                0.0,
+                limit_per_s=0.5,
+            )
+        sent = run_owners([owner], ServerReport(limit_per_s=0.5))
+        assert sent[0] <= WINDOW_S + 1.0 / 0.5
+
     def test_release_without_a_response_keeps_the_limit(self) -> None:
         """Guards against a cancelled request that lifts the limit of a server."""
         owner = SimulatedOwner()
