Start the grace period of expired entries when the store responds again

Cause: an entry that a VM misses after an outage is kept for 2.2 s, because expired entries may come back. The time started when the listing was complete, and a listing takes over a second across regions after the first call has failed. Change: it starts with the first response of the store after the outage.

--- a/src/briarfork/platform/store_health.py
+++ b/src/briarfork/platform/store_health.py
@@ -21,6 +21,7 @@
     def __init__(self, events: EventLog) -> None:
         self._events = events
         self._failed_at = float("-inf")
+        self._recovered_at = float("-inf")
         self._viewed_at = time.monotonic()
         self._lost = False
 
@@ -36,6 +37,7 @@
         """Records that the store has answered a call."""
         if self._lost:
             self._lost = False
+            self._recovered_at = time.monotonic()
             age_ms = round(self.compute_view_age() * MS_PER_S)
             self._events.record(Event.STORE_BACK, view_age_ms=age_ms)
 
@@ -47,6 +49,10 @@
         """Returns the time since the view was last known to be up to date, in seconds."""
         return time.monotonic() - self._viewed_at
 
+    def find_recovery(self) -> float:
+        """Returns when the store responded again after its last loss, or now while it is lost."""
+        return time.monotonic() if self._lost else self._recovered_at
+
     def is_healthy(self) -> bool:
         """Returns whether no call has failed recently."""
         return time.monotonic() - self._failed_at > UNHEALTHY_S
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -118,6 +118,10 @@
         """Returns whether a missing entry means that its owner is gone."""
         return self._store.health.is_healthy()
 
+    def find_recovery(self) -> float:
+        """Returns when the store responded again after its last outage."""
+        return self._store.health.find_recovery()
+
     def log_ignored_record(self, error: InvalidRecord) -> None:
         """Logs that an invalid record is ignored."""
         self.events.record(Event.RECORD_IGNORED, fault=error.detail)
@@ -128,7 +132,7 @@
         now = time.monotonic()
         for name in inventory.list_names():
             if SERVER_PREFIX + name not in present:
-                inventory.remove(name, self.is_store_healthy(), now)
+                inventory.remove(name, self.is_store_healthy(), now, self.find_recovery())
         for name in [name for name in self.members if MEMBER_PREFIX + name not in present]:
             del self.members[name]
         self.evacuated = {zone for zone in self.evacuated if EVACUATION_PREFIX + zone in present}
@@ -177,13 +181,13 @@
     now = time.monotonic()
     inventory = watcher.gateway.view.inventory
     if item.deleted:
-        inventory.remove(name, watcher.is_store_healthy(), now)
+        inventory.remove(name, watcher.is_store_healthy(), now, watcher.find_recovery())
         return
     try:
         inventory.put(decode_instance(name, item.decode(), now))
     except InvalidRecord as error:
         watcher.log_ignored_record(error)
-        inventory.remove(name, store_healthy=True, now=now)
+        inventory.remove(name, store_healthy=True, now=now, recovered_at=now)
 
 
 @HANDLERS.register(MEMBER_PREFIX)
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -111,21 +111,22 @@
         self._lapsed_until.pop(instance.name, None)
         self._removed_at.pop(instance.name, None)
 
-    def remove(self, name: str, store_healthy: bool, now: float) -> None:
+    def remove(self, name: str, store_healthy: bool, now: float, recovered_at: float) -> None:
         """Removes a server whose entry has disappeared.
 
         Args:
             name: Name of the server.
             store_healthy: Whether the store had no recent outage; otherwise the server is kept for
-                a grace period.
+                a grace period, which starts at the end of the outage.
             now: Time, in seconds on the monotonic clock.
+            recovered_at: Time at which the last outage ended.
         """
         if name not in self._instances:
             return
         if store_healthy:
             self._delete(name, now)
         else:
-            self._lapsed_until.setdefault(name, now + LAPSED_ENTRY_GRACE_S)
+            self._lapsed_until.setdefault(name, recovered_at + LAPSED_ENTRY_GRACE_S)
 
     def list_names(self) -> list[str]:
         """Returns the names of all known servers."""
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -96,7 +96,9 @@
         """Guards against requests to a server whose entry is gone."""
         owner = build_peer("owner", SERVERS)
         requester = build_peer("requester", SERVERS)
-        requester.view.inventory.remove("i-1", store_healthy=True, now=time.monotonic())
+        requester.view.inventory.remove(
+            "i-1", store_healthy=True, now=time.monotonic(), recovered_at=time.monotonic()
+        )
         async with run_gateways(owner, requester):
             permits = [await acquire(requester) for _ in range(SERVERS[1].slots)]
         assert [permit.server.vm for permit in permits] == ["i-2", "i-2"]
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -104,14 +104,14 @@
         """Guards against requests to a server that has left."""
         inventory = Inventory()
         inventory.put(SERVERS[0])
-        inventory.remove("i-a", store_healthy=True, now=0.0)
+        inventory.remove("i-a", store_healthy=True, now=0.0, recovered_at=0.0)
         assert inventory.list_usable("s", "a") == []
 
     def test_expired_entry_is_kept_for_the_grace_period(self) -> None:
         """Guards against a fleet that looks empty right after an outage of the store."""
         inventory = Inventory()
         inventory.put(SERVERS[0])
-        inventory.remove("i-a", store_healthy=False, now=10.0)
+        inventory.remove("i-a", store_healthy=False, now=10.0, recovered_at=10.0)
         assert not inventory.expire(12.0)
         assert len(inventory.list_usable("s", "a")) == 1
         assert inventory.expire(12.5)
@@ -121,7 +121,7 @@
         """Guards against removing a server that registered again."""
         inventory = Inventory()
         inventory.put(SERVERS[0])
-        inventory.remove("i-a", store_healthy=False, now=10.0)
+        inventory.remove("i-a", store_healthy=False, now=10.0, recovered_at=10.0)
         inventory.put(SERVERS[0])
         assert not inventory.expire(20.0)
 
--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from typing import TYPE_CHECKING
 
 import pytest
@@ -17,6 +18,7 @@
 from briarfork.platform.store import StoreClient
 from briarfork.platform.watcher import StoreWatcher
 from tests.platform.test_settings import BOOT
+from tests.standins import key_value
 from tests.standins.key_value import KeyValueStore
 
 if TYPE_CHECKING:
@@ -29,6 +31,8 @@
 # The bound `stable_window` of the platform: a VM is up to date this long after the store is back.
 STABLE_WINDOW_S = 4.0
 SILENCE_S = 1.0
+# At half a second a page, listing them takes longer than the grace period of expired entries.
+SLOW_LISTING_KEYS = 6
 CONFIGURATION = {
     "version": 3,
     "routes": {
@@ -74,9 +78,10 @@
     )
     async with StoreClient(settings.common, EventLog("test")) as client:
         watcher = StoreWatcher(settings, gateway, client, EventLog("test"))
-        task = asyncio.create_task(watcher.run())
+        tasks = [asyncio.create_task(watcher.run()), asyncio.create_task(watcher.expire())]
         yield WatcherHarness(store, gateway)
-        task.cancel()
+        for task in tasks:
+            task.cancel()
     await store.close()
 
 
@@ -123,6 +128,34 @@
         assert harness.store.full_calls == before
 
 
+class TestPartitionedVm:
+    async def test_missing_server_is_removed_soon_after_the_store_responds_again(
+        self, harness: WatcherHarness, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against requests to a server that left while this VM was cut off.
+
+        Entries that expired in an outage are back soon after it; a slow listing does not prolong
+        this time.
+        """
+        await harness.wait_until_ready()
+        monkeypatch.setattr(key_value, "PAGE_ITEMS", 1)
+        inventory = harness.gateway.view.inventory
+        harness.store.start_silence()
+        await harness.store.delete(names.SERVER_PREFIX + "i-1")
+        for number in range(SLOW_LISTING_KEYS):
+            await harness.store.put(f"{names.SERVER_PREFIX}new-{number}", build_entry(1))
+        await asyncio.sleep(SILENCE_S + 0.5)
+        harness.store.end_silence()
+        harness.store.delay_s = 0.5
+        async with asyncio.timeout(30.0):
+            while "new-1" not in inventory.list_names():
+                await asyncio.sleep(0.01)
+            listed_at = time.monotonic()
+            while "i-1" in inventory.list_names():
+                await asyncio.sleep(0.01)
+        assert time.monotonic() - listed_at < 1.0
+
+
 class TestStoreWatcher:
     async def test_servers_are_known_when_the_gateway_is_ready(
         self, harness: WatcherHarness
--- a/tests/pools/test_inventory.py
+++ b/tests/pools/test_inventory.py
@@ -51,7 +51,7 @@
         assert len(inventory.list_usable("s", "z-0")) == SERVERS_PER_ZONE - 1
         inventory.put(Instance("i-0-0", "t", "z-1", "127.0.0.1", 1, 2))
         assert [item.name for item in inventory.list_usable("t", "z-1")] == ["i-0-0"]
-        inventory.remove("i-0-1", store_healthy=True, now=0.0)
+        inventory.remove("i-0-1", store_healthy=True, now=0.0, recovered_at=0.0)
         assert len(inventory.list_usable("s", "z-0")) == SERVERS_PER_ZONE - 2
         inventory.evacuate({"z-0"}, cold_s=3.0, now=0.0)
         assert inventory.list_zones("s") == set()
