Let any response without a limit end the limit of a server

Cause: requests from other regions are declared to the owner of the slots, not granted by it. Each one took a token of the server's limit, so that the owner granted nothing; and the VMs that sent them did not know of a limit, so their releases did not tell the owner that it had ended. Change: only granted requests use up the limit. An answered request whose release names no limit ends it. Test: tests/pools/test_rate_limits.py, two cases failed before.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -273,7 +273,7 @@
     Attributes:
         slowness: Run time on the server's machine relative to its typical run time, 0 if unknown.
         limit_per_s: Requests per second that the server accepts from all VMs together, infinite if
-            it names no limit, None if it did not respond.
+            it no longer names a limit, None if it did not respond or named none before either.
     """
 
     name = "permit_release"
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -243,6 +243,9 @@
         server.record_slowness(report.slowness, now)
         if report.limit_per_s is not None:
             server.limit_rate(report.limit_per_s, now)
+        elif how is Release.DONE:
+            # The response would have named a limit.
+            server.limit_rate(math.inf, now)
         if how is Release.DONE:
             server.reset_backoff()
             server.slow_start.record_response(now)
@@ -365,6 +368,7 @@
 
     def _grant(self, request: SlotRequest, server: Server, now: float) -> Grant:
         server.start(request.permit, request.request_class, now)
+        server.record_grant(now)
         if request.object_key:
             self._placement.objects.add(request.object_key, server.address.vm)
         self._held_permits.add(
--- a/src/briarfork/pools/rate_limiter.py
+++ b/src/briarfork/pools/rate_limiter.py
@@ -42,12 +42,8 @@
         return self._count_tokens(now) >= 1.0
 
     def record(self, now: float) -> None:
-        """Records that a request is sent.
-
-        Requests that were not asked for do not delay later ones: they may have been sent long ago,
-        and only another request can show that the limit has ended.
-        """
-        self._tokens = max(0.0, self._count_tokens(now) - 1.0)
+        """Records that a request is sent."""
+        self._tokens = self._count_tokens(now) - 1.0
         self._updated_at = now
 
     def _count_tokens(self, now: float) -> float:
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -148,8 +148,6 @@
         self.times_selected += 1
         if self.cold_start_limiter is not None:
             self.cold_start_limiter.record(now)
-        if self.rate_limiter is not None:
-            self.rate_limiter.record(now)
 
     @property
     def limit_per_s(self) -> float:
@@ -172,6 +170,14 @@
             return slots
         return min(slots, self.rate_limiter.usable_per_s * run_s)
 
+    def record_grant(self, now: float) -> None:
+        """Counts a granted request against the limit of the server.
+
+        Requests without a grant are not counted: their VMs do not know of the limit yet.
+        """
+        if self.rate_limiter is not None:
+            self.rate_limiter.record(now)
+
     def record_slowness(self, slowness: float, now: float) -> None:
         """Records a reported ratio of the run time to the usual one; 0 means no report."""
         if slowness > 0.0:
