Choose no server that already leaves for another fault of the soak

Servers that leave without an entry that says so could be chosen again, and were then started twice at one address. Change: the faults choose among servers that do not leave.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -60,11 +60,11 @@
 
 
 def choose_endpoint(environment: SoakEnvironment, random: Random) -> ServerEndpoint:
-    """Returns an endpoint whose server is listed and not draining."""
+    """Returns an endpoint whose server is listed and does not leave."""
     candidates = [
         endpoint
         for endpoint in environment.endpoints
-        if endpoint.state == "ready" and endpoint.listed
+        if endpoint.state == "ready" and endpoint.listed and not endpoint.backend.leaving
     ]
     return random.choice(candidates)
 
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -12,4 +12,5 @@
     3063: "limits that servers no longer named were kept",
     3095: "the end of one evacuation ended another one of the same zone in the store",
     3133: "requests from other regions used up a limit and did not end it",
+    3195: "the soak ended a server that another fault had already chosen to leave",
 }
