Do not renew the record of a limit by telling an owner

Cause: a VM that returned a permit to tell its owner of a limit recorded the limit as named again just then. As long as it was granted the server within 5 s each time, it kept a limit alive that the server no longer named. Found by reading. Change: telling the owner leaves the VM's own record as it is. Test: tests/gateway/test_permits.py, failed before (the limit was recent again 0.1 s after its end).

--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -269,8 +269,8 @@
         limit_per_s = self._gateway_view.find_recent_limit(permit.server.vm)
         if permit.is_local or limit_per_s == math.inf or permit.limit_per_s != math.inf:
             return False
-        report = ServerReport(limit_per_s=limit_per_s)
-        self.release(permit, Release.UNUSED, 0.0, report)
+        # The server has not named its limit again, so this VM's record of it stays as it is.
+        super().release(permit, Release.UNUSED, 0.0, ServerReport(limit_per_s=limit_per_s))
         return True
 
     def _release_if_left(self, permit: Permit) -> bool:
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -24,6 +24,7 @@
 from briarfork.membership import MemberState
 from briarfork.pools import Release
 from briarfork.pools import ServerReport
+from briarfork.pools.inventory import LIMIT_NEWS_S
 from briarfork.requests import Deadline
 from tests.gateway.harness import LOCATION
 from tests.gateway.harness import RETRY_LIMITS
@@ -182,6 +183,17 @@
         async with run_gateways(owner, requester):
             assert (await acquire(requester)).limit_per_s == math.inf
 
+    async def test_telling_an_owner_does_not_renew_the_limit(self) -> None:
+        """Guards against a VM that keeps a limit alive which the server no longer names."""
+        owner = build_peer("owner", SERVERS[:1])
+        requester = build_peer("requester", SERVERS[:1])
+        named_at = time.monotonic() - LIMIT_NEWS_S + 2.0
+        inventory = requester.view.inventory
+        inventory.record_report("i-1", LIMITED, named_at)
+        async with run_gateways(owner, requester):
+            assert (await acquire(requester)).limit_per_s == LIMITED.limit_per_s
+        assert inventory.find_recent_limit("i-1", named_at + LIMIT_NEWS_S + 0.1) == math.inf
+
     async def test_release_names_a_limit_only_if_one_is_or_was_known(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
