Serve routes of kind upload, which are not idempotent

Cause: msgspec rejects the whole configuration because of one unknown kind, so no VM of Plesni Par has a route table. The test failed before (test_upload_route_is_in_force_and_not_idempotent: Invalid enum value 'upload').

--- a/src/briarfork/routing/route.py
+++ b/src/briarfork/routing/route.py
@@ -12,11 +12,12 @@
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
 
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self is not RequestKind.NON_IDEMPOTENT
+        return self not in (RequestKind.NON_IDEMPOTENT, RequestKind.UPLOAD)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_configuration_record.py
+++ b/tests/platform/test_configuration_record.py
@@ -55,6 +55,13 @@
         assert (table.version, table.limits.header_bytes, table.limits.idle_s) == (7, 100, 15.0)
         assert table.services["s"].cold_per_s == 4.0
 
+    def test_upload_route_is_in_force_and_not_idempotent(self) -> None:
+        """Guards against ignoring a configuration, or an upload that runs twice."""
+        table = decode_configuration(json.dumps(build_configuration(kind="upload")).encode())
+        route = table.find("h", "/a/b")
+        assert route is not None
+        assert not route.kind.is_idempotent
+
     @pytest.mark.parametrize(
         "changes",
         [
