Decide on an upload from its head and bound the memory of bodies

Cause: a body was collected whole before its route was known, its chunks were summed anew at each chunk, nothing bounded the bytes of all bodies together (the configuration allows 64 MB each on a VM of 200 MB), Expect: 100-continue got no answer, and neither header_timeout nor idle_timeout was kept. Change: the dispatcher gets the head and a source of the body; route, limits, time and known refusals of the zones are checked before the body is read. The body is then collected within a share of the VM's memory that is granted by priority, and only a whole body asks for a slot. Longer bodies are written in parts, since aiohttp copies what it writes.

--- a/src/briarfork/border/settings.py
+++ b/src/briarfork/border/settings.py
@@ -88,19 +88,21 @@
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits on the memory used by one client, in bytes.
+    """Limits on the memory used by clients, in bytes.
 
     Attributes:
         header_bytes: Largest total size of the headers of a request.
         buffered_body_bytes: Largest request body that is buffered for retries.
         keyed_body_bytes: Largest body of a request with an idempotency key.
         chunk_bytes: Size of the body chunk in flight in one direction.
+        body_memory_bytes: Size of all request bodies that a gateway holds at a time.
     """
 
     header_bytes: Annotated[int, Meta(ge=1024)] = 16384
     buffered_body_bytes: Annotated[int, Meta(ge=0)] = 65536
     keyed_body_bytes: Annotated[int, Meta(ge=1024)] = 1048576
     chunk_bytes: Annotated[int, Meta(ge=1024)] = 65536
+    body_memory_bytes: Annotated[int, Meta(ge=1048576)] = 67108864
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/briarfork/errors.py
+++ b/src/briarfork/errors.py
@@ -15,6 +15,8 @@
     UNKNOWN_PATH = "unknown_path"
     HEADER_TOO_LARGE = "header_too_large"
     BODY_TOO_LARGE = "body_too_large"
+    MALFORMED_BODY = "malformed_body"
+    REQUEST_TIMEOUT = "request_timeout"
     UNAUTHORIZED = "unauthorized"
     FORBIDDEN = "forbidden"
     CONFLICT = "conflict"
@@ -63,6 +65,8 @@
     ErrorKind.UNKNOWN_PATH: ErrorResponse(404, False, Outcome.NOT_RUN),
     ErrorKind.HEADER_TOO_LARGE: ErrorResponse(431, False, Outcome.NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: ErrorResponse(413, False, Outcome.NOT_RUN),
+    ErrorKind.MALFORMED_BODY: ErrorResponse(400, False, Outcome.NOT_RUN),
+    ErrorKind.REQUEST_TIMEOUT: ErrorResponse(408, True, Outcome.NOT_RUN),
     ErrorKind.UNAUTHORIZED: ErrorResponse(401, False, Outcome.NOT_RUN),
     ErrorKind.FORBIDDEN: ErrorResponse(403, False, Outcome.NOT_RUN),
     ErrorKind.CONFLICT: ErrorResponse(409, False, Outcome.NOT_RUN, exit_status=3),
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -83,6 +83,8 @@
         unsent_attempts: Number of attempts that reached no server.
         may_have_run: Whether a server may have run the request.
         error_response: The last response with a server error.
+        body_bytes: Length of the request body.
+        body_wait_s: Time from the start of the request until its body was complete.
         zone: Availability zone of the last slot.
         slot_wait_s: Time from the start of the request until the last slot was granted.
         detail: Why no slot was granted.
@@ -96,6 +98,8 @@
     unsent_attempts: int = 0
     may_have_run: bool = False
     error_response: Response | None = None
+    body_bytes: int = 0
+    body_wait_s: float = 0.0
     zone: str = ""
     slot_wait_s: float = 0.0
     detail: str = ""
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
@@ -15,10 +16,13 @@
 from briarfork.gateway.attempts import AttemptRunner
 from briarfork.gateway.attempts import Progress
 from briarfork.gateway.attempts import confirm_permit
+from briarfork.gateway.bodies import BodyCollector
+from briarfork.gateway.bodies import check_length
 from briarfork.gateway.metrics import GatewayMetrics
 from briarfork.gateway.permits import SlotRequirements
 from briarfork.pools import Release
 from briarfork.requests import AttemptResult
+from briarfork.requests import BodyMemory
 from briarfork.requests import Deadline
 from briarfork.requests import FailedAttempt
 from briarfork.requests import RetryBudget
@@ -28,6 +32,7 @@
     from briarfork.border.events import EventLog
     from briarfork.entry.overflow import Permit
     from briarfork.gateway.attempts import Upstream
+    from briarfork.gateway.bodies import BodySource
     from briarfork.gateway.permits import GatewayPermits
     from briarfork.gateway.request import Request
     from briarfork.gateway.request import Response
@@ -56,12 +61,17 @@
         self._events = events
         self.metrics = GatewayMetrics()
         self._attempt_runner = AttemptRunner(permits, upstream, events, self.metrics)
+        self._bodies = BodyCollector(BodyMemory(view.settings.limits.body_memory_bytes))
         self._round_robin = WeightedRoundRobin()
         self._retry_budgets: dict[str, RetryBudget] = {}
 
-    async def handle(self, request: Request) -> Response:
+    async def handle(self, request: Request, source: BodySource | None = None) -> Response:
         """Returns the response of a backend server.
 
+        Args:
+            request: The request without its body.
+            source: The body, None if the request has none.
+
         Raises:
             NotRun: If the request did not run.
             OutcomeUnknown: If the request may have run and there is no response.
@@ -70,7 +80,7 @@
         progress = self._start(request, route)
         outcome = "cancelled"
         try:
-            response = await self._run(request, progress)
+            response = await self._collect_and_run(request, progress, source)
             outcome = "answered"
             return response
         except BriarforkError as error:
@@ -120,11 +130,34 @@
             object=request.object_key,
             servers=sorted(progress.tried_servers),
             zone=progress.zone,
+            body_bytes=progress.body_bytes,
+            body_after_ms=round(progress.body_wait_s * MS_PER_S),
             slot_after_ms=round(progress.slot_wait_s * MS_PER_S),
             elapsed_ms=round(elapsed_s * MS_PER_S),
             detail=progress.detail,
         )
 
+    async def _collect_and_run(
+        self, request: Request, progress: Progress, source: BodySource | None
+    ) -> Response:
+        """Collects the body, unless its head shows that the request cannot be served.
+
+        Raises:
+            BriarforkError: If there is no response.
+        """
+        if source is None:
+            return await self._run(request, progress)
+        limits = self._view.require_route_table().limits
+        progress.body_bytes = source.declared_bytes or 0
+        if not source.has_arrived:
+            check_length(progress.body_bytes, limits)
+            self._require_time_to_run(progress)
+            self._permits.check_room(self._build_requirements(request, progress))
+        async with self._bodies.collect(source, limits, progress.route, progress.deadline) as body:
+            progress.body_bytes = len(body)
+            progress.body_wait_s = time.monotonic() - progress.started
+            return await self._run(replace(request, body=body), progress)
+
     async def _run(self, request: Request, progress: Progress) -> Response:
         """Acquires slots and sends the request until there is a response.
 
@@ -160,17 +193,9 @@
             NotRun: If no slot is available and the request did not run.
             OutcomeUnknown: If no slot is available and the request may have run.
         """
-        route = progress.route
         try:
             self._require_time_to_run(progress)
-            slot_request = SlotRequirements(
-                route,
-                progress.service,
-                request.object_key,
-                progress.deadline,
-                frozenset(progress.tried_servers),
-            )
-            permit = await self._permits.acquire(slot_request)
+            permit = await self._permits.acquire(self._build_requirements(request, progress))
             await confirm_permit(self._permits, permit)
             try:
                 self._require_time_to_run(progress)
@@ -186,6 +211,15 @@
                 raise OutcomeUnknown(f"sent without a response, then: {error.detail}") from error
             raise
 
+    def _build_requirements(self, request: Request, progress: Progress) -> SlotRequirements:
+        return SlotRequirements(
+            progress.route,
+            progress.service,
+            request.object_key,
+            progress.deadline,
+            frozenset(progress.tried_servers),
+        )
+
     def _require_time_to_run(self, progress: Progress) -> None:
         """Checks that a server can respond before the deadline, and before this VM stops.
 
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -114,6 +114,31 @@
         controller.record_local(region_full=False)
         return granted
 
+    def check_room(self, request: SlotRequirements) -> None:
+        """Checks whether a zone may grant a slot, before the body of a request is collected.
+
+        Raises:
+            SlotRefused: If the service has no server, or if all zones are known to be full.
+        """
+        local, remote = self.list_zones(request.route, request.service, request.object_key)
+        if not local and not remote:
+            raise SlotRefused(ErrorKind.NO_SERVER, f"service {request.service!r} has no server")
+        now = time.monotonic()
+        if local and remote and self._may_send_remote(request.service, now):
+            return
+        refusal = SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot")
+        for zone in local or remote:
+            key = (request.service, zone)
+            wait_s = self._refusal_cache.find_wait(key, request.route.priority, now)
+            if wait_s <= 0.0:
+                return
+            refusal = _keep_shorter_wait(refusal, wait_s)
+        raise refusal
+
+    def _may_send_remote(self, service: str, now: float) -> bool:
+        share = self._find_share_controller(service, now).compute(now)
+        return share > 0.0 or self._spillover_limit.allows_spillover(now)
+
     async def acquire_hedge(self, route: Route, first: Permit) -> Permit | None:
         """Returns a permit for a hedged attempt, or None if no slot is granted.
 
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A complete request.
+    """A request; its body is empty until it has been collected.
 
     Attributes:
         request_id: The caller's id of this attempt.
@@ -28,7 +28,7 @@
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | bytearray
     object_key: str = ""
     caller_timeout_s: float | None = None
     respond_by: float = math.inf
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -16,6 +16,7 @@
 from briarfork.membership import rank_members
 from briarfork.pools import Inventory
 from briarfork.pools import compute_affinity_score
+from briarfork.routing import CallerLimits
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
@@ -58,6 +59,11 @@
         """Whether a route table is loaded."""
         return self._route_table is not None
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Limits on callers, the default ones while no route table is loaded."""
+        return self._route_table.limits if self._route_table else CallerLimits()
+
     def require_route_table(self) -> RouteTable:
         """Returns the current route table.
 
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -20,6 +20,7 @@
 from briarfork.errors import NotRun
 from briarfork.gateway.request import Request
 from briarfork.platform import names
+from briarfork.platform.bodies import HttpBody
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
@@ -28,16 +29,18 @@
     from briarfork.gateway.request import Response
 
 MS_PER_S = 1000.0
-# Longer than any idle timeout of the configuration; callers enforce those themselves.
-KEEP_ALIVE_TIMEOUT_S = 75.0
 MAX_HEADER_LINE_BYTES = 16384
+# Unread bytes of a connection above which the caller is stopped; the event loop may add as many.
+READ_BUFFER_BYTES = 32768
+# How long the rest of a refused body is read and dropped. An earlier close would reset the
+# connection, and the caller could lose the response.
+LINGER_S = 2.0
 # Errors of requests that are not dispatched, so the dispatcher does not log them.
 PRE_DISPATCH_ERRORS = frozenset(
     {
         ErrorKind.BAD_REQUEST,
         ErrorKind.UNKNOWN_PATH,
         ErrorKind.HEADER_TOO_LARGE,
-        ErrorKind.BODY_TOO_LARGE,
         ErrorKind.NO_CONFIGURATION,
     }
 )
@@ -63,17 +66,20 @@
     async def handle(self, http_request: web.BaseRequest) -> web.StreamResponse:
         """Returns the HTTP response to one request."""
         request_id = http_request.headers.get(names.ATTEMPT_ID, "")
+        source = HttpBody(http_request) if http_request.body_exists else None
         try:
-            request = await self._read_request(http_request, request_id)
-            response = _build_response(await self._dispatcher.handle(request))
+            request = self._read_head(http_request, request_id)
+            response = _build_response(await self._dispatcher.handle(request, source))
         except BriarforkError as error:
             response = self._build_error(request_id, http_request, error)
-        if self._gateway.draining:
+        # The next bytes on the connection may be the rest of the body, or a new request if the
+        # caller was never told to send the body.
+        if self._gateway.draining or not (source is None or source.has_arrived):
             response.force_close()
         return response
 
-    async def _read_request(self, http_request: web.BaseRequest, request_id: str) -> Request:
-        """Returns the complete request.
+    def _read_head(self, http_request: web.BaseRequest, request_id: str) -> Request:
+        """Returns the request without its body.
 
         Raises:
             NotRun: If the request is malformed or exceeds a limit.
@@ -101,7 +107,7 @@
                 for name, value in http_request.headers.items()
                 if name.lower() not in DROPPED_HEADERS
             ),
-            body=await _read_body(http_request, limits.body_bytes),
+            body=b"",
             object_key=http_request.headers.get(names.AFFINITY_KEY, ""),
             caller_timeout_s=caller_timeout_s,
             respond_by=(
@@ -129,20 +135,55 @@
 
 
 class CallerConnection(HttpConnectionHandler):
-    """A caller's connection to a gateway."""
+    """A caller's connection to a gateway.
 
-    __slots__ = ("_gateway",)
+    It is closed if it stays idle for too long, or if the headers of a request do not arrive in
+    time after their first byte.
+    """
+
+    __slots__ = ("_gateway", "_header_s", "_header_timer")
 
     def __init__(self, gateway: Gateway, manager: web.Server) -> None:
+        limits = gateway.view.caller_limits
         super().__init__(
             manager,
             loop=asyncio.get_running_loop(),
-            keepalive_timeout=KEEP_ALIVE_TIMEOUT_S,
+            keepalive_timeout=limits.idle_s,
+            lingering_time=LINGER_S,
+            read_bufsize=READ_BUFFER_BYTES,
             auto_decompress=False,
             max_line_size=MAX_HEADER_LINE_BYTES,
             max_field_size=MAX_HEADER_LINE_BYTES,
         )
         self._gateway = gateway
+        self._header_s = limits.header_s
+        self._header_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes and limits the time for incomplete headers."""
+        super().data_received(data)
+        if self._messages or self._current_request is not None:
+            self._stop_header_timer()
+        elif self._header_timer is None and data:
+            self._header_timer = self._loop.call_later(
+                self._header_s, self._close_slow_caller, self._request_count
+            )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancels the request and the timer."""
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def _close_slow_caller(self, request_count: int) -> None:
+        """Closes the connection if no request was completed since the timer started."""
+        self._header_timer = None
+        if request_count == self._request_count and self._current_request is None:
+            self.force_close()
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
 
     @property
     def events(self) -> EventLog:
@@ -158,25 +199,6 @@
         return web.Response(status=ERROR_RESPONSES[error.kind].status)
 
 
-async def _read_body(http_request: web.BaseRequest, limit: int) -> bytes:
-    """Returns the complete body.
-
-    Raises:
-        NotRun: If the body is larger than the limit.
-    """
-    if not http_request.body_exists:
-        return b""
-    parts: list[bytes] = []
-    size = http_request.content_length or 0
-    while size <= limit:
-        chunk = await http_request.content.readany()
-        if not chunk:
-            return b"".join(parts)
-        parts.append(chunk)
-        size = max(size, sum(map(len, parts)) if http_request.content_length is None else size)
-    raise NotRun(ErrorKind.BODY_TOO_LARGE, f"body: expected at most {limit} bytes")
-
-
 def _parse_timeout(header: str | None) -> float | None:
     """Returns how long the caller waits in seconds, or None without the header.
 
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import Meta
 
+from briarfork.border.settings import Limits
 from briarfork.border.settings import Ports
 from briarfork.border.settings import Settings
 from briarfork.border.settings import Timeouts
@@ -42,6 +43,10 @@
 # Each fetch of changes is a call to the store, so fetches are spaced out. The pause is this
 # fraction of the shorter bound on noticing a draining server or a new configuration.
 FETCH_PAUSE_FRACTION = 0.25
+BYTES_PER_MB = 1024 * 1024
+# Part of a VM's memory for the bodies of requests; the rest is for the process, for unread bytes of
+# connections and for responses.
+BODY_MEMORY_FRACTION = 0.25
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -63,6 +68,12 @@
     min_ttl: str = "1000ms"
 
 
+class VmLimits(msgspec.Struct, frozen=True):
+    """Resources of this VM."""
+
+    memory_mb: Annotated[int, Meta(ge=64)] = 256
+
+
 class BootFile(msgspec.Struct, frozen=True):
     """The fields of the settings file that this program uses; others are ignored."""
 
@@ -74,6 +85,7 @@
     listen: Listen
     internal_ports: Annotated[list[int], Meta(min_length=2, max_length=2)]
     platform: Store
+    limits: VmLimits = VmLimits()
     bounds: list[str] = []
 
 
@@ -155,6 +167,9 @@
             permit_silence_s=PERMIT_SILENCE_S,
             connection_age_s=CONNECTION_AGE_S,
         ),
+        limits=Limits(
+            body_memory_bytes=int(BODY_MEMORY_FRACTION * boot.limits.memory_mb * BYTES_PER_MB)
+        ),
     )
     return PlatformSettings(
         common=common,
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -28,6 +28,8 @@
 from briarfork.requests import SendForbidden
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from briarfork.entry.connections import ServerConnections
     from briarfork.gateway.request import Request
     from briarfork.pools import ServerAddress
@@ -36,6 +38,8 @@
 RESPONSE_MARGIN_S = 0.1
 # A longer body is cut off; a VM with 200 MB of memory holds several of this size.
 MAX_BODY_BYTES = 32 * 1024 * 1024
+# A longer body is written in parts of this size, because aiohttp copies what it writes at once.
+BODY_PART_BYTES = 65536
 # Required fields of a load report (running, waiting, slots); the fourth, the slowdown, is optional.
 REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100.0
@@ -94,7 +98,7 @@
             request.method,
             URL(f"http://{server.address}:{server.port}{request.target}", encoded=True),
             headers=_build_headers(request, server, deadline),
-            data=request.body or None,
+            data=_build_payload(request.body),
             allow_redirects=False,
             trace_request_ctx=AttemptGuard(attempt),
         ) as response:
@@ -128,11 +132,22 @@
         (names.DEADLINE_MS, str(max(1, remaining_ms))),
         (names.PINNED_INSTANCE, server.vm),
     ]
-    if not request.body and request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        headers.append(("Content-Length", "0"))
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        headers.append(("Content-Length", str(len(request.body))))
     return headers
 
 
+def _build_payload(body: bytes | bytearray) -> bytes | bytearray | AsyncIterator[bytes] | None:
+    if len(body) <= BODY_PART_BYTES:
+        return body or None
+    return _split_body(body)
+
+
+async def _split_body(body: bytes | bytearray) -> AsyncIterator[bytes]:
+    for start in range(0, len(body), BODY_PART_BYTES):
+        yield bytes(body[start : start + BODY_PART_BYTES])
+
+
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
     """Returns the complete body.
 
--- a/src/briarfork/requests/__init__.py
+++ b/src/briarfork/requests/__init__.py
@@ -5,6 +5,8 @@
 from briarfork.requests.attempt import AttemptResult
 from briarfork.requests.attempt import FailedAttempt
 from briarfork.requests.attempt import SendForbidden
+from briarfork.requests.body_memory import BodyMemory
+from briarfork.requests.body_memory import Reservation
 from briarfork.requests.budget import HEDGE_RATIO
 from briarfork.requests.budget import RETRY_RATIO
 from briarfork.requests.budget import HedgeBudget
@@ -25,12 +27,14 @@
     "RETRY_RULES",
     "Attempt",
     "AttemptResult",
+    "BodyMemory",
     "Claim",
     "ClaimState",
     "Deadline",
     "Download",
     "FailedAttempt",
     "HedgeBudget",
+    "Reservation",
     "ResponseHead",
     "RetryBudget",
     "SendForbidden",
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -61,22 +61,24 @@
 UNSENT = AttemptError(AttemptResult.NOT_SENT, Release.FAILED, "connection refused")
 
 
-def build_table(*routes: Route, version: int = 1) -> RouteTable:
+def build_table(*routes: Route, version: int = 1, limits: CallerLimits | None = None) -> RouteTable:
     services = [ServicePolicy("s", 100, 3.0, 4.0), ServicePolicy("t", 100, 3.0, 4.0)]
-    return RouteTable(version, routes, services, CallerLimits())
+    return RouteTable(version, routes, services, limits or CallerLimits())
 
 
 def build_instance(name: str, zone: str = "a", service: str = "s") -> Instance:
     return Instance(name, service, zone, "127.0.0.1", 1, slots=2)
 
 
-def build_gateway(route: Route = ROUTE, servers: Iterable[Instance] = ()) -> Gateway:
+def build_gateway(
+    route: Route = ROUTE, servers: Iterable[Instance] = (), limits: CallerLimits | None = None
+) -> Gateway:
     gateway = Gateway(
         GatewayView(SETTINGS, LOCATION, RETRY_LIMITS, EventLog("test")), EventLog("test")
     )
     for server in servers:
         gateway.view.inventory.put(server)
-    gateway.apply_route_table(build_table(route))
+    gateway.apply_route_table(build_table(route, limits=limits))
     return gateway
 
 
@@ -86,12 +88,14 @@
     def __init__(self, *outcomes: Response | AttemptError) -> None:
         self.outcomes = list(outcomes)
         self.sent: list[str] = []
+        self.bodies: list[bytes] = []
         self.cancelled: list[str] = []
 
     async def send(
         self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
     ) -> Response:
         self.sent.append(server.vm)
+        self.bodies.append(bytes(request.body))
         outcome = self.outcomes.pop(0)
         if outcome is UNRESPONSIVE:
             try:
@@ -111,6 +115,10 @@
         self.servers = list(servers)
         self.released: list[Release] = []
 
+    def check_room(self, request: SlotRequirements) -> None:
+        if not self.servers:
+            raise SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot", wait_s=0.2)
+
     async def acquire(self, request: SlotRequirements) -> Permit:
         if not self.servers:
             raise SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot", wait_s=0.2)
