Send uploads in the soak, whole and slowly, to servers that answer early

Cause: no fault of the soak met a long body. Change: callers upload 10 to 400 KB, one in five in chunks with pauses, and some leave meanwhile; a server may answer before it has read the body; an invariant compares each body with the one that was sent.

--- a/tests/platform/test_uploads.py
+++ b/tests/platform/test_uploads.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from hypothesis import given
 from hypothesis import settings
@@ -22,7 +23,6 @@
 from briarfork.errors import BriarforkError
 from briarfork.errors import Outcome
 from briarfork.gateway.dispatch import Dispatcher
-from briarfork.gateway.permits import SlotRequirements
 from briarfork.gateway.request import Request
 from briarfork.platform import names
 from briarfork.platform.upstream import HttpUpstream
@@ -34,6 +34,9 @@
 from tests.gateway.harness import ScriptedPermits
 from tests.gateway.harness import build_gateway
 
+if TYPE_CHECKING:
+    from briarfork.gateway.permits import SlotRequirements
+
 HOST = "127.62.9.11"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # More than the buffers of a connection hold, so that the rest waits in the gateway.
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -34,6 +34,12 @@
     return f"{request_id} {path} ".encode() * 100
 
 
+def build_request_body(request_id: str, size: int) -> bytes:
+    """Returns the body of a request, by which it can be recognized at any length."""
+    line = f"{request_id} ".encode()
+    return (line * (size // len(line) + 1))[:size]
+
+
 def build_refusal(request_id: str, status: int) -> web.Response:
     """Returns a response which states that a request did not run."""
     return web.Response(
@@ -110,12 +116,19 @@
     async def _handle_request(
         self, request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
+        if self.fault != "early":
+            await self._read_body(request, request_id)
         await asyncio.sleep(int(request.path.split("/")[-1]) / 1000.0)
         body = build_response_body(request_id, request.path)
         if self.fault and self.random.random() < FAULT_PROBABILITY:
             return await BACKEND_FAULTS.get(self.fault)(self, request, body)
         return self.build_response(request_id, body)
 
+    async def _read_body(self, request: web.BaseRequest, request_id: str) -> None:
+        body = await request.read()
+        if body != build_request_body(request_id, len(body)):
+            self._ledger.wrong_bodies.append(f"{request_id} at {self.name}: another body")
+
     def build_response(self, request_id: str, body: bytes, status: int = 200) -> web.Response:
         headers = {
             names.ATTEMPT_ID: request_id,
@@ -163,6 +176,14 @@
     return server.build_response("another-request", body)
 
 
+@BACKEND_FAULTS.register("early")
+async def answer_without_reading(
+    server: Backend, request: web.BaseRequest, body: bytes
+) -> web.StreamResponse:
+    """Responds before the body has been read; the connection is kept and the rest read later."""
+    return server.build_response(request.headers[names.ATTEMPT_ID], body)
+
+
 @BACKEND_FAULTS.register("fail")
 async def send_server_error(
     server: Backend, request: web.BaseRequest, body: bytes
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from briarfork.platform import names
+from tests.soak.backend import build_request_body
 from tests.soak.backend import build_response_body
 from tests.soak.environment import FRONT_PORT
 from tests.soak.environment import HOST
@@ -21,6 +22,7 @@
 from tests.soak.ledger import Call
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from random import Random
 
     from tests.soak.environment import SoakEnvironment
@@ -31,6 +33,10 @@
 ABANDON_PROBABILITY = 0.05
 # Some callers cache lookups for three times their time-to-live.
 MAX_TTL_FACTOR = 3.0
+# Some callers send their body in chunks with pauses.
+SLOW_PROBABILITY = 0.2
+CHUNK_BYTES = 40_000
+CHUNK_PAUSE_S = (0.0, 0.1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +49,7 @@
         idempotent: Whether the request may run more than once.
         run_ms: Minimum and maximum run time in milliseconds.
         deadline_s: Time limit of the caller in seconds.
+        body_bytes: Minimum and maximum length of the body.
     """
 
     route: str
@@ -50,13 +57,15 @@
     idempotent: bool
     run_ms: tuple[int, int]
     deadline_s: float
+    body_bytes: tuple[int, int] = (0, 0)
 
 
 REQUEST_PROFILES = (
     RequestProfile("lookup", "GET", True, (20, 120), 2.5),
-    RequestProfile("order", "POST", False, (30, 150), 3.0),
+    RequestProfile("order", "POST", False, (30, 150), 3.0, (100, 1000)),
     RequestProfile("load", "GET", True, (20, 100), 2.0),
     RequestProfile("move", "GET", True, (20, 80), 2.0),
+    RequestProfile("upload", "POST", False, (30, 150), 3.0, (10_000, 400_000)),
 )
 
 
@@ -123,7 +132,7 @@
             names.DEADLINE_MS: str(int(profile.deadline_s * 1000)),
             names.AFFINITY_KEY: str(self.random.randint(0, 20)),
         }
-        data = b"order" if profile.method == "POST" else None
+        data = self._draw_body(call, profile)
         async with self.session.request(
             profile.method, url, headers=headers, data=data
         ) as response:
@@ -136,6 +145,20 @@
             elif body != build_response_body(call.name, path):
                 call.error = f"{len(body)} bytes that differ from the server's response"
 
+    def _draw_body(
+        self, call: Call, profile: RequestProfile
+    ) -> bytes | AsyncIterator[bytes] | None:
+        size = self.random.randint(*profile.body_bytes)
+        if not size:
+            return None
+        body = build_request_body(call.name, size)
+        return self._send_slowly(body) if self.random.random() < SLOW_PROBABILITY else body
+
+    async def _send_slowly(self, body: bytes) -> AsyncIterator[bytes]:
+        for start in range(0, len(body), CHUNK_BYTES):
+            yield body[start : start + CHUNK_BYTES]
+            await asyncio.sleep(self.random.uniform(*CHUNK_PAUSE_S))
+
     async def _refresh_lookup(self) -> None:
         now = time.monotonic()
         if self.vms and now < self.lookup_expires_at:
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -168,6 +168,7 @@
             ["lookup", HOST, "/lookup/", "idempotent", "3s", "0.6s", "lookups", 3],
             ["order", HOST, "/order/", "non_idempotent", "4s", "1s", "orders", 2],
             ["load", HOST, "/load/", "download", "3s", "0.6s", "archive", 2],
+            ["upload", HOST, "/upload/", "upload", "3s", "0.6s", "orders", 2],
             ["move", HOST, "/move/", "idempotent", "3s", "0.6s", move_service, 2],
         ]
         services = [[name, 200, "1s", 10.0] for name in SERVICES]
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -25,7 +25,7 @@
 INVARIANTS: Registry[Invariant] = Registry("invariant")
 # Statuses which state that the request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-MAX_ATTEMPTS = {"lookup": 3, "order": 2, "load": 2, "move": 2}
+MAX_ATTEMPTS = {"lookup": 3, "order": 2, "load": 2, "move": 2, "upload": 2}
 RETRY_RATIO = 0.2
 RETRY_SLACK = 20
 BUDGET_WINDOW_S = 10.0
@@ -60,6 +60,12 @@
             yield f"{call.name} at {call.vm}: {call.error}"
 
 
+@INVARIANTS.register("whole bodies")
+def check_complete_bodies(ledger: Ledger) -> Iterator[str]:
+    """A server that reads the body of a request to its end gets the body that was sent."""
+    yield from ledger.wrong_bodies
+
+
 @INVARIANTS.register("known requests")
 def check_known_requests(ledger: Ledger) -> Iterator[str]:
     """Servers run only requests that callers have sent."""
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -118,6 +118,7 @@
         statements: What servers said about themselves.
         restart_times: Times of planned stops by VM.
         unexpected_exits: Descriptions of processes that exited or failed to stop.
+        wrong_bodies: Descriptions of request bodies that differ from those sent.
     """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
@@ -133,6 +134,7 @@
     statements: list[Statement] = field(default_factory=list)
     restart_times: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     unexpected_exits: list[str] = field(default_factory=list)
+    wrong_bodies: list[str] = field(default_factory=list)
 
     def start_fault(self, subject: str, kind: str, now: float) -> FaultInterval:
         interval = FaultInterval(kind, now)
