Keep bodies in parts and measure the memory of 200 uploads at once

Cause: bodies were joined to one block each; blocks that were freed did not fit bodies of other sizes, so a VM grew from size to size, and the configuration allows more bytes than it has. Change: chunks are joined to parts of 64 KB that are written one by one; make bench runs tests.bench.uploads.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 bench: install
 	$(BIN)/python -m tests.bench.main
 	$(BIN)/python -m tests.bench.overhead
+	$(BIN)/python -m tests.bench.uploads
 
 break: install
 	$(BIN)/python -m tests.mutations.main
--- a/src/briarfork/gateway/bodies.py
+++ b/src/briarfork/gateway/bodies.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from briarfork.gateway.request import BodyPart
     from briarfork.requests import BodyMemory
     from briarfork.requests import Reservation
     from briarfork.routing import CallerLimits
@@ -24,6 +25,8 @@
 MEMORY_WAIT_FRACTION = 0.5
 # First reservation for a body of unknown length; it is doubled whenever it is full.
 UNKNOWN_LENGTH_BYTES = 65536
+# Chunks are joined up to this size.
+PART_BYTES = 65536
 
 
 class BodySource(Protocol):
@@ -59,8 +62,8 @@
     @asynccontextmanager
     async def collect(
         self, source: BodySource, limits: CallerLimits, route: Route, deadline: Deadline
-    ) -> AsyncIterator[bytearray]:
-        """Yields the complete body and frees its memory afterwards.
+    ) -> AsyncIterator[tuple[BodyPart, ...]]:
+        """Yields the parts of the complete body and frees its memory afterwards.
 
         Args:
             source: The body.
@@ -80,14 +83,16 @@
             wait_until = time.monotonic() + MEMORY_WAIT_FRACTION * route.objective_s
             wait_deadline = Deadline(min(wait_until, deadline.expires_at))
             await self._wait_for_memory(reservation, wait_deadline)
-            body = bytearray()
+            parts: list[BodyPart] = []
+            size = 0
             while chunk := await _read_chunk(source, limits, deadline):
-                body += chunk
-                check_length(len(body), limits)
-                if len(body) > reservation.held_bytes:
-                    self._memory.grow(reservation, max(len(body), reservation.held_bytes))
+                _append(parts, chunk)
+                size += len(chunk)
+                check_length(size, limits)
+                if size > reservation.held_bytes:
+                    self._memory.grow(reservation, self._choose_growth(reservation, size))
                     await self._wait_for_memory(reservation, deadline)
-            yield body
+            yield tuple(parts)
         finally:
             self._release(reservation)
 
@@ -104,6 +109,11 @@
         finally:
             del self._granted[reservation.number]
 
+    def _choose_growth(self, reservation: Reservation, size: int) -> int:
+        """Returns by how many bytes to grow a reservation: to its double, if the memory allows."""
+        held = reservation.held_bytes
+        return max(size - held, min(held, self._memory.capacity_bytes - held))
+
     def _release(self, reservation: Reservation) -> None:
         for granted in self._memory.release(reservation):
             future = self._granted.get(granted.number)
@@ -111,6 +121,21 @@
                 future.set_result(None)
 
 
+def _append(parts: list[BodyPart], chunk: bytes) -> None:
+    """Appends a chunk to the parts of a body.
+
+    Short chunks are joined, because each part takes memory of its own. Bodies are not joined as a
+    whole: large blocks of memory, once freed, do not fit bodies of other sizes.
+    """
+    last = parts[-1] if parts else None
+    if isinstance(last, bytearray) and len(last) + len(chunk) <= PART_BYTES:
+        last += chunk
+    elif len(chunk) < PART_BYTES:
+        parts.append(bytearray(chunk))
+    else:
+        parts.append(chunk)
+
+
 def check_length(size_bytes: int, limits: CallerLimits) -> None:
     """Checks the length of a body.
 
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -154,7 +154,7 @@
             self._require_time_to_run(progress)
             self._permits.check_room(self._build_requirements(request, progress))
         async with self._bodies.collect(source, limits, progress.route, progress.deadline) as body:
-            progress.body_bytes = len(body)
+            progress.body_bytes = sum(map(len, body))
             progress.body_wait_s = time.monotonic() - progress.started
             return await self._run(replace(request, body=body), progress)
 
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -8,16 +8,19 @@
 from briarfork.pools import NO_REPORT
 from briarfork.pools import ServerReport
 
+BodyPart = bytes | bytearray
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A request; its body is empty until it has been collected.
+    """A request.
 
     Attributes:
         request_id: The caller's id of this attempt.
         host: Requested host name without a port.
         target: Path and query as the caller sent them.
         headers: Headers to forward, in order.
+        body: Parts of the body, none until it has been collected.
         object_key: Key of the object that the request concerns, empty if unknown.
         caller_timeout_s: How long the caller waits, None if it did not say.
         respond_by: Monotonic time after which a response no longer reaches the caller.
@@ -28,7 +31,7 @@
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes | bytearray
+    body: tuple[BodyPart, ...] = ()
     object_key: str = ""
     caller_timeout_s: float | None = None
     respond_by: float = math.inf
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -107,7 +107,6 @@
                 for name, value in http_request.headers.items()
                 if name.lower() not in DROPPED_HEADERS
             ),
-            body=b"",
             object_key=http_request.headers.get(names.AFFINITY_KEY, ""),
             caller_timeout_s=caller_timeout_s,
             respond_by=(
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -31,6 +31,7 @@
     from collections.abc import AsyncIterator
 
     from briarfork.entry.connections import ServerConnections
+    from briarfork.gateway.request import BodyPart
     from briarfork.gateway.request import Request
     from briarfork.pools import ServerAddress
 
@@ -38,8 +39,6 @@
 RESPONSE_MARGIN_S = 0.1
 # A longer body is cut off; a VM with 200 MB of memory holds several of this size.
 MAX_BODY_BYTES = 32 * 1024 * 1024
-# A longer body is written in parts of this size, because aiohttp copies what it writes at once.
-BODY_PART_BYTES = 65536
 # Required fields of a load report (running, waiting, slots); the fourth, the slowdown, is optional.
 REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100.0
@@ -133,19 +132,20 @@
         (names.PINNED_INSTANCE, server.vm),
     ]
     if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-        headers.append(("Content-Length", str(len(request.body))))
+        headers.append(("Content-Length", str(sum(map(len, request.body)))))
     return headers
 
 
-def _build_payload(body: bytes | bytearray) -> bytes | bytearray | AsyncIterator[bytes] | None:
-    if len(body) <= BODY_PART_BYTES:
-        return body or None
-    return _split_body(body)
+def _build_payload(parts: tuple[BodyPart, ...]) -> BodyPart | AsyncIterator[BodyPart] | None:
+    """Returns a body for aiohttp, which copies what it writes at once."""
+    if len(parts) > 1:
+        return _iterate(parts)
+    return parts[0] if parts else None
 
 
-async def _split_body(body: bytes | bytearray) -> AsyncIterator[bytes]:
-    for start in range(0, len(body), BODY_PART_BYTES):
-        yield bytes(body[start : start + BODY_PART_BYTES])
+async def _iterate(parts: tuple[BodyPart, ...]) -> AsyncIterator[BodyPart]:
+    for part in parts:
+        yield part
 
 
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -95,7 +95,7 @@
         self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
     ) -> Response:
         self.sent.append(server.vm)
-        self.bodies.append(bytes(request.body))
+        self.bodies.append(b"".join(request.body))
         outcome = self.outcomes.pop(0)
         if outcome is UNRESPONSIVE:
             try:
@@ -155,5 +155,5 @@
 
     async def send(self, target: str = "/a/x", timeout_s: float | None = 3.0) -> Response:
         return await self.dispatcher.handle(
-            Request("r1", "h", "GET", target, (), b"", "", timeout_s)
+            Request("r1", "h", "GET", target, (), (), "", timeout_s)
         )
--- a/tests/gateway/test_bodies.py
+++ b/tests/gateway/test_bodies.py
@@ -61,7 +61,7 @@
         async with self.collector.collect(body, LIMITS, route, deadline) as collected:
             self.finished.append(name)
             await release.wait()
-            return bytes(collected)
+            return b"".join(collected)
 
 
 class TestBodyCollector:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -56,7 +56,7 @@
         gateway = build_gateway()
         permits = SlowPermits(gateway, "i-0")
         dispatcher = Dispatcher(gateway.view, permits, harness.upstream, EventLog("test"))
-        request = Request("r1", "h", "GET", "/a/x", (), b"", "", CALLER_TIMEOUT_S)
+        request = Request("r1", "h", "GET", "/a/x", (), (), "", CALLER_TIMEOUT_S)
         with pytest.raises(NotRun):
             await dispatcher.handle(request)
         assert harness.upstream.sent == []
--- a/tests/platform/test_uploads.py
+++ b/tests/platform/test_uploads.py
@@ -41,6 +41,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # More than the buffers of a connection hold, so that the rest waits in the gateway.
 BODY_BYTES = 6_000_000
+PART_BYTES = 60_000
 RECEIVE_BUFFER_BYTES = 4096
 TIMEOUT_S = 0.3
 
@@ -139,7 +140,7 @@
 
 async def upload(dispatcher: Dispatcher, request_id: str) -> int:
     """Sends an upload whose body consists of the last letter of its id; returns the status."""
-    body = request_id[-1].encode() * BODY_BYTES
+    body = (request_id[-1].encode() * PART_BYTES,) * (BODY_BYTES // PART_BYTES)
     request = Request(request_id, "h", "POST", "/a/x", (("Host", "h"),), body, "", TIMEOUT_S)
     try:
         return (await dispatcher.handle(request)).status
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -104,7 +104,7 @@
     async def send(self, idempotent: bool = True, remaining_s: float = 10.0) -> Response:
         now = time.monotonic()
         request = Request(
-            "r1", "h", "GET", "/a//b?c=%2f", (("Host", "h"),), b"", respond_by=now + remaining_s
+            "r1", "h", "GET", "/a//b?c=%2f", (("Host", "h"),), (), respond_by=now + remaining_s
         )
         deadline = Deadline(now + 2.0)
         return await self._upstream.send(request, self._address, deadline, idempotent)
@@ -164,7 +164,7 @@
     connections = ServerConnections(settings)
     upstream = HttpUpstream(connections)
     address = ServerAddress("i-1", HOST, listener.getsockname()[1])
-    request = Request("r1", "h", "GET", "/", (), b"")
+    request = Request("r1", "h", "GET", "/", ())
     deadline = Deadline(time.monotonic() + 5.0)
     attempt = asyncio.create_task(upstream.send(request, address, deadline, idempotent=True))
     # The client connects on this loop, so only another thread may block.
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -34,6 +34,7 @@
 FRONT_PORT, READY_PORT, LOOKUP_PORT = 8641, 8640, 8644
 INTERNAL_PORTS = [7620, 7635]
 SERVER_PORT, STORE_PORT = 9000, 8642
+VM_MEMORY_MB = 200
 HEARTBEAT_S = 0.5
 MISSED_HEARTBEATS = 3
 # Time limits that the invariants check; the VMs get them in their settings.
@@ -274,6 +275,7 @@
             },
             "internal_ports": INTERNAL_PORTS,
             "bounds": BOUNDS,
+            "limits": {"memory_mb": VM_MEMORY_MB},
             "platform": {"address": f"{store_address}:{STORE_PORT}", "min_ttl": "1000ms"},
         }
         (self.work / f"{name}.json").write_text(json.dumps(settings))
