--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -193,7 +193,7 @@
     def record_load(
         self, permit: Permit, service: str, overloaded: bool, utilization: float = 1.0
     ) -> None:
-        """Records the load of a server after a request.
+        """Records the load of a server of another region; servers of this region are ignored.
 
         Args:
             permit: The permit of the request.
@@ -201,10 +201,9 @@
             overloaded: Whether the server refused the request, failed or had others waiting.
             utilization: Fraction of the server's slots in use.
         """
-        now = time.monotonic()
         if self._gateway_view.location.is_local(permit.site):
-            self._find_share_controller(service, now).record_home(utilization)
             return
+        now = time.monotonic()
         if overloaded:
             self._backoff_until[permit.server.vm] = now + OVERLOADED_SERVER_BACKOFF_S
         self._find_share_controller(service, now).record_remote(overloaded, utilization)
--- a/src/briarfork/gateway/spillover.py
+++ b/src/briarfork/gateway/spillover.py
@@ -32,12 +32,6 @@
 # Mean utilization of slots in other regions above which the servers there count as busy.
 BUSY_UTILIZATION: Final = 0.85
 MAX_REMOTE_SHARE: Final = 0.9
-# Saturation is the fraction of responses from servers all of whose slots were in use. From the
-# first value on, other regions take more requests only if they are less saturated than this region
-# by the second one: each request that leaves takes a round trip longer, and so does its slot.
-SATURATED: Final = 0.5
-SATURATION_MARGIN: Final = 0.15
-SATURATION_WEIGHT: Final = 0.1
 # The remote share falls if more than this fraction of remote requests met an overloaded server.
 MAX_OVERLOADED_FRACTION: Final = 0.25
 # The remote share is not adjusted on the basis of fewer requests.
@@ -97,13 +91,11 @@
 
     __slots__ = (
         "_credit",
-        "_home_saturation",
         "_local",
         "_overloaded",
         "_period_started",
         "_region_full",
         "_remote",
-        "_remote_saturation",
         "_share",
         "_utilization_sum",
     )
@@ -117,16 +109,6 @@
         self._remote = 0
         self._overloaded = 0
         self._utilization_sum = 0.0
-        self._home_saturation = 0.0
-        self._remote_saturation = 0.0
-
-    def record_home(self, utilization: float) -> None:
-        """Records a request that ran in this region.
-
-        Args:
-            utilization: Fraction of the server's slots in use.
-        """
-        self._home_saturation += SATURATION_WEIGHT * ((utilization >= 1.0) - self._home_saturation)
 
     def record_local(self, region_full: bool) -> None:
         """Counts a request that asked this region first.
@@ -147,8 +129,6 @@
         self._remote += 1
         self._overloaded += overloaded
         self._utilization_sum += utilization
-        difference = (utilization >= 1.0) - self._remote_saturation
-        self._remote_saturation += SATURATION_WEIGHT * difference
 
     def compute(self, now: float) -> float:
         """Returns the current share, after adjusting it if a period has passed."""
@@ -179,19 +159,11 @@
         busy = self._utilization_sum > BUSY_UTILIZATION * counted
         self._remote = self._overloaded = 0
         self._utilization_sum = 0.0
-        if (
-            overloaded
-            or self._is_as_saturated_elsewhere()
-            or full_fraction < (LOWER_BELOW_BUSY if busy else LOWER_BELOW)
-        ):
+        if overloaded or full_fraction < (LOWER_BELOW_BUSY if busy else LOWER_BELOW):
             self._share = max(0.0, self._share - STEP_DOWN)
         elif full_fraction > (RAISE_ABOVE_BUSY if busy else RAISE_ABOVE):
             self._share = min(MAX_REMOTE_SHARE, self._share + STEP_UP)
 
-    def _is_as_saturated_elsewhere(self) -> bool:
-        threshold = max(SATURATED, self._home_saturation - SATURATION_MARGIN)
-        return self._remote_saturation >= threshold
-
 
 def estimate_remote_share(local_slots: int, all_slots: int, local_vms: int, all_vms: int) -> float:
     """Returns the initial remote share of a service.
