Keep uploads in their region and in the nearest zone with a free slot

Change: bodies from 16 KB on ask the zones of their region, nearest first, and go to another region only if theirs has no server.

--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -218,6 +218,7 @@
             request.object_key,
             progress.deadline,
             frozenset(progress.tried_servers),
+            progress.body_bytes,
         )
 
     def _require_time_to_run(self, progress: Progress) -> None:
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -50,6 +50,8 @@
 MAX_RETURNED_PERMITS = 3
 # Servers of a remote zone that are tried for an object; more would duplicate it in their caches.
 MAX_REMOTE_CANDIDATES = 2
+# Larger bodies stay in their region: their way costs more than a late response is worth.
+LARGE_BODY_BYTES = 16384
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +62,7 @@
         object_key: Key of the object that the request concerns, empty if unknown.
         deadline: Deadline of the request.
         avoid: Servers that the request was already sent to.
+        body_bytes: Length of the request body.
     """
 
     route: Route
@@ -67,6 +70,7 @@
     object_key: str
     deadline: Deadline
     avoid: frozenset[str]
+    body_bytes: int = 0
 
 
 class GatewayPermits(SlotClient):
@@ -87,9 +91,7 @@
         Raises:
             SlotRefused: If no zone has a free slot; the request was not sent.
         """
-        local, remote = self.list_zones(request.route, request.service, request.object_key)
-        if not local and not remote:
-            raise SlotRefused(ErrorKind.NO_SERVER, f"service {request.service!r} has no server")
+        local, remote = self._require_zones(request)
         started = time.monotonic()
         self._spillover_limit.record_request(started)
         if not local or not remote:
@@ -120,9 +122,7 @@
         Raises:
             SlotRefused: If the service has no server, or if all zones are known to be full.
         """
-        local, remote = self.list_zones(request.route, request.service, request.object_key)
-        if not local and not remote:
-            raise SlotRefused(ErrorKind.NO_SERVER, f"service {request.service!r} has no server")
+        local, remote = self._require_zones(request)
         now = time.monotonic()
         if local and remote and self._may_send_remote(request.service, now):
             return
@@ -139,6 +139,10 @@
         share = self._find_share_controller(service, now).compute(now)
         return share > 0.0 or self._spillover_limit.allows_spillover(now)
 
+    def record_refusal(self, key: SlotKey, priority: int, wait_s: float) -> None:
+        """Remembers for a short time that a zone refused a request of a priority."""
+        self._refusal_cache.record(key, priority, wait_s, time.monotonic())
+
     async def acquire_hedge(self, route: Route, first: Permit) -> Permit | None:
         """Returns a permit for a hedged attempt, or None if no slot is granted.
 
@@ -256,7 +260,7 @@
             if isinstance(decision, Permit):
                 return self.track(decision)
             wait_s = decision.wait_s if isinstance(decision, SlotRefused) else 0.0
-            self._refusal_cache.record(key, request.route.priority, wait_s, time.monotonic())
+            self.record_refusal(key, request.route.priority, wait_s)
             refusal = _keep_shorter_wait(refusal, wait_s)
         raise refusal
 
@@ -312,8 +316,21 @@
         )
         return True
 
+    def _require_zones(self, request: SlotRequirements) -> tuple[list[str], list[str]]:
+        """Returns the zones of this region and the zones of other regions for a request.
+
+        Raises:
+            SlotRefused: If no zone has a server.
+        """
+        local, remote = self.list_zones(
+            request.route, request.service, request.object_key, request.body_bytes
+        )
+        if not local and not remote:
+            raise SlotRefused(ErrorKind.NO_SERVER, f"service {request.service!r} has no server")
+        return local, remote
+
     def list_zones(
-        self, route: Route, service: str, object_key: str
+        self, route: Route, service: str, object_key: str, body_bytes: int = 0
     ) -> tuple[list[str], list[str]]:
         """Returns the zones of this region, nearest first, and the zones of other regions."""
         location = self._gateway_view.location
@@ -330,6 +347,8 @@
             # Downloads use only the nearest zone with a server, because links between zones have
             # limited bandwidth.
             return (local[:1], []) if local else ([], remote[:1])
+        if body_bytes >= LARGE_BODY_BYTES:
+            return (local, []) if local else ([], remote)
         if (
             route.sticky
             and object_key
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -17,6 +17,7 @@
 from briarfork.border.settings import Settings
 from briarfork.entry.owner_link import OwnerLink
 from briarfork.entry.slot_client import SlotRefused
+from briarfork.gateway.permits import LARGE_BODY_BYTES
 from briarfork.gateway.permits import SlotRequirements
 from briarfork.gateway.process import Gateway
 from briarfork.gateway.view import GatewayView
@@ -29,6 +30,7 @@
 from tests.gateway.harness import LOCATION
 from tests.gateway.harness import RETRY_LIMITS
 from tests.gateway.harness import ROUTE
+from tests.gateway.harness import build_gateway
 from tests.gateway.harness import build_instance
 from tests.gateway.harness import build_table
 
@@ -157,6 +159,28 @@
             await asyncio.sleep(PAUSED.pause_s)
             assert (await acquire(requester)).server == first.server
 
+    def test_large_body_stays_in_its_region(self) -> None:
+        """Guards against uploads that cost more on their way than their response is worth."""
+        gateway = build_gateway(servers=[build_instance(zone, zone) for zone in "abc"])
+        sticky = replace(ROUTE, sticky=True)
+        assert gateway.permits.list_zones(sticky, "s", "object") == (["a", "b"], ["c"])
+        large = gateway.permits.list_zones(sticky, "s", "object", LARGE_BODY_BYTES)
+        assert large == (["a", "b"], [])
+        only_remote = build_gateway(servers=[build_instance("c", "c")])
+        assert only_remote.permits.list_zones(ROUTE, "s", "", LARGE_BODY_BYTES) == ([], ["c"])
+
+    def test_upload_is_refused_before_its_body_while_all_zones_are_full(self) -> None:
+        """Guards against reading a body although its zones have just refused a request."""
+        gateway = build_gateway(servers=[build_instance("a")])
+        request = SlotRequirements(
+            ROUTE, "s", "", Deadline(time.monotonic() + 1.0), frozenset(), LARGE_BODY_BYTES
+        )
+        gateway.permits.check_room(request)
+        gateway.permits.record_refusal(("s", "a"), ROUTE.priority, wait_s=1.0)
+        with pytest.raises(SlotRefused) as caught:
+            gateway.permits.check_room(request)
+        assert caught.value.wait_s > 0.0
+
     def test_server_of_another_region_is_paused_as_well(self) -> None:
         """Guards against a pause that only the owner of the slots observes."""
         gateway = build_peer("requester", [build_instance("i-3", "c")])
