Call the name of a backend server a name, not a VM

ServerAddress, HeldPermit and the loops of pools/ held a backend server's name in fields and variables named vm, the word for entry VMs.

--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -174,7 +174,7 @@
             _check_framing(call, response)
             on_response()
             headers = _build_response_headers(response.headers)
-            headers[SERVER_HEADER] = server.vm
+            headers[SERVER_HEADER] = server.name
             headers[GENERATION_HEADER] = str(call.generation)
             if call.buffer_response:
                 return await self._buffer(response, headers, timer)
--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -143,7 +143,7 @@
         queue.set_servers(servers)
         sharers = sorted({member.vm for member in self._view.list_zone_entries(local_zone)})
         share = divide_slots(
-            sorted(server.vm for server in servers),
+            sorted(server.name for server in servers),
             capacity.slots,
             sharers,
             self._view.settings.vm,
--- a/src/briarfork/entry/permits.py
+++ b/src/briarfork/entry/permits.py
@@ -76,7 +76,7 @@
             raise NotRun(
                 ErrorKind.OVERLOADED, "a hedged attempt would count against the cap of a shift"
             )
-        avoid = frozenset({first.server.vm})
+        avoid = frozenset({first.server.name})
         slot_requests = {
             (first.service, site): replace(
                 self.build_slot_request(first.request_class, deadline, avoid), hedge=True
--- a/src/briarfork/entry/proxy.py
+++ b/src/briarfork/entry/proxy.py
@@ -168,7 +168,7 @@
                     return await self._process.hedger.send(delivery, service, permit)
                 except AttemptFailed as failure:
                     self._check_retry(failure, delivery, service, number)
-                avoid |= {permit.server.vm}
+                avoid |= {permit.server.name}
                 self._process.metrics.count(Metric.RETRIES, service.name)
             raise AssertionError("unreachable")
         finally:
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -253,7 +253,7 @@
     ) -> Permit | NotRun | None:
         """Waits for a permit of the local share, up to the time for another try at the owner."""
         held = Counter(
-            permit.server.vm
+            permit.server.name
             for permit in self._held.values()
             if permit.key == key and not permit.is_local
         )
@@ -336,8 +336,8 @@
             permit.name,
             permit.service,
             permit.site,
-            permit.server.vm,
+            permit.server.name,
             permit.request_class,
             object_key,
-            self._view.find_recent_limit(permit.server.vm),
+            self._view.find_recent_limit(permit.server.name),
         )
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -356,5 +356,5 @@
     permit = decision.request.permit
     if isinstance(decision, Grant):
         server = decision.server
-        return PermitGrant(permit, server.vm, server.address, server.port, decision.limit_per_s)
+        return PermitGrant(permit, server.name, server.address, server.port, decision.limit_per_s)
     return PermitRefusal(permit, decision.reason, decision.moved, decision.wait_s)
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -163,7 +163,7 @@
     ) -> Response | AttemptError:
         """Sends a request once and releases its permit."""
         started = time.monotonic()
-        progress.tried_servers.add(permit.server.vm)
+        progress.tried_servers.add(permit.server.name)
         progress.zone = permit.site
         progress.slot_wait_s = started - progress.started
         release, report = Release.CANCELLED, NO_REPORT
@@ -197,7 +197,7 @@
             Event.ATTEMPT_FAILED,
             request=request.request_id,
             service=progress.service,
-            server=permit.server.vm,
+            server=permit.server.name,
             zone=permit.site,
             result=failure.result.value,
             reason=str(failure),
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -155,7 +155,7 @@
         for zone in local:
             wait_deadline = Deadline(time.monotonic() + HEDGE_PERMIT_TIMEOUT_S)
             slot_request = self.build_slot_request(
-                RequestClass.SHORT, wait_deadline, frozenset({first.server.vm}), route.priority
+                RequestClass.SHORT, wait_deadline, frozenset({first.server.name}), route.priority
             )
             decision = await self.request_permit(
                 (first.service, zone), replace(slot_request, hedge=True), wait_deadline
@@ -173,8 +173,8 @@
         an earlier version reject messages with a limit.
         """
         inventory = self._gateway_view.inventory
-        known_limit = min(permit.limit_per_s, self._gateway_view.find_limit(permit.server.vm))
-        inventory.record_report(permit.server.vm, report, time.monotonic())
+        known_limit = min(permit.limit_per_s, self._gateway_view.find_limit(permit.server.name))
+        inventory.record_report(permit.server.name, report, time.monotonic())
         if report.limit_per_s == known_limit == math.inf:
             report = replace(report, limit_per_s=None)
         if report.is_leaving:
@@ -209,7 +209,7 @@
             return
         now = time.monotonic()
         if overloaded:
-            self._backoff_until[permit.server.vm] = now + OVERLOADED_SERVER_BACKOFF_S
+            self._backoff_until[permit.server.name] = now + OVERLOADED_SERVER_BACKOFF_S
         self._find_share_controller(service, now).record_remote(overloaded, utilization)
 
     def take_remote_slot(self, zones: list[str], request: SlotRequirements) -> Permit | None:
@@ -222,7 +222,7 @@
         for zone in zones:
             ranked = self._gateway_view.rank_servers(request.service, zone, request.object_key, now)
             for server in ranked[:MAX_REMOTE_CANDIDATES]:
-                if server.vm in avoid or self._backoff_until.get(server.vm, 0.0) > now:
+                if server.name in avoid or self._backoff_until.get(server.name, 0.0) > now:
                     continue
                 slot_request = self.build_slot_request(
                     RequestClass.SHORT,
@@ -279,13 +279,13 @@
             slot_request = replace(
                 slot_request,
                 permit=self.build_permit_name(),
-                avoid=slot_request.avoid | {decision.server.vm},
+                avoid=slot_request.avoid | {decision.server.name},
             )
         return SlotRefused(ErrorKind.OVERLOADED, "the owner grants only unusable servers")
 
     def _return_if_unusable(self, permit: Permit) -> bool:
         """Returns a permit that this VM must not use; tells whether it did."""
-        if permit.server.vm in self._gateway_view.inventory.list_paused(time.monotonic()):
+        if permit.server.name in self._gateway_view.inventory.list_paused(time.monotonic()):
             self.release(permit, Release.UNUSED, 0.0)
             return True
         return self._release_if_left(permit) or self._release_if_limited(permit)
@@ -295,7 +295,7 @@
 
         The release tells the owner. Shares of slots apply the limits that this VM knows.
         """
-        limit_per_s = self._gateway_view.find_recent_limit(permit.server.vm)
+        limit_per_s = self._gateway_view.find_recent_limit(permit.server.name)
         if permit.is_local or limit_per_s == math.inf or permit.limit_per_s != math.inf:
             return False
         # The server has not named its limit again, so this VM's record of it stays as it is.
@@ -312,7 +312,7 @@
             return False
         self.release(permit, Release.FAILED, 0.0)
         self._slot_manager.events.record(
-            Event.PERMIT_RETURNED, owner=permit.owner, server=permit.server.vm, zone=permit.site
+            Event.PERMIT_RETURNED, owner=permit.owner, server=permit.server.name, zone=permit.site
         )
         return True
 
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -129,7 +129,7 @@
         *request.headers,
         (names.ATTEMPT_ID, request.request_id),
         (names.DEADLINE_MS, str(max(1, remaining_ms))),
-        (names.PINNED_INSTANCE, server.vm),
+        (names.PINNED_INSTANCE, server.name),
     ]
     if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         headers.append(("Content-Length", str(sum(map(len, request.body)))))
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -148,11 +148,11 @@
 
         A server that was never listed here may be new, so it counts as present.
         """
-        if server.vm in self._leaving:
+        if server.name in self._leaving:
             return True
-        instance = self._instances.get(server.vm)
+        instance = self._instances.get(server.name)
         if instance is None:
-            return server.vm in self._removed_at
+            return server.name in self._removed_at
         has_moved = (instance.address, instance.port) != (server.address, server.port)
         return has_moved or not self._is_usable(instance)
 
--- a/src/briarfork/pools/local.py
+++ b/src/briarfork/pools/local.py
@@ -29,12 +29,12 @@
 
     def set_servers(self, live: Iterable[ServerAddress]) -> None:
         """Applies the list of live servers."""
-        listed = {address.vm: address for address in live}
-        for vm in [vm for vm in self._servers if vm not in listed]:
-            del self._servers[vm]
-        for vm, address in listed.items():
-            if vm not in self._servers or self._servers[vm].address != address:
-                self._servers[vm] = Server(address, 0, 0)
+        listed = {address.name: address for address in live}
+        for name in [name for name in self._servers if name not in listed]:
+            del self._servers[name]
+        for name, address in listed.items():
+            if name not in self._servers or self._servers[name].address != address:
+                self._servers[name] = Server(address, 0, 0)
 
     def choose(
         self,
@@ -56,13 +56,13 @@
         Returns:
             The address of the server, or None if the site has no server.
         """
-        servers = [server for vm, server in self._servers.items() if vm not in avoid]
+        servers = [server for name, server in self._servers.items() if name not in avoid]
         servers = servers or list(self._servers.values())
         if not servers:
             return None
         server = SELECTION_POLICIES.get(policy)(servers, self._random)
         server.start(permit, request_class, now)
-        self._server_by_permit[permit] = server.address.vm
+        self._server_by_permit[permit] = server.address.name
         return server.address
 
     def release(self, permit: str) -> None:
--- a/src/briarfork/pools/permit.py
+++ b/src/briarfork/pools/permit.py
@@ -101,7 +101,7 @@
 
     Attributes:
         requester: Stream that holds the permit.
-        vm: Name of the server.
+        server: Name of the server.
         request_class: Short or long.
         expires_at: Time by which the request has ended, in seconds; infinite if unknown.
         orphaned_until: Time until which the permit is kept after its stream was lost, in seconds;
@@ -109,7 +109,7 @@
     """
 
     requester: Requester
-    vm: str
+    server: str
     request_class: RequestClass
     expires_at: float = math.inf
     orphaned_until: float = math.inf
--- a/src/briarfork/pools/placement.py
+++ b/src/briarfork/pools/placement.py
@@ -47,16 +47,16 @@
         self._random = random
         self._run_times = run_times
 
-    def remove_server(self, vm: str) -> None:
+    def remove_server(self, name: str) -> None:
         """Removes a server and forgets the objects that it has handled."""
-        self.servers.pop(vm, None)
-        self.objects.remove_server(vm)
+        self.servers.pop(name, None)
+        self.objects.remove_server(name)
 
     def find_free(self, request_class: RequestClass, now: float) -> dict[str, Server]:
         """Returns the servers that can accept a request of a class, by name."""
         return {
-            vm: server
-            for vm, server in self.servers.items()
+            name: server
+            for name, server in self.servers.items()
             if server.can_accept(request_class, now)
         }
 
@@ -71,11 +71,13 @@
         self, request: SlotRequest, free: Mapping[str, Server], now: float
     ) -> Server | None:
         """Returns a free server that has recently handled the object of a request."""
-        caching = [free[vm] for vm in self.objects.list_servers(request.object_key) if vm in free]
+        caching = [
+            free[name] for name in self.objects.list_servers(request.object_key) if name in free
+        ]
         eligible = self._filter_eligible(request, caching)
         return max(
             (server for server in eligible if server.is_prompt(now)),
-            key=lambda server: compute_affinity_score(request.object_key, server.address.vm),
+            key=lambda server: compute_affinity_score(request.object_key, server.address.name),
             default=None,
         )
 
@@ -83,7 +85,7 @@
         """Returns the servers that a request may use: untried ones, or any if all were tried."""
         if not request.avoid or (not request.hedge and request.avoid >= self.active):
             return servers
-        return [server for server in servers if server.address.vm not in request.avoid]
+        return [server for server in servers if server.address.name not in request.avoid]
 
     def select(self, request: SlotRequest, free: Mapping[str, Server], now: float) -> Server | None:
         """Returns the best free server, or None if the request waits for a better one."""
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -108,27 +108,27 @@
 
         If the service has both short and long requests, long ones leave one slot of the share free.
         """
-        for vm, server in self._servers.items():
-            server.slots = slots.get(vm, 0)
+        for name, server in self._servers.items():
+            server.slots = slots.get(name, 0)
             server.long_slots = max(0, server.slots - 1) if self._mixed else server.slots
 
     def set_servers(self, live: Iterable[ServerAddress]) -> None:
         """Applies the list of live servers; missing servers get no new requests."""
-        listed = {address.vm: address for address in live}
-        for vm, server in list(self._servers.items()):
-            server.leaving = vm not in listed
+        listed = {address.name: address for address in live}
+        for name, server in list(self._servers.items()):
+            server.leaving = name not in listed
             if server.leaving and not server.permits:
-                self._placement.remove_server(vm)
-        for vm, address in listed.items():
-            if vm not in self._servers or self._servers[vm].address != address:
-                held = self._servers[vm].permits if vm in self._servers else {}
+                self._placement.remove_server(name)
+        for name, address in listed.items():
+            if name not in self._servers or self._servers[name].address != address:
+                held = self._servers[name].permits if name in self._servers else {}
                 slots = address.slots or self._capacity.slots
                 server = Server(address, slots, self._compute_long_slots(slots))
                 server.permits = held
                 # Servers on the first list may have run for long; those added later are new.
                 server.slow_start = SlowStart(cold=self._first_list_applied and self._slow_start)
-                self._placement.remove_server(vm)
-                self._servers[vm] = server
+                self._placement.remove_server(name)
+                self._servers[name] = server
         self._placement.active = frozenset(listed)
         self._first_list_applied = self._first_list_applied or bool(self._servers)
 
@@ -175,20 +175,20 @@
         active = (server for server in self._servers.values() if not server.leaving)
         return wait_s / max(1.0, sum(server.count_effective_slots(run_s) for server in active))
 
-    def limit_rate(self, vm: str, per_s: float, now: float) -> None:
+    def limit_rate(self, name: str, per_s: float, now: float) -> None:
         """Sets how many requests per second a server accepts, infinite for no limit."""
-        if vm in self._servers:
-            self._servers[vm].limit_rate(per_s, now)
+        if name in self._servers:
+            self._servers[name].limit_rate(per_s, now)
 
-    def set_cold_start_limit(self, vm: str, until: float, per_s: float) -> None:
+    def set_cold_start_limit(self, name: str, until: float, per_s: float) -> None:
         """Limits the requests per second to a server until its caches are warm.
 
         Args:
-            vm: Name of the server.
+            name: Name of the server.
             until: Time at which the caches are warm, in seconds.
             per_s: Maximum number of requests per second.
         """
-        server = self._servers.get(vm)
+        server = self._servers.get(name)
         if server is None:
             return
         if server.cold_start_limiter is None:
@@ -238,7 +238,7 @@
         held = self._held_permits.pop(permit)
         if held is None:
             return
-        server = self._servers[held.vm]
+        server = self._servers[held.server]
         server.permits.pop(permit)
         server.record_slowness(report.slowness, now)
         if report.limit_per_s is not None:
@@ -259,7 +259,7 @@
         elif how is Release.FAILED:
             server.back_off(now)
         if server.leaving and not server.permits:
-            self._placement.remove_server(held.vm)
+            self._placement.remove_server(held.server)
 
     def cancel(self, permit: str, now: float) -> None:
         """Removes a waiting request, or releases a permit that the requester no longer needs.
@@ -274,22 +274,22 @@
         self,
         permit: str,
         requester: Requester,
-        vm: str,
+        name: str,
         request_class: RequestClass,
         now: float,
         object_key: str = "",
         limit_per_s: float = math.inf,
     ) -> None:
         """Takes over a permit that a former owner granted or that was taken without an owner."""
-        server = self._servers.get(vm)
+        server = self._servers.get(name)
         if server is not None and limit_per_s != math.inf:
             server.limit_rate(limit_per_s, now)
         if self._held_permits.change_requester(permit, requester) or server is None:
             return
         server.start(permit, request_class, now)
         if object_key:
-            self._placement.objects.add(object_key, vm)
-        self._held_permits.add(permit, HeldPermit(requester, vm, request_class))
+            self._placement.objects.add(object_key, name)
+        self._held_permits.add(permit, HeldPermit(requester, name, request_class))
 
     def release_earlier_streams(self, requester: Requester, now: float) -> list[SlotRequest]:
         """Releases all permits of a VM's earlier streams that its new stream has not declared.
@@ -363,18 +363,18 @@
             granted.append(self._grant(request, server, now))
             wait_queue.remove(request.permit)
             if not server.can_accept(request.request_class, now):
-                del free[server.address.vm]
+                del free[server.address.name]
         return granted
 
     def _grant(self, request: SlotRequest, server: Server, now: float) -> Grant:
         server.start(request.permit, request.request_class, now)
         server.record_grant(now)
         if request.object_key:
-            self._placement.objects.add(request.object_key, server.address.vm)
+            self._placement.objects.add(request.object_key, server.address.name)
         self._held_permits.add(
             request.permit,
             HeldPermit(
-                request.requester, server.address.vm, request.request_class, request.expires_at
+                request.requester, server.address.name, request.request_class, request.expires_at
             ),
         )
         return Grant(request, server.address, server.limit_per_s)
--- a/src/briarfork/pools/selection.py
+++ b/src/briarfork/pools/selection.py
@@ -55,17 +55,17 @@
         key=lambda server: (
             -server.overdue,
             server.slowness < SLOWNESS_LIMIT,
-            compute_affinity_score(object_key, server.address.vm),
+            compute_affinity_score(object_key, server.address.name),
         ),
     )
 
 
-def compute_affinity_score(object_key: str, vm: str) -> int:
+def compute_affinity_score(object_key: str, name: str) -> int:
     """Returns the score of a server for an object; the highest score is preferred.
 
     This is rendezvous hashing: adding or removing a server moves only the objects of that server.
     """
-    return hash_text(f"{object_key}|{vm}")
+    return hash_text(f"{object_key}|{name}")
 
 
 @SELECTION_POLICIES.register("random")
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -37,14 +37,14 @@
     """Address and capacity of a backend server.
 
     Attributes:
-        vm: Name of the VM.
+        name: Name of the backend server.
         address: IP address.
         port: Port number.
         slots: Maximum number of concurrent requests, 0 if the service's capacity applies.
         started_at_ms: Start of this incarnation in Unix milliseconds, 0 if unknown.
     """
 
-    vm: str
+    name: str
     address: str
     port: int
     slots: int = 0
@@ -69,7 +69,7 @@
     """State of one backend server and its slots. Times are in seconds.
 
     Attributes:
-        address: Address of the server; its `vm` identifies the server.
+        address: Address of the server; its name identifies the server.
         slots: Maximum number of concurrent requests.
         long_slots: Maximum number of concurrent long requests.
         leaving: Whether the server is no longer listed and gets no new requests.
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -94,14 +94,14 @@
     async def send(
         self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
     ) -> Response:
-        self.sent.append(server.vm)
+        self.sent.append(server.name)
         self.bodies.append(b"".join(request.body))
         outcome = self.outcomes.pop(0)
         if outcome is UNRESPONSIVE:
             try:
                 await asyncio.sleep(60.0)
             finally:
-                self.cancelled.append(server.vm)
+                self.cancelled.append(server.name)
         if isinstance(outcome, AttemptError):
             raise outcome
         return outcome
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -93,7 +93,7 @@
         requester = build_peer("requester", [replace(SERVERS[0], draining=True), SERVERS[1]])
         async with run_gateways(owner, requester):
             permits = [await acquire(requester) for _ in range(SERVERS[1].slots)]
-        assert [permit.server.vm for permit in permits] == ["i-2", "i-2"]
+        assert [permit.server.name for permit in permits] == ["i-2", "i-2"]
 
     async def test_removed_server_gets_no_request(self) -> None:
         """Guards against requests to a server whose entry is gone."""
@@ -104,7 +104,7 @@
         )
         async with run_gateways(owner, requester):
             permits = [await acquire(requester) for _ in range(SERVERS[1].slots)]
-        assert [permit.server.vm for permit in permits] == ["i-2", "i-2"]
+        assert [permit.server.name for permit in permits] == ["i-2", "i-2"]
 
     async def test_server_at_another_address_gets_no_request(self) -> None:
         """Guards against requests to an address that belongs to another server now."""
@@ -119,7 +119,7 @@
         owner = build_peer("owner", [SERVERS[1]])
         requester = build_peer("requester", [SERVERS[0]])
         async with run_gateways(owner, requester):
-            assert (await acquire(requester)).server.vm == "i-2"
+            assert (await acquire(requester)).server.name == "i-2"
 
 
 class TestLeavingServer:
@@ -141,7 +141,7 @@
         requester.view.inventory.record_report("i-1", LEAVING, time.monotonic())
         async with run_gateways(owner, requester):
             permits = [await acquire(requester) for _ in range(SERVERS[1].slots)]
-        assert [permit.server.vm for permit in permits] == ["i-2", "i-2"]
+        assert [permit.server.name for permit in permits] == ["i-2", "i-2"]
 
 
 class TestPausedServer:
--- a/tests/pools/simulation.py
+++ b/tests/pools/simulation.py
@@ -156,11 +156,11 @@
                 self.result.refused += counted
                 continue
             if self._random.random() < self._workload.refusal_share:
-                self._refusing_server[request.permit] = decision.server.vm
+                self._refusing_server[request.permit] = decision.server.name
                 self._queue.release(request.permit, Release.NOT_RUN, 0.0, now)
                 self._retry(request, now)
                 continue
-            cache = self._caches[decision.server.vm]
+            cache = self._caches[decision.server.name]
             cached = request.object_key in cache
             self.result.cache_hits += cached and counted
             cache[request.object_key] = None
--- a/tests/pools/test_queue.py
+++ b/tests/pools/test_queue.py
@@ -60,7 +60,7 @@
         for second in range(1, 60):
             for decision in queue.submit(build_request(f"next-{second}"), float(second)):
                 assert isinstance(decision, Grant)
-                assert decision.server.vm == "s-1"
+                assert decision.server.name == "s-1"
             queue.release(f"next-{second}", Release.DONE, 0.01, float(second))
 
     def test_slots_are_granted_by_priority(self) -> None:
@@ -167,13 +167,13 @@
             queue.submit(build_request(str(number)), 0.0)
             queue.release(str(number), Release.DONE, 0.01, 0.0)
         grants = [queue.submit(build_request(f"slow-{number}"), 0.0)[0] for number in range(3)]
-        servers = [item.server.vm for item in grants if isinstance(item, Grant)]
+        servers = [item.server.name for item in grants if isinstance(item, Grant)]
         single = min(servers, key=servers.count)
         queue.release(f"slow-{servers.index(single)}", Release.DONE, 0.01, 1.0)
         queue.submit(build_request("new"), 1.0)
         (grant,) = queue.submit(build_request("newer"), 1.0)
         assert isinstance(grant, Grant)
-        assert grant.server.vm == single
+        assert grant.server.name == single
 
 
 class TestLostRequester:
@@ -224,7 +224,7 @@
             request = self.waiting.pop(permit)
             if isinstance(decision, Refusal):
                 continue
-            vm = decision.server.vm
+            vm = decision.server.name
             assert int(vm[-1]) in self.live
             held = [item for item in self.granted.values() if item[0] == vm]
             assert len(held) < self.slots
--- a/tests/pools/test_rate_limits.py
+++ b/tests/pools/test_rate_limits.py
@@ -102,7 +102,7 @@
             owner.queue.adopt(
                 f"held-{number}",
                 Requester("other"),
-                SERVER.vm,
+                SERVER.name,
                 RequestClass.SHORT,
                 0.0,
                 limit_per_s=0.5,
@@ -113,10 +113,10 @@
     def test_requests_without_a_grant_do_not_use_up_the_limit(self) -> None:
         """Guards against VMs of other regions that keep the owner from granting any request."""
         owner = SimulatedOwner()
-        owner.queue.limit_rate(SERVER.vm, 0.5, 0.0)
+        owner.queue.limit_rate(SERVER.name, 0.5, 0.0)
         granted = []
         for second in range(1, round(DURATION_S)):
-            owner.queue.adopt(f"{second}", REMOTE, SERVER.vm, RequestClass.SHORT, float(second))
+            owner.queue.adopt(f"{second}", REMOTE, SERVER.name, RequestClass.SHORT, float(second))
             owner.step(float(second), ServerReport(limit_per_s=0.5))
             owner.queue.release(f"{second}", Release.CANCELLED, 0.0, second + 0.5)
             granted = owner.sent
@@ -125,8 +125,8 @@
     def test_response_without_a_limit_ends_it_whoever_sent_the_request(self) -> None:
         """Guards against a limit that only the VMs which know of it can end."""
         owner = SimulatedOwner()
-        owner.queue.limit_rate(SERVER.vm, 0.5, 0.0)
-        owner.queue.adopt("remote", REMOTE, SERVER.vm, RequestClass.SHORT, 0.0)
+        owner.queue.limit_rate(SERVER.name, 0.5, 0.0)
+        owner.queue.adopt("remote", REMOTE, SERVER.name, RequestClass.SHORT, 0.0)
         owner.queue.release("remote", Release.DONE, RUN_S, 1.0)
         unlimited = run_owners([owner], ServerReport(), started_at=1.0)
         assert len(unlimited) > 3 * 0.5 * DURATION_S
@@ -134,7 +134,7 @@
     def test_release_without_a_response_keeps_the_limit(self) -> None:
         """Guards against a cancelled request that lifts the limit of a server."""
         owner = SimulatedOwner()
-        owner.queue.limit_rate(SERVER.vm, 2.0, 0.0)
+        owner.queue.limit_rate(SERVER.name, 2.0, 0.0)
         sent = run_owners([owner], ServerReport(), outcome=Release.CANCELLED)
         assert count_most_in_window(sent) <= EXCESS_FACTOR * 2.0 * WINDOW_S + EXCESS_REQUESTS
 
--- a/tests/pools/test_slow_start.py
+++ b/tests/pools/test_slow_start.py
@@ -40,7 +40,7 @@
         self._queue.set_servers(ADDRESSES)
         self._random = random.Random(7)
         self._cold_server_responses = 0
-        self._running = dict.fromkeys((address.vm for address in ADDRESSES), 0)
+        self._running = dict.fromkeys((address.name for address in ADDRESSES), 0)
         self._ends: list[tuple[float, str, str, float, float]] = []
 
     def run(self, rps: float, duration_s: float) -> None:
@@ -56,7 +56,7 @@
     def _finish(self) -> None:
         end, permit, vm, started, arrived = heapq.heappop(self._ends)
         self._running[vm] -= 1
-        self._cold_server_responses += vm == ADDRESSES[3].vm
+        self._cold_server_responses += vm == ADDRESSES[3].name
         self.latencies_s.append(end - arrived)
         self._queue.release(permit, Release.DONE, end - started, end)
         self._start(self._queue.poll(end), end)
@@ -64,10 +64,10 @@
     def _start(self, decisions: list[Grant | Refusal], now: float) -> None:
         for decision in decisions:
             assert isinstance(decision, Grant)
-            vm = decision.server.vm
+            vm = decision.server.name
             self._running[vm] += 1
             run_s = self._random.expovariate(1 / MEAN_RUN_TIME_S)
-            if vm == ADDRESSES[3].vm and self._cold_server_responses < WARM_UP_RESPONSES:
+            if vm == ADDRESSES[3].name and self._cold_server_responses < WARM_UP_RESPONSES:
                 run_s *= 1 + 2 * self._running[vm]
             arrived = decision.request.expires_at - 5.0
             end = (now + run_s, decision.request.permit, vm, now, arrived)
@@ -119,7 +119,7 @@
         queue = PermitQueue(SiteCapacity(8, 100), False, random.Random(1))
         queue.set_servers(ADDRESSES[:1])
         queue.set_servers(ADDRESSES[:2])
-        queue.set_shares({ADDRESSES[0].vm: 1, ADDRESSES[1].vm: 0})
+        queue.set_shares({ADDRESSES[0].name: 1, ADDRESSES[1].name: 0})
         for number in range(2):
             request = SlotRequest(f"{number}", Requester("vm"), RequestClass.SHORT, 9.0)
             granted = [item for item in queue.submit(request, 0.0) if isinstance(item, Grant)]
