--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -17,11 +17,12 @@
 from briarfork.gateway.spillover import RefusalCache
 from briarfork.gateway.spillover import RemoteShareController
 from briarfork.gateway.spillover import SpilloverLimit
+from briarfork.gateway.zones import ZoneOrder
+from briarfork.gateway.zones import list_zones
 from briarfork.pools import NO_REPORT
 from briarfork.pools import Release
 from briarfork.pools import ServerReport
 from briarfork.requests import Deadline
-from briarfork.routing import RequestKind
 
 if TYPE_CHECKING:
     from briarfork.entry.slots import SlotKey
@@ -50,8 +51,6 @@
 MAX_RETURNED_PERMITS = 3
 # Servers of a remote zone that are tried for an object; more would duplicate it in their caches.
 MAX_REMOTE_CANDIDATES = 2
-# Larger bodies stay in their region: their way costs more than a late response is worth.
-LARGE_BODY_BYTES = 16384
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,7 +148,7 @@
         Only the zones of this region are asked, and only for other servers. The permit never waits
         in a queue and is refused at high load.
         """
-        local, _ = self.list_zones(route, first.service, "")
+        local = list_zones(self._gateway_view, route, first.service, object_key="").local
         if first.site not in local:
             return None
         for zone in local:
@@ -316,47 +315,24 @@
         )
         return True
 
-    def _require_zones(self, request: SlotRequirements) -> tuple[list[str], list[str]]:
-        """Returns the zones of this region and the zones of other regions for a request.
+    def _require_zones(self, request: SlotRequirements) -> ZoneOrder:
+        """Returns the zones for a request.
 
         Raises:
             SlotRefused: If no zone has a server.
         """
-        local, remote = self.list_zones(
-            request.route, request.service, request.object_key, request.body_bytes
+        remote_share = self.find_remote_share(request.service)
+        zones = list_zones(
+            self._gateway_view,
+            request.route,
+            request.service,
+            request.object_key,
+            request.body_bytes,
+            shares_objects=remote_share >= CACHE_SHARING_MIN_REMOTE_SHARE,
         )
-        if not local and not remote:
+        if zones.is_empty:
             raise SlotRefused(ErrorKind.NO_SERVER, f"service {request.service!r} has no server")
-        return local, remote
-
-    def list_zones(
-        self, route: Route, service: str, object_key: str, body_bytes: int = 0
-    ) -> tuple[list[str], list[str]]:
-        """Returns the zones of this region, nearest first, and the zones of other regions."""
-        location = self._gateway_view.location
-        allowed = [
-            zone
-            for zone in self._gateway_view.inventory.list_zones(service)
-            if route.allows_region(location.regions.get(zone, ""))
-        ]
-        local = location.sort_by_distance(zone for zone in allowed if location.is_local(zone))
-        remote = self._gateway_view.rank_zones(
-            service, object_key, [zone for zone in allowed if not location.is_local(zone)]
-        )
-        if route.kind is RequestKind.DOWNLOAD:
-            # Downloads use only the nearest zone with a server, because links between zones have
-            # limited bandwidth.
-            return (local[:1], []) if local else ([], remote[:1])
-        if body_bytes >= LARGE_BODY_BYTES:
-            return (local, []) if local else ([], remote)
-        if (
-            route.sticky
-            and object_key
-            and self.find_remote_share(service) >= CACHE_SHARING_MIN_REMOTE_SHARE
-        ):
-            preferred = self._gateway_view.rank_zones(service, object_key, local)[:1]
-            local = preferred + [zone for zone in local if zone not in preferred]
-        return local, remote
+        return zones
 
     def _find_share_controller(self, service: str, now: float) -> RemoteShareController:
         controller = self._share_controllers.get(service)
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -17,10 +17,11 @@
 from briarfork.border.settings import Settings
 from briarfork.entry.owner_link import OwnerLink
 from briarfork.entry.slot_client import SlotRefused
-from briarfork.gateway.permits import LARGE_BODY_BYTES
 from briarfork.gateway.permits import SlotRequirements
 from briarfork.gateway.process import Gateway
 from briarfork.gateway.view import GatewayView
+from briarfork.gateway.zones import LARGE_BODY_BYTES
+from briarfork.gateway.zones import list_zones
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.pools import Release
@@ -163,11 +164,11 @@
         """Guards against uploads that cost more on their way than their response is worth."""
         gateway = build_gateway(servers=[build_instance(zone, zone) for zone in "abc"])
         sticky = replace(ROUTE, sticky=True)
-        assert gateway.permits.list_zones(sticky, "s", "object") == (["a", "b"], ["c"])
-        large = gateway.permits.list_zones(sticky, "s", "object", LARGE_BODY_BYTES)
+        assert list_zones(gateway.view, sticky, "s", "object") == (["a", "b"], ["c"])
+        large = list_zones(gateway.view, sticky, "s", "object", LARGE_BODY_BYTES)
         assert large == (["a", "b"], [])
         only_remote = build_gateway(servers=[build_instance("c", "c")])
-        assert only_remote.permits.list_zones(ROUTE, "s", "", LARGE_BODY_BYTES) == ([], ["c"])
+        assert list_zones(only_remote.view, ROUTE, "s", "", LARGE_BODY_BYTES) == ([], ["c"])
 
     def test_upload_is_refused_before_its_body_while_all_zones_are_full(self) -> None:
         """Guards against reading a body although its zones have just refused a request."""
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -8,6 +8,7 @@
 from briarfork.configuration import RequestClass
 from briarfork.configuration import SiteCapacity
 from briarfork.gateway.spillover import estimate_remote_share
+from briarfork.gateway.zones import list_zones
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.pools import Grant
@@ -51,20 +52,20 @@
         """Guards against running a request outside the allowed regions of its route."""
         route = replace(ROUTE, regions=frozenset({"south"}))
         gateway = build_gateway(route, SERVERS)
-        assert gateway.permits.list_zones(route, "s", "o") == ([], ["c"])
+        assert list_zones(gateway.view, route, "s", "o") == ([], ["c"])
 
     def test_download_uses_only_the_nearest_zone(self) -> None:
         """Guards against sending large responses over links between zones, which are charged."""
         route = replace(ROUTE, kind=RequestKind.DOWNLOAD)
         gateway = build_gateway(route, SERVERS)
-        assert gateway.permits.list_zones(route, "s", "o") == (["a"], [])
+        assert list_zones(gateway.view, route, "s", "o") == (["a"], [])
 
     def test_evacuated_zone_gets_no_requests_and_returns_cold(self) -> None:
         """Guards against sending full load to a zone at once when its evacuation ends."""
         gateway = build_gateway(ROUTE, SERVERS)
         gateway.evacuate({"a"})
         assert gateway.view.list_servers("s", "a") == []
-        assert gateway.permits.list_zones(ROUTE, "s", "o")[0] == ["b"]
+        assert list_zones(gateway.view, ROUTE, "s", "o")[0] == ["b"]
         gateway.evacuate(set())
         assert gateway.view.list_servers("s", "a") != []
         assert gateway.view.rank_servers("s", "a", "o", now=0.0) == []
