Start the timer for headers only while a connection waits for headers

By reading: a body that arrives between the end of its headers and the start of the handler started the timer. Its effect was not seen: aiohttp calls data_received without data while it handles the request, which stopped the timer. The new test passes on the code before, too.

--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -161,22 +161,24 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and limits the time for incomplete headers."""
         super().data_received(data)
-        if self._messages or self._current_request is not None:
+        if not self._is_idle:
             self._stop_header_timer()
         elif self._header_timer is None and data:
-            self._header_timer = self._loop.call_later(
-                self._header_s, self._close_slow_caller, self._request_count
-            )
+            self._header_timer = self._loop.call_later(self._header_s, self._close_slow_caller)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the request and the timer."""
         self._stop_header_timer()
         super().connection_lost(exc)
 
-    def _close_slow_caller(self, request_count: int) -> None:
-        """Closes the connection if no request was completed since the timer started."""
+    @property
+    def _is_idle(self) -> bool:
+        """Whether the connection waits for the headers of a request."""
+        return self._waiter is not None and not self._waiter.done()
+
+    def _close_slow_caller(self) -> None:
         self._header_timer = None
-        if request_count == self._request_count and self._current_request is None:
+        if self._is_idle:
             self.force_close()
 
     def _stop_header_timer(self) -> None:
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -36,18 +36,30 @@
 
 
 class Caller:
-    """A caller's connection to a gateway whose server answers every request."""
+    """A caller's connection to a gateway whose server answers every request.
+
+    Attributes:
+        connection: The gateway's side of the connection.
+    """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, upstream: ScriptedUpstream
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        upstream: ScriptedUpstream,
+        connection: CallerConnection,
     ) -> None:
         self.reader = reader
         self.writer = writer
         self.upstream = upstream
+        self.connection = connection
 
-    def send_head(self, *headers: str) -> None:
+    def build_head(self, *headers: str) -> bytes:
         lines = ["POST /a/x HTTP/1.1", "Host: h", f"{names.ATTEMPT_ID}: r1", *headers, "", ""]
-        self.writer.write("\r\n".join(lines).encode())
+        return "\r\n".join(lines).encode()
+
+    def send_head(self, *headers: str) -> None:
+        self.writer.write(self.build_head(*headers))
 
     async def read_status(self) -> int:
         """Returns the status of the next response, 0 if the connection ends without one."""
@@ -70,11 +82,10 @@
     dispatcher = Dispatcher(gateway.view, permits, upstream, EventLog("test"))
     handler = CallerRequestHandler(gateway, dispatcher)
     manager = web.Server(handler.handle, handler_cancellation=True)
-    server = await asyncio.get_running_loop().create_server(
-        lambda: CallerConnection(gateway, manager), ADDRESS, 0
-    )
+    connection = CallerConnection(gateway, manager)
+    server = await asyncio.get_running_loop().create_server(lambda: connection, ADDRESS, 0)
     reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname()[:2])
-    yield Caller(reader, writer, upstream)
+    yield Caller(reader, writer, upstream, connection)
     writer.close()
     with suppress(ConnectionError):
         await writer.wait_closed()
@@ -212,6 +223,18 @@
             caller.writer.write(b"llo")
             assert await caller.read_status() == 200
 
+    async def test_body_right_behind_its_headers_is_not_taken_for_headers(self) -> None:
+        """Guards against closing an idle connection because its last body arrived at once."""
+        async with connect(slots=3) as caller:
+            for _ in range(3):
+                # The body arrives between the end of its headers and the start of the handler.
+                caller.connection.data_received(caller.build_head("Content-Length: 5"))
+                await asyncio.sleep(0)
+                caller.connection.data_received(b"hello")
+                assert await caller.read_status() == 200
+                await caller.reader.readuntil(RESPONSE.body)
+                await asyncio.sleep(1.5 * LIMITS.header_s)
+
     async def test_idle_connection_is_kept_for_the_idle_timeout(self) -> None:
         """Guards against a close that crosses the next request of a caller."""
         async with connect(slots=2) as caller:
