Let uploads leave their region when it is full

Change: they ask the zones of their region, nearest first, and spill over to another region if all refuse, within the limit for spillover; they take no part in the share that leaves from the start.

--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -17,6 +17,7 @@
 from briarfork.gateway.spillover import RefusalCache
 from briarfork.gateway.spillover import RemoteShareController
 from briarfork.gateway.spillover import SpilloverLimit
+from briarfork.gateway.zones import LARGE_BODY_BYTES
 from briarfork.gateway.zones import ZoneOrder
 from briarfork.gateway.zones import list_zones
 from briarfork.pools import NO_REPORT
@@ -71,6 +72,11 @@
     avoid: frozenset[str]
     body_bytes: int = 0
 
+    @property
+    def is_large(self) -> bool:
+        """Whether the bytes of the body, not the caches of servers, decide on the zone."""
+        return self.body_bytes >= LARGE_BODY_BYTES
+
 
 class GatewayPermits(SlotClient):
     """Requests a slot from one zone after another until one grants it."""
@@ -97,7 +103,7 @@
             return await self._request_from_zones(local or remote, request)
         controller = self._find_share_controller(request.service, started)
         self._log_share(request.service, controller.compute(started))
-        if controller.sends_remote(request.object_key, started):
+        if not request.is_large and controller.sends_remote(request.object_key, started):
             permit = self.take_remote_slot(remote, request)
             if permit is not None:
                 return permit
@@ -123,7 +129,7 @@
         """
         local, remote = self._require_zones(request)
         now = time.monotonic()
-        if local and remote and self._may_send_remote(request.service, now):
+        if local and remote and self._may_leave_region(request, now):
             return
         refusal = SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot")
         for zone in local or remote:
@@ -134,9 +140,10 @@
             refusal = _keep_shorter_wait(refusal, wait_s)
         raise refusal
 
-    def _may_send_remote(self, service: str, now: float) -> bool:
-        share = self._find_share_controller(service, now).compute(now)
-        return share > 0.0 or self._spillover_limit.allows_spillover(now)
+    def _may_leave_region(self, request: SlotRequirements, now: float) -> bool:
+        share = self._find_share_controller(request.service, now).compute(now)
+        has_share = share > 0.0 and not request.is_large
+        return has_share or self._spillover_limit.allows_spillover(now)
 
     def record_refusal(self, key: SlotKey, priority: int, wait_s: float) -> None:
         """Remembers for a short time that a zone refused a request of a priority."""
--- a/src/briarfork/gateway/zones.py
+++ b/src/briarfork/gateway/zones.py
@@ -11,7 +11,7 @@
     from briarfork.gateway.view import GatewayView
     from briarfork.routing import Route
 
-# Larger bodies stay in their region: their way costs more than a late response is worth.
+# Larger bodies go to the nearest zone that grants a slot: their way costs more than a cold run.
 LARGE_BODY_BYTES = 16384
 
 
@@ -64,9 +64,7 @@
         # Downloads use only the nearest zone with a server, because links between zones have
         # limited bandwidth.
         return ZoneOrder(local[:1], []) if local else ZoneOrder([], remote[:1])
-    if body_bytes >= LARGE_BODY_BYTES:
-        return ZoneOrder(local, []) if local else ZoneOrder([], remote)
-    if shares_objects and route.sticky and object_key:
+    if shares_objects and route.sticky and object_key and body_bytes < LARGE_BODY_BYTES:
         preferred = view.rank_zones(service, object_key, local)[:1]
         local = preferred + [zone for zone in local if zone not in preferred]
     return ZoneOrder(local, remote)
