Read the bodies that are arriving when a VM stops, and answer before callers leave

And a body was waited for until the caller's deadline itself, so the 408 came when the caller had left. Change: a connection goes on reading the body of its request when it is closed, and its shutdown waits for it first; a body must be complete while a server could still answer in time, and before the time at which a response no longer reaches the caller.

--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -153,7 +153,8 @@
             check_length(progress.body_bytes, limits)
             self._require_time_to_run(progress)
             self._permits.check_room(self._build_requirements(request, progress))
-        async with self._bodies.collect(source, limits, progress.route, progress.deadline) as body:
+        complete_by = Deadline(min(request.respond_by, self._find_latest_run(progress)))
+        async with self._bodies.collect(source, limits, progress.route, complete_by) as body:
             progress.body_bytes = sum(map(len, body))
             progress.body_wait_s = time.monotonic() - progress.started
             return await self._run(replace(request, body=body), progress)
@@ -228,7 +229,7 @@
             NotRun: If it cannot.
         """
         now = time.monotonic()
-        if progress.deadline.remaining_s(now) < MIN_RUN_FRACTION * progress.route.objective_s:
+        if now > self._find_latest_run(progress):
             raise NotRun(ErrorKind.OVERLOADED, "not enough time is left to run the request")
         objective_s = progress.route.objective_s
         run_s = self._permits.mean_run_times_s.get(progress.service, objective_s)
@@ -239,6 +240,10 @@
                 OTHER_VM_RETRY_S,
             )
 
+    def _find_latest_run(self, progress: Progress) -> float:
+        """Returns the monotonic time after which a server could not respond in time."""
+        return progress.deadline.expires_at - MIN_RUN_FRACTION * progress.route.objective_s
+
     def _handle_failure(self, progress: Progress, failure: AttemptError) -> Response | None:
         """Returns None to retry, or the server's error response if no retry is allowed.
 
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -23,6 +23,8 @@
 from briarfork.platform.bodies import HttpBody
 
 if TYPE_CHECKING:
+    from aiohttp import StreamReader
+
     from briarfork.border.events import EventLog
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
@@ -35,6 +37,8 @@
 # How long the rest of a refused body is read and dropped. An earlier close would reset the
 # connection, and the caller could lose the response.
 LINGER_S = 2.0
+# aiohttp takes a timeout of 0 for none.
+MIN_SHUTDOWN_S = 0.01
 # Errors of requests that are not dispatched, so the dispatcher does not log them.
 PRE_DISPATCH_ERRORS = frozenset(
     {
@@ -166,6 +170,40 @@
         elif self._header_timer is None and data:
             self._header_timer = self._loop.call_later(self._header_s, self._close_slow_caller)
 
+    def close(self) -> None:
+        """Accepts no further request; one whose body is still arriving is read to its end.
+
+        aiohttp reads nothing more from a connection that is being closed. The response to the last
+        request closes the connection.
+        """
+        if self._find_arriving_body() is None:
+            super().close()
+
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Ends the connection once its request is answered, at the latest after the timeout."""
+        started = time.monotonic()
+        body = self._find_arriving_body()
+        if body is not None and self._task_handler is not None:
+            arrived = asyncio.Event()
+            body.on_eof(arrived.set)
+            wait_task = asyncio.ensure_future(arrived.wait())
+            await asyncio.wait(
+                {wait_task, self._task_handler},
+                timeout=timeout,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            wait_task.cancel()
+        if timeout is not None:
+            timeout = max(MIN_SHUTDOWN_S, timeout - (time.monotonic() - started))
+        await super().shutdown(timeout)
+
+    def _find_arriving_body(self) -> StreamReader | None:
+        """Returns the body of the request in progress if its end has not been received."""
+        request = self._current_request
+        if request is None or request.content.is_eof():
+            return None
+        return request.content
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the request and the timer."""
         self._stop_header_timer()
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -141,6 +141,14 @@
             assert await caller.read_status() == 408
             assert caller.upstream.sent == []
 
+    async def test_caller_gets_its_answer_before_its_deadline(self) -> None:
+        """Guards against an answer that arrives when its caller has just given up."""
+        async with connect() as caller:
+            caller.send_head(f"Content-Length: {len(BODY)}", f"{names.DEADLINE_MS}: 300")
+            started = time.monotonic()
+            assert await caller.read_status() == 408
+            assert time.monotonic() - started < 0.3
+
     async def test_caller_that_leaves_within_its_body_is_not_served(self) -> None:
         """Guards against an upload that runs without its whole body."""
         async with connect() as caller:
@@ -152,6 +160,33 @@
             assert caller.upstream.sent == []
 
 
+class TestPlannedStop:
+    async def test_body_that_is_arriving_when_the_vm_stops_is_read(self) -> None:
+        """Guards against requests that are cut off because the HTTP library stops reading."""
+        async with connect() as caller:
+            caller.send_head(f"Content-Length: {len(BODY)}", f"{names.DEADLINE_MS}: 2000")
+            caller.writer.write(BODY[:1000])
+            await asyncio.sleep(0.05)
+            caller.connection.close()
+            stop = asyncio.create_task(caller.connection.shutdown(ANSWER_S))
+            await asyncio.sleep(0.05)
+            caller.writer.write(BODY[1000:])
+            assert await caller.read_status() == 200
+            await stop
+            assert caller.upstream.bodies == [BODY]
+
+    async def test_stop_does_not_wait_for_idle_and_stalled_callers(self) -> None:
+        """Guards against a stop that takes longer than it may because of its callers."""
+        async with connect() as caller:
+            async with asyncio.timeout(ANSWER_S):
+                await caller.connection.shutdown(9.0)
+        async with connect() as caller:
+            caller.send_head(f"Content-Length: {len(BODY)}", f"{names.DEADLINE_MS}: 9000")
+            await asyncio.sleep(0.05)
+            async with asyncio.timeout(ANSWER_S):
+                await caller.connection.shutdown(0.2)
+
+
 class TestMalformedBody:
     @pytest.mark.parametrize(
         ("headers", "body", "status"),
