--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,64 +1,60 @@
-"""A watch goes silent; stale reads of the revision hide the next configuration for too long.
+"""A late heartbeat of a leaving server, older than its report, brings the server back into use.
 
-The connection of the waiting watch goes silent for good; new calls are answered. After the stable
-window the operator moves a route to another service. The gateway finds the change by stale reads
-only, which are three seconds old, and it wants two of them.
+The answers of the store to one heartbeat of two servers are lost, and the writes take effect 5.9 s
+later. Meanwhile one server has reported that it is draining, and the other one, which never reports
+that, has removed its entry. The late writes have a lower `sequence` and the same `born`. The next
+heartbeat corrects the first entry; the second one ends after three heartbeats of silence.
 """
 
 import asyncio
 import itertools
 import time
+from collections import Counter
 from pathlib import Path
 
-from aiohttp import web
+from lib.deployment import HEARTBEAT_S
 from lib.deployment import TROUBLE
-from lib.deployment import Answer
 from lib.deployment import Deployment
+from lib.deployment import Received
 from lib.deployment import Server
 from lib.deployment import Vm
 from lib.deployment import build_route
 from lib.deployment import run_case
-from tests.standins.key_value import KeyValueStore
 
-CONFIG_APPLY_S = 2.5
-STABLE_WINDOW_S = 4.0
-# The page: a stale read may be seconds old; `platform_compact`: they are 3 s behind.
-STALE_S = 3.0
-WATCHED_S = 9.0
-PER_S = 20.0
-WORK_S = 0.03
+DRAIN_S = 2.5
+MISSED_HEARTBEATS = 3
+# The page: a lost write is done 1 to 6 s later.
+LATE_S = 5.9
+# The server drains this long after the store was last disrupted, so the store is stable again.
+DRAINS_AFTER_S = 4.1
+SERVES_AFTER_REPORT_S = 8.0
+PER_S = 50.0
+OBJECTS = 26
+WORK_S = 0.2
 
 
-class StaleStore(KeyValueStore):
-    """Answers stale reads from the state of some seconds ago, with or without disruption."""
+class LeavingServer(Server):
+    """Notes when the requests reach it."""
 
-    def __init__(self) -> None:
-        super().__init__()
-        self.revisions = [(time.monotonic() - STALE_S, self.revision)]
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)  # type: ignore[arg-type]
+        self.arrivals: list[tuple[str, float]] = []
 
-    async def write(self, puts: dict[str, tuple[bytes, int]], deletes: list[str]) -> int:
-        revision = await super().write(puts, deletes)
-        self.revisions.append((time.monotonic(), revision))
-        return revision
+    async def respond(self, request: Received, writer: asyncio.StreamWriter) -> None:
+        self.arrivals.append((request.id, time.monotonic()))
+        await super().respond(request, writer)
 
-    async def _list_range(self, request: web.Request) -> web.Response:
-        response = await super()._list_range(request)
-        if "stale_ok" not in request.query:
-            return response
-        known_at = time.monotonic() - STALE_S
-        revision = max(revision for at, revision in self.revisions if at <= known_at)
-        # The gateway reads an empty prefix: no item is older or newer.
-        return web.json_response({"items": [], "has_more": False, "store_revision": revision})
 
-
-async def send_requests(
-    case: Deployment, vms: list[Vm], sent: dict[str, tuple[float, str]]
-) -> None:
-    tasks: set[asyncio.Task[Answer]] = set()
+async def send_requests(case: Deployment, vms: list[Vm], sent: dict[str, float]) -> None:
+    tasks = set()
     for number, vm in enumerate(itertools.cycle(vms)):
         request_id = case.build_id()
-        sent[request_id] = (time.monotonic(), vm.name)
-        task = asyncio.create_task(case.call(vm, "GET", f"/look/{number}", 3.0, request_id))
+        sent[request_id] = time.monotonic()
+        task = asyncio.create_task(
+            case.call(
+                vm, "GET", f"/look/{number}", 3.0, request_id, object_key=str(number % OBJECTS)
+            )
+        )
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(1.0 / PER_S)
@@ -66,47 +62,63 @@
 
 async def play() -> bool:
     zones = {"north-a": "north", "north-b": "north"}
-    async with Deployment(Path(__file__).parent, zones, StaleStore()) as case:
-        services = ("before", "after")
-        for service in services:
-            for zone in zones:
-                name = f"i-{service}-{zone}"
-                await case.add_server(Server(case, name, service, zone, 3, WORK_S))
+    async with Deployment(Path(__file__).parent, zones) as case:
+        servers = [
+            LeavingServer(case, f"i-{zone}-{number}", "lookups", zone, 3, WORK_S)
+            for zone in zones
+            for number in (1, 2)
+        ]
+        for server in servers:
+            await case.add_server(server)
         await case.configure(
-            [build_route("look", "idempotent", "before", 2.0, 0.5, 2)], [*services]
+            [build_route("look", "idempotent", "lookups", 2.0, 0.5, 2, True)], ["lookups"]
         )
         for zone in zones:
             await case.add_vm(f"front-{zone}-1", zone)
         await case.wait_until_ready()
-        sent: dict[str, tuple[float, str]] = {}
+        sent: dict[str, float] = {}
         load = asyncio.create_task(send_requests(case, list(case.vms.values()), sent))
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(3.0)
+        draining, removed = servers[0], servers[2]
+        lost_at = time.monotonic()
+        late_entries = {}
+        for server in (draining, removed):
+            # This write gets no answer now and takes effect late.
+            server.sequence += 1
+            late_entries[server.name] = server.build_entry()
         if TROUBLE:
-            case.store.start_silence()
-            case.store.end_silence()
-            case.record.write("store: the connections of the waiting watches are silent from now")
-        await asyncio.sleep(STABLE_WINDOW_S + 0.3)
-        await case.configure([build_route("look", "idempotent", "after", 2.0, 0.5, 2)], [*services])
+            case.record.write(f"store: loses the answers to heartbeats of {[*late_entries]}")
+        await asyncio.sleep(lost_at + DRAINS_AFTER_S - time.monotonic())
+        draining.state = "draining"
+        await draining.write_entry()
+        case.record.write(f"store: acknowledges {draining.name} {draining.build_entry()['status']}")
+        removed.beating = False
+        await case.store.delete(f"servers/{removed.name}")
+        case.record.write(f"store: acknowledges that {removed.name} is removed")
         acknowledged_at = time.monotonic()
-        await asyncio.sleep(WATCHED_S)
+        await asyncio.sleep(lost_at + LATE_S - time.monotonic())
+        if TROUBLE:
+            for name, entry in late_entries.items():
+                await case.accept_entry(name, entry)
+                case.record.write(f"store: the late write of {name} is done, {entry['status']}")
+            await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_S)
+            await case.store.delete(f"servers/{removed.name}")
+            case.record.write(f"store: the entry of {removed.name} expires")
+        await asyncio.sleep(acknowledged_at + SERVES_AFTER_REPORT_S - time.monotonic())
         load.cancel()
-        old = {
-            request_id
-            for server in case.servers
-            if server.service == "before"
-            for request_id, _ in server.runs
-        }
         late = [
-            (request_id, at - acknowledged_at, vm)
-            for request_id, (at, vm) in sent.items()
-            if request_id in old and at > acknowledged_at + CONFIG_APPLY_S
+            (request_id, at - acknowledged_at, server.name)
+            for server in (draining, removed)
+            for request_id, at in server.arrivals
+            if at > acknowledged_at + DRAIN_S
         ]
-        for request_id, after_s, vm in late:
+        for request_id, after_s, name in late:
             case.record.write(
-                f"CONFIG: {request_id}, sent to {vm} {after_s:.3f} s after the acknowledgement, "
-                f"was run by the old service"
+                f"DRAIN: {request_id}, sent {sent[request_id] - acknowledged_at:.3f} s after the "
+                f"acknowledgement, reached {name} after {after_s:.3f} s"
             )
-        case.record.write(f"result: {len(sent)} requests, CONFIG {len(late)}")
+        counts = dict(Counter(name for _, _, name in late))
+        case.record.write(f"result: {len(sent)} requests, DRAIN {len(late)}: {counts}")
         return bool(late)
 
 
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -183,7 +183,10 @@
     async def run(self, request: Received) -> None:
         """Works on a request."""
         self.runs.append((request.id, time.monotonic()))
-        self.case.record.write(f"{self.name} runs {request.method} {request.target} {request.id}")
+        if self.case.records_runs:
+            self.case.record.write(
+                f"{self.name} runs {request.method} {request.target} {request.id}"
+            )
         self.running += 1
         try:
             await asyncio.sleep(self.work_s)
@@ -236,6 +239,8 @@
         self, folder: Path, regions: dict[str, str], store: KeyValueStore | None = None
     ) -> None:
         self.record = Record(folder)
+        # Whether each run has a line of its own.
+        self.records_runs = True
         self.regions = regions
         self.store = store or KeyValueStore()
         self.vms: dict[str, Vm] = {}
