--- a/review/1/case.py
+++ b/review/1/case.py
@@ -65,16 +65,12 @@
             writer.write(data)
 
 
-async def send_orders(
-    case: Deployment, vm: Vm, answers: dict[str, Answer], ends_at: float
-) -> None:
+async def send_orders(case: Deployment, vm: Vm, answers: dict[str, Answer], ends_at: float) -> None:
     """Sends one order after the other; none is repeated."""
     while time.monotonic() < ends_at:
         request_id = case.build_id()
         path = f"/order/{len(answers)}"
-        answers[request_id] = await case.call(
-            vm, "POST", path, DEADLINE_S, request_id, b"x" * 2000
-        )
+        answers[request_id] = await case.call(vm, "POST", path, DEADLINE_S, request_id, b"x" * 2000)
 
 
 async def play() -> bool:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -249,7 +249,7 @@
         self._network = f"127.{random.randint(64, 250)}.{random.randint(1, 250)}"
         self._last_address = 0
         self._version = 0
-        self._ids = iter(f"{random.getrandbits(48):012x}{n:04x}" for n in range(1 << 16))
+        self._ids = iter(f"{random.getrandbits(48):012x}{n:05x}" for n in range(1 << 20))
         self.store_address = self.take_address()
         self.store_port = find_port(self.store_address)
         first = self._network + ".200"
@@ -460,7 +460,7 @@
 
     try:
         broken = asyncio.run(limited())
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         print(f"the case could not run: {type(error).__name__}: {error}", file=sys.stderr)
         sys.exit(2)
     print("rule broken" if broken else "rule held")
