--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -48,8 +48,8 @@
 class Record:
     """Writes `record.txt`, one line for each event with its time since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, folder: Path, append: bool = False) -> None:
+        self._file = (folder / "record.txt").open("a" if append else "w")
         self._started = time.monotonic()
 
     def write(self, text: str) -> None:
@@ -236,9 +236,13 @@
     """The processes and stand-ins of one case; an async context manager."""
 
     def __init__(
-        self, folder: Path, regions: dict[str, str], store: KeyValueStore | None = None
+        self,
+        folder: Path,
+        regions: dict[str, str],
+        store: KeyValueStore | None = None,
+        append: bool = False,
     ) -> None:
-        self.record = Record(folder)
+        self.record = Record(folder, append)
         # Whether each run has a line of its own.
         self.records_runs = True
         self.regions = regions
