--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,14 +11,14 @@
 from collections import Counter
 from pathlib import Path
 
-from lib.deployment import TROUBLE
-from lib.deployment import Answer
-from lib.deployment import Deployment
-from lib.deployment import Received
-from lib.deployment import Server
-from lib.deployment import Vm
-from lib.deployment import build_route
-from lib.deployment import run_case
+from deployment import TROUBLE
+from deployment import Answer
+from deployment import Deployment
+from deployment import Received
+from deployment import Server
+from deployment import Vm
+from deployment import build_route
+from deployment import run_case
 
 PROMISES = (408, 421, 429, 503)
 # Two disruptions of the length that the site file names, with a calm time between them.
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,14 +12,14 @@
 from collections import Counter
 from pathlib import Path
 
-from lib.deployment import HEARTBEAT_S
-from lib.deployment import TROUBLE
-from lib.deployment import Deployment
-from lib.deployment import Received
-from lib.deployment import Server
-from lib.deployment import Vm
-from lib.deployment import build_route
-from lib.deployment import run_case
+from deployment import HEARTBEAT_S
+from deployment import TROUBLE
+from deployment import Deployment
+from deployment import Received
+from deployment import Server
+from deployment import Vm
+from deployment import build_route
+from deployment import run_case
 
 DRAIN_S = 2.5
 MISSED_HEARTBEATS = 3
--- a/review/lib/deployment.py
+++ b/review/deployment.py
@@ -23,7 +23,7 @@
 
 from tests.standins.key_value import KeyValueStore
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "review.example"
 HEARTBEAT_S = 1.5
