Send no two attempts at one request on the same connection

A server refused it, got it again on the same connection, and sent a second copy of the refusal while the order ran. The copy was taken for a refusal of the repetition.

Cause: the id in a response is the caller's and the same in all attempts at a request, so it does not tell two attempts apart. Only the connection does, and the pool returned the connection of the refusal to the retry. Ruled out as cause: the number of attempts, which only decides between TWICE and REFUSED, and bodies, which are whole before the first attempt.

Change: an attempt that goes to an address that an earlier attempt at the request was sent to gets a connection of its own, also under another server's name (421). The product's own forwarder has no ids in responses, so there a refusal closes its connection. The soak has servers that refuse twice.

--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -7,6 +7,7 @@
 import time
 from contextlib import contextmanager
 from dataclasses import dataclass
+from enum import Enum
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -33,8 +34,18 @@
 # 40 ms under overload.
 NON_IDEMPOTENT_IDLE_S = 1.0
 
-# Address, port and whether the requests are non-idempotent.
-PoolKey = tuple[str, int, bool]
+
+class ConnectionKind(Enum):
+    """Which connections a request may use."""
+
+    KEPT = "kept"
+    # A kept connection that the server is not about to close.
+    RECENT = "recent"
+    # A new connection that is closed after the request.
+    OWN = "own"
+
+
+PoolKey = tuple[str, int, ConnectionKind]
 
 
 class ServerProtocol(ResponseHandler):
@@ -68,8 +79,16 @@
     aiohttp would take the data for the response to the next request.
     """
 
-    def __init__(self, idle_s: float) -> None:
-        super().__init__(limit=0, keepalive_timeout=idle_s)
+    def __init__(self, idle_s: float | None) -> None:
+        """Creates a connector.
+
+        Args:
+            idle_s: Longest idle time of a kept connection, None to keep no connections.
+        """
+        if idle_s is None:
+            super().__init__(limit=0, force_close=True)
+        else:
+            super().__init__(limit=0, keepalive_timeout=idle_s)
         # aiohttp has no public way to set the protocol of its connections.
         loop = asyncio.get_running_loop()
         self._factory = partial(ServerProtocol, loop=loop)  # type: ignore[assignment]
@@ -100,6 +119,12 @@
         self._server_protocol = protocol
         return await super().start(connection)
 
+    def close_connection(self) -> None:
+        """Closes the connection, also if the end of the response has returned it to the pool."""
+        if self._server_protocol is not None:
+            self._server_protocol.close()
+        self.close()
+
     @property
     def was_reset(self) -> bool:
         """Whether the connection ended without an orderly close."""
@@ -120,10 +145,7 @@
 
 
 class ServerConnections:
-    """Connection pools of all backend servers.
-
-    Non-idempotent requests have separate pools, which keep idle connections for a short time only.
-    """
+    """Connection pools of all backend servers, separate ones for each kind of connection."""
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
@@ -133,15 +155,10 @@
 
     @contextmanager
     def borrow_session(
-        self, server: ServerAddress, avoid_stale: bool
+        self, server: ServerAddress, kind: ConnectionKind
     ) -> Iterator[aiohttp.ClientSession]:
-        """Yields the session for one request.
-
-        Args:
-            server: The backend server.
-            avoid_stale: Whether to avoid connections that the server may be about to close.
-        """
-        pool = self._find((server.address, server.port, avoid_stale))
+        """Yields the session for one request."""
+        pool = self._find((server.address, server.port, kind))
         pool.in_use += 1
         try:
             yield pool.session
@@ -152,8 +169,8 @@
 
     def retire_connections(self, server: ServerAddress) -> None:
         """Retires all kept connections to a server after one of them became unresponsive."""
-        self._retire((server.address, server.port, True))
-        self._retire((server.address, server.port, False))
+        for kind in ConnectionKind:
+            self._retire((server.address, server.port, kind))
 
     async def run(self) -> None:
         """Retires pools that have reached their maximum age and closes retired ones."""
@@ -180,9 +197,7 @@
             if now - pool.opened_at < self._settings.timeouts.connection_age_s:
                 return pool
             self._retire(key)
-        age_s = self._settings.timeouts.connection_age_s
-        idle_s = min(NON_IDEMPOTENT_IDLE_S, age_s) if key[2] else age_s
-        pool = ConnectionPool(self._create_session(idle_s), now)
+        pool = ConnectionPool(self._create_session(self._choose_idle_s(key[2])), now)
         self._pools[key] = pool
         return pool
 
@@ -202,7 +217,14 @@
         for pool in [*self._pools.values(), *self._retired]:
             await pool.session.close()
 
-    def _create_session(self, idle_s: float) -> aiohttp.ClientSession:
+    def _choose_idle_s(self, kind: ConnectionKind) -> float | None:
+        """Returns the longest idle time of connections, None if they are not kept."""
+        age_s = self._settings.timeouts.connection_age_s
+        if kind is ConnectionKind.OWN:
+            return None
+        return min(NON_IDEMPOTENT_IDLE_S, age_s) if kind is ConnectionKind.RECENT else age_s
+
+    def _create_session(self, idle_s: float | None) -> aiohttp.ClientSession:
         timeouts = self._settings.timeouts
         return aiohttp.ClientSession(
             connector=ServerConnector(idle_s),
--- a/src/briarfork/entry/forward.py
+++ b/src/briarfork/entry/forward.py
@@ -11,6 +11,8 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from briarfork.entry.connections import ConnectionKind
+from briarfork.entry.connections import ServerResponse
 from briarfork.entry.delivery import ProgressTimer
 from briarfork.errors import OutcomeUnknown
 from briarfork.pools import Release
@@ -131,9 +133,8 @@
         attempt = Attempt(call.deadline)
         timer = ProgressTimer(call.deadline, self._settings.timeouts.progress_s)
         try:
-            with self._connections.borrow_session(
-                permit.server, avoid_stale=not call.idempotent
-            ) as session:
+            kind = ConnectionKind.KEPT if call.idempotent else ConnectionKind.RECENT
+            with self._connections.borrow_session(permit.server, kind) as session:
                 async with timer:
                     callback = on_response or _ignore_response
                     return await self._exchange(session, delivery, permit, attempt, timer, callback)
@@ -168,6 +169,10 @@
         ) as response:
             if _is_refusal(response):
                 attempt.mark_refused()
+                # Responses have no id. A second copy of the refusal, if the connection were used
+                # again, would be taken for a refusal of the next request.
+                assert isinstance(response, ServerResponse)
+                response.close_connection()
                 draining = response.headers.get(STATE_HEADER) == "draining"
                 release = Release.DRAINING if draining else Release.NOT_RUN
                 raise AttemptFailed(attempt.result, release, "the server refused the request")
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -64,10 +64,24 @@
     """Sends requests to backend servers."""
 
     async def send(
-        self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
+        self,
+        request: Request,
+        server: ServerAddress,
+        deadline: Deadline,
+        *,
+        idempotent: bool,
+        repeated: bool,
     ) -> Response:
         """Sends a request and returns the complete response.
 
+        Args:
+            request: The request.
+            server: The backend server.
+            deadline: Time by which the server has to respond.
+            idempotent: Whether the request may run more than once.
+            repeated: Whether an earlier attempt was sent to the same address, so that the
+                connection must not be one that it used.
+
         Raises:
             AttemptError: If there is no complete response.
         """
@@ -80,6 +94,7 @@
     Attributes:
         started: Monotonic time at which the request arrived.
         tried_servers: Servers that the request was sent to.
+        tried_addresses: Addresses and ports of these servers.
         unsent_attempts: Number of attempts that reached no server.
         may_have_run: Whether a server may have run the request.
         error_response: The last response with a server error.
@@ -95,6 +110,7 @@
     deadline: Deadline
     started: float
     tried_servers: set[str] = field(default_factory=set)
+    tried_addresses: set[tuple[str, int]] = field(default_factory=set)
     unsent_attempts: int = 0
     may_have_run: bool = False
     error_response: Response | None = None
@@ -104,6 +120,14 @@
     slot_wait_s: float = 0.0
     detail: str = ""
 
+    def record_attempt(self, server: ServerAddress) -> bool:
+        """Records an attempt and returns whether an earlier one was sent to the same address."""
+        address = (server.address, server.port)
+        repeated = address in self.tried_addresses
+        self.tried_servers.add(server.name)
+        self.tried_addresses.add(address)
+        return repeated
+
 
 class AttemptRunner:
     """Sends requests under permits, releases the permits and records failed attempts."""
@@ -163,13 +187,17 @@
     ) -> Response | AttemptError:
         """Sends a request once and releases its permit."""
         started = time.monotonic()
-        progress.tried_servers.add(permit.server.name)
+        repeated = progress.record_attempt(permit.server)
         progress.zone = permit.site
         progress.slot_wait_s = started - progress.started
         release, report = Release.CANCELLED, NO_REPORT
         try:
             response = await self._upstream.send(
-                request, permit.server, progress.deadline, progress.route.kind.is_idempotent
+                request,
+                permit.server,
+                progress.deadline,
+                idempotent=progress.route.kind.is_idempotent,
+                repeated=repeated,
             )
             release, report = Release.DONE, response.report
             self._permits.record_load(
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -13,6 +13,7 @@
 import aiohttp
 from yarl import URL
 
+from briarfork.entry.connections import ConnectionKind
 from briarfork.entry.connections import ServerResponse
 from briarfork.entry.forward import HOP_BY_HOP_HEADERS
 from briarfork.entry.forward import AttemptGuard
@@ -62,7 +63,13 @@
         self._connections = connections
 
     async def send(
-        self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
+        self,
+        request: Request,
+        server: ServerAddress,
+        deadline: Deadline,
+        *,
+        idempotent: bool,
+        repeated: bool,
     ) -> Response:
         """Sends a request and returns the complete response.
 
@@ -73,7 +80,9 @@
         now = time.monotonic()
         timeout_s = min(deadline.remaining_s(now) + RESPONSE_MARGIN_S, request.respond_by - now)
         try:
-            with self._connections.borrow_session(server, avoid_stale=not idempotent) as session:
+            with self._connections.borrow_session(
+                server, _choose_kind(idempotent, repeated)
+            ) as session:
                 async with asyncio.timeout(timeout_s):
                     return await self._exchange(session, request, server, deadline, attempt)
         except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden, ValueError) as error:
@@ -121,6 +130,17 @@
             return Response(response.status, _list_headers(response), body, report)
 
 
+def _choose_kind(idempotent: bool, repeated: bool) -> ConnectionKind:
+    """Returns the kind of connection for an attempt.
+
+    All attempts at a request have the id that its caller chose, so only the connection tells a late
+    copy of an earlier response from the response to this attempt.
+    """
+    if repeated:
+        return ConnectionKind.OWN
+    return ConnectionKind.KEPT if idempotent else ConnectionKind.RECENT
+
+
 def _build_headers(
     request: Request, server: ServerAddress, deadline: Deadline
 ) -> list[tuple[str, str]]:
@@ -169,7 +189,8 @@
     """Returns whether the server states that this request did not run.
 
     Status 421 comes from another server that has taken over the address. A refusal of an earlier
-    request, repeated on a kept connection, says nothing about this one.
+    request, repeated on a kept connection, says nothing about this one. No connection carries two
+    attempts at one request, so a refusal with its id is about this attempt.
     """
     if response.headers.get(names.ATTEMPT_ID) != request.request_id:
         return False
--- a/tests/entry/test_once.py
+++ b/tests/entry/test_once.py
@@ -100,6 +100,25 @@
         )
         assert again.error == "overloaded", "the claim of a refused request was not removed"
 
+    async def test_second_copy_of_a_refusal_is_not_taken_for_the_next_one(
+        self, environment: Environment
+    ) -> None:
+        """Guards against a request that runs but is sent once more or refused as not run."""
+        for number in range(5):
+            await environment.request(
+                "POST", "scoring/refuse-twice/always", f"refused-{number}", data=b"1"
+            )
+            names = [f"order-{number}-{index}" for index in range(4)]
+            replies = await asyncio.gather(
+                *(
+                    environment.request("POST", "scoring/slow/always", name, data=b"1")
+                    for name in names
+                )
+            )
+            for reply, name in zip(replies, names, strict=True):
+                assert reply.outcome != "not-run" or environment.ledger[name] == 0
+                assert environment.ledger[name] <= 1
+
     async def test_stopped_servers_leave_the_request_not_run(
         self, environment: Environment
     ) -> None:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -92,7 +92,13 @@
         self.cancelled: list[str] = []
 
     async def send(
-        self, request: Request, server: ServerAddress, deadline: Deadline, idempotent: bool
+        self,
+        request: Request,
+        server: ServerAddress,
+        deadline: Deadline,
+        *,
+        idempotent: bool,
+        repeated: bool,
     ) -> Response:
         self.sent.append(server.name)
         self.bodies.append(b"".join(request.body))
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -107,7 +107,9 @@
             "r1", "h", "GET", "/a//b?c=%2f", (("Host", "h"),), (), respond_by=now + remaining_s
         )
         deadline = Deadline(now + 2.0)
-        return await self._upstream.send(request, self._address, deadline, idempotent)
+        return await self._upstream.send(
+            request, self._address, deadline, idempotent=idempotent, repeated=False
+        )
 
     async def send_expecting_error(self, answer: bytes, after: str = "keep") -> AttemptError:
         self.server.answer, self.server.after = answer, after
@@ -166,7 +168,9 @@
     address = ServerAddress("i-1", HOST, listener.getsockname()[1])
     request = Request("r1", "h", "GET", "/", ())
     deadline = Deadline(time.monotonic() + 5.0)
-    attempt = asyncio.create_task(upstream.send(request, address, deadline, idempotent=True))
+    attempt = asyncio.create_task(
+        upstream.send(request, address, deadline, idempotent=True, repeated=False)
+    )
     # The client connects on this loop, so only another thread may block.
     _respond_and_close(await asyncio.to_thread(_accept, listener), reset)
     listener.close()
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -25,6 +25,7 @@
 FAULT_PROBABILITY = 0.3
 SLOW_DELAY_S = 0.8
 PAUSE_S = 4.0
+SECOND_COPY_DELAY_S = 0.02
 BACKEND_FAULTS: Registry[Callable[[Backend, web.BaseRequest, bytes], Awaitable[web.StreamResponse]]]
 BACKEND_FAULTS = Registry("backend server fault")
 
@@ -54,6 +55,7 @@
         limit_per_s: Limit that it names, 0 for none.
         leaving: Whether it says that it leaves.
         refusing: Whether it refuses some requests and asks for a pause.
+        refusing_twice: Whether it refuses some requests, and sends each refusal once more.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.limit_per_s = 0.0
         self.leaving = False
         self.refusing = False
+        self.refusing_twice = False
         self.random = random
         self.in_progress = 0
         self._ledger = ledger
@@ -90,6 +93,9 @@
             return build_refusal(request_id, 503)
         if self.refusing and self.random.random() < FAULT_PROBABILITY:
             return self._refuse_for_a_while(request_id)
+        if self.refusing_twice and self.random.random() < FAULT_PROBABILITY:
+            _send_later(request, request_id)
+            return build_refusal(request_id, 503)
         deadline_s = int(request.headers[names.DEADLINE_MS]) / 1000.0
         run = Run(self.name, self.service, self.zone, time.monotonic(), deadline_s)
         self._ledger.runs[request_id].append(run)
@@ -144,6 +150,22 @@
         return web.Response(status=status, body=body, headers=headers)
 
 
+def _send_later(request: web.BaseRequest, request_id: str) -> None:
+    """Sends a second copy of a refusal, while the connection may be in use for another request."""
+    transport = request.transport
+    assert transport is not None
+    copy = (
+        f"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n{names.NOT_EXECUTED}: 1\r\n"
+        f"{names.ATTEMPT_ID}: {request_id}\r\n\r\n"
+    ).encode()
+
+    def send_copy() -> None:
+        if not transport.is_closing():
+            transport.write(copy)
+
+    asyncio.get_running_loop().call_later(SECOND_COPY_DELAY_S, send_copy)
+
+
 def _abort_connection(request: web.BaseRequest) -> web.Response:
     assert request.transport is not None
     request.transport.abort()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,9 @@
 
 Fault = Callable[["SoakEnvironment", "Random"], Awaitable[str]]
 FAULTS: Registry[Fault] = Registry("fault")
+# Messages that arrive after newer ones. They are drawn apart from the other faults, which stay the
+# same for a seed.
+LATE_FAULTS: Registry[Fault] = Registry("late message")
 STORE = "store"
 INFO = {"service": "orders", "zone": "a", "slots": 4}
 STATUS = {"state": "ready", "sequence": 1}
@@ -316,6 +319,30 @@
     return str(record)
 
 
+@LATE_FAULTS.register("repeated refusals")
+async def repeat_refusals(environment: SoakEnvironment, random: Random) -> str:
+    """Lets the only listed server of a zone refuse some requests twice."""
+    endpoint = choose_endpoint(environment, random)
+    backend = endpoint.backend
+    others = [
+        item
+        for item in environment.endpoints
+        if (item.backend.service, item.backend.zone) == (backend.service, backend.zone)
+        and item is not endpoint
+        and item.state == "ready"
+        and item.listed
+    ]
+    for other in others:
+        other.listed = False
+        await environment.store.delete(names.SERVER_PREFIX + other.backend.name)
+    backend.refusing_twice = True
+    await asyncio.sleep(draw_duration_s(random))
+    backend.refusing_twice = False
+    for other in others:
+        other.listed = True
+    return backend.name
+
+
 async def wait_until_ready(environment: SoakEnvironment, vm: Vm) -> None:
     """Waits until a restarted VM is ready; the recovery time is checked separately."""
     while not await environment.is_ready(vm):
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -13,14 +13,20 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 from tests.soak.callers import LoadGenerator
 from tests.soak.environment import RECOVERY_S
 from tests.soak.environment import SoakEnvironment
 from tests.soak.faults import FAULTS
+from tests.soak.faults import LATE_FAULTS
+from tests.soak.faults import Fault
 from tests.soak.invariants import INVARIANTS
 from tests.soak.regressions import REGRESSIONS
 
+if TYPE_CHECKING:
+    from briarfork.registry import Registry
+
 REQUEST_RATE = 50.0
 CALLERS = 30
 FAULT_FREE_START_S = 2.0
@@ -29,6 +35,7 @@
 WINDOW_S = 2.0
 # Minimum and maximum time between the starts of two faults, which can overlap.
 FAULT_INTERVAL_S = (0.2, 2.0)
+LATE_FAULT_INTERVAL_S = (2.0, 5.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,16 +81,25 @@
         await asyncio.sleep(FAULT_FREE_START_S)
         started_at = time.monotonic()
 
-        async def inject_fault(name: str, fault_random: Random) -> None:
+        async def inject_fault(name: str, fault: Fault, fault_random: Random) -> None:
             offset_s = time.monotonic() - started_at
-            detail = await FAULTS.get(name)(environment, fault_random)
+            detail = await fault(environment, fault_random)
             injected.append(f"{offset_s:.1f} s: {name} ({detail})")
 
-        async with asyncio.TaskGroup() as faults:
-            while time.monotonic() - started_at < fault_s:
-                name = random.choice(list(FAULTS.names()))
-                faults.create_task(inject_fault(name, Random(random.random())))
-                await asyncio.sleep(random.uniform(*FAULT_INTERVAL_S))
+        async def inject_faults(
+            registry: Registry[Fault], draws: Random, interval_s: tuple[float, float]
+        ) -> None:
+            async with asyncio.TaskGroup() as faults:
+                while time.monotonic() - started_at < fault_s:
+                    name = draws.choice(list(registry.names()))
+                    fault_random = Random(draws.random())
+                    faults.create_task(inject_fault(name, registry.get(name), fault_random))
+                    await asyncio.sleep(draws.uniform(*interval_s))
+
+        async with asyncio.TaskGroup() as kinds:
+            kinds.create_task(inject_faults(FAULTS, random, FAULT_INTERVAL_S))
+            late_draws = Random(f"late {seed}")
+            kinds.create_task(inject_faults(LATE_FAULTS, late_draws, LATE_FAULT_INTERVAL_S))
         recovery_s = await measure_recovery_s(environment)
         stop_event.set()
         await load_task
--- a/tests/standins/scripted.py
+++ b/tests/standins/scripted.py
@@ -26,6 +26,7 @@
 PARTIAL_DOWNLOAD_BYTES = 500_003
 DOWNLOAD_INTERRUPTIONS = 2
 FLOOD_BYTES = 40_000_000
+SECOND_COPY_DELAY_S = 0.3
 SCRIPTS: Registry[Callable[[Exchange], Awaitable[None]]] = Registry("script")
 
 
@@ -196,6 +197,13 @@
     await exchange.respond(b"", "HTTP/1.1 503 Busy\r\nBriarfork-Outcome: not-run")
 
 
+@SCRIPTS.register("refuse-twice")
+async def refuse_request_twice(exchange: Exchange) -> None:
+    await refuse_request(exchange)
+    await asyncio.sleep(SECOND_COPY_DELAY_S)
+    await exchange.respond(b"", "HTTP/1.1 503 Busy\r\nBriarfork-Outcome: not-run")
+
+
 @SCRIPTS.register("slow")
 async def send_delayed_response(exchange: Exchange) -> None:
     await asyncio.sleep(0.5)
