Hold back entries of servers that are older than what is known of them

Cause: a write to the store that got no response may be done seconds later, after newer ones, and the last write won. `sequence` was dropped, and `born` compared only for servers that said that they leave. An entry changes only when more than its number does, so the late heartbeat has a higher number than the known one.

Change: an entry counts only if it is not older than what is known of its server, by start time and number; after a removal, an entry of the same process counts as older. Older ones are held back and logged (3007 entry_held). Removed servers are remembered for 60 s. The soak writes heartbeats late.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -77,6 +77,11 @@
     RECORD_IGNORED = EventDefinition(
         3006, "warning", "A record in the store could not be read and is ignored."
     )
+    ENTRY_HELD = EventDefinition(
+        3007,
+        "notice",
+        "The entry of a server is older than what is known of it and is not used for now.",
+    )
     PEER_CONNECTED = EventDefinition(4001, "info", "A stream to another process is open.")
     PEER_LOST = EventDefinition(4002, "info", "A stream to another process has ended.")
     PEER_PROTOCOL_ERROR = EventDefinition(
--- a/src/briarfork/platform/registration_records.py
+++ b/src/briarfork/platform/registration_records.py
@@ -131,6 +131,7 @@
             draining=record.status.state == "draining",
             cold_until=now + record.status.parse_cold_s(),
             started_at_ms=record.born,
+            sequence=record.status.sequence,
         )
     except ValueError as error:
         raise InvalidRecord(f"server {name}: {error}") from error
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -40,6 +40,8 @@
 LOOKUP_TTL_S = 2.0
 # A VM that died is listed for this long; a shorter lease expires when two renewals are lost.
 LEASE_S = 4.0
+# The store removes the entry of a backend server after so many intervals without a heartbeat.
+MISSED_HEARTBEATS = 3
 # Each fetch of changes is a call to the store, so fetches are spaced out. The pause is this
 # fraction of the shorter bound on noticing a draining server or a new configuration.
 FETCH_PAUSE_FRACTION = 0.25
@@ -82,7 +84,11 @@
 
 
 class BootFile(msgspec.Struct, frozen=True):
-    """The fields of the settings file that this program uses; others are ignored."""
+    """The fields of the settings file that this program uses; others are ignored.
+
+    Attributes:
+        heartbeat: Interval at which backend servers renew their entries, as duration text.
+    """
 
     node: NonEmptyStr
     ip: Annotated[str, Meta(pattern=r"^[0-9.]+$")]
@@ -94,6 +100,7 @@
     platform: Store
     limits: VmLimits = VmLimits()
     bounds: list[str] = []
+    heartbeat: str = "1500ms"
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +120,7 @@
         lookup_ttl_s: Time-to-live of a lookup response.
         lease_s: Time-to-live of this VM's registration without a renewal.
         fetch_pause_s: Pause after a fetch of changes, so that the next fetch returns several.
+        entry_ttl_s: Time after which the store removes the entry of a silent backend server.
     """
 
     common: Settings
@@ -127,6 +135,7 @@
     lookup_ttl_s: float
     lease_s: float
     fetch_pause_s: float
+    entry_ttl_s: float
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -160,6 +169,7 @@
             float(bounds.get("retry_budget_slack", "60")),
         )
         lease_s = max(LEASE_S, parse_duration(boot.platform.min_ttl))
+        entry_ttl_s = MISSED_HEARTBEATS * parse_duration(boot.heartbeat)
     except ValueError as error:
         raise BadSettings([f"{path}: bounds: {error}"]) from error
     address, port = _split_address(boot.listen.front)
@@ -195,6 +205,7 @@
         lookup_ttl_s=ttl_s,
         lease_s=lease_s,
         fetch_pause_s=FETCH_PAUSE_FRACTION * propagation_s,
+        entry_ttl_s=entry_ttl_s,
     )
 
 
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -29,6 +29,7 @@
     from briarfork.platform.settings import PlatformSettings
     from briarfork.platform.store import Item
     from briarfork.platform.store import StoreClient
+    from briarfork.pools import Instance
 
 # The empty prefix matches all keys, so that one call fetches any number of changes.
 ALL_KEYS = ""
@@ -106,12 +107,13 @@
             missed_changes = has_changes
 
     async def expire(self) -> None:
-        """Removes servers whose entries expired during an outage and were not registered again."""
+        """Removes servers whose entries expired in an outage, and uses held entries that last."""
         while True:
             await asyncio.sleep(RETRY_S)
             now = time.monotonic()
             # The grace period for registering again starts when the store is reachable again.
-            if self._is_view_current and self.gateway.view.inventory.expire(now):
+            inventory = self.gateway.view.inventory
+            if self._is_view_current and inventory.expire(now, self._settings.entry_ttl_s):
                 self.gateway.refresh()
 
     def is_store_healthy(self) -> bool:
@@ -126,6 +128,16 @@
         """Logs that an invalid record is ignored."""
         self.events.record(Event.RECORD_IGNORED, fault=error.detail)
 
+    def log_held_entry(self, instance: Instance) -> None:
+        """Logs that an entry older than what is known of its server is not used for now."""
+        self.events.record(
+            Event.ENTRY_HELD,
+            server=instance.name,
+            started_at_ms=instance.started_at_ms,
+            sequence=instance.sequence,
+            draining=instance.draining,
+        )
+
     def _replace(self, items: list[Item]) -> None:
         present = {item.key for item in items}
         inventory = self.gateway.view.inventory
@@ -184,10 +196,13 @@
         inventory.remove(name, watcher.is_store_healthy(), now, watcher.find_recovery())
         return
     try:
-        inventory.put(decode_instance(name, item.decode(), now))
+        instance = decode_instance(name, item.decode(), now)
     except InvalidRecord as error:
         watcher.log_ignored_record(error)
-        inventory.remove(name, store_healthy=True, now=now, recovered_at=now)
+        inventory.withdraw(name, now)
+        return
+    if not inventory.put(instance, now):
+        watcher.log_held_entry(instance)
 
 
 @HANDLERS.register(MEMBER_PREFIX)
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -1,6 +1,6 @@
 """Pools of backend servers: slots, permits and server selection."""
 
-from briarfork.pools.inventory import Instance
+from briarfork.pools.instance import Instance
 from briarfork.pools.inventory import Inventory
 from briarfork.pools.local import LocalPool
 from briarfork.pools.permit import Grant
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -8,21 +8,19 @@
 from typing import TYPE_CHECKING
 from typing import Final
 
-from briarfork.pools.server import ServerAddress
+from briarfork.pools.entry_order import EntryOrder
+from briarfork.pools.entry_order import RemovedServer
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from briarfork.pools.instance import Instance
+    from briarfork.pools.server import ServerAddress
     from briarfork.pools.server_report import ServerReport
 
 # Entries that expired during an outage of the store are registered again within this time after
 # the outage.
 LAPSED_ENTRY_GRACE_S: Final = 2.2
-# Removed servers are remembered for this long. An owner of slots that is cut off from the store may
-# grant them until then; servers that leave serve on for some seconds only.
-REMOVED_SERVER_MEMORY_S: Final = 60.0
-
-
 # A limit ends with the first response that does not name it. A VM that sends the server nothing
 # does not see that, so it forgets the limit after this time.
 LIMIT_MEMORY_S: Final = 60.0
@@ -44,37 +42,6 @@
     named_at: float
 
 
-@dataclass(frozen=True, slots=True)
-class Instance:
-    """One incarnation of a backend server.
-
-    Attributes:
-        name: Unique name, by which requests can be pinned to the server.
-        service: Service that the server runs.
-        zone: Availability zone.
-        address: IP address.
-        port: Port number.
-        slots: Maximum number of concurrent requests.
-        draining: Whether the server accepts no new requests.
-        cold_until: Time at which its caches are warm, in seconds on the monotonic clock.
-        started_at_ms: Start time in Unix milliseconds, 0 if unknown.
-    """
-
-    name: str
-    service: str
-    zone: str
-    address: str
-    port: int
-    slots: int
-    draining: bool = False
-    cold_until: float = 0.0
-    started_at_ms: int = 0
-
-    def to_server_address(self) -> ServerAddress:
-        """Returns the address and capacity for the owner of the slots."""
-        return ServerAddress(self.name, self.address, self.port, self.slots, self.started_at_ms)
-
-
 @dataclass(slots=True)
 class Inventory:
     """All registered servers.
@@ -89,7 +56,7 @@
     _names: dict[str, dict[str, dict[str, None]]] = field(default_factory=dict)
     _usable: dict[tuple[str, str], list[Instance]] = field(default_factory=dict)
     _lapsed_until: dict[str, float] = field(default_factory=dict)
-    _removed_at: dict[str, float] = field(default_factory=dict)
+    _order: EntryOrder = field(default_factory=EntryOrder)
     _evacuated_zones: set[str] = field(default_factory=set)
     # Servers that said that they leave, with their start times as far as these are known.
     _leaving: dict[str, int | None] = field(default_factory=dict)
@@ -97,8 +64,23 @@
     _paused_until: dict[str, float] = field(default_factory=dict)
     _zone_cold_until: dict[str, float] = field(default_factory=dict)
 
-    def put(self, instance: Instance) -> None:
-        """Adds or replaces a server."""
+    def put(self, instance: Instance, now: float) -> bool:
+        """Adds or replaces a server, unless its entry is older than what is known of it.
+
+        Args:
+            instance: The server according to its entry.
+            now: Time, in seconds on the monotonic clock.
+
+        Returns:
+            Whether the entry is used. Otherwise it is held back.
+        """
+        if self._order.is_late(instance, self._instances.get(instance.name)):
+            self._order.hold(instance, now)
+            return False
+        self._replace(instance)
+        return True
+
+    def _replace(self, instance: Instance) -> None:
         earlier = self._instances.get(instance.name)
         if earlier is not None and earlier.started_at_ms != instance.started_at_ms:
             self._forget_limits(instance.name)
@@ -109,7 +91,7 @@
         zones.setdefault(instance.zone, {})[instance.name] = None
         self._usable.pop((instance.service, instance.zone), None)
         self._lapsed_until.pop(instance.name, None)
-        self._removed_at.pop(instance.name, None)
+        self._order.release(instance.name)
 
     def remove(self, name: str, store_healthy: bool, now: float, recovered_at: float) -> None:
         """Removes a server whose entry has disappeared.
@@ -121,6 +103,7 @@
             now: Time, in seconds on the monotonic clock.
             recovered_at: Time at which the last outage ended.
         """
+        self._order.discard_held(name)
         if name not in self._instances:
             return
         if store_healthy:
@@ -128,20 +111,37 @@
         else:
             self._lapsed_until.setdefault(name, recovered_at + LAPSED_ENTRY_GRACE_S)
 
+    def withdraw(self, name: str, now: float) -> None:
+        """Removes a server whose entry another writer has made invalid.
+
+        Its next heartbeat brings it back.
+        """
+        if name in self._instances:
+            self._delete(name, now, is_gone=False)
+
     def list_names(self) -> list[str]:
-        """Returns the names of all known servers."""
-        return list(self._instances)
+        """Returns the names of all servers that have an entry."""
+        return list({**self._instances, **dict.fromkeys(self._order.list_held())})
+
+    def expire(self, now: float, entry_ttl_s: float) -> bool:
+        """Removes servers whose grace period is over, and uses held entries that have lasted.
+
+        Args:
+            now: Time, in seconds on the monotonic clock.
+            entry_ttl_s: Time after which an entry without heartbeats is removed, in seconds.
 
-    def expire(self, now: float) -> bool:
-        """Removes servers whose grace period is over; returns whether there were any."""
+        Returns:
+            Whether there were any.
+        """
         expired = [name for name, until in self._lapsed_until.items() if until <= now]
         for name in expired:
             self._delete(name, now)
-        oldest = now - REMOVED_SERVER_MEMORY_S
-        self._removed_at = {name: at for name, at in self._removed_at.items() if at > oldest}
+        lasting = self._order.take_lasting(now, entry_ttl_s)
+        for instance in lasting:
+            self._replace(instance)
         for name in [name for name in self._leaving if not self._is_known(name)]:
             del self._leaving[name]
-        return bool(expired)
+        return bool(expired or lasting)
 
     def has_left(self, server: ServerAddress) -> bool:
         """Returns whether a server is known to accept no new requests at this address.
@@ -152,7 +152,7 @@
             return True
         instance = self._instances.get(server.name)
         if instance is None:
-            return server.name in self._removed_at
+            return self._order.is_removed(server.name)
         has_moved = (instance.address, instance.port) != (server.address, server.port)
         return has_moved or not self._is_usable(instance)
 
@@ -171,7 +171,7 @@
             self._leaving[name] = instance.started_at_ms if instance else None
             self._discard_usable(name)
             if instance is None:
-                self._removed_at.setdefault(name, now)
+                self._order.record_removal(name, RemovedServer(now, None, is_gone=True))
         if report.limit_per_s == math.inf:
             self._limits.pop(name, None)
         elif report.limit_per_s is not None and name in self._instances:
@@ -230,11 +230,12 @@
         """Returns when the caches of a server are warm, in seconds on the monotonic clock."""
         return max(instance.cold_until, self._zone_cold_until.get(instance.zone, -math.inf))
 
-    def _delete(self, name: str, now: float) -> None:
+    def _delete(self, name: str, now: float, *, is_gone: bool = True) -> None:
+        position = self._instances[name].position
         self._unlist(name)
         self._lapsed_until.pop(name, None)
         self._forget_limits(name)
-        self._removed_at[name] = now
+        self._order.record_removal(name, RemovedServer(now, position, is_gone))
 
     def _forget_limits(self, name: str) -> None:
         self._limits.pop(name, None)
@@ -251,7 +252,7 @@
             del self._leaving[instance.name]
 
     def _is_known(self, name: str) -> bool:
-        return name in self._instances or name in self._removed_at
+        return name in self._instances or self._order.is_removed(name)
 
     def _discard_usable(self, name: str) -> None:
         instance = self._instances.get(name)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -77,7 +77,7 @@
         GatewayView(SETTINGS, LOCATION, RETRY_LIMITS, EventLog("test")), EventLog("test")
     )
     for server in servers:
-        gateway.view.inventory.put(server)
+        gateway.view.inventory.put(server, 0.0)
     gateway.apply_route_table(build_table(route, limits=limits))
     return gateway
 
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -64,7 +64,7 @@
     view = GatewayView(settings, LOCATION, RETRY_LIMITS, EventLog("test"))
     gateway = Gateway(view, EventLog("test"))
     for server in servers:
-        view.inventory.put(server)
+        view.inventory.put(server, 0.0)
     gateway.replace_members({OWNER.vm: OWNER})
     gateway.apply_route_table(build_table(PATIENT_ROUTE))
     return gateway
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -21,6 +21,7 @@
 from tests.gateway.harness import build_instance
 from tests.gateway.harness import build_table
 
+ENTRY_TTL_S = 4.5
 SERVERS = [build_instance("i-a", "a"), build_instance("i-b", "b"), build_instance("i-c", "c")]
 
 
@@ -104,27 +105,27 @@
     def test_missing_entry_removes_a_server_while_the_store_is_healthy(self) -> None:
         """Guards against requests to a server that has left."""
         inventory = Inventory()
-        inventory.put(SERVERS[0])
+        inventory.put(SERVERS[0], 0.0)
         inventory.remove("i-a", store_healthy=True, now=0.0, recovered_at=0.0)
         assert inventory.list_usable("s", "a") == []
 
     def test_expired_entry_is_kept_for_the_grace_period(self) -> None:
         """Guards against a fleet that looks empty right after an outage of the store."""
         inventory = Inventory()
-        inventory.put(SERVERS[0])
+        inventory.put(SERVERS[0], 0.0)
         inventory.remove("i-a", store_healthy=False, now=10.0, recovered_at=10.0)
-        assert not inventory.expire(12.0)
+        assert not inventory.expire(12.0, ENTRY_TTL_S)
         assert len(inventory.list_usable("s", "a")) == 1
-        assert inventory.expire(12.5)
+        assert inventory.expire(12.5, ENTRY_TTL_S)
         assert inventory.list_usable("s", "a") == []
 
     def test_entry_registered_again_is_not_expired(self) -> None:
         """Guards against removing a server that registered again."""
         inventory = Inventory()
-        inventory.put(SERVERS[0])
+        inventory.put(SERVERS[0], 0.0)
         inventory.remove("i-a", store_healthy=False, now=10.0, recovered_at=10.0)
-        inventory.put(SERVERS[0])
-        assert not inventory.expire(20.0)
+        inventory.put(SERVERS[0], 0.0)
+        assert not inventory.expire(20.0, ENTRY_TTL_S)
 
 
 class TestInitialRemoteShare:
--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -43,10 +43,10 @@
 }
 
 
-def build_entry(sequence: int, state: str = "ready") -> dict[str, object]:
+def build_entry(sequence: int, state: str = "ready", born: int = 0) -> dict[str, object]:
     status = {"state": state, "sequence": sequence}
     info = {"service": "s", "zone": "a", "slots": 2}
-    return {"address": "127.0.0.1:1", "info": info, "status": status}
+    return {"address": "127.0.0.1:1", "info": info, "status": status, "born": born}
 
 
 class WatcherHarness:
@@ -128,6 +128,79 @@
         assert harness.store.full_calls == before
 
 
+class TestLateWrites:
+    """Writes that take effect seconds after the store's answer to them was lost."""
+
+    KEY = names.SERVER_PREFIX + "i-1"
+
+    async def wait_for_usable(self, harness: WatcherHarness, count: int) -> None:
+        async with asyncio.timeout(10.0):
+            while len(harness.gateway.view.inventory.list_usable("s", "a")) != count:
+                await asyncio.sleep(0.01)
+
+    async def test_older_heartbeat_does_not_bring_back_a_draining_server(
+        self, harness: WatcherHarness
+    ) -> None:
+        """Guards against requests to a server that had reported that it drains."""
+        await harness.wait_until_ready()
+        await harness.store.put(self.KEY, build_entry(8, "draining", born=5))
+        await self.wait_for_usable(harness, 0)
+        await harness.store.put(self.KEY, build_entry(4, born=5))
+        await asyncio.sleep(1.0)
+        assert harness.gateway.view.inventory.list_usable("s", "a") == []
+
+    async def test_older_heartbeat_does_not_bring_back_a_removed_server(
+        self, harness: WatcherHarness
+    ) -> None:
+        """Guards against requests to a server whose entry was removed.
+
+        The late heartbeat has a higher number than the known one, because heartbeats that change
+        nothing else are not seen.
+        """
+        await harness.wait_until_ready()
+        await harness.store.put(self.KEY, build_entry(1, born=5))
+        await harness.store.delete(self.KEY)
+        await self.wait_for_usable(harness, 0)
+        await harness.store.put(self.KEY, build_entry(4, born=5))
+        await asyncio.sleep(1.0)
+        assert harness.gateway.view.inventory.list_usable("s", "a") == []
+
+    async def test_listing_after_a_gap_does_not_bring_back_a_draining_server(
+        self, harness: WatcherHarness
+    ) -> None:
+        """Guards against a late write that this VM learns of by a listing instead of a watch."""
+        await harness.wait_until_ready()
+        await harness.store.put(self.KEY, build_entry(8, "draining", born=5))
+        await self.wait_for_usable(harness, 0)
+        await harness.store.put(self.KEY, build_entry(4, born=5))
+        await harness.store.forget_history()
+        await asyncio.sleep(1.0)
+        assert harness.gateway.view.inventory.list_usable("s", "a") == []
+
+    async def test_server_that_was_started_again_is_used_at_once(
+        self, harness: WatcherHarness
+    ) -> None:
+        """Guards against a server that is left out although it is a new process."""
+        await harness.wait_until_ready()
+        await harness.store.put(self.KEY, build_entry(8, "draining", born=5))
+        await harness.store.delete(self.KEY)
+        await self.wait_for_usable(harness, 0)
+        started = time.monotonic()
+        await harness.store.put(self.KEY, build_entry(1, born=6))
+        await self.wait_for_usable(harness, 1)
+        assert time.monotonic() - started < 2.0
+
+    async def test_server_is_back_after_an_invalid_entry(self, harness: WatcherHarness) -> None:
+        """Guards against a live server that is left out after another writer spoiled its entry."""
+        await harness.wait_until_ready()
+        await harness.store.put(self.KEY, {"address": 7})
+        await self.wait_for_usable(harness, 0)
+        started = time.monotonic()
+        await harness.store.put(self.KEY, build_entry(2))
+        await self.wait_for_usable(harness, 1)
+        assert time.monotonic() - started < 2.0
+
+
 class TestPartitionedVm:
     async def test_missing_server_is_removed_soon_after_the_store_responds_again(
         self, harness: WatcherHarness, monkeypatch: pytest.MonkeyPatch
--- a/tests/pools/test_inventory.py
+++ b/tests/pools/test_inventory.py
@@ -16,13 +16,14 @@
 CALLS = 50
 # A look-up that goes over all servers takes about as many times as long as there are zones.
 MAX_COST_RATIO = 10.0
+ENTRY_TTL_S = 4.5
 
 
 def build_inventory(zones: int) -> Inventory:
     inventory = Inventory()
     for zone in range(zones):
         for number in range(SERVERS_PER_ZONE):
-            inventory.put(Instance(f"i-{zone}-{number}", "s", f"z-{zone}", "127.0.0.1", 1, 2))
+            inventory.put(Instance(f"i-{zone}-{number}", "s", f"z-{zone}", "127.0.0.1", 1, 2), 0.0)
     return inventory
 
 
@@ -47,9 +48,9 @@
     def test_listing_follows_each_change(self) -> None:
         """Guards against a listing that is kept although a server has changed."""
         inventory = build_inventory(1)
-        inventory.put(Instance("i-0-0", "s", "z-0", "127.0.0.1", 1, 2, draining=True))
+        inventory.put(Instance("i-0-0", "s", "z-0", "127.0.0.1", 1, 2, draining=True), 0.0)
         assert len(inventory.list_usable("s", "z-0")) == SERVERS_PER_ZONE - 1
-        inventory.put(Instance("i-0-0", "t", "z-1", "127.0.0.1", 1, 2))
+        inventory.put(Instance("i-0-0", "t", "z-1", "127.0.0.1", 1, 2), 0.0)
         assert [item.name for item in inventory.list_usable("t", "z-1")] == ["i-0-0"]
         inventory.remove("i-0-1", store_healthy=True, now=0.0, recovered_at=0.0)
         assert len(inventory.list_usable("s", "z-0")) == SERVERS_PER_ZONE - 2
@@ -71,22 +72,22 @@
         """Guards against a heartbeat that was sent before the server began to leave."""
         inventory = build_inventory(1)
         inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
-        inventory.put(build_server())
+        inventory.put(build_server(), 0.0)
         assert inventory.has_left(build_server().to_server_address())
 
     def test_report_before_the_first_entry_counts(self) -> None:
         """Guards against a VM that learns of a server from another VM and of its leaving first."""
         inventory = Inventory()
         inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
-        inventory.put(build_server())
+        inventory.put(build_server(), 0.0)
         assert inventory.list_usable("s", "z-0") == []
 
     def test_report_is_kept_until_the_first_entry(self) -> None:
         """Guards against a report that is forgotten before the entry of its server arrives."""
         inventory = Inventory()
         inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
-        inventory.expire(1.0)
-        inventory.put(build_server())
+        inventory.expire(1.0, ENTRY_TTL_S)
+        inventory.put(build_server(), 0.0)
         assert inventory.list_usable("s", "z-0") == []
 
     def test_old_limit_is_not_news_for_owners(self) -> None:
@@ -102,9 +103,9 @@
         """Guards against a limit of an earlier process of the server."""
         inventory = build_inventory(1)
         inventory.record_report("i-0-0", ServerReport(limit_per_s=2.0, pause_s=9.0), 0.0)
-        inventory.put(build_server())
+        inventory.put(build_server(), 0.0)
         assert inventory.find_limit("i-0-0", 1.0) == 2.0
-        inventory.put(build_server(started_at_ms=7))
+        inventory.put(build_server(started_at_ms=7), 0.0)
         assert inventory.find_limit("i-0-0", 1.0) == math.inf
         assert not inventory.list_paused(1.0)
 
@@ -112,5 +113,5 @@
         """Guards against a server that is left out for good after a restart under its name."""
         inventory = build_inventory(1)
         inventory.record_report("i-0-0", ServerReport(is_leaving=True), 0.0)
-        inventory.put(build_server(started_at_ms=7))
+        inventory.put(build_server(started_at_ms=7), 0.0)
         assert len(inventory.list_usable("s", "z-0")) == SERVERS_PER_ZONE
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
+from typing import Any
 
 from briarfork.platform import names
 from briarfork.platform.settings import SETTINGS_VARIABLE
@@ -37,6 +38,7 @@
 VM_MEMORY_MB = 200
 HEARTBEAT_S = 0.5
 MISSED_HEARTBEATS = 3
+NS_PER_MS = 10**6
 # Time limits that the invariants check; the VMs get them in their settings.
 DRAIN_S, EVACUATE_S, APPLY_S, GRACE_S, RECOVERY_S = 2.5, 5.0, 2.5, 6.0, 15.0
 BOUNDS = [f"grace={GRACE_S:.0f}s", f"drain={DRAIN_S}s", f"config_apply={APPLY_S}s", "ttl_max=5s"]
@@ -84,6 +86,7 @@
         listed: Whether heartbeats are sent.
         sequence: Sequence number of the latest heartbeat.
         last_heartbeat: Monotonic time of the latest heartbeat.
+        born: Start of the incarnation in Unix milliseconds.
     """
 
     address: str
@@ -94,6 +97,25 @@
     listed: bool = True
     sequence: int = 0
     last_heartbeat: float = 0.0
+    born: int = 0
+
+
+def read_unix_ms() -> int:
+    return time.time_ns() // NS_PER_MS
+
+
+def build_next_entry(endpoint: ServerEndpoint) -> dict[str, Any]:
+    """Returns the entry of the next heartbeat of a server."""
+    endpoint.sequence += 1
+    backend = endpoint.backend
+    info = {"service": backend.service, "zone": backend.zone, "slots": backend.slots}
+    status = {"state": endpoint.state, "sequence": endpoint.sequence, "cold_remaining": "0ms"}
+    address = f"{endpoint.address}:{SERVER_PORT}"
+    return {"address": address, "info": info, "status": status, "born": endpoint.born}
+
+
+def drop_sequence(entry: dict[str, Any]) -> dict[str, Any]:
+    return entry | {"status": entry["status"] | {"sequence": 0}}
 
 
 @dataclass
@@ -202,13 +224,17 @@
 
     async def register(self, endpoint: ServerEndpoint, now: float) -> None:
         """Writes the entry of a backend server, as its heartbeat does."""
-        endpoint.sequence += 1
+        await self.write_entry(endpoint, build_next_entry(endpoint), now)
+
+    async def write_entry(
+        self, endpoint: ServerEndpoint, entry: dict[str, Any], now: float
+    ) -> None:
+        """Writes an entry; one that differs only in its sequence number changes nothing."""
         endpoint.last_heartbeat = now
-        backend = endpoint.backend
-        info = {"service": backend.service, "zone": backend.zone, "slots": backend.slots}
-        status = {"state": endpoint.state, "sequence": endpoint.sequence, "cold_remaining": "0ms"}
-        entry = {"address": f"{endpoint.address}:{SERVER_PORT}", "info": info, "status": status}
-        await self.store.put(names.SERVER_PREFIX + backend.name, entry)
+        key = names.SERVER_PREFIX + endpoint.backend.name
+        item = self.store.items.get(key)
+        if item is None or drop_sequence(json.loads(item.value)) != drop_sequence(entry):
+            await self.store.put(key, entry)
 
     async def restart_backend(self, endpoint: ServerEndpoint, service: str) -> None:
         """Starts a new incarnation at the same address."""
@@ -219,6 +245,7 @@
         )
         await endpoint.backend.start(self._get_backend_address(endpoint.address), SERVER_PORT)
         endpoint.state, endpoint.sequence, endpoint.listed = "ready", 0, True
+        endpoint.born = read_unix_ms()
 
     async def _restart_on_exit(self, vm: Vm, process: Process) -> None:
         code = await process.wait()
@@ -252,7 +279,7 @@
         )
         await backend.start(self._get_backend_address(address), SERVER_PORT)
         await link.start(address, SERVER_PORT)
-        endpoint = ServerEndpoint(address, backend, link, conditions)
+        endpoint = ServerEndpoint(address, backend, link, conditions, born=read_unix_ms())
         self.endpoints.append(endpoint)
         await self.register(endpoint, time.monotonic())
 
@@ -274,6 +301,7 @@
                 "directory": f"{address}:{LOOKUP_PORT}",
             },
             "internal_ports": INTERNAL_PORTS,
+            "heartbeat": f"{HEARTBEAT_S * 1000:.0f}ms",
             "bounds": BOUNDS,
             "limits": {"memory_mb": VM_MEMORY_MB},
             "platform": {"address": f"{store_address}:{STORE_PORT}", "min_ttl": "1000ms"},
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,6 +18,7 @@
 from tests.soak.environment import SERVICES
 from tests.soak.environment import VMS
 from tests.soak.environment import ZONES
+from tests.soak.environment import build_next_entry
 from tests.standins.key_value import KeyValueStore
 
 if TYPE_CHECKING:
@@ -49,6 +50,8 @@
 # Without a limit, a server gets about 3 requests a second.
 LIMIT_PER_S = 0.2
 ADDRESS_REUSE_DELAY_S = 2.0
+# The platform's store does a write that got no response at most this much later.
+LATE_WRITE_S = 6.0
 # Time between the two resets of a link.
 RESET_INTERVAL_S = 0.2
 
@@ -249,13 +252,18 @@
         if not environment.store.down:
             environment.ledger.drain_times[name] = time.monotonic()
     await asyncio.sleep(DRAIN_S + random.uniform(0.5, 2.0))
+    await replace_server(environment, endpoint)
+    return name
+
+
+async def replace_server(environment: SoakEnvironment, endpoint: ServerEndpoint) -> None:
+    """Ends a server that has left and starts another one at its address."""
     endpoint.listed = False
-    await environment.store.delete(names.SERVER_PREFIX + name)
+    await environment.store.delete(names.SERVER_PREFIX + endpoint.backend.name)
     await endpoint.backend.stop()
     endpoint.link.reset()
     await asyncio.sleep(ADDRESS_REUSE_DELAY_S)
     await environment.restart_backend(endpoint, endpoint.backend.service)
-    return name
 
 
 @FAULTS.register("server misbehaves")
@@ -343,6 +351,28 @@
     return backend.name
 
 
+@LATE_FAULTS.register("late heartbeat")
+async def write_heartbeat_late(environment: SoakEnvironment, random: Random) -> str:
+    """Lets a heartbeat of a server take effect after the server has left."""
+    endpoint = choose_endpoint(environment, random)
+    backend = endpoint.backend
+    late_entry = build_next_entry(endpoint)
+    mode = random.choice(("draining", "removed"))
+    if mode == "draining":
+        endpoint.state = "draining"
+        await environment.register(endpoint, time.monotonic())
+    else:
+        endpoint.listed = False
+        await environment.store.delete(names.SERVER_PREFIX + backend.name)
+    if not environment.store.down:
+        environment.ledger.drain_times[backend.name] = time.monotonic()
+    await asyncio.sleep(random.uniform(1.0, LATE_WRITE_S))
+    await environment.write_entry(endpoint, late_entry, time.monotonic())
+    await asyncio.sleep(DRAIN_S)
+    await replace_server(environment, endpoint)
+    return f"{backend.name} {mode}"
+
+
 async def wait_until_ready(environment: SoakEnvironment, vm: Vm) -> None:
     """Waits until a restarted VM is ready; the recovery time is checked separately."""
     while not await environment.is_ready(vm):
