--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,7 +17,6 @@
 from tests.soak.environment import FRONT_PORT
 from tests.soak.environment import HOST
 from tests.soak.environment import LOOKUP_PORT
-from tests.soak.environment import VMS
 from tests.soak.environment import ZONES
 from tests.soak.ledger import Call
 
@@ -163,10 +162,13 @@
         now = time.monotonic()
         if self.vms and now < self.lookup_expires_at:
             return
-        nearest_vms = sorted(VMS, key=lambda vm: (VMS[vm] != self.zone, self.random.random()))
+        nearest_vms = sorted(
+            self.environment.vms.values(),
+            key=lambda vm: (vm.zone != self.zone, self.random.random()),
+        )
         for vm in nearest_vms[:LOOKUP_ATTEMPTS]:
             query = {"name": HOST, "region": ZONES[self.zone], "zone": self.zone}
-            url = f"http://{self.environment.vms[vm].address}:{LOOKUP_PORT}{names.LOOKUP_PATH}"
+            url = f"http://{vm.address}:{LOOKUP_PORT}{names.LOOKUP_PATH}"
             try:
                 async with asyncio.timeout(LOOKUP_TIMEOUT_S):
                     async with self.session.get(url, params=query) as response:
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -126,6 +126,7 @@
         work: Folder for settings and logs.
         random: Source of random numbers.
         network: Second octet of all loopback addresses.
+        scale: Number of VMs and servers as a multiple of the usual ones.
         ledger: Record of requests and faults.
         store: Stand-in of the platform's key-value service.
         vms: Gateways by name.
@@ -137,6 +138,7 @@
     work: Path
     random: Random
     network: int = 61
+    scale: int = 1
     ledger: Ledger = field(default_factory=Ledger)
     store: KeyValueStore = field(default_factory=KeyValueStore)
     vms: dict[str, Vm] = field(default_factory=dict)
@@ -148,11 +150,12 @@
         await self.store.start(self._get_address(0, 1), STORE_PORT)
         for zone in ZONES:
             for service in SERVICES:
-                for _ in range(SERVERS_PER_ZONE):
+                for _ in range(self.scale * SERVERS_PER_ZONE):
                     await self._add_endpoint(service, zone)
         await self.write_configuration("orders")
-        for number, (name, zone) in enumerate(VMS.items()):
-            await self._add_vm(name, zone, number)
+        for number in range(self.scale * len(VMS)):
+            zone = list(VMS.values())[number % len(VMS)]
+            await self._add_vm(f"vm-{number + 1}", zone, number)
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
         async with asyncio.timeout(START_TIMEOUT_S):
             while not all([await self.is_ready(vm) for vm in self.vms.values()]):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,7 +16,6 @@
 from tests.soak.environment import DRAIN_S
 from tests.soak.environment import GRACE_S
 from tests.soak.environment import SERVICES
-from tests.soak.environment import VMS
 from tests.soak.environment import ZONES
 from tests.soak.environment import build_next_entry
 from tests.standins.key_value import KeyValueStore
@@ -109,7 +108,8 @@
 
 @FAULTS.register("kill all")
 async def kill_all_vms(environment: SoakEnvironment, random: Random) -> str:
-    intervals = [environment.ledger.start_fault(name, "kill", time.monotonic()) for name in VMS]
+    now = time.monotonic()
+    intervals = [environment.ledger.start_fault(name, "kill", now) for name in environment.vms]
     for vm in environment.vms.values():
         environment.signal(vm, signal.SIGKILL)
     for vm in environment.vms.values():
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -38,6 +38,24 @@
 LATE_FAULT_INTERVAL_S = (2.0, 5.0)
 
 
+@dataclass(frozen=True, slots=True)
+class SoakSettings:
+    """Settings of a soak.
+
+    Attributes:
+        fault_s: Time in seconds during which faults are injected.
+        network: Second octet of all loopback addresses.
+        scale: Number of VMs, servers and requests as a multiple of the usual ones.
+        late_only: Whether only late messages are injected. Bounds in time are checked without other
+            faults, which excuse most misses.
+    """
+
+    fault_s: float = 15.0
+    network: int = 61
+    scale: int = 1
+    late_only: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """Result of one soak.
@@ -66,17 +84,19 @@
         )
 
 
-async def soak(seed: int, fault_s: float, work_dir: Path, network: int) -> Outcome:
+async def soak(seed: int, settings: SoakSettings, work_dir: Path) -> Outcome:
     """Runs one soak; the seed determines the faults, their order and their durations."""
     random = Random(seed)
     injected: list[str] = []
     async with (
-        SoakEnvironment(work_dir, random, network) as environment,
+        SoakEnvironment(work_dir, random, settings.network, settings.scale) as environment,
         asyncio.TaskGroup() as group,
     ):
         stop_event = asyncio.Event()
         load_task = group.create_task(
-            LoadGenerator(environment, Random(seed), REQUEST_RATE, CALLERS).run(stop_event)
+            LoadGenerator(
+                environment, Random(seed), settings.scale * REQUEST_RATE, settings.scale * CALLERS
+            ).run(stop_event)
         )
         await asyncio.sleep(FAULT_FREE_START_S)
         started_at = time.monotonic()
@@ -90,14 +110,15 @@
             registry: Registry[Fault], draws: Random, interval_s: tuple[float, float]
         ) -> None:
             async with asyncio.TaskGroup() as faults:
-                while time.monotonic() - started_at < fault_s:
+                while time.monotonic() - started_at < settings.fault_s:
                     name = draws.choice(list(registry.names()))
                     fault_random = Random(draws.random())
                     faults.create_task(inject_fault(name, registry.get(name), fault_random))
                     await asyncio.sleep(draws.uniform(*interval_s))
 
         async with asyncio.TaskGroup() as kinds:
-            kinds.create_task(inject_faults(FAULTS, random, FAULT_INTERVAL_S))
+            if not settings.late_only:
+                kinds.create_task(inject_faults(FAULTS, random, FAULT_INTERVAL_S))
             late_draws = Random(f"late {seed}")
             kinds.create_task(inject_faults(LATE_FAULTS, late_draws, LATE_FAULT_INTERVAL_S))
         recovery_s = await measure_recovery_s(environment)
@@ -130,11 +151,11 @@
     return time.monotonic() - started_at
 
 
-def run_seed(seed: int, fault_s: float, logs_dir: Path, network: int) -> Outcome:
+def run_seed(seed: int, settings: SoakSettings, logs_dir: Path) -> Outcome:
     """Runs one soak with its logs in a separate folder."""
     work_dir = logs_dir / f"seed-{seed}"
     work_dir.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(soak(seed, fault_s, work_dir, network))
+    return asyncio.run(soak(seed, settings, work_dir))
 
 
 def main() -> None:
@@ -147,16 +168,21 @@
     parser.add_argument(
         "--network", type=int, default=61, help="second octet of the loopback network"
     )
+    parser.add_argument(
+        "--scale", type=int, default=1, help="VMs, servers and requests as a multiple of the usual"
+    )
+    parser.add_argument("--late", action="store_true", help="inject late messages only")
     parser.add_argument("--logs", type=Path, help="folder for the logs; default: a temporary one")
     parser.add_argument(
         "--regressions", action="store_true", help="run the seeds that failed before"
     )
     arguments = parser.parse_args()
     logs_dir = arguments.logs or Path(tempfile.mkdtemp(prefix="briarfork-soak-"))
+    settings = SoakSettings(arguments.seconds, arguments.network, arguments.scale, arguments.late)
     failed = False
     seeds = range(arguments.first, arguments.first + arguments.seeds)
     for seed in REGRESSIONS if arguments.regressions else seeds:
-        outcome = run_seed(seed, arguments.seconds, logs_dir, arguments.network)
+        outcome = run_seed(seed, settings, logs_dir)
         print(outcome.describe(), flush=True)
         for line in outcome.violations[:20]:
             print(f"  {line}", flush=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from tests.soak.main import SoakSettings
 from tests.soak.main import soak
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
 class TestSoak:
     async def test_invariants_hold_under_overlapping_faults(self, tmp_path: Path) -> None:
         """Guards against invariants that hold under single faults but not under several at once."""
-        outcome = await soak(SEED, FAULTS_S, tmp_path, NETWORK)
+        settings = SoakSettings(FAULTS_S, NETWORK)
+        outcome = await soak(SEED, settings, tmp_path)
         assert outcome.violations == [], outcome.faults
         assert outcome.served > 0.5 * outcome.calls
