Keep what is known of a removed server until it is forgotten

Found by reading the order of entries once more: a removed server that said that it leaves lost the place of its last entry, a second removal did not prolong the memory, an entry that became invalid while it was held back was used after its time, and a removal after an invalid entry was not noted. Each would let a late heartbeat bring the server back.

--- a/src/briarfork/pools/entry_order.py
+++ b/src/briarfork/pools/entry_order.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Final
 
@@ -97,6 +98,12 @@
         """Remembers a server that has no valid entry any more."""
         self._removed[name] = removed
 
+    def confirm_removal(self, name: str, now: float) -> None:
+        """Remembers a server without a valid entry whose entry was removed (again)."""
+        removed = self._removed.get(name)
+        if removed is not None:
+            self._removed[name] = replace(removed, at=now, is_gone=True)
+
     def is_removed(self, name: str) -> bool:
         """Returns whether a server had a valid entry a short time ago and has none now."""
         return name in self._removed
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -105,8 +105,8 @@
         """
         self._order.discard_held(name)
         if name not in self._instances:
-            return
-        if store_healthy:
+            self._order.confirm_removal(name, now)
+        elif store_healthy:
             self._delete(name, now)
         else:
             self._lapsed_until.setdefault(name, recovered_at + LAPSED_ENTRY_GRACE_S)
@@ -116,6 +116,7 @@
 
         Its next heartbeat brings it back.
         """
+        self._order.discard_held(name)
         if name in self._instances:
             self._delete(name, now, is_gone=False)
 
@@ -170,7 +171,7 @@
             instance = self._instances.get(name)
             self._leaving[name] = instance.started_at_ms if instance else None
             self._discard_usable(name)
-            if instance is None:
+            if instance is None and not self._order.is_removed(name):
                 self._order.record_removal(name, RemovedServer(now, None, is_gone=True))
         if report.limit_per_s == math.inf:
             self._limits.pop(name, None)
--- a/tests/pools/test_entry_order.py
+++ b/tests/pools/test_entry_order.py
@@ -122,6 +122,24 @@
         inventory.record_report("i-1", ServerReport(is_leaving=True), 0.0)
         assert inventory.put(build_server(1), 1.0)
 
+    def test_word_of_a_removed_server_keeps_its_late_entry_out(self) -> None:
+        """Guards against forgetting what the last entry was when the server says that it leaves."""
+        inventory = build_inventory(build_server(4))
+        inventory.remove("i-1", store_healthy=True, now=1.0, recovered_at=0.0)
+        inventory.record_report("i-1", ServerReport(is_leaving=True), 1.5)
+        assert not inventory.put(build_server(5), 2.0)
+
+    def test_second_late_entry_is_held_too(self) -> None:
+        """Guards against remembering a server from its first removal only."""
+        inventory = build_inventory(build_server(4))
+        inventory.remove("i-1", store_healthy=True, now=1.0, recovered_at=0.0)
+        check_until(inventory, 1.0, 55.0)
+        inventory.put(build_server(5), 55.0)
+        check_until(inventory, 55.0, 59.0)
+        inventory.remove("i-1", store_healthy=True, now=59.0, recovered_at=0.0)
+        check_until(inventory, 59.0, 65.0)
+        assert not inventory.put(build_server(6), 65.0)
+
     def test_removed_servers_are_forgotten(self) -> None:
         """Guards against memory that grows with all servers that ever were."""
         inventory = build_inventory(build_server(4))
@@ -145,6 +163,32 @@
         assert used <= MAX_BYTES_PER_REMOVED_SERVER * SERVERS
 
 
+class TestInvalidEntry:
+    def test_next_heartbeat_is_used_at_once(self) -> None:
+        """Guards against a live server that is out because another writer spoiled its entry."""
+        inventory = build_inventory(build_server(4))
+        inventory.withdraw("i-1", 1.0)
+        assert not is_usable(inventory)
+        assert not inventory.put(build_server(3), 2.0)
+        assert inventory.put(build_server(5), 2.5)
+
+    def test_server_that_leaves_meanwhile_is_gone(self) -> None:
+        """Guards against a late heartbeat after the removal of an entry that was invalid."""
+        inventory = build_inventory(build_server(4))
+        inventory.withdraw("i-1", 1.0)
+        inventory.remove("i-1", store_healthy=True, now=2.0, recovered_at=0.0)
+        assert not inventory.put(build_server(5), 3.0)
+
+    def test_held_entry_that_becomes_invalid_is_not_used(self) -> None:
+        """Guards against using an entry that the store no longer has."""
+        inventory = build_inventory(build_server(4))
+        inventory.remove("i-1", store_healthy=True, now=1.0, recovered_at=0.0)
+        inventory.put(build_server(5), 2.0)
+        inventory.withdraw("i-1", 3.0)
+        check_until(inventory, 3.0, 20.0)
+        assert not is_usable(inventory)
+
+
 class TestClockSetBack:
     def test_server_whose_clock_was_set_back_is_used_after_a_while(self) -> None:
         """Guards against ignoring a server for ever because it seems to be an earlier process."""
