Name the requests in the soak's report of a broken pause

The logs, of 10 lines a second, do not show which, nor whether the VM had heard of the pause before its caller left. The report now names them.

--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -225,7 +225,10 @@
         if len(arrived) > MAX_PAUSED_REQUESTS and ledger.has_kept_state(
             asked.vm, statement.at, end
         ):
-            yield f"{statement.server}: {len(arrived)} requests from {asked.vm} during a pause"
+            yield (
+                f"{statement.server}: {len(arrived)} requests from {asked.vm} during a pause, which "
+                f"{asked.name} (status {asked.status}) was told of: {arrived}"
+            )
 
 
 @INVARIANTS.register("evacuated zones")
