--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -226,7 +226,7 @@
             asked.vm, statement.at, end
         ):
             yield (
-                f"{statement.server}: {len(arrived)} requests from {asked.vm} during a pause, which "
+                f"{statement.server}: {len(arrived)} requests from {asked.vm} in a pause, which "
                 f"{asked.name} (status {asked.status}) was told of: {arrived}"
             )
 
