Limit the attempts at a request, not the names of servers

The route's `max_attempts` did not bound attempts at one server: a refused request was sent to the only server of a zone until the retry budget was used up.

Cause: attempts were counted as names of servers less failures to connect. Now those that reached a server are counted.

Two tests in tests/gateway/test_dispatch.py failed before and pass.

--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -95,6 +95,7 @@
         started: Monotonic time at which the request arrived.
         tried_servers: Servers that the request was sent to.
         tried_addresses: Addresses and ports of these servers.
+        sent_attempts: Number of attempts that ended after they had been sent to a server.
         unsent_attempts: Number of attempts that reached no server.
         may_have_run: Whether a server may have run the request.
         error_response: The last response with a server error.
@@ -111,6 +112,7 @@
     started: float
     tried_servers: set[str] = field(default_factory=set)
     tried_addresses: set[tuple[str, int]] = field(default_factory=set)
+    sent_attempts: int = 0
     unsent_attempts: int = 0
     may_have_run: bool = False
     error_response: Response | None = None
@@ -120,6 +122,13 @@
     slot_wait_s: float = 0.0
     detail: str = ""
 
+    def record_end(self, result: AttemptResult) -> None:
+        """Counts an attempt that has failed."""
+        if result is AttemptResult.NOT_SENT:
+            self.unsent_attempts += 1
+        else:
+            self.sent_attempts += 1
+
     def record_attempt(self, server: ServerAddress) -> bool:
         """Records an attempt and returns whether an earlier one was sent to the same address."""
         address = (server.address, server.port)
@@ -174,7 +183,7 @@
         route = progress.route
         if (
             not route.kind.is_idempotent
-            or len(progress.tried_servers) + MAX_PARALLEL_ATTEMPTS > route.max_attempts
+            or progress.sent_attempts + MAX_PARALLEL_ATTEMPTS > route.max_attempts
         ):
             return True
         run_s = HEDGE_RUN_TIME_FACTOR * self._permits.mean_run_times_s.get(progress.service, 0.0)
@@ -214,6 +223,7 @@
             failure = error
         finally:
             self._permits.release(permit, release, time.monotonic() - started, report)
+        progress.record_end(failure.result)
         self._record_failure(request, progress, permit, failure)
         return failure
 
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -259,11 +259,10 @@
         raise _build_failure(progress, failure)
 
     def _may_retry(self, progress: Progress, result: AttemptResult) -> bool:
+        if progress.sent_attempts >= progress.route.max_attempts:
+            return False
         if result is AttemptResult.NOT_SENT:
-            progress.unsent_attempts += 1
             return progress.unsent_attempts <= MAX_UNSENT_ATTEMPTS
-        if len(progress.tried_servers) - progress.unsent_attempts >= progress.route.max_attempts:
-            return False
         return self._find_retry_budget(progress.service).spend()
 
     def _find_retry_budget(self, service: str) -> RetryBudget:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -87,6 +87,22 @@
         harness = DispatchHarness(UNSENT, UNSENT, RESPONSE, kind=NON_IDEMPOTENT)
         assert await harness.send() == RESPONSE
 
+    async def test_attempts_at_one_server_are_limited_by_the_route(self) -> None:
+        """Guards against sending a refused request to the only server again and again."""
+        harness = DispatchHarness(REFUSED, REFUSED, RESPONSE, kind=NON_IDEMPOTENT)
+        harness.permits.servers = ["i-0"] * 3
+        with pytest.raises(NotRun):
+            await harness.send()
+        assert harness.upstream.sent == ["i-0"] * 2
+
+    async def test_unreachable_server_does_not_allow_more_servers(self) -> None:
+        """Guards against more servers than the route allows after several failures to connect."""
+        harness = DispatchHarness(UNSENT, UNSENT, REFUSED, REFUSED, RESPONSE, kind=NON_IDEMPOTENT)
+        harness.permits.servers = ["i-0", "i-0", "i-1", "i-2", "i-3"]
+        with pytest.raises(NotRun):
+            await harness.send()
+        assert harness.upstream.sent[2:] == ["i-1", "i-2"]
+
     async def test_request_that_may_have_run_is_not_reported_as_not_run(self) -> None:
         """Guards against reporting a request as not run after an attempt without a response."""
         harness = DispatchHarness(UNANSWERED, slots=1)
