Do not blame VMs for what the soak itself delayed or they were not told

The soak's own process, with all callers and servers, had stood still. Requests without a response are no longer taken as told, as in the checks of the other statements.

--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -129,10 +129,14 @@
 
 @INVARIANTS.register("deadlines")
 def check_deadlines(ledger: Ledger) -> Iterator[str]:
-    """Servers are given no more time than their callers have left."""
+    """Servers are given no more time than their callers have left.
+
+    While the soak itself stands still, neither do its callers send nor its servers read.
+    """
     for call, run in list_runs(ledger):
         remaining_s = call.sent_at + call.deadline_s - run.started_at
-        if run.deadline_s > remaining_s + DEADLINE_SLACK_S and ledger.is_fault_free(
+        slack_s = DEADLINE_SLACK_S + ledger.measure_own_delay_s(call.sent_at, run.started_at)
+        if run.deadline_s > remaining_s + slack_s and ledger.is_fault_free(
             [call.vm, run.server], call.sent_at - FAULT_EFFECT_S, run.started_at
         ):
             yield f"{call.name}: {run.deadline_s:.2f} s of {remaining_s:.2f} s at {run.server}"
@@ -212,7 +216,8 @@
     """A VM that a server asked for a pause sends it nearly nothing until the pause is over."""
     for statement in ledger.statements:
         asked = ledger.calls.get(statement.request)
-        if statement.kind is not StatementKind.PAUSE or asked is None:
+        if statement.kind is not StatementKind.PAUSE or asked is None or not asked.status:
+            # A VM whose caller has left ends its attempt and does not read the refusal.
             continue
         start, end = statement.at + STATEMENT_SLACK_S, statement.at + statement.value
         arrived = [
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -119,6 +119,8 @@
         restart_times: Times of planned stops by VM.
         unexpected_exits: Descriptions of processes that exited or failed to stop.
         wrong_bodies: Descriptions of request bodies that differ from those sent.
+        own_delays: Times in which the event loop of the soak, with all callers and servers, stood
+            still.
     """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
@@ -135,12 +137,21 @@
     restart_times: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     unexpected_exits: list[str] = field(default_factory=list)
     wrong_bodies: list[str] = field(default_factory=list)
+    own_delays: list[FaultInterval] = field(default_factory=list)
 
     def start_fault(self, subject: str, kind: str, now: float) -> FaultInterval:
         interval = FaultInterval(kind, now)
         self.fault_intervals[subject].append(interval)
         return interval
 
+    def measure_own_delay_s(self, start: float, end: float) -> float:
+        """Returns for how much of a time interval the soak itself stood still, in seconds."""
+        return sum(
+            min(end, item.ended_at) - max(start, item.started_at)
+            for item in self.own_delays
+            if item.overlaps(start, end)
+        )
+
     def has_kept_state(self, vm: str, start: float, end: float) -> bool:
         """Returns whether a VM neither restarted nor had a fault in a time interval."""
         restarted = any(start <= time_s <= end for time_s in self.restart_times.get(vm, []))
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -22,10 +22,12 @@
 from tests.soak.faults import LATE_FAULTS
 from tests.soak.faults import Fault
 from tests.soak.invariants import INVARIANTS
+from tests.soak.ledger import FaultInterval
 from tests.soak.regressions import REGRESSIONS
 
 if TYPE_CHECKING:
     from briarfork.registry import Registry
+    from tests.soak.ledger import Ledger
 
 REQUEST_RATE = 50.0
 CALLERS = 30
@@ -36,6 +38,7 @@
 # Minimum and maximum time between the starts of two faults, which can overlap.
 FAULT_INTERVAL_S = (0.2, 2.0)
 LATE_FAULT_INTERVAL_S = (2.0, 5.0)
+DELAY_CHECK_INTERVAL_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +69,7 @@
         served: Number of requests with a successful response.
         faults: Injected faults with their start times.
         recovery_s: Time in seconds until requests were served again after the last fault.
+        own_delay_s: Time in seconds during which the soak itself stood still.
         violations: Violated invariants; empty if all hold.
     """
 
@@ -74,13 +78,15 @@
     served: int
     faults: list[str]
     recovery_s: float
+    own_delay_s: float
     violations: list[str]
 
     def describe(self) -> str:
         state = "FAILED" if self.violations else "passed"
         return (
             f"seed {self.seed}: {state}, {self.served} of {self.calls} requests served, "
-            f"{len(self.faults)} faults, recovered after {self.recovery_s:.1f} s"
+            f"{len(self.faults)} faults, recovered after {self.recovery_s:.1f} s, "
+            f"own delay {self.own_delay_s:.1f} s"
         )
 
 
@@ -92,6 +98,7 @@
         SoakEnvironment(work_dir, random, settings.network, settings.scale) as environment,
         asyncio.TaskGroup() as group,
     ):
+        delay_task = group.create_task(record_own_delays(environment.ledger))
         stop_event = asyncio.Event()
         load_task = group.create_task(
             LoadGenerator(
@@ -124,6 +131,7 @@
         recovery_s = await measure_recovery_s(environment)
         stop_event.set()
         await load_task
+        delay_task.cancel()
         violations = [
             f"{name}: {text}"
             for name in INVARIANTS.names()
@@ -133,7 +141,20 @@
             violations.append(f"recovery: not served within {RECOVERY_S} s after the last fault")
         calls = environment.ledger.calls.values()
         served = sum(1 for call in calls if 200 <= call.status < 300)
-        return Outcome(seed, len(calls), served, sorted(injected), recovery_s, violations)
+        own_delay_s = environment.ledger.measure_own_delay_s(started_at, time.monotonic())
+        return Outcome(
+            seed, len(calls), served, sorted(injected), recovery_s, own_delay_s, violations
+        )
+
+
+async def record_own_delays(ledger: Ledger) -> None:
+    """Records when this process stood still, until cancelled."""
+    while True:
+        due = time.monotonic() + DELAY_CHECK_INTERVAL_S
+        await asyncio.sleep(DELAY_CHECK_INTERVAL_S)
+        now = time.monotonic()
+        if now - due >= DELAY_CHECK_INTERVAL_S:
+            ledger.own_delays.append(FaultInterval("own delay", due, now))
 
 
 async def measure_recovery_s(environment: SoakEnvironment) -> float:
