--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -13,5 +13,7 @@
     3095: "the end of one evacuation ended another one of the same zone in the store",
     3133: "requests from other regions used up a limit and did not end it",
     3195: "the soak ended a server that another fault had already chosen to leave",
+    33002: "the second copy of a refusal was taken for that of a retry, which ran",
+    33004: "the same, and an old heartbeat brought a server back that had left",
     70029: "a VM that stopped read nothing more of a body that was still arriving",
 }
