Do not take an entry that lapsed in an outage for a removal

Read once more: if another writer had made a server's entry invalid, and the entry then lapsed while the store was away, the server counted as removed, and its next heartbeat was held back for 7.5 s. Only a removal with the store healthy says that a server has left.

test_server_whose_invalid_entry_lapsed_in_an_outage_is_back_at_once failed before and passes, with the other tests of tests/pools, tests/gateway and tests/platform/test_watcher.py.

--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -104,12 +104,12 @@
             recovered_at: Time at which the last outage ended.
         """
         self._order.discard_held(name)
-        if name not in self._instances:
-            self._order.confirm_removal(name, now)
-        elif store_healthy:
-            self._delete(name, now)
-        else:
+        if name in self._instances and not store_healthy:
             self._lapsed_until.setdefault(name, recovered_at + LAPSED_ENTRY_GRACE_S)
+        elif name in self._instances:
+            self._delete(name, now)
+        elif store_healthy:
+            self._order.confirm_removal(name, now)
 
     def withdraw(self, name: str, now: float) -> None:
         """Removes a server whose entry another writer has made invalid.
--- a/tests/pools/test_entry_order.py
+++ b/tests/pools/test_entry_order.py
@@ -179,6 +179,13 @@
         inventory.remove("i-1", store_healthy=True, now=2.0, recovered_at=0.0)
         assert not inventory.put(build_server(5), 3.0)
 
+    def test_server_whose_invalid_entry_lapsed_in_an_outage_is_back_at_once(self) -> None:
+        """Guards against taking an entry that lapsed in an outage for one that was removed."""
+        inventory = build_inventory(build_server(4))
+        inventory.withdraw("i-1", 1.0)
+        inventory.remove("i-1", store_healthy=False, now=2.0, recovered_at=2.0)
+        assert inventory.put(build_server(5), 3.0)
+
     def test_held_entry_that_becomes_invalid_is_not_used(self) -> None:
         """Guards against using an entry that the store no longer has."""
         inventory = build_inventory(build_server(4))
