Split the injection of faults from the soak, and share steps of the late writes

Three tests of late writes repeated the same lines. Checks, bounds and seeds are the same; tests/soak, tests/pools and test_watcher.py pass.

--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -138,16 +138,23 @@
             while len(harness.gateway.view.inventory.list_usable("s", "a")) != count:
                 await asyncio.sleep(0.01)
 
+    async def expect_no_use(self, harness: WatcherHarness) -> None:
+        """Checks that the server is still not used once a change has had time to arrive."""
+        await asyncio.sleep(1.0)
+        assert harness.gateway.view.inventory.list_usable("s", "a") == []
+
+    async def report_draining(self, harness: WatcherHarness) -> None:
+        await harness.wait_until_ready()
+        await harness.store.put(self.KEY, build_entry(8, "draining", born=5))
+        await self.wait_for_usable(harness, 0)
+
     async def test_older_heartbeat_does_not_bring_back_a_draining_server(
         self, harness: WatcherHarness
     ) -> None:
         """Guards against requests to a server that had reported that it drains."""
-        await harness.wait_until_ready()
-        await harness.store.put(self.KEY, build_entry(8, "draining", born=5))
-        await self.wait_for_usable(harness, 0)
+        await self.report_draining(harness)
         await harness.store.put(self.KEY, build_entry(4, born=5))
-        await asyncio.sleep(1.0)
-        assert harness.gateway.view.inventory.list_usable("s", "a") == []
+        await self.expect_no_use(harness)
 
     async def test_older_heartbeat_does_not_bring_back_a_removed_server(
         self, harness: WatcherHarness
@@ -162,20 +169,16 @@
         await harness.store.delete(self.KEY)
         await self.wait_for_usable(harness, 0)
         await harness.store.put(self.KEY, build_entry(4, born=5))
-        await asyncio.sleep(1.0)
-        assert harness.gateway.view.inventory.list_usable("s", "a") == []
+        await self.expect_no_use(harness)
 
     async def test_listing_after_a_gap_does_not_bring_back_a_draining_server(
         self, harness: WatcherHarness
     ) -> None:
         """Guards against a late write that this VM learns of by a listing instead of a watch."""
-        await harness.wait_until_ready()
-        await harness.store.put(self.KEY, build_entry(8, "draining", born=5))
-        await self.wait_for_usable(harness, 0)
+        await self.report_draining(harness)
         await harness.store.put(self.KEY, build_entry(4, born=5))
         await harness.store.forget_history()
-        await asyncio.sleep(1.0)
-        assert harness.gateway.view.inventory.list_usable("s", "a") == []
+        await self.expect_no_use(harness)
 
     async def test_server_that_was_started_again_is_used_at_once(
         self, harness: WatcherHarness
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -90,10 +90,39 @@
         )
 
 
+class FaultInjector:
+    """Injects faults of a soak, which can overlap.
+
+    Attributes:
+        injected: Injected faults with their start times.
+    """
+
+    def __init__(self, environment: SoakEnvironment, fault_s: float) -> None:
+        self.injected: list[str] = []
+        self._environment = environment
+        self._started_at = time.monotonic()
+        self._fault_s = fault_s
+
+    async def run(
+        self, registry: Registry[Fault], random: Random, interval_s: tuple[float, float]
+    ) -> None:
+        """Starts faults of a registry at random intervals and waits until all have ended."""
+        async with asyncio.TaskGroup() as faults:
+            while time.monotonic() - self._started_at < self._fault_s:
+                name = random.choice(list(registry.names()))
+                fault_random = Random(random.random())
+                faults.create_task(self._inject(name, registry.get(name), fault_random))
+                await asyncio.sleep(random.uniform(*interval_s))
+
+    async def _inject(self, name: str, fault: Fault, random: Random) -> None:
+        offset_s = time.monotonic() - self._started_at
+        detail = await fault(self._environment, random)
+        self.injected.append(f"{offset_s:.1f} s: {name} ({detail})")
+
+
 async def soak(seed: int, settings: SoakSettings, work_dir: Path) -> Outcome:
     """Runs one soak; the seed determines the faults, their order and their durations."""
     random = Random(seed)
-    injected: list[str] = []
     async with (
         SoakEnvironment(work_dir, random, settings.network, settings.scale) as environment,
         asyncio.TaskGroup() as group,
@@ -107,27 +136,12 @@
         )
         await asyncio.sleep(FAULT_FREE_START_S)
         started_at = time.monotonic()
-
-        async def inject_fault(name: str, fault: Fault, fault_random: Random) -> None:
-            offset_s = time.monotonic() - started_at
-            detail = await fault(environment, fault_random)
-            injected.append(f"{offset_s:.1f} s: {name} ({detail})")
-
-        async def inject_faults(
-            registry: Registry[Fault], draws: Random, interval_s: tuple[float, float]
-        ) -> None:
-            async with asyncio.TaskGroup() as faults:
-                while time.monotonic() - started_at < settings.fault_s:
-                    name = draws.choice(list(registry.names()))
-                    fault_random = Random(draws.random())
-                    faults.create_task(inject_fault(name, registry.get(name), fault_random))
-                    await asyncio.sleep(draws.uniform(*interval_s))
-
+        injector = FaultInjector(environment, settings.fault_s)
         async with asyncio.TaskGroup() as kinds:
             if not settings.late_only:
-                kinds.create_task(inject_faults(FAULTS, random, FAULT_INTERVAL_S))
+                kinds.create_task(injector.run(FAULTS, random, FAULT_INTERVAL_S))
             late_draws = Random(f"late {seed}")
-            kinds.create_task(inject_faults(LATE_FAULTS, late_draws, LATE_FAULT_INTERVAL_S))
+            kinds.create_task(injector.run(LATE_FAULTS, late_draws, LATE_FAULT_INTERVAL_S))
         recovery_s = await measure_recovery_s(environment)
         stop_event.set()
         await load_task
@@ -143,7 +157,7 @@
         served = sum(1 for call in calls if 200 <= call.status < 300)
         own_delay_s = environment.ledger.measure_own_delay_s(started_at, time.monotonic())
         return Outcome(
-            seed, len(calls), served, sorted(injected), recovery_s, own_delay_s, violations
+            seed, len(calls), served, sorted(injector.injected), recovery_s, own_delay_s, violations
         )
 
 
