--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,11 +14,11 @@
 from briarfork.platform import names
 from tests.soak.backend import build_request_body
 from tests.soak.backend import build_response_body
-from tests.soak.environment import FRONT_PORT
 from tests.soak.environment import HOST
-from tests.soak.environment import LOOKUP_PORT
 from tests.soak.environment import ZONES
 from tests.soak.ledger import Call
+from tests.standins.gateway import FRONT_PORT
+from tests.standins.gateway import LOOKUP_PORT
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -18,6 +18,10 @@
 from briarfork.platform.settings import SETTINGS_VARIABLE
 from tests.soak.backend import Backend
 from tests.soak.ledger import Ledger
+from tests.standins.gateway import HEARTBEAT_S
+from tests.standins.gateway import VmSettings
+from tests.standins.gateway import build_settings
+from tests.standins.gateway import is_ready
 from tests.standins.key_value import KeyValueStore
 from tests.standins.link import Conditions
 from tests.standins.link import Link
@@ -32,16 +36,11 @@
 SERVERS_PER_ZONE = 2
 SLOTS = 4
 HOST = "soak.example"
-FRONT_PORT, READY_PORT, LOOKUP_PORT = 8641, 8640, 8644
-INTERNAL_PORTS = [7620, 7635]
 SERVER_PORT, STORE_PORT = 9000, 8642
 VM_MEMORY_MB = 200
-HEARTBEAT_S = 0.5
 MISSED_HEARTBEATS = 3
 NS_PER_MS = 10**6
-# Time limits that the invariants check; the VMs get them in their settings.
-DRAIN_S, EVACUATE_S, APPLY_S, GRACE_S, RECOVERY_S = 2.5, 5.0, 2.5, 6.0, 15.0
-BOUNDS = [f"grace={GRACE_S:.0f}s", f"drain={DRAIN_S}s", f"config_apply={APPLY_S}s", "ttl_max=5s"]
+EVACUATE_S, RECOVERY_S = 5.0, 15.0
 START_TIMEOUT_S = 15.0
 RESTART_DELAY_S = 0.3
 ROUTE_COLUMNS = ["name", "host", "prefix", "kind", "timeout", "slo", "service", "max_attempts"]
@@ -177,15 +176,7 @@
         await self.store.close()
 
     async def is_ready(self, vm: Vm) -> bool:
-        try:
-            async with asyncio.timeout(0.5):
-                reader, writer = await asyncio.open_connection(vm.address, READY_PORT)
-                writer.write(f"GET {names.READY_PATH} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-                line = await reader.readline()
-                writer.close()
-                return b" 200 " in line
-        except (OSError, TimeoutError):
-            return False
+        return await is_ready(vm.address)
 
     async def write_configuration(self, move_service: str) -> None:
         """Writes a configuration that sends the route "move" to a service."""
@@ -292,23 +283,9 @@
         link = Link((self._get_address(0, 1), STORE_PORT), lambda _: conditions)
         await link.start(store_address, STORE_PORT)
         vm = Vm(name, zone, address, link, conditions)
-        settings = {
-            "node": name,
-            "ip": address,
-            "zone": zone,
-            "region": ZONES[zone],
-            "zones": ZONES,
-            "listen": {
-                "front": f"{address}:{FRONT_PORT}",
-                "ready": f"{address}:{READY_PORT}",
-                "directory": f"{address}:{LOOKUP_PORT}",
-            },
-            "internal_ports": INTERNAL_PORTS,
-            "heartbeat": f"{HEARTBEAT_S * 1000:.0f}ms",
-            "bounds": BOUNDS,
-            "limits": {"memory_mb": VM_MEMORY_MB},
-            "platform": {"address": f"{store_address}:{STORE_PORT}", "min_ttl": "1000ms"},
-        }
+        settings = build_settings(
+            VmSettings(name, zone, address, f"{store_address}:{STORE_PORT}", VM_MEMORY_MB), ZONES
+        )
         (self.work / f"{name}.json").write_text(json.dumps(settings))
         self.vms[name] = vm
         await self.start_vm(vm)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,11 +13,11 @@
 from briarfork.platform import names
 from briarfork.registry import Registry
 from tests.soak.backend import BACKEND_FAULTS
-from tests.soak.environment import DRAIN_S
-from tests.soak.environment import GRACE_S
 from tests.soak.environment import SERVICES
 from tests.soak.environment import ZONES
 from tests.soak.environment import build_next_entry
+from tests.standins.gateway import DRAIN_S
+from tests.standins.gateway import GRACE_S
 from tests.standins.key_value import KeyValueStore
 
 if TYPE_CHECKING:
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -9,11 +9,11 @@
 from typing import TYPE_CHECKING
 
 from briarfork.registry import Registry
-from tests.soak.environment import APPLY_S
-from tests.soak.environment import DRAIN_S
 from tests.soak.environment import EVACUATE_S
 from tests.soak.faults import STORE
 from tests.soak.ledger import StatementKind
+from tests.standins.gateway import APPLY_S
+from tests.standins.gateway import DRAIN_S
 
 if TYPE_CHECKING:
     from tests.soak.ledger import Call
