--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -39,6 +39,11 @@
 KB_PER_MB = 1024
 START_TIMEOUT_S = 15.0
 HOST = "endless.example"
+ADDRESS = f"{NETWORK}.9"
+# Callers that send without end, or do not read; the headers of each of them fill 1.6 MB.
+MANY_CALLERS, HEADERS, HEADER_BYTES = 100, 100, 16_000
+SLOW_DEADLINE_S = 1.0
+READ_LIMIT_BYTES = 1024
 SLOTS = 40
 FAULTY_CALLERS, SOUND_CALLERS = 40, 20
 # Pause of a caller between two requests.
@@ -60,7 +65,6 @@
         self._store = KeyValueStore()
         self._processes: list[Process] = []
         self._ids = itertools.count()
-        self._address = f"{NETWORK}.9"
 
     async def start(self, behaviour: str) -> None:
         await self._store.start(f"{NETWORK}.1", STORE_PORT)
@@ -81,7 +85,7 @@
             },
         }
         await self._store.put(names.CONFIGURATION_KEY, body)
-        vm = VmSettings("vm-1", "a", self._address, f"{NETWORK}.1:{STORE_PORT}", MEMORY_MB)
+        vm = VmSettings("vm-1", "a", ADDRESS, f"{NETWORK}.1:{STORE_PORT}", MEMORY_MB)
         settings = build_settings(vm, {"a": "north"})
         # The servers' entries do not change, so they must not lapse while the store is watched.
         settings["heartbeat"] = f"{100 * HEARTBEAT_S}s"
@@ -94,7 +98,7 @@
         limit = HARD_LIMIT_MB * BYTES_PER_MB
         resource.prlimit(self.gateway.pid, resource.RLIMIT_DATA, (limit, limit))
         async with asyncio.timeout(START_TIMEOUT_S):
-            while not (await is_ready(self._address) and await self._serves_sound_requests()):
+            while not (await is_ready(ADDRESS) and await self._serves_sound_requests()):
                 await asyncio.sleep(0.05)
 
     async def close(self) -> None:
@@ -126,6 +130,13 @@
         found = re.search(r"VmHWM:\s+(\d+) kB", status)
         return int(found[1]) / KB_PER_MB if found else float("inf")
 
+    async def call_large(self) -> Counter[str]:
+        """Requests a response of the second server once."""
+        answers: Counter[str] = Counter()
+        async with aiohttp.ClientSession() as session:
+            await self._call(session, "faulty", DEADLINE_S, time.monotonic() + 0.01, answers)
+        return answers
+
     async def _serves_sound_requests(self) -> bool:
         answers: Counter[str] = Counter()
         async with aiohttp.ClientSession() as session:
@@ -140,7 +151,7 @@
         until: float,
         answers: Counter[str],
     ) -> None:
-        url = f"http://{self._address}:{FRONT_PORT}/{service}/x"
+        url = f"http://{ADDRESS}:{FRONT_PORT}/{service}/x"
         while time.monotonic() < until:
             headers = {
                 "Host": HOST,
@@ -180,6 +191,59 @@
         return process
 
 
+async def send_headers() -> None:
+    """Sends headers without an empty line after them, until the gateway answers or closes."""
+    reader, writer = await asyncio.open_connection(ADDRESS, FRONT_PORT)
+    with suppress(ConnectionError):
+        writer.write(f"GET /sound/x HTTP/1.1\r\nHost: {HOST}\r\n".encode())
+        for number in range(HEADERS):
+            writer.write(f"X-{number}: ".encode() + bytes(HEADER_BYTES).replace(b"\0", b"y"))
+            writer.write(b"\r\n")
+            await writer.drain()
+        await reader.read()
+    writer.close()
+
+
+async def request_without_reading(number: int) -> asyncio.StreamWriter:
+    """Requests a large response and reads no more of it than the buffers hold."""
+    _, writer = await asyncio.open_connection(ADDRESS, FRONT_PORT, limit=READ_LIMIT_BYTES)
+    lines = [
+        "GET /faulty/x HTTP/1.1",
+        f"Host: {HOST}",
+        f"{names.ATTEMPT_ID}: slow{number}",
+        f"{names.DEADLINE_MS}: {SLOW_DEADLINE_S * 1000:.0f}",
+    ]
+    writer.write("\r\n".join([*lines, "", ""]).encode())
+    return writer
+
+
+class TestCallers:
+    async def test_endless_headers_do_not_take_the_memory(self, tmp_path: Path) -> None:
+        """Guards against callers whose headers, within the limit of each line, fill the memory."""
+        harness = EndlessHarness(tmp_path)
+        try:
+            await harness.start("sound")
+            await asyncio.gather(*(send_headers() for _ in range(MANY_CALLERS)))
+            assert harness.measure_peak_mb() < MEMORY_MB
+        finally:
+            await harness.close()
+
+    async def test_unread_responses_are_dropped_at_the_deadline(self, tmp_path: Path) -> None:
+        """Guards against callers that do not read and hold the memory for responses for good."""
+        harness = EndlessHarness(tmp_path)
+        writers: list[asyncio.StreamWriter] = []
+        try:
+            await harness.start("sound large")
+            writers = [await request_without_reading(number) for number in range(MANY_CALLERS)]
+            await asyncio.sleep(2 * SLOW_DEADLINE_S)
+            assert (await harness.call_large())["200"] == 1
+            assert harness.measure_peak_mb() < MEMORY_MB
+        finally:
+            for writer in writers:
+                writer.close()
+            await harness.close()
+
+
 class TestEndlessResponses:
     @pytest.mark.parametrize(
         "behaviour",
