Ignore server loads with more digits than a server can mean

Callers saw their request end with status 500 although a server had run it and sent its answer, if the answer named its load with hundreds of digits. The division of two such integers raises OverflowError, which is no ValueError, so it passed by the handling of failed attempts.

A load is now read only if each of its numbers has at most nine digits, as limits and pauses are, and no sign: a negative load was taken for spare room. Other loads count as unknown and the answer is passed on.

Result: python -m pytest tests/platform/test_upstream.py, 38 passed.

--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -44,6 +44,7 @@
 REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100.0
 DECIMAL_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?")
+LOAD_PATTERN = re.compile(r"\d{1,9}([ \t]*,[ \t]*\d{1,9})*")
 # A longer pause would outlast the server in most cases.
 MAX_PAUSE_S = 300.0
 # Statuses that tell a caller that the request did not run.
@@ -240,10 +241,9 @@
 
 
 def _read_load(header: str) -> ServerReport:
-    try:
-        numbers = [int(part) for part in header.split(",")]
-    except ValueError:
+    if not LOAD_PATTERN.fullmatch(header):
         return NO_REPORT
+    numbers = [int(part) for part in header.split(",")]
     if len(numbers) < REQUIRED_LOAD_FIELDS or numbers[2] <= 0:
         return NO_REPORT
     slowness = numbers[3] / PERCENT if len(numbers) > REQUIRED_LOAD_FIELDS else 0.0
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -8,6 +8,7 @@
 import struct
 import time
 from contextlib import suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -22,8 +23,10 @@
 from briarfork.gateway.request import Response
 from briarfork.platform.upstream import MAX_BODY_BYTES
 from briarfork.platform.upstream import HttpUpstream
+from briarfork.pools import NO_REPORT
 from briarfork.pools import Release
 from briarfork.pools import ServerAddress
+from briarfork.pools import ServerReport
 from briarfork.requests import AttemptResult
 from briarfork.requests import Deadline
 
@@ -235,6 +238,29 @@
         harness.server.answer = head + SEALED + b"\r\nx"
         assert (await harness.send()).report.limit_per_s == limit_per_s
 
+    @pytest.mark.parametrize(
+        ("header", "report"),
+        [
+            (b"1,2,4", ServerReport(0.25, 2)),
+            (b"1, 2, 4, 150", ServerReport(0.25, 2, 1.5)),
+            (b"1,2", NO_REPORT),
+            (b"1,2,0", NO_REPORT),
+            (b"1,2,many", NO_REPORT),
+            (b"-5,-1,3", NO_REPORT),
+            (b"9" * 400 + b",0,3", NO_REPORT),
+            (b"1,0,3," + b"9" * 400, NO_REPORT),
+        ],
+        ids=lambda value: value.decode()[:20] if isinstance(value, bytes) else "",
+    )
+    async def test_load_of_the_server_is_read(
+        self, harness: UpstreamHarness, header: bytes, report: ServerReport
+    ) -> None:
+        """Guards against an answer that is lost because of a load that no server can have."""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-Briarfork-Server-Load: " + header
+        harness.server.answer = head + b"\r\n" + SEALED + b"\r\nx"
+        answered = (await harness.send()).report
+        assert replace(answered, limit_per_s=None) == report
+
     async def test_leaving_server_is_noticed_in_answers_and_refusals(
         self, harness: UpstreamHarness
     ) -> None:
