Pass on answers whose headers contain control characters

Callers saw their connection closed without an answer, although a server had run the request and sent a complete answer, if a header of this answer contained a control character other than CR, LF and NUL.

The HTTP library reads responses leniently but refuses to write such a header: it raises ValueError when the headers of the response to the caller are written, after the handler of the request has returned. Then no handler of errors is left and the connection is closed.

Control characters in headers are replaced by spaces, as RFC 9110, section 5.5, has it for recipients that forward a message. A seal must be returned unchanged, so one with such characters is no valid seal.

--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -45,6 +45,8 @@
 PERCENT = 100.0
 DECIMAL_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?")
 LOAD_PATTERN = re.compile(r"\d{1,9}([ \t]*,[ \t]*\d{1,9})*")
+# Servers must not send these characters, but the HTTP library reads them and refuses to write them.
+CONTROL_PATTERN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 # A longer pause would outlast the server in most cases.
 MAX_PAUSE_S = 300.0
 # Statuses that tell a caller that the request did not run.
@@ -211,8 +213,9 @@
         return f"status {response.status} is not a final response"
     if response.status in NOT_RUN_STATUSES:
         return f"status {response.status} without proof that the request did not run"
-    if names.RESPONSE_SEAL not in response.headers:
-        return f"status {response.status} without a response seal"
+    seal = response.headers.get(names.RESPONSE_SEAL)
+    if seal is None or CONTROL_PATTERN.search(seal):
+        return f"status {response.status} without a valid response seal"
     return None
 
 
@@ -224,9 +227,12 @@
 
 
 def _list_headers(response: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
+    """Returns the headers to pass on; control characters become spaces (RFC 9110, section 5.5)."""
     dropped = HOP_BY_HOP_HEADERS | {"content-length", names.SERVER_LOAD.lower()}
     return tuple(
-        (name, value) for name, value in response.headers.items() if name.lower() not in dropped
+        (name, CONTROL_PATTERN.sub(" ", value))
+        for name, value in response.headers.items()
+        if name.lower() not in dropped
     )
 
 
