Keep running after an answer of the store that a call does not have

Callers saw all requests at a machine end without an answer when its process ended by itself. A task that watches the store or keeps the registration ends the whole process with its exception, and two kinds of answers raised one that the task does not expect: status 404 (of a lease) or 410 (of a watch) in response to any other call, and JSON with deep nesting (RecursionError).

Each call now names the errors that statuses mean for it; every other answer counts as a store that is unavailable, which the tasks try again.

--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import base64
+from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import TypeVar
@@ -39,6 +41,11 @@
     """The lease has expired."""
 
 
+StatusErrors = Mapping[int, type[Exception]]
+NO_ERRORS: StatusErrors = MappingProxyType({})
+LEASE_ERRORS: StatusErrors = MappingProxyType({HTTPStatus.NOT_FOUND: LeaseExpired})
+
+
 class Item(msgspec.Struct, frozen=True):
     """A key as the store returns it.
 
@@ -154,7 +161,14 @@
         }
         timeout_s = wait_s + self._timeouts.store_s
         path = "/v1/kv-watch"
-        events = await self._call("GET", path, Events, timeout_s=timeout_s, params=params)
+        events = await self._call(
+            "GET",
+            path,
+            Events,
+            timeout_s=timeout_s,
+            errors={HTTPStatus.GONE: HistoryUnavailable},
+            params=params,
+        )
         self.health.record_view()
         return events
 
@@ -187,7 +201,7 @@
             LeaseExpired: If the lease has expired.
             StoreUnavailable: If the call fails.
         """
-        await self._call("POST", f"/v1/kv-keep/{lease}", dict[str, Any])
+        await self._call("POST", f"/v1/kv-keep/{lease}", dict[str, Any], errors=LEASE_ERRORS)
 
     async def put(self, key: str, value: bytes, lease: int) -> None:
         """Writes a key that only one VM writes and that is deleted when its lease expires.
@@ -198,7 +212,7 @@
         """
         put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
         body = {"expected": [], "puts": [put], "deletes": []}
-        await self._call("POST", "/v1/kv-txn", dict[str, Any], json=body)
+        await self._call("POST", "/v1/kv-txn", dict[str, Any], errors=LEASE_ERRORS, json=body)
 
     async def delete(self, key: str) -> None:
         """Deletes a key.
@@ -215,8 +229,23 @@
         path: str,
         expected: type[ResponseT],
         timeout_s: float | None = None,
+        errors: StatusErrors = NO_ERRORS,
         **options: Any,
     ) -> ResponseT:
+        """Returns the decoded response to a call.
+
+        Args:
+            method: HTTP method.
+            path: Path of the call.
+            expected: Type of the response.
+            timeout_s: Longest time for the call, by default that of the settings.
+            errors: The errors that statuses mean in response to this call. Other failures mean that
+                the store is unavailable.
+            options: Further arguments of the HTTP request.
+
+        Raises:
+            StoreUnavailable: If there is no valid response.
+        """
         self.calls += 1
         call = f"{method} {path}"
         try:
@@ -225,8 +254,10 @@
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
                 ) as response:
                     body = await response.read()
+                    if response.status in errors:
+                        raise errors[response.status]
                     decoded = _decode_response(call, response.status, body, expected)
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
             failure = StoreUnavailable(f"{call}: {str(error) or type(error).__name__}")
             self.health.record_failure(failure.detail)
             raise failure from error
@@ -238,10 +269,6 @@
 
 
 def _decode_response(call: str, status: int, body: bytes, expected: type[ResponseT]) -> ResponseT:
-    if status == HTTPStatus.GONE:
-        raise HistoryUnavailable
-    if status == HTTPStatus.NOT_FOUND:
-        raise LeaseExpired
     if status != HTTPStatus.OK:
         raise StoreUnavailable(f"{call}: status {status}")
     return msgspec.json.decode(body, type=expected)
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -58,6 +58,7 @@
             response; its connection stays open.
         silent: Whether a silent period lasts.
         delay_s: Delay before each response, in seconds.
+        odd_answer: Status and body with which every call is answered, None for proper responses.
         lose: Number of upcoming writes whose responses are lost after the write took effect.
         calls: Number of calls so far.
         full_calls: Number of calls so far other than stale reads, which cost a tenth.
@@ -73,6 +74,7 @@
     silent: bool = False
     silences: int = 0
     delay_s: float = 0.0
+    odd_answer: tuple[int, bytes] | None = None
     lose: int = 0
     calls: int = 0
     full_calls: int = 0
@@ -136,6 +138,8 @@
         self.full_calls += "stale_ok" not in request.query
         if self.down:
             return web.Response(status=503)
+        if self.odd_answer is not None:
+            return web.Response(status=self.odd_answer[0], body=self.odd_answer[1])
         silences = self.silences
         response: web.StreamResponse = await handler(request)
         if self.silent or self.silences != silences:
