Keep a process running when one of its background tasks fails

Callers of a gateway or an entry VM saw all their requests end without an answer when any background task (the watch of the store, the registration, slots, permits, kept connections, the monitor) raised an error that it does not expect: in a task group, it cancels all other tasks, and the process ends with status 1.

A permit port that is in use still ends the process at its start.

--- a/src/briarfork/border/http_server.py
+++ b/src/briarfork/border/http_server.py
@@ -53,7 +53,7 @@
                 Event.TASK_FAILED,
                 error=repr(exc),
                 path=request.path,
-                place=_find_place(exc),
+                place=find_place(exc),
                 **self.identify(request),
             )
             error = BriarforkError(ErrorKind.INTERNAL, "the entry process failed")
@@ -66,8 +66,10 @@
         return response
 
 
-def _find_place(error: BaseException | None) -> str:
-    """Returns the file, line and function in which an error was raised."""
+def find_place(error: BaseException | None) -> str:
+    """Returns the file, line and function where an error, or the first of a group, was raised."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
     frames = traceback.extract_tb(error.__traceback__) if error else []
     if not frames:
         return ""
--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -187,8 +187,9 @@
                         await self._sweep_needed.wait()
                 except TimeoutError:
                     continue
-        finally:
+        except asyncio.CancelledError:
             await self.close()
+            raise
 
     def _find(self, key: PoolKey) -> ConnectionPool:
         now = time.monotonic()
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -14,6 +14,7 @@
 from briarfork.border.platform import Platform
 from briarfork.border.store import Store
 from briarfork.border.streams import serve
+from briarfork.border.supervision import run_supervised
 from briarfork.entry.claimed_requests import ClaimedRequests
 from briarfork.entry.claims import ClaimRepository
 from briarfork.entry.connections import ServerConnections
@@ -106,19 +107,19 @@
         self.events.record(Event.STARTED, entry=settings.ports.entry)
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(coroutine)
-                for coroutine in (
-                    self.control.run(),
-                    self.follower.follow_changes(),
-                    self.follower.follow_list(),
-                    self.slots.poll(),
-                    self._report_load(),
-                    self.permits.maintain_links(),
-                    self.connections.run(),
-                    self.claims.run(),
-                    self.claimed_requests.run(),
+                group.create_task(run_supervised(run, self.events))
+                for run in (
+                    self.control.run,
+                    self.follower.follow_changes,
+                    self.follower.follow_list,
+                    self.slots.poll,
+                    self._report_load,
+                    self.permits.maintain_links,
+                    self.connections.run,
+                    self.claims.run,
                 )
             ]
+            tasks.append(group.create_task(self.claimed_requests.run()))
             await stopping.wait()
             await self._drain(caller_server, runner)
             for task in tasks:
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.border.streams import serve
+from briarfork.border.supervision import run_supervised
 from briarfork.entry.connections import ServerConnections
 from briarfork.entry.slots import SlotManager
 from briarfork.gateway.permits import GatewayPermits
@@ -71,9 +72,12 @@
         permits = await serve(self.settings.address, self.settings.ports.permits, self.slots.serve)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.slots.poll())
-                group.create_task(self.permits.maintain_links())
-                group.create_task(self.connections.run())
+                for run in (
+                    self.slots.poll,
+                    self.permits.maintain_links,
+                    self.connections.run,
+                ):
+                    group.create_task(run_supervised(run, self.events))
         finally:
             permits.close()
 
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -21,6 +21,7 @@
 from briarfork.border.events import install_json_handler
 from briarfork.border.loop_monitor import LoopMonitor
 from briarfork.border.program import EXIT_STATUSES
+from briarfork.border.supervision import run_supervised
 from briarfork.errors import BadSettings
 from briarfork.errors import BriarforkError
 from briarfork.gateway.dispatch import Dispatcher
@@ -139,13 +140,12 @@
             ]
             self._events.record(Event.STARTED, entry=self._settings.common.ports.entry)
             async with asyncio.TaskGroup() as group:
-                registration_task = group.create_task(registration.run())
-                tasks = [
-                    group.create_task(self._gateway.run()),
-                    group.create_task(watcher.run()),
-                    group.create_task(watcher.expire()),
-                    group.create_task(monitor.run()),
-                ]
+                registration_task = group.create_task(
+                    run_supervised(registration.run, self._events)
+                )
+                tasks = [group.create_task(self._gateway.run())]
+                for run in (watcher.run, watcher.expire, monitor.run):
+                    tasks.append(group.create_task(run_supervised(run, self._events)))
                 await self._stopping.wait()
                 registration_task.cancel()
                 await self._drain(callers, registration)
