Bound the memory of all responses that a gateway holds together

A server that sent a body without end to 40 callers took a VM of 300 MB to the limit of its process: each response was bounded (32 MB), all of them together were not. Other requests of the VM got 500, and the process ends where its memory is limited harder.

ResponseMemory grants memory as BodyMemory does for bodies of requests: a declared length before the body is read, one of unknown length as it grows. What waits is not read, so its connection is paused. Services and servers have fair shares, and if all responses that could make room wait themselves, the largest one is given up, as an attempt without an answer. The memory is held until the response is written to the caller's connection or the attempt has failed, lost or was cancelled.

Dropped responses kept their bytes beyond that until the garbage collector ran: unread bytes of a closed connection in a cycle of aiohttp, read ones in the frames of a traceback, delivered ones in aiohttp's reference to the last response of a connection.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -114,6 +114,9 @@
     PERMIT_RETURNED = EventDefinition(
         5009, "info", "A permit was returned because its server is known to have left."
     )
+    RESPONSE_DROPPED = EventDefinition(
+        5020, "warning", "A response was too long or found no memory; its attempt failed."
+    )
 
 
 class LogRateLimiter:
--- a/src/briarfork/border/settings.py
+++ b/src/briarfork/border/settings.py
@@ -96,6 +96,7 @@
         keyed_body_bytes: Largest body of a request with an idempotency key.
         chunk_bytes: Size of the body chunk in flight in one direction.
         body_memory_bytes: Size of all request bodies that a gateway holds at a time.
+        response_memory_bytes: Size of all responses that a gateway holds at a time.
     """
 
     header_bytes: Annotated[int, Meta(ge=1024)] = 16384
@@ -103,6 +104,7 @@
     keyed_body_bytes: Annotated[int, Meta(ge=1024)] = 1048576
     chunk_bytes: Annotated[int, Meta(ge=1024)] = 65536
     body_memory_bytes: Annotated[int, Meta(ge=1048576)] = 67108864
+    response_memory_bytes: Annotated[int, Meta(ge=1048576)] = 67108864
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -25,6 +25,7 @@
     from briarfork.pools import ServerAddress
     from briarfork.pools import ServerReport
     from briarfork.requests import Deadline
+    from briarfork.requests import DropReason
     from briarfork.routing import Route
 
 # A hedged attempt starts after this fraction of the latency objective and this multiple of the mean
@@ -45,6 +46,7 @@
         result: How far the attempt got.
         release: Outcome that is reported to the owner of the slot.
         report: What the server says about itself with its response, if there was one.
+        dropped: Why its response was not kept, None if there was none or it was invalid.
     """
 
     def __init__(
@@ -53,22 +55,29 @@
         release: Release,
         detail: str,
         report: ServerReport = NO_REPORT,
+        dropped: DropReason | None = None,
     ) -> None:
         super().__init__(detail)
         self.result = result
         self.release = release
         self.report = report
+        self.dropped = dropped
 
 
 class Upstream(Protocol):
     """Sends requests to backend servers."""
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that responses hold or have reserved."""
+
     async def send(
         self,
         request: Request,
         server: ServerAddress,
         deadline: Deadline,
         *,
+        service: str,
         idempotent: bool,
         repeated: bool,
     ) -> Response:
@@ -78,6 +87,7 @@
             request: The request.
             server: The backend server.
             deadline: Time by which the server has to respond.
+            service: Service of the server, which shares the memory for responses with others.
             idempotent: Whether the request may run more than once.
             repeated: Whether an earlier attempt was sent to the same address, so that the
                 connection must not be one that it used.
@@ -99,6 +109,7 @@
         unsent_attempts: Number of attempts that reached no server.
         may_have_run: Whether a server may have run the request.
         error_response: The last response with a server error.
+        responses: All responses so far.
         body_bytes: Length of the request body.
         body_wait_s: Time from the start of the request until its body was complete.
         zone: Availability zone of the last slot.
@@ -116,12 +127,19 @@
     unsent_attempts: int = 0
     may_have_run: bool = False
     error_response: Response | None = None
+    responses: list[Response] = field(default_factory=list)
     body_bytes: int = 0
     body_wait_s: float = 0.0
     zone: str = ""
     slot_wait_s: float = 0.0
     detail: str = ""
 
+    def release_responses(self, passed_on: Response | None) -> None:
+        """Frees the memory of all responses but the one that is passed on to the caller."""
+        for response in self.responses:
+            if response is not passed_on:
+                response.release()
+
     def record_end(self, result: AttemptResult) -> None:
         """Counts an attempt that has failed."""
         if result is AttemptResult.NOT_SENT:
@@ -205,9 +223,11 @@
                 request,
                 permit.server,
                 progress.deadline,
+                service=progress.service,
                 idempotent=progress.route.kind.is_idempotent,
                 repeated=repeated,
             )
+            progress.responses.append(response)
             release, report = Release.DONE, response.report
             self._permits.record_load(
                 permit, progress.service, report.waiting > 0, report.utilization
@@ -220,7 +240,8 @@
         except AttemptError as error:
             release, report = error.release, error.report
             self._permits.record_load(permit, progress.service, release is not Release.UNUSED)
-            failure = error
+            # The traceback would keep this frame, which refers to the error, as garbage.
+            failure = error.with_traceback(None)
         finally:
             self._permits.release(permit, release, time.monotonic() - started, report)
         progress.record_end(failure.result)
@@ -231,6 +252,16 @@
         self, request: Request, progress: Progress, permit: Permit, failure: AttemptError
     ) -> None:
         self._metrics.count_failed_attempt(progress.service, failure.result.value)
+        if failure.dropped is not None:
+            self._metrics.count_dropped_response(progress.service, failure.dropped.value)
+            self._events.record(
+                Event.RESPONSE_DROPPED,
+                request=request.request_id,
+                service=progress.service,
+                server=permit.server.name,
+                reason=failure.dropped.value,
+                held_bytes=self._upstream.held_bytes,
+            )
         self._events.record(
             Event.ATTEMPT_FAILED,
             request=request.request_id,
--- a/src/briarfork/gateway/bodies.py
+++ b/src/briarfork/gateway/bodies.py
@@ -86,7 +86,7 @@
             parts: list[BodyPart] = []
             size = 0
             while chunk := await _read_chunk(source, limits, deadline):
-                _append(parts, chunk)
+                append_chunk(parts, chunk)
                 size += len(chunk)
                 check_length(size, limits)
                 if size > reservation.held_bytes:
@@ -121,7 +121,7 @@
                 future.set_result(None)
 
 
-def _append(parts: list[BodyPart], chunk: bytes) -> None:
+def append_chunk(parts: list[BodyPart], chunk: bytes) -> None:
     """Appends a chunk to the parts of a body.
 
     Short chunks are joined, because each part takes memory of its own. Bodies are not joined as a
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -60,13 +60,14 @@
         self._permits = permits
         self._events = events
         self.metrics = GatewayMetrics()
+        self._upstream = upstream
         self._attempt_runner = AttemptRunner(permits, upstream, events, self.metrics)
         self._bodies = BodyCollector(BodyMemory(view.settings.limits.body_memory_bytes))
         self._round_robin = WeightedRoundRobin()
         self._retry_budgets: dict[str, RetryBudget] = {}
 
     async def handle(self, request: Request, source: BodySource | None = None) -> Response:
-        """Returns the response of a backend server.
+        """Returns the response of a backend server, whose memory the caller of this releases.
 
         Args:
             request: The request without its body.
@@ -79,6 +80,7 @@
         route = self._find_route(request)
         progress = self._start(request, route)
         outcome = "cancelled"
+        response = None
         try:
             response = await self._collect_and_run(request, progress, source)
             outcome = "answered"
@@ -87,6 +89,7 @@
             outcome = error.kind.value
             raise
         finally:
+            progress.release_responses(response)
             self._finish(request, progress, outcome)
 
     @property
@@ -98,6 +101,7 @@
         """Updates the gauges from the current state."""
         table = self._view.require_route_table()
         self.metrics.set_version(table.version)
+        self.metrics.set_response_bytes(self._upstream.held_bytes)
         for service in table.services:
             budget = self._find_retry_budget(service).level
             self.metrics.set_gauges(
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -43,6 +43,17 @@
             ["service", "result"],
             registry=self._registry,
         )
+        self._dropped_responses = Counter(
+            "briarfork_dropped_responses",
+            "Responses that were too long or found no memory.",
+            ["service", "reason"],
+            registry=self._registry,
+        )
+        self._response_bytes = Gauge(
+            "briarfork_response_bytes",
+            "Memory that responses hold or have reserved.",
+            registry=self._registry,
+        )
         self._waiting_requests = self._build_gauge(
             "waiting_requests", "Requests that wait for a slot here."
         )
@@ -89,6 +100,14 @@
         """Counts an attempt that did not return a complete response."""
         self._failed_attempts.labels(service, result).inc()
 
+    def count_dropped_response(self, service: str, reason: str) -> None:
+        """Counts a response that was not kept; the reasons are those of `DropReason`."""
+        self._dropped_responses.labels(service, reason).inc()
+
+    def set_response_bytes(self, size_bytes: int) -> None:
+        """Sets the gauge for the memory of responses."""
+        self._response_bytes.set(size_bytes)
+
     def set_gauges(
         self, service: str, waiting: int, retry_budget: float, remote_share: float
     ) -> None:
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -4,10 +4,14 @@
 
 import math
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from briarfork.pools import NO_REPORT
 from briarfork.pools import ServerReport
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 BodyPart = bytes | bytearray
 
 
@@ -47,13 +51,16 @@
     """A complete response of a backend server.
 
     Attributes:
+        body: Parts of the body.
         report: What the server says about itself with the response.
+        release: Frees the memory of the body; to be called when the caller has got it or has left.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: tuple[BodyPart, ...]
     report: ServerReport = NO_REPORT
+    release: Callable[[], None] = lambda: None
 
     @property
     def is_server_error(self) -> bool:
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
+    from aiohttp.abc import AbstractStreamWriter
 
     from briarfork.border.events import EventLog
     from briarfork.gateway.dispatch import Dispatcher
@@ -73,7 +74,9 @@
         source = HttpBody(http_request) if http_request.body_exists else None
         try:
             request = self._read_head(http_request, request_id)
-            response = _build_response(await self._dispatcher.handle(request, source))
+            response: web.StreamResponse = PartsResponse(
+                await self._dispatcher.handle(request, source)
+            )
         except BriarforkError as error:
             response = self._build_error(request_id, http_request, error)
         # The next bytes on the connection may be the rest of the body, or a new request if the
@@ -137,6 +140,46 @@
         return response
 
 
+class PartsResponse(web.StreamResponse):
+    """Writes a response part by part and frees its memory afterwards."""
+
+    def __init__(self, response: Response) -> None:
+        super().__init__(status=response.status)
+        self._parts = response.body
+        self._release = response.release
+        for name, value in response.headers:
+            self.headers.add(name, value)
+
+    async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
+        """Writes the head.
+
+        Without a body, the length of the response to HEAD or of status 304 is not known.
+        """
+        size = sum(map(len, self._parts))
+        if size or not (request.method == "HEAD" or self.status == HTTPStatus.NOT_MODIFIED):
+            self.content_length = size
+        try:
+            return await super().prepare(request)
+        except BaseException:
+            self._drop_body()
+            raise
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Writes the body."""
+        try:
+            if not self._must_be_empty_body:
+                for part in self._parts:
+                    await self.write(part)
+            await super().write_eof(data)
+        finally:
+            self._drop_body()
+
+    def _drop_body(self) -> None:
+        """Frees the memory of the body; aiohttp keeps a response until the next request."""
+        self._parts = ()
+        self._release()
+
+
 class CallerConnection(HttpConnectionHandler):
     """A caller's connection to a gateway.
 
@@ -253,13 +296,6 @@
     return int(header) / MS_PER_S
 
 
-def _build_response(response: Response) -> web.Response:
-    http_response = web.Response(status=response.status, body=response.body)
-    for name, value in response.headers:
-        http_response.headers.add(name, value)
-    return http_response
-
-
 def _compute_retry_after(error: BriarforkError) -> float:
     """Returns the expected wait for a slot in seconds, with jitter to spread retries."""
     wait_s = float(getattr(error, "wait_s", 0.0)) or DEFAULT_RETRY_AFTER_S
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -196,7 +196,9 @@
 
     def _build_dispatcher(self) -> Dispatcher:
         gateway = self._gateway
-        upstream = HttpUpstream(gateway.connections)
+        upstream = HttpUpstream(
+            gateway.connections, self._settings.common.limits.response_memory_bytes
+        )
         return Dispatcher(gateway.view, gateway.permits, upstream, self._events)
 
     async def _open(self, app: web.Application, address: tuple[str, int]) -> web.AppRunner:
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -46,9 +46,10 @@
 # fraction of the shorter bound on noticing a draining server or a new configuration.
 FETCH_PAUSE_FRACTION = 0.25
 BYTES_PER_MB = 1024 * 1024
-# Part of a VM's memory for the bodies of requests; the rest is for the process, for unread bytes of
-# connections and for responses.
+# Parts of a VM's memory for the bodies of requests and for responses; the rest is for the process
+# and for unread bytes of connections. A VM with 200 MB can hold one response of the largest size.
 BODY_MEMORY_FRACTION = 0.25
+RESPONSE_MEMORY_FRACTION = 0.16
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -189,7 +190,10 @@
             connection_age_s=CONNECTION_AGE_S,
         ),
         limits=Limits(
-            body_memory_bytes=int(BODY_MEMORY_FRACTION * boot.limits.memory_mb * BYTES_PER_MB)
+            body_memory_bytes=int(BODY_MEMORY_FRACTION * boot.limits.memory_mb * BYTES_PER_MB),
+            response_memory_bytes=int(
+                RESPONSE_MEMORY_FRACTION * boot.limits.memory_mb * BYTES_PER_MB
+            ),
         ),
     )
     return PlatformSettings(
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -6,6 +6,7 @@
 import math
 import re
 import time
+from contextlib import ExitStack
 from dataclasses import replace
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -13,12 +14,14 @@
 import aiohttp
 from yarl import URL
 
+from briarfork.border.settings import Limits
 from briarfork.entry.connections import ConnectionKind
 from briarfork.entry.connections import ServerResponse
 from briarfork.entry.forward import HOP_BY_HOP_HEADERS
 from briarfork.entry.forward import AttemptGuard
 from briarfork.gateway.attempts import AttemptError
 from briarfork.gateway.request import Response
+from briarfork.gateway.response_bodies import ResponseCollector
 from briarfork.platform import names
 from briarfork.pools import NO_REPORT
 from briarfork.pools import Release
@@ -26,6 +29,9 @@
 from briarfork.requests import Attempt
 from briarfork.requests import AttemptResult
 from briarfork.requests import Deadline
+from briarfork.requests import DropReason
+from briarfork.requests import ResponseDropped
+from briarfork.requests import ResponseMemory
 from briarfork.requests import SendForbidden
 
 if TYPE_CHECKING:
@@ -34,11 +40,12 @@
     from briarfork.entry.connections import ServerConnections
     from briarfork.gateway.request import BodyPart
     from briarfork.gateway.request import Request
+    from briarfork.gateway.response_bodies import ResponseBody
     from briarfork.pools import ServerAddress
 
 # The server responds by its deadline at the latest; this margin is for the network.
 RESPONSE_MARGIN_S = 0.1
-# A longer body is cut off; a VM with 200 MB of memory holds several of this size.
+# A response with a longer body is given up.
 MAX_BODY_BYTES = 32 * 1024 * 1024
 # Required fields of a load report (running, waiting, slots); the fourth, the slowdown, is optional.
 REQUIRED_LOAD_FIELDS = 3
@@ -59,8 +66,18 @@
 class HttpUpstream:
     """Sends requests to backend servers and checks that responses are complete and authentic."""
 
-    def __init__(self, connections: ServerConnections) -> None:
+    def __init__(
+        self,
+        connections: ServerConnections,
+        memory_bytes: int = Limits().response_memory_bytes,
+    ) -> None:
         self._connections = connections
+        self._responses = ResponseCollector(ResponseMemory(memory_bytes, MAX_BODY_BYTES))
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that responses hold or have reserved."""
+        return self._responses.memory.used_bytes
 
     async def send(
         self,
@@ -68,6 +85,7 @@
         server: ServerAddress,
         deadline: Deadline,
         *,
+        service: str,
         idempotent: bool,
         repeated: bool,
     ) -> Response:
@@ -79,13 +97,31 @@
         attempt = Attempt(deadline)
         now = time.monotonic()
         timeout_s = min(deadline.remaining_s(now) + RESPONSE_MARGIN_S, request.respond_by - now)
+        body = self._responses.open(service, server.name)
         try:
-            with self._connections.borrow_session(
-                server, _choose_kind(idempotent, repeated)
-            ) as session:
+            with (
+                ExitStack() as stack,
+                self._connections.borrow_session(
+                    server, _choose_kind(idempotent, repeated)
+                ) as session,
+            ):
+                stack.callback(body.release)
                 async with asyncio.timeout(timeout_s):
-                    return await self._exchange(session, request, server, deadline, attempt)
+                    response = await self._exchange(session, request, server, attempt, body)
+                stack.pop_all()
+                return response
+        except ResponseDropped as error:
+            raise AttemptError(
+                attempt.result, Release.FAILED, str(error), dropped=error.reason
+            ) from error
         except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden, ValueError) as error:
+            if body.lacks_memory:
+                raise AttemptError(
+                    attempt.result,
+                    Release.CANCELLED,
+                    "no memory for the response became free",
+                    dropped=DropReason.NO_MEMORY,
+                ) from error
             if isinstance(error, TimeoutError) and attempt.result is not AttemptResult.NOT_SENT:
                 # A connection can become permanently unresponsive while new ones still work.
                 self._connections.retire_connections(server)
@@ -99,35 +135,83 @@
         session: aiohttp.ClientSession,
         request: Request,
         server: ServerAddress,
-        deadline: Deadline,
         attempt: Attempt,
+        body: ResponseBody,
     ) -> Response:
         async with session.request(
             request.method,
             URL(f"http://{server.address}:{server.port}{request.target}", encoded=True),
-            headers=_build_headers(request, server, deadline),
+            headers=_build_headers(request, server, attempt.deadline),
             data=_build_payload(request.body),
             allow_redirects=False,
             trace_request_ctx=AttemptGuard(attempt),
         ) as response:
-            report = _read_report(response)
-            if _is_refusal(request, response):
-                attempt.mark_refused()
-                await _read_body(response)
-                raise AttemptError(
-                    attempt.result,
-                    Release.NOT_RUN,
-                    f"refused with status {response.status}",
-                    report,
-                )
-            reason = _find_response_error(request, response)
-            body = await _read_body(response) if reason is None else b""
-            if reason is None and _was_truncated(response):
-                reason = "the connection was reset before the end of the response"
-            if reason is not None:
-                response.close()
-                raise AttemptError(attempt.result, Release.FAILED, reason, report)
-            return Response(response.status, _list_headers(response), body, report)
+            try:
+                return await _receive(request, response, attempt, body)
+            except BaseException:
+                _close(response)
+                raise
+
+
+async def _receive(
+    request: Request, response: aiohttp.ClientResponse, attempt: Attempt, body: ResponseBody
+) -> Response:
+    """Reads the whole response.
+
+    Raises:
+        AttemptError: If it is not a valid response to the request, or a refusal.
+        ResponseDropped: If its body is too long or given up.
+    """
+    report = _read_report(response)
+    if _is_refusal(request, response):
+        attempt.mark_refused()
+        await body.collect(HttpResponseBody(response))
+        raise AttemptError(
+            attempt.result, Release.NOT_RUN, f"refused with status {response.status}", report
+        )
+    reason = _find_response_error(request, response)
+    if reason is None:
+        await body.collect(HttpResponseBody(response))
+        if _was_truncated(response):
+            reason = "the connection was reset before the end of the response"
+    if reason is not None:
+        raise AttemptError(attempt.result, Release.FAILED, reason, report)
+    return Response(response.status, _list_headers(response), body.parts, report, body.release)
+
+
+def _close(response: aiohttp.ClientResponse) -> None:
+    """Closes the connection, unless all of it was read, and frees its unread bytes.
+
+    aiohttp refers to a closed response in a cycle, so it would keep the bytes until the garbage
+    collector runs.
+    """
+    content = response.content
+    has_unread = not content.at_eof()
+    response.close()
+    if has_unread:
+        content._buffer.clear()
+
+
+class HttpResponseBody:
+    """The body of a server's HTTP response."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._content = response.content
+        self._declared_bytes = response.content_length
+
+    @property
+    def declared_bytes(self) -> int | None:
+        """The Content-Length, None without one, 0 if there is no body."""
+        return 0 if self.has_ended else self._declared_bytes
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the end of the body has been read."""
+        return self._content.at_eof()
+
+    async def read_chunk(self, max_bytes: int) -> bytes:
+        """Returns the next bytes, empty at the end of the body."""
+        return await self._content.read(max_bytes)
 
 
 def _choose_kind(idempotent: bool, repeated: bool) -> ConnectionKind:
@@ -168,23 +252,6 @@
         yield part
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    """Returns the complete body.
-
-    Raises:
-        ValueError: If the body is longer than the limit; its connection is closed.
-    """
-    parts: list[bytes] = []
-    size = 0
-    async for part in response.content.iter_any():
-        parts.append(part)
-        size += len(part)
-        if size > MAX_BODY_BYTES:
-            response.close()
-            raise ValueError(f"the body is longer than {MAX_BODY_BYTES} bytes")
-    return b"".join(parts)
-
-
 def _is_refusal(request: Request, response: aiohttp.ClientResponse) -> bool:
     """Returns whether the server states that this request did not run.
 
--- a/src/briarfork/requests/__init__.py
+++ b/src/briarfork/requests/__init__.py
@@ -20,6 +20,10 @@
 from briarfork.requests.deadline import Deadline
 from briarfork.requests.download import Download
 from briarfork.requests.download import ResponseHead
+from briarfork.requests.response_memory import DropReason
+from briarfork.requests.response_memory import HeldResponse
+from briarfork.requests.response_memory import ResponseDropped
+from briarfork.requests.response_memory import ResponseMemory
 
 __all__ = [
     "HEDGE_RATIO",
@@ -32,10 +36,14 @@
     "ClaimState",
     "Deadline",
     "Download",
+    "DropReason",
     "FailedAttempt",
     "HedgeBudget",
+    "HeldResponse",
     "Reservation",
+    "ResponseDropped",
     "ResponseHead",
+    "ResponseMemory",
     "RetryBudget",
     "SendForbidden",
     "StoredResponse",
--- a/src/briarfork/requests/attempt.py
+++ b/src/briarfork/requests/attempt.py
@@ -43,10 +43,10 @@
         'sent without answer'
     """
 
-    __slots__ = ("_deadline", "_refused", "_response_started", "_sent")
+    __slots__ = ("_refused", "_response_started", "_sent", "deadline")
 
     def __init__(self, deadline: Deadline) -> None:
-        self._deadline = deadline
+        self.deadline = deadline
         self._sent = False
         self._refused = False
         self._response_started = False
@@ -61,7 +61,7 @@
         """
         if self._sent:
             raise SendForbidden("the request was already written to a connection")
-        if self._deadline.has_expired(now):
+        if self.deadline.has_expired(now):
             raise SendForbidden("the deadline expired before the request was sent")
         self._sent = True
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -53,9 +53,9 @@
     shares=(TrafficShare("s", 1.0),),
     max_attempts=2,
 )
-RESPONSE = Response(200, (), b"whole")
+RESPONSE = Response(200, (), (b"whole",))
 # Stands for a server that never responds.
-UNRESPONSIVE = Response(0, (), b"")
+UNRESPONSIVE = Response(0, (), ())
 UNANSWERED = AttemptError(AttemptResult.SENT_WITHOUT_ANSWER, Release.FAILED, "reset")
 REFUSED = AttemptError(AttemptResult.REFUSED, Release.NOT_RUN, "shed")
 UNSENT = AttemptError(AttemptResult.NOT_SENT, Release.FAILED, "connection refused")
@@ -85,6 +85,8 @@
 class ScriptedUpstream:
     """Returns or raises the outcomes of attempts in order, and records the servers."""
 
+    held_bytes = 0
+
     def __init__(self, *outcomes: Response | AttemptError) -> None:
         self.outcomes = list(outcomes)
         self.sent: list[str] = []
@@ -97,6 +99,7 @@
         server: ServerAddress,
         deadline: Deadline,
         *,
+        service: str,
         idempotent: bool,
         repeated: bool,
     ) -> Response:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 import pytest
@@ -111,10 +112,21 @@
 
     async def test_server_error_is_returned_if_no_retry_succeeds(self) -> None:
         """Guards against replacing the server's error response with one of the gateway."""
-        error_response = Response(500, (), b"fault")
+        error_response = Response(500, (), (b"fault",))
         harness = DispatchHarness(error_response, slots=1)
         assert await harness.send() == error_response
 
+    async def test_only_the_returned_response_keeps_its_memory(self) -> None:
+        """Guards against memory that is lost with each response that is not passed on."""
+        released: list[int] = []
+        responses = [
+            Response(status, (), (b"x",), release=partial(released.append, status))
+            for status in (500, 200)
+        ]
+        harness = DispatchHarness(*responses)
+        assert await harness.send() == responses[1]
+        assert released == [500]
+
     async def test_retries_are_limited_by_the_budget(self) -> None:
         """Guards against retry storms: servers refuse every request, and retries stay in budget."""
         harness = DispatchHarness(*[REFUSED] * 200, slots=200)
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -267,7 +267,7 @@
                 await asyncio.sleep(0)
                 caller.connection.data_received(b"hello")
                 assert await caller.read_status() == 200
-                await caller.reader.readuntil(RESPONSE.body)
+                await caller.reader.readuntil(RESPONSE.body[0])
                 await asyncio.sleep(1.5 * LIMITS.header_s)
 
     async def test_idle_connection_is_kept_for_the_idle_timeout(self) -> None:
@@ -275,9 +275,9 @@
         async with connect(slots=2) as caller:
             caller.send_head("Content-Length: 0")
             assert await caller.read_status() == 200
-            await caller.reader.readuntil(RESPONSE.body)
+            await caller.reader.readuntil(RESPONSE.body[0])
             await asyncio.sleep(0.8 * LIMITS.idle_s)
             caller.send_head("Content-Length: 0")
             assert await caller.read_status() == 200
-            await caller.reader.readuntil(RESPONSE.body)
+            await caller.reader.readuntil(RESPONSE.body[0])
             assert await caller.read_rest() == b""
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,4 +1,4 @@
-"""Tests of requests whose callers leave while the event loop is late."""
+"""Tests of callers that leave while the event loop is late or a response is written."""
 
 from __future__ import annotations
 
@@ -6,15 +6,16 @@
 import time
 from typing import TYPE_CHECKING
 
+import pytest
 import pytest_asyncio
 from aiohttp import web
 
 from briarfork.border.events import EventLog
 from briarfork.gateway.dispatch import Dispatcher
+from briarfork.gateway.request import Response
 from briarfork.platform import names
 from briarfork.platform.callers import CallerConnection
 from briarfork.platform.callers import CallerRequestHandler
-from tests.gateway.harness import RESPONSE
 from tests.gateway.harness import ScriptedPermits
 from tests.gateway.harness import ScriptedUpstream
 from tests.gateway.harness import build_gateway
@@ -28,6 +29,8 @@
 ADDRESS = "127.62.9.9"
 REQUEST = f"GET /a/x HTTP/1.1\r\nHost: h\r\n{names.ATTEMPT_ID}: r1\r\n\r\n".encode()
 BLOCKED_S = 0.1
+# More than the buffers of a connection hold.
+LARGE_BYTES = 16_000_000
 
 
 class LatePermits(ScriptedPermits):
@@ -50,7 +53,11 @@
         self.permits = LatePermits(gateway, "i-0")
         self.permits.requested = asyncio.Event()
         self.permits.granted = asyncio.Event()
-        self.upstream = ScriptedUpstream(RESPONSE)
+        self.upstream = ScriptedUpstream()
+        self.released = asyncio.Event()
+        self.upstream.outcomes = [
+            Response(200, (), (bytes(LARGE_BYTES),), release=self.released.set)
+        ]
         dispatcher = Dispatcher(gateway.view, self.permits, self.upstream, EventLog("test"))
         handler = CallerRequestHandler(gateway, dispatcher)
         manager = web.Server(handler.handle, handler_cancellation=True)
@@ -92,3 +99,22 @@
         harness.permits.granted.set()
         assert (await harness.reader.readline()).startswith(b"HTTP/1.1 200")
         assert harness.upstream.sent == ["i-0"]
+
+
+class TestMemoryOfResponse:
+    @pytest.mark.parametrize("leaves", [False, True])
+    async def test_is_held_until_the_caller_has_it_or_leaves(
+        self, harness: CallerHarness, leaves: bool
+    ) -> None:
+        """Guards against memory that is freed while a slow caller reads, or never."""
+        harness.writer.write(REQUEST)
+        harness.permits.granted.set()
+        await harness.reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(BLOCKED_S)
+        assert not harness.released.is_set()
+        if leaves:
+            harness.writer.transport.abort()
+        else:
+            await harness.reader.readexactly(LARGE_BYTES)
+        async with asyncio.timeout(1.0):
+            await harness.released.wait()
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -26,6 +26,7 @@
 from briarfork.pools import ServerAddress
 from briarfork.requests import AttemptResult
 from briarfork.requests import Deadline
+from briarfork.requests import DropReason
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -33,6 +34,8 @@
 
 HOST = "127.0.0.1"
 SEALED = b"X-Briarfork-Attempt-Id: r1\r\nX-Briarfork-Response-Seal: s\r\n"
+# Room for one response of the largest size.
+MEMORY_BYTES = MAX_BODY_BYTES
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -100,6 +103,7 @@
         self.server = server
         self._address = ServerAddress("i-1", HOST, port)
         self._upstream = upstream
+        self._responses: list[Response] = []
 
     async def send(self, idempotent: bool = True, remaining_s: float = 10.0) -> Response:
         now = time.monotonic()
@@ -107,9 +111,19 @@
             "r1", "h", "GET", "/a//b?c=%2f", (("Host", "h"),), (), respond_by=now + remaining_s
         )
         deadline = Deadline(now + 2.0)
-        return await self._upstream.send(
-            request, self._address, deadline, idempotent=idempotent, repeated=False
+        response = await self._upstream.send(
+            request, self._address, deadline, service="s", idempotent=idempotent, repeated=False
         )
+        self._responses.append(response)
+        return response
+
+    @property
+    def held_bytes(self) -> int:
+        return self._upstream.held_bytes
+
+    def release_all(self) -> None:
+        for response in self._responses:
+            response.release()
 
     async def send_expecting_error(self, answer: bytes, after: str = "keep") -> AttemptError:
         self.server.answer, self.server.after = answer, after
@@ -126,7 +140,11 @@
     settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
     connections = ServerConnections(settings)
     connections_task = asyncio.create_task(connections.run())
-    yield UpstreamHarness(raw, port, HttpUpstream(connections))
+    harness = UpstreamHarness(raw, port, HttpUpstream(connections, MEMORY_BYTES))
+    yield harness
+    # However the attempts ended, only responses that were not released hold memory.
+    harness.release_all()
+    assert harness.held_bytes == 0
     # A stream that is collected after its event loop has closed raises in its finalizer, which
     # makes CPython 3.11 fail if it happens while a test parses source code.
     connections_task.cancel()
@@ -169,7 +187,7 @@
     request = Request("r1", "h", "GET", "/", ())
     deadline = Deadline(time.monotonic() + 5.0)
     attempt = asyncio.create_task(
-        upstream.send(request, address, deadline, idempotent=True, repeated=False)
+        upstream.send(request, address, deadline, service="s", idempotent=True, repeated=False)
     )
     # The client connects on this loop, so only another thread may block.
     _respond_and_close(await asyncio.to_thread(_accept, listener), reset)
@@ -189,7 +207,7 @@
         """Guards against rejecting complete responses that end with their connection."""
         harness.server.answer = b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\nwhole"
         harness.server.after = "close"
-        assert (await harness.send()).body == b"whole"
+        assert (await harness.send()).body == (b"whole",)
 
     async def test_body_without_length_that_is_reset_is_incomplete(
         self, harness: UpstreamHarness
@@ -280,7 +298,7 @@
         """Guards against reading bytes after a response as the next response."""
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + SEALED + b"\r\nx"
         harness.server.answer = whole + b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny"
-        assert [(await harness.send()).body for _ in range(2)] == [b"x", b"x"]
+        assert [(await harness.send()).body for _ in range(2)] == [(b"x",), (b"x",)]
 
     async def test_response_without_seal_or_with_encoding_is_rejected(
         self, harness: UpstreamHarness
@@ -351,6 +369,39 @@
             await harness.server.caller_closed.wait()
         assert harness.server.sent_bytes < 2 * MAX_BODY_BYTES
 
+    async def test_responses_wait_for_the_memory_of_others(self, harness: UpstreamHarness) -> None:
+        """Guards against sound responses that fill the memory, and against losing some of them."""
+        size = MAX_BODY_BYTES // 4
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n".encode()
+        harness.server.answer = head + SEALED + b"\r\n" + bytes(size)
+        attempts = [asyncio.create_task(harness.send()) for _ in range(6)]
+        cancelled = attempts.pop()
+        while attempts:
+            done, pending = await asyncio.wait(attempts, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.sleep(0.1)
+            assert harness.held_bytes <= MEMORY_BYTES // 2
+            cancelled.cancel()
+            for attempt in done:
+                assert sum(map(len, (await attempt).body)) == size
+            harness.release_all()
+            attempts = list(pending)
+
+    async def test_response_without_memory_fails_as_unknown(self, harness: UpstreamHarness) -> None:
+        """Guards against blaming a server, or promising anything, for memory that others hold."""
+        size = MAX_BODY_BYTES // 2
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n".encode()
+        answer = head + SEALED + b"\r\n" + bytes(size)
+        harness.server.answer = answer
+        await harness.send()
+        with pytest.raises(AttemptError) as caught:
+            await harness.send(remaining_s=0.3)
+        assert caught.value.result is AttemptResult.SENT_WITHOUT_ANSWER
+        assert caught.value.release is Release.CANCELLED
+        assert caught.value.dropped is DropReason.NO_MEMORY
+        too_long = answer.replace(str(size).encode(), str(MAX_BODY_BYTES + 1).encode())
+        failure = await harness.send_expecting_error(too_long)
+        assert failure.dropped is DropReason.TOO_LONG
+
     async def test_silent_server_times_out_before_the_caller(
         self, harness: UpstreamHarness
     ) -> None:
