Read the body of a refusal only as far as it is worth its connection

A refusal (503 with proof, or 421) was decided on after its whole body had been read, though its head says all. A server that sent the body without end held the request until its deadline, filled the memory for responses, and its failure did not count as one.

The body is read up to 16 KB and for 50 ms, so that the connection can be kept; otherwise the connection is closed. The attempt stays proved not to have run in any case, and one with more than 16 KB counts as a failure of its server.

--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -47,6 +47,9 @@
 RESPONSE_MARGIN_S = 0.1
 # A response with a longer body is given up.
 MAX_BODY_BYTES = 32 * 1024 * 1024
+# A body of a refusal is read only to keep the connection, if it is short and arrives soon.
+REFUSAL_BODY_BYTES = 16384
+REFUSAL_BODY_S = 0.05
 # Required fields of a load report (running, waiting, slots); the fourth, the slowdown, is optional.
 REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100.0
@@ -165,9 +168,9 @@
     report = _read_report(response)
     if _is_refusal(request, response):
         attempt.mark_refused()
-        await body.collect(HttpResponseBody(response))
+        release = await _drop_refusal_body(response)
         raise AttemptError(
-            attempt.result, Release.NOT_RUN, f"refused with status {response.status}", report
+            attempt.result, release, f"refused with status {response.status}", report
         )
     reason = _find_response_error(request, response)
     if reason is None:
@@ -214,6 +217,25 @@
         return await self._content.read(max_bytes)
 
 
+async def _drop_refusal_body(response: aiohttp.ClientResponse) -> Release:
+    """Reads the body of a refusal to its end if it is short and arrives soon.
+
+    Returns:
+        How the attempt ended at the server: it failed if it sent more than a refusal needs.
+    """
+    size = 0
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_S):
+            while size <= REFUSAL_BODY_BYTES:
+                chunk = await response.content.read(REFUSAL_BODY_BYTES)
+                if not chunk:
+                    return Release.NOT_RUN
+                size += len(chunk)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return Release.NOT_RUN
+    return Release.FAILED
+
+
 def _choose_kind(idempotent: bool, repeated: bool) -> ConnectionKind:
     """Returns the kind of connection for an attempt.
 
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -335,6 +335,21 @@
             failure = await harness.send_expecting_error(head[:end], "close")
             assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER, head[:end]
 
+    @pytest.mark.parametrize(
+        ("after", "release"), [("endless", Release.FAILED), ("keep", Release.NOT_RUN)]
+    )
+    async def test_refused_request_does_not_wait_for_the_body(
+        self, harness: UpstreamHarness, after: str, release: Release
+    ) -> None:
+        """Guards against a refusal whose body takes the memory and the time of its request."""
+        harness.server.endless_part = bytes(65536)
+        refusal = build_refusal("r1").replace(b"Content-Length: 0\r\n", b"")
+        started = time.monotonic()
+        failure = await harness.send_expecting_error(refusal, after)
+        assert time.monotonic() - started < 0.5
+        assert (failure.result, failure.release) == (AttemptResult.REFUSED, release)
+        assert harness.server.sent_bytes < MAX_BODY_BYTES // 8
+
     async def test_refusal_without_proof_is_rejected(self, harness: UpstreamHarness) -> None:
         """Guards against telling a caller that a request did not run although it may have."""
         busy = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n" + SEALED + b"\r\n"
@@ -390,16 +405,15 @@
         """Guards against blaming a server, or promising anything, for memory that others hold."""
         size = MAX_BODY_BYTES // 2
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n".encode()
-        answer = head + SEALED + b"\r\n" + bytes(size)
-        harness.server.answer = answer
+        harness.server.answer = head + SEALED + b"\r\n" + bytes(size)
         await harness.send()
         with pytest.raises(AttemptError) as caught:
             await harness.send(remaining_s=0.3)
         assert caught.value.result is AttemptResult.SENT_WITHOUT_ANSWER
         assert caught.value.release is Release.CANCELLED
         assert caught.value.dropped is DropReason.NO_MEMORY
-        too_long = answer.replace(str(size).encode(), str(MAX_BODY_BYTES + 1).encode())
-        failure = await harness.send_expecting_error(too_long)
+        head = head.replace(str(size).encode(), str(MAX_BODY_BYTES + 1).encode())
+        failure = await harness.send_expecting_error(head + SEALED + b"\r\n")
         assert failure.dropped is DropReason.TOO_LONG
 
     async def test_silent_server_times_out_before_the_caller(
