Let the soak see lost requests, endless answers and the memory of gateways

The soak did not see the second part of rule LOST: its callers use a client that repeats idempotent requests on its own after a kept connection ends, and a request counted as lost only if a server had run it. Its servers sent no bytes without end, and nobody looked at the memory of the gateways.

- Ten callers keep their connections and repeat nothing on their own: heads in two parts, bodies that follow their heads late, slow readers of responses of 1.5 MB.
- "no request lost" now also counts a request that no server ran, if its connection ends later than `loss_slack` after its last byte.
- "memory": no process uses more than the memory of its VM.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -10,6 +10,8 @@
 
 from briarfork.platform import names
 from briarfork.registry import Registry
+from tests.soak.endless import REFUSAL
+from tests.soak.endless import send_endlessly
 from tests.soak.ledger import Run
 from tests.soak.ledger import Statement
 from tests.soak.ledger import StatementKind
@@ -26,13 +28,16 @@
 SLOW_DELAY_S = 0.8
 PAUSE_S = 4.0
 SECOND_COPY_DELAY_S = 0.02
+# These bodies have about 1.5 MB, so that callers can be slow to read them.
+LARGE_BODY_PREFIX, LARGE_BODY_COPIES = "/file/", 100_000
 BACKEND_FAULTS: Registry[Callable[[Backend, web.BaseRequest, bytes], Awaitable[web.StreamResponse]]]
 BACKEND_FAULTS = Registry("backend server fault")
 
 
 def build_response_body(request_id: str, path: str) -> bytes:
     """Returns the expected response body of a request, which is longer than one TCP segment."""
-    return f"{request_id} {path} ".encode() * 100
+    copies = LARGE_BODY_COPIES if path.startswith(LARGE_BODY_PREFIX) else 100
+    return f"{request_id} {path} ".encode() * copies
 
 
 def build_request_body(request_id: str, size: int) -> bytes:
@@ -55,6 +60,7 @@
         limit_per_s: Limit that it names, 0 for none.
         leaving: Whether it says that it leaves.
         refusing: Whether it refuses some requests and asks for a pause.
+        endless: Name of the endless answer to some requests, empty for none.
         refusing_twice: Whether it refuses some requests, and sends each refusal once more.
     """
 
@@ -69,6 +75,7 @@
         self.limit_per_s = 0.0
         self.leaving = False
         self.refusing = False
+        self.endless = ""
         self.refusing_twice = False
         self.random = random
         self.in_progress = 0
@@ -96,6 +103,9 @@
         if self.refusing_twice and self.random.random() < FAULT_PROBABILITY:
             _send_later(request, request_id)
             return build_refusal(request_id, 503)
+        if self.endless == REFUSAL and self.random.random() < FAULT_PROBABILITY:
+            await send_endlessly(request, request_id, REFUSAL)
+            return web.Response()
         deadline_s = int(request.headers[names.DEADLINE_MS]) / 1000.0
         run = Run(self.name, self.service, self.zone, time.monotonic(), deadline_s)
         self._ledger.runs[request_id].append(run)
@@ -125,6 +135,9 @@
         if self.fault != "early":
             await self._read_body(request, request_id)
         await asyncio.sleep(int(request.path.split("/")[-1]) / 1000.0)
+        if self.endless not in ("", REFUSAL) and self.random.random() < FAULT_PROBABILITY:
+            await send_endlessly(request, request_id, self.endless)
+            return web.Response()
         body = build_response_body(request_id, request.path)
         if self.fault and self.random.random() < FAULT_PROBABILITY:
             return await BACKEND_FAULTS.get(self.fault)(self, request, body)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -96,7 +96,7 @@
 
     async def send(self, profile: RequestProfile) -> Call | None:
         """Sends one request and records its outcome; returns None if no VM is known."""
-        await self._refresh_lookup()
+        await self.refresh_lookup()
         if not self.vms:
             return None
         vm = self.random.choice(self.vms)
@@ -139,10 +139,8 @@
         call.status = response.status
         seal = response.headers.get(names.RESPONSE_SEAL, "")
         if response.status < 300:
-            if response.headers.get(names.ATTEMPT_ID) != call.name or not seal.endswith(call.name):
-                call.error = f"response of {response.headers.get(names.ATTEMPT_ID)}, seal {seal!r}"
-            elif body != build_response_body(call.name, path):
-                call.error = f"{len(body)} bytes that differ from the server's response"
+            echoed = response.headers.get(names.ATTEMPT_ID)
+            call.error = describe_wrong_response(call, path, echoed, seal, body)
 
     def _draw_body(
         self, call: Call, profile: RequestProfile
@@ -158,7 +156,8 @@
             yield body[start : start + CHUNK_BYTES]
             await asyncio.sleep(self.random.uniform(*CHUNK_PAUSE_S))
 
-    async def _refresh_lookup(self) -> None:
+    async def refresh_lookup(self) -> None:
+        """Looks up the VMs anew once the latest lookup has expired."""
         now = time.monotonic()
         if self.vms and now < self.lookup_expires_at:
             return
@@ -185,6 +184,17 @@
             return
 
 
+def describe_wrong_response(
+    call: Call, path: str, echoed: str | None, seal: str, body: bytes
+) -> str:
+    """Returns how a successful response differs from the server's, empty if it does not."""
+    if echoed != call.name or not seal.endswith(call.name):
+        return f"response of {echoed}, seal {seal!r}"
+    if body != build_response_body(call.name, path):
+        return f"{len(body)} bytes that differ from the server's response"
+    return ""
+
+
 class LoadGenerator:
     """Callers in all zones that send requests at a constant rate."""
 
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -38,6 +38,7 @@
 HOST = "soak.example"
 SERVER_PORT, STORE_PORT = 9000, 8642
 VM_MEMORY_MB = 200
+KB_PER_MB = 1024
 MISSED_HEARTBEATS = 3
 NS_PER_MS = 10**6
 EVACUATE_S, RECOVERY_S = 5.0, 15.0
@@ -186,6 +187,7 @@
             ["order", HOST, "/order/", "non_idempotent", "4s", "1s", "orders", 2],
             ["load", HOST, "/load/", "download", "3s", "0.6s", "archive", 2],
             ["upload", HOST, "/upload/", "upload", "3s", "0.6s", "orders", 2],
+            ["file", HOST, "/file/", "download", "6s", "1s", "archive", 2],
             ["move", HOST, "/move/", "idempotent", "3s", "0.6s", move_service, 2],
         ]
         services = [[name, 200, "1s", 10.0] for name in SERVICES]
@@ -210,6 +212,20 @@
         )
         vm.exit_watcher = asyncio.create_task(self._restart_on_exit(vm, vm.process))
 
+    def read_peak_memory(self) -> None:
+        """Records the highest resident memory of each gateway process so far."""
+        for vm in self.vms.values():
+            if vm.process is None:
+                continue
+            try:
+                status = Path(f"/proc/{vm.process.pid}/status").read_text()
+            except OSError:
+                continue
+            # A process that has exited has no memory.
+            kilobytes = int(status.partition("VmHWM:")[2].split()[0]) if "VmHWM" in status else 0
+            peak_mb = max(self.ledger.peak_memory_mb.get(vm.name, 0.0), kilobytes / KB_PER_MB)
+            self.ledger.peak_memory_mb[vm.name] = peak_mb
+
     def signal(self, vm: Vm, number: signal.Signals) -> None:
         """Sends a signal to the gateway process of a VM."""
         if vm.process is not None and vm.process.returncode is None:
--- /dev/null
+++ b/tests/soak/extra_faults.py
@@ -0,0 +1,72 @@
+"""Faults that are drawn apart from the others, which so stay the same for a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from briarfork.platform import names
+from briarfork.registry import Registry
+from tests.soak.endless import ENDLESS_ANSWERS
+from tests.soak.faults import Fault
+from tests.soak.faults import choose_endpoint
+from tests.soak.faults import choose_vm
+from tests.soak.faults import draw_duration_s
+from tests.soak.faults import end_interval
+from tests.soak.faults import stop_gracefully
+from tests.soak.faults import wait_until_ready
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from tests.soak.environment import SoakEnvironment
+
+EXTRA_FAULTS: Registry[Fault] = Registry("extra fault")
+# Time between two signals to the same process.
+SIGNAL_INTERVAL_S = (0.0, 2.0)
+
+
+@EXTRA_FAULTS.register("endless answers")
+async def inject_endless_answers(environment: SoakEnvironment, random: Random) -> str:
+    """Lets a server send bytes that are no answer, or no end of one."""
+    endpoint = choose_endpoint(environment, random)
+    mode = random.choice(list(ENDLESS_ANSWERS.names()))
+    interval = environment.ledger.start_fault(endpoint.backend.name, mode, time.monotonic())
+    backend = endpoint.backend
+    backend.endless = mode
+    await asyncio.sleep(draw_duration_s(random))
+    backend.endless = ""
+    end_interval(interval)
+    return f"{backend.name} {mode}"
+
+
+@EXTRA_FAULTS.register("signals in a row")
+async def send_signals_in_a_row(environment: SoakEnvironment, random: Random) -> str:
+    """Stops a VM with reloads and further signals before and during the stop."""
+    vm = choose_vm(environment, random)
+    environment.signal(vm, signal.SIGHUP)
+    await asyncio.sleep(random.uniform(*SIGNAL_INTERVAL_S))
+    stop = asyncio.create_task(stop_gracefully(environment, vm))
+    numbers = [random.choice((signal.SIGHUP, signal.SIGTERM)) for _ in range(2)]
+    for number in numbers:
+        await asyncio.sleep(random.uniform(*SIGNAL_INTERVAL_S))
+        if not stop.done():
+            environment.signal(vm, number)
+    await stop
+    await wait_until_ready(environment, vm)
+    return f"{vm.name} {[number.name for number in numbers]}"
+
+
+@EXTRA_FAULTS.register("odd store answers")
+async def answer_oddly(environment: SoakEnvironment, random: Random) -> str:
+    """Lets the store give answers that its calls do not have."""
+    interval = environment.ledger.start_fault("store", "odd answers", time.monotonic())
+    status = random.choice((200, 404, 410, 412))
+    environment.store.odd_answer = (status, b"[" * random.choice((0, 100_000)))
+    await environment.store.delete(names.SERVER_PREFIX + "odd-1")
+    await asyncio.sleep(draw_duration_s(random))
+    environment.store.odd_answer = None
+    end_interval(interval)
+    return str(status)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -123,6 +123,13 @@
 async def stop_vm(environment: SoakEnvironment, random: Random) -> str:
     """Stops a VM gracefully; it is restarted afterwards."""
     vm = choose_vm(environment, random)
+    await stop_gracefully(environment, vm)
+    await wait_until_ready(environment, vm)
+    return vm.name
+
+
+async def stop_gracefully(environment: SoakEnvironment, vm: Vm) -> None:
+    """Stops the process of a VM and waits until it has exited."""
     process = vm.process
     started_at = time.monotonic()
     environment.signal(vm, signal.SIGTERM)
@@ -138,8 +145,6 @@
                     f"{vm.name} did not stop within {GRACE_S} s"
                 )
             environment.signal(vm, signal.SIGKILL)
-    await wait_until_ready(environment, vm)
-    return vm.name
 
 
 @FAULTS.register("pause")
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -10,6 +10,7 @@
 
 from briarfork.registry import Registry
 from tests.soak.environment import EVACUATE_S
+from tests.soak.environment import VM_MEMORY_MB
 from tests.soak.faults import STORE
 from tests.soak.ledger import StatementKind
 from tests.standins.gateway import APPLY_S
@@ -25,11 +26,13 @@
 INVARIANTS: Registry[Invariant] = Registry("invariant")
 # Statuses which state that the request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-MAX_ATTEMPTS = {"lookup": 3, "order": 2, "load": 2, "move": 2, "upload": 2}
+MAX_ATTEMPTS = {"lookup": 3, "order": 2, "load": 2, "move": 2, "upload": 2, "file": 2}
 RETRY_RATIO = 0.2
 RETRY_SLACK = 20
 BUDGET_WINDOW_S = 10.0
 DEADLINE_SLACK_S = 0.5
+# The platform's `loss_slack`: a connection that ends sooner may have crossed the request.
+LOSS_SLACK_S = 0.2
 # A fault can have effects for this long after its end.
 FAULT_EFFECT_S = 4.0
 # A VM notices a change within this time, and a request can be in transit for equally long.
@@ -276,7 +279,8 @@
         if call.status or call.abandoned or call.ended_at > call.sent_at + MAX_CALL_DURATION_S:
             continue
         runs = ledger.runs.get(call.name, [])
-        if not runs or call.ended_at >= call.sent_at + call.deadline_s:
+        was_read = runs or call.ended_at > call.sent_whole_at + LOSS_SLACK_S
+        if not was_read or call.ended_at >= call.sent_at + call.deadline_s:
             continue
         subjects = [call.vm, *(run.server for run in runs)]
         if ledger.is_fault_free(subjects, call.sent_at - FAULT_EFFECT_S, call.ended_at):
@@ -314,3 +318,11 @@
 def check_processes(ledger: Ledger) -> Iterator[str]:
     """No process exits unexpectedly, and a graceful stop ends within the grace period."""
     yield from ledger.unexpected_exits
+
+
+@INVARIANTS.register("memory")
+def check_memory(ledger: Ledger) -> Iterator[str]:
+    """No process uses more memory than its VM has."""
+    for vm, peak_mb in ledger.peak_memory_mb.items():
+        if peak_mb > VM_MEMORY_MB:
+            yield f"{vm} used {peak_mb:.0f} MB of {VM_MEMORY_MB}"
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -47,6 +47,8 @@
         error: Description of an incorrect response; empty if it was correct.
         abandoned: Whether the caller closed the connection before the response.
         reused: Whether the caller had sent a request to this VM before.
+        keeps_connection: Whether the caller repeats no request on its own.
+        sent_whole_at: Monotonic time at which the last byte was sent, if the caller knows it.
         ended_at: Monotonic time at which the call ended.
     """
 
@@ -60,6 +62,8 @@
     error: str = ""
     abandoned: bool = False
     reused: bool = False
+    keeps_connection: bool = False
+    sent_whole_at: float = math.inf
     ended_at: float = math.inf
 
 
@@ -119,6 +123,7 @@
         restart_times: Times of planned stops by VM.
         unexpected_exits: Descriptions of processes that exited or failed to stop.
         wrong_bodies: Descriptions of request bodies that differ from those sent.
+        peak_memory_mb: Highest resident memory of the processes of each VM, in megabytes.
         own_delays: Times in which the event loop of the soak, with all callers and servers, stood
             still.
     """
@@ -137,6 +142,7 @@
     restart_times: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     unexpected_exits: list[str] = field(default_factory=list)
     wrong_bodies: list[str] = field(default_factory=list)
+    peak_memory_mb: dict[str, float] = field(default_factory=dict)
     own_delays: list[FaultInterval] = field(default_factory=list)
 
     def start_fault(self, subject: str, kind: str, now: float) -> FaultInterval:
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -18,10 +18,12 @@
 from tests.soak.callers import LoadGenerator
 from tests.soak.environment import RECOVERY_S
 from tests.soak.environment import SoakEnvironment
+from tests.soak.extra_faults import EXTRA_FAULTS
 from tests.soak.faults import FAULTS
 from tests.soak.faults import LATE_FAULTS
 from tests.soak.faults import Fault
 from tests.soak.invariants import INVARIANTS
+from tests.soak.kept_callers import run_kept_callers
 from tests.soak.ledger import FaultInterval
 from tests.soak.regressions import REGRESSIONS
 
@@ -31,6 +33,7 @@
 
 REQUEST_RATE = 50.0
 CALLERS = 30
+KEPT_CALLERS = 10
 FAULT_FREE_START_S = 2.0
 # Recovery is complete once this share of the requests of a window is served.
 SERVED_SHARE = 0.95
@@ -38,6 +41,8 @@
 # Minimum and maximum time between the starts of two faults, which can overlap.
 FAULT_INTERVAL_S = (0.2, 2.0)
 LATE_FAULT_INTERVAL_S = (2.0, 5.0)
+EXTRA_FAULT_INTERVAL_S = (1.5, 4.0)
+MEMORY_CHECK_INTERVAL_S = 0.1
 DELAY_CHECK_INTERVAL_S = 0.05
 
 
@@ -127,25 +132,37 @@
         SoakEnvironment(work_dir, random, settings.network, settings.scale) as environment,
         asyncio.TaskGroup() as group,
     ):
-        delay_task = group.create_task(record_own_delays(environment.ledger))
+        watch_tasks = [
+            group.create_task(record_own_delays(environment.ledger)),
+            group.create_task(record_peak_memory(environment)),
+        ]
         stop_event = asyncio.Event()
         load_task = group.create_task(
             LoadGenerator(
                 environment, Random(seed), settings.scale * REQUEST_RATE, settings.scale * CALLERS
             ).run(stop_event)
         )
+        kept_task = group.create_task(
+            run_kept_callers(
+                environment, Random(f"kept {seed}"), settings.scale * KEPT_CALLERS, stop_event
+            )
+        )
         await asyncio.sleep(FAULT_FREE_START_S)
         started_at = time.monotonic()
         injector = FaultInjector(environment, settings.fault_s)
         async with asyncio.TaskGroup() as kinds:
             if not settings.late_only:
                 kinds.create_task(injector.run(FAULTS, random, FAULT_INTERVAL_S))
+                extra_draws = Random(f"extra {seed}")
+                kinds.create_task(injector.run(EXTRA_FAULTS, extra_draws, EXTRA_FAULT_INTERVAL_S))
             late_draws = Random(f"late {seed}")
             kinds.create_task(injector.run(LATE_FAULTS, late_draws, LATE_FAULT_INTERVAL_S))
         recovery_s = await measure_recovery_s(environment)
         stop_event.set()
         await load_task
-        delay_task.cancel()
+        await kept_task
+        for task in watch_tasks:
+            task.cancel()
         violations = [
             f"{name}: {text}"
             for name in INVARIANTS.names()
@@ -171,6 +188,13 @@
             ledger.own_delays.append(FaultInterval("own delay", due, now))
 
 
+async def record_peak_memory(environment: SoakEnvironment) -> None:
+    """Records the highest memory of the gateways, until cancelled."""
+    while True:
+        environment.read_peak_memory()
+        await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
+
+
 async def measure_recovery_s(environment: SoakEnvironment) -> float:
     """Returns the time in seconds until nearly all requests of a window are served."""
     started_at = time.monotonic()
