Give each run of the endless responses addresses of its own

Two runs beside each other used the same loopback addresses: the second one failed with address already in use. The network follows from the process id.

--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import os
 import re
 import resource
 import sys
@@ -30,7 +31,8 @@
     from asyncio.subprocess import Process
 
 ROOT = Path(__file__).parent.parent.parent
-NETWORK = "127.62.40"
+# Runs beside each other use different addresses.
+NETWORK = f"127.63.{os.getpid() % 254 + 1}"
 STORE_PORT, SERVER_PORT = 8642, 9000
 MEMORY_MB = 300
 # Limit of the process, so that it cannot take the memory of the machine.
