Take a deadline of any length for the longest one

Callers whose deadline had hundreds of digits got 500: int or float raised ValueError or OverflowError in the parser of the header, outside the errors that have an answer (test_odd_request_is_answered[deadline of 400 digits] and [5000 digits] failed 2 of 2).

--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -57,6 +57,9 @@
 # Retry-After if the wait for a slot is unknown, and the jitter that spreads the callers' retries.
 DEFAULT_RETRY_AFTER_S = 0.25
 RETRY_AFTER_JITTER = 0.5
+# Longer deadlines of callers, up to any number of digits, count as this one.
+MAX_CALLER_TIMEOUT_S = 86_400.0
+MAX_DEADLINE_DIGITS = 12
 # A request without a response gets an error response this long before its caller gives up.
 CALLER_MARGIN_S = 0.03
 
@@ -293,7 +296,10 @@
         raise NotRun(
             ErrorKind.BAD_REQUEST, f"{names.DEADLINE_MS}: expected a whole number of milliseconds"
         )
-    return int(header) / MS_PER_S
+    digits = header.lstrip("0")
+    if len(digits) > MAX_DEADLINE_DIGITS:
+        return MAX_CALLER_TIMEOUT_S
+    return min(int(digits or "0") / MS_PER_S, MAX_CALLER_TIMEOUT_S)
 
 
 def _compute_retry_after(error: BriarforkError) -> float:
