Close the connection of a caller that does not read its response

A response holds its memory until its caller has got it. A caller that does not read held it for as long as it kept its connection open, whatever its deadline; with a bound on all responses, a few such callers would keep the share of a server from all others.

A part of the body has to be read within idle_timeout, and after the caller's deadline within 1 s, else the connection is reset and the memory freed. A caller on a slow link that goes on reading is served to the end.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -117,6 +117,9 @@
     RESPONSE_DROPPED = EventDefinition(
         5020, "warning", "A response was too long or found no memory; its attempt failed."
     )
+    RESPONSE_UNREAD = EventDefinition(
+        5021, "info", "A caller did not read its response in time; its connection was closed."
+    )
 
 
 class LogRateLimiter:
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -21,15 +21,14 @@
 from briarfork.gateway.request import Request
 from briarfork.platform import names
 from briarfork.platform.bodies import HttpBody
+from briarfork.platform.delivery import CallerResponse
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
-    from aiohttp.abc import AbstractStreamWriter
 
     from briarfork.border.events import EventLog
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
-    from briarfork.gateway.request import Response
 
 MS_PER_S = 1000.0
 MAX_HEADER_LINE_BYTES = 16384
@@ -74,8 +73,11 @@
         source = HttpBody(http_request) if http_request.body_exists else None
         try:
             request = self._read_head(http_request, request_id)
-            response: web.StreamResponse = PartsResponse(
-                await self._dispatcher.handle(request, source)
+            response: web.StreamResponse = CallerResponse(
+                request,
+                await self._dispatcher.handle(request, source),
+                self._gateway.view.caller_limits.idle_s,
+                self._gateway.events,
             )
         except BriarforkError as error:
             response = self._build_error(request_id, http_request, error)
@@ -140,46 +142,6 @@
         return response
 
 
-class PartsResponse(web.StreamResponse):
-    """Writes a response part by part and frees its memory afterwards."""
-
-    def __init__(self, response: Response) -> None:
-        super().__init__(status=response.status)
-        self._parts = response.body
-        self._release = response.release
-        for name, value in response.headers:
-            self.headers.add(name, value)
-
-    async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
-        """Writes the head.
-
-        Without a body, the length of the response to HEAD or of status 304 is not known.
-        """
-        size = sum(map(len, self._parts))
-        if size or not (request.method == "HEAD" or self.status == HTTPStatus.NOT_MODIFIED):
-            self.content_length = size
-        try:
-            return await super().prepare(request)
-        except BaseException:
-            self._drop_body()
-            raise
-
-    async def write_eof(self, data: bytes = b"") -> None:
-        """Writes the body."""
-        try:
-            if not self._must_be_empty_body:
-                for part in self._parts:
-                    await self.write(part)
-            await super().write_eof(data)
-        finally:
-            self._drop_body()
-
-    def _drop_body(self) -> None:
-        """Frees the memory of the body; aiohttp keeps a response until the next request."""
-        self._parts = ()
-        self._release()
-
-
 class CallerConnection(HttpConnectionHandler):
     """A caller's connection to a gateway.
 
