Answer requests that a planned stop breaks off

What callers saw: a request still in progress when the grace period of a planned stop ended got a closed connection, so its caller did not know whether it may be sent again.

Cause: nothing told the dispatcher that the stop was over; the handlers were cancelled. `Progress.may_have_run` was also only set after an attempt had been handled, so it said nothing about one in progress.

Change: `Dispatcher.break_off` ends all requests in progress with an error. An attempt counts as one that may have run from its start until it is proved that it did not (nothing written, or refused), so the error is 503 only with that proof and 504 otherwise. A server's own error response is passed on.

Evidence: `tests/gateway/test_dispatch.py -k broken_off`, six cases; there was no such method before. `pytest tests/gateway`: all passed.

--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -97,7 +97,8 @@
         tried_addresses: Addresses and ports of these servers.
         sent_attempts: Number of attempts that ended after they had been sent to a server.
         unsent_attempts: Number of attempts that reached no server.
-        may_have_run: Whether a server may have run the request.
+        unproven_attempts: Number of attempts that may have run: those in progress, and those that
+            ended without proof that the server did not run the request.
         error_response: The last response with a server error.
         body_bytes: Length of the request body.
         body_wait_s: Time from the start of the request until its body was complete.
@@ -114,7 +115,7 @@
     tried_addresses: set[tuple[str, int]] = field(default_factory=set)
     sent_attempts: int = 0
     unsent_attempts: int = 0
-    may_have_run: bool = False
+    unproven_attempts: int = 0
     error_response: Response | None = None
     body_bytes: int = 0
     body_wait_s: float = 0.0
@@ -122,8 +123,15 @@
     slot_wait_s: float = 0.0
     detail: str = ""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request."""
+        return self.unproven_attempts > 0
+
     def record_end(self, result: AttemptResult) -> None:
         """Counts an attempt that has failed."""
+        if result in (AttemptResult.NOT_SENT, AttemptResult.REFUSED):
+            self.unproven_attempts -= 1
         if result is AttemptResult.NOT_SENT:
             self.unsent_attempts += 1
         else:
@@ -131,6 +139,7 @@
 
     def record_attempt(self, server: ServerAddress) -> bool:
         """Records an attempt and returns whether an earlier one was sent to the same address."""
+        self.unproven_attempts += 1
         address = (server.address, server.port)
         repeated = address in self.tried_addresses
         self.tried_servers.add(server.name)
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -64,6 +65,8 @@
         self._bodies = BodyCollector(BodyMemory(view.settings.limits.body_memory_bytes))
         self._round_robin = WeightedRoundRobin()
         self._retry_budgets: dict[str, RetryBudget] = {}
+        self._running: set[asyncio.Timeout] = set()
+        self._is_breaking_off = False
 
     async def handle(self, request: Request, source: BodySource | None = None) -> Response:
         """Returns the response of a backend server.
@@ -80,7 +83,7 @@
         progress = self._start(request, route)
         outcome = "cancelled"
         try:
-            response = await self._collect_and_run(request, progress, source)
+            response = await self._run_until_broken_off(request, progress, source)
             outcome = "answered"
             return response
         except BriarforkError as error:
@@ -89,6 +92,12 @@
         finally:
             self._finish(request, progress, outcome)
 
+    def break_off(self) -> None:
+        """Ends all requests in progress, and any later ones, with an error: this VM stops."""
+        self._is_breaking_off = True
+        for timeout in self._running:
+            timeout.reschedule(asyncio.get_running_loop().time())
+
     @property
     def has_configuration(self) -> bool:
         """Whether a route table is loaded, so that requests can be routed."""
@@ -137,6 +146,31 @@
             detail=progress.detail,
         )
 
+    async def _run_until_broken_off(
+        self, request: Request, progress: Progress, source: BodySource | None
+    ) -> Response:
+        """Runs the request unless it is broken off.
+
+        Raises:
+            BriarforkError: If there is no response.
+        """
+        timeout = asyncio.timeout(0.0 if self._is_breaking_off else None)
+        self._running.add(timeout)
+        try:
+            async with timeout:
+                return await self._collect_and_run(request, progress, source)
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            progress.detail = "broken off because this VM stops"
+            if progress.error_response is not None:
+                return progress.error_response
+            if progress.may_have_run:
+                raise OutcomeUnknown(progress.detail) from None
+            raise SlotRefused(ErrorKind.OVERLOADED, progress.detail, OTHER_VM_RETRY_S) from None
+        finally:
+            self._running.discard(timeout)
+
     async def _collect_and_run(
         self, request: Request, progress: Progress, source: BodySource | None
     ) -> Response:
@@ -251,7 +285,6 @@
             BriarforkError: If no retry is allowed and there is no response.
         """
         failed = FailedAttempt(failure.result, progress.route.kind.is_idempotent, replayable=True)
-        progress.may_have_run = progress.may_have_run or failed.may_have_run
         if failed.may_retry() and self._may_retry(progress, failure.result):
             return None
         if progress.error_response is not None:
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -43,6 +43,11 @@
             ["service", "result"],
             registry=self._registry,
         )
+        self._cut_requests = Counter(
+            "briarfork_cut_requests",
+            "Requests that a planned stop left without a whole response.",
+            registry=self._registry,
+        )
         self._waiting_requests = self._build_gauge(
             "waiting_requests", "Requests that wait for a slot here."
         )
@@ -89,6 +94,10 @@
         """Counts an attempt that did not return a complete response."""
         self._failed_attempts.labels(service, result).inc()
 
+    def count_cut_requests(self, count: int) -> None:
+        """Counts requests that were cut at the end of a planned stop."""
+        self._cut_requests.inc(count)
+
     def set_gauges(
         self, service: str, waiting: int, retry_budget: float, remote_share: float
     ) -> None:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -114,7 +114,9 @@
 
 
 class ScriptedPermits(GatewayPermits):
-    """Grants permits for servers in order, then refuses."""
+    """Grants permits for servers in order, then refuses, or waits if the test says so."""
+
+    waits = False
 
     def __init__(self, gateway: Gateway, *servers: str) -> None:
         super().__init__(gateway.view, gateway.slots)
@@ -127,6 +129,7 @@
 
     async def acquire(self, request: SlotRequirements) -> Permit:
         if not self.servers:
+            await asyncio.sleep(60.0 if self.waits else 0.0)
             raise SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot", wait_s=0.2)
         address = ServerAddress(self.servers.pop(0), "127.0.0.1", 1)
         return Permit("p", request.service, "a", RequestClass.SHORT, address, "vm")
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -35,6 +35,8 @@
 
 if TYPE_CHECKING:
     from briarfork.entry.overflow import Permit
+    from briarfork.errors import BriarforkError
+    from briarfork.gateway.attempts import AttemptError
     from briarfork.gateway.permits import SlotRequirements
 
 CALLER_TIMEOUT_S = 0.2
@@ -109,6 +111,32 @@
         with pytest.raises(OutcomeUnknown):
             await harness.send()
 
+    @pytest.mark.parametrize(
+        ("outcomes", "error"),
+        [
+            ([], NotRun),
+            ([REFUSED], NotRun),
+            ([UNSENT], NotRun),
+            ([UNRESPONSIVE], OutcomeUnknown),
+            ([UNANSWERED], OutcomeUnknown),
+            ([UNANSWERED, REFUSED], OutcomeUnknown),
+        ],
+    )
+    async def test_request_that_is_broken_off_is_reported_as_not_run_only_with_proof(
+        self, outcomes: list[Response | AttemptError], error: type[BriarforkError]
+    ) -> None:
+        """Guards against a stop that reports a request as not run although it may have run."""
+        harness = DispatchHarness(*outcomes, slots=len(outcomes))
+        harness.permits.waits = True
+        request = asyncio.create_task(harness.send())
+        await asyncio.sleep(0.05)
+        harness.dispatcher.break_off()
+        with pytest.raises(error):
+            await request
+        # A request that is read later reaches no server.
+        with pytest.raises(NotRun):
+            await harness.send()
+
     async def test_server_error_is_returned_if_no_retry_succeeds(self) -> None:
         """Guards against replacing the server's error response with one of the gateway."""
         error_response = Response(500, (), b"fault")
