End connections at a planned stop only when nothing read is unanswered

What callers saw at a planned stop: requests whose head had been read were dropped without an answer, and the ends of downloads were cut.

Cause: the stop was left to the HTTP library. It takes a connection for idle while a request is partly read or waits for its handler, drops what such a connection sends on, and takes a response for sent when it is in the send buffer, so the process ended before the buffers were empty. It may also wait for its timeout twice. The class of fault: two owners of one state, a stop that decides by the state of the handlers and not of the connections.

Change: `border/graceful_server.py` counts parsed and answered requests of each connection. A connection is idle if nothing of a request was read since its last response; any other is served to its end, then ends its write side and discards input until the peer closes. A connection counts until the event loop has lost it, that is, until its send buffer is empty. The timer for idle connections spares a head that is partly read. Lookups, readiness, metrics, and the entry and admin programs use the same server.

Tests: `tests/platform/test_bodies.py` used the removed methods `close` and `shutdown` of a connection; it now stops the server, and also checks how many requests were cut.

--- a/src/briarfork/admin/main.py
+++ b/src/briarfork/admin/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -11,6 +12,8 @@
 from briarfork.admin.changes import ChangeManager
 from briarfork.admin.http import build_app
 from briarfork.border.events import Event
+from briarfork.border.graceful_server import GracefulConnection
+from briarfork.border.graceful_server import GracefulServer
 from briarfork.border.program import run_service
 from briarfork.border.sending import build_send_trace
 from briarfork.border.store import Store
@@ -32,14 +35,19 @@
         asyncio.TaskGroup() as group,
     ):
         manager = ChangeManager(Store(settings, session), events)
-        runner = web.AppRunner(
-            build_app(manager, events), access_log=None, shutdown_timeout=settings.timeouts.stop_s
-        )
+        runner = web.AppRunner(build_app(manager, events))
         await runner.setup()
-        await web.TCPSite(runner, settings.address, settings.ports.admin).start()
+        server = GracefulServer.wrap(runner)
+        await server.listen(
+            lambda: GracefulConnection(server, access_log=None),
+            settings.address,
+            settings.ports.admin,
+        )
         snapshots = group.create_task(manager.snapshot_writer.run())
         events.record(Event.STARTED, admin=settings.ports.admin)
         await stopping.wait()
+        if cut := await server.stop(time.monotonic() + settings.timeouts.stop_s):
+            events.record(Event.REQUESTS_CUT, requests=cut)
         await runner.cleanup()
         snapshots.cancel()
 
--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -35,7 +35,9 @@
     STARTED = EventDefinition(1001, "notice", "The program has started and accepts work.")
     STOPPING = EventDefinition(1002, "notice", "A planned stop has begun.")
     STOPPED = EventDefinition(
-        1003, "notice", "The program has stopped gracefully; no request was aborted."
+        1003,
+        "notice",
+        "The program has stopped gracefully; without `requests_cut` no request was aborted.",
     )
     TASK_FAILED = EventDefinition(1004, "error", "A task failed in a way that is not expected.")
     RELOADED = EventDefinition(1005, "notice", "A signal to read the settings again was received.")
@@ -45,6 +47,9 @@
     LOOP_DELAYED = EventDefinition(
         1007, "warning", "The event loop ran late, so that connections and deadlines had to wait."
     )
+    REQUESTS_CUT = EventDefinition(
+        1008, "warning", "A planned stop has ended before all requests had a whole response."
+    )
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
     CONFIGURATION_IN_FORCE = EventDefinition(
--- /dev/null
+++ b/src/briarfork/border/graceful_server.py
@@ -0,0 +1,221 @@
+"""HTTP server that ends its connections without cutting a request or a response."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import suppress
+from typing import TYPE_CHECKING
+from typing import Any
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp import StreamReader
+
+# How long input is discarded after the last response of a connection. An earlier close would reset
+# the connection if the peer goes on sending, and the peer could lose the response.
+LINGER_S = 2.0
+
+
+class GracefulConnection(web.RequestHandler):
+    """Server side of a connection; each request of which a byte was read is served.
+
+    The HTTP library itself closes a connection as idle while a request is partly read, or while its
+    handler has not started yet.
+    """
+
+    __slots__ = (
+        "_answered_count",
+        "_has_partial_head",
+        "_is_draining",
+        "_is_ending",
+        "_last_body",
+        "_lost",
+    )
+
+    def __init__(self, manager: web.Server, **options: Any) -> None:
+        super().__init__(manager, loop=asyncio.get_running_loop(), **options)
+        self._answered_count = 0
+        self._has_partial_head = False
+        self._is_draining = False
+        self._is_ending = False
+        self._last_body: StreamReader | None = None
+        self._lost = asyncio.Event()
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether responses tell the peer that the connection ends."""
+        return self._is_draining
+
+    @property
+    def has_unanswered_request(self) -> bool:
+        """Whether a request has been read whose response is not in the send buffer."""
+        return self._request_count > self._answered_count
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no byte of a request has been read since the last response."""
+        return not (self.has_unanswered_request or self._has_partial_head or self._is_in_body)
+
+    def drain(self) -> None:
+        """Ends the connection once it is idle."""
+        self._is_draining = True
+        if self.is_idle:
+            self.force_close()
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received bytes; discards them after the last response."""
+        if self._is_ending:
+            return
+        count = self._request_count
+        was_in_body = self._is_in_body
+        super().data_received(data)
+        self._note_parsed(count)
+        if data and self._request_count == count and not was_in_body:
+            self._has_partial_head = True
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Sends a response, and ends the connection after the last one."""
+        is_last = self._request_count == self._answered_count + 1 and not self._has_partial_head
+        if self.is_stopping and is_last and not resp.prepared:
+            resp.force_close()
+        count = self._request_count
+        resp, is_lost = await super().finish_response(request, resp, start_time)
+        self._note_parsed(count)
+        self._answered_count += 1
+        if not is_lost and not resp.keep_alive and not self._is_in_body:
+            await self._end()
+        elif self._is_draining and self.is_idle:
+            self.force_close()
+        return resp, is_lost
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the request in progress."""
+        self._lost.set()
+        super().connection_lost(exc)
+
+    def _process_keepalive(self) -> None:
+        """Closes the connection if it has been idle for too long."""
+        if self._has_partial_head:
+            self._keepalive_handle = None
+            return
+        super()._process_keepalive()
+
+    @property
+    def _is_in_body(self) -> bool:
+        """Whether the body of the last request is still arriving."""
+        return self._last_body is not None and not self._last_body.is_eof()
+
+    def _note_parsed(self, count: int) -> None:
+        """Records the newest request if more than the given number have been parsed."""
+        if self._request_count > count:
+            self._last_body = self._messages[-1][1]
+            self._has_partial_head = False
+
+    async def _end(self) -> None:
+        """Ends the write side and discards input until the peer closes the connection."""
+        self._is_ending = True
+        if self.transport is None:
+            return
+        with suppress(OSError, RuntimeError):
+            self.transport.write_eof()
+        self._resume_transport_reading()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                await self._lost.wait()
+        self.force_close()
+
+
+class GracefulServer(web.Server):
+    """Accepts connections, and at a planned stop waits until all of them have ended."""
+
+    def __init__(self, handler: Any, **options: Any) -> None:
+        super().__init__(handler, **options)
+        self._listener: asyncio.Server | None = None
+        self._transports: dict[GracefulConnection, asyncio.Transport] = {}
+        self._is_draining = False
+        self._all_lost = asyncio.Event()
+        self._all_lost.set()
+
+    @classmethod
+    def wrap(cls, runner: web.AppRunner, **options: Any) -> GracefulServer:
+        """Returns a server for an application that has been set up."""
+        server = runner.server
+        assert server is not None
+        return cls(server.request_handler, request_factory=server.request_factory, **options)
+
+    async def listen(
+        self,
+        build_connection: Callable[[], GracefulConnection],
+        address: str,
+        port: int,
+        backlog: int = 128,
+    ) -> asyncio.Server:
+        """Opens the listening socket."""
+        self._listener = await asyncio.get_running_loop().create_server(
+            build_connection, address, port, backlog=backlog
+        )
+        return self._listener
+
+    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+        """Adds a connection."""
+        super().connection_made(handler, transport)
+        assert isinstance(handler, GracefulConnection)
+        self._transports[handler] = transport
+        self._all_lost.clear()
+        if self._is_draining:
+            handler.drain()
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Removes a connection, whose send buffer is empty or dropped."""
+        super().connection_lost(handler, exc)
+        assert isinstance(handler, GracefulConnection)
+        self._transports.pop(handler, None)
+        if not self._transports:
+            self._all_lost.set()
+
+    async def stop(self, until: float) -> int:
+        """Serves the requests that have been read and ends all connections.
+
+        Args:
+            until: Monotonic time at which the remaining connections are aborted.
+
+        Returns:
+            The number of requests that were cut.
+        """
+        self.drain()
+        await self.wait_until_closed(until)
+        return self.abort()
+
+    def drain(self) -> None:
+        """Accepts no more connections and closes the idle ones; the others end when they are."""
+        self._is_draining = True
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self._transports):
+            connection.drain()
+
+    async def wait_until_closed(self, until: float) -> None:
+        """Waits until all connections have ended and their send buffers are empty.
+
+        Args:
+            until: Monotonic time at which the wait ends in any case.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, until - time.monotonic())):
+                await self._all_lost.wait()
+
+    def abort(self) -> int:
+        """Aborts the connections that are left and returns how many requests that cuts."""
+        cut = 0
+        for connection, transport in list(self._transports.items()):
+            cut += connection.has_unanswered_request or transport.get_write_buffer_size() > 0
+            transport.abort()
+        return cut
--- a/src/briarfork/border/http_server.py
+++ b/src/briarfork/border/http_server.py
@@ -7,19 +7,21 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from aiohttp import web
 from aiohttp.http_exceptions import LineTooLong
 
 from briarfork.border.events import Event
+from briarfork.border.graceful_server import GracefulConnection
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 
 if TYPE_CHECKING:
+    from aiohttp import web
+
     from briarfork.border.events import EventLog
 
 
-class HttpConnectionHandler(web.RequestHandler):
+class HttpConnectionHandler(GracefulConnection):
     """Server side of one client connection; answers malformed requests with briarfork errors."""
 
     __slots__ = ()
--- a/src/briarfork/entry/http.py
+++ b/src/briarfork/entry/http.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -101,8 +100,6 @@
             self._process.events.record(Event.TASK_FAILED, error=repr(error), path=request.path)
             internal_error = BriarforkError(ErrorKind.INTERNAL, "the entry process failed")
             response = build_error_response(self._process, request, internal_error)
-        if self._process.leaving and not response.prepared:
-            response.force_close()
         return response
 
     def _check_headers(self, request: web.Request) -> None:
@@ -123,13 +120,17 @@
         limit = process.settings.limits.header_bytes
         super().__init__(
             manager,
-            loop=asyncio.get_running_loop(),
             auto_decompress=False,
             max_line_size=limit,
             max_field_size=limit,
         )
         self._process = process
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether this VM stops, so that responses tell callers to use another one."""
+        return self._process.leaving or super().is_stopping
+
     @property
     def events(self) -> EventLog:
         """Log of internal errors."""
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 import aiohttp
 from aiohttp import web
 
 from briarfork.border.events import Event
+from briarfork.border.graceful_server import GracefulServer
 from briarfork.border.messages import LoadReport
 from briarfork.border.metrics import Metrics
 from briarfork.border.platform import Platform
@@ -90,14 +92,11 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves requests until a planned stop is complete."""
         settings = self.settings
-        runner = web.AppRunner(
-            build_app(self), handler_cancellation=True, shutdown_timeout=settings.timeouts.stop_s
-        )
+        runner = web.AppRunner(build_app(self))
         await runner.setup()
-        manager = runner.server
-        assert manager is not None
-        caller_server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self, manager),
+        callers = GracefulServer.wrap(runner, handler_cancellation=True)
+        await callers.listen(
+            lambda: CallerConnection(self, callers),
             settings.address,
             settings.ports.entry,
             backlog=ACCEPT_BACKLOG,
@@ -120,12 +119,13 @@
                 )
             ]
             await stopping.wait()
-            await self._drain(caller_server, runner)
+            await self._drain(callers)
             for task in tasks:
                 task.cancel()
+        await runner.cleanup()
         permit_server.close()
 
-    async def _drain(self, caller_server: asyncio.Server, runner: web.AppRunner) -> None:
+    async def _drain(self, callers: GracefulServer) -> None:
         """Stops accepting requests and completes those in progress.
 
         Callers cache lookups, so new requests arrive until the time-to-live of the last one ends.
@@ -136,7 +136,6 @@
         if self.view.timeline.generation:
             ttl_s = self.view.require_steering().plan.lookup_ttl_s
             await asyncio.sleep(ttl_s + timeouts.spread_s)
-        caller_server.close()
-        # Closes idle connections, then waits for requests in progress.
-        await runner.cleanup()
+        if cut := await callers.stop(time.monotonic() + timeouts.stop_s):
+            self.events.record(Event.REQUESTS_CUT, requests=cut)
         await self.claimed_requests.wait_until_done(timeouts.stop_s)
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 import random
 import time
@@ -12,6 +11,7 @@
 from aiohttp import web
 
 from briarfork.border.events import Event
+from briarfork.border.graceful_server import LINGER_S
 from briarfork.border.http_server import HttpConnectionHandler
 from briarfork.entry.forward import HOP_BY_HOP_HEADERS
 from briarfork.errors import ERROR_RESPONSES
@@ -23,7 +23,7 @@
 from briarfork.platform.bodies import HttpBody
 
 if TYPE_CHECKING:
-    from aiohttp import StreamReader
+    import asyncio
 
     from briarfork.border.events import EventLog
     from briarfork.gateway.dispatch import Dispatcher
@@ -34,11 +34,6 @@
 MAX_HEADER_LINE_BYTES = 16384
 # Unread bytes of a connection above which the caller is stopped; the event loop may add as many.
 READ_BUFFER_BYTES = 32768
-# How long the rest of a refused body is read and dropped. An earlier close would reset the
-# connection, and the caller could lose the response.
-LINGER_S = 2.0
-# aiohttp takes a timeout of 0 for none.
-MIN_SHUTDOWN_S = 0.01
 # Errors of requests that are not dispatched, so the dispatcher does not log them.
 PRE_DISPATCH_ERRORS = frozenset(
     {
@@ -78,7 +73,7 @@
             response = self._build_error(request_id, http_request, error)
         # The next bytes on the connection may be the rest of the body, or a new request if the
         # caller was never told to send the body.
-        if self._gateway.draining or not (source is None or source.has_arrived):
+        if not (source is None or source.has_arrived):
             response.force_close()
         return response
 
@@ -150,7 +145,6 @@
         limits = gateway.view.caller_limits
         super().__init__(
             manager,
-            loop=asyncio.get_running_loop(),
             keepalive_timeout=limits.idle_s,
             lingering_time=LINGER_S,
             read_bufsize=READ_BUFFER_BYTES,
@@ -165,58 +159,24 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and limits the time for incomplete headers."""
         super().data_received(data)
-        if not self._is_idle:
+        if not self._has_partial_head:
             self._stop_header_timer()
-        elif self._header_timer is None and data:
+        elif self._header_timer is None:
             self._header_timer = self._loop.call_later(self._header_s, self._close_slow_caller)
 
-    def close(self) -> None:
-        """Accepts no further request; one whose body is still arriving is read to its end.
-
-        aiohttp reads nothing more from a connection that is being closed. The response to the last
-        request closes the connection.
-        """
-        if self._find_arriving_body() is None:
-            super().close()
-
-    async def shutdown(self, timeout: float | None = None) -> None:
-        """Ends the connection once its request is answered, at the latest after the timeout."""
-        started = time.monotonic()
-        body = self._find_arriving_body()
-        if body is not None and self._task_handler is not None:
-            arrived = asyncio.Event()
-            body.on_eof(arrived.set)
-            wait_task = asyncio.ensure_future(arrived.wait())
-            await asyncio.wait(
-                {wait_task, self._task_handler},
-                timeout=timeout,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            wait_task.cancel()
-        if timeout is not None:
-            timeout = max(MIN_SHUTDOWN_S, timeout - (time.monotonic() - started))
-        await super().shutdown(timeout)
-
-    def _find_arriving_body(self) -> StreamReader | None:
-        """Returns the body of the request in progress if its end has not been received."""
-        request = self._current_request
-        if request is None or request.content.is_eof():
-            return None
-        return request.content
-
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the request and the timer."""
         self._stop_header_timer()
         super().connection_lost(exc)
 
     @property
-    def _is_idle(self) -> bool:
-        """Whether the connection waits for the headers of a request."""
-        return self._waiter is not None and not self._waiter.done()
+    def is_stopping(self) -> bool:
+        """Whether this VM stops, so that responses tell callers to use another one."""
+        return self._gateway.draining or super().is_stopping
 
     def _close_slow_caller(self) -> None:
         self._header_timer = None
-        if self._is_idle:
+        if self._has_partial_head and not self.has_unanswered_request:
             self.force_close()
 
     def _stop_header_timer(self) -> None:
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING
 
 import uvloop
-from aiohttp import web
 
 from briarfork import __version__
 from briarfork.border.events import Event
@@ -28,12 +27,9 @@
 from briarfork.gateway.view import GatewayView
 from briarfork.membership import Member
 from briarfork.membership import MemberState
-from briarfork.platform.callers import CallerConnection
-from briarfork.platform.callers import CallerRequestHandler
-from briarfork.platform.endpoints import build_lookup_app
-from briarfork.platform.endpoints import build_metrics_app
-from briarfork.platform.endpoints import build_ready_app
 from briarfork.platform.registration import Registration
+from briarfork.platform.servers import BREAK_OFF_S
+from briarfork.platform.servers import GatewayServers
 from briarfork.platform.settings import SETTINGS_VARIABLE
 from briarfork.platform.settings import load_platform_settings
 from briarfork.platform.store import StoreClient
@@ -44,7 +40,6 @@
     from briarfork.platform.settings import PlatformSettings
 
 PROGRAM = "briarfork-gateway"
-LISTEN_BACKLOG = 1024
 # Log lines per second and event; further ones are only counted, so that failures cannot flood logs.
 LINES_PER_S = 10
 # Callers cache lookups, so a stopping VM accepts connections for this fraction of its grace period.
@@ -125,18 +120,8 @@
             monitor = LoopMonitor(
                 self._events, self._gateway.busy_times, dispatcher.metrics.observe_loop_delay
             )
-            callers = await self._open_caller_server(dispatcher)
-            auxiliary_servers = [
-                await self._open(build_ready_app(self._gateway), self._settings.ready),
-                await self._open(
-                    build_lookup_app(self._gateway, self._settings.lookup_ttl_s),
-                    self._settings.lookup,
-                ),
-                await self._open(
-                    build_metrics_app(dispatcher, store.health, self._gateway.busy_times),
-                    self._settings.metrics,
-                ),
-            ]
+            servers = GatewayServers(self._settings, self._gateway, dispatcher)
+            await servers.open(store.health)
             self._events.record(Event.STARTED, entry=self._settings.common.ports.entry)
             async with asyncio.TaskGroup() as group:
                 registration_task = group.create_task(registration.run())
@@ -148,11 +133,9 @@
                 ]
                 await self._stopping.wait()
                 registration_task.cancel()
-                await self._drain(callers, registration)
+                await self._drain(servers, registration)
                 for task in tasks:
                     task.cancel()
-            for server in auxiliary_servers:
-                await server.cleanup()
         self._events.record(Event.STOPPED)
 
     def _request_stop(self) -> None:
@@ -178,54 +161,27 @@
             link_mbps=self._settings.link_mbps,
         )
 
-    async def _open_caller_server(
-        self, dispatcher: Dispatcher
-    ) -> tuple[asyncio.Server, web.ServerRunner]:
-        handler = CallerRequestHandler(self._gateway, dispatcher)
-        manager = web.Server(handler.handle, handler_cancellation=True)
-        runner = web.ServerRunner(manager, shutdown_timeout=self._compute_shutdown_timeout_s())
-        await runner.setup()
-        common = self._settings.common
-        server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self._gateway, manager),
-            common.address,
-            common.ports.entry,
-            backlog=LISTEN_BACKLOG,
-        )
-        return server, runner
-
     def _build_dispatcher(self) -> Dispatcher:
         gateway = self._gateway
         upstream = HttpUpstream(gateway.connections)
         return Dispatcher(gateway.view, gateway.permits, upstream, self._events)
 
-    async def _open(self, app: web.Application, address: tuple[str, int]) -> web.AppRunner:
-        runner = web.AppRunner(app, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, *address).start()
-        return runner
-
-    def _compute_shutdown_timeout_s(self) -> float:
-        return (1.0 - ACCEPT_FRACTION) * self._settings.grace_s - EXIT_MARGIN_S
-
-    async def _drain(
-        self, callers: tuple[asyncio.Server, web.ServerRunner], registration: Registration
-    ) -> None:
+    async def _drain(self, servers: GatewayServers, registration: Registration) -> None:
         """Stops accepting callers and waits for requests in progress.
 
         Callers cache lookups, so new connections arrive for a while after deregistration. Their
         requests are refused if they would not end before the VM stops.
         """
-        server, runner = callers
         now = time.monotonic()
+        deadline = now + self._settings.grace_s - EXIT_MARGIN_S
         self._gateway.draining = True
-        self._gateway.view.stops_at = now + self._settings.grace_s - EXIT_MARGIN_S
+        self._gateway.view.stops_at = deadline - BREAK_OFF_S
         accept_until = now + ACCEPT_FRACTION * self._settings.grace_s
         await registration.deregister()
         await asyncio.sleep(max(0.0, accept_until - time.monotonic()))
-        server.close()
-        # Closes idle connections, then waits for requests in progress.
-        await runner.cleanup()
+        cut = await servers.drain(deadline)
+        if cut:
+            self._events.record(Event.REQUESTS_CUT, requests=cut)
 
 
 if __name__ == "__main__":
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -10,9 +10,9 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from aiohttp import web
 
 from briarfork.border.events import EventLog
+from briarfork.border.graceful_server import GracefulServer
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.platform import names
 from briarfork.platform.callers import CallerConnection
@@ -40,6 +40,7 @@
 
     Attributes:
         connection: The gateway's side of the connection.
+        server: The server of the connection.
     """
 
     def __init__(
@@ -48,11 +49,13 @@
         writer: asyncio.StreamWriter,
         upstream: ScriptedUpstream,
         connection: CallerConnection,
+        server: GracefulServer,
     ) -> None:
         self.reader = reader
         self.writer = writer
         self.upstream = upstream
         self.connection = connection
+        self.server = server
 
     def build_head(self, *headers: str) -> bytes:
         lines = ["POST /a/x HTTP/1.1", "Host: h", f"{names.ATTEMPT_ID}: r1", *headers, "", ""]
@@ -81,15 +84,15 @@
     upstream = ScriptedUpstream(*[RESPONSE] * slots)
     dispatcher = Dispatcher(gateway.view, permits, upstream, EventLog("test"))
     handler = CallerRequestHandler(gateway, dispatcher)
-    manager = web.Server(handler.handle, handler_cancellation=True)
-    connection = CallerConnection(gateway, manager)
-    server = await asyncio.get_running_loop().create_server(lambda: connection, ADDRESS, 0)
-    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname()[:2])
-    yield Caller(reader, writer, upstream, connection)
+    server = GracefulServer(handler.handle, handler_cancellation=True)
+    connection = CallerConnection(gateway, server)
+    listener = await server.listen(lambda: connection, ADDRESS, 0)
+    reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname()[:2])
+    yield Caller(reader, writer, upstream, connection, server)
     writer.close()
     with suppress(ConnectionError):
         await writer.wait_closed()
-    server.close()
+    listener.close()
 
 
 class TestUpload:
@@ -167,12 +170,12 @@
             caller.send_head(f"Content-Length: {len(BODY)}", f"{names.DEADLINE_MS}: 2000")
             caller.writer.write(BODY[:1000])
             await asyncio.sleep(0.05)
-            caller.connection.close()
-            stop = asyncio.create_task(caller.connection.shutdown(ANSWER_S))
+            stop = asyncio.create_task(caller.server.stop(time.monotonic() + ANSWER_S))
             await asyncio.sleep(0.05)
             caller.writer.write(BODY[1000:])
             assert await caller.read_status() == 200
-            await stop
+            caller.writer.close()
+            assert await stop == 0
             assert caller.upstream.bodies == [BODY]
 
     async def test_stop_does_not_wait_for_idle_and_stalled_callers(self) -> None:
@@ -182,9 +185,9 @@
                 if headers:
                     caller.send_head(*headers, f"{names.DEADLINE_MS}: 9000")
                 await asyncio.sleep(0.05)
-                caller.connection.close()
                 async with asyncio.timeout(ANSWER_S):
-                    await caller.connection.shutdown(timeout_s)
+                    cut = await caller.server.stop(time.monotonic() + timeout_s)
+                assert cut == len(headers)
 
 
 class TestMalformedBody:
@@ -270,6 +273,15 @@
                 await caller.reader.readuntil(RESPONSE.body)
                 await asyncio.sleep(1.5 * LIMITS.header_s)
 
+    async def test_head_that_crosses_the_idle_timeout_is_served(self) -> None:
+        """Guards against a connection that is closed as idle within the head of a request."""
+        async with connect() as caller:
+            await asyncio.sleep(0.9 * LIMITS.idle_s)
+            caller.writer.write(b"GET /a/x HTTP/1.1\r\nHost")
+            await asyncio.sleep(0.2 * LIMITS.idle_s)
+            caller.writer.write(b": h\r\n\r\n")
+            assert await caller.read_status() == 200
+
     async def test_idle_connection_is_kept_for_the_idle_timeout(self) -> None:
         """Guards against a close that crosses the next request of a caller."""
         async with connect(slots=2) as caller:
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,4 +1,4 @@
-"""Tests of requests whose callers leave while the event loop is late."""
+"""Tests of callers' connections: a late event loop, and planned stops."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 from typing import TYPE_CHECKING
 
 import pytest_asyncio
-from aiohttp import web
 
 from briarfork.border.events import EventLog
+from briarfork.border.graceful_server import GracefulServer
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.platform import names
 from briarfork.platform.callers import CallerConnection
@@ -53,16 +53,16 @@
         self.upstream = ScriptedUpstream(RESPONSE)
         dispatcher = Dispatcher(gateway.view, self.permits, self.upstream, EventLog("test"))
         handler = CallerRequestHandler(gateway, dispatcher)
-        manager = web.Server(handler.handle, handler_cancellation=True)
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(gateway, manager), ADDRESS, 0
+        self.server = GracefulServer(handler.handle, handler_cancellation=True)
+        self._listener = await self.server.listen(
+            lambda: CallerConnection(gateway, self.server), ADDRESS, 0
         )
-        port = self._server.sockets[0].getsockname()[1]
+        port = self._listener.sockets[0].getsockname()[1]
         self.reader, self.writer = await asyncio.open_connection(ADDRESS, port)
 
     def close(self) -> None:
         self.writer.close()
-        self._server.close()
+        self._listener.close()
 
 
 @pytest_asyncio.fixture
