--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -107,7 +107,8 @@
         tried_addresses: Addresses and ports of these servers.
         sent_attempts: Number of attempts that ended after they had been sent to a server.
         unsent_attempts: Number of attempts that reached no server.
-        may_have_run: Whether a server may have run the request.
+        unproven_attempts: Number of attempts that may have run: those in progress, and those that
+            ended without proof that the server did not run the request.
         error_response: The last response with a server error.
         responses: All responses so far.
         body_bytes: Length of the request body.
@@ -125,7 +126,7 @@
     tried_addresses: set[tuple[str, int]] = field(default_factory=set)
     sent_attempts: int = 0
     unsent_attempts: int = 0
-    may_have_run: bool = False
+    unproven_attempts: int = 0
     error_response: Response | None = None
     responses: list[Response] = field(default_factory=list)
     body_bytes: int = 0
@@ -134,6 +135,11 @@
     slot_wait_s: float = 0.0
     detail: str = ""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request."""
+        return self.unproven_attempts > 0
+
     def release_responses(self, passed_on: Response | None) -> None:
         """Frees the memory of all responses but the one that is passed on to the caller."""
         for response in self.responses:
@@ -142,6 +148,8 @@
 
     def record_end(self, result: AttemptResult) -> None:
         """Counts an attempt that has failed."""
+        if result in (AttemptResult.NOT_SENT, AttemptResult.REFUSED):
+            self.unproven_attempts -= 1
         if result is AttemptResult.NOT_SENT:
             self.unsent_attempts += 1
         else:
@@ -149,6 +157,7 @@
 
     def record_attempt(self, server: ServerAddress) -> bool:
         """Records an attempt and returns whether an earlier one was sent to the same address."""
+        self.unproven_attempts += 1
         address = (server.address, server.port)
         repeated = address in self.tried_addresses
         self.tried_servers.add(server.name)
