Let the oldest response of unknown length end before the others grow

With the bound on all responses, 40 sound responses of 4 MB in chunks at a time grew side by side until the share of their server was full, and most were given up: 121 of 508 requests were answered, and all 451 before the bound.

All but the oldest response of unknown length now have half of the share of their service and server, so that the oldest has room to end and is followed by the next. What has to be given up is then the response that has grown most, which is the one without an end.

Evidence: test_large_responses_are_served_at_once[sound chunked] fails with the change of src taken out (121 of 508 answered) and passes with it; so does the new example of the aggregate, and its state machine holds over 3,000 examples of up to 60 steps.

--- a/src/briarfork/gateway/response_bodies.py
+++ b/src/briarfork/gateway/response_bodies.py
@@ -47,13 +47,13 @@
         """Returns a body without bytes; its owner has to release it."""
         return ResponseBody(self, self.memory.open(service, server))
 
-    async def reserve(self, held: HeldResponse, size_bytes: int) -> None:
+    async def reserve(self, held: HeldResponse, size_bytes: int, grows: bool) -> None:
         """Waits until a response may take more memory.
 
         Raises:
             ResponseDropped: If it is longer than the limit, or given up.
         """
-        self.wake(self.memory.request(held, size_bytes))
+        self.wake(self.memory.request(held, size_bytes, grows))
         if held.wanted_bytes and not held.is_given_up:
             future = asyncio.get_running_loop().create_future()
             self._granted[held.number] = future
@@ -100,10 +100,12 @@
             ResponseDropped: If the body is too long or given up.
         """
         declared = source.declared_bytes
-        await self._reserve(SMALL_RESPONSE_BYTES if declared is None else declared)
+        await self._reserve(
+            SMALL_RESPONSE_BYTES if declared is None else declared, declared is None
+        )
         while not source.has_ended:
             if self._size == self._held.held_bytes and declared is None:
-                await self._reserve(self._choose_growth())
+                await self._reserve(self._choose_growth(), grows=True)
             room = self._held.held_bytes - self._size
             self._append(await source.read_chunk(min(PART_BYTES, max(1, room))))
         self._collector.wake(self._collector.memory.finish(self._held, self._size))
@@ -117,9 +119,9 @@
         append_chunk(self._parts, chunk)
         self._size += len(chunk)
 
-    async def _reserve(self, size_bytes: int) -> None:
+    async def _reserve(self, size_bytes: int, grows: bool) -> None:
         self.lacks_memory = True
-        await self._collector.reserve(self._held, size_bytes)
+        await self._collector.reserve(self._held, size_bytes, grows)
         self.lacks_memory = False
 
     def _choose_growth(self) -> int:
--- a/src/briarfork/requests/response_memory.py
+++ b/src/briarfork/requests/response_memory.py
@@ -7,11 +7,19 @@
 from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 from typing import Final
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 # Responses up to this size never wait and are not counted against the shares of their servers.
 SMALL_RESPONSE_BYTES: Final = 4096
 
+# Part of a share for the responses of unknown length other than the oldest one, which can use the
+# rest, so that it ends. If all grew at the same time, none would end.
+GROWING_FRACTION: Final = 0.5
+
 # A level ("service" or "server") and a name.
 Owner = tuple[str, str]
 
@@ -41,6 +49,7 @@
         number: Order of arrival.
         held_bytes: Granted bytes.
         wanted_bytes: Bytes that it still waits for, 0 if it does not wait.
+        grows: Whether its length is unknown and its end has not been read.
         is_given_up: Whether it has to be dropped, so that others can end.
     """
 
@@ -48,6 +57,7 @@
     number: int
     held_bytes: int = 0
     wanted_bytes: int = 0
+    grows: bool = False
     is_given_up: bool = False
 
     @property
@@ -55,19 +65,51 @@
         """Whether it counts against the shares."""
         return self.held_bytes > SMALL_RESPONSE_BYTES
 
+    @property
+    def added_bytes(self) -> int:
+        """By how much a grant increases what counts against the shares."""
+        return self.wanted_bytes + (0 if self.is_large else self.held_bytes)
+
     @property
     def rank(self) -> tuple[bool, int]:
         """Order among waiting responses; those that have begun to arrive go first."""
         return not self.is_large, self.number
 
 
+class _Growth:
+    """The growing responses: the oldest one of each owner, and the bytes of the others."""
+
+    def __init__(self, responses: Iterable[HeldResponse]) -> None:
+        self._oldest: dict[Owner, int] = {}
+        self._younger_bytes: Counter[Owner] = Counter()
+        growing = {item.number: item for item in responses if item.grows}
+        for number in sorted(growing):
+            response = growing[number]
+            for owner in response.owners:
+                self._oldest.setdefault(owner, number)
+            self.add(response, response.held_bytes if response.is_large else 0)
+
+    def add(self, response: HeldResponse, size_bytes: int) -> None:
+        """Counts bytes of a response."""
+        for owner in response.owners:
+            if self._oldest.get(owner) != response.number:
+                self._younger_bytes[owner] += size_bytes
+
+    def is_kept_back(self, response: HeldResponse, owner: Owner, share: float) -> bool:
+        """Returns whether a response has to wait for older ones of its owner."""
+        if not response.grows or self._oldest[owner] == response.number:
+            return False
+        return self._younger_bytes[owner] + response.added_bytes > GROWING_FRACTION * share
+
+
 class ResponseMemory:
     """Grants memory to responses in the order of their arrival, within fair shares.
 
     With n services that have responses here, each may hold one part in n + 1, so that there is room
     for the next one; the same holds for servers. A single response may exceed the share of its
-    service and server. A response of unknown length grows; if all that could make room wait for
-    memory themselves, the largest one of them is given up.
+    service and server. A response of unknown length grows; the younger ones leave room in the share
+    for the oldest. If all that could make room wait for memory themselves, the largest one of them
+    is given up.
 
     Example:
         >>> memory = ResponseMemory(capacity_bytes=100_000)
@@ -113,9 +155,16 @@
         """Returns a response that holds nothing yet."""
         return HeldResponse((("service", service), ("server", server)), next(self._numbers))
 
-    def request(self, response: HeldResponse, size_bytes: int) -> list[HeldResponse]:
+    def request(
+        self, response: HeldResponse, size_bytes: int, grows: bool = False
+    ) -> list[HeldResponse]:
         """Requests memory for a response, or more of it.
 
+        Args:
+            response: The response.
+            size_bytes: Size in addition to what it holds.
+            grows: Whether its length is unknown.
+
         Returns:
             The responses that have got memory or are given up now, as for the other methods.
 
@@ -126,6 +175,7 @@
             raise ResponseDropped(
                 DropReason.TOO_LONG, f"the body is longer than {self.limit_bytes} bytes"
             )
+        response.grows = grows
         if response.held_bytes + size_bytes <= SMALL_RESPONSE_BYTES:
             response.wanted_bytes = size_bytes
             self._grant(response)
@@ -139,6 +189,7 @@
     def finish(self, response: HeldResponse, size_bytes: int) -> list[HeldResponse]:
         """Keeps only the memory that a whole response needs."""
         self._forget(response)
+        response.grows = False
         response.held_bytes = min(response.held_bytes, size_bytes)
         self._count(response)
         return self._settle()
@@ -155,12 +206,22 @@
     def _settle(self) -> list[HeldResponse]:
         """Grants what fits, in order; a response that cannot get memory holds up its owners."""
         changed: list[HeldResponse] = []
+        if not self._waiting:
+            return changed
+        large = [item for item in self._held.values() if item.is_large]
+        growth = _Growth([*large, *self._waiting])
         blocked: set[Owner] = set()
         for response in list(self._waiting):
             if response.is_given_up or not blocked.isdisjoint(response.owners):
                 continue
+            if any(
+                growth.is_kept_back(response, owner, self._compute_share(owner))
+                for owner in response.owners
+            ):
+                continue
             full = [owner for owner in response.owners if self._exceeds_share(response, owner)]
-            if not full and self._large_bytes + self._count_added(response) <= self.capacity_bytes:
+            if not full and self._large_bytes + response.added_bytes <= self.capacity_bytes:
+                growth.add(response, response.added_bytes)
                 self._waiting.remove(response)
                 self._grant(response)
                 changed.append(response)
@@ -193,7 +254,7 @@
         """Returns whether a response would take its owner above the share."""
         held = response.held_bytes if response.is_large else 0
         others = self._owner_bytes[owner] - held
-        wanted = held + self._count_added(response)
+        wanted = held + response.added_bytes
         return others > 0 and others + wanted > self._compute_share(owner)
 
     def _is_over_share(self, owner: Owner) -> bool:
@@ -202,10 +263,6 @@
     def _compute_share(self, owner: Owner) -> float:
         return self.capacity_bytes / (1 + max(1, self._owners[owner[0]]))
 
-    def _count_added(self, response: HeldResponse) -> int:
-        """Returns by how many counted bytes a grant takes a response further."""
-        return response.wanted_bytes + (0 if response.is_large else response.held_bytes)
-
     def _grant(self, response: HeldResponse) -> None:
         self._forget(response)
         response.held_bytes += response.wanted_bytes
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -208,11 +208,12 @@
             with suppress(ProcessLookupError):
                 await harness.close()
 
-    async def test_large_responses_are_served_at_once(self, tmp_path: Path) -> None:
+    @pytest.mark.parametrize("behaviour", ["sound large", "sound chunked"])
+    async def test_large_responses_are_served_at_once(self, tmp_path: Path, behaviour: str) -> None:
         """Guards against a bound on memory that fails sound downloads which fit one by one."""
         harness = EndlessHarness(tmp_path)
         try:
-            await harness.start("sound large")
+            await harness.start(behaviour)
             large, sound = await harness.load()
             assert large["200"] >= SERVED_SHARE * large.total(), large
             assert harness.measure_peak_mb() < MEMORY_MB
--- a/tests/requests/test_response_memory.py
+++ b/tests/requests/test_response_memory.py
@@ -51,12 +51,25 @@
         responses = [memory.open("s", "i-1") for _ in sizes]
         for response, size in zip(responses, sizes, strict=True):
             memory.request(response, size)
-        assert memory.request(responses[0], 10_000) == []
-        assert memory.request(responses[1], 10_000) == []
-        assert memory.request(responses[2], 10_000) == [responses[1]]
+        assert memory.request(responses[0], 10_000, grows=True) == []
+        assert memory.request(responses[1], 10_000, grows=True) == []
+        assert memory.request(responses[2], 10_000, grows=True) == [responses[1]]
         assert responses[1].is_given_up
         assert memory.release(responses[1]) == [responses[0], responses[2]]
 
+    def test_responses_of_unknown_length_that_fit_one_by_one_all_end(self) -> None:
+        """Guards against giving up sound responses that grow at the same time."""
+        memory = ResponseMemory(CAPACITY)
+        growing = [memory.open("s", "i-1") for _ in range(20)]
+        while growing:
+            for response in growing:
+                if not response.wanted_bytes:
+                    memory.request(response, CAPACITY // 40, grows=True)
+            assert not any(item.is_given_up for item in growing)
+            for response in [item for item in growing if item.held_bytes >= CAPACITY // 5]:
+                growing.remove(response)
+                memory.release(response)
+
     def test_too_long_response_is_refused(self) -> None:
         """Guards against waiting for memory that a response can never get."""
         memory = ResponseMemory(CAPACITY, LIMIT)
@@ -74,18 +87,18 @@
         self.responses: list[HeldResponse] = []
         self.ended: set[int] = set()
 
-    @rule(size=st.integers(0, LIMIT), server=st.integers(0, 2))
-    def arrive(self, size: int, server: int) -> None:
+    @rule(size=st.integers(0, LIMIT), server=st.integers(0, 2), grows=st.booleans())
+    def arrive(self, size: int, server: int, grows: bool) -> None:
         response = self.memory.open(f"s-{server // 2}", f"i-{server}")
         self.responses.append(response)
-        self.check(self.memory.request(response, size))
+        self.check(self.memory.request(response, size, grows))
 
     @precondition(lambda self: any(self.is_read(item) for item in self.responses))
     @rule(data=st.data(), size=st.integers(1, LIMIT // 2))
     def grow(self, data: st.DataObject, size: int) -> None:
         response = data.draw(st.sampled_from([i for i in self.responses if self.is_read(i)]))
         try:
-            self.check(self.memory.request(response, size))
+            self.check(self.memory.request(response, size, grows=True))
         except ResponseDropped:
             assert response.held_bytes + size > LIMIT
 
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -82,6 +82,12 @@
     return build_whole(request_id, bytes(4_000_000)), b""
 
 
+@BEHAVIOURS.register("sound chunked")
+def send_large_chunks(request_id: str) -> tuple[bytes, bytes]:
+    head, chunk = send_chunks(request_id)
+    return head + 61 * chunk + b"0\r\n\r\n", b""
+
+
 async def serve(address: str, port: int, behaviour: str) -> None:
     """Answers all requests as a behaviour says until the process is killed."""
     build = BEHAVIOURS.get(behaviour)
