--- a/src/briarfork/platform/delivery.py
+++ b/src/briarfork/platform/delivery.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from briarfork.border.events import Event
+from briarfork.gateway.bodies import PART_BYTES
 
 if TYPE_CHECKING:
     from aiohttp.abc import AbstractStreamWriter
@@ -60,12 +61,20 @@
         """Writes the body."""
         try:
             if not self._must_be_empty_body:
-                for part in self._parts:
-                    await self._write_part(part)
+                await self._write_body()
             await super().write_eof(data)
         finally:
             self._drop_body()
 
+    async def _write_body(self) -> None:
+        if sum(map(len, self._parts)) <= PART_BYTES:
+            # A short body fits the buffer of the connection, so writing it does not wait.
+            for part in self._parts:
+                await self.write(part)
+            return
+        for part in self._parts:
+            await self._write_part(part)
+
     async def _write_part(self, part: BodyPart) -> None:
         late_s = max(LATE_PART_S, self._request.respond_by - time.monotonic())
         try:
