Move the reading of servers' bodies into a module of its own

A refusal that declares more than 16 KB is closed at once and is no failure of its server, since its body ends.

--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -23,6 +23,9 @@
 from briarfork.gateway.request import Response
 from briarfork.gateway.response_bodies import ResponseCollector
 from briarfork.platform import names
+from briarfork.platform.server_bodies import HttpResponseBody
+from briarfork.platform.server_bodies import close_unread
+from briarfork.platform.server_bodies import drop_refusal_body
 from briarfork.pools import NO_REPORT
 from briarfork.pools import Release
 from briarfork.pools import ServerReport
@@ -47,9 +50,6 @@
 RESPONSE_MARGIN_S = 0.1
 # A response with a longer body is given up.
 MAX_BODY_BYTES = 32 * 1024 * 1024
-# A body of a refusal is read only to keep the connection, if it is short and arrives soon.
-REFUSAL_BODY_BYTES = 16384
-REFUSAL_BODY_S = 0.05
 # Required fields of a load report (running, waiting, slots); the fourth, the slowdown, is optional.
 REQUIRED_LOAD_FIELDS = 3
 PERCENT = 100.0
@@ -152,7 +152,7 @@
             try:
                 return await _receive(request, response, attempt, body)
             except BaseException:
-                _close(response)
+                close_unread(response)
                 raise
 
 
@@ -168,7 +168,7 @@
     report = _read_report(response)
     if _is_refusal(request, response):
         attempt.mark_refused()
-        release = await _drop_refusal_body(response)
+        release = await drop_refusal_body(response)
         raise AttemptError(
             attempt.result, release, f"refused with status {response.status}", report
         )
@@ -182,60 +182,6 @@
     return Response(response.status, _list_headers(response), body.parts, report, body.release)
 
 
-def _close(response: aiohttp.ClientResponse) -> None:
-    """Closes the connection, unless all of it was read, and frees its unread bytes.
-
-    aiohttp refers to a closed response in a cycle, so it would keep the bytes until the garbage
-    collector runs.
-    """
-    content = response.content
-    has_unread = not content.at_eof()
-    response.close()
-    if has_unread:
-        content._buffer.clear()
-
-
-class HttpResponseBody:
-    """The body of a server's HTTP response."""
-
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        self._content = response.content
-        self._declared_bytes = response.content_length
-
-    @property
-    def declared_bytes(self) -> int | None:
-        """The Content-Length, None without one, 0 if there is no body."""
-        return 0 if self.has_ended else self._declared_bytes
-
-    @property
-    def has_ended(self) -> bool:
-        """Whether the end of the body has been read."""
-        return self._content.at_eof()
-
-    async def read_chunk(self, max_bytes: int) -> bytes:
-        """Returns the next bytes, empty at the end of the body."""
-        return await self._content.read(max_bytes)
-
-
-async def _drop_refusal_body(response: aiohttp.ClientResponse) -> Release:
-    """Reads the body of a refusal to its end if it is short and arrives soon.
-
-    Returns:
-        How the attempt ended at the server: it failed if it sent more than a refusal needs.
-    """
-    size = 0
-    try:
-        async with asyncio.timeout(REFUSAL_BODY_S):
-            while size <= REFUSAL_BODY_BYTES:
-                chunk = await response.content.read(REFUSAL_BODY_BYTES)
-                if not chunk:
-                    return Release.NOT_RUN
-                size += len(chunk)
-    except (aiohttp.ClientError, TimeoutError, OSError):
-        return Release.NOT_RUN
-    return Release.FAILED
-
-
 def _choose_kind(idempotent: bool, repeated: bool) -> ConnectionKind:
     """Returns the kind of connection for an attempt.
 
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -336,14 +336,19 @@
             assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER, head[:end]
 
     @pytest.mark.parametrize(
-        ("after", "release"), [("endless", Release.FAILED), ("keep", Release.NOT_RUN)]
+        ("length", "after", "release"),
+        [
+            (b"", "endless", Release.FAILED),
+            (b"", "keep", Release.NOT_RUN),
+            (b"Content-Length: 99999\r\n", "endless", Release.NOT_RUN),
+        ],
     )
     async def test_refused_request_does_not_wait_for_the_body(
-        self, harness: UpstreamHarness, after: str, release: Release
+        self, harness: UpstreamHarness, length: bytes, after: str, release: Release
     ) -> None:
         """Guards against a refusal whose body takes the memory and the time of its request."""
         harness.server.endless_part = bytes(65536)
-        refusal = build_refusal("r1").replace(b"Content-Length: 0\r\n", b"")
+        refusal = build_refusal("r1").replace(b"Content-Length: 0\r\n", length)
         started = time.monotonic()
         failure = await harness.send_expecting_error(refusal, after)
         assert time.monotonic() - started < 0.5
