Discard late input until a slow peer has its response at a stop

What callers saw: possible resets within a response at a planned stop, if the peer sends something while it still reads.

Cause: the stop closed an idle connection at once, also while its send buffer held the end of a response, and one whose last response was already being waited for. A close with unread input resets the connection and destroys what the peer has not received.

Change: such a connection ends its write side and discards input until the peer closes it, 2 s at most after its last response; only one with an empty send buffer is closed at once, so that a request that crosses the close is reset unread.

--- a/src/briarfork/border/graceful_server.py
+++ b/src/briarfork/border/graceful_server.py
@@ -64,7 +64,7 @@
         """Ends the connection once it is idle."""
         self._is_draining = True
         if self.is_idle:
-            self.force_close()
+            self._close_idle()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; discards them after the last response."""
@@ -89,9 +89,11 @@
         self._note_parsed(count)
         self._answered_count += 1
         if not is_lost and not resp.keep_alive and not self._is_in_body:
-            await self._end()
+            self._end()
+            # The HTTP library closes the connection on return.
+            await self._lost.wait()
         elif self._is_draining and self.is_idle:
-            self.force_close()
+            self._close_idle()
         return resp, is_lost
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -117,7 +119,16 @@
             self._last_body = self._messages[-1][1]
             self._has_partial_head = False
 
-    async def _end(self) -> None:
+    def _close_idle(self) -> None:
+        """Closes the connection; a peer that has not received the last response gets it first."""
+        if self._is_ending or self.transport is None:
+            return
+        if self.transport.get_write_buffer_size():
+            self._end()
+        else:
+            self.force_close()
+
+    def _end(self) -> None:
         """Ends the write side and discards input until the peer closes the connection."""
         self._is_ending = True
         if self.transport is None:
@@ -125,10 +136,7 @@
         with suppress(OSError, RuntimeError):
             self.transport.write_eof()
         self._resume_transport_reading()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(LINGER_S):
-                await self._lost.wait()
-        self.force_close()
+        self._loop.call_later(LINGER_S, self.force_close)
 
 
 class GracefulServer(web.Server):
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -235,24 +235,30 @@
 
         check()
 
+    @pytest.mark.parametrize("header", [b"", b"Connection: close\r\n"], ids=["kept", "closed"])
     @pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop])
     def test_process_waits_until_a_slow_caller_has_its_whole_response(
-        self, new_loop: Callable[[], asyncio.AbstractEventLoop]
+        self, new_loop: Callable[[], asyncio.AbstractEventLoop], header: bytes
     ) -> None:
         """Guards against a process that ends while its send buffers hold the end of a response."""
         with asyncio.Runner(loop_factory=new_loop) as runner:
-            runner.run(self._read_slowly())
+            runner.run(self._read_slowly(header))
 
-    async def _read_slowly(self) -> None:
+    async def _read_slowly(self, header: bytes) -> None:
         body = bytes(8_000_000)
         harness = StopHarness(End.INSTANT, Response(200, (), body))
         await harness.connect()
-        harness.writer.write(GET)
-        while not harness.upstream.sent:
+        assert harness.connection.transport is not None
+        # The send buffer takes the response as a whole, so that the handler ends at once.
+        harness.connection.transport.set_write_buffer_limits(high=2 * len(body))
+        harness.writer.write(GET[:-2] + header + GET[-2:])
+        while not harness.upstream.sent or harness.connection.has_unanswered_request:
             await asyncio.sleep(0)
         stop = asyncio.create_task(harness.server.stop(time.monotonic() + CLOSE_S))
         await asyncio.sleep(0.1)
         assert not stop.done()
+        # Input that is left unread at a close would reset the connection.
+        harness.writer.write(b"\r\n")
         assert await harness.read_responses() == [(200, body)]
         harness.writer.close()
         assert await stop == 0
