Bound the responses that the product's own HTTP clients read

What callers saw: nothing yet. A store, a VM list or an administration API that sends a body without end, or pages that repeat, takes the memory of the process that reads it; for a gateway that ends all its requests without an answer.

Cause: `await response.read()` and `response.json()` have no bound, and a listing trusted `has_more`. Only the gateway's store client had a connector of ours; the others kept reading informational responses and idle connections.

Change: `read_body` gives up a body beyond a limit that each client states, as a failed call: 8 MB for the platform's store and the VM list, 32 MB for the product's store, 64 MB for operators' commands. A listing whose keys do not advance fails. The sessions of `entry`, `admin` and the commands use `BoundedConnector`, which `DirectConnector` extends.

--- a/src/briarfork/admin/main.py
+++ b/src/briarfork/admin/main.py
@@ -10,6 +10,7 @@
 
 from briarfork.admin.changes import ChangeManager
 from briarfork.admin.http import build_app
+from briarfork.border.connector import BoundedConnector
 from briarfork.border.events import Event
 from briarfork.border.program import run_service
 from briarfork.border.sending import build_send_trace
@@ -28,7 +29,9 @@
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.timeouts.connect_s)
     traces = [build_send_trace()]
     async with (
-        aiohttp.ClientSession(timeout=timeout, trace_configs=traces) as session,
+        aiohttp.ClientSession(
+            connector=BoundedConnector(), timeout=timeout, trace_configs=traces
+        ) as session,
         asyncio.TaskGroup() as group,
     ):
         manager = ChangeManager(Store(settings, session), events)
--- a/src/briarfork/border/connector.py
+++ b/src/briarfork/border/connector.py
@@ -1,4 +1,4 @@
-"""aiohttp connector whose connections are opened by the event loop and bound what they receive."""
+"""aiohttp connectors that bound what a server can send."""
 
 from __future__ import annotations
 
@@ -21,14 +21,8 @@
     from briarfork.border.responses import ResponseFault
 
 
-class DirectConnector(aiohttp.TCPConnector):
-    """Connector that lets the event loop create and connect its sockets.
-
-    By default, aiohttp connects the socket itself and then passes it to the event loop. If the
-    request is cancelled at that moment under uvloop, both close the file descriptor. The descriptor
-    may already belong to another connection, and data of one connection is then sent to the peer of
-    the other.
-    """
+class BoundedConnector(aiohttp.TCPConnector):
+    """Connector whose connections close at the first fault of a response."""
 
     handler_class: type[BoundedResponseHandler] = BoundedResponseHandler
 
@@ -47,6 +41,16 @@
             self.handler_class, asyncio.get_running_loop(), on_fault
         )
 
+
+class DirectConnector(BoundedConnector):
+    """Connector that lets the event loop create and connect its sockets.
+
+    By default, aiohttp connects the socket itself and then passes it to the event loop. If the
+    request is cancelled at that moment under uvloop, both close the file descriptor. The descriptor
+    may already belong to another connection, and data of one connection is then sent to the peer of
+    the other.
+    """
+
     async def _wrap_create_connection(
         self,
         *args: Any,
--- a/src/briarfork/border/platform.py
+++ b/src/briarfork/border/platform.py
@@ -9,12 +9,16 @@
 import msgspec
 
 from briarfork.border.messages import ListedVm
+from briarfork.border.responses import read_body
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 
 if TYPE_CHECKING:
     from briarfork.border.settings import Settings
 
+# A VM takes about 200 bytes.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+
 
 class _VmListBody(msgspec.Struct, frozen=True):
     vms: list[ListedVm]
@@ -38,7 +42,7 @@
             async with asyncio.timeout(self._timeouts.store_s):
                 async with self._session.get(f"{self._url}/vms") as response:
                     response.raise_for_status()
-                    body = await response.read()
+                    body = await read_body(response, MAX_RESPONSE_BYTES)
             return msgspec.json.decode(body, type=_VmListBody).vms
         except (
             aiohttp.ClientError,
--- a/src/briarfork/border/responses.py
+++ b/src/briarfork/border/responses.py
@@ -46,6 +46,28 @@
         self.fault = fault
 
 
+class ResponseTooLong(aiohttp.ClientPayloadError):
+    """A body that is longer than its reader accepts."""
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Returns the complete body.
+
+    Raises:
+        ResponseTooLong: If the body is longer than the limit; its connection is closed.
+        aiohttp.ClientPayloadError: If the body is incomplete.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.content.iter_any():
+        parts.append(part)
+        size += len(part)
+        if size > max_bytes:
+            response.close()
+            raise ResponseTooLong(f"the body is longer than {max_bytes} bytes")
+    return b"".join(parts)
+
+
 class BoundedResponseHandler(ResponseHandler):
     """Parses responses in parts and closes the connection at the first fault.
 
--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -10,6 +11,7 @@
 
 import aiohttp
 
+from briarfork.border.responses import read_body
 from briarfork.border.sending import SingleSendGuard
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
@@ -18,6 +20,8 @@
     from briarfork.border.settings import Settings
 
 ABSENT = 0
+# A range has up to 100 entries, and a part of a snapshot 250,000 characters.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 EXPECTED_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT})
 
 
@@ -151,7 +155,8 @@
                 ) as response:
                     if response.status not in EXPECTED_STATUSES:
                         raise StoreUnavailable(f"{method} {path}: status {response.status}")
-                    return response.status, await response.json()
+                    body = await read_body(response, MAX_RESPONSE_BYTES)
+                    return response.status, json.loads(body)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             detail = str(error) or type(error).__name__
             raise StoreUnavailable(f"{method} {path}: {detail}") from error
--- a/src/briarfork/commands/client.py
+++ b/src/briarfork/commands/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import sys
 from http import HTTPStatus
@@ -11,6 +12,8 @@
 
 import aiohttp
 
+from briarfork.border.connector import BoundedConnector
+from briarfork.border.responses import read_body
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from briarfork.errors import InvalidConfiguration
@@ -20,6 +23,8 @@
 
 REQUEST_TIMEOUT_S = 30.0
 PROGRESS_DELAY_S = 2.0
+# All documents, or a page of 1,000 changes.
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 ADMIN_URL_ENV = "BRIARFORK_ADMIN"
 TOKEN_ENV = "BRIARFORK_TOKEN"
 DEFAULT_URL = "http://127.0.0.1:8081"
@@ -77,10 +82,10 @@
         try:
             async with (
                 asyncio.timeout(REQUEST_TIMEOUT_S),
-                aiohttp.ClientSession(headers=headers) as session,
+                aiohttp.ClientSession(headers=headers, connector=BoundedConnector()) as session,
                 session.request(method, self._url + path, params=params, json=body) as response,
             ):
-                payload = await response.json()
+                payload = json.loads(await read_body(response, MAX_RESPONSE_BYTES))
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise BriarforkError(
                 ErrorKind.STORE_UNAVAILABLE,
--- a/src/briarfork/entry/main.py
+++ b/src/briarfork/entry/main.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from briarfork.border.connector import BoundedConnector
 from briarfork.border.program import run_service
 from briarfork.border.sending import build_send_trace
 from briarfork.entry.process import EntryProcess
@@ -24,7 +25,7 @@
     """Runs the entry process until a planned stop."""
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=settings.timeouts.connect_s)
     async with aiohttp.ClientSession(
-        timeout=timeout, trace_configs=[build_send_trace()]
+        connector=BoundedConnector(), timeout=timeout, trace_configs=[build_send_trace()]
     ) as session:
         await EntryProcess(settings, events, session).run(stopping)
 
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from briarfork.border.connector import DirectConnector
+from briarfork.border.responses import read_body
 from briarfork.border.sending import SingleSendGuard
 from briarfork.border.sending import build_send_trace
 from briarfork.border.store import StoreUnavailable
@@ -29,6 +30,8 @@
 
 ResponseT = TypeVar("ResponseT")
 MS_PER_S = 1000
+# A page has 1 MB of values, in base64; a watch returns all changes since a revision.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 class HistoryUnavailable(Exception):
@@ -137,6 +140,10 @@
             if not page.has_more or not page.items:
                 self.health.record_view()
                 return Listing(items, revision)
+            if page.items[-1].key <= after:
+                failure = StoreUnavailable(f"GET /v1/kv-range: pages repeat after key {after}")
+                self.health.record_failure(failure.detail)
+                raise failure
             after = page.items[-1].key
 
     async def watch(self, prefix: str, after: int) -> Events:
@@ -224,7 +231,7 @@
                 async with self._session.request(
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
                 ) as response:
-                    body = await response.read()
+                    body = await read_body(response, MAX_RESPONSE_BYTES)
                     decoded = _decode_response(call, response.status, body, expected)
         except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError) as error:
             failure = StoreUnavailable(f"{call}: {str(error) or type(error).__name__}")
