Take a deeply nested response for a failed call in all clients

What callers saw: nothing yet. A response of the product's store, of the VM list or of the administration API that nests deeper than the decoder descends ended the task that read it.

Cause: `json.loads` and `msgspec` raise RecursionError, which is no ValueError.

Change: the clients treat it like a body that is no JSON.

Evidence: without the change to src/, `python -m pytest tests/platform/test_readers.py` fails in the four cases "nested body" with a RecursionError; with it all 13 cases pass.

--- a/src/briarfork/border/platform.py
+++ b/src/briarfork/border/platform.py
@@ -50,6 +50,7 @@
             TimeoutError,
             msgspec.ValidationError,
             msgspec.DecodeError,
+            RecursionError,
         ) as error:
             raise BriarforkError(
                 ErrorKind.STORE_UNAVAILABLE, f"GET /vms: {error or type(error).__name__}"
--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -157,7 +157,7 @@
                         raise StoreUnavailable(f"{method} {path}: status {response.status}")
                     body = await read_body(response, MAX_RESPONSE_BYTES)
                     return response.status, json.loads(body)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
             detail = str(error) or type(error).__name__
             raise StoreUnavailable(f"{method} {path}: {detail}") from error
 
--- a/src/briarfork/commands/client.py
+++ b/src/briarfork/commands/client.py
@@ -86,7 +86,7 @@
                 session.request(method, self._url + path, params=params, json=body) as response,
             ):
                 payload = json.loads(await read_body(response, MAX_RESPONSE_BYTES))
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, RecursionError) as error:
             raise BriarforkError(
                 ErrorKind.STORE_UNAVAILABLE,
                 f"{self._url} does not respond: {error or type(error).__name__}",
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -233,7 +233,7 @@
                 ) as response:
                     body = await read_body(response, MAX_RESPONSE_BYTES)
                     decoded = _decode_response(call, response.status, body, expected)
-        except (aiohttp.ClientError, OSError, TimeoutError, msgspec.DecodeError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
             failure = StoreUnavailable(f"{call}: {str(error) or type(error).__name__}")
             self.health.record_failure(failure.detail)
             raise failure from error
--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -34,6 +34,8 @@
 TIMEOUT_S = 60.0
 MAX_BODY_BYTES = 64 * 1024 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+# Deeper than decoders of JSON descend.
+NESTED = b'{"a":' + b"[" * 100_000
 
 
 @contextlib.asynccontextmanager
@@ -73,15 +75,16 @@
         [
             (HEAD + b"\r\n", b" " * 65536),
             (b"", b"HTTP/1.1 103 Hints\r\n\r\n" * 2048),
+            (HEAD + b"Content-Length: %d\r\n\r\n" % len(NESTED) + NESTED, b""),
         ],
-        ids=["body", "interim responses"],
+        ids=["body", "interim responses", "nested body"],
     )
     async def test_call_fails_after_a_bounded_number_of_bytes(
         self, read: Callable[[Settings], Awaitable[Any]], start: bytes, part: bytes
     ) -> None:
-        """Guards against a store or a VM list whose endless bytes fill the memory of the VM."""
+        """Guards against bytes of a store or a VM list that fill the memory or end a task."""
         raw = RawServer()
-        raw.answer, raw.after, raw.endless_part = start, "endless", part
+        raw.answer, raw.after, raw.endless_part = start, "endless" if part else "keep", part
         async with serve(raw) as settings:
             with pytest.raises(BriarforkError) as caught:
                 await read(settings)
