Log, count and charge faulty responses of backend servers

What callers saw: no log line or metric told a server that sends bytes without end from one that is slow or closes connections, and bytes on an idle connection cost the server nothing.

Cause: the connections of a pool had nobody to tell of a fault.

Change: `ServerConnections` tells an observer the server's address and the fault, one of the closed list `ResponseFault`. Both programs record event 5022 (`response_faulty`) and count `briarfork_response_faults` or the StatsD counter `response_faults`. Faults within a response fail their attempt, as before. For extra bytes there may be no permit, so the next success of that server is released as a failure, and its owner pauses the server as after other failures.

Evidence: `python -m pytest tests/platform/test_upstream.py` checks the fault that is recorded for each of 18 places in a response. With the address not recorded, `python -m pytest tests/gateway/test_permits.py -k sends_them` fails: the server is granted at once.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -114,6 +114,9 @@
     PERMIT_RETURNED = EventDefinition(
         5009, "info", "A permit was returned because its server is known to have left."
     )
+    RESPONSE_FAULTY = EventDefinition(
+        5022, "warning", "A connection was closed because of the bytes that its server sent."
+    )
 
 
 class LogRateLimiter:
--- a/src/briarfork/border/metrics.py
+++ b/src/briarfork/border/metrics.py
@@ -26,6 +26,7 @@
     GENERATION = "generation"
     MEMBERS_LIVE = "members_live"
     STORE_CALLS = "store_calls"
+    RESPONSE_FAULTS = "response_faults"
 
 
 class Metrics:
--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -8,7 +8,9 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import aiohttp
 
@@ -120,10 +122,22 @@
     in_use: int = 0
 
 
+class ResponseObserver(Protocol):
+    """Is told of faulty responses."""
+
+    def record_fault(self, address: str, port: int, fault: ResponseFault) -> None:
+        """Records that a connection to a server was closed because of what the server sent."""
+
+
 class ServerConnections:
-    """Connection pools of all backend servers, separate ones for each kind of connection."""
+    """Connection pools of all backend servers, separate ones for each kind of connection.
+
+    Attributes:
+        observer: Is told of each fault that closes a connection.
+    """
 
     def __init__(self, settings: Settings) -> None:
+        self.observer: ResponseObserver | None = None
         self._settings = settings
         self._pools: dict[PoolKey, ConnectionPool] = {}
         self._retired: list[ConnectionPool] = []
@@ -173,7 +187,7 @@
             if now - pool.opened_at < self._settings.timeouts.connection_age_s:
                 return pool
             self._retire(key)
-        pool = ConnectionPool(self._create_session(self._choose_idle_s(key[2])), now)
+        pool = ConnectionPool(self._create_session(key), now)
         self._pools[key] = pool
         return pool
 
@@ -200,12 +214,19 @@
             return None
         return min(NON_IDEMPOTENT_IDLE_S, age_s) if kind is ConnectionKind.RECENT else age_s
 
-    def _create_session(self, idle_s: float | None) -> aiohttp.ClientSession:
+    def _report_fault(self, address: str, port: int, fault: ResponseFault) -> None:
+        if self.observer is not None:
+            self.observer.record_fault(address, port, fault)
+
+    def _create_session(self, key: PoolKey) -> aiohttp.ClientSession:
+        address, port, kind = key
         timeouts = self._settings.timeouts
+        idle_s = self._choose_idle_s(kind)
+        on_fault = partial(self._report_fault, address, port)
         if idle_s is None:
-            connector = ServerConnector(limit=0, force_close=True)
+            connector = ServerConnector(on_fault, limit=0, force_close=True)
         else:
-            connector = ServerConnector(limit=0, keepalive_timeout=idle_s)
+            connector = ServerConnector(on_fault, limit=0, keepalive_timeout=idle_s)
         return aiohttp.ClientSession(
             connector=connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=timeouts.connect_s),
--- a/src/briarfork/entry/process.py
+++ b/src/briarfork/entry/process.py
@@ -10,6 +10,7 @@
 
 from briarfork.border.events import Event
 from briarfork.border.messages import LoadReport
+from briarfork.border.metrics import Metric
 from briarfork.border.metrics import Metrics
 from briarfork.border.platform import Platform
 from briarfork.border.store import Store
@@ -24,6 +25,7 @@
 from briarfork.entry.http import CallerConnection
 from briarfork.entry.http import build_app
 from briarfork.entry.permits import PermitClient
+from briarfork.entry.response_faults import ResponseFaultRecorder
 from briarfork.entry.routing import Router
 from briarfork.entry.slots import SlotManager
 from briarfork.entry.view import EntryView
@@ -33,6 +35,7 @@
 
     from briarfork.border.events import EventLog
     from briarfork.border.messages import Load
+    from briarfork.border.responses import ResponseFault
     from briarfork.border.settings import Settings
 
 # Connections of callers that may wait to be accepted while the process is busy.
@@ -61,6 +64,9 @@
         self.follower = Follower(self, store, Platform(settings, platform_session))
         self.claims = ClaimRepository(store, events)
         self.connections = ServerConnections(settings)
+        self.connections.observer = ResponseFaultRecorder(
+            events, self.permits, self._count_response_fault
+        )
         self.forwarder = Forwarder(settings, self.connections)
         self.hedger = Hedger(self)
         self.claimed_requests = ClaimedRequests()
@@ -75,6 +81,9 @@
         """Updates the headroom of sites from the loads that owners of slots have reported."""
         self.router.accept_load(loads)
 
+    def _count_response_fault(self, fault: ResponseFault) -> None:
+        self.metrics.count(Metric.RESPONSE_FAULTS, fault.value)
+
     async def _report_load(self) -> None:
         """Reports the load of owned slots.
 
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -92,11 +92,19 @@
         self._permit_prefix = f"{view.settings.vm}-{time.time_ns():x}"
         self._local_shares = LocalShares(view)
         self.mean_run_times_s: dict[str, float] = {}
+        self._faulty_addresses: set[tuple[str, int]] = set()
 
     def count_held(self, service: str, site: str) -> int:
         """Returns the number of permits of a service at a site that this process holds."""
         return sum(permit.key == (service, site) for permit in self._held.values())
 
+    def record_extra_bytes(self, address: str, port: int) -> None:
+        """Makes the next success of a server a failure, because it sent bytes beside its responses.
+
+        Its owner learns of the fault with a permit, and there is none for an idle connection.
+        """
+        self._faulty_addresses.add((address, port))
+
     def release(
         self, permit: Permit, outcome: Release, elapsed_s: float, report: ServerReport = NO_REPORT
     ) -> None:
@@ -108,6 +116,8 @@
             elapsed_s: Time from the grant of the permit to the end of the response, in seconds.
             report: What the server said with its response.
         """
+        if outcome is Release.DONE and self._faulty_addresses:
+            outcome = self._charge_fault(permit.server)
         if outcome is Release.DONE:
             mean_s = self.mean_run_times_s.get(permit.service, elapsed_s)
             self.mean_run_times_s[permit.service] = mean_s + RUN_TIME_WEIGHT * (elapsed_s - mean_s)
@@ -128,6 +138,14 @@
             )
             self._links[permit.owner].send_if_open(message)
 
+    def _charge_fault(self, server: ServerAddress) -> Release:
+        """Returns the outcome of a successful request at a server."""
+        address = (server.address, server.port)
+        if address not in self._faulty_addresses:
+            return Release.DONE
+        self._faulty_addresses.remove(address)
+        return Release.FAILED
+
     def refresh(self) -> None:
         """Declares held permits to the new owners of their slots after a change of owner."""
         for permit in list(self._held.values()):
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client import generate_latest
 
 if TYPE_CHECKING:
+    from briarfork.border.responses import ResponseFault
     from briarfork.routing import Route
 
 # Histogram buckets in seconds: latency objectives are 0.2 to 3 s, timeouts up to 20 s.
@@ -43,6 +44,12 @@
             ["service", "result"],
             registry=self._registry,
         )
+        self._response_faults = Counter(
+            "briarfork_response_faults",
+            "Connections to backend servers closed because of the bytes that arrived.",
+            ["fault"],
+            registry=self._registry,
+        )
         self._waiting_requests = self._build_gauge(
             "waiting_requests", "Requests that wait for a slot here."
         )
@@ -89,6 +96,10 @@
         """Counts an attempt that did not return a complete response."""
         self._failed_attempts.labels(service, result).inc()
 
+    def count_response_fault(self, fault: ResponseFault) -> None:
+        """Counts a connection that was closed because of what its server sent."""
+        self._response_faults.labels(fault.value).inc()
+
     def set_gauges(
         self, service: str, waiting: int, retry_budget: float, remote_share: float
     ) -> None:
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -21,6 +21,7 @@
 from briarfork.border.events import install_json_handler
 from briarfork.border.loop_monitor import LoopMonitor
 from briarfork.border.program import EXIT_STATUSES
+from briarfork.entry.response_faults import ResponseFaultRecorder
 from briarfork.errors import BadSettings
 from briarfork.errors import BriarforkError
 from briarfork.gateway.dispatch import Dispatcher
@@ -197,7 +198,11 @@
     def _build_dispatcher(self) -> Dispatcher:
         gateway = self._gateway
         upstream = HttpUpstream(gateway.connections)
-        return Dispatcher(gateway.view, gateway.permits, upstream, self._events)
+        dispatcher = Dispatcher(gateway.view, gateway.permits, upstream, self._events)
+        gateway.connections.observer = ResponseFaultRecorder(
+            self._events, gateway.permits, dispatcher.metrics.count_response_fault
+        )
+        return dispatcher
 
     async def _open(self, app: web.Application, address: tuple[str, int]) -> web.AppRunner:
         runner = web.AppRunner(app, access_log=None)
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -88,6 +88,19 @@
     return await gateway.permits.acquire(build_requirements(body_bytes))
 
 
+class TestExtraBytes:
+    async def test_server_that_sends_them_is_paused(self) -> None:
+        """Guards against a fault on an idle connection that costs the server nothing."""
+        servers = [replace(server, port=port) for port, server in enumerate(SERVERS, start=1)]
+        owner = build_peer("owner", servers)
+        async with run_gateways(owner):
+            permit = await acquire(owner)
+            owner.permits.record_extra_bytes(permit.server.address, permit.server.port)
+            owner.permits.release(permit, Release.DONE, 0.1)
+            others = [await acquire(owner) for _ in range(SERVERS[0].slots)]
+        assert permit.server.name not in {other.server.name for other in others}
+
+
 class TestOwnerBehindTheStore:
     async def test_server_that_drains_gets_no_request(self) -> None:
         """Guards against requests to a draining server whose owner is cut off from the store."""
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -15,6 +15,7 @@
 import pytest_asyncio
 import uvloop
 
+from briarfork.border.responses import ResponseFault
 from briarfork.border.settings import Settings
 from briarfork.entry.connections import ServerConnections
 from briarfork.gateway.attempts import AttemptError
@@ -44,54 +45,116 @@
 # What the buffers of both sockets of a connection hold, beside what the attempt reads.
 SOCKET_BYTES = 8 * 1024 * 1024
 PART_BYTES = 65536
-# For each place in a response: the beginning, the part that is repeated, and the most bytes that a
-# server can send until its connection is closed.
+# For each place in a response: the beginning, the part that is repeated, the most bytes that a
+# server can send until its connection is closed, and the fault that is recorded.
 ENDLESS_BYTES = {
     "body": (
         b"HTTP/1.1 200 OK\r\n" + SEALED + b"\r\n",
         bytes(PART_BYTES),
         SOCKET_BYTES + MAX_BODY_BYTES,
+        None,
     ),
     "chunked body": (
         CHUNKED_HEAD,
         b"10000\r\n" + bytes(PART_BYTES) + b"\r\n",
         SOCKET_BYTES + MAX_BODY_BYTES,
+        None,
+    ),
+    "short chunks": (
+        CHUNKED_HEAD,
+        b"1\r\nx\r\n" * 10_000,
+        SOCKET_BYTES,
+        ResponseFault.FRAMING,
+    ),
+    "chunk extension": (
+        CHUNKED_HEAD + b"1;",
+        b"y" * PART_BYTES,
+        SOCKET_BYTES,
+        ResponseFault.FRAMING,
+    ),
+    "chunk extensions": (
+        CHUNKED_HEAD,
+        b"1;y=zzzzzzzz\r\nx\r\n" * 4096,
+        SOCKET_BYTES,
+        ResponseFault.FRAMING,
+    ),
+    "trailers": (
+        CHUNKED_HEAD + b"0\r\n",
+        b"X-More: y\r\n" * 4096,
+        SOCKET_BYTES,
+        ResponseFault.MALFORMED,
+    ),
+    "status line": (
+        b"HTTP/1.1 200 ",
+        b"y" * PART_BYTES,
+        SOCKET_BYTES,
+        ResponseFault.MALFORMED,
+    ),
+    "headers": (
+        b"HTTP/1.1 200 OK\r\n" + SEALED,
+        b"X-More: y\r\n" * 4096,
+        SOCKET_BYTES,
+        ResponseFault.MALFORMED,
+    ),
+    "header": (
+        b"HTTP/1.1 200 OK\r\nX-Long: ",
+        b"y" * PART_BYTES,
+        SOCKET_BYTES,
+        ResponseFault.MALFORMED,
+    ),
+    "empty lines": (
+        b"",
+        b"\r\n" * 32768,
+        SOCKET_BYTES,
+        ResponseFault.FRAMING,
+    ),
+    "no response": (
+        b"",
+        bytes(PART_BYTES),
+        SOCKET_BYTES,
+        ResponseFault.MALFORMED,
+    ),
+    "interim responses": (
+        b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 2048,
+        SOCKET_BYTES,
+        ResponseFault.INTERIM_RESPONSES,
     ),
-    "short chunks": (CHUNKED_HEAD, b"1\r\nx\r\n" * 10_000, SOCKET_BYTES),
-    "chunk extension": (CHUNKED_HEAD + b"1;", b"y" * PART_BYTES, SOCKET_BYTES),
-    "chunk extensions": (CHUNKED_HEAD, b"1;y=zzzzzzzz\r\nx\r\n" * 4096, SOCKET_BYTES),
-    "trailers": (CHUNKED_HEAD + b"0\r\n", b"X-More: y\r\n" * 4096, SOCKET_BYTES),
-    "status line": (b"HTTP/1.1 200 ", b"y" * PART_BYTES, SOCKET_BYTES),
-    "headers": (b"HTTP/1.1 200 OK\r\n" + SEALED, b"X-More: y\r\n" * 4096, SOCKET_BYTES),
-    "header": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"y" * PART_BYTES, SOCKET_BYTES),
-    "empty lines": (b"", b"\r\n" * 32768, SOCKET_BYTES),
-    "no response": (b"", bytes(PART_BYTES), SOCKET_BYTES),
-    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2048, SOCKET_BYTES),
     "interim body": (
         b"HTTP/1.1 103 Hints\r\nContent-Length: 99999999999\r\n\r\n",
         bytes(PART_BYTES),
         SOCKET_BYTES,
+        ResponseFault.FRAMING,
     ),
     "after response": (
         b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + SEALED + b"\r\nx",
         bytes(PART_BYTES),
         SOCKET_BYTES,
+        ResponseFault.EXTRA_BYTES,
     ),
     "extra responses": (
         b"",
         (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + SEALED + b"\r\nx") * 600,
         SOCKET_BYTES,
+        ResponseFault.EXTRA_BYTES,
     ),
     "after 204": (
         b"HTTP/1.1 204 x\r\nContent-Length: 99999999999\r\n" + SEALED + b"\r\n",
         bytes(PART_BYTES),
         SOCKET_BYTES,
+        ResponseFault.EXTRA_BYTES,
+    ),
+    "after 304": (
+        b"HTTP/1.1 304 x\r\n" + SEALED + b"\r\n",
+        bytes(PART_BYTES),
+        SOCKET_BYTES,
+        ResponseFault.EXTRA_BYTES,
     ),
-    "after 304": (b"HTTP/1.1 304 x\r\n" + SEALED + b"\r\n", bytes(PART_BYTES), SOCKET_BYTES),
     "after an answer to HEAD": (
         b"HTTP/1.1 200 to HEAD\r\nContent-Length: 9\r\n" + SEALED + b"\r\n",
         bytes(PART_BYTES),
         SOCKET_BYTES,
+        ResponseFault.EXTRA_BYTES,
     ),
 }
 
@@ -156,9 +219,14 @@
 
     def __init__(self, server: RawServer, port: int, upstream: HttpUpstream) -> None:
         self.server = server
+        self.faults: list[ResponseFault] = []
         self._address = ServerAddress("i-1", HOST, port)
         self._upstream = upstream
 
+    def record_fault(self, address: str, port: int, fault: ResponseFault) -> None:
+        assert (address, port) == (self._address.address, self._address.port)
+        self.faults.append(fault)
+
     async def send(
         self, idempotent: bool = True, remaining_s: float = 10.0, method: str = "GET"
     ) -> Response:
@@ -186,7 +254,9 @@
     settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
     connections = ServerConnections(settings)
     connections_task = asyncio.create_task(connections.run())
-    yield UpstreamHarness(raw, port, HttpUpstream(connections))
+    harness = UpstreamHarness(raw, port, HttpUpstream(connections))
+    connections.observer = harness
+    yield harness
     # A stream that is collected after its event loop has closed raises in its finalizer, which
     # makes CPython 3.11 fail if it happens while a test parses source code.
     connections_task.cancel()
@@ -395,10 +465,17 @@
         ).result is AttemptResult.SENT_WITHOUT_ANSWER
 
     @pytest.mark.parametrize(
-        ("start", "endless_part", "most_bytes"), ENDLESS_BYTES.values(), ids=ENDLESS_BYTES.keys()
+        ("start", "endless_part", "most_bytes", "fault"),
+        ENDLESS_BYTES.values(),
+        ids=ENDLESS_BYTES.keys(),
     )
     async def test_endless_bytes_are_cut_off(
-        self, harness: UpstreamHarness, start: bytes, endless_part: bytes, most_bytes: int
+        self,
+        harness: UpstreamHarness,
+        start: bytes,
+        endless_part: bytes,
+        most_bytes: int,
+        fault: ResponseFault | None,
     ) -> None:
         """Guards against a server whose endless bytes take the memory or the time of the VM."""
         harness.server.answer, harness.server.after = start, "endless"
@@ -413,6 +490,7 @@
             await harness.server.wait_closed()
         assert harness.server.sent_bytes < ENDLESS_SERVERS * most_bytes
         assert longest_s < MAX_ITERATION_S
+        assert harness.faults == ([fault] * ENDLESS_SERVERS if fault else [])
 
     async def test_silent_server_times_out_before_the_caller(
         self, harness: UpstreamHarness
