--- a/src/briarfork/border/connector.py
+++ b/src/briarfork/border/connector.py
@@ -1,21 +1,48 @@
-"""aiohttp connector whose connections are opened by the event loop."""
+"""aiohttp connectors that bound what a server can send."""
 
 from __future__ import annotations
 
+import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
 import aiohttp
 
+from briarfork.border.responses import BoundedResponseHandler
+
 if TYPE_CHECKING:
-    import asyncio
+    from collections.abc import Callable
 
     from aiohappyeyeballs import AddrInfoType
     from aiohttp.client_proto import ResponseHandler
     from aiohttp.client_reqrep import ClientRequest
 
+    from briarfork.border.responses import ResponseFault
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Connector whose connections close at the first fault of a response."""
+
+    handler_class: type[BoundedResponseHandler] = BoundedResponseHandler
+
+    def __init__(
+        self, on_fault: Callable[[ResponseFault], None] | None = None, **options: Any
+    ) -> None:
+        """Creates a connector.
+
+        Args:
+            on_fault: Called with each fault of a response, also with bytes on an idle connection.
+            options: Options of aiohttp.
+        """
+        super().__init__(**options)
+        # aiohttp has no public way to set the protocol of its connections.
+        self._factory = partial(  # type: ignore[assignment]
+            self.handler_class, asyncio.get_running_loop(), on_fault
+        )
+
 
-class DirectConnector(aiohttp.TCPConnector):
+class DirectConnector(BoundedConnector):
     """Connector that lets the event loop create and connect its sockets.
 
     By default, aiohttp connects the socket itself and then passes it to the event loop. If the
--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -125,6 +125,9 @@
     RESPONSE_UNREAD = EventDefinition(
         5021, "info", "A caller did not read its response in time; its connection was closed."
     )
+    RESPONSE_FAULTY = EventDefinition(
+        5022, "warning", "A connection was closed because of the bytes that its server sent."
+    )
 
 
 class LogRateLimiter:
--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -10,20 +10,21 @@
 from enum import Enum
 from functools import partial
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 
 from briarfork.border.connector import DirectConnector
+from briarfork.border.responses import BoundedResponseHandler
 from briarfork.border.sending import build_send_trace
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
-    from aiohttp.client_reqrep import ClientRequest
     from aiohttp.connector import Connection
-    from aiohttp.tracing import Trace
 
+    from briarfork.border.responses import ResponseFault
     from briarfork.border.settings import Settings
     from briarfork.pools import ServerAddress
 
@@ -48,17 +49,19 @@
 PoolKey = tuple[str, int, ConnectionKind]
 
 
-class ServerProtocol(ResponseHandler):
+class ServerProtocol(BoundedResponseHandler):
     """Distinguishes a reset of the connection from an orderly close.
 
     If data and a reset arrive together, libuv reports the end of the stream instead of the reset;
     only the error of the socket shows the reset.
     """
 
-    __slots__ = ("was_reset",)
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        super().__init__(loop)
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_fault: Callable[[ResponseFault], None] | None = None,
+    ) -> None:
+        super().__init__(loop, on_fault)
         self.was_reset = False
 
     def eof_received(self) -> None:
@@ -74,34 +77,9 @@
 
 
 class ServerConnector(DirectConnector):
-    """Never reuses a kept connection that has received unrequested data.
+    """Opens connections to backend servers."""
 
-    aiohttp would take the data for the response to the next request.
-    """
-
-    def __init__(self, idle_s: float | None) -> None:
-        """Creates a connector.
-
-        Args:
-            idle_s: Longest idle time of a kept connection, None to keep no connections.
-        """
-        if idle_s is None:
-            super().__init__(limit=0, force_close=True)
-        else:
-            super().__init__(limit=0, keepalive_timeout=idle_s)
-        # aiohttp has no public way to set the protocol of its connections.
-        loop = asyncio.get_running_loop()
-        self._factory = partial(ServerProtocol, loop=loop)  # type: ignore[assignment]
-
-    async def connect(
-        self, req: ClientRequest, traces: list[Trace], timeout: aiohttp.ClientTimeout
-    ) -> Connection:
-        """Returns a connection without unread data."""
-        while True:
-            connection = await super().connect(req, traces, timeout)
-            if connection.protocol is None or not connection.protocol.should_close:
-                return connection
-            connection.close()
+    handler_class = ServerProtocol
 
 
 class ServerResponse(aiohttp.ClientResponse):
@@ -144,10 +122,22 @@
     in_use: int = 0
 
 
+class ResponseObserver(Protocol):
+    """Is told of faulty responses."""
+
+    def record_fault(self, address: str, port: int, fault: ResponseFault) -> None:
+        """Records that a connection to a server was closed because of what the server sent."""
+
+
 class ServerConnections:
-    """Connection pools of all backend servers, separate ones for each kind of connection."""
+    """Connection pools of all backend servers, separate ones for each kind of connection.
+
+    Attributes:
+        observer: Is told of each fault that closes a connection.
+    """
 
     def __init__(self, settings: Settings) -> None:
+        self.observer: ResponseObserver | None = None
         self._settings = settings
         self._pools: dict[PoolKey, ConnectionPool] = {}
         self._retired: list[ConnectionPool] = []
@@ -198,7 +188,7 @@
             if now - pool.opened_at < self._settings.timeouts.connection_age_s:
                 return pool
             self._retire(key)
-        pool = ConnectionPool(self._create_session(self._choose_idle_s(key[2])), now)
+        pool = ConnectionPool(self._create_session(key), now)
         self._pools[key] = pool
         return pool
 
@@ -225,10 +215,21 @@
             return None
         return min(NON_IDEMPOTENT_IDLE_S, age_s) if kind is ConnectionKind.RECENT else age_s
 
-    def _create_session(self, idle_s: float | None) -> aiohttp.ClientSession:
+    def _report_fault(self, address: str, port: int, fault: ResponseFault) -> None:
+        if self.observer is not None:
+            self.observer.record_fault(address, port, fault)
+
+    def _create_session(self, key: PoolKey) -> aiohttp.ClientSession:
+        address, port, kind = key
         timeouts = self._settings.timeouts
+        idle_s = self._choose_idle_s(kind)
+        on_fault = partial(self._report_fault, address, port)
+        if idle_s is None:
+            connector = ServerConnector(on_fault, limit=0, force_close=True)
+        else:
+            connector = ServerConnector(on_fault, limit=0, keepalive_timeout=idle_s)
         return aiohttp.ClientSession(
-            connector=ServerConnector(idle_s),
+            connector=connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=timeouts.connect_s),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client import generate_latest
 
 if TYPE_CHECKING:
+    from briarfork.border.responses import ResponseFault
     from briarfork.routing import Route
 
 # Histogram buckets in seconds: latency objectives are 0.2 to 3 s, timeouts up to 20 s.
@@ -59,6 +60,12 @@
             "Requests that a planned stop left without a whole response.",
             registry=self._registry,
         )
+        self._response_faults = Counter(
+            "briarfork_response_faults",
+            "Connections to backend servers closed because of the bytes that arrived.",
+            ["fault"],
+            registry=self._registry,
+        )
         self._waiting_requests = self._build_gauge(
             "waiting_requests", "Requests that wait for a slot here."
         )
@@ -117,6 +124,10 @@
         """Counts requests that were cut at the end of a planned stop."""
         self._cut_requests.inc(count)
 
+    def count_response_fault(self, fault: ResponseFault) -> None:
+        """Counts a connection that was closed because of what its server sent."""
+        self._response_faults.labels(fault.value).inc()
+
     def set_gauges(
         self, service: str, waiting: int, retry_budget: float, remote_share: float
     ) -> None:
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -21,6 +21,7 @@
 from briarfork.border.loop_monitor import LoopMonitor
 from briarfork.border.program import EXIT_STATUSES
 from briarfork.border.supervision import run_supervised
+from briarfork.entry.response_faults import ResponseFaultRecorder
 from briarfork.errors import BadSettings
 from briarfork.errors import BriarforkError
 from briarfork.gateway.dispatch import Dispatcher
@@ -166,7 +167,11 @@
         upstream = HttpUpstream(
             gateway.connections, self._settings.common.limits.response_memory_bytes
         )
-        return Dispatcher(gateway.view, gateway.permits, upstream, self._events)
+        dispatcher = Dispatcher(gateway.view, gateway.permits, upstream, self._events)
+        gateway.connections.observer = ResponseFaultRecorder(
+            self._events, gateway.permits, dispatcher.metrics.count_response_fault
+        )
+        return dispatcher
 
     async def _drain(self, servers: GatewayServers, registration: Registration) -> None:
         """Stops accepting callers and waits for requests in progress.
