End an attempt when the body of its response is malformed

Callers waited until their deadline and got status 504 although a second server could have answered, if a server sent a sound head and, in a later segment, a chunk that cannot be parsed.

The parser of the HTTP library forgets the body in which an error occurs. The library then closes the connection and sets the error for those who wait for a head, but nothing wakes the reader of the body. The attempt ends with its time-out, which also retires all connections to the server.

Evidence before the change (tests/platform/test_upstream.py -k malformed): FAILED test_malformed_body_ends_the_attempt_at_once[zz\r\n] FAILED test_malformed_body_ends_the_attempt_at_once[-1\r\n] FAILED test_malformed_body_ends_the_attempt_at_once[1\r\nxyz] FAILED test_malformed_body_ends_the_attempt_at_once[0\r\n:\x00\r\n\r\n] assert (1272.576413266 - 1270.473551804) < 0.5

The protocol of connections to servers now passes its error on to a body that is not complete.

--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import _EXC_SENTINEL
 
 from briarfork.border.connector import DirectConnector
 from briarfork.border.sending import build_send_trace
@@ -49,7 +50,7 @@
 
 
 class ServerProtocol(ResponseHandler):
-    """Distinguishes a reset of the connection from an orderly close.
+    """Reports each end of a connection to the reader of a response.
 
     If data and a reset arrive together, libuv reports the end of the stream instead of the reset;
     only the error of the socket shows the reset.
@@ -67,6 +68,16 @@
         if connection is not None:
             self.was_reset = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
 
+    def set_exception(self, exc: BaseException, exc_cause: BaseException = _EXC_SENTINEL) -> None:
+        """Ends the response, also if its body is being read.
+
+        aiohttp does not pass an error in the encoding of a body on to its reader, who would wait.
+        """
+        payload = self._payload
+        super().set_exception(exc, exc_cause)
+        if payload is not None and payload.exception() is None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"malformed body: {exc_cause}"))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Records a reset that the event loop reports."""
         self.was_reset = self.was_reset or exc is not None
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -45,12 +45,14 @@
 class RawServer:
     """Answers each request with the given bytes, then keeps, closes or resets the connection.
 
-    After "endless" it repeats `endless_part` until the caller closes the connection.
+    A `late_part` follows the answer in a segment of its own. After "endless" it repeats
+    `endless_part` until the caller closes the connection.
     """
 
     def __init__(self) -> None:
         self.answer = b""
         self.after = "keep"
+        self.late_part = b""
         self.endless_part = b""
         self.sent_bytes = 0
         self.caller_closed = asyncio.Event()
@@ -65,6 +67,9 @@
             self.heads.append(head)
             writer.write(self.answer)
             await writer.drain()
+            if self.late_part:
+                await asyncio.sleep(0.02)
+                writer.write(self.late_part)
             if self.after == "keep":
                 continue
             if self.after == "endless":
@@ -230,6 +235,18 @@
             response = runner.run(_fetch_from_blocking_server(reset=False))
         assert isinstance(response, Response)
 
+    @pytest.mark.parametrize("late_part", [b"zz\r\n", b"-1\r\n", b"1\r\nxyz", b"0\r\n:\0\r\n\r\n"])
+    async def test_malformed_body_ends_the_attempt_at_once(
+        self, harness: UpstreamHarness, late_part: bytes
+    ) -> None:
+        """Guards against an attempt that waits for its deadline after its connection has ended."""
+        harness.server.late_part = late_part
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + SEALED
+        started = time.monotonic()
+        failure = await harness.send_expecting_error(head + b"\r\n1\r\nx\r\n")
+        assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
+        assert time.monotonic() - started < 0.5
+
     async def test_body_shorter_than_its_length_is_incomplete(
         self, harness: UpstreamHarness
     ) -> None:
