Reject durations and priorities that no operator means

Callers without a deadline of their own would get status 500 for each request on a route whose time-out has hundreds of digits: it is read as infinite, and the deadline for the server cannot be computed (OverflowError in requests/deadline.py). A priority of more than 64 bits would fail in the same way when a slot is requested from another VM.

Such a record is invalid now: it is logged and the configuration in force stays.

--- a/src/briarfork/platform/configuration_record.py
+++ b/src/briarfork/platform/configuration_record.py
@@ -19,7 +19,8 @@
 from briarfork.routing import ServicePolicy
 from briarfork.routing import TrafficShare
 
-NonNegativeInt = Annotated[int, Meta(ge=0)]
+# Messages between VMs carry priorities, and they have no longer integers.
+Priority = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 PositiveInt = Annotated[int, Meta(ge=1)]
 Prefix = Annotated[str, Meta(pattern=r"^/(.*/)?$")]
 
@@ -63,7 +64,7 @@
     kind: RequestKind
     timeout: str
     slo: str
-    priority: NonNegativeInt = 0
+    priority: Priority = 0
     service: NonEmptyStr | None = None
     traffic_split: list[SplitRow] | None = None
     max_attempts: PositiveInt = 1
--- a/src/briarfork/platform/units.py
+++ b/src/briarfork/platform/units.py
@@ -5,7 +5,8 @@
 import re
 from typing import Final
 
-DURATION_PATTERN: Final = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
+# With hundreds of digits a duration would be infinite.
+DURATION_PATTERN: Final = re.compile(r"^(\d{1,12}(?:\.\d+)?)(ms|s)$")
 SECONDS_PER_UNIT: Final = {"ms": 0.001, "s": 1.0}
 
 
--- a/tests/platform/test_configuration_record.py
+++ b/tests/platform/test_configuration_record.py
@@ -70,6 +70,8 @@
             {"host": None},
             {"prefix": "/a"},
             {"timeout": "soon"},
+            {"timeout": "9" * 400 + "s"},
+            {"priority": 2**64},
             {"service": None},
             {"max_attempts": 0},
         ],
--- a/tests/platform/test_units.py
+++ b/tests/platform/test_units.py
@@ -8,7 +8,7 @@
 
 
 class TestDuration:
-    @pytest.mark.parametrize("text", ["", "5", "-1s", "1m", "1 s", "xs"])
+    @pytest.mark.parametrize("text", ["", "5", "-1s", "1m", "1 s", "xs", "9" * 400 + "s"])
     def test_malformed_duration_is_rejected(self, text: str) -> None:
         """Guards against reading a duration in another unit."""
         with pytest.raises(ValueError, match="expected a duration"):
