Let the soak's kept callers use a VM until it accepts no more connections

They left a VM with the first lookup that did not name it, so that few of their requests met the moment in which a stopping VM closes its connections. Callers may hold a lookup for three times its time to live; these callers now keep to their VM until it refuses a connection.

--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -36,8 +36,11 @@
     RequestProfile("file", "GET", True, (20, 200), 6.0),
 )
 PAUSE_PROBABILITY = 0.5
-# Pauses within a head, before a body and between two requests.
-PAUSE_S = (0.0, 0.4)
+# Pauses within a head and before a body.
+PAUSE_S = (0.0, 0.2)
+IDLE_S = (0.0, 0.2)
+# Some callers go to another VM after a request.
+CHANGE_PROBABILITY = 0.05
 # A small buffer leaves most of a response with the gateway while its caller reads slowly.
 RECEIVE_BUFFER_BYTES = 32_768
 READ_BYTES = 65_536
@@ -62,6 +65,8 @@
 class KeptCaller:
     """A caller that sends one request after another, on the same connection while it may.
 
+    It keeps to its VM, also while this stops, until the VM accepts no more connections.
+
     Attributes:
         environment: Environment of the soak.
         caller: Looks up the VMs.
@@ -73,40 +78,43 @@
     caller: Caller
     random: Random
     request_numbers: itertools.count[int]
+    _vm: str = field(default="", init=False)
     _connection: Connection | None = field(default=None, init=False)
 
     async def run(self, stop_event: asyncio.Event) -> None:
         """Sends requests until the event is set."""
         while not stop_event.is_set():
-            await self.caller.refresh_lookup()
             connection = await self._connect()
             if connection is not None:
                 await self._send(connection, self.random.choice(KEPT_PROFILES))
-            await asyncio.sleep(self.random.uniform(*PAUSE_S))
+            await asyncio.sleep(self.random.uniform(*IDLE_S))
+            if self.random.random() < CHANGE_PROBABILITY:
+                self._disconnect()
+                self._vm = ""
         self._disconnect()
 
     async def _connect(self) -> Connection | None:
-        """Returns the open connection, or a new one to a VM of the latest lookup."""
-        vms = self.caller.vms
-        if self._connection is not None and self._connection.vm in vms:
+        """Returns the open connection, or a new one; None if the VM accepts none."""
+        if self._connection is not None:
             return self._connection
-        self._disconnect()
-        if not vms:
-            return None
-        vm = self.random.choice(vms)
+        if not self._vm:
+            await self.caller.refresh_lookup()
+            if not self.caller.vms:
+                return None
+            self._vm = self.random.choice(self.caller.vms)
         connection = socket.socket()
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         connection.setblocking(False)
-        address = (self.environment.vms[vm].address, FRONT_PORT)
+        address = (self.environment.vms[self._vm].address, FRONT_PORT)
         try:
             async with asyncio.timeout(1.0):
                 await asyncio.get_running_loop().sock_connect(connection, address)
                 reader, writer = await asyncio.open_connection(sock=connection)
         except (OSError, TimeoutError):
             connection.close()
-            vms.remove(vm)
+            self._vm = ""
             return None
-        self._connection = Connection(vm, reader, writer)
+        self._connection = Connection(self._vm, reader, writer)
         return self._connection
 
     def _disconnect(self) -> None:
