--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -158,23 +158,31 @@
             f"{profile.method} {path} HTTP/1.1",
             f"Host: {HOST}",
             f"{names.ATTEMPT_ID}: {call.name}",
-            f"{names.DEADLINE_MS}: {int(profile.deadline_s * 1000)}",
             *([f"Content-Length: {len(body)}"] if body else []),
         ]
-        head = "\r\n".join([*lines, "", ""]).encode()
-        cut = self.random.randint(1, len(head) - 1)
-        for part in (head[:cut], head[cut:], body):
-            if part:
-                try:
-                    connection.writer.write(part)
-                    await connection.writer.drain()
-                except OSError:
-                    # The reader sees the end of the connection.
-                    return
-                if part is not body and self.random.random() < PAUSE_PROBABILITY:
-                    await asyncio.sleep(self.random.uniform(*PAUSE_S))
+        start = "\r\n".join([*lines, ""]).encode()
+        cut = self.random.randint(1, len(start) - 1)
+        try:
+            await self._write_part(connection, start[:cut])
+            # The first part has taken some of the time until the deadline.
+            remaining_s = call.sent_at + profile.deadline_s - time.monotonic()
+            end = f"{names.DEADLINE_MS}: {int(remaining_s * 1000)}\r\n\r\n".encode()
+            if body:
+                await self._write_part(connection, start[cut:] + end)
+            connection.writer.write(body or start[cut:] + end)
+            await connection.writer.drain()
+        except OSError:
+            # The reader sees the end of the connection.
+            return
         call.sent_whole_at = time.monotonic()
 
+    async def _write_part(self, connection: Connection, part: bytes) -> None:
+        """Writes a part of a request that has more parts, some of them after a pause."""
+        connection.writer.write(part)
+        await connection.writer.drain()
+        if self.random.random() < PAUSE_PROBABILITY:
+            await asyncio.sleep(self.random.uniform(*PAUSE_S))
+
     async def _read(self, connection: Connection, call: Call, path: str) -> bool:
         """Reads the answer and returns whether the connection may be kept.
 
