Open new connections to servers after all of them were closed

Callers would get status 500 for each request to a known server, until its pool reaches its maximum age, after the task that maintains the connections has failed: the task closes all sessions when it ends and is started again, but the closed sessions stayed in their pools (RuntimeError: Session is closed).

Evidence before the change (tests/platform/test_upstream.py): FAILED test_requests_are_sent_after_all_connections_were_closed RuntimeError: Session is closed

A close now removes the pools, so that the next request opens a new one.

Result: python -m pytest tests/platform/test_upstream.py, 47 passed.

--- a/src/briarfork/entry/connections.py
+++ b/src/briarfork/entry/connections.py
@@ -225,8 +225,11 @@
             await pool.session.close()
 
     async def close(self) -> None:
-        """Closes all connections."""
-        for pool in [*self._pools.values(), *self._retired]:
+        """Closes all connections; later requests open new ones."""
+        pools = [*self._pools.values(), *self._retired]
+        self._pools.clear()
+        self._retired.clear()
+        for pool in pools:
             await pool.session.close()
 
     def _choose_idle_s(self, kind: ConnectionKind) -> float | None:
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -107,10 +107,11 @@
 class UpstreamHarness:
     """An upstream and one raw server."""
 
-    def __init__(self, server: RawServer, port: int, upstream: HttpUpstream) -> None:
+    def __init__(self, server: RawServer, port: int, connections: ServerConnections) -> None:
         self.server = server
+        self.connections = connections
         self._address = ServerAddress("i-1", HOST, port)
-        self._upstream = upstream
+        self._upstream = HttpUpstream(connections, MEMORY_BYTES)
         self._responses: list[Response] = []
 
     async def send(self, idempotent: bool = True, remaining_s: float = 10.0) -> Response:
@@ -148,7 +149,7 @@
     settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
     connections = ServerConnections(settings)
     connections_task = asyncio.create_task(connections.run())
-    harness = UpstreamHarness(raw, port, HttpUpstream(connections, MEMORY_BYTES))
+    harness = UpstreamHarness(raw, port, connections)
     yield harness
     # However the attempts ended, only responses that were not released hold memory.
     harness.release_all()
@@ -459,6 +460,15 @@
         failure = await harness.send_expecting_error(head + SEALED + b"\r\n")
         assert failure.dropped is DropReason.TOO_LONG
 
+    async def test_requests_are_sent_after_all_connections_were_closed(
+        self, harness: UpstreamHarness
+    ) -> None:
+        """Guards against requests on closed sessions after the task of the connections failed."""
+        harness.server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + SEALED + b"\r\nx"
+        await harness.send()
+        await harness.connections.close()
+        assert b"".join((await harness.send()).body) == b"x"
+
     async def test_silent_server_times_out_before_the_caller(
         self, harness: UpstreamHarness
     ) -> None:
