Repeat a request after any failure to read a server's answer

Callers got status 500, without a repetition, whenever an answer of a server caused an exception that the list of expected ones did not hold.

Each exception while a request is sent or its answer read now ends only the attempt: an idempotent request is repeated, another one is answered 504 if it may have run.

--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -120,7 +120,10 @@
             raise AttemptError(
                 attempt.result, Release.FAILED, str(error), dropped=error.reason
             ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden, ValueError) as error:
+        except AttemptError:
+            raise
+        except Exception as error:
+            # Whatever the bytes of a server cause, the request can be repeated as after a reset.
             if body.lacks_memory:
                 raise AttemptError(
                     attempt.result,
--- a/tests/platform/test_odd_messages.py
+++ b/tests/platform/test_odd_messages.py
@@ -12,9 +12,12 @@
 from briarfork.border.events import EventLog
 from briarfork.entry.connections import ServerConnections
 from briarfork.gateway.dispatch import Dispatcher
+from briarfork.platform import upstream
 from briarfork.platform.callers import CallerConnection
 from briarfork.platform.callers import CallerRequestHandler
 from briarfork.platform.upstream import HttpUpstream
+from briarfork.pools import NO_REPORT
+from briarfork.pools import ServerReport
 from tests.gateway.harness import SETTINGS
 from tests.gateway.harness import build_gateway
 from tests.platform.test_repeated_answers import PermitsForOnePort
@@ -133,6 +136,22 @@
         harness.server.answer = ANSWER.replace(b"200 OK", line, 1)
         assert (await harness.send())[0] == 504
 
+    async def test_failure_to_read_an_answer_ends_only_the_attempt(
+        self, harness: OddMessageHarness, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a request that ends with its first attempt after an unforeseen fault."""
+        outcomes: list[Exception | ServerReport] = [RecursionError("odd"), NO_REPORT]
+
+        def read_report(response: object) -> ServerReport:
+            outcome = outcomes.pop(0)
+            if isinstance(outcome, Exception):
+                raise outcome
+            return outcome
+
+        monkeypatch.setattr(upstream, "_read_report", read_report)
+        assert (await harness.send())[0] == 200
+        assert len(harness.permits.released) == 2
+
     async def test_seal_with_control_characters_is_no_seal(
         self, harness: OddMessageHarness
     ) -> None:
