--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -11,7 +11,6 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-import aiohttp
 from yarl import URL
 
 from briarfork.border.settings import Limits
@@ -40,6 +39,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    import aiohttp
+
     from briarfork.entry.connections import ServerConnections
     from briarfork.gateway.request import BodyPart
     from briarfork.gateway.request import Request
@@ -120,7 +121,10 @@
             raise AttemptError(
                 attempt.result, Release.FAILED, str(error), dropped=error.reason
             ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError, SendForbidden, ValueError) as error:
+        except AttemptError:
+            raise
+        except Exception as error:
+            # Whatever the bytes of a server cause, the request can be repeated as after a reset.
             if body.lacks_memory:
                 raise AttemptError(
                     attempt.result,
--- a/tests/platform/test_upstream.py
+++ b/tests/platform/test_upstream.py
@@ -168,12 +168,14 @@
 class RawServer:
     """Answers each request with the given bytes, then keeps, closes or resets the connection.
 
-    After "endless" it repeats `endless_part` until the caller closes the connection.
+    A `late_part` follows the answer in a segment of its own. After "endless" it repeats
+    `endless_part` until the caller closes the connection.
     """
 
     def __init__(self) -> None:
         self.answer = b""
         self.after = "keep"
+        self.late_part = b""
         self.endless_part = b""
         self.sent_bytes = 0
         self.heads: list[bytes] = []
@@ -188,6 +190,9 @@
             writer.write(self.answer)
             with suppress(ConnectionError):
                 await writer.drain()
+            if self.late_part:
+                await asyncio.sleep(0.02)
+                writer.write(self.late_part)
             if self.after == "keep":
                 continue
             if self.after == "endless":
@@ -224,11 +229,12 @@
 class UpstreamHarness:
     """An upstream and one raw server."""
 
-    def __init__(self, server: RawServer, port: int, upstream: HttpUpstream) -> None:
+    def __init__(self, server: RawServer, port: int, connections: ServerConnections) -> None:
         self.server = server
         self.faults: list[ResponseFault] = []
+        self.connections = connections
         self._address = ServerAddress("i-1", HOST, port)
-        self._upstream = upstream
+        self._upstream = HttpUpstream(connections, MEMORY_BYTES)
         self._responses: list[Response] = []
 
     def record_fault(self, address: str, port: int, fault: ResponseFault) -> None:
@@ -272,7 +278,7 @@
     settings = Settings("vm", "a", HOST, "http://127.0.0.1:1", "http://127.0.0.1:1")
     connections = ServerConnections(settings)
     connections_task = asyncio.create_task(connections.run())
-    harness = UpstreamHarness(raw, port, HttpUpstream(connections, MEMORY_BYTES))
+    harness = UpstreamHarness(raw, port, connections)
     connections.observer = harness
     yield harness
     # However the attempts ended, only responses that were not released hold memory.
@@ -370,6 +376,18 @@
             response = runner.run(_fetch_from_blocking_server(reset=False))
         assert isinstance(response, Response)
 
+    @pytest.mark.parametrize("late_part", [b"zz\r\n", b"-1\r\n", b"1\r\nxyz", b"0\r\n:\0\r\n\r\n"])
+    async def test_malformed_body_ends_the_attempt_at_once(
+        self, harness: UpstreamHarness, late_part: bytes
+    ) -> None:
+        """Guards against an attempt that waits for its deadline after its connection has ended."""
+        harness.server.late_part = late_part
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + SEALED
+        started = time.monotonic()
+        failure = await harness.send_expecting_error(head + b"\r\n1\r\nx\r\n")
+        assert failure.result is AttemptResult.SENT_WITHOUT_ANSWER
+        assert time.monotonic() - started < 0.5
+
     async def test_body_shorter_than_its_length_is_incomplete(
         self, harness: UpstreamHarness
     ) -> None:
@@ -588,6 +606,15 @@
         failure = await harness.send_expecting_error(head + SEALED + b"\r\n")
         assert failure.dropped is DropReason.TOO_LONG
 
+    async def test_requests_are_sent_after_all_connections_were_closed(
+        self, harness: UpstreamHarness
+    ) -> None:
+        """Guards against requests on closed sessions after the task of the connections failed."""
+        harness.server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + SEALED + b"\r\nx"
+        await harness.send()
+        await harness.connections.close()
+        assert b"".join((await harness.send()).body) == b"x"
+
     async def test_silent_server_times_out_before_the_caller(
         self, harness: UpstreamHarness
     ) -> None:
