Drop a large error response before a retry

An error response (500) was kept while the request waited for the memory of its retry's response.

An error response of more than 4 KB, which counts against the shares, is dropped before a retry. Without a retry, or if the retry's response is an error too, one is passed on as before; if the retry brings no response, the outcome is unknown (504) in place of 500.

Evidence: test_large_error_response_is_dropped_before_a_retry fails without the change of src (OutcomeUnknown not raised: the response was kept) and passes with it.

--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -14,6 +14,7 @@
 from briarfork.pools import Release
 from briarfork.requests import AttemptResult
 from briarfork.requests import HedgeBudget
+from briarfork.requests.response_memory import SMALL_RESPONSE_BYTES
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
@@ -134,6 +135,17 @@
     slot_wait_s: float = 0.0
     detail: str = ""
 
+    def drop_large_error_response(self) -> None:
+        """Frees the memory of an error response before a retry.
+
+        Requests that hold a response and wait for memory for another one would wait for each other.
+        """
+        response = self.error_response
+        if response is not None and sum(map(len, response.body)) > SMALL_RESPONSE_BYTES:
+            self.error_response = None
+            self.responses.remove(response)
+            response.release()
+
     def release_responses(self, passed_on: Response | None) -> None:
         """Frees the memory of all responses but the one that is passed on to the caller."""
         for response in self.responses:
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -257,6 +257,7 @@
         failed = FailedAttempt(failure.result, progress.route.kind.is_idempotent, replayable=True)
         progress.may_have_run = progress.may_have_run or failed.may_have_run
         if failed.may_retry() and self._may_retry(progress, failure.result):
+            progress.drop_large_error_response()
             return None
         if progress.error_response is not None:
             return progress.error_response
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -20,6 +20,7 @@
 from briarfork.gateway.view import GatewayView
 from briarfork.pools import Release
 from briarfork.requests.budget import HEDGE_RATIO
+from briarfork.requests.response_memory import SMALL_RESPONSE_BYTES
 from briarfork.routing import RequestKind
 from tests.gateway.harness import LOCATION
 from tests.gateway.harness import REFUSED
@@ -127,6 +128,19 @@
         assert await harness.send() == responses[1]
         assert released == [500]
 
+    async def test_large_error_response_is_dropped_before_a_retry(self) -> None:
+        """Guards against requests that wait for the memory of each other's error responses."""
+        released: list[int] = []
+        body = (bytes(SMALL_RESPONSE_BYTES + 1),)
+        error_response = Response(500, (), body, release=partial(released.append, 500))
+        harness = DispatchHarness(error_response, UNANSWERED)
+        with pytest.raises(OutcomeUnknown):
+            await harness.send()
+        assert released == [500]
+        # Without a retry, it is passed on.
+        harness = DispatchHarness(error_response, kind=NON_IDEMPOTENT)
+        assert await harness.send() == error_response
+
     async def test_retries_are_limited_by_the_budget(self) -> None:
         """Guards against retry storms: servers refuse every request, and retries stay in budget."""
         harness = DispatchHarness(*[REFUSED] * 200, slots=200)
