--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -67,6 +67,11 @@
         sys.exit(1)
 
 
+def ignore_signals() -> None:
+    """Ignores further signals; the event loop restores their default actions when it closes."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGINT, signal.SIGTERM})
+
+
 def _read_settings() -> PlatformSettings:
     parser = argparse.ArgumentParser(
         prog=PROGRAM,
@@ -137,6 +142,7 @@
                 await self._drain(servers, registration)
                 for task in tasks:
                     task.cancel()
+        ignore_signals()
         self._events.record(Event.STOPPED)
 
     def _request_stop(self) -> None:
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -33,6 +33,19 @@
 pathlib.Path(__file__).with_name("importing").touch()
 time.sleep(60.0)
 """
+# A program that gets a signal after its event loop has closed.
+LATE_SIGNAL = """
+import asyncio, os, signal, uvloop
+from briarfork.platform.main import ignore_signals
+
+async def run():
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, print)
+    ignore_signals()
+
+with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    runner.run(run())
+os.kill(os.getpid(), signal.SIGHUP)
+"""
 
 
 @pytest.fixture
@@ -101,3 +114,11 @@
         assert b"Connection: close" in answer
         assert b'"stopped"' in log
         assert b"requests_cut" not in log
+
+
+class TestEnd:
+    def test_signal_after_a_planned_stop_does_not_fail_the_process(self) -> None:
+        """Guards against an exit status of a signal that arrives after the last response."""
+        environment = {"PYTHONPATH": str(SCRIPT.parent)}
+        ended = subprocess.run([sys.executable, "-c", LATE_SIGNAL], env=environment, timeout=30.0)
+        assert ended.returncode == 0
