--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -54,6 +54,11 @@
             "Memory that responses hold or have reserved.",
             registry=self._registry,
         )
+        self._cut_requests = Counter(
+            "briarfork_cut_requests",
+            "Requests that a planned stop left without a whole response.",
+            registry=self._registry,
+        )
         self._waiting_requests = self._build_gauge(
             "waiting_requests", "Requests that wait for a slot here."
         )
@@ -108,6 +113,10 @@
         """Sets the gauge for the memory of responses."""
         self._response_bytes.set(size_bytes)
 
+    def count_cut_requests(self, count: int) -> None:
+        """Counts requests that were cut at the end of a planned stop."""
+        self._cut_requests.inc(count)
+
     def set_gauges(
         self, service: str, waiting: int, retry_budget: float, remote_share: float
     ) -> None:
