Use one table of endless answers in the soak and the tests of a process

Both had their own heads and parts for the same kinds of answers. The soak now takes them from tests/standins/endless.py, which gets its kind of responses to another request.

--- a/tests/soak/extra_faults.py
+++ b/tests/soak/extra_faults.py
@@ -32,14 +32,15 @@
 async def inject_endless_answers(environment: SoakEnvironment, random: Random) -> str:
     """Lets a server send bytes that are no answer, or no end of one."""
     endpoint = choose_endpoint(environment, random)
-    mode = random.choice(list(ENDLESS_ANSWERS.names()))
-    interval = environment.ledger.start_fault(endpoint.backend.name, mode, time.monotonic())
+    mode = random.choice(ENDLESS_ANSWERS)
+    fault = f"endless {mode}"
+    interval = environment.ledger.start_fault(endpoint.backend.name, fault, time.monotonic())
     backend = endpoint.backend
     backend.endless = mode
     await asyncio.sleep(draw_duration_s(random))
     backend.endless = ""
     end_interval(interval)
-    return f"{backend.name} {mode}"
+    return f"{backend.name} {fault}"
 
 
 @EXTRA_FAULTS.register("signals in a row")
--- a/tests/standins/endless.py
+++ b/tests/standins/endless.py
@@ -72,6 +72,12 @@
     return whole, whole * (PART_BYTES // len(whole))
 
 
+@BEHAVIOURS.register("responses to another request")
+def send_foreign_responses(request_id: str) -> tuple[bytes, bytes]:
+    whole = build_whole(f"not-{request_id}", b"whole")
+    return b"", whole * (PART_BYTES // len(whole))
+
+
 @BEHAVIOURS.register("sound")
 def send_sound_response(request_id: str) -> tuple[bytes, bytes]:
     return build_whole(request_id, b"whole"), b""
