--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -140,6 +140,8 @@
         try:
             async with asyncio.timeout(profile.deadline_s):
                 may_keep = await self._read(connection, call, path)
+        except ConnectionResetError:
+            call.was_reset = True
         except (NoAnswer, OSError, TimeoutError):
             pass
         call.ended_at = time.monotonic()
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -48,6 +48,7 @@
         abandoned: Whether the caller closed the connection before the response.
         reused: Whether the caller had sent a request to this VM before.
         keeps_connection: Whether the caller repeats no request on its own.
+        was_reset: Whether the connection was reset, as it is if some bytes have not been read.
         sent_whole_at: Monotonic time at which the last byte was sent, if the caller knows it.
         ended_at: Monotonic time at which the call ended.
     """
@@ -63,6 +64,7 @@
     abandoned: bool = False
     reused: bool = False
     keeps_connection: bool = False
+    was_reset: bool = False
     sent_whole_at: float = math.inf
     ended_at: float = math.inf
 
