Serve a caller's next request only when it reads, and close unfinished heads

A connection now waits after each response while its send buffer is full, for 15 s at most. - A partly read head that outlived the idle timer, or arrived while an earlier request ran longer than the header timeout, kept its connection open for ever: neither timer was set again. Both are now.

test_requests_wait_while_responses_are_not_read failed before: 300 requests served, bound 150. test_unfinished_head_is_not_kept_for_ever has no timer to wait for on the code before. tests/border, test_bodies, test_stops, test_callers and test_program pass.

--- a/src/briarfork/border/graceful_server.py
+++ b/src/briarfork/border/graceful_server.py
@@ -21,6 +21,11 @@
 # How long input is discarded after the last response of a connection. An earlier close would reset
 # the connection if the peer goes on sending, and the peer could lose the response.
 LINGER_S = 2.0
+# Longest time in which the peer leaves a whole send buffer unread; until then no further request of
+# its connection is served.
+UNREAD_RESPONSE_S = 15.0
+# Further time for a partly read head when its connection has been idle for too long.
+PARTIAL_HEAD_S = 3.0
 # Longest request line and headers together. The HTTP library bounds each line and their number,
 # which allows 2 MB for each connection.
 MAX_HEAD_BYTES = 65536
@@ -103,6 +108,7 @@
         resp, is_lost = await super().finish_response(request, resp, start_time)
         self._note_parsed(count)
         self._answered_count += 1
+        await self._wait_until_read()
         if not is_lost and not resp.keep_alive and not self._is_in_body:
             self._end()
             # The HTTP library closes the connection on return.
@@ -119,7 +125,9 @@
     def _process_keepalive(self) -> None:
         """Closes the connection if it has been idle for too long."""
         if self._has_partial_head:
-            self._keepalive_handle = None
+            self._keepalive_handle = self._loop.call_later(
+                PARTIAL_HEAD_S, super()._process_keepalive
+            )
             return
         super()._process_keepalive()
 
@@ -135,6 +143,17 @@
             self._has_partial_head = False
             self._head_bytes = 0
 
+    async def _wait_until_read(self) -> None:
+        """Waits while the send buffer is full; the peer could fill the memory with requests."""
+        try:
+            async with asyncio.timeout(UNREAD_RESPONSE_S):
+                await self._drain_helper()
+        except ConnectionError:
+            return
+        except TimeoutError:
+            if self.transport is not None:
+                self.transport.abort()
+
     def _reject_head(self) -> None:
         """Answers a head that is too long, as the HTTP library answers one it cannot parse."""
         error = LineTooLong(b"head", self._max_head_bytes)
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -185,8 +185,12 @@
 
     def _close_slow_caller(self) -> None:
         self._header_timer = None
-        if self._has_partial_head and not self.has_unanswered_request:
-            self.force_close()
+        if not self._has_partial_head:
+            return
+        if self.has_unanswered_request:
+            self._header_timer = self._loop.call_later(self._header_s, self._close_slow_caller)
+            return
+        self.force_close()
 
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None:
