Parse no more than a part of a response when its reader resumes

A reader that takes bytes from a paused connection makes aiohttp resume it, which parsed 64 more chunks at once; the reader then found bytes again and never let go of the event loop, so a whole response was parsed in one iteration.

What is left is parsed in the next iteration now.

--- a/src/briarfork/border/responses.py
+++ b/src/briarfork/border/responses.py
@@ -96,6 +96,7 @@
         # Bytes that were received, those before the position have been parsed.
         self._received = b""
         self._position = 0
+        self._is_parsing_scheduled = False
 
     @property
     def should_close(self) -> bool:
@@ -111,8 +112,11 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes, or more of the earlier ones if there are no new ones."""
         if not data:
-            # The parser keeps what it had when the reader of the body fell behind.
+            # The parser keeps what it had when the reader of the body fell behind. The rest waits
+            # for the next iteration, or a reader that resumes would never let go of the event loop.
             super().data_received(data)
+            self._schedule_parsing()
+            return
         if self._received:
             data = self._received[self._position :] + data
         self._received, self._position = data, 0
@@ -143,7 +147,7 @@
         parts = 0
         while self._can_parse():
             if parts >= PARTS_PER_ITERATION:
-                self._loop.call_soon(self._resume_parsing)
+                self._schedule_parsing()
                 break
             parts += PARTS_PER_ITERATION if self._framing.is_chunked else 1
             self._parse_part()
@@ -164,7 +168,13 @@
         # After a pause the parser may hold the end of the body until the body is read.
         return not self._framing.ended or self._body.is_eof()
 
+    def _schedule_parsing(self) -> None:
+        if not self._is_parsing_scheduled:
+            self._is_parsing_scheduled = True
+            self._loop.call_soon(self._resume_parsing)
+
     def _resume_parsing(self) -> None:
+        self._is_parsing_scheduled = False
         if self.transport is None:
             self._discard_received()
         else:
