Add the interfaces for workspaces, quotas and shared slots

Cause: nothing knows whose request it handles.

Change: package workspaces, Request.credential, Route.public, RouteTable.workspaces, the admission step before slots, and workspace and weight on requests for slots. A configuration does not set them yet, so nothing changes for callers.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -219,7 +219,12 @@
 
 @MESSAGES.register("permit_request")
 class PermitRequest(Message, frozen=True):
-    """Requests a permit from the owner of a site's slots."""
+    """Requests a permit from the owner of a site's slots.
+
+    Attributes:
+        workspace: Workspace of the caller, empty if it has none.
+        weight: Weight of the workspace among those that share the slots.
+    """
 
     name = "permit_request"
     permit: str
@@ -231,6 +236,8 @@
     hedge: bool = False
     priority: int = 0
     object_key: str = ""
+    workspace: str = ""
+    weight: Annotated[float, Meta(gt=0)] = 1.0
 
 
 @MESSAGES.register("permit_grant")
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -240,6 +240,8 @@
             hedge=slot_request.hedge,
             priority=slot_request.priority,
             object_key=slot_request.object_key,
+            workspace=slot_request.workspace,
+            weight=slot_request.weight,
         )
         decision = await self._ensure_link(owner).request_permit(message, wait_s)
         if isinstance(decision, PermitGrant):
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -320,6 +320,8 @@
         priority=message.priority,
         object_key=message.object_key,
         asked_at=time.monotonic(),
+        workspace=message.workspace,
+        weight=message.weight,
     )
 
     def send_decision(decision: Grant | Refusal) -> None:
--- /dev/null
+++ b/src/briarfork/gateway/admission.py
@@ -0,0 +1,108 @@
+"""Decides who may send a request, before a slot is looked for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from briarfork.errors import ErrorKind
+from briarfork.errors import NotRun
+
+if TYPE_CHECKING:
+    from briarfork.gateway.request import Request
+    from briarfork.gateway.view import GatewayView
+    from briarfork.routing import Route
+    from briarfork.workspaces import Workspace
+
+
+class Credit(Protocol):
+    """The right to send one request within a quota."""
+
+    def give_back(self) -> None:
+        """Returns the credit of a request that no server has run; further calls do nothing."""
+
+
+class QuotaGate(Protocol):
+    """Grants credit within the quotas of workspaces."""
+
+    async def acquire(self, workspace: Workspace) -> Credit:
+        """Returns credit for one request.
+
+        Raises:
+            NotRun: If the quota is used up, or nothing is known of it in time.
+        """
+
+
+@dataclass(slots=True)
+class Admitted:
+    """A request that may be sent.
+
+    Attributes:
+        route: The route, with the priority and the regions of the workspace.
+        workspace: Workspace of the caller, None if it has none.
+        credit: Credit of the workspace's quota, None if it has no quota.
+    """
+
+    route: Route
+    workspace: Workspace | None = None
+    credit: Credit | None = field(default=None, repr=False)
+
+    def refund(self) -> None:
+        """Gives the credit back; to be called if no server may have run the request."""
+        if self.credit is not None:
+            self.credit.give_back()
+            self.credit = None
+
+
+class Admission:
+    """Checks the key of a request and the quota of its workspace."""
+
+    def __init__(self, view: GatewayView, quotas: QuotaGate | None = None) -> None:
+        self._view = view
+        self._quotas = quotas
+
+    async def admit(self, request: Request, route: Route) -> Admitted:
+        """Returns what a request is admitted as.
+
+        Raises:
+            NotRun: If the key is unknown or missing, or the quota does not admit the request.
+        """
+        workspace = self.find_workspace(request, route)
+        if workspace is None:
+            return Admitted(route)
+        admitted = Admitted(restrict_route(route, workspace), workspace)
+        if workspace.has_quota and self._quotas is not None:
+            admitted.credit = await self._quotas.acquire(workspace)
+        return admitted
+
+    def find_workspace(self, request: Request, route: Route) -> Workspace | None:
+        """Returns the workspace that holds the key of a request in the current configuration.
+
+        Raises:
+            NotRun: If the route needs a key and the request has none or an unknown one.
+        """
+        workspaces = self._view.require_route_table().workspaces
+        if workspaces is None:
+            return None
+        workspace = workspaces.find(request.credential) if request.credential else None
+        if workspace is None and not route.public:
+            raise NotRun(ErrorKind.UNAUTHORIZED, "the key is missing or unknown")
+        return workspace
+
+
+def restrict_route(route: Route, workspace: Workspace) -> Route:
+    """Returns the route with the priority of the workspace, in the regions that both allow.
+
+    Raises:
+        NotRun: If there is no region that both allow.
+    """
+    regions = route.regions or workspace.regions
+    if route.regions and workspace.regions:
+        regions = route.regions & workspace.regions
+        if not regions:
+            raise NotRun(ErrorKind.NO_SERVER, "no region is allowed for route and workspace")
+    priority = route.priority if workspace.priority is None else workspace.priority
+    return replace(route, priority=priority, regions=regions)
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
     from briarfork.entry.overflow import Permit
+    from briarfork.gateway.admission import Admitted
     from briarfork.gateway.metrics import GatewayMetrics
     from briarfork.gateway.permits import GatewayPermits
     from briarfork.gateway.request import Request
@@ -110,6 +111,7 @@
         unsent_attempts: Number of attempts that reached no server.
         unproven_attempts: Number of attempts that may have run: those in progress, and those that
             ended without proof that the server did not run the request.
+        admitted: What the request was admitted as, None before the decision.
         error_response: The last response with a server error.
         responses: All responses so far.
         body_bytes: Length of the request body.
@@ -128,6 +130,7 @@
     sent_attempts: int = 0
     unsent_attempts: int = 0
     unproven_attempts: int = 0
+    admitted: Admitted | None = None
     error_response: Response | None = None
     responses: list[Response] = field(default_factory=list)
     body_bytes: int = 0
@@ -141,6 +144,16 @@
         """Whether a server may have run the request."""
         return self.unproven_attempts > 0
 
+    def admit(self, admitted: Admitted) -> None:
+        """Records what the request was admitted as; its route may be a restricted one."""
+        self.admitted = admitted
+        self.route = admitted.route
+
+    def refund_unused(self) -> None:
+        """Gives the credit of the quota back if no server may have run the request."""
+        if self.admitted is not None and not self.may_have_run:
+            self.admitted.refund()
+
     def drop_large_error_response(self) -> None:
         """Frees the memory of an error response before a retry.
 
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.errors import OutcomeUnknown
+from briarfork.gateway.admission import Admission
 from briarfork.gateway.attempts import AttemptError
 from briarfork.gateway.attempts import AttemptRunner
 from briarfork.gateway.attempts import Progress
@@ -32,6 +33,7 @@
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
     from briarfork.entry.overflow import Permit
+    from briarfork.gateway.admission import QuotaGate
     from briarfork.gateway.attempts import Upstream
     from briarfork.gateway.bodies import BodySource
     from briarfork.gateway.permits import GatewayPermits
@@ -55,9 +57,15 @@
     """Acquires a slot for each request and retries failed attempts where that is safe."""
 
     def __init__(
-        self, view: GatewayView, permits: GatewayPermits, upstream: Upstream, events: EventLog
+        self,
+        view: GatewayView,
+        permits: GatewayPermits,
+        upstream: Upstream,
+        events: EventLog,
+        quotas: QuotaGate | None = None,
     ) -> None:
         self._view = view
+        self._admission = Admission(view, quotas)
         self._permits = permits
         self._events = events
         self.metrics = GatewayMetrics()
@@ -85,6 +93,7 @@
         outcome = "cancelled"
         response = None
         try:
+            progress.admit(await self._admission.admit(request, route))
             response = await self._run_until_broken_off(request, progress, source)
             outcome = "answered"
             return response
@@ -93,6 +102,7 @@
             raise
         finally:
             progress.release_responses(response)
+            progress.refund_unused()
             self._finish(request, progress, outcome)
 
     def break_off(self) -> None:
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from briarfork.pools import NO_REPORT
@@ -28,6 +29,7 @@
         object_key: Key of the object that the request concerns, empty if unknown.
         caller_timeout_s: How long the caller waits, None if it did not say.
         respond_by: Monotonic time after which a response no longer reaches the caller.
+        credential: The caller's key, empty if there is none. It never leaves this VM.
     """
 
     request_id: str
@@ -39,6 +41,7 @@
     object_key: str = ""
     caller_timeout_s: float | None = None
     respond_by: float = math.inf
+    credential: str = field(default="", repr=False)
 
     @property
     def path(self) -> str:
--- a/src/briarfork/pools/permit.py
+++ b/src/briarfork/pools/permit.py
@@ -51,6 +51,8 @@
         priority: Priority among waiting requests; 0 is the most urgent.
         object_key: Key of the object that the request concerns, empty if unknown.
         asked_at: Time at which the owner of the slots received the request, in seconds.
+        workspace: Workspace of the caller, empty if it has none.
+        weight: Weight of the workspace among those that share the slots.
     """
 
     permit: str
@@ -62,6 +64,8 @@
     priority: int = 0
     object_key: str = ""
     asked_at: float = 0.0
+    workspace: str = ""
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarfork/routing/route.py
+++ b/src/briarfork/routing/route.py
@@ -41,6 +41,7 @@
         max_attempts: Maximum number of servers that one request may be sent to.
         sticky: Whether requests for an object prefer the same servers, which cache its data.
         regions: The only regions in which requests may run; empty allows all.
+        public: Whether requests need no key of a workspace.
     """
 
     name: str
@@ -54,6 +55,7 @@
     max_attempts: int
     sticky: bool = False
     regions: frozenset[str] = frozenset()
+    public: bool = False
 
     def allows_region(self, region: str) -> bool:
         """Returns whether requests may run in a region."""
--- a/src/briarfork/routing/table.py
+++ b/src/briarfork/routing/table.py
@@ -10,6 +10,7 @@
 
     from briarfork.routing.route import Route
     from briarfork.routing.route import ServicePolicy
+    from briarfork.workspaces import WorkspaceDirectory
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +31,11 @@
 
 
 class RouteTable:
-    """Finds the route of a request by host and longest prefix."""
+    """Finds the route of a request by host and longest prefix.
+
+    Attributes:
+        workspaces: Workspaces by key, None if the configuration has none.
+    """
 
     def __init__(
         self,
@@ -38,10 +43,12 @@
         routes: Iterable[Route],
         services: Iterable[ServicePolicy],
         limits: CallerLimits,
+        workspaces: WorkspaceDirectory | None = None,
     ) -> None:
         self.version = version
         self.services = {service.name: service for service in services}
         self.limits = limits
+        self.workspaces = workspaces
         self._routes: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._routes.setdefault(route.host, {})[route.prefix] = route
--- /dev/null
+++ b/src/briarfork/workspaces/directory.py
@@ -0,0 +1,48 @@
+"""Finds the workspace of a caller's key."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from briarfork.workspaces.workspace import Workspace
+
+
+class WorkspaceDirectory:
+    """The workspaces of one version of the configuration, with digests of their keys.
+
+    Example:
+        >>> from briarfork.workspaces.workspace import Workspace
+        >>> directory = WorkspaceDirectory({"k-1": Workspace("acme")})
+        >>> directory.find("k-1").name, directory.find("k-2")
+        ('acme', None)
+    """
+
+    def __init__(self, workspaces: Mapping[str, Workspace]) -> None:
+        """Creates a directory.
+
+        Args:
+            workspaces: Workspaces by key.
+        """
+        self._by_digest = {_digest(key): workspace for key, workspace in workspaces.items()}
+
+    def find(self, key: str) -> Workspace | None:
+        """Returns the workspace that holds a key, or None."""
+        digest = _digest(key)
+        found = None
+        for known in self._list_candidates(digest):
+            if hmac.compare_digest(known, digest):
+                found = self._by_digest[known]
+        return found
+
+    def _list_candidates(self, digest: bytes) -> Iterable[bytes]:
+        return (digest,) if digest in self._by_digest else ()
+
+
+def _digest(key: str) -> bytes:
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).digest()
