Keep the limit of a server in the shares of its slots

Cause: LocalShares.release passed no report on, so PermitQueue.release took each response for one that names no limit. The next request made a new limiter with two free requests. With 12 VMs in a zone the free requests alone are 24.

Change: a share keeps its part of the limit that this VM knows, and starts with a fraction of a request that differs between VMs.

--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -15,6 +15,7 @@
 from briarfork.pools import LocalPool
 from briarfork.pools import PermitQueue
 from briarfork.pools import Refusal
+from briarfork.pools import ServerReport
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -122,11 +123,20 @@
             raise NotRun(ErrorKind.OVERLOADED, decision.reason)
         return decision.server
 
-    def release(self, key: SlotKey, permit: str, how: Release, elapsed_s: float) -> None:
-        """Returns a permit of the share."""
+    def release(
+        self, key: SlotKey, permit: str, server: str, how: Release, elapsed_s: float
+    ) -> None:
+        """Returns a permit of the share.
+
+        The server's limit stays the share of what this VM knows: a report would set it to the limit
+        for all VMs, and a missing one would end it.
+        """
         now = time.monotonic()
-        self._queues[key].release(permit, how, elapsed_s, now)
-        self._resolve_futures(self._queues[key].poll(now))
+        queue = self._queues[key]
+        self._limit_share(queue, server, now)
+        report = ServerReport(limit_per_s=self._compute_limit(server))
+        queue.release(permit, how, elapsed_s, now, report)
+        self._resolve_futures(queue.poll(now))
 
     def _refresh_queue(self, key: SlotKey, held: Counter[str]) -> PermitQueue:
         service, site = key
@@ -141,7 +151,7 @@
         queue.set_capacity(capacity, mixed)
         servers = self._view.list_servers(service, site)
         queue.set_servers(servers)
-        sharers = sorted({member.vm for member in self._view.list_zone_entries(local_zone)})
+        sharers = self._list_sharers()
         share = divide_slots(
             sorted(server.name for server in servers),
             capacity.slots,
@@ -151,9 +161,24 @@
         queue.set_shares({vm: max(0, slots - held[vm]) for vm, slots in share.items()})
         now = time.monotonic()
         for vm in share:
-            queue.limit_rate(vm, self._view.find_limit(vm) / len(sharers), now)
+            self._limit_share(queue, vm, now)
         return queue
 
+    def _limit_share(self, queue: PermitQueue, server: str, now: float) -> None:
+        sharers = self._list_sharers()
+        own = self._view.settings.vm
+        phase = sharers.index(own) / len(sharers) if own in sharers else 0.0
+        queue.limit_rate(server, self._compute_limit(server), now, share_phase=phase)
+
+    def _compute_limit(self, server: str) -> float:
+        """Returns this VM's share of a server's limit in requests per second."""
+        return self._view.find_limit(server) / max(1, len(self._list_sharers()))
+
+    def _list_sharers(self) -> list[str]:
+        """Returns the names of the VMs that share the slots of this zone, in order."""
+        entries = self._view.list_zone_entries(self._view.settings.zone)
+        return sorted({member.vm for member in entries})
+
     def _resolve_futures(self, decisions: list[Grant | Refusal]) -> None:
         for decision in decisions:
             future = self._futures.get(decision.request.permit)
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -124,7 +124,9 @@
         # The owner may have changed since the permit was granted.
         permit = self._held.pop(permit.name, permit)
         if permit.owner == LOCAL_SHARE:
-            self._local_shares.release(permit.key, permit.name, outcome, elapsed_s)
+            self._local_shares.release(
+                permit.key, permit.name, permit.server.name, outcome, elapsed_s
+            )
         elif permit.owner == self._requester.vm:
             self._slot_manager.release(permit.key, permit.name, outcome, elapsed_s, report)
         elif permit.owner in self._links:
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -175,10 +175,12 @@
         active = (server for server in self._servers.values() if not server.leaving)
         return wait_s / max(1.0, sum(server.count_effective_slots(run_s) for server in active))
 
-    def limit_rate(self, name: str, per_s: float, now: float) -> None:
+    def limit_rate(
+        self, name: str, per_s: float, now: float, *, share_phase: float | None = None
+    ) -> None:
         """Sets how many requests per second a server accepts, infinite for no limit."""
         if name in self._servers:
-            self._servers[name].limit_rate(per_s, now)
+            self._servers[name].limit_rate(per_s, now, share_phase=share_phase)
 
     def set_cold_start_limit(self, name: str, until: float, per_s: float) -> None:
         """Limits the requests per second to a server until its caches are warm.
--- a/src/briarfork/pools/rate_limiter.py
+++ b/src/briarfork/pools/rate_limiter.py
@@ -9,6 +9,8 @@
 RATE_FACTOR: Final = 0.75
 # Requests that may be sent at once after a time without requests.
 MAX_BURST: Final = 2.0
+# The same for a share of a limit.
+MAX_SHARE_BURST: Final = 1.0
 
 
 class RateLimiter:
@@ -25,11 +27,20 @@
         (False, False, True)
     """
 
-    __slots__ = ("_tokens", "_updated_at", "per_s")
+    __slots__ = ("_max_tokens", "_tokens", "_updated_at", "per_s")
 
-    def __init__(self, per_s: float, now: float) -> None:
+    def __init__(self, per_s: float, now: float, *, share_phase: float | None = None) -> None:
+        """Creates a limiter.
+
+        Args:
+            per_s: Requests per second that may be sent.
+            now: Time, in seconds.
+            share_phase: For one VM's share of a limit, the fraction of a request that it starts
+                with. It differs between VMs, so that their bursts do not add up.
+        """
         self.per_s = per_s
-        self._tokens = MAX_BURST
+        self._max_tokens = MAX_BURST if share_phase is None else MAX_SHARE_BURST
+        self._tokens = MAX_BURST if share_phase is None else share_phase
         self._updated_at = now
 
     @property
@@ -48,4 +59,4 @@
 
     def _count_tokens(self, now: float) -> float:
         added = self.usable_per_s * max(0.0, now - self._updated_at)
-        return min(MAX_BURST, self._tokens + added)
+        return min(self._max_tokens, self._tokens + added)
--- a/src/briarfork/pools/server.py
+++ b/src/briarfork/pools/server.py
@@ -154,12 +154,19 @@
         """Requests per second that the server accepts, infinite if it names no limit."""
         return self.rate_limiter.per_s if self.rate_limiter else math.inf
 
-    def limit_rate(self, per_s: float, now: float) -> None:
-        """Sets how many requests per second the server accepts, infinite for no limit."""
+    def limit_rate(self, per_s: float, now: float, *, share_phase: float | None = None) -> None:
+        """Sets how many requests per second the server accepts, infinite for no limit.
+
+        Args:
+            per_s: Requests per second.
+            now: Time, in seconds.
+            share_phase: For one VM's share of the server's limit, the fraction of a request that
+                the share starts with.
+        """
         if per_s == math.inf:
             self.rate_limiter = None
         elif self.rate_limiter is None:
-            self.rate_limiter = RateLimiter(per_s, now)
+            self.rate_limiter = RateLimiter(per_s, now, share_phase=share_phase)
         else:
             self.rate_limiter.per_s = per_s
 
