Check the keys of workspaces and name the workspace to servers

Cause: the configuration's table of workspaces was not read. Keys of callers were passed on to servers, keys that had been taken away went on working, and the regions of workspaces did not bind.

The name of the workspace is set towards the server, its priority goes before the route's and both regions bind. With strict_revoke a VM that cannot show that its configuration is current answers 503.

--- a/src/briarfork/gateway/admission.py
+++ b/src/briarfork/gateway/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -82,16 +83,29 @@
         """Returns the workspace that holds the key of a request in the current configuration.
 
         Raises:
-            NotRun: If the route needs a key and the request has none or an unknown one.
+            NotRun: If the route needs a key and the request has none or an unknown one, or if this
+                VM cannot tell.
         """
         workspaces = self._view.require_route_table().workspaces
         if workspaces is None:
             return None
+        if not (route.public or self._view.is_configuration_current(time.monotonic())):
+            raise NotRun(ErrorKind.NO_CONFIGURATION, "the keys may not be the current ones")
         workspace = workspaces.find(request.credential) if request.credential else None
         if workspace is None and not route.public:
             raise NotRun(ErrorKind.UNAUTHORIZED, "the key is missing or unknown")
         return workspace
 
+    def confirm(self, request: Request, admitted: Admitted) -> None:
+        """Checks that the key of a request that waited still belongs to its workspace.
+
+        Raises:
+            NotRun: If the key was taken away or belongs to another workspace now.
+        """
+        workspace = self.find_workspace(request, admitted.route)
+        if workspace is not None and workspace.name != request.workspace:
+            raise NotRun(ErrorKind.OVERLOADED, "the key belongs to another workspace now")
+
 
 def restrict_route(route: Route, workspace: Workspace) -> Route:
     """Returns the route with the priority of the workspace, in the regions that both allow.
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -93,7 +93,10 @@
         outcome = "cancelled"
         response = None
         try:
-            progress.admit(await self._admission.admit(request, route))
+            admitted = await self._admission.admit(request, route)
+            progress.admit(admitted)
+            if admitted.workspace is not None:
+                request = replace(request, workspace=admitted.workspace.name)
             response = await self._run_until_broken_off(request, progress, source)
             outcome = "answered"
             return response
@@ -158,6 +161,7 @@
             slot_after_ms=round(progress.slot_wait_s * MS_PER_S),
             elapsed_ms=round(elapsed_s * MS_PER_S),
             detail=progress.detail,
+            **({"workspace": request.workspace} if request.workspace else {}),
         )
 
     async def _run_until_broken_off(
@@ -248,6 +252,7 @@
             await confirm_permit(self._permits, permit)
             try:
                 self._require_time_to_run(progress)
+                self._confirm_admission(request, progress)
             except NotRun:
                 self._permits.release(permit, Release.UNUSED, 0.0)
                 raise
@@ -260,6 +265,15 @@
                 raise OutcomeUnknown(f"sent without a response, then: {error.detail}") from error
             raise
 
+    def _confirm_admission(self, request: Request, progress: Progress) -> None:
+        """Checks a request that waited for a slot against the current configuration.
+
+        Raises:
+            NotRun: If its key is no longer valid.
+        """
+        if progress.admitted is not None:
+            self._admission.confirm(request, progress.admitted)
+
     def _build_requirements(self, request: Request, progress: Progress) -> SlotRequirements:
         return SlotRequirements(
             progress.route,
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -30,6 +30,7 @@
         caller_timeout_s: How long the caller waits, None if it did not say.
         respond_by: Monotonic time after which a response no longer reaches the caller.
         credential: The caller's key, empty if there is none. It never leaves this VM.
+        workspace: Name of the caller's workspace once it is known, empty if it has none.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     caller_timeout_s: float | None = None
     respond_by: float = math.inf
     credential: str = field(default="", repr=False)
+    workspace: str = ""
 
     @property
     def path(self) -> str:
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -40,6 +40,10 @@
     Attributes:
         stops_at: Time at which this VM breaks off requests in progress, in seconds on the monotonic
             clock; infinite unless it is stopping.
+        max_configuration_age_s: Age of the configuration from which keys of workspaces are no
+            longer accepted, infinite if they are accepted at any age.
+        configuration_shown_at: Time at which the store last showed that the configuration is the
+            current one, in seconds on the monotonic clock.
     """
 
     def __init__(
@@ -50,6 +54,8 @@
         self.retry_limits = retry_limits
         self.inventory = Inventory()
         self.stops_at = math.inf
+        self.max_configuration_age_s = math.inf
+        self.configuration_shown_at = -math.inf
         self.members: dict[str, Member] = {}
         self._route_table: RouteTable | None = None
         self._events = events
@@ -75,6 +81,10 @@
             raise NotRun(ErrorKind.NO_CONFIGURATION, "this VM has no configuration yet")
         return self._route_table
 
+    def is_configuration_current(self, now: float) -> bool:
+        """Returns whether the keys of the configuration may be accepted."""
+        return now - self.configuration_shown_at <= self.max_configuration_age_s
+
     def apply_route_table(self, table: RouteTable) -> bool:
         """Replaces the route table if the given one is newer, and returns whether it did."""
         if self._route_table is not None and table.version <= self._route_table.version:
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -43,10 +43,19 @@
         ErrorKind.NO_CONFIGURATION,
     }
 )
-# Headers that the gateway sets on requests to backend servers.
+# Headers that the gateway sets on requests to backend servers, and the key, which it keeps.
 GATEWAY_HEADERS = frozenset(
-    name.lower() for name in (names.ATTEMPT_ID, names.DEADLINE_MS, names.PINNED_INSTANCE)
+    name.lower()
+    for name in (
+        names.ATTEMPT_ID,
+        names.DEADLINE_MS,
+        names.PINNED_INSTANCE,
+        names.CREDENTIAL,
+        names.WORKSPACE,
+    )
 )
+# Error statuses that say that the request did not run, and when it may be sent again.
+RETRY_LATER_STATUSES = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 DROPPED_HEADERS = HOP_BY_HOP_HEADERS | GATEWAY_HEADERS | {"content-length", "expect"}
 # Retry-After if the wait for a slot is unknown, and the jitter that spreads the callers' retries.
 DEFAULT_RETRY_AFTER_S = 0.25
@@ -119,6 +128,7 @@
             respond_by=(
                 received + caller_timeout_s - CALLER_MARGIN_S if caller_timeout_s else math.inf
             ),
+            credential=_read_credential(http_request),
         )
 
     def _build_error(
@@ -135,7 +145,7 @@
             )
         body = {"error": error.kind.value, "detail": error.detail, "outcome": answer.outcome.value}
         response = web.json_response(body, status=answer.status)
-        if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        if answer.status in RETRY_LATER_STATUSES:
             response.headers["Retry-After"] = f"{_compute_retry_after(error):.2f}"
         return response
 
@@ -229,6 +239,12 @@
     return min(int(digits or "0") / MS_PER_S, MAX_CALLER_TIMEOUT_S)
 
 
+def _read_credential(http_request: web.BaseRequest) -> str:
+    """Returns the caller's key, empty if there is none, or more than one."""
+    keys = http_request.headers.getall(names.CREDENTIAL, [])
+    return keys[0] if len(keys) == 1 and keys[0].isprintable() else ""
+
+
 def _compute_retry_after(error: BriarforkError) -> float:
     """Returns the expected wait for a slot in seconds, with jitter to spread retries."""
     wait_s = float(getattr(error, "wait_s", 0.0)) or DEFAULT_RETRY_AFTER_S
--- a/src/briarfork/platform/configuration_record.py
+++ b/src/briarfork/platform/configuration_record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Any
 
@@ -18,10 +19,20 @@
 from briarfork.routing import RouteTable
 from briarfork.routing import ServicePolicy
 from briarfork.routing import TrafficShare
+from briarfork.workspaces import Workspace
+from briarfork.workspaces import WorkspaceDirectory
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 # Messages between VMs carry priorities, and they have no longer integers.
 Priority = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 PositiveInt = Annotated[int, Meta(ge=1)]
+NonNegative = Annotated[float, Meta(ge=0, le=1e9)]
+# Text that can be sent as the value of a header.
+HeaderValue = Annotated[
+    str, Meta(pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$")
+]
 Prefix = Annotated[str, Meta(pattern=r"^/(.*/)?$")]
 
 
@@ -31,16 +42,15 @@
     columns: list[str]
     rows: list[list[Any]]
 
-    def list_rows(self) -> list[dict[str, Any]]:
-        """Returns the rows as maps from column to value, without null values."""
-        return [
-            {
-                name: value
-                for name, value in zip(self.columns, row, strict=True)
-                if value is not None
-            }
-            for row in self.rows
-        ]
+    def read_rows(self) -> Iterator[dict[str, Any]]:
+        """Yields the rows as maps from column to value, without null values.
+
+        Raises:
+            ValueError: If a row has more or fewer values than there are columns.
+        """
+        for row in self.rows:
+            cells = zip(self.columns, row, strict=True)
+            yield {name: value for name, value in cells if value is not None}
 
 
 class SplitRow(msgspec.Struct, frozen=True):
@@ -70,6 +80,7 @@
     max_attempts: PositiveInt = 1
     sticky_sessions: bool = False
     allowed_regions: list[str] = []
+    public: bool = False
 
     def build_route(self) -> Route:
         """Returns the route of this row.
@@ -95,6 +106,7 @@
             max_attempts=self.max_attempts,
             sticky=self.sticky_sessions,
             regions=frozenset(self.allowed_regions),
+            public=self.public,
         )
 
 
@@ -116,6 +128,31 @@
         return ServicePolicy(self.name, self.max_connections, cold_s, self.cold_per_s)
 
 
+class WorkspaceRow(msgspec.Struct, frozen=True):
+    """A workspace as operators write it.
+
+    Attributes:
+        rate_per_s: Requests per second of its quota, 0 without a quota.
+    """
+
+    name: HeaderValue
+    api_keys: list[HeaderValue] = []
+    priority: Priority | None = None
+    rate_per_s: NonNegative = 0.0
+    burst: NonNegative = 0.0
+    allowed_regions: list[str] = []
+
+    def build_workspace(self) -> Workspace:
+        """Returns the workspace of this row."""
+        return Workspace(
+            self.name,
+            self.rate_per_s,
+            self.burst,
+            self.priority,
+            frozenset(self.allowed_regions),
+        )
+
+
 class LimitsRow(msgspec.Struct, frozen=True):
     """Limits on the requests of callers."""
 
@@ -132,6 +169,7 @@
     routes: Columns
     services: Columns
     limits: LimitsRow = LimitsRow()
+    tenants: Columns | None = None
 
 
 def decode_configuration(value: bytes) -> RouteTable:
@@ -143,9 +181,9 @@
     record = decode_record("configuration", value, ConfigurationRecord)
     try:
         services = [
-            msgspec.convert(row, ServiceRow).build_policy() for row in record.services.list_rows()
+            msgspec.convert(row, ServiceRow).build_policy() for row in record.services.read_rows()
         ]
-        routes = [msgspec.convert(row, RouteRow).build_route() for row in record.routes.list_rows()]
+        routes = [msgspec.convert(row, RouteRow).build_route() for row in record.routes.read_rows()]
         limits = CallerLimits(
             record.limits.max_header_bytes,
             record.limits.max_body_bytes,
@@ -155,7 +193,47 @@
     except (msgspec.DecodeError, ValueError) as error:
         raise InvalidRecord(f"configuration: {error}") from error
     _check_routes(routes, {service.name for service in services})
-    return RouteTable(record.version, routes, services, limits)
+    workspaces = None if record.tenants is None else _build_directory(record.tenants)
+    return RouteTable(record.version, routes, services, limits, workspaces)
+
+
+def _build_directory(table: Columns) -> WorkspaceDirectory:
+    """Returns the workspaces by key.
+
+    Raises:
+        InvalidRecord: If a row is invalid, or two rows have the same name or key. It names the row,
+            never a key.
+    """
+    by_key: dict[str, Workspace] = {}
+    seen: set[str] = set()
+    for number, row in _convert_workspaces(table):
+        place = f"configuration: tenants: row {number} ({row.name!r})"
+        if row.name in seen:
+            raise InvalidRecord(f"{place}: another row has the same name")
+        seen.add(row.name)
+        workspace = row.build_workspace()
+        for key in row.api_keys:
+            holder = by_key.setdefault(key, workspace)
+            if holder is not workspace:
+                raise InvalidRecord(f"{place}: {holder.name!r} has the same key")
+        if len(set(row.api_keys)) != len(row.api_keys):
+            raise InvalidRecord(f"{place}: the same key twice")
+    return WorkspaceDirectory(by_key)
+
+
+def _convert_workspaces(table: Columns) -> Iterator[tuple[int, WorkspaceRow]]:
+    """Yields the rows with their numbers, from 1.
+
+    Raises:
+        InvalidRecord: If a row is invalid.
+    """
+    number = 1
+    try:
+        for row in table.read_rows():
+            yield number, msgspec.convert(row, WorkspaceRow)
+            number += 1
+    except (msgspec.DecodeError, ValueError) as error:
+        raise InvalidRecord(f"configuration: tenants: row {number}: {error}") from error
 
 
 def _check_routes(routes: list[Route], services: set[str]) -> None:
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -110,6 +110,7 @@
         self._settings = settings
         self._events = events
         view = GatewayView(settings.common, settings.location, settings.retry_limits, events)
+        view.max_configuration_age_s = settings.max_configuration_age_s
         self._gateway = Gateway(view, events)
         self._stopping = asyncio.Event()
 
--- a/src/briarfork/platform/names.py
+++ b/src/briarfork/platform/names.py
@@ -9,6 +9,10 @@
 AFFINITY_KEY: Final = "X-Briarfork-Affinity-Key"
 # Present on every response that a backend server computed itself.
 RESPONSE_SEAL: Final = "X-Briarfork-Response-Seal"
+# A caller's key. It never leaves the VM.
+CREDENTIAL: Final = "X-Briarfork-Credential"
+# Name of the workspace that holds the key, set by the gateway.
+WORKSPACE: Final = "X-Briarfork-Tenant"
 PINNED_INSTANCE: Final = "X-Briarfork-Pin-Instance"
 # Running requests, waiting requests, slots, and optionally the slowdown in percent.
 SERVER_LOAD: Final = "X-Briarfork-Server-Load"
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Annotated
@@ -45,6 +46,9 @@
 # Each fetch of changes is a call to the store, so fetches are spaced out. The pause is this
 # fraction of the shorter bound on noticing a draining server or a new configuration.
 FETCH_PAUSE_FRACTION = 0.25
+# With strict revocation, keys are refused from this fraction of the bound on. The rest covers the
+# requests that are on their way to a server.
+REVOKE_FRACTION = 0.8
 BYTES_PER_MB = 1024 * 1024
 # Parts of a VM's memory for the bodies of requests and for responses; the rest is for the process
 # and for unread bytes of connections. A VM with 300 MB can hold two responses of the largest size.
@@ -122,6 +126,8 @@
         lease_s: Time-to-live of this VM's registration without a renewal.
         fetch_pause_s: Pause after a fetch of changes, so that the next fetch returns several.
         entry_ttl_s: Time after which the store removes the entry of a silent backend server.
+        max_configuration_age_s: Age of the configuration from which keys are no longer accepted,
+            infinite if they are accepted at any age.
     """
 
     common: Settings
@@ -137,6 +143,7 @@
     lease_s: float
     fetch_pause_s: float
     entry_ttl_s: float
+    max_configuration_age_s: float
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -171,6 +178,7 @@
         )
         lease_s = max(LEASE_S, parse_duration(boot.platform.min_ttl))
         entry_ttl_s = MISSED_HEARTBEATS * parse_duration(boot.heartbeat)
+        max_configuration_age_s = _parse_configuration_age(bounds)
     except ValueError as error:
         raise BadSettings([f"{path}: bounds: {error}"]) from error
     address, port = _split_address(boot.listen.front)
@@ -210,9 +218,24 @@
         lease_s=lease_s,
         fetch_pause_s=FETCH_PAUSE_FRACTION * propagation_s,
         entry_ttl_s=entry_ttl_s,
+        max_configuration_age_s=max_configuration_age_s,
     )
 
 
+def _parse_configuration_age(bounds: dict[str, str]) -> float:
+    """Returns the age from which keys are no longer accepted, in seconds.
+
+    Raises:
+        ValueError: If a bound is malformed.
+    """
+    strict = bounds.get("strict_revoke", "false")
+    if strict not in ("true", "false"):
+        raise ValueError(f"strict_revoke: expected true or false, found {strict!r}")
+    if strict == "false":
+        return math.inf
+    return REVOKE_FRACTION * parse_duration(bounds.get("revoke", "5s"))
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -179,15 +179,16 @@
         self.health.record_view()
         return events
 
-    async def read_revision(self) -> int:
-        """Returns a revision that the store has reached; a newer one may exist.
+    async def read_revision(self, *, stale: bool = True) -> int:
+        """Returns a revision that the store has reached.
 
-        Stale reads cost a tenth of other reads.
+        Args:
+            stale: Whether a newer one may exist. Stale reads cost a tenth of other reads.
 
         Raises:
             StoreUnavailable: If the call fails.
         """
-        params = {"prefix": NO_KEYS_PREFIX, "stale_ok": "1"}
+        params = {"prefix": NO_KEYS_PREFIX} | ({"stale_ok": "1"} if stale else {})
         page = await self._call("GET", "/v1/kv-range", Page, params=params)
         return page.store_revision
 
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -210,6 +210,8 @@
         (names.DEADLINE_MS, str(max(1, remaining_ms))),
         (names.PINNED_INSTANCE, server.name),
     ]
+    if request.workspace:
+        headers.append((names.WORKSPACE, request.workspace))
     if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         headers.append(("Content-Length", str(sum(map(len, request.body)))))
     return headers
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -55,13 +56,17 @@
         self._settings = settings
         self._store = store
         self._is_view_current = False
+        # Only then is it worth a call to know that the configuration is the current one.
+        self._is_strict = settings.max_configuration_age_s != math.inf
 
     async def run(self) -> None:
         """Reads all keys, then watches for changes; starts over if the history or store is lost."""
         while True:
             try:
+                started = time.monotonic()
                 listing = await self._store.list_keys(ALL_KEYS)
                 self._replace(listing.items)
+                self.gateway.view.configuration_shown_at = started
                 self._is_view_current = True
                 await self._follow(listing.revision)
             except* HistoryUnavailable:
@@ -99,12 +104,15 @@
         missed_changes = False
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            has_changes = await self._store.read_revision() > revision
+            started = time.monotonic()
+            has_changes = await self._store.read_revision(stale=not self._is_strict) > revision
             if has_changes and missed_changes:
                 reason = f"the watch after revision {revision} returned no changes"
                 self._store.health.record_failure(reason)
                 raise StoreUnavailable(reason)
             missed_changes = has_changes
+            if self._is_strict and not has_changes:
+                self.gateway.view.configuration_shown_at = started
 
     async def expire(self) -> None:
         """Removes servers whose entries expired in an outage, and uses held entries that last."""
--- a/tests/platform/test_configuration_record.py
+++ b/tests/platform/test_configuration_record.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from typing import Any
 
 import pytest
@@ -10,6 +11,8 @@
 from briarfork.platform.configuration_record import decode_configuration
 from briarfork.platform.records import InvalidRecord
 from briarfork.routing import RequestKind
+from briarfork.routing import RouteTable
+from briarfork.workspaces import Workspace
 
 ROUTE = ["r", "h", "/a/", "idempotent", "1500ms", "400ms", 2, "s", 2, True, ["north"], None]
 COLUMNS = [
@@ -94,3 +97,64 @@
         for size in (0, 1, len(encoded) // 2, len(encoded) - 1):
             with pytest.raises(InvalidRecord):
                 decode_configuration(encoded[:size])
+
+
+WORKSPACE_COLUMNS = ["name", "api_keys", "priority", "rate_per_s", "burst", "allowed_regions"]
+
+
+def decode_workspaces(*rows: list[Any], columns: list[str] = WORKSPACE_COLUMNS) -> RouteTable:
+    body = build_configuration() | {"tenants": {"columns": columns, "rows": list(rows)}}
+    return decode_configuration(json.dumps(body).encode())
+
+
+class TestWorkspaces:
+    def test_every_field_reaches_the_workspace(self) -> None:
+        """Guards against reading a column as another one, and null as a value."""
+        table = decode_workspaces(
+            ["acme", ["k-1", "k-2"], 0, 238, 100, ["north"]],
+            ["umbra", ["k-3"], None, None, None, None],
+        )
+        assert table.workspaces is not None
+        acme = Workspace("acme", 238.0, 100.0, 0, frozenset({"north"}))
+        assert table.workspaces.find("k-2") == acme
+        assert table.workspaces.find("k-3") == Workspace("umbra")
+        assert table.workspaces.find("k-4") is None
+
+    @pytest.mark.parametrize(
+        ("row", "place"),
+        [
+            (["acme", ["k-9"], 0, 1, 1, []], "row 2 ('acme'): another row"),
+            (["umbra", ["k-1"], 0, 1, 1, []], "row 2 ('umbra'): 'acme' has"),
+            (["umbra", ["k-9", "k-9"], 0, 1, 1, []], "row 2 ('umbra'): the same key"),
+            ([None, ["k-9"], 0, 1, 1, []], "row 2: "),
+            (["umbra", "k-9", 0, 1, 1, []], "row 2: "),
+            (["umbra", [9], 0, 1, 1, []], "row 2: "),
+            (["umbra", ["k-9\r\nX: y"], 0, 1, 1, []], "row 2: "),
+            (["um\nbra", ["k-9"], 0, 1, 1, []], "row 2: "),
+            (["umbra", ["k-9"], 0, -1, 1, []], "row 2: "),
+            (["umbra", ["k-9"], 0, "1", 1, []], "row 2: "),
+            (["umbra", ["k-9"], -1, 1, 1, []], "row 2: "),
+            (["umbra", ["k-9"], 0, 1], "row 2: "),
+        ],
+    )
+    def test_invalid_row_rejects_the_configuration_and_is_named(
+        self, row: list[Any], place: str
+    ) -> None:
+        """Guards against a table that is applied in part, and against keys in logs."""
+        with pytest.raises(InvalidRecord) as caught:
+            decode_workspaces(["acme", ["k-1"], 0, 1, 1, []], row)
+        assert place in caught.value.detail
+        assert "k-9" not in caught.value.detail
+
+    def test_unknown_columns_are_ignored(self) -> None:
+        """Guards against refusing a configuration of a later version."""
+        table = decode_workspaces([1, "acme", ["k-1"]], columns=["new", "name", "api_keys"])
+        assert table.workspaces is not None
+        assert table.workspaces.find("k-1") == Workspace("acme")
+
+    def test_ten_thousand_workspaces_are_decoded_in_time(self) -> None:
+        """Guards against a configuration that stops the event loop; the target is 0.5 s."""
+        rows = [[f"w-{n}", [f"k-{n}", f"l-{n}"], 0, 5, 5, []] for n in range(10_000)]
+        started = time.process_time()
+        decode_workspaces(*rows)
+        assert time.process_time() - started < 0.5
--- /dev/null
+++ b/tests/platform/test_credentials.py
@@ -0,0 +1,56 @@
+"""Keys and names of workspaces in the headers of requests."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+from aiohttp.test_utils import make_mocked_request
+from multidict import CIMultiDict
+
+from briarfork.platform import names
+from briarfork.platform.callers import CallerRequestHandler
+from briarfork.platform.upstream import _build_headers
+from briarfork.pools import ServerAddress
+from briarfork.requests import Deadline
+from tests.gateway.harness import build_gateway
+
+if TYPE_CHECKING:
+    from briarfork.gateway.request import Request
+
+SERVER = ServerAddress("i-1", "127.0.0.1", 80)
+
+
+def read_head(*headers: tuple[str, str]) -> Request:
+    message = make_mocked_request("GET", "/a/x", headers=CIMultiDict([("Host", "h"), *headers]))
+    handler = CallerRequestHandler(build_gateway(), None)  # type: ignore[arg-type]
+    return handler._read_head(message, "r1")
+
+
+class TestHeaders:
+    def test_neither_the_key_nor_a_given_name_is_passed_on(self) -> None:
+        """Guards against callers that name a workspace, and servers that see a key."""
+        request = read_head(
+            (names.CREDENTIAL, "k-1"), ("x-briarfork-tenant", "a"), ("X-BRIARFORK-TENANT", "b")
+        )
+        assert request.credential == "k-1"
+        assert "k-1" not in repr(request)
+        sent = _build_headers(request, SERVER, Deadline(time.monotonic() + 1.0))
+        lowered = {name.lower() for name, _ in sent}
+        assert not lowered & {names.CREDENTIAL.lower(), names.WORKSPACE.lower()}
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            [],
+            [(names.CREDENTIAL, "")],
+            [(names.CREDENTIAL, "k-1"), (names.CREDENTIAL.lower(), "k-1")],
+            [(names.CREDENTIAL, "k-1\x01")],
+        ],
+    )
+    def test_key_that_is_not_given_exactly_once_is_none(
+        self, headers: list[tuple[str, str]]
+    ) -> None:
+        """Guards against a choice between two keys."""
+        assert read_head(*headers).credential == ""
