Check names and keys of workspaces up to their last character

Cause: the pattern for names and keys of the table `tenants` ended in "$", which also matches before a last line break. A name with one was accepted, and the HTTP library then refused to write each request of that workspace. Control characters above 0x7f were accepted in the configuration, and keys with a no-break space were accepted there but counted as unknown when a caller sent them. A row that failed the conversion was logged with its number only, not with the workspace's name.

Change: the pattern ends in "\Z", the same characters are refused in the configuration and in the header, and the log names the workspace of a row where its name can be read.

--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import re
 import time
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -57,6 +58,8 @@
 # Error statuses that say that the request did not run, and when it may be sent again.
 RETRY_LATER_STATUSES = frozenset({HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS})
 DROPPED_HEADERS = HOP_BY_HOP_HEADERS | GATEWAY_HEADERS | {"content-length", "expect"}
+# Characters that no key has; configurations with such keys are rejected, too.
+CONTROL_PATTERN = re.compile(r"[\x00-\x1f\x7f-\x9f]")
 # Retry-After if the wait for a slot is unknown, and the jitter that spreads the callers' retries.
 DEFAULT_RETRY_AFTER_S = 0.25
 RETRY_AFTER_JITTER = 0.5
@@ -240,9 +243,9 @@
 
 
 def _read_credential(http_request: web.BaseRequest) -> str:
-    """Returns the caller's key, empty if there is none, or more than one."""
+    """Returns the caller's key, empty if there is none, more than one, or a malformed one."""
     keys = http_request.headers.getall(names.CREDENTIAL, [])
-    return keys[0] if len(keys) == 1 and keys[0].isprintable() else ""
+    return keys[0] if len(keys) == 1 and not CONTROL_PATTERN.search(keys[0]) else ""
 
 
 def _compute_retry_after(error: BriarforkError) -> float:
--- a/src/briarfork/platform/configuration_record.py
+++ b/src/briarfork/platform/configuration_record.py
@@ -29,9 +29,9 @@
 Priority = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 PositiveInt = Annotated[int, Meta(ge=1)]
 NonNegative = Annotated[float, Meta(ge=0, le=1e9)]
-# Text that can be sent as the value of a header.
+# Text that can be sent as the value of a header. "$" would also match before a last line break.
 HeaderValue = Annotated[
-    str, Meta(pattern=r"^[^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?$")
+    str, Meta(pattern=r"^[^\x00-\x20\x7f-\x9f]([^\x00-\x1f\x7f-\x9f]*[^\x00-\x20\x7f-\x9f])?\Z")
 ]
 Prefix = Annotated[str, Meta(pattern=r"^/(.*/)?$")]
 
@@ -227,13 +227,15 @@
     Raises:
         InvalidRecord: If a row is invalid.
     """
-    number = 1
+    number, name = 1, None
     try:
         for row in table.read_rows():
+            name = row.get("name")
             yield number, msgspec.convert(row, WorkspaceRow)
-            number += 1
+            number, name = number + 1, None
     except (msgspec.DecodeError, ValueError) as error:
-        raise InvalidRecord(f"configuration: tenants: row {number}: {error}") from error
+        place = f"row {number} ({name!r})" if isinstance(name, str) else f"row {number}"
+        raise InvalidRecord(f"configuration: tenants: {place}: {error}") from error
 
 
 def _check_routes(routes: list[Route], services: set[str]) -> None:
--- a/tests/platform/test_credentials.py
+++ b/tests/platform/test_credentials.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -15,6 +16,7 @@
 from briarfork.pools import ServerAddress
 from briarfork.requests import Deadline
 from tests.gateway.harness import build_gateway
+from tests.platform.test_configuration_record import decode_workspaces
 
 if TYPE_CHECKING:
     from briarfork.gateway.request import Request
@@ -47,6 +49,7 @@
             [(names.CREDENTIAL, "")],
             [(names.CREDENTIAL, "k-1"), (names.CREDENTIAL.lower(), "k-1")],
             [(names.CREDENTIAL, "k-1\x01")],
+            [(names.CREDENTIAL, "k-1\x85")],
         ],
     )
     def test_key_that_is_not_given_exactly_once_is_none(
@@ -54,3 +57,17 @@
     ) -> None:
         """Guards against a choice between two keys."""
         assert read_head(*headers).credential == ""
+
+    @pytest.mark.parametrize("key", ["k 1", "schl\u00fcssel", "k\u00a01"])
+    def test_every_key_of_a_valid_configuration_is_read(self, key: str) -> None:
+        """Guards against a key that a configuration may contain and that no caller can use."""
+        decode_workspaces(["acme", [key], 0, 1, 1, []])
+        assert read_head((names.CREDENTIAL, key)).credential == key
+
+    def test_name_of_the_workspace_is_sent_once(self) -> None:
+        """Guards against a server that does not learn the workspace, or reads a given name."""
+        request = replace(read_head(("x-briarfork-tenant", "a")), workspace="acme")
+        sent = _build_headers(request, SERVER, Deadline(time.monotonic() + 1.0))
+        assert [value for name, value in sent if name.lower() == names.WORKSPACE.lower()] == [
+            "acme"
+        ]
