Give refusals for a stale configuration an error kind of their own

Cause: with strict_revoke, a VM whose configuration may be stale refused requests as `no_configuration`. The handler of callers logs this kind itself, because a VM without a configuration dispatches nothing, and the dispatcher logged the request as well: two lines `request_failed` for one request, and operators could not tell the two states apart.

Change: error kind `stale_configuration` (503, not run). tests/gateway/test_admission.py expects it in place of the former kind.

--- a/src/briarfork/errors.py
+++ b/src/briarfork/errors.py
@@ -27,6 +27,7 @@
     OVERLOADED = "overloaded"
     NO_SERVER = "no_server"
     NO_CONFIGURATION = "no_configuration"
+    STALE_CONFIGURATION = "stale_configuration"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     STORE_UNAVAILABLE = "store_unavailable"
     TOO_MANY_REQUESTS = "too_many_requests"
@@ -77,6 +78,7 @@
     ErrorKind.OVERLOADED: ErrorResponse(503, True, Outcome.NOT_RUN),
     ErrorKind.NO_SERVER: ErrorResponse(503, True, Outcome.NOT_RUN),
     ErrorKind.NO_CONFIGURATION: ErrorResponse(503, True, Outcome.NOT_RUN),
+    ErrorKind.STALE_CONFIGURATION: ErrorResponse(503, True, Outcome.NOT_RUN),
     ErrorKind.CLAIM_UNAVAILABLE: ErrorResponse(503, True, Outcome.NOT_RUN),
     ErrorKind.STORE_UNAVAILABLE: ErrorResponse(503, True, Outcome.UNKNOWN, exit_status=4),
     ErrorKind.TOO_MANY_REQUESTS: ErrorResponse(429, True, Outcome.NOT_RUN),
--- a/src/briarfork/gateway/admission.py
+++ b/src/briarfork/gateway/admission.py
@@ -90,7 +90,7 @@
         if workspaces is None:
             return None
         if not (route.public or self._view.is_configuration_current(time.monotonic())):
-            raise NotRun(ErrorKind.NO_CONFIGURATION, "the keys may not be the current ones")
+            raise NotRun(ErrorKind.STALE_CONFIGURATION, "the keys may not be the current ones")
         workspace = workspaces.find(request.credential) if request.credential else None
         if workspace is None and not route.public:
             raise NotRun(ErrorKind.UNAUTHORIZED, "the key is missing or unknown")
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -132,7 +132,7 @@
         harness = Harness(RESPONSE, RESPONSE)
         harness.view.max_configuration_age_s = 4.0
         harness.view.configuration_shown_at = time.monotonic() - 5.0
-        assert await harness.fail(KEY) is ErrorKind.NO_CONFIGURATION
+        assert await harness.fail(KEY) is ErrorKind.STALE_CONFIGURATION
         assert await harness.send("", "/p/x") is RESPONSE
         harness.view.max_configuration_age_s = math.inf
         assert await harness.send(KEY) is RESPONSE
--- a/tests/platform/test_credentials.py
+++ b/tests/platform/test_credentials.py
@@ -10,11 +10,17 @@
 from aiohttp.test_utils import make_mocked_request
 from multidict import CIMultiDict
 
+from briarfork.border.events import Event
+from briarfork.border.events import EventLog
+from briarfork.gateway.dispatch import Dispatcher
 from briarfork.platform import names
 from briarfork.platform.callers import CallerRequestHandler
 from briarfork.platform.upstream import _build_headers
 from briarfork.pools import ServerAddress
 from briarfork.requests import Deadline
+from briarfork.workspaces import WorkspaceDirectory
+from tests.gateway.harness import ScriptedPermits
+from tests.gateway.harness import ScriptedUpstream
 from tests.gateway.harness import build_gateway
 from tests.platform.test_configuration_record import decode_workspaces
 
@@ -71,3 +77,20 @@
         assert [value for name, value in sent if name.lower() == names.WORKSPACE.lower()] == [
             "acme"
         ]
+
+
+class TestStaleConfiguration:
+    async def test_refusal_is_logged_once(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against two lines for a request that is refused because keys may be revoked."""
+        logged: list[Event] = []
+        monkeypatch.setattr(EventLog, "record", lambda _, event, **fields: logged.append(event))
+        gateway = build_gateway()
+        gateway.view.max_configuration_age_s = 4.0
+        gateway.view.require_route_table().workspaces = WorkspaceDirectory({})
+        dispatcher = Dispatcher(
+            gateway.view, ScriptedPermits(gateway), ScriptedUpstream(), EventLog("test")
+        )
+        message = make_mocked_request("GET", "/a/x", headers=CIMultiDict([("Host", "h")]))
+        response = await CallerRequestHandler(gateway, dispatcher).handle(message)
+        assert (response.status, "Retry-After" in response.headers) == (503, True)
+        assert logged.count(Event.REQUEST_FAILED) == 1
