Require a key for dot segments in paths of public routes

Cause: routes are found by the path as the caller sent it, and the path is passed on unchanged. On `/p/../a/x` the public route `/p/` applied, and a server that resolves dot segments would run `/a/x` for a caller without a key.

Change: a path with "." or ".." as a segment, also percent-encoded, does not count as public. Configurations without workspaces are not affected.

--- a/src/briarfork/gateway/admission.py
+++ b/src/briarfork/gateway/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from dataclasses import dataclass
 from dataclasses import field
@@ -18,6 +19,12 @@
     from briarfork.routing import Route
     from briarfork.workspaces import Workspace
 
+# "." and ".." as parts of a path, also encoded. A server that resolves them may find the path of
+# another route, so such a path is not public.
+DOT_SEGMENT_PATTERN = re.compile(
+    r"(?:/|\\|%2f|%5c)(?:\.|%2e){1,2}(?:/|\\|%2f|%5c|$)", re.IGNORECASE
+)
+
 
 class Credit(Protocol):
     """The right to send one request within a quota."""
@@ -89,10 +96,11 @@
         workspaces = self._view.require_route_table().workspaces
         if workspaces is None:
             return None
-        if not (route.public or self._view.is_configuration_current(time.monotonic())):
+        is_public = route.public and not DOT_SEGMENT_PATTERN.search(request.path)
+        if not (is_public or self._view.is_configuration_current(time.monotonic())):
             raise NotRun(ErrorKind.STALE_CONFIGURATION, "the keys may not be the current ones")
         workspace = workspaces.find(request.credential) if request.credential else None
-        if workspace is None and not route.public:
+        if workspace is None and not is_public:
             raise NotRun(ErrorKind.UNAUTHORIZED, "the key is missing or unknown")
         return workspace
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -113,6 +113,16 @@
         assert await harness.send(KEY) is RESPONSE
         assert await harness.send("", "/p/x") is RESPONSE
 
+    @pytest.mark.parametrize(
+        "target", ["/p/../a/x", "/p/%2E%2e/a/x", "/p/..%2Fa/x", "/p/.%2e", "/p/./x?q=1"]
+    )
+    async def test_path_with_dot_segments_is_not_public(self, target: str) -> None:
+        """Guards against a server that resolves the path to one for which a key is needed."""
+        harness = Harness(RESPONSE, RESPONSE)
+        assert await harness.fail("", target) is ErrorKind.UNAUTHORIZED
+        assert await harness.send(KEY, target) is RESPONSE
+        assert await harness.send("", "/p/a..b/.c?q=/../") is RESPONSE
+
     async def test_key_that_is_taken_away_while_a_request_waits_counts_no_more(self) -> None:
         """Guards against a request that runs with a key of an earlier configuration."""
         harness = Harness(RESPONSE)
