Check keys again before hedged attempts and on public routes

Cause: a key that was taken away while its first attempt ran was still used for a hedged attempt. A request that waited on a public route was sent in the name of its former workspace. The workspace of a request was recorded only after its quota had admitted it, so the log did not name it for refusals (429, or no common region).

Change: a hedged attempt is sent only if the key is confirmed; the first attempt goes on. A waiting request whose key names another workspace or none on a public route is refused with 503, and its next try runs without a workspace. The workspace is recorded before the quota decides. One test parameter was named after a key by mistake (`unanswered`).

--- a/src/briarfork/gateway/admission.py
+++ b/src/briarfork/gateway/admission.py
@@ -107,11 +107,14 @@
     def confirm(self, request: Request, admitted: Admitted) -> None:
         """Checks that the key of a request that waited still belongs to its workspace.
 
+        On a public route, a request whose key was taken away must not run in the name of its former
+        workspace; the next try runs without one.
+
         Raises:
             NotRun: If the key was taken away or belongs to another workspace now.
         """
         workspace = self.find_workspace(request, admitted.route)
-        if workspace is not None and workspace.name != request.workspace:
+        if (workspace.name if workspace else "") != request.workspace:
             raise NotRun(ErrorKind.OVERLOADED, "the key belongs to another workspace now")
 
 
--- a/src/briarfork/gateway/attempts.py
+++ b/src/briarfork/gateway/attempts.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from briarfork.border.events import Event
+from briarfork.errors import NotRun
 from briarfork.pools import NO_REPORT
 from briarfork.pools import Release
 from briarfork.requests import AttemptResult
@@ -19,6 +20,7 @@
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
     from briarfork.entry.overflow import Permit
+    from briarfork.gateway.admission import Admission
     from briarfork.gateway.admission import Admitted
     from briarfork.gateway.metrics import GatewayMetrics
     from briarfork.gateway.permits import GatewayPermits
@@ -194,8 +196,14 @@
     """Sends requests under permits, releases the permits and records failed attempts."""
 
     def __init__(
-        self, permits: GatewayPermits, upstream: Upstream, events: EventLog, metrics: GatewayMetrics
+        self,
+        permits: GatewayPermits,
+        upstream: Upstream,
+        events: EventLog,
+        metrics: GatewayMetrics,
+        admission: Admission,
     ) -> None:
+        self._admission = admission
         self._permits = permits
         self._upstream = upstream
         self._events = events
@@ -217,7 +225,7 @@
                 second = await self._permits.acquire_hedge(progress.route, permit)
                 if second is not None:
                     await confirm_permit(self._permits, second)
-                if second is None or tasks[0].done():
+                if second is None or tasks[0].done() or not self._may_hedge(request, progress):
                     budget.return_unused()
                     if second is not None:
                         self._permits.release(second, Release.UNUSED, 0.0)
@@ -228,6 +236,15 @@
                 task.cancel()
         return outcome
 
+    def _may_hedge(self, request: Request, progress: Progress) -> bool:
+        """Returns whether the key of a request is still valid; the first attempt goes on anyway."""
+        try:
+            if progress.admitted is not None:
+                self._admission.confirm(request, progress.admitted)
+        except NotRun:
+            return False
+        return True
+
     async def _ends_before_hedge(
         self, task: asyncio.Task[Response | AttemptError], progress: Progress
     ) -> bool:
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -70,7 +70,9 @@
         self._events = events
         self.metrics = GatewayMetrics()
         self._upstream = upstream
-        self._attempt_runner = AttemptRunner(permits, upstream, events, self.metrics)
+        self._attempt_runner = AttemptRunner(
+            permits, upstream, events, self.metrics, self._admission
+        )
         self._bodies = BodyCollector(BodyMemory(view.settings.limits.body_memory_bytes))
         self._round_robin = WeightedRoundRobin()
         self._retry_budgets: dict[str, RetryBudget] = {}
@@ -93,10 +95,11 @@
         outcome = "cancelled"
         response = None
         try:
-            admitted = await self._admission.admit(request, route)
-            progress.admit(admitted)
-            if admitted.workspace is not None:
-                request = replace(request, workspace=admitted.workspace.name)
+            workspace = self._admission.find_workspace(request, route)
+            if workspace is not None:
+                # Set before the quota decides, so that the log names the workspace of a refusal.
+                request = replace(request, workspace=workspace.name)
+            progress.admit(await self._admission.admit(request, route))
             response = await self._run_until_broken_off(request, progress, source)
             outcome = "answered"
             return response
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import time
 from contextlib import suppress
@@ -26,6 +27,7 @@
 from tests.gateway.harness import RESPONSE
 from tests.gateway.harness import ROUTE
 from tests.gateway.harness import UNANSWERED
+from tests.gateway.harness import UNRESPONSIVE
 from tests.gateway.harness import ScriptedPermits
 from tests.gateway.harness import ScriptedUpstream
 from tests.gateway.harness import build_gateway
@@ -57,12 +59,16 @@
 
 
 class OneCredit:
-    """Quotas that grant the same credit to every request."""
+    """Quotas that grant the same credit to every request, unless they are used up."""
+
+    is_used_up = False
 
     def __init__(self) -> None:
         self.credit = CountedCredit()
 
     async def acquire(self, workspace: Workspace) -> Credit:
+        if self.is_used_up:
+            raise NotRun(ErrorKind.TOO_MANY_REQUESTS, "the quota is used up")
         return self.credit
 
 
@@ -70,10 +76,12 @@
     """Applies a configuration before it grants a permit."""
 
     table: RouteTable | None = None
+    grants_before = 0
 
     async def acquire(self, request: SlotRequirements) -> Permit:
         permit = await super().acquire(request)
-        if self.table is not None:
+        self.grants_before -= 1
+        if self.table is not None and self.grants_before < 0:
             self._gateway_view.apply_route_table(self.table)
         return permit
 
@@ -137,6 +145,50 @@
         harness.permits.table = build_keyed_table(3, **{KEY: Workspace("umbra")})
         assert await harness.fail(KEY) is ErrorKind.OVERLOADED
 
+    async def test_key_that_is_taken_away_names_no_workspace_on_a_public_route(self) -> None:
+        """Guards against a request that runs in the name of a workspace without a valid key."""
+        harness = Harness(RESPONSE)
+        harness.permits.table = build_keyed_table(3, other=ACME)
+        assert await harness.fail(KEY, "/p/x") is ErrorKind.OVERLOADED
+        assert harness.upstream.sent == []
+
+    async def test_key_that_is_taken_away_is_not_used_for_a_hedged_attempt(self) -> None:
+        """Guards against a second attempt with a revoked key beside one that was sent in time."""
+        harness = Harness(*[RESPONSE] * 25, UNRESPONSIVE, RESPONSE)
+        harness.permits.servers = [f"i-{number}" for number in range(40)]
+        for _ in range(25):
+            await harness.send(KEY)
+        task = asyncio.create_task(harness.send(KEY))
+        async with asyncio.timeout(5.0):
+            while len(harness.upstream.sent) < 26:
+                await asyncio.sleep(0.001)
+            harness.view.apply_route_table(build_keyed_table(3, other=ACME))
+            while len(harness.permits.released) < 26:
+                await asyncio.sleep(0.01)
+        assert harness.upstream.sent[25:] == ["i-25"]
+        assert harness.permits.released[25:] == [Release.UNUSED]
+        task.cancel()
+
+    async def test_key_is_checked_before_each_retry(self) -> None:
+        """Guards against a retry with a key that was taken away after the first attempt."""
+        harness = Harness(REFUSED, RESPONSE)
+        harness.permits.table = build_keyed_table(3, other=ACME)
+        harness.permits.grants_before = 1
+        assert await harness.fail(KEY) is ErrorKind.UNAUTHORIZED
+        assert harness.upstream.sent == ["i-0"]
+
+    async def test_log_names_the_workspace_of_a_refused_request(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against refusals that `briarfork explain` cannot attribute, and logged keys."""
+        logged: list[dict[str, object]] = []
+        monkeypatch.setattr(EventLog, "record", lambda *_, **fields: logged.append(fields))
+        harness = Harness()
+        harness.quotas.is_used_up = True
+        assert await harness.fail(KEY) is ErrorKind.TOO_MANY_REQUESTS
+        assert logged[-1]["workspace"] == "acme"
+        assert KEY not in str(logged)
+
     async def test_strict_revocation_refuses_keys_of_an_old_configuration(self) -> None:
         """Guards against a VM without the store that goes on accepting revoked keys."""
         harness = Harness(RESPONSE, RESPONSE)
@@ -152,7 +204,7 @@
     @pytest.mark.parametrize(
         ("outcomes", "given_back"),
         [([RESPONSE], 0), ([REFUSED, REFUSED], 1), ([UNANSWERED, UNANSWERED], 0)],
-        ids=["answered", "refused", "k-unknown"],
+        ids=["answered", "refused", "unanswered"],
     )
     async def test_is_given_back_once_if_no_server_ran_the_request(
         self, outcomes: list[Response | Exception], given_back: int
