Show the configuration to be current while the store changes

Cause: with strict_revoke, a linearizable read counted only if the store's revision was still that of the pending watch after a second without changes. Servers renew their entries all the time, so in a fleet of more than a few servers this never happened: 4 s after the listing, each VM would have answered 503 on all routes that need a key, until its next listing.

Change: once a second the revision is read linearizably, beside the watch. The configuration is current as of that read once the watch has applied that revision. A revision older than what was applied shows nothing. The check of the watch is a stale read again; without strict_revoke nothing more is read.

--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -5,12 +5,14 @@
 import asyncio
 import math
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from briarfork.border.busy_times import Work
 from briarfork.border.events import Event
 from briarfork.border.store import StoreUnavailable
 from briarfork.platform.configuration_record import decode_configuration
+from briarfork.platform.currency import CurrencyCheck
 from briarfork.platform.names import CONFIGURATION_KEY
 from briarfork.platform.names import EVACUATION_PREFIX
 from briarfork.platform.names import MEMBER_PREFIX
@@ -56,6 +58,7 @@
         self._settings = settings
         self._store = store
         self._is_view_current = False
+        self._currency = CurrencyCheck()
         # Only then is it worth a call to know that the configuration is the current one.
         self._is_strict = settings.max_configuration_age_s != math.inf
 
@@ -66,9 +69,13 @@
                 started = time.monotonic()
                 listing = await self._store.list_keys(ALL_KEYS)
                 self._replace(listing.items)
-                self.gateway.view.configuration_shown_at = started
+                self._currency.record_listing(listing.revision, started)
+                self._publish_currency()
                 self._is_view_current = True
-                await self._follow(listing.revision)
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._follow(listing.revision))
+                    if self._is_strict:
+                        group.create_task(self._check_currency())
             except* HistoryUnavailable:
                 self.events.record(Event.HISTORY_LOST)
             except* StoreUnavailable:
@@ -90,6 +97,9 @@
             revision = changes.store_revision
             if changes.events:
                 self._apply(changes.events)
+            self._currency.record_applied(revision)
+            self._publish_currency()
+            if changes.events:
                 await asyncio.sleep(self._settings.fetch_pause_s)
 
     async def _check_watch(self, revision: int) -> None:
@@ -104,15 +114,29 @@
         missed_changes = False
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            started = time.monotonic()
-            has_changes = await self._store.read_revision(stale=not self._is_strict) > revision
+            has_changes = await self._store.read_revision() > revision
             if has_changes and missed_changes:
                 reason = f"the watch after revision {revision} returned no changes"
                 self._store.health.record_failure(reason)
                 raise StoreUnavailable(reason)
             missed_changes = has_changes
-            if self._is_strict and not has_changes:
-                self.gateway.view.configuration_shown_at = started
+
+    async def _check_currency(self) -> None:
+        """Reads the store's revision, so that this VM can show that its configuration is current.
+
+        It does not depend on pauses between changes, of which a large fleet leaves none.
+        """
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            if self._currency.is_waiting:
+                continue
+            self._currency.begin_read(time.monotonic())
+            with suppress(StoreUnavailable):
+                self._currency.record_read(await self._store.read_revision(stale=False))
+                self._publish_currency()
+
+    def _publish_currency(self) -> None:
+        self.gateway.view.configuration_shown_at = self._currency.shown_at
 
     async def expire(self) -> None:
         """Removes servers whose entries expired in an outage, and uses held entries that last."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -70,3 +71,23 @@
         path.write_text(text)
         with pytest.raises(BadSettings):
             load_platform_settings(path)
+
+    @pytest.mark.parametrize(
+        ("bounds", "expected_s"),
+        [
+            ([], math.inf),
+            (["strict_revoke=false", "revoke=5000ms"], math.inf),
+            (["strict_revoke=true", "revoke=5000ms"], 4.0),
+        ],
+    )
+    def test_keys_expire_only_with_strict_revocation(
+        self, tmp_path: Path, bounds: list[str], expected_s: float
+    ) -> None:
+        """Guards against refusals by VMs that are to go on with the configuration they have."""
+        settings = load_platform_settings(write_settings(tmp_path, BOOT | {"bounds": bounds}))
+        assert settings.max_configuration_age_s == pytest.approx(expected_s)
+
+    def test_malformed_strict_revoke_is_rejected(self, tmp_path: Path) -> None:
+        """Guards against a typing error that turns strict revocation off."""
+        with pytest.raises(BadSettings):
+            load_platform_settings(write_settings(tmp_path, BOOT | {"bounds": ["strict_revoke=1"]}))
--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -33,6 +33,7 @@
 SILENCE_S = 1.0
 # At half a second a page, listing them takes longer than the grace period of expired entries.
 SLOW_LISTING_KEYS = 6
+BOUNDS = ["drain=2s"]
 CONFIGURATION = {
     "version": 3,
     "routes": {
@@ -63,9 +64,10 @@
 
 
 @pytest_asyncio.fixture
-async def harness(tmp_path: Path) -> AsyncIterator[WatcherHarness]:
+async def harness(tmp_path: Path, request: pytest.FixtureRequest) -> AsyncIterator[WatcherHarness]:
     path = tmp_path / "boot.json"
-    boot = BOOT | {"platform": {"address": f"{ADDRESS}:{PORT}"}, "bounds": ["drain=2s"]}
+    boot = BOOT | {"platform": {"address": f"{ADDRESS}:{PORT}"}}
+    boot["bounds"] = [*BOUNDS, *getattr(request, "param", [])]
     path.write_text(json.dumps(boot))
     settings = load_platform_settings(path)
     store = KeyValueStore()
@@ -270,3 +272,30 @@
         async with asyncio.timeout(3.0):
             while harness.gateway.view.inventory.list_usable("s", "a"):
                 await asyncio.sleep(0.01)
+
+
+class TestStrictRevocation:
+    @pytest.mark.parametrize("harness", [["strict_revoke=true"]], indirect=True)
+    @pytest.mark.parametrize("has_changes", [True, False], ids=["changes", "no changes"])
+    async def test_configuration_is_shown_to_be_current(
+        self, harness: WatcherHarness, has_changes: bool
+    ) -> None:
+        """Guards against refusals for all keys while servers renew their entries all the time."""
+        await harness.wait_until_ready()
+        ends_at = time.monotonic() + 3.5
+        while time.monotonic() < ends_at:
+            if has_changes:
+                await harness.store.put(names.SERVER_PREFIX + "i-1", build_entry(1))
+            await asyncio.sleep(HEARTBEAT_S)
+        assert time.monotonic() - harness.gateway.view.configuration_shown_at < 2.5
+
+    @pytest.mark.parametrize("harness", [["strict_revoke=true"]], indirect=True)
+    async def test_configuration_is_not_shown_to_be_current_without_the_store(
+        self, harness: WatcherHarness
+    ) -> None:
+        """Guards against revoked keys that work on a VM that is cut off from the store."""
+        await harness.wait_until_ready()
+        harness.store.start_silence()
+        silent_at = time.monotonic()
+        await asyncio.sleep(2.5)
+        assert harness.gateway.view.configuration_shown_at <= silent_at
