Pass the reports of servers on to the shares of slots

Cause: the release of a share's permit dropped what the server had reported, so shares selected slow servers as if they were fast. The VMs that share the slots were also listed and sorted twice for each server whenever a request used the share, on VMs of half a core while the owner is gone.

Change: the report reaches the share's queue with the share's limit in place of the server's. The sharers are listed once for each call.

Result: a new test in tests/entry/test_local_shares.py reads the slowness and the limit of the share.

--- a/src/briarfork/entry/local.py
+++ b/src/briarfork/entry/local.py
@@ -5,20 +5,22 @@
 import asyncio
 import random
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Protocol
 
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.errors import SiteUnreachable
+from briarfork.pools import NO_REPORT
 from briarfork.pools import Grant
 from briarfork.pools import LocalPool
 from briarfork.pools import PermitQueue
 from briarfork.pools import Refusal
-from briarfork.pools import ServerReport
 
 if TYPE_CHECKING:
     from collections import Counter
+    from collections.abc import Iterable
 
     from briarfork.border.settings import Settings
     from briarfork.configuration import SiteCapacity
@@ -27,6 +29,7 @@
     from briarfork.membership import Member
     from briarfork.pools import Release
     from briarfork.pools import ServerAddress
+    from briarfork.pools import ServerReport
     from briarfork.pools import SlotRequest
 
 
@@ -124,18 +127,25 @@
         return decision.server
 
     def release(
-        self, key: SlotKey, permit: str, server: str, how: Release, elapsed_s: float
+        self,
+        key: SlotKey,
+        permit: str,
+        server: str,
+        how: Release,
+        elapsed_s: float,
+        report: ServerReport = NO_REPORT,
     ) -> None:
         """Returns a permit of the share.
 
-        The server's limit stays the share of what this VM knows: a report would set it to the limit
-        for all VMs, and a missing one would end it.
+        The server's limit stays the share of what this VM knows: the report would set it to the
+        limit for all VMs, and a missing one would end it.
         """
         now = time.monotonic()
         queue = self._queues[key]
-        self._limit_share(queue, server, now)
-        report = ServerReport(limit_per_s=self._compute_limit(server))
-        queue.release(permit, how, elapsed_s, now, report)
+        sharers = self._list_sharers()
+        self._limit_shares(queue, [server], sharers, now)
+        limit_per_s = self._compute_limit(server, sharers)
+        queue.release(permit, how, elapsed_s, now, replace(report, limit_per_s=limit_per_s))
         self._resolve_futures(queue.poll(now))
 
     def _refresh_queue(self, key: SlotKey, held: Counter[str]) -> PermitQueue:
@@ -159,20 +169,21 @@
             self._view.settings.vm,
         )
         queue.set_shares({vm: max(0, slots - held[vm]) for vm, slots in share.items()})
-        now = time.monotonic()
-        for vm in share:
-            self._limit_share(queue, vm, now)
+        self._limit_shares(queue, share, sharers, time.monotonic())
         return queue
 
-    def _limit_share(self, queue: PermitQueue, server: str, now: float) -> None:
-        sharers = self._list_sharers()
+    def _limit_shares(
+        self, queue: PermitQueue, servers: Iterable[str], sharers: list[str], now: float
+    ) -> None:
         own = self._view.settings.vm
         phase = sharers.index(own) / len(sharers) if own in sharers else 0.0
-        queue.limit_rate(server, self._compute_limit(server), now, share_phase=phase)
+        for server in servers:
+            limit_per_s = self._compute_limit(server, sharers)
+            queue.limit_rate(server, limit_per_s, now, share_phase=phase)
 
-    def _compute_limit(self, server: str) -> float:
+    def _compute_limit(self, server: str, sharers: list[str]) -> float:
         """Returns this VM's share of a server's limit in requests per second."""
-        return self._view.find_limit(server) / max(1, len(self._list_sharers()))
+        return self._view.find_limit(server) / max(1, len(sharers))
 
     def _list_sharers(self) -> list[str]:
         """Returns the names of the VMs that share the slots of this zone, in order."""
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -125,7 +125,7 @@
         permit = self._held.pop(permit.name, permit)
         if permit.owner == LOCAL_SHARE:
             self._local_shares.release(
-                permit.key, permit.name, permit.server.name, outcome, elapsed_s
+                permit.key, permit.name, permit.server.name, outcome, elapsed_s, report
             )
         elif permit.owner == self._requester.vm:
             self._slot_manager.release(permit.key, permit.name, outcome, elapsed_s, report)
--- a/tests/entry/test_local_shares.py
+++ b/tests/entry/test_local_shares.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+import time
 from collections import Counter
 from types import SimpleNamespace
 from typing import Any
@@ -16,6 +18,7 @@
 from briarfork.pools import Release
 from briarfork.pools import Requester
 from briarfork.pools import ServerAddress
+from briarfork.pools import ServerReport
 from briarfork.pools import SlotRequest
 
 KEY = ("s", "a")
@@ -72,6 +75,21 @@
         assert busiest <= MAX_REQUESTS
         assert len(sent) >= MIN_REQUESTS
 
+    async def test_report_reaches_the_share_without_its_limit(self) -> None:
+        """Guards against slow servers that a share selects as if they were fast."""
+        zone = Zone(2)
+        zone.limit_per_s = 100.0
+        shares = zone.build_shares("vm-1")
+        request = SlotRequest("p", Requester("vm"), RequestClass.SHORT, math.inf)
+        task = asyncio.create_task(shares.acquire(KEY, request, Counter(), 1.0))
+        await asyncio.sleep(0.05)
+        other = SlotRequest("q", Requester("vm"), RequestClass.SHORT, math.inf)
+        await shares.acquire(KEY, other, Counter(), 0.0)
+        assert await task is not None
+        shares.release(KEY, "p", "i", Release.DONE, 0.01, ServerReport(0.0, 0, 3.0, 100.0))
+        server = shares._queues[KEY]._servers["i"]
+        assert (server.get_slowness(time.monotonic()), server.limit_per_s) == (3.0, 50.0)
+
     async def test_limit_ends_when_the_server_no_longer_names_it(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
