Save up no requests in shares that are not used

Cause: after an outage of the owner each VM's share of a server's limit filled up to one request. At the next outage all VMs of the zone sent theirs at once: with 12 VMs and a limit of 0.5 a second, 12 requests in 4 s where 8 are allowed.

Change: a share that no request has asked for in 2 s starts again with its phase at most.

Result: the new test in tests/entry/test_local_shares.py counted 12 on the code before and passes now. The tests of shares and limiters pass, black, ruff and mypy are clean. The whole of tests/entry was not run to its end on this commit.

--- a/src/briarfork/pools/rate_limiter.py
+++ b/src/briarfork/pools/rate_limiter.py
@@ -11,6 +11,9 @@
 MAX_BURST: Final = 2.0
 # The same for a share of a limit.
 MAX_SHARE_BURST: Final = 1.0
+# A share that no request has asked for in this time starts again with its phase at most. Requests
+# that wait for a share ask about every 0.8 s (`permit_silence`).
+SHARE_IDLE_S: Final = 2.0
 
 
 class RateLimiter:
@@ -27,7 +30,7 @@
         (False, False, True)
     """
 
-    __slots__ = ("_max_tokens", "_tokens", "_updated_at", "per_s")
+    __slots__ = ("_asked_at", "_max_tokens", "_share_phase", "_tokens", "_updated_at", "per_s")
 
     def __init__(self, per_s: float, now: float, *, share_phase: float | None = None) -> None:
         """Creates a limiter.
@@ -36,12 +39,15 @@
             per_s: Requests per second that may be sent.
             now: Time, in seconds.
             share_phase: For one VM's share of a limit, the fraction of a request that it starts
-                with. It differs between VMs, so that their bursts do not add up.
+                with, also after a time without requests. It differs between VMs, so that their
+                bursts do not add up.
         """
         self.per_s = per_s
         self._max_tokens = MAX_BURST if share_phase is None else MAX_SHARE_BURST
         self._tokens = MAX_BURST if share_phase is None else share_phase
         self._updated_at = now
+        self._share_phase = share_phase
+        self._asked_at = now
 
     @property
     def usable_per_s(self) -> float:
@@ -50,6 +56,10 @@
 
     def allows(self, now: float) -> bool:
         """Returns whether another request may be sent now."""
+        if self._share_phase is not None and now - self._asked_at > SHARE_IDLE_S:
+            self._tokens = min(self._share_phase, self._count_tokens(now))
+            self._updated_at = now
+        self._asked_at = now
         return self._count_tokens(now) >= 1.0
 
     def record(self, now: float) -> None:
--- a/tests/entry/test_local_shares.py
+++ b/tests/entry/test_local_shares.py
@@ -75,6 +75,28 @@
         assert busiest <= MAX_REQUESTS
         assert len(sent) >= MIN_REQUESTS
 
+    async def test_share_that_was_not_used_adds_no_burst(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against requests saved up by all VMs between two outages of the owner."""
+        zone, clock = Zone(VMS), SimpleNamespace(now=100.0)
+        monkeypatch.setattr(local, "time", SimpleNamespace(monotonic=lambda: clock.now))
+        shares = [zone.build_shares(vm) for vm in zone.vms]
+        sent = 0
+        for started in (100.0, 1000.0):
+            sent = 0
+            for step in range(round(WINDOW_S / STEP_S)):
+                clock.now = started + step * STEP_S
+                for number, share in enumerate(shares):
+                    permit = f"{number}-{clock.now}"
+                    request = SlotRequest(
+                        permit, Requester("vm"), RequestClass.SHORT, clock.now + 1.0
+                    )
+                    if await share.acquire(KEY, request, Counter(), 0.0) is not None:
+                        sent += 1
+                        share.release(KEY, permit, "i", Release.DONE, 0.01)
+        assert 1 <= sent <= MAX_REQUESTS
+
     async def test_report_reaches_the_share_without_its_limit(self) -> None:
         """Guards against slow servers that a share selects as if they were fast."""
         zone = Zone(2)
