Keep what the store has lost when it comes back from an older copy

Cause: the platform's store may be restored from a copy that is some seconds old. It then lacks acknowledged writes and uses their revisions and lease numbers again. VMs compared revisions of the two states, renewed leases that others might hold, and followed evacuations and members back.

Change: the client reads Store-Era from every response. Responses of an earlier era are discarded; revisions and leases carry their era, and calls that depend on an ended era fail. Evacuations and members that the copy lacks are kept, ended ones that it shows are ignored unless written anew (pools/evacuations.py, membership/registered.py, without I/O). Held entries of servers last anew, and a removal is remembered for as long as an entry is held. What is applied to the gateway moves from the watcher to store_contents.py. Without the header no call and no time changes.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -87,6 +87,16 @@
         "notice",
         "The entry of a server is older than what is known of it and is not used for now.",
     )
+    STORE_ERA_CHANGED = EventDefinition(
+        3008,
+        "warning",
+        "The store was restored from an older copy; all data is read and this VM registered again.",
+    )
+    STORE_COPY_OVERRULED = EventDefinition(
+        3009,
+        "warning",
+        "The restored store lacks or contradicts what this VM knows; the VM keeps what it knows.",
+    )
     PEER_CONNECTED = EventDefinition(4001, "info", "A stream to another process is open.")
     PEER_LOST = EventDefinition(4002, "info", "A stream to another process has ended.")
     PEER_PROTOCOL_ERROR = EventDefinition(
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -81,6 +81,11 @@
             "Time since the view of the store was last known to be up to date.",
             registry=self._registry,
         )
+        self._store_era = Gauge(
+            "briarfork_store_era",
+            "Era of the store, -1 if it names none; it rises when an older copy is restored.",
+            registry=self._registry,
+        )
 
         self._loop_delays = Histogram(
             "briarfork_loop_delay_seconds",
@@ -144,6 +149,10 @@
         """Sets the gauge for the age of this VM's view of the store, in seconds."""
         self._view_age.set(age_s)
 
+    def set_store_era(self, era: int) -> None:
+        """Sets the gauge for the era of the store, -1 if it names none."""
+        self._store_era.set(era)
+
     def observe_loop_delay(self, delay_s: float) -> None:
         """Counts how late a timer of the event loop ran, in seconds."""
         self._loop_delays.observe(delay_s)
--- a/src/briarfork/membership/__init__.py
+++ b/src/briarfork/membership/__init__.py
@@ -6,6 +6,7 @@
 from briarfork.membership.directory import ListRecord
 from briarfork.membership.member import Member
 from briarfork.membership.member import MemberState
+from briarfork.membership.registered import RegisteredMembers
 from briarfork.membership.roster import Roster
 from briarfork.membership.roster import rank_members
 
@@ -15,6 +16,7 @@
     "ListedVm",
     "Member",
     "MemberState",
+    "RegisteredMembers",
     "Roster",
     "rank_members",
     "select_fast_members",
--- a/src/briarfork/platform/endpoints.py
+++ b/src/briarfork/platform/endpoints.py
@@ -13,7 +13,7 @@
     from briarfork.border.busy_times import BusyTimes
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
-    from briarfork.platform.store_health import StoreHealth
+    from briarfork.platform.store import StoreClient
 
 # Maximum number of entry VMs in one response.
 MAX_ENTRIES = 64
@@ -31,12 +31,13 @@
 
 
 def build_metrics_app(
-    dispatcher: Dispatcher, health: StoreHealth, busy_times: BusyTimes
+    dispatcher: Dispatcher, store: StoreClient, busy_times: BusyTimes
 ) -> web.Application:
     """Returns the application for the metrics."""
 
     async def report(request: web.Request) -> web.Response:
-        dispatcher.metrics.set_view_age(health.compute_view_age())
+        dispatcher.metrics.set_view_age(store.health.compute_view_age())
+        dispatcher.metrics.set_store_era(store.era.current)
         for work, total_s in busy_times.totals_s.items():
             dispatcher.metrics.set_busy_time(work.value, total_s)
         if dispatcher.has_configuration:
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -124,12 +124,14 @@
         async with StoreClient(self._settings.common, self._events) as store:
             dispatcher = self._build_dispatcher()
             watcher = StoreWatcher(self._settings, self._gateway, store, self._events)
-            registration = Registration(self._settings, store, watcher, self._build_member())
+            registration = Registration(
+                self._settings, store, watcher.contents, self._build_member()
+            )
             monitor = LoopMonitor(
                 self._events, self._gateway.busy_times, dispatcher.metrics.observe_loop_delay
             )
             servers = GatewayServers(self._settings, self._gateway, dispatcher)
-            await servers.open(store.health)
+            await servers.open(store)
             self._events.record(Event.STARTED, entry=self._settings.common.ports.entry)
             async with asyncio.TaskGroup() as group:
                 registration_task = group.create_task(
--- a/src/briarfork/platform/names.py
+++ b/src/briarfork/platform/names.py
@@ -22,6 +22,9 @@
 SERVER_LEAVING: Final = "Server-Leaving"
 NOT_EXECUTED: Final = "X-Briarfork-Not-Executed"
 
+# Number of the store's present state; it rises when the store is restored from an older copy.
+STORE_ERA: Final = "Store-Era"
+
 READY_PATH: Final = "/v1/readyz"
 METRICS_PATH: Final = "/metrics"
 LOOKUP_PATH: Final = "/v1/resolve"
--- a/src/briarfork/platform/servers.py
+++ b/src/briarfork/platform/servers.py
@@ -19,7 +19,7 @@
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
     from briarfork.platform.settings import PlatformSettings
-    from briarfork.platform.store_health import StoreHealth
+    from briarfork.platform.store import StoreClient
 
 LISTEN_BACKLOG = 1024
 # Time in which requests that are broken off get their responses.
@@ -42,11 +42,11 @@
         self._auxiliary: list[GracefulServer] = []
         self._runners: list[web.AppRunner] = []
 
-    async def open(self, health: StoreHealth) -> None:
+    async def open(self, store: StoreClient) -> None:
         """Opens all servers.
 
         Args:
-            health: Health of the store, for the metrics.
+            store: Client of the store, for the metrics.
         """
         settings, gateway = self._settings, self._gateway
         await self._callers.listen(
@@ -55,7 +55,7 @@
             settings.common.ports.entry,
             backlog=LISTEN_BACKLOG,
         )
-        metrics = build_metrics_app(self._dispatcher, health, gateway.busy_times)
+        metrics = build_metrics_app(self._dispatcher, store, gateway.busy_times)
         await self._open_app(build_ready_app(gateway), settings.ready)
         await self._open_app(build_lookup_app(gateway, settings.lookup_ttl_s), settings.lookup)
         await self._open_app(metrics, settings.metrics)
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -10,6 +10,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Generic
 from typing import TypeVar
 
 import aiohttp
@@ -21,7 +22,15 @@
 from briarfork.border.sending import build_send_trace
 from briarfork.border.store import StoreUnavailable
 from briarfork.platform.names import NO_KEYS_PREFIX
+from briarfork.platform.names import STORE_ERA
+from briarfork.platform.store_era import Lease
+from briarfork.platform.store_era import StaleResponse
+from briarfork.platform.store_era import StoreEra
+from briarfork.platform.store_era import StorePosition
 from briarfork.platform.store_health import StoreHealth
+from briarfork.platform.store_messages import Events
+from briarfork.platform.store_messages import GrantedLease
+from briarfork.platform.store_messages import Page
 from briarfork.platform.units import format_duration
 
 if TYPE_CHECKING:
@@ -29,6 +38,7 @@
 
     from briarfork.border.events import EventLog
     from briarfork.border.settings import Settings
+    from briarfork.platform.store_messages import Item
 
 ResponseT = TypeVar("ResponseT")
 MS_PER_S = 1000
@@ -49,61 +59,31 @@
 LEASE_ERRORS: StatusErrors = MappingProxyType({HTTPStatus.NOT_FOUND: LeaseExpired})
 
 
-class Item(msgspec.Struct, frozen=True):
-    """A key as the store returns it.
-
-    Attributes:
-        value: Value in standard base64.
-        deleted: Whether the key was deleted.
-    """
-
-    key: str
-    revision: int
-    value: str = ""
-    deleted: bool = False
-
-    def decode(self) -> bytes:
-        """Returns the decoded value, empty if it is not valid base64."""
-        try:
-            return base64.b64decode(self.value, validate=True)
-        except ValueError:
-            return b""
-
-
-class Page(msgspec.Struct, frozen=True):
-    """One page of a range query."""
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All keys with a prefix, and the position after which to watch for changes."""
 
     items: list[Item]
-    store_revision: int
-    has_more: bool = False
-
-
-class Events(msgspec.Struct, frozen=True):
-    """The changes that a watch returns."""
-
-    events: list[Item]
-    store_revision: int
-
-
-class GrantedLease(msgspec.Struct, frozen=True):
-    """The response to the creation of a lease."""
-
-    lease: int
+    position: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
-class Listing:
-    """All keys with a prefix, and the revision after which to watch for changes."""
+class Reply(Generic[ResponseT]):
+    """The decoded response to a call and its era."""
 
-    items: list[Item]
-    revision: int
+    body: ResponseT
+    era: int
 
 
 class StoreClient:
     """Client for the store; each call has a timeout and is sent at most once.
 
+    Responses of an earlier era of the store are discarded. A call that depends on an era, because
+    it names a revision or a lease, fails once that era has ended.
+
     Attributes:
         health: What the calls show about the store.
+        era: The era of the store.
         calls: Number of calls so far.
     """
 
@@ -111,6 +91,7 @@
         self._url = settings.store_url
         self._timeouts = settings.timeouts
         self.health = StoreHealth(events)
+        self.era = StoreEra(events)
         self._session = aiohttp.ClientSession(
             connector=DirectConnector(limit=0),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=settings.timeouts.store_s),
@@ -130,97 +111,108 @@
         await self._session.close()
 
     async def list_keys(self, prefix: str) -> Listing:
-        """Returns all keys with a prefix.
+        """Returns all keys with a prefix, all of one era.
 
         Raises:
+            EraEnded: If the era changed between two pages.
             StoreUnavailable: If the call fails.
         """
         items: list[Item] = []
-        revision = 0
+        position: StorePosition | None = None
         after = ""
         while True:
             params = {"prefix": prefix} | ({"after": after} if after else {})
-            page = await self._call("GET", "/v1/kv-range", Page, params=params)
+            era = position.era if position else None
+            reply = await self._call("GET", "/v1/kv-range", Page, era=era, params=params)
+            page = reply.body
             items += page.items
             # A watch from the revision of the first page includes changes made between pages.
-            revision = revision or page.store_revision
+            position = position or StorePosition(reply.era, page.store_revision)
             if not page.has_more or not page.items:
                 self.health.record_view()
-                return Listing(items, revision)
+                return Listing(items, position)
             if page.items[-1].key <= after:
                 failure = StoreUnavailable(f"GET /v1/kv-range: pages repeat after key {after}")
                 self.health.record_failure(failure.detail)
                 raise failure
             after = page.items[-1].key
 
-    async def watch(self, prefix: str, after: int) -> Events:
-        """Waits for changes after a revision; returns none if none occur within the watch time.
+    async def watch(self, prefix: str, after: StorePosition) -> Events:
+        """Waits for changes after a position; returns none if none occur within the watch time.
 
         Raises:
+            EraEnded: If the era of the position has ended.
             HistoryUnavailable: If the changes are no longer available.
             StoreUnavailable: If the call fails.
         """
         wait_s = self._timeouts.watch_s
         params = {
             "prefix": prefix,
-            "after": str(after),
+            "after": str(after.revision),
             "wait_ms": str(round(wait_s * MS_PER_S)),
         }
-        timeout_s = wait_s + self._timeouts.store_s
-        path = "/v1/kv-watch"
-        events = await self._call(
+        reply = await self._call(
             "GET",
-            path,
+            "/v1/kv-watch",
             Events,
-            timeout_s=timeout_s,
+            era=after.era,
+            timeout_s=wait_s + self._timeouts.store_s,
             errors={HTTPStatus.GONE: HistoryUnavailable},
             params=params,
         )
         self.health.record_view()
-        return events
+        return reply.body
 
-    async def read_revision(self, *, stale: bool = True) -> int:
-        """Returns a revision that the store has reached.
+    async def read_revision(self, era: int, *, stale: bool = True) -> int:
+        """Returns a revision that the store has reached in an era.
 
         Args:
+            era: The era.
             stale: Whether a newer one may exist. Stale reads cost a tenth of other reads.
 
         Raises:
+            EraEnded: If the era has ended.
             StoreUnavailable: If the call fails.
         """
         params = {"prefix": NO_KEYS_PREFIX} | ({"stale_ok": "1"} if stale else {})
-        page = await self._call("GET", "/v1/kv-range", Page, params=params)
-        return page.store_revision
+        reply = await self._call("GET", "/v1/kv-range", Page, era=era, params=params)
+        return reply.body.store_revision
 
-    async def create_lease(self, ttl_s: float) -> int:
-        """Creates a lease and returns its id.
+    async def create_lease(self, ttl_s: float) -> Lease:
+        """Creates a lease.
 
         Raises:
             StoreUnavailable: If the call fails.
         """
         body = {"ttl_time": format_duration(ttl_s)}
-        granted = await self._call("POST", "/v1/kv-lease", GrantedLease, json=body)
-        return granted.lease
+        reply = await self._call("POST", "/v1/kv-lease", GrantedLease, json=body)
+        return Lease(reply.era, reply.body.lease)
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renews a lease.
 
         Raises:
+            EraEnded: If the era of the lease has ended.
             LeaseExpired: If the lease has expired.
             StoreUnavailable: If the call fails.
         """
-        await self._call("POST", f"/v1/kv-keep/{lease}", dict[str, Any], errors=LEASE_ERRORS)
+        path = f"/v1/kv-keep/{lease.number}"
+        await self._call("POST", path, dict[str, Any], era=lease.era, errors=LEASE_ERRORS)
 
-    async def put(self, key: str, value: bytes, lease: int) -> None:
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
         """Writes a key that only one VM writes and that is deleted when its lease expires.
 
         Raises:
+            EraEnded: If the era of the lease has ended; the write may have taken effect.
             LeaseExpired: If the lease has expired.
             StoreUnavailable: If the call fails; the write may have taken effect.
         """
-        put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease.number}
         body = {"expected": [], "puts": [put], "deletes": []}
-        await self._call("POST", "/v1/kv-txn", dict[str, Any], errors=LEASE_ERRORS, json=body)
+        path = "/v1/kv-txn"
+        await self._call(
+            "POST", path, dict[str, Any], era=lease.era, errors=LEASE_ERRORS, json=body
+        )
 
     async def delete(self, key: str) -> None:
         """Deletes a key.
@@ -236,24 +228,29 @@
         method: str,
         path: str,
         expected: type[ResponseT],
+        era: int | None = None,
         timeout_s: float | None = None,
         errors: StatusErrors = NO_ERRORS,
         **options: Any,
-    ) -> ResponseT:
+    ) -> Reply[ResponseT]:
         """Returns the decoded response to a call.
 
         Args:
             method: HTTP method.
             path: Path of the call.
             expected: Type of the response.
+            era: Era on which the call depends, None if it depends on none.
             timeout_s: Longest time for the call, by default that of the settings.
             errors: The errors that statuses mean in response to this call. Other failures mean that
                 the store is unavailable.
             options: Further arguments of the HTTP request.
 
         Raises:
+            EraEnded: If the era on which the call depends has ended.
             StoreUnavailable: If there is no valid response.
         """
+        sent_in = self.era.current
+        self.era.check(sent_in, era)
         self.calls += 1
         call = f"{method} {path}"
         try:
@@ -261,6 +258,8 @@
                 async with self._session.request(
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
                 ) as response:
+                    found = self.era.observe(response.headers.get(STORE_ERA), sent_in)
+                    self.era.check(found, era)
                     body = await read_body(response, MAX_RESPONSE_BYTES)
                     if response.status in errors:
                         raise errors[response.status]
@@ -269,11 +268,16 @@
             failure = StoreUnavailable(f"{call}: {str(error) or type(error).__name__}")
             self.health.record_failure(failure.detail)
             raise failure from error
+        except StaleResponse:
+            # The store answers; this response was only late.
+            raise
         except StoreUnavailable as error:
             self.health.record_failure(error.detail)
             raise
+        # The era may have ended while the body was read.
+        self.era.check(found, era)
         self.health.record_response()
-        return decoded
+        return Reply(decoded, found)
 
 
 def _decode_response(call: str, status: int, body: bytes, expected: type[ResponseT]) -> ResponseT:
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -1,5 +1,6 @@
 """Pools of backend servers: slots, permits and server selection."""
 
+from briarfork.pools.evacuations import Evacuations
 from briarfork.pools.instance import Instance
 from briarfork.pools.inventory import Inventory
 from briarfork.pools.local import LocalPool
@@ -22,6 +23,7 @@
     "NO_REPORT",
     "PERMITS_POLICY",
     "SELECTION_POLICIES",
+    "Evacuations",
     "Grant",
     "Instance",
     "Inventory",
--- a/src/briarfork/pools/entry_order.py
+++ b/src/briarfork/pools/entry_order.py
@@ -56,7 +56,8 @@
     A write that got no response may take effect seconds later, after newer ones, and bring back a
     server that has left. The next heartbeat of a live server replaces such an entry, and that of a
     server that has ended expires for lack of heartbeats. An entry that lasts longer is a server's
-    present one: its clock was set back before a restart, or it was silent for a while.
+    present one: its clock was set back before a restart, or it was silent for a while. A store that
+    is restored from an older copy brings back entries in the same way.
     """
 
     _removed: dict[str, RemovedServer] = field(default_factory=dict)
@@ -85,6 +86,10 @@
         held = self._held.get(entry.name)
         self._held[entry.name] = HeldEntry(entry, held.since if held else now)
 
+    def restart_held(self, now: float) -> None:
+        """Lets held entries last anew, after a restore of the store gave them time to expire."""
+        self._held = {name: HeldEntry(item.instance, now) for name, item in self._held.items()}
+
     def release(self, name: str) -> None:
         """Forgets what was known of a server before its newest entry."""
         self._held.pop(name, None)
@@ -120,9 +125,14 @@
             entry_ttl_s: Time after which an entry without heartbeats is removed, in seconds.
         """
         if now - self._checked_at > MAX_CHECK_GAP_S:
-            self._held = {name: HeldEntry(item.instance, now) for name, item in self._held.items()}
+            self.restart_held(now)
         self._checked_at = now
         oldest = now - REMOVED_SERVER_MEMORY_S
-        self._removed = {name: item for name, item in self._removed.items() if item.at > oldest}
+        # A held entry that is listed again has to be recognized for as long as it is held.
+        self._removed = {
+            name: item
+            for name, item in self._removed.items()
+            if item.at > oldest or name in self._held
+        }
         lasts_from = now - entry_ttl_s - EXPIRY_MARGIN_S
         return [item.instance for item in self._held.values() if item.since <= lasts_from]
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -93,7 +93,24 @@
         self._lapsed_until.pop(instance.name, None)
         self._order.release(instance.name)
 
-    def remove(self, name: str, store_healthy: bool, now: float, recovered_at: float) -> None:
+    def begin_era(self, now: float) -> None:
+        """Prepares for entries of a store that was restored from an older copy.
+
+        Args:
+            now: Time, in seconds on the monotonic clock.
+        """
+        self._order.restart_held(now)
+        # Servers that the copy lacks get a grace period of their own.
+        self._lapsed_until.clear()
+
+    def remove(
+        self,
+        name: str,
+        store_healthy: bool,
+        now: float,
+        recovered_at: float,
+        grace_s: float = LAPSED_ENTRY_GRACE_S,
+    ) -> None:
         """Removes a server whose entry has disappeared.
 
         Args:
@@ -102,10 +119,11 @@
                 a grace period, which starts at the end of the outage.
             now: Time, in seconds on the monotonic clock.
             recovered_at: Time at which the last outage ended.
+            grace_s: Length of the grace period, in seconds.
         """
         self._order.discard_held(name)
         if name in self._instances and not store_healthy:
-            self._lapsed_until.setdefault(name, recovered_at + LAPSED_ENTRY_GRACE_S)
+            self._lapsed_until.setdefault(name, recovered_at + grace_s)
         elif name in self._instances:
             self._delete(name, now)
         elif store_healthy:
--- a/tests/pools/test_entry_order.py
+++ b/tests/pools/test_entry_order.py
@@ -227,3 +227,27 @@
     def test_vm_that_has_just_started_uses_what_the_store_has(self) -> None:
         """Guards against a new VM without servers; it knows nothing that an entry could undo."""
         assert is_usable(build_inventory(build_server(4)))
+
+
+class TestRestoredStore:
+    """A copy brings back the entry of a server that has left, which expires there after 4.5 s."""
+
+    def test_entry_that_two_copies_bring_back_is_not_used(self) -> None:
+        """Guards against the time that an entry was listed before the second restore."""
+        inventory = build_inventory(build_server(4))
+        inventory.remove("i-1", store_healthy=True, now=1.0, recovered_at=0.0)
+        for restored_at in (2.0, 5.0):
+            inventory.begin_era(restored_at)
+            assert not inventory.put(build_server(4), restored_at)
+            check_until(inventory, restored_at, restored_at + 3.0)
+        check_until(inventory, 8.0, 12.0)
+        assert not is_usable(inventory)
+
+    def test_entry_that_is_listed_twice_after_a_long_outage_is_not_used(self) -> None:
+        """Guards against a removal that is forgotten while the entry of the copy is held."""
+        inventory = build_inventory(build_server(4))
+        inventory.remove("i-1", store_healthy=True, now=1.0, recovered_at=0.0)
+        assert not inventory.put(build_server(4), 100.0)
+        check_until(inventory, 100.0, 101.0)
+        assert not inventory.put(build_server(4), 101.0)
+        assert not is_usable(inventory)
--- a/tests/soak/extra_faults.py
+++ b/tests/soak/extra_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -10,6 +11,7 @@
 from briarfork.platform import names
 from briarfork.registry import Registry
 from tests.soak.endless import ENDLESS_ANSWERS
+from tests.soak.environment import MISSED_HEARTBEATS
 from tests.soak.faults import Fault
 from tests.soak.faults import choose_endpoint
 from tests.soak.faults import choose_vm
@@ -17,6 +19,8 @@
 from tests.soak.faults import end_interval
 from tests.soak.faults import stop_gracefully
 from tests.soak.faults import wait_until_ready
+from tests.soak.ledger import RESTORED_STORE
+from tests.standins.gateway import HEARTBEAT_S
 
 if TYPE_CHECKING:
     from random import Random
@@ -24,8 +28,13 @@
     from tests.soak.environment import SoakEnvironment
 
 EXTRA_FAULTS: Registry[Fault] = Registry("extra fault")
+RESTORE_FAULTS: Registry[Fault] = Registry("restore of the store")
 # Time between two signals to the same process.
 SIGNAL_INTERVAL_S = (0.0, 2.0)
+# Age of a copy from which the store comes back, and for how long it is down before.
+COPY_AGE_S, RESTORE_S = (1.0, 5.0), (0.2, 0.5)
+# Time after which operators have written again what a copy lacks.
+REWRITE_S = (0.2, 1.0)
 
 
 @EXTRA_FAULTS.register("endless answers")
@@ -71,3 +80,30 @@
     environment.store.odd_answer = None
     end_interval(interval)
     return str(status)
+
+
+@RESTORE_FAULTS.register("store comes back older")
+async def restore_store(environment: SoakEnvironment, random: Random) -> str:
+    """Restores the store from a copy; what was written since is written again by its writers."""
+    store = environment.store
+    copy = store.take_copy()
+    age_s = random.uniform(*COPY_AGE_S)
+    await asyncio.sleep(age_s)
+    interval = environment.ledger.start_fault(RESTORED_STORE, "older", time.monotonic())
+    store.down = True
+    await asyncio.sleep(random.uniform(*RESTORE_S))
+    await store.restore(copy)
+    store.down = False
+    await asyncio.sleep(random.uniform(*REWRITE_S))
+    await environment.rewrite_configuration()
+    for zone, intervals in environment.ledger.evacuations.items():
+        key = names.EVACUATION_PREFIX + zone
+        is_evacuated = any(item.ended_at == math.inf for item in intervals)
+        if is_evacuated and key not in store.items:
+            await store.put(key, {})
+        elif not is_evacuated and key in store.items:
+            await store.delete(key)
+    await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_S)
+    await environment.expire_ended_servers()
+    end_interval(interval)
+    return f"{age_s:.1f} s"
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -8,6 +8,9 @@
 from dataclasses import field
 from enum import Enum
 
+# Subject of the faults in which the store comes back from an older copy.
+RESTORED_STORE = "restored store"
+
 
 @dataclass(slots=True)
 class Run:
@@ -165,6 +168,24 @@
         restarted = any(start <= time_s <= end for time_s in self.restart_times.get(vm, []))
         return not restarted and self.is_fault_free([vm], start, end)
 
+    def has_kept_knowledge(self, vm: str, since: float, learn_s: float, until: float) -> bool:
+        """Returns whether a VM must still know a change, whatever the store was restored to.
+
+        Args:
+            vm: Name of the VM.
+            since: Monotonic time at which the store acknowledged the change.
+            learn_s: Time in which the VM learns of it.
+            until: Monotonic time at which the VM must know it.
+        """
+        restores = [
+            item
+            for item in self.fault_intervals.get(RESTORED_STORE, [])
+            if item.overlaps(since, until)
+        ]
+        has_learned = all(item.started_at >= since + learn_s for item in restores)
+        restarted = any(since <= time_s <= until for time_s in self.restart_times.get(vm, []))
+        return not restores or (has_learned and not restarted)
+
     def is_fault_free(self, subjects: list[str], start: float, end: float) -> bool:
         """Returns whether no fault of any of the subjects overlaps a time interval."""
         return not any(
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -19,6 +19,7 @@
 from tests.soak.environment import RECOVERY_S
 from tests.soak.environment import SoakEnvironment
 from tests.soak.extra_faults import EXTRA_FAULTS
+from tests.soak.extra_faults import RESTORE_FAULTS
 from tests.soak.faults import FAULTS
 from tests.soak.faults import LATE_FAULTS
 from tests.soak.faults import Fault
@@ -42,6 +43,7 @@
 FAULT_INTERVAL_S = (0.2, 2.0)
 LATE_FAULT_INTERVAL_S = (2.0, 5.0)
 EXTRA_FAULT_INTERVAL_S = (1.5, 4.0)
+RESTORE_INTERVAL_S = (3.0, 8.0)
 MEMORY_CHECK_INTERVAL_S = 0.1
 DELAY_CHECK_INTERVAL_S = 0.05
 
@@ -155,6 +157,8 @@
                 kinds.create_task(injector.run(FAULTS, random, FAULT_INTERVAL_S))
                 extra_draws = Random(f"extra {seed}")
                 kinds.create_task(injector.run(EXTRA_FAULTS, extra_draws, EXTRA_FAULT_INTERVAL_S))
+                restore_draws = Random(f"restore {seed}")
+                kinds.create_task(injector.run(RESTORE_FAULTS, restore_draws, RESTORE_INTERVAL_S))
             late_draws = Random(f"late {seed}")
             kinds.create_task(injector.run(LATE_FAULTS, late_draws, LATE_FAULT_INTERVAL_S))
         recovery_s = await measure_recovery_s(environment)
