--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -195,6 +195,8 @@
             # The watch would have shown an older state by now.
             await asyncio.sleep(REGISTERED_S - (time.monotonic() - started))
         assert running.gateway.view.require_route_table().version == 4
+        # A store that holds an older configuration does not show that the VM's is the current one.
+        assert running.gateway.view.configuration_shown_at < started
         assert running.contents.evacuations.zones == {"a"}
         assert OWN.vm in running.gateway.view.members
         changed = [item.extra for item in handler.records if item.extra["event"] == 3008]
