Share scarce slots between workspaces by start-time fair queueing

Cause: the queue of slots served requests of one priority in order of arrival, so a workspace with a burst took the slots of all others. Change: each queue keeps a flow for each workspace; tags belong to positions in the flow. Waiting requests that were overtaken and will be too late are refused. Refusals are cached for each workspace, and Retry-After grows with the priority and keeps within a third of the time that the caller has left. queue.py is split along its decisions.

--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -321,6 +321,8 @@
         avoid: frozenset[str],
         priority: int = 0,
         object_key: str = "",
+        workspace: str = "",
+        weight: float = 1.0,
     ) -> SlotRequest:
         """Returns a slot request under a new permit name."""
         return SlotRequest(
@@ -332,6 +334,8 @@
             priority=priority,
             object_key=object_key,
             asked_at=time.monotonic(),
+            workspace=workspace,
+            weight=weight,
         )
 
     def build_permit_name(self) -> str:
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -282,6 +282,7 @@
             progress.deadline,
             frozenset(progress.tried_servers),
             progress.body_bytes,
+            progress.admitted.workspace if progress.admitted else None,
         )
 
     def _require_time_to_run(self, progress: Progress) -> None:
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -14,7 +14,8 @@
 from briarfork.entry.slot_client import SlotClient
 from briarfork.entry.slot_client import SlotRefused
 from briarfork.errors import ErrorKind
-from briarfork.gateway.spillover import RefusalCache
+from briarfork.gateway.refusals import RefusalCache
+from briarfork.gateway.refusals import RefusalSummary
 from briarfork.gateway.spillover import RemoteShareController
 from briarfork.gateway.spillover import SpilloverLimit
 from briarfork.gateway.zones import LARGE_BODY_BYTES
@@ -32,6 +33,7 @@
     from briarfork.gateway.view import GatewayView
     from briarfork.pools import SlotRequest
     from briarfork.routing import Route
+    from briarfork.workspaces import Workspace
 
 # Fraction of the latency objective that a request may wait for a slot in this VM's zone. The rest
 # is left for the run, which takes a third of the objective when the server has the object cached.
@@ -63,6 +65,7 @@
         deadline: Deadline of the request.
         avoid: Servers that the request was already sent to.
         body_bytes: Length of the request body.
+        workspace: Workspace of the caller, None if it has none.
     """
 
     route: Route
@@ -71,6 +74,19 @@
     deadline: Deadline
     avoid: frozenset[str]
     body_bytes: int = 0
+    workspace: Workspace | None = None
+
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace, empty without one."""
+        return "" if self.workspace is None else self.workspace.name
+
+    @property
+    def weight(self) -> float:
+        """Weight among the workspaces that share scarce slots: the rate of the quota."""
+        if self.workspace is None or not self.workspace.has_quota:
+            return 1.0
+        return self.workspace.rate_per_s
 
     @property
     def is_large(self) -> bool:
@@ -131,23 +147,29 @@
         now = time.monotonic()
         if local and remote and self._may_leave_region(request, now):
             return
-        refusal = SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot")
+        summary = RefusalSummary()
         for zone in local or remote:
-            key = (request.service, zone)
-            wait_s = self._refusal_cache.find_wait(key, request.route.priority, now)
-            if wait_s <= 0.0:
+            refused = self._find_refusal(zone, request, now)
+            if refused is None:
                 return
-            refusal = _keep_shorter_wait(refusal, wait_s)
-        raise refusal
+            summary.add(refused)
+        raise summary.build(request.deadline.remaining_s(now))
+
+    def _find_refusal(self, zone: str, request: SlotRequirements, now: float) -> SlotRefused | None:
+        key = (request.service, zone)
+        return self._refusal_cache.find(key, request.route.priority, request.workspace_name, now)
 
     def _may_leave_region(self, request: SlotRequirements, now: float) -> bool:
         share = self._find_share_controller(request.service, now).compute(now)
         has_share = share > 0.0 and not request.is_large
         return has_share or self._spillover_limit.allows_spillover(now)
 
-    def record_refusal(self, key: SlotKey, priority: int, wait_s: float) -> None:
+    def record_refusal(
+        self, key: SlotKey, priority: int, wait_s: float, workspace: str = "", detail: str = ""
+    ) -> None:
         """Remembers for a short time that a zone refused a request of a priority."""
-        self._refusal_cache.record(key, priority, wait_s, time.monotonic())
+        refused = SlotRefused(ErrorKind.OVERLOADED, detail, wait_s)
+        self._refusal_cache.record(key, priority, workspace, refused, time.monotonic())
 
     async def acquire_hedge(self, route: Route, first: Permit) -> Permit | None:
         """Returns a permit for a hedged attempt, or None if no slot is granted.
@@ -236,6 +258,8 @@
                     request.avoid,
                     request.route.priority,
                     request.object_key,
+                    request.workspace_name,
+                    request.weight,
                 )
                 return self.acquire_optimistically((request.service, zone), slot_request, server)
         return None
@@ -246,13 +270,13 @@
         Raises:
             SlotRefused: If all zones refuse.
         """
-        refusal = SlotRefused(ErrorKind.OVERLOADED, "no zone has a free slot")
+        summary = RefusalSummary()
         for zone in zones:
             key = (request.service, zone)
             now = time.monotonic()
-            wait_s = self._refusal_cache.find_wait(key, request.route.priority, now)
-            if wait_s > 0.0:
-                refusal = _keep_shorter_wait(refusal, wait_s)
+            refused = self._find_refusal(zone, request, now)
+            if refused is not None:
+                summary.add(refused)
                 continue
             wait_deadline = self._find_wait_deadline(request, zone, now)
             slot_request = self.build_slot_request(
@@ -261,14 +285,17 @@
                 request.avoid | self._gateway_view.inventory.list_paused(now),
                 request.route.priority,
                 request.object_key if request.route.sticky else "",
+                request.workspace_name,
+                request.weight,
             )
             decision = await self._request_usable(key, slot_request, wait_deadline)
             if isinstance(decision, Permit):
                 return self.track(decision)
-            wait_s = decision.wait_s if isinstance(decision, SlotRefused) else 0.0
-            self.record_refusal(key, request.route.priority, wait_s)
-            refusal = _keep_shorter_wait(refusal, wait_s)
-        raise refusal
+            if isinstance(decision, SlotRefused):
+                priority, name = request.route.priority, request.workspace_name
+                self.record_refusal(key, priority, decision.wait_s, name, decision.detail)
+                summary.add(decision)
+        raise summary.build(request.deadline.remaining_s(time.monotonic()))
 
     async def _request_usable(
         self, key: SlotKey, slot_request: SlotRequest, deadline: Deadline
@@ -360,9 +387,3 @@
         fraction = OWN_ZONE_WAIT_FRACTION if is_own_zone else OTHER_ZONE_WAIT_FRACTION
         wait_s = min(fraction * request.route.objective_s, request.deadline.remaining_s(now) / 2)
         return Deadline(now + wait_s)
-
-
-def _keep_shorter_wait(refusal: SlotRefused, wait_s: float) -> SlotRefused:
-    if wait_s > 0.0 and (refusal.wait_s == 0.0 or wait_s < refusal.wait_s):
-        return SlotRefused(refusal.kind, refusal.detail, wait_s)
-    return refusal
--- a/src/briarfork/gateway/spillover.py
+++ b/src/briarfork/gateway/spillover.py
@@ -3,14 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
 from typing import Final
 
 from briarfork.hashing import hash_to_fraction
 
-if TYPE_CHECKING:
-    from briarfork.entry.slots import SlotKey
-
 WINDOW_S: Final = 2.0
 # Fraction of a window's requests that may spill over after their region refused them. Together
 # with the steps of the remote share, this shifts less than 0.15 of a region's requests between
@@ -43,7 +39,6 @@
 # Until load is measured, callers are assumed to be distributed like the entry VMs. This fraction
 # of the surplus over the region's slots is sent to other regions from the start.
 INITIAL_CORRECTION: Final = 0.6
-MAX_REFUSAL_S: Final = 0.2
 
 
 class SpilloverLimit:
@@ -184,25 +179,6 @@
     return INITIAL_CORRECTION * max(0.0, 1.0 - coverage)
 
 
-class RefusalCache:
-    """Caches refusals for a short time, so that full zones are not asked again at once."""
-
-    def __init__(self) -> None:
-        self._until: dict[tuple[SlotKey, int], float] = {}
-
-    def record(self, key: SlotKey, priority: int, wait_s: float, now: float) -> None:
-        """Caches a refusal for half of its expected wait, at most 0.2 s.
-
-        A refusal without an expected wait is not cached: it does not predict later decisions.
-        """
-        if wait_s > 0.0:
-            self._until[key, priority] = now + min(MAX_REFUSAL_S, wait_s / 2)
-
-    def find_wait(self, key: SlotKey, priority: int, now: float) -> float:
-        """Returns the remaining time of a cached refusal in seconds, 0 if there is none."""
-        return max(0.0, self._until.get((key, priority), 0.0) - now)
-
-
 def _drop_expired(times: deque[float], now: float) -> None:
     while times and times[0] <= now - WINDOW_S:
         times.popleft()
--- a/src/briarfork/pools/objects.py
+++ b/src/briarfork/pools/objects.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
 # Objects beyond this number are assumed to have been evicted from the caches of the server.
 MAX_OBJECTS: Final = 96
@@ -70,6 +71,11 @@
         for key in self._recent.pop(server, ()):
             self._discard(key, server)
 
+    @property
+    def servers(self) -> Mapping[str, Collection[str]]:
+        """Names of the servers that have recently handled an object, by object."""
+        return self._servers
+
     def list_servers(self, key: str) -> Collection[str]:
         """Returns the names of the servers that have recently handled an object."""
         return self._servers.get(key, ())
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -3,22 +3,22 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from briarfork.configuration import RequestClass
+from briarfork.pools.backlog import Backlog
 from briarfork.pools.cold_start import ColdStartLimiter
+from briarfork.pools.forecast import WaitForecast
+from briarfork.pools.forecast import compute_retry_s
+from briarfork.pools.granting import Granting
 from briarfork.pools.held_permits import HeldPermits
-from briarfork.pools.permit import Grant
 from briarfork.pools.permit import HeldPermit
 from briarfork.pools.permit import Refusal
 from briarfork.pools.permit import Release
 from briarfork.pools.placement import Placement
 from briarfork.pools.run_times import RunTimes
-from briarfork.pools.server import Server
 from briarfork.pools.server_report import NO_REPORT
-from briarfork.pools.slow_start import SlowStart
-from briarfork.pools.wait_queue import WaitQueue
+from briarfork.pools.server_slots import ServerSlots
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,6 +26,8 @@
     from random import Random
 
     from briarfork.configuration import SiteCapacity
+    from briarfork.pools.backlog import Ahead
+    from briarfork.pools.permit import Grant
     from briarfork.pools.permit import Requester
     from briarfork.pools.permit import SlotRequest
     from briarfork.pools.server import ServerAddress
@@ -36,22 +38,19 @@
 # Bounds memory and the work that a burst causes. The check of the expected wait refuses requests
 # long before this length is reached.
 MAX_QUEUE_LENGTH = 4096
-# Run times vary, so a request is refused at once unless twice the expected wait is left. With a
-# factor of 1, half of the requests at the limit would be refused only after they had expired.
-WAIT_SAFETY_FACTOR = 2.0
-# Selects one of the free servers for a waiting request, or none.
-FindServer = Callable[["SlotRequest", "Mapping[str, Server]", float], "Server | None"]
-# Index of the request class in CLASS_ORDER and priority within the class; lower ranks go first.
-QueueRank = tuple[int, int]
-CLASS_ORDER = (RequestClass.SHORT, RequestClass.LONG)
+# Time between two checks of all waiting requests against the expected wait. The check looks at each
+# request, and the interval is short against the wait of half an objective.
+LATE_CHECK_INTERVAL_S = 0.02
+MS_PER_S = 1000.0
 
 
 class PermitQueue:
     """Slots and waiting requests of one service at one site.
 
     Only the VM that owns the slots keeps this queue. Permits are granted to short requests first,
-    then by priority, and in order of arrival within a priority. A server never holds more permits
-    than it has slots, except for permits that requesters declare after a change of owner.
+    then by priority, then shared between workspaces, and in order of arrival without workspaces. A
+    server never holds more permits than it has slots, except for permits that requesters declare
+    after a change of owner.
     """
 
     def __init__(
@@ -66,15 +65,14 @@
             slow_start: Whether the slots of new servers are made available gradually. Not needed
                 where servers report how long their caches stay cold.
         """
-        self._capacity = capacity
-        self._mixed = mixed
-        self._slow_start = slow_start
-        self._wait_queues: dict[QueueRank, WaitQueue] = {}
         self._run_times = {request_class: RunTimes() for request_class in RequestClass}
+        self._backlog = Backlog(self._run_times)
+        self._late_check_at = 0.0
         self._placement = Placement(random, self._run_times[RequestClass.SHORT])
         self._servers = self._placement.servers
         self._held_permits = HeldPermits()
-        self._first_list_applied = False
+        self._slots = ServerSlots(self._placement, capacity, mixed, slow_start)
+        self._granting = Granting(self._placement, self._held_permits)
 
     @property
     def in_progress(self) -> int:
@@ -84,53 +82,24 @@
     @property
     def waiting(self) -> int:
         """Number of waiting requests."""
-        return sum(len(wait_queue) for wait_queue in self._wait_queues.values())
+        return len(self._backlog)
 
     @property
     def slots(self) -> int:
         """Number of slots of all servers that accept new requests."""
-        return sum(
-            min(server.slots, server.slow_start.current_limit or server.slots)
-            for server in self._servers.values()
-            if not server.leaving
-        )
+        return self._slots.total
 
     def set_capacity(self, capacity: SiteCapacity, mixed: bool) -> None:
         """Applies the configured capacity of one server."""
-        self._capacity = capacity
-        self._mixed = mixed
-        for server in self._servers.values():
-            server.slots = server.address.slots or capacity.slots
-            server.long_slots = self._compute_long_slots(server.slots)
+        self._slots.set_capacity(capacity, mixed)
 
     def set_shares(self, slots: Mapping[str, int]) -> None:
-        """Limits each server to a share of its slots.
-
-        If the service has both short and long requests, long ones leave one slot of the share free.
-        """
-        for name, server in self._servers.items():
-            server.slots = slots.get(name, 0)
-            server.long_slots = max(0, server.slots - 1) if self._mixed else server.slots
+        """Limits each server to a share of its slots."""
+        self._slots.set_shares(slots)
 
     def set_servers(self, live: Iterable[ServerAddress]) -> None:
         """Applies the list of live servers; missing servers get no new requests."""
-        listed = {address.name: address for address in live}
-        for name, server in list(self._servers.items()):
-            server.leaving = name not in listed
-            if server.leaving and not server.permits:
-                self._placement.remove_server(name)
-        for name, address in listed.items():
-            if name not in self._servers or self._servers[name].address != address:
-                held = self._servers[name].permits if name in self._servers else {}
-                slots = address.slots or self._capacity.slots
-                server = Server(address, slots, self._compute_long_slots(slots))
-                server.permits = held
-                # Servers on the first list may have run for long; those added later are new.
-                server.slow_start = SlowStart(cold=self._first_list_applied and self._slow_start)
-                self._placement.remove_server(name)
-                self._servers[name] = server
-        self._placement.active = frozenset(listed)
-        self._first_list_applied = self._first_list_applied or bool(self._servers)
+        self._slots.set_servers(live)
 
     def submit(self, request: SlotRequest, now: float) -> list[Grant | Refusal]:
         """Queues a request and returns all decisions that can be made now."""
@@ -140,9 +109,9 @@
             return [Refusal(request, "the site has no server")]
         if request.hedge:
             return [self._decide_hedge(request, now)]
-        wait_s = self.estimate_wait_s(request.request_class, request.priority)
-        if wait_s and now + WAIT_SAFETY_FACTOR * wait_s > request.expires_at:
-            return [Refusal(request, f"the expected wait is {wait_s * 1000:.0f} ms", wait_s=wait_s)]
+        ahead = self._backlog.measure_ahead(request)
+        if self._build_forecast().refuses_new(ahead, request.expires_at - now):
+            return [self._refuse(request, "is", ahead)]
         self.enqueue(request)
         return self.poll(now)
 
@@ -154,26 +123,33 @@
         server = self._placement.select(request, free, now)
         if server is None:
             return Refusal(request, "no other server has a free slot")
-        return self._grant(request, server, now)
+        return self._granting.grant(request, server, now)
 
     def enqueue(self, request: SlotRequest) -> None:
         """Queues a request, to be decided by the next call of `poll`."""
-        queue_rank = _get_queue_rank(request.request_class, request.priority)
-        if queue_rank not in self._wait_queues:
-            self._wait_queues[queue_rank] = WaitQueue()
-            self._wait_queues = dict(sorted(self._wait_queues.items()))
-        self._wait_queues[queue_rank].add(request)
-
-    def estimate_wait_s(self, request_class: RequestClass, priority: int = 0) -> float:
-        """Returns the expected wait of a new request in seconds, 0 while no run time is known."""
-        own = _get_queue_rank(request_class, priority)
-        wait_s = 0.0
-        for queue_rank, wait_queue in self._wait_queues.items():
-            if queue_rank <= own:
-                wait_s += len(wait_queue) * self._run_times[CLASS_ORDER[queue_rank[0]]].mean_s
+        self._backlog.add(request)
+
+    def _build_forecast(self) -> WaitForecast:
         run_s = self._run_times[RequestClass.SHORT].mean_s
-        active = (server for server in self._servers.values() if not server.leaving)
-        return wait_s / max(1.0, sum(server.count_effective_slots(run_s) for server in active))
+        return WaitForecast(self._slots.count_effective(run_s))
+
+    def _refuse(self, request: SlotRequest, change: str, ahead: Ahead) -> Refusal:
+        """Returns a refusal because of what is ahead, with the time at which to come back."""
+        wait_s = self._build_forecast().compute_wait_s(ahead)
+        reason = f"the expected wait {change} {wait_s * MS_PER_S:.0f} ms, {ahead.requests} ahead"
+        more_urgent = self._backlog.count_more_urgent(request)
+        return Refusal(request, reason, wait_s=compute_retry_s(wait_s, more_urgent))
+
+    def _refuse_late(self, now: float) -> list[Refusal]:
+        """Refuses waiting requests that others have overtaken, so that they are too late."""
+        if now < self._late_check_at:
+            return []
+        self._late_check_at = now + LATE_CHECK_INTERVAL_S
+        forecast = self._build_forecast()
+        late = self._backlog.remove_late(
+            lambda ahead, expires_at: forecast.refuses_waiting(ahead, expires_at - now)
+        )
+        return [self._refuse(request, "has become", ahead) for request, ahead in late]
 
     def limit_rate(
         self, name: str, per_s: float, now: float, *, share_phase: float | None = None
@@ -202,23 +178,24 @@
         """Releases orphaned permits, expires waiting requests and grants free slots."""
         decided: list[Grant | Refusal] = []
         self._free_orphans(now)
-        for wait_queue in self._wait_queues.values():
-            for request in wait_queue.expire(now):
-                decided.append(Refusal(request, "no slot became free in time"))
+        for request in self._backlog.expire(now):
+            decided.append(Refusal(request, "no slot became free in time"))
         if not self.waiting:
             return decided
         free = self._placement.find_free(RequestClass.SHORT, now)
-        for (class_index, _), wait_queue in self._wait_queues.items():
-            if not wait_queue:
-                continue
-            if CLASS_ORDER[class_index] is RequestClass.LONG:
+        for request_class, wait_queue in self._backlog.iterate_queues():
+            if request_class is RequestClass.LONG:
                 free = self._placement.find_free(RequestClass.LONG, now)
-            decided += self._grant_waiting(wait_queue, free, now)
+            decided += self._granting.grant_waiting(wait_queue, free, now)
+        if self.waiting:
+            decided += self._refuse_late(now)
+        elif free:
+            self._backlog.end_busy_period()
         return decided
 
     def remove_all_waiting(self) -> list[SlotRequest]:
         """Removes and returns all waiting requests after the slots moved to another owner."""
-        return self._remove_waiting(lambda _: True)
+        return self._backlog.remove_matching(lambda _: True)
 
     def release(
         self,
@@ -268,8 +245,7 @@
 
         The requester may cancel while a grant is in transit, so both cases occur.
         """
-        for wait_queue in self._wait_queues.values():
-            wait_queue.remove(permit)
+        self._backlog.remove(permit)
         self.release(permit, Release.UNUSED, 0.0, now)
 
     def adopt(
@@ -301,7 +277,7 @@
         """
         for permit in self._held_permits.list_of_earlier_streams(requester):
             self.release(permit, Release.CANCELLED, 0.0, now)
-        return self._remove_waiting(
+        return self._backlog.remove_matching(
             lambda item: item.requester.vm == requester.vm and item.requester != requester
         )
 
@@ -311,79 +287,8 @@
         Its permits are kept for a time, because its requests may still run.
         """
         self._held_permits.orphan(requester, silent, now)
-        return self._remove_waiting(lambda item: item.requester == requester)
+        return self._backlog.remove_matching(lambda item: item.requester == requester)
 
     def _free_orphans(self, now: float) -> None:
         for permit in self._held_permits.list_expired_orphans(now):
             self.release(permit, Release.CANCELLED, 0.0, now)
-
-    def _remove_waiting(self, match: Callable[[SlotRequest], bool]) -> list[SlotRequest]:
-        removed = [
-            item for wait_queue in self._wait_queues.values() for item in wait_queue if match(item)
-        ]
-        for request in removed:
-            queue_rank = _get_queue_rank(request.request_class, request.priority)
-            self._wait_queues[queue_rank].remove(request.permit)
-        return removed
-
-    def _grant_waiting(
-        self, wait_queue: WaitQueue, free: dict[str, Server], now: float
-    ) -> list[Grant]:
-        """Grants free slots, first to requests whose objects are cached on a free server.
-
-        Strict order of arrival would give a slot to a request that takes three times as long on
-        that server, and the next request in the queue would do the same on another server.
-
-        Only free servers are looked at for each waiting request: with hundreds of both, looking at
-        all servers would occupy the event loop for longer than the time between two releases.
-
-        Args:
-            wait_queue: Waiting requests of one class and priority.
-            free: Servers that can accept a request of the class; full ones are removed.
-            now: Time, in seconds.
-        """
-        granted = self._grant_in_order(wait_queue, free, self._placement.find_caching_server, now)
-        if wait_queue:
-            self._placement.update_health(free, now)
-        return granted + self._grant_in_order(wait_queue, free, self._placement.select, now)
-
-    def _grant_in_order(
-        self,
-        wait_queue: WaitQueue,
-        free: dict[str, Server],
-        find_server: FindServer,
-        now: float,
-    ) -> list[Grant]:
-        """Grants slots in order of arrival and removes full servers."""
-        granted: list[Grant] = []
-        for request in list(wait_queue):
-            if not free:
-                break
-            server = find_server(request, free, now)
-            if server is None:
-                continue
-            granted.append(self._grant(request, server, now))
-            wait_queue.remove(request.permit)
-            if not server.can_accept(request.request_class, now):
-                del free[server.address.name]
-        return granted
-
-    def _grant(self, request: SlotRequest, server: Server, now: float) -> Grant:
-        server.start(request.permit, request.request_class, now)
-        server.record_grant(now)
-        if request.object_key:
-            self._placement.objects.add(request.object_key, server.address.name)
-        self._held_permits.add(
-            request.permit,
-            HeldPermit(
-                request.requester, server.address.name, request.request_class, request.expires_at
-            ),
-        )
-        return Grant(request, server.address, server.limit_per_s)
-
-    def _compute_long_slots(self, slots: int) -> int:
-        return max(1, slots - 1) if self._mixed else slots
-
-
-def _get_queue_rank(request_class: RequestClass, priority: int) -> QueueRank:
-    return CLASS_ORDER.index(request_class), priority
--- a/src/briarfork/pools/wait_queue.py
+++ b/src/briarfork/pools/wait_queue.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 from typing import TYPE_CHECKING
 
+from briarfork.pools.flow import Flow
+from briarfork.pools.flow import limit_weight
+
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
+    from briarfork.pools.flow import Arrival
     from briarfork.pools.permit import SlotRequest
 
 # Heap entries of removed requests are kept up to this number plus one per waiting request, so that
@@ -16,30 +23,59 @@
 
 
 class WaitQueue:
-    """Waiting requests in order of arrival, with a heap of their expiry times."""
+    """Waiting requests in fair order between workspaces, with a heap of their expiry times.
+
+    Handles a workspace with several times its usual load beside others within theirs: by start-time
+    fair queueing, each workspace gets slots in proportion to its weight, and what one does not use
+    goes to the others. Requests without a workspace are one flow, so alone they are served in order
+    of arrival.
+    """
 
-    __slots__ = ("_expiry_heap", "_requests")
+    __slots__ = ("_expiry_heap", "_flow_by_permit", "_flows", "_numbers", "_virtual_time")
 
     def __init__(self) -> None:
-        self._requests: dict[str, SlotRequest] = {}
+        self._flows: dict[str, Flow] = {}
+        self._flow_by_permit: dict[str, Flow] = {}
+        self._virtual_time = 0.0
+        self._numbers = itertools.count()
         self._expiry_heap: list[tuple[float, str]] = []
 
     def __len__(self) -> int:
-        return len(self._requests)
+        return len(self._flow_by_permit)
 
     def __iter__(self) -> Iterator[SlotRequest]:
-        return iter(self._requests.values())
+        """Iterates over the requests, those of each flow in order of arrival."""
+        return (item for flow in self._flows.values() for _, item in list(flow.arrivals.values()))
+
+    @property
+    def earliest_expiry(self) -> float:
+        """Time before which no request expires, in seconds; the queue must not be empty."""
+        return self._expiry_heap[0][0]
 
     def add(self, request: SlotRequest) -> None:
-        """Adds a request at the end of the queue."""
-        self._requests[request.permit] = request
+        """Adds a request at the end of its workspace's flow."""
+        flow = self._flows.get(request.workspace)
+        if flow is None:
+            flow = self._flows[request.workspace] = Flow()
+        flow.add(next(self._numbers), request, self._virtual_time)
+        self._flow_by_permit[request.permit] = flow
         heapq.heappush(self._expiry_heap, (request.expires_at, request.permit))
 
+    def serve(self, permit: str) -> None:
+        """Removes a request that gets a slot, and charges its flow for the slot."""
+        first_tag = min(flow.start_tag for flow in self._flows.values() if flow)
+        self._virtual_time = max(self._virtual_time, first_tag)
+        self._flow_by_permit[permit].charge()
+        self.remove(permit)
+
     def remove(self, permit: str) -> None:
-        """Removes a request; an unknown permit is ignored."""
-        self._requests.pop(permit, None)
-        if len(self._expiry_heap) > 2 * len(self._requests) + MAX_STALE_ENTRIES:
-            self._expiry_heap = [(item.expires_at, name) for name, item in self._requests.items()]
+        """Removes a request that gets no slot; an unknown permit is ignored."""
+        flow = self._flow_by_permit.pop(permit, None)
+        if flow is None:
+            return
+        flow.remove(permit)
+        if len(self._expiry_heap) > 2 * len(self) + MAX_STALE_ENTRIES:
+            self._expiry_heap = [(item.expires_at, item.permit) for item in self]
             heapq.heapify(self._expiry_heap)
 
     def expire(self, now: float) -> list[SlotRequest]:
@@ -47,7 +83,83 @@
         expired = []
         while self._expiry_heap and self._expiry_heap[0][0] <= now:
             _, permit = heapq.heappop(self._expiry_heap)
-            request = self._requests.pop(permit, None)
-            if request is not None:
-                expired.append(request)
+            flow = self._flow_by_permit.get(permit)
+            if flow is not None:
+                expired.append(flow.arrivals[permit][1])
+                self.remove(permit)
         return expired
+
+    def end_busy_period(self) -> None:
+        """Forgets what the flows have used, because slots are free and no request waits.
+
+        Also bounds the number of flows by the workspaces that were active since then.
+        """
+        self._flows.clear()
+        self._virtual_time = 0.0
+
+    def count_ahead(self, workspace: str, weight: float) -> int:
+        """Returns the number of requests that would get a slot before a new one."""
+        flow = self._flows.get(workspace, Flow())
+        start_tag = flow.start_tag if flow else max(flow.start_tag, self._virtual_time)
+        tag = start_tag + len(flow) / limit_weight(weight)
+        return sum(item.count_up_to(tag) for item in self._flows.values() if item is not flow) + (
+            len(flow)
+        )
+
+    def list_in_order(self) -> list[SlotRequest]:
+        """Returns the requests in the order in which they would get slots."""
+        tagged = [
+            (flow.compute_tag(position), number, request)
+            for flow in self._flows.values()
+            for position, (number, request) in enumerate(flow.arrivals.values())
+        ]
+        if len(self._flows) > 1:
+            tagged.sort(key=lambda item: item[:2])
+        return [request for _, _, request in tagged]
+
+    def iterate_in_order(self) -> Iterator[SlotRequest]:
+        """Iterates over the requests in fair order; each may be served while it is current.
+
+        A request that can't be served at present leaves its turn to the next one of its flow.
+        """
+        return _merge([(flow, flow.iterate()) for flow in self._flows.values() if flow])
+
+    def iterate_cached(
+        self, servers: Mapping[str, object], find_servers: Mapping[str, Collection[str]]
+    ) -> Iterator[SlotRequest]:
+        """Iterates in fair order over the requests whose objects some servers have cached.
+
+        Args:
+            servers: Servers by name.
+            find_servers: Names of the servers that have an object cached, by object.
+        """
+        names = servers.keys()
+        return _merge(
+            [
+                (flow, flow.iterate(key))
+                for flow in self._flows.values()
+                for key in flow.list_objects()
+                if key in find_servers and not names.isdisjoint(find_servers[key])
+            ]
+        )
+
+
+def _merge(parts: list[tuple[Flow, Iterator[Arrival]]]) -> Iterator[SlotRequest]:
+    """Merges parts of flows by the flows' start tags, which change as requests are served."""
+    heap: list[tuple[float, int, SlotRequest, int]] = []
+    for index, (flow, arrivals) in enumerate(parts):
+        heap.append((flow.start_tag, *next(arrivals), index))
+    heapq.heapify(heap)
+    while heap:
+        start_tag, number, request, index = heap[0]
+        flow, arrivals = parts[index]
+        if start_tag < flow.start_tag:
+            heapq.heapreplace(heap, (flow.start_tag, number, request, index))
+            continue
+        yield request
+        following = next(arrivals, None)
+        if following is None:
+            # The entry that was yielded is still the first: nothing else changes the heap.
+            heapq.heappop(heap)
+        else:
+            heapq.heapreplace(heap, (flow.start_tag, *following, index))
--- /dev/null
+++ b/tests/pools/load_patterns.py
@@ -0,0 +1,189 @@
+"""Replays load patterns on a permit queue, without processes or a real clock.
+
+Arrivals are given, so that the same ones can be replayed on two versions of the queue.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from random import Random
+from typing import TYPE_CHECKING
+
+from briarfork.configuration import RequestClass
+from briarfork.pools import Refusal
+from briarfork.pools import Requester
+from briarfork.pools import SlotRequest
+from tests.pools.simulation import SLOW_RUN_FACTOR
+from tests.pools.simulation import SLOW_RUN_SHARE
+from tests.pools.simulation import Simulation
+from tests.pools.simulation import Workload
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from briarfork.pools import Grant
+
+# One zone of Deskwell's lookups with warm caches; half of the objective of 620 ms is for the wait.
+ZONE = Workload(
+    servers=8,
+    slots=3,
+    cached_objects=64,
+    objects=1,
+    rate=0.0,
+    run_s=0.26,
+    wait_s=0.31,
+    cached_run_ratio=1.0,
+    warm_up_s=0.0,
+)
+MEAN_RUN_S = ZONE.run_s * (1 + SLOW_RUN_SHARE * (SLOW_RUN_FACTOR - 1))
+CAPACITY_PER_S = ZONE.servers * ZONE.slots / MEAN_RUN_S
+OBJECTS = 120
+RETRY_DELAY_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Requests of one workspace and one kind.
+
+    Attributes:
+        rate: Returns the requests per second at a time.
+        retries: How often its callers send a refused request again, immediately.
+        leave_share: Share of its callers that disconnect right after sending.
+        objects: Number of different objects that it requests.
+    """
+
+    rate: Callable[[float], float]
+    workspace: str = ""
+    weight: float = 1.0
+    priority: int = 0
+    retries: int = 0
+    leave_share: float = 0.0
+    objects: int = OBJECTS
+
+
+@dataclass
+class Outcome:
+    """What became of the requests of one stream."""
+
+    asked: int = 0
+    served: int = 0
+
+    @property
+    def share(self) -> float:
+        return self.served / max(1, self.asked)
+
+
+@dataclass(order=True, slots=True)
+class Arrival:
+    """A request that is sent at a time."""
+
+    at: float
+    number: int
+    stream: int = field(compare=False)
+    request: SlotRequest = field(compare=False)
+    retries: int = field(compare=False)
+
+
+def burst(rate: float, factor: float, *periods: tuple[float, float]) -> Callable[[float], float]:
+    """Returns a rate that is multiplied by a factor within periods."""
+    return lambda at: rate * (factor if any(a <= at < b for a, b in periods) else 1.0)
+
+
+class Replay(Simulation):
+    """One replay of streams; the seed determines arrivals, objects and run times."""
+
+    def __init__(self, streams: list[Stream], duration_s: float, seed: int) -> None:
+        super().__init__(ZONE, seed)
+        self._streams = streams
+        self._duration_s = duration_s
+        self._arrivals: list[Arrival] = []
+        self._pending: dict[str, Arrival] = {}
+        self._count = 0
+        self.outcomes: dict[int, Outcome] = {index: Outcome() for index in range(len(streams))}
+        self.served_at: list[float] = []
+        self.refused_waits: list[tuple[SlotRequest, float, float]] = []
+        draw = Random(f"arrivals {seed}")
+        for index, stream in enumerate(streams):
+            self._add_stream(index, stream, draw)
+
+    def _add_stream(self, index: int, stream: Stream, draw: Random) -> None:
+        at = 0.0
+        peak = max(stream.rate(step * 0.1) for step in range(int(self._duration_s * 10)))
+        while (at := at + draw.expovariate(peak)) < self._duration_s:
+            if draw.random() * peak < stream.rate(at):
+                self._count += 1
+                request = SlotRequest(
+                    f"p-{self._count}",
+                    Requester("vm"),
+                    RequestClass.SHORT,
+                    expires_at=at + ZONE.wait_s,
+                    priority=stream.priority,
+                    object_key=f"{stream.workspace}/{draw.randrange(stream.objects)}",
+                    asked_at=at,
+                    workspace=stream.workspace,
+                    weight=stream.weight,
+                )
+                left = draw.random() < stream.leave_share
+                arrival = Arrival(at, self._count, -1 if left else index, request, stream.retries)
+                heapq.heappush(self._arrivals, arrival)
+
+    def replay(self, measured_from_s: float = 3.0) -> Replay:
+        """Replays all arrivals; those before a time warm up caches and run times."""
+        self._measured_from_s = measured_from_s
+        while self._arrivals or self._running:
+            if not self._arrivals or (
+                self._running and self._running[0].ends_at < self._arrivals[0].at
+            ):
+                now = self._finish(heapq.heappop(self._running))
+            else:
+                now = self._send(heapq.heappop(self._arrivals))
+            self._apply(self._queue.poll(now), now)
+        return self
+
+    def _send(self, arrival: Arrival) -> float:
+        now = arrival.at
+        if now >= self._measured_from_s and arrival.stream >= 0:
+            self.outcomes[arrival.stream].asked += arrival.request.asked_at == now
+        self._pending[arrival.request.permit] = arrival
+        self._apply(self._queue.submit(arrival.request, now), now)
+        if arrival.stream < 0:
+            self._queue.cancel(arrival.request.permit, now)
+            self._running = [i for i in self._running if i.permit != arrival.request.permit]
+            heapq.heapify(self._running)
+        return now
+
+    def _apply(self, decisions: Iterable[Grant | Refusal], now: float) -> None:
+        for decision in decisions:
+            arrival = self._pending.pop(decision.request.permit)
+            if not isinstance(decision, Refusal):
+                super()._apply([decision], now)
+                if arrival.stream >= 0 and decision.request.asked_at >= self._measured_from_s:
+                    self.outcomes[arrival.stream].served += 1
+            else:
+                self.refused_waits.append((decision.request, decision.wait_s, now))
+                self._retry_refused(arrival, now)
+
+    def _retry_refused(self, arrival: Arrival, now: float) -> None:
+        if not arrival.retries:
+            return
+        at = now + RETRY_DELAY_S
+        request = replace(
+            arrival.request,
+            permit=f"{arrival.request.permit}+",
+            expires_at=at + ZONE.wait_s,
+        )
+        retried = Arrival(at, arrival.number, arrival.stream, request, arrival.retries - 1)
+        heapq.heappush(self._arrivals, retried)
+
+    def _finish(self, running: object) -> float:
+        now = super()._finish(running)  # type: ignore[arg-type]
+        self.served_at.append(now)
+        return now
+
+    def compute_goodput(self, start_s: float, end_s: float) -> float:
+        """Returns the completed requests per second between two times."""
+        return sum(start_s <= at < end_s for at in self.served_at) / (end_s - start_s)
