--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -128,6 +128,9 @@
     RESPONSE_FAULTY = EventDefinition(
         5022, "warning", "A connection was closed because of the bytes that its server sent."
     )
+    CAPACITY_SHARED = EventDefinition(
+        5040, "info", "Requests for slots were refused; the workspaces with the most are named."
+    )
 
 
 class LogRateLimiter:
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -220,6 +220,7 @@
             for key, queue in self._queues.items():
                 if queue.waiting and now >= self._adoption_ends_at[key]:
                     self._grant_waiting(queue, now)
+                self._report_shortage(key, queue, now)
 
     async def serve(self, stream: MessageStream) -> None:
         """Serves one requester until its stream ends."""
@@ -267,6 +268,18 @@
             decisions = queue.poll(now)
         self._notify_requesters(decisions)
 
+    def _report_shortage(self, key: SlotKey, queue: PermitQueue, now: float) -> None:
+        shortage = queue.demand.take_report(now)
+        if shortage is not None:
+            self.events.record(
+                Event.CAPACITY_SHARED,
+                service=key[0],
+                zone=key[1],
+                requests=shortage.requests,
+                refused=shortage.refused,
+                workspaces={name: list(counts) for name, counts in shortage.workspaces.items()},
+            )
+
     def _relinquish(self, key: SlotKey) -> None:
         """Removes the queue of lost slots; waiting requesters are referred to the new owner."""
         queue = self._queues.pop(key, None)
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -132,6 +132,7 @@
                 budget,
                 self._permits.find_remote_share(service),
             )
+            self.metrics.set_slot_refusals(service, self._permits.count_refusals(service))
 
     def _start(self, request: Request, route: Route) -> Progress:
         now = time.monotonic()
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -11,7 +11,10 @@
 from prometheus_client import generate_latest
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from briarfork.border.responses import ResponseFault
+    from briarfork.pools import RefusalCause
     from briarfork.routing import Route
 
 # Histogram buckets in seconds: latency objectives are 0.2 to 3 s, timeouts up to 20 s.
@@ -71,6 +74,12 @@
         )
         self._retry_budget = self._build_gauge("repeat_budget", "Repeats that may be sent now.")
         self._remote_share = self._build_gauge("remote_share", "Share that leaves the region.")
+        self._slot_refusals = Gauge(
+            "briarfork_slot_refusals",
+            "Requests for slots that this VM has refused as their owner.",
+            ["service", "cause"],
+            registry=self._registry,
+        )
         self._version = Gauge(
             "briarfork_configuration_version",
             "Version of the configuration in force.",
@@ -136,6 +145,11 @@
         self._retry_budget.labels(service).set(retry_budget)
         self._remote_share.labels(service).set(remote_share)
 
+    def set_slot_refusals(self, service: str, counts: Mapping[RefusalCause, int]) -> None:
+        """Sets how many requests for slots this VM has refused as their owner."""
+        for cause, count in counts.items():
+            self._slot_refusals.labels(service, cause.value).set(count)
+
     def set_version(self, version: int) -> None:
         """Sets the gauge for the version of the current configuration."""
         self._version.set(version)
--- a/src/briarfork/gateway/permits.py
+++ b/src/briarfork/gateway/permits.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -31,6 +32,8 @@
     from briarfork.entry.slots import SlotManager
     from briarfork.errors import NotRun
     from briarfork.gateway.view import GatewayView
+    from briarfork.pools import PermitQueue
+    from briarfork.pools import RefusalCause
     from briarfork.pools import SlotRequest
     from briarfork.routing import Route
     from briarfork.workspaces import Workspace
@@ -211,11 +214,21 @@
 
     def count_waiting(self, service: str) -> int:
         """Returns the number of requests waiting for slots of a service that this VM owns."""
+        return sum(queue.waiting for queue in self._list_queues(service))
+
+    def count_refusals(self, service: str) -> Counter[RefusalCause]:
+        """Returns the number of refused requests for slots of a service that this VM owns."""
+        counts: Counter[RefusalCause] = Counter()
+        for queue in self._list_queues(service):
+            counts.update(queue.demand.refusals)
+        return counts
+
+    def _list_queues(self, service: str) -> list[PermitQueue]:
         queues = [
             self._slot_manager.find_queue((service, zone))
             for zone in self._gateway_view.location.regions
         ]
-        return sum(queue.waiting for queue in queues if queue is not None)
+        return [queue for queue in queues if queue is not None]
 
     def find_remote_share(self, service: str) -> float:
         """Returns the share of a service's requests that is sent to other regions."""
--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -1,5 +1,6 @@
 """Pools of backend servers: slots, permits and server selection."""
 
+from briarfork.pools.demand import RefusalCause
 from briarfork.pools.instance import Instance
 from briarfork.pools.inventory import Inventory
 from briarfork.pools.local import LocalPool
@@ -28,6 +29,7 @@
     "LocalPool",
     "PermitQueue",
     "Refusal",
+    "RefusalCause",
     "Release",
     "Requester",
     "RunTimes",
--- a/src/briarfork/pools/backlog.py
+++ b/src/briarfork/pools/backlog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
     from collections.abc import Iterator
     from collections.abc import Mapping
 
+    from briarfork.pools.forecast import WaitForecast
     from briarfork.pools.permit import SlotRequest
     from briarfork.pools.run_times import RunTimes
 
@@ -28,10 +30,14 @@
     Attributes:
         requests: Number of waiting requests.
         work_s: Sum of their expected run times, in seconds.
+        own_wait_s: Expected wait behind requests of the same workspace, class and priority, at the
+            rate at which these got slots beside more urgent ones and other workspaces; 0 if
+            unknown.
     """
 
     requests: int
     work_s: float
+    own_wait_s: float = 0.0
 
 
 class Backlog:
@@ -79,56 +85,75 @@
         for wait_queue in self._wait_queues.values():
             wait_queue.end_busy_period()
 
-    def measure_ahead(self, request: SlotRequest) -> Ahead:
+    def measure_ahead(self, request: SlotRequest, now: float) -> Ahead:
         """Returns what is ahead of a new request."""
         own = get_queue_rank(request)
         requests = 0
         work_s = 0.0
+        own_wait_s = 0.0
         for queue_rank, wait_queue in self._wait_queues.items():
             if queue_rank > own:
                 break
             count = len(wait_queue)
             if queue_rank == own:
                 count = wait_queue.count_ahead(request.workspace, request.weight)
+                if wait_queue.is_shared:
+                    own_wait_s = wait_queue.estimate_own_wait_s(request.workspace, now)
             requests += count
             work_s += count * self._run_times[CLASS_ORDER[queue_rank[0]]].mean_s
-        return Ahead(requests, work_s)
+        return Ahead(requests, work_s, own_wait_s)
 
     def count_more_urgent(self, request: SlotRequest) -> int:
         """Returns how many more urgent classes and priorities have been requested so far."""
         own = get_queue_rank(request)
         return sum(queue_rank < own for queue_rank in self._wait_queues)
 
-    def remove_late(
-        self, is_late: Callable[[Ahead, float], bool]
-    ) -> list[tuple[SlotRequest, Ahead]]:
-        """Removes and returns the requests that will not get a slot in time.
+    def remove_late(self, forecast: WaitForecast, now: float) -> list[tuple[SlotRequest, Ahead]]:
+        """Removes and returns the overtaken requests that will not get a slot in time.
 
-        Args:
-            is_late: Tells from what is ahead of a request and from its expiry time whether it is
-                late; must also hold for more ahead and for an earlier expiry.
+        The first queue without workspaces is in order of arrival: nothing overtakes there.
         """
         removed: list[tuple[SlotRequest, Ahead]] = []
         requests = 0
         work_s = 0.0
-        for request_class, wait_queue in self.iterate_queues():
-            run_s = self._run_times[request_class].mean_s
-            last = Ahead(requests + len(wait_queue), work_s + len(wait_queue) * run_s)
-            # Usually no request is late, which is known without looking at each.
-            if is_late(last, wait_queue.earliest_expiry):
-                for request in wait_queue.list_in_order():
-                    ahead = Ahead(requests, work_s)
-                    if is_late(ahead, request.expires_at):
+        for index, (queue_rank, wait_queue) in enumerate(self._wait_queues.items()):
+            run_s = self._run_times[CLASS_ORDER[queue_rank[0]]].mean_s
+            if wait_queue and (index or wait_queue.is_shared):
+                count = len(wait_queue)
+                own_wait_s = wait_queue.compute_longest_own_wait_s(now)
+                last = Ahead(requests + count, work_s + count * run_s, own_wait_s)
+                # Usually no request is late, which is known without looking at each.
+                if forecast.may_refuse_waiting(last, wait_queue.earliest_expiry - now):
+                    found = _find_late(wait_queue, Ahead(requests, work_s), run_s, forecast, now)
+                    removed += found
+                    for request, _ in found:
                         wait_queue.remove(request.permit)
-                        removed.append((request, ahead))
-                    else:
-                        requests += 1
-                        work_s += run_s
-            else:
-                requests, work_s = last.requests, last.work_s
+            requests += len(wait_queue)
+            work_s += len(wait_queue) * run_s
         return removed
 
 
+def _find_late(
+    wait_queue: WaitQueue, before: Ahead, run_s: float, forecast: WaitForecast, now: float
+) -> list[tuple[SlotRequest, Ahead]]:
+    """Returns the requests of a queue that will not get a slot in time, and what is ahead."""
+    late = []
+    count = 0
+    own: Counter[str] = Counter()
+    for request, interval_s in wait_queue.list_in_order(now):
+        ahead = Ahead(
+            before.requests + count,
+            before.work_s + count * run_s,
+            own[request.workspace] * interval_s,
+        )
+        if forecast.refuses_waiting(ahead, request.expires_at - now):
+            late.append((request, ahead))
+        else:
+            own[request.workspace] += 1
+            count += 1
+    return late
+
+
 def get_queue_rank(request: SlotRequest) -> QueueRank:
     """Returns the rank of the queue in which a request waits."""
     return CLASS_ORDER.index(request.request_class), request.priority
--- a/src/briarfork/pools/forecast.py
+++ b/src/briarfork/pools/forecast.py
@@ -41,23 +41,37 @@
 
     def compute_wait_s(self, ahead: Ahead) -> float:
         """Returns the expected wait behind other requests, 0 while no run time is known."""
-        return ahead.work_s / self.slots
+        return max(ahead.work_s / self.slots, ahead.own_wait_s)
 
     def refuses_new(self, ahead: Ahead, left_s: float) -> bool:
         """Returns whether a new request is refused."""
-        wait_s = self.compute_wait_s(ahead)
-        return wait_s > 0.0 and WAIT_SAFETY_FACTOR * wait_s > left_s
+        wait_s = ahead.work_s / self.slots
+        if wait_s > 0.0 and WAIT_SAFETY_FACTOR * wait_s > left_s:
+            return True
+        # The rate of a workspace's slots is measured under this load and needs no safety factor; a
+        # factor of 2 left slots unused in replayed bursts.
+        return ahead.own_wait_s > max(0.0, left_s)
 
     def refuses_waiting(self, ahead: Ahead, left_s: float) -> bool:
         """Returns whether a request that has waited will not get a slot in the time left.
 
-        Requests are overtaken when more urgent ones or those of other workspaces arrive.
+        Requests are overtaken when more urgent ones or those of other workspaces arrive. The margin
+        keeps run times that vary from ending a wait that would have had a slot.
         """
-        if left_s < MIN_LATE_GAIN_S or not ahead.work_s:
+        if left_s < MIN_LATE_GAIN_S or not ahead.requests:
             return False
         sure = max(0.0, 1.0 - MIN_LATE_DEVIATIONS / math.sqrt(ahead.requests))
         return min(sure, LATE_WAIT_FACTOR) * self.compute_wait_s(ahead) > left_s
 
+    def may_refuse_waiting(self, last: Ahead, earliest_left_s: float) -> bool:
+        """Returns whether a request of a queue may be refused after it has waited.
+
+        Args:
+            last: More than what is ahead of any request of the queue.
+            earliest_left_s: Time until the first request of the queue expires.
+        """
+        return self.refuses_waiting(last, max(MIN_LATE_GAIN_S, earliest_left_s))
+
 
 def compute_retry_s(wait_s: float, more_urgent: int) -> float:
     """Returns when a refused caller should come back, for callers that honour Retry-After.
--- a/src/briarfork/pools/granting.py
+++ b/src/briarfork/pools/granting.py
@@ -71,7 +71,7 @@
             if server is None:
                 continue
             granted.append(self.grant(request, server, now))
-            wait_queue.serve(request.permit)
+            wait_queue.serve(request.permit, now)
             if not server.can_accept(request.request_class, now):
                 del free[server.address.name]
                 if not free:
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -8,6 +8,8 @@
 from briarfork.configuration import RequestClass
 from briarfork.pools.backlog import Backlog
 from briarfork.pools.cold_start import ColdStartLimiter
+from briarfork.pools.demand import DemandCounter
+from briarfork.pools.demand import RefusalCause
 from briarfork.pools.forecast import WaitForecast
 from briarfork.pools.forecast import compute_retry_s
 from briarfork.pools.granting import Granting
@@ -68,6 +70,7 @@
         self._run_times = {request_class: RunTimes() for request_class in RequestClass}
         self._backlog = Backlog(self._run_times)
         self._late_check_at = 0.0
+        self.demand = DemandCounter()
         self._placement = Placement(random, self._run_times[RequestClass.SHORT])
         self._servers = self._placement.servers
         self._held_permits = HeldPermits()
@@ -103,26 +106,28 @@
 
     def submit(self, request: SlotRequest, now: float) -> list[Grant | Refusal]:
         """Queues a request and returns all decisions that can be made now."""
+        self.demand.record_request(request.workspace)
         if self.waiting >= MAX_QUEUE_LENGTH:
-            return [Refusal(request, "the queue is full")]
+            return [self._refuse(request, RefusalCause.QUEUE_FULL, "the queue is full")]
         if not any(server.is_in_service(now) for server in self._servers.values()):
-            return [Refusal(request, "the site has no server")]
+            return [self._refuse(request, RefusalCause.NO_SERVER, "the site has no server")]
         if request.hedge:
             return [self._decide_hedge(request, now)]
-        ahead = self._backlog.measure_ahead(request)
+        ahead = self._backlog.measure_ahead(request, now)
         if self._build_forecast().refuses_new(ahead, request.expires_at - now):
-            return [self._refuse(request, "is", ahead)]
+            return [self._refuse_behind(request, RefusalCause.EXPECTED_WAIT, ahead)]
         self.enqueue(request)
         return self.poll(now)
 
     def _decide_hedge(self, request: SlotRequest, now: float) -> Grant | Refusal:
         if self.waiting or self.in_progress >= MAX_HEDGE_UTILIZATION * self.slots:
-            return Refusal(request, "hedged attempts are not allowed at this load")
+            reason = "hedged attempts are not allowed at this load"
+            return self._refuse(request, RefusalCause.HEDGE, reason)
         free = self._placement.find_free(request.request_class, now)
         self._placement.update_health(free, now)
         server = self._placement.select(request, free, now)
         if server is None:
-            return Refusal(request, "no other server has a free slot")
+            return self._refuse(request, RefusalCause.HEDGE, "no other server has a free slot")
         return self._granting.grant(request, server, now)
 
     def enqueue(self, request: SlotRequest) -> None:
@@ -133,23 +138,26 @@
         run_s = self._run_times[RequestClass.SHORT].mean_s
         return WaitForecast(self._slots.count_effective(run_s))
 
-    def _refuse(self, request: SlotRequest, change: str, ahead: Ahead) -> Refusal:
+    def _refuse(
+        self, request: SlotRequest, cause: RefusalCause, reason: str, wait_s: float = 0.0
+    ) -> Refusal:
+        self.demand.record_refusal(request.workspace, cause)
+        return Refusal(request, reason, wait_s=wait_s)
+
+    def _refuse_behind(self, request: SlotRequest, cause: RefusalCause, ahead: Ahead) -> Refusal:
         """Returns a refusal because of what is ahead, with the time at which to come back."""
         wait_s = self._build_forecast().compute_wait_s(ahead)
-        reason = f"the expected wait {change} {wait_s * MS_PER_S:.0f} ms, {ahead.requests} ahead"
+        reason = f"the expected wait is {wait_s * MS_PER_S:.0f} ms, {ahead.requests} are ahead"
         more_urgent = self._backlog.count_more_urgent(request)
-        return Refusal(request, reason, wait_s=compute_retry_s(wait_s, more_urgent))
+        return self._refuse(request, cause, reason, compute_retry_s(wait_s, more_urgent))
 
     def _refuse_late(self, now: float) -> list[Refusal]:
         """Refuses waiting requests that others have overtaken, so that they are too late."""
         if now < self._late_check_at:
             return []
         self._late_check_at = now + LATE_CHECK_INTERVAL_S
-        forecast = self._build_forecast()
-        late = self._backlog.remove_late(
-            lambda ahead, expires_at: forecast.refuses_waiting(ahead, expires_at - now)
-        )
-        return [self._refuse(request, "has become", ahead) for request, ahead in late]
+        late = self._backlog.remove_late(self._build_forecast(), now)
+        return [self._refuse_behind(item, RefusalCause.OVERTAKEN, ahead) for item, ahead in late]
 
     def limit_rate(
         self, name: str, per_s: float, now: float, *, share_phase: float | None = None
@@ -179,7 +187,8 @@
         decided: list[Grant | Refusal] = []
         self._free_orphans(now)
         for request in self._backlog.expire(now):
-            decided.append(Refusal(request, "no slot became free in time"))
+            reason = "no slot became free in time"
+            decided.append(self._refuse(request, RefusalCause.EXPIRED, reason))
         if not self.waiting:
             return decided
         free = self._placement.find_free(RequestClass.SHORT, now)
--- a/src/briarfork/pools/wait_queue.py
+++ b/src/briarfork/pools/wait_queue.py
@@ -61,11 +61,11 @@
         self._flow_by_permit[request.permit] = flow
         heapq.heappush(self._expiry_heap, (request.expires_at, request.permit))
 
-    def serve(self, permit: str) -> None:
+    def serve(self, permit: str, now: float) -> None:
         """Removes a request that gets a slot, and charges its flow for the slot."""
-        first_tag = min(flow.start_tag for flow in self._flows.values() if flow)
+        first_tag = min(flow.start_tag for flow in self._flows.values() if flow.arrivals)
         self._virtual_time = max(self._virtual_time, first_tag)
-        self._flow_by_permit[permit].charge()
+        self._flow_by_permit[permit].charge(now)
         self.remove(permit)
 
     def remove(self, permit: str) -> None:
@@ -97,32 +97,49 @@
         self._flows.clear()
         self._virtual_time = 0.0
 
+    @property
+    def is_shared(self) -> bool:
+        """Whether requests of several workspaces have waited in this busy period."""
+        return len(self._flows) > 1
+
     def count_ahead(self, workspace: str, weight: float) -> int:
         """Returns the number of requests that would get a slot before a new one."""
         flow = self._flows.get(workspace, Flow())
         start_tag = flow.start_tag if flow else max(flow.start_tag, self._virtual_time)
         tag = start_tag + len(flow) / limit_weight(weight)
-        return sum(item.count_up_to(tag) for item in self._flows.values() if item is not flow) + (
-            len(flow)
-        )
+        others = sum(item.count_up_to(tag) for item in self._flows.values() if item is not flow)
+        return others + len(flow)
+
+    def estimate_own_wait_s(self, workspace: str, now: float) -> float:
+        """Returns how long a new request waits behind its own workspace's, 0 if unknown."""
+        flow = self._flows.get(workspace)
+        return 0.0 if flow is None else len(flow) * flow.compute_interval_s(now)
 
-    def list_in_order(self) -> list[SlotRequest]:
-        """Returns the requests in the order in which they would get slots."""
-        tagged = [
-            (flow.compute_tag(position), number, request)
-            for flow in self._flows.values()
-            for position, (number, request) in enumerate(flow.arrivals.values())
-        ]
+    def compute_longest_own_wait_s(self, now: float) -> float:
+        """Returns the wait of the last request of the slowest workspace behind its own ones."""
+        waiting = (flow for flow in self._flows.values() if flow.arrivals)
+        return max((len(flow) * flow.compute_interval_s(now) for flow in waiting), default=0.0)
+
+    def list_in_order(self, now: float) -> list[tuple[SlotRequest, float]]:
+        """Returns the requests in the order in which they would get slots.
+
+        Each comes with the time between two slots of its workspace, 0 if unknown.
+        """
+        tagged = []
+        for flow in self._flows.values():
+            interval_s = flow.compute_interval_s(now)
+            for position, (number, request) in enumerate(flow.arrivals.values()):
+                tagged.append((flow.compute_tag(position), number, request, interval_s))
         if len(self._flows) > 1:
             tagged.sort(key=lambda item: item[:2])
-        return [request for _, _, request in tagged]
+        return [(request, interval_s) for _, _, request, interval_s in tagged]
 
     def iterate_in_order(self) -> Iterator[SlotRequest]:
         """Iterates over the requests in fair order; each may be served while it is current.
 
         A request that can't be served at present leaves its turn to the next one of its flow.
         """
-        return _merge([(flow, flow.iterate()) for flow in self._flows.values() if flow])
+        return _merge([(flow, flow.arrivals) for flow in self._flows.values() if flow.arrivals])
 
     def iterate_cached(
         self, servers: Mapping[str, object], find_servers: Mapping[str, Collection[str]]
@@ -136,19 +153,21 @@
         names = servers.keys()
         return _merge(
             [
-                (flow, flow.iterate(key))
+                (flow, arrivals)
                 for flow in self._flows.values()
-                for key in flow.list_objects()
+                for key, arrivals in flow.by_object.items()
                 if key in find_servers and not names.isdisjoint(find_servers[key])
             ]
         )
 
 
-def _merge(parts: list[tuple[Flow, Iterator[Arrival]]]) -> Iterator[SlotRequest]:
+def _merge(parts: list[tuple[Flow, dict[str, Arrival]]]) -> Iterator[SlotRequest]:
     """Merges parts of flows by the flows' start tags, which change as requests are served."""
-    heap: list[tuple[float, int, SlotRequest, int]] = []
-    for index, (flow, arrivals) in enumerate(parts):
-        heap.append((flow.start_tag, *next(arrivals), index))
+    iterators: dict[int, Iterator[Arrival]] = {}
+    heap = [
+        (flow.start_tag, *next(iter(arrivals.values())), index)
+        for index, (flow, arrivals) in enumerate(parts)
+    ]
     heapq.heapify(heap)
     while heap:
         start_tag, number, request, index = heap[0]
@@ -156,8 +175,11 @@
         if start_tag < flow.start_tag:
             heapq.heapreplace(heap, (flow.start_tag, number, request, index))
             continue
+        if index not in iterators:
+            # Requests are removed from their flow when they are served.
+            iterators[index] = iter(list(arrivals.values())[1:])
         yield request
-        following = next(arrivals, None)
+        following = next(iterators[index], None)
         if following is None:
             # The entry that was yielded is still the first: nothing else changes the heap.
             heapq.heappop(heap)
--- a/tests/pools/load_patterns.py
+++ b/tests/pools/load_patterns.py
@@ -42,6 +42,7 @@
 MEAN_RUN_S = ZONE.run_s * (1 + SLOW_RUN_SHARE * (SLOW_RUN_FACTOR - 1))
 CAPACITY_PER_S = ZONE.servers * ZONE.slots / MEAN_RUN_S
 OBJECTS = 120
+SEEDS = (1, 2, 3, 4)
 RETRY_DELAY_S = 0.01
 
 
@@ -72,10 +73,6 @@
     asked: int = 0
     served: int = 0
 
-    @property
-    def share(self) -> float:
-        return self.served / max(1, self.asked)
-
 
 @dataclass(order=True, slots=True)
 class Arrival:
@@ -88,7 +85,14 @@
     retries: int = field(compare=False)
 
 
-def burst(rate: float, factor: float, *periods: tuple[float, float]) -> Callable[[float], float]:
+def build_steady(rate: float) -> Callable[[float], float]:
+    """Returns a constant rate."""
+    return lambda _: rate
+
+
+def build_burst(
+    rate: float, factor: float, *periods: tuple[float, float]
+) -> Callable[[float], float]:
     """Returns a rate that is multiplied by a factor within periods."""
     return lambda at: rate * (factor if any(a <= at < b for a, b in periods) else 1.0)
 
@@ -102,10 +106,10 @@
         self._duration_s = duration_s
         self._arrivals: list[Arrival] = []
         self._pending: dict[str, Arrival] = {}
+        self._measured = (0.0, duration_s)
         self._count = 0
         self.outcomes: dict[int, Outcome] = {index: Outcome() for index in range(len(streams))}
         self.served_at: list[float] = []
-        self.refused_waits: list[tuple[SlotRequest, float, float]] = []
         draw = Random(f"arrivals {seed}")
         for index, stream in enumerate(streams):
             self._add_stream(index, stream, draw)
@@ -122,7 +126,11 @@
                     RequestClass.SHORT,
                     expires_at=at + ZONE.wait_s,
                     priority=stream.priority,
-                    object_key=f"{stream.workspace}/{draw.randrange(stream.objects)}",
+                    object_key=(
+                        f"{stream.workspace}/{draw.randrange(stream.objects)}"
+                        if stream.objects
+                        else ""
+                    ),
                     asked_at=at,
                     workspace=stream.workspace,
                     weight=stream.weight,
@@ -131,9 +139,9 @@
                 arrival = Arrival(at, self._count, -1 if left else index, request, stream.retries)
                 heapq.heappush(self._arrivals, arrival)
 
-    def replay(self, measured_from_s: float = 3.0) -> Replay:
-        """Replays all arrivals; those before a time warm up caches and run times."""
-        self._measured_from_s = measured_from_s
+    def replay(self, start_s: float, end_s: float) -> Replay:
+        """Replays all arrivals and counts the outcomes of those between two times."""
+        self._measured = (start_s, end_s)
         while self._arrivals or self._running:
             if not self._arrivals or (
                 self._running and self._running[0].ends_at < self._arrivals[0].at
@@ -146,7 +154,7 @@
 
     def _send(self, arrival: Arrival) -> float:
         now = arrival.at
-        if now >= self._measured_from_s and arrival.stream >= 0:
+        if self._is_measured(arrival):
             self.outcomes[arrival.stream].asked += arrival.request.asked_at == now
         self._pending[arrival.request.permit] = arrival
         self._apply(self._queue.submit(arrival.request, now), now)
@@ -161,12 +169,15 @@
             arrival = self._pending.pop(decision.request.permit)
             if not isinstance(decision, Refusal):
                 super()._apply([decision], now)
-                if arrival.stream >= 0 and decision.request.asked_at >= self._measured_from_s:
+                if self._is_measured(arrival):
                     self.outcomes[arrival.stream].served += 1
             else:
-                self.refused_waits.append((decision.request, decision.wait_s, now))
                 self._retry_refused(arrival, now)
 
+    def _is_measured(self, arrival: Arrival) -> bool:
+        start_s, end_s = self._measured
+        return arrival.stream >= 0 and start_s <= arrival.request.asked_at < end_s
+
     def _retry_refused(self, arrival: Arrival, now: float) -> None:
         if not arrival.retries:
             return
@@ -187,3 +198,25 @@
     def compute_goodput(self, start_s: float, end_s: float) -> float:
         """Returns the completed requests per second between two times."""
         return sum(start_s <= at < end_s for at in self.served_at) / (end_s - start_s)
+
+
+class Replays:
+    """Replays of the same streams with several seeds.
+
+    A single burst has some hundred requests, too few to measure a loss of 5%.
+    """
+
+    def __init__(self, streams: list[Stream], duration_s: float, measured: tuple[float, float]):
+        self._measured = measured
+        self._replays = [Replay(streams, duration_s, seed).replay(*measured) for seed in SEEDS]
+
+    def compute_share(self, *streams: int) -> float:
+        """Returns the served fraction of the requests of some streams."""
+        outcomes = [item.outcomes[index] for item in self._replays for index in streams]
+        return sum(item.served for item in outcomes) / max(1, sum(item.asked for item in outcomes))
+
+    def compute_goodput(self) -> float:
+        """Returns the completed requests per second from 1 s after the start."""
+        start_s, end_s = self._measured
+        rates = [replay.compute_goodput(start_s + 1.0, end_s) for replay in self._replays]
+        return sum(rates) / len(rates)
