--- a/src/briarfork/pools/backlog.py
+++ b/src/briarfork/pools/backlog.py
@@ -31,8 +31,7 @@
         requests: Number of waiting requests.
         work_s: Sum of their expected run times, in seconds.
         own_wait_s: Expected wait behind requests of the same workspace, class and priority, at the
-            rate at which these got slots beside more urgent ones and other workspaces; 0 if
-            unknown.
+            rate at which these got slots beside other workspaces; 0 if unknown or not shared.
     """
 
     requests: int
@@ -97,8 +96,7 @@
             count = len(wait_queue)
             if queue_rank == own:
                 count = wait_queue.count_ahead(request.workspace, request.weight)
-                if wait_queue.is_shared:
-                    own_wait_s = wait_queue.estimate_own_wait_s(request.workspace, now)
+                own_wait_s = wait_queue.estimate_own_wait_s(request.workspace, now)
             requests += count
             work_s += count * self._run_times[CLASS_ORDER[queue_rank[0]]].mean_s
         return Ahead(requests, work_s, own_wait_s)
--- a/src/briarfork/pools/wait_queue.py
+++ b/src/briarfork/pools/wait_queue.py
@@ -113,12 +113,22 @@
     def estimate_own_wait_s(self, workspace: str, now: float) -> float:
         """Returns how long a new request waits behind its own workspace's, 0 if unknown."""
         flow = self._flows.get(workspace)
-        return 0.0 if flow is None else len(flow) * flow.compute_interval_s(now)
+        return 0.0 if flow is None else len(flow) * self._compute_interval_s(flow, now)
 
     def compute_longest_own_wait_s(self, now: float) -> float:
         """Returns the wait of the last request of the slowest workspace behind its own ones."""
         waiting = (flow for flow in self._flows.values() if flow.arrivals)
-        return max((len(flow) * flow.compute_interval_s(now) for flow in waiting), default=0.0)
+        return max(
+            (len(flow) * self._compute_interval_s(flow, now) for flow in waiting), default=0.0
+        )
+
+    def _compute_interval_s(self, flow: Flow, now: float) -> float:
+        """Returns the time between two slots of a flow, 0 if it is unknown or not shared.
+
+        Without other workspaces, only more urgent requests slow a flow down, and its rate says
+        nothing once a burst of these has ended.
+        """
+        return flow.compute_interval_s(now) if self.is_shared else 0.0
 
     def list_in_order(self, now: float) -> list[tuple[SlotRequest, float]]:
         """Returns the requests in the order in which they would get slots.
@@ -127,7 +137,7 @@
         """
         tagged = []
         for flow in self._flows.values():
-            interval_s = flow.compute_interval_s(now)
+            interval_s = self._compute_interval_s(flow, now)
             for position, (number, request) in enumerate(flow.arrivals.values()):
                 tagged.append((flow.compute_tag(position), number, request, interval_s))
         if len(self._flows) > 1:
--- a/tests/pools/test_cost.py
+++ b/tests/pools/test_cost.py
@@ -16,6 +16,7 @@
 from briarfork.pools import Requester
 from briarfork.pools import ServerAddress
 from briarfork.pools import SlotRequest
+from briarfork.pools.queue import MAX_QUEUE_LENGTH
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,9 +28,13 @@
 # An owner with 0.43 of a core decides about 480 times a second in such a zone. At 0.1 us for each
 # call, 10 calls for each of 64 servers and 100 waiting requests take a sixth of that processor.
 MAX_CALLS_PER_ITEM = 10
+# Function calls that take less than a millisecond, at 0.25 us with the work between them.
+MAX_CALLS_PER_MS = 4000
 
 
-def build_request(number: int, avoid: frozenset[str] = frozenset()) -> SlotRequest:
+def build_request(
+    number: int, avoid: frozenset[str] = frozenset(), workspaces: int = 0
+) -> SlotRequest:
     return SlotRequest(
         f"p-{number}",
         Requester("vm"),
@@ -37,10 +42,11 @@
         expires_at=9.0,
         avoid=avoid,
         object_key=str(number % OBJECTS),
+        workspace=f"w-{number % workspaces}" if workspaces else "",
     )
 
 
-def build_full_queue(waiting: int, avoid: frozenset[str]) -> PermitQueue:
+def build_full_queue(waiting: int, avoid: frozenset[str], workspaces: int = 0) -> PermitQueue:
     """Returns a queue whose servers are all full, with a number of waiting requests."""
     queue = PermitQueue(SiteCapacity(SLOTS, 400), False, Random(1), slow_start=False)
     queue.set_servers(ServerAddress(f"s-{number}", "127.0.0.1", 1) for number in range(SERVERS))
@@ -48,7 +54,7 @@
         (grant,) = queue.submit(build_request(number), 0.0)
         assert isinstance(grant, Grant)
     for number in range(SERVERS * SLOTS, SERVERS * SLOTS + waiting):
-        queue.enqueue(build_request(number, avoid))
+        queue.enqueue(build_request(number, avoid, workspaces))
     return queue
 
 
@@ -81,3 +87,30 @@
             assert len(queue.poll(2.0)) == 1
 
         assert count_calls(grant_freed_slot) <= MAX_CALLS_PER_ITEM * (SERVERS + waiting)
+
+    @pytest.mark.parametrize("workspaces", [0, 80])
+    def test_longest_queue_costs_under_a_millisecond(self, workspaces: int) -> None:
+        """Guards against owners that are late when the queue is as long as it may become."""
+        queue = build_full_queue(MAX_QUEUE_LENGTH - 1, frozenset(), workspaces)
+        rounds = 50
+
+        def exchange() -> None:
+            for number in range(rounds):
+                now = 2.0 + number / 500
+                queue.release(f"p-{number}", Release.DONE, 0.001, now)
+                queue.poll(now)
+                queue.submit(build_request(10_000 + number, frozenset(), workspaces), now)
+
+        assert count_calls(exchange) <= 2 * rounds * MAX_CALLS_PER_MS
+
+
+class TestUncontendedQueue:
+    def test_forgets_workspaces(self) -> None:
+        """Guards against memory for each workspace that ever sent a request."""
+        queue = PermitQueue(SiteCapacity(SLOTS, 400), False, Random(1))
+        queue.set_servers([ServerAddress("s-0", "127.0.0.1", 1)])
+        for number in range(100):
+            queue.submit(build_request(number, workspaces=100), 0.0)
+            queue.release(f"p-{number}", Release.DONE, 0.001, 0.0)
+        (wait_queue,) = queue._backlog._wait_queues.values()
+        assert not wait_queue._flows
