Merge waiting requests with cached objects by flow

Cause: the merge had one entry for each object of a flow, and every slot changed the tags of all entries of its flow. Slots that became free at once, as when servers are in service again, cost slots times objects, also without workspaces. Change: each flow has one entry, with its cached requests in order of arrival. The parameter find_servers, a mapping, is servers_by_object.

The new test fails before: both cases move more than 2 entries for each request. pytest tests/pools tests/gateway passes.

--- a/src/briarfork/pools/wait_queue.py
+++ b/src/briarfork/pools/wait_queue.py
@@ -149,49 +149,56 @@
 
         A request that can't be served at present leaves its turn to the next one of its flow.
         """
-        return _merge([(flow, flow.arrivals) for flow in self._flows.values() if flow.arrivals])
+        flows = (flow for flow in self._flows.values() if flow.arrivals)
+        return _merge([(flow, flow.arrivals.values()) for flow in flows])
 
     def iterate_cached(
-        self, servers: Mapping[str, object], find_servers: Mapping[str, Collection[str]]
+        self, servers: Mapping[str, object], servers_by_object: Mapping[str, Collection[str]]
     ) -> Iterator[SlotRequest]:
         """Iterates in fair order over the requests whose objects some servers have cached.
 
         Args:
             servers: Servers by name.
-            find_servers: Names of the servers that have an object cached, by object.
+            servers_by_object: Names of the servers that have an object cached, by object.
         """
         names = servers.keys()
-        return _merge(
-            [
-                (flow, arrivals)
-                for flow in self._flows.values()
+        parts: list[tuple[Flow, Collection[Arrival]]] = []
+        for flow in self._flows.values():
+            cached = [
+                arrival
                 for key, arrivals in flow.by_object.items()
-                if key in find_servers and not names.isdisjoint(find_servers[key])
+                if key in servers_by_object and not names.isdisjoint(servers_by_object[key])
+                for arrival in arrivals.values()
             ]
-        )
+            if cached:
+                # Numbers of arrivals are unique, so that requests are not compared.
+                cached.sort()
+                parts.append((flow, cached))
+        return _merge(parts)
 
 
-def _merge(parts: list[tuple[Flow, dict[str, Arrival]]]) -> Iterator[SlotRequest]:
-    """Merges parts of flows by the flows' start tags, which change as requests are served."""
+def _merge(parts: list[tuple[Flow, Collection[Arrival]]]) -> Iterator[SlotRequest]:
+    """Merges arrivals of different flows by the flows' start tags, which change with each slot.
+
+    Each flow has one entry in the heap. With an entry for each object, every slot would change the
+    tags of all entries of its flow, and many slots that become free at once would take seconds.
+    """
     iterators: dict[int, Iterator[Arrival]] = {}
     heap = [
-        (flow.start_tag, *next(iter(arrivals.values())), index)
+        (flow.start_tag, *next(iter(arrivals)), index)
         for index, (flow, arrivals) in enumerate(parts)
     ]
     heapq.heapify(heap)
     while heap:
-        start_tag, number, request, index = heap[0]
+        _, _, request, index = heap[0]
         flow, arrivals = parts[index]
-        if start_tag < flow.start_tag:
-            heapq.heapreplace(heap, (flow.start_tag, number, request, index))
-            continue
         if index not in iterators:
             # Requests are removed from their flow when they are served.
-            iterators[index] = iter(list(arrivals.values())[1:])
+            iterators[index] = iter(list(arrivals)[1:])
         yield request
+        # Only the tag of the flow whose request was yielded has changed, if any.
         following = next(iterators[index], None)
         if following is None:
-            # The entry that was yielded is still the first: nothing else changes the heap.
             heapq.heappop(heap)
         else:
             heapq.heapreplace(heap, (flow.start_tag, *following, index))
--- a/tests/pools/test_cost.py
+++ b/tests/pools/test_cost.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import heapq
 import sys
+from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
@@ -17,6 +20,7 @@
 from briarfork.pools import ServerAddress
 from briarfork.pools import SlotRequest
 from briarfork.pools.queue import MAX_QUEUE_LENGTH
+from briarfork.pools.wait_queue import WaitQueue
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -103,6 +107,31 @@
 
         assert count_calls(exchange) <= 2 * rounds * MAX_CALLS_PER_MS
 
+    @pytest.mark.parametrize("workspaces", [0, 80])
+    def test_slots_that_become_free_at_once_do_not_reorder_the_queue(self, workspaces: int) -> None:
+        """Guards against owners that stop for seconds when many servers are in service again."""
+        waiting = 1000
+        queue = WaitQueue()
+        for number in range(waiting):
+            name = f"w-{number % workspaces}" if workspaces else ""
+            queue.add(replace(build_request(number), object_key=str(number), workspace=name))
+        cached = {str(number): {"s-0"} for number in range(waiting)}
+
+        heap_replace = heapq.heapreplace
+        moved = 0
+
+        def count_moved(heap: list[Any], item: Any) -> Any:
+            nonlocal moved
+            moved += 1
+            return heap_replace(heap, item)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr("briarfork.pools.wait_queue.heapq.heapreplace", count_moved)
+            for request in queue.iterate_cached({"s-0": None}, cached):
+                queue.serve(request.permit, 0.0)
+        assert not queue
+        assert moved <= 2 * waiting
+
 
 class TestUncontendedQueue:
     def test_forgets_workspaces(self) -> None:
