--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -135,6 +135,7 @@
                 budget,
                 self._permits.find_remote_share(service),
             )
+            self.metrics.set_slot_refusals(service, self._permits.count_refusals(service))
 
     def _start(self, request: Request, route: Route) -> Progress:
         now = time.monotonic()
@@ -285,6 +286,7 @@
             progress.deadline,
             frozenset(progress.tried_servers),
             progress.body_bytes,
+            progress.admitted.workspace if progress.admitted else None,
         )
 
     def _require_time_to_run(self, progress: Progress) -> None:
