Grant requests within the quotas of workspaces over all VMs

Quotas of the configuration were not enforced. Each VM now asks the owner of its zone for credit, which fetches it ahead from the owner of the fleet. A VM's entitlement is in the pool of one owner at a time, so no partition adds up to more than the quota.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -128,6 +128,12 @@
     RESPONSE_FAULTY = EventDefinition(
         5022, "warning", "A connection was closed because of the bytes that its server sent."
     )
+    QUOTA_REFUSED = EventDefinition(
+        5030, "info", "A request was refused because of the quota of its workspace."
+    )
+    QUOTA_OWNER_CHANGED = EventDefinition(
+        5031, "info", "This VM gets the credit of a shard of the quotas from another VM."
+    )
 
 
 class LogRateLimiter:
--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -33,6 +33,11 @@
 
 RecordT = TypeVar("RecordT")
 Count = Annotated[int, Meta(ge=0)]
+# Bounds of what one message about quotas may say of a workspace, and of its number of workspaces.
+CreditCount = Annotated[int, Meta(ge=0, le=1_000_000)]
+WaitS = Annotated[float, Meta(ge=0, le=3600)]
+Stamp = Annotated[float, Meta(ge=0, le=1e12)]
+MAX_CREDIT_ENTRIES = 1000
 
 
 def _build_type_tag(class_name: str) -> str:
@@ -322,6 +327,76 @@
     limit_per_s: float = math.inf
 
 
+class CreditEntry(msgspec.Struct, frozen=True, array_like=True):
+    """What the sender wants and has done with credit of one workspace since its last message.
+
+    Attributes:
+        wanted: Credit that is asked for.
+        used: Requests admitted with credit of the receiver.
+        returned: Credit that was not needed.
+    """
+
+    workspace: str
+    wanted: CreditCount = 0
+    used: CreditCount = 0
+    returned: CreditCount = 0
+
+
+class CreditGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Credit of one workspace.
+
+    Attributes:
+        wait_s: If less was granted than wanted, the time after which to try again; 0 if it is not
+            known whether the quota is used up.
+    """
+
+    workspace: str
+    granted: CreditCount = 0
+    wait_s: WaitS = 0.0
+
+
+@MESSAGES.register("credit_ask")
+class CreditAsk(Message, frozen=True):
+    """Attaches the sender to the owner of a shard of the quotas, and asks it for credit.
+
+    Attributes:
+        number: Number of the message, unique within the sender's process.
+        fleet: Whether the receiver is asked as the owner of the fleet, not as that of a zone.
+        stamp: Latest stamp that the sender has received from this owner, 0 if none.
+        entitled: Entitlements that the sender adds to the owner's pool.
+        vms: VMs that the sender asks for.
+        leaving: Whether the sender leaves this owner.
+    """
+
+    name = "credit_ask"
+    number: Count
+    shard: Annotated[int, Meta(ge=0, le=255)]
+    fleet: bool = False
+    stamp: Stamp = 0.0
+    entitled: Annotated[int, Meta(ge=0, le=10_000)] = 0
+    vms: Annotated[int, Meta(ge=0, le=10_000)] = 0
+    leaving: bool = False
+    entries: Annotated[list[CreditEntry], Meta(max_length=MAX_CREDIT_ENTRIES)] = []
+
+
+@MESSAGES.register("credit_answer")
+class CreditAnswer(Message, frozen=True):
+    """The answer to a `CreditAsk`, of the same number.
+
+    Attributes:
+        stamp: Time of the owner, to be returned with the next message.
+        attached: Whether the owner counts the sender from now on.
+    """
+
+    name = "credit_answer"
+    number: Count
+    shard: Annotated[int, Meta(ge=0, le=255)]
+    fleet: bool = False
+    stamp: Stamp = 0.0
+    attached: bool = False
+    grants: Annotated[list[CreditGrant], Meta(max_length=MAX_CREDIT_ENTRIES)] = []
+
+
 def encode(message: Message) -> bytes:
     """Encodes a message as msgpack."""
     return msgspec.msgpack.encode(message)
--- a/src/briarfork/entry/owner_link.py
+++ b/src/briarfork/entry/owner_link.py
@@ -25,6 +25,7 @@
     from briarfork.membership import Member
 
 ListHeldPermits = Callable[[str], "list[PermitHeld]"]
+OwnerMessageCallback = Callable[[str, "Message"], None]
 
 
 class OwnerUnreachable(BriarforkError):
@@ -37,14 +38,32 @@
 class OwnerLink:
     """The stream to one owner, kept open by one task."""
 
-    def __init__(self, owner: Member, settings: Settings) -> None:
+    def __init__(
+        self,
+        owner: Member,
+        settings: Settings,
+        on_message: OwnerMessageCallback | None = None,
+    ) -> None:
+        """Creates a link.
+
+        Args:
+            owner: The owner.
+            settings: Settings of this process.
+            on_message: Called with the name of the owner and each message that is no decision.
+        """
         self.owner = owner
+        self._on_message = on_message
         self._settings = settings
         self._stream: MessageStream | None = None
         # Set after the first connection attempt; requests never wait for a later one.
         self._connection_tried = asyncio.Event()
         self._pending: dict[str, asyncio.Future[Message]] = {}
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the owner has sent a message lately."""
+        return self._stream is not None
+
     async def run(self, list_held: ListHeldPermits) -> None:
         """Connects to the owner, declares permits and receives decisions; reconnects on a loss."""
         timeouts = self._settings.timeouts
@@ -134,6 +153,8 @@
 
     def _resolve(self, message: Message) -> None:
         if not isinstance(message, PermitGrant | PermitRefusal):
+            if self._on_message is not None:
+                self._on_message(self.owner.vm, message)
             return
         future = self._pending.get(message.permit)
         if future is not None and not future.done():
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -36,7 +36,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from briarfork.border.messages import Message
     from briarfork.configuration import RequestClass
+    from briarfork.entry.owner_link import OwnerMessageCallback
     from briarfork.entry.slots import SlotKey
     from briarfork.entry.slots import SlotManager
     from briarfork.membership import Member
@@ -93,6 +95,7 @@
         self._local_shares = LocalShares(view)
         self.mean_run_times_s: dict[str, float] = {}
         self._faulty_addresses: set[tuple[str, int]] = set()
+        self.on_owner_message: OwnerMessageCallback | None = None
 
     def count_held(self, service: str, site: str) -> int:
         """Returns the number of permits of a service at a site that this process holds."""
@@ -338,14 +341,22 @@
         """Returns a unique name for a permit."""
         return f"{self._permit_prefix}-{next(self._permit_numbers)}"
 
+    def open_link(self, owner: Member) -> OwnerLink:
+        """Returns the stream to another VM, which is opened if there is none yet."""
+        return self._ensure_link(owner)
+
     def _ensure_link(self, owner: Member) -> OwnerLink:
         link = self._links.get(owner.vm)
         if link is None:
-            link = OwnerLink(owner, self._view.settings)
+            link = OwnerLink(owner, self._view.settings, self._pass_message)
             self._links[owner.vm] = link
             self._link_added.set()
         return link
 
+    def _pass_message(self, owner: str, message: Message) -> None:
+        if self.on_owner_message is not None:
+            self.on_owner_message(owner, message)
+
     def _list_held(self, owner: str) -> list[PermitHeld]:
         return [
             self._build_declaration(permit)
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -14,6 +14,8 @@
 from briarfork.border.busy_times import BusyTimes
 from briarfork.border.busy_times import Work
 from briarfork.border.events import Event
+from briarfork.border.messages import CreditAnswer
+from briarfork.border.messages import CreditAsk
 from briarfork.border.messages import Heartbeat
 from briarfork.border.messages import Hello
 from briarfork.border.messages import Load
@@ -77,6 +79,15 @@
         """Returns the servers that accept new requests."""
 
 
+class CreditOwner(Protocol):
+    """Answers other VMs that ask for credit within the quotas of workspaces."""
+
+    def handle_ask(
+        self, peer: str, message: CreditAsk, reply: Callable[[CreditAnswer], None]
+    ) -> None:
+        """Answers a message, now or later."""
+
+
 class SlotManager:
     """Owns the permit queues of one entry process.
 
@@ -85,6 +96,7 @@
 
     Attributes:
         busy_times: Time for which the event loop has been busy with each kind of work.
+        credit_owner: Answers messages about quotas, None if this program has none.
     """
 
     def __init__(
@@ -92,6 +104,7 @@
     ) -> None:
         self._slow_start = slow_start
         self.busy_times = BusyTimes()
+        self.credit_owner: CreditOwner | None = None
         self.settings = settings
         self.events = events
         self._view = view
@@ -354,6 +367,21 @@
     manager.adopt(sender[0], message)
 
 
+@HANDLERS.register(CreditAsk.name)
+def handle_credit_ask(manager: SlotManager, sender: Sender, message: CreditAsk) -> None:
+    """Passes a message about quotas on; the answer is sent back on the stream."""
+    requester, stream = sender
+
+    def reply(answer: CreditAnswer) -> None:
+        try:
+            stream.send(answer)
+        except StreamClosed:
+            return
+
+    if manager.credit_owner is not None:
+        manager.credit_owner.handle_ask(requester.vm, message, reply)
+
+
 def _encode_decision(decision: Grant | Refusal) -> PermitGrant | PermitRefusal:
     permit = decision.request.permit
     if isinstance(decision, Grant):
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -102,6 +102,7 @@
             return response
         except BriarforkError as error:
             outcome = error.kind.value
+            progress.detail = progress.detail or error.detail
             raise
         finally:
             progress.release_responses(response)
@@ -123,6 +124,7 @@
         """Updates the gauges from the current state."""
         table = self._view.require_route_table()
         self.metrics.set_version(table.version)
+        self.metrics.set_limits(self._view.list_limits())
         self.metrics.set_response_bytes(self._upstream.held_bytes)
         for service in table.services:
             budget = self._find_retry_budget(service).level
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -11,14 +11,21 @@
 from prometheus_client import generate_latest
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from briarfork.border.responses import ResponseFault
     from briarfork.routing import Route
+    from briarfork.workspaces import Workspace
 
 # Histogram buckets in seconds: latency objectives are 0.2 to 3 s, timeouts up to 20 s.
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.7, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0)
 # Buckets in seconds for delays of the event loop.
 LOOP_BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
+# Workspaces that are counted by name; the rest is counted together.
+MAX_NAMED_WORKSPACES = 10
+OTHER_WORKSPACES = "other"
+
 
 class GatewayMetrics:
     """The metrics of a gateway; all labels have few values, which bounds the number of series."""
@@ -82,6 +89,13 @@
             registry=self._registry,
         )
 
+        self._quota_decisions = Counter(
+            "briarfork_quota_decisions",
+            "Decisions on requests within the quotas of workspaces.",
+            ["workspace", "decision"],
+            registry=self._registry,
+        )
+        self._largest_workspaces: frozenset[str] = frozenset()
         self._loop_delays = Histogram(
             "briarfork_loop_delay_seconds",
             "How late timers of the event loop run.",
@@ -152,6 +166,16 @@
         """Sets for how long the event loop has been busy with one kind of work, in seconds."""
         self._busy_seconds.labels(work).set(total_s)
 
+    def set_limits(self, limits: Mapping[str, Workspace]) -> None:
+        """Chooses the workspaces with the largest quotas, which are counted by name."""
+        ranked = sorted(limits.values(), key=lambda item: (-item.rate_per_s, item.name))
+        self._largest_workspaces = frozenset(item.name for item in ranked[:MAX_NAMED_WORKSPACES])
+
+    def count_quota_decision(self, workspace: str, decision: str) -> None:
+        """Counts a decision: "granted", "refused" or "undecided"."""
+        label = workspace if workspace in self._largest_workspaces else OTHER_WORKSPACES
+        self._quota_decisions.labels(label, decision).inc()
+
     def render(self) -> bytes:
         """Returns all metrics in the text format."""
         return generate_latest(self._registry)
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -11,6 +11,8 @@
 from briarfork.entry.connections import ServerConnections
 from briarfork.entry.slots import SlotManager
 from briarfork.gateway.permits import GatewayPermits
+from briarfork.gateway.quotas import Quotas
+from briarfork.workspaces import QuotaBounds
 
 if TYPE_CHECKING:
     from briarfork.border.busy_times import BusyTimes
@@ -21,15 +23,20 @@
 
 
 class Gateway:
-    """Holds the view, the slots that this VM owns and the permits that it holds."""
+    """Holds the view, the slots that this VM owns and the permits and credit that it holds."""
 
-    def __init__(self, view: GatewayView, events: EventLog) -> None:
+    def __init__(
+        self, view: GatewayView, events: EventLog, quota_bounds: QuotaBounds | None = None
+    ) -> None:
         self.settings = view.settings
         self.events = events
         self.draining = False
         self.view = view
         self.slots = SlotManager(view.settings, events, view, slow_start=False)
         self.permits = GatewayPermits(self.view, self.slots)
+        self.quotas = Quotas(view, self.permits, events, quota_bounds or QuotaBounds())
+        self.slots.credit_owner = self.quotas
+        self.permits.on_owner_message = self.quotas.handle_answer
         self.connections = ServerConnections(view.settings)
 
     @property
@@ -65,6 +72,7 @@
             return
         self.slots.refresh()
         self.permits.refresh()
+        self.quotas.refresh()
         self._update_cold_servers()
 
     async def run(self) -> None:
@@ -75,6 +83,7 @@
                 for run in (
                     self.slots.poll,
                     self.permits.maintain_links,
+                    self.quotas.run,
                     self.connections.run,
                 ):
                     group.create_task(run_supervised(run, self.events))
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -20,6 +20,8 @@
 from briarfork.routing import CallerLimits
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from briarfork.border.events import EventLog
     from briarfork.border.settings import Settings
     from briarfork.entry.slots import SlotKey
@@ -28,6 +30,7 @@
     from briarfork.membership import Member
     from briarfork.pools import ServerAddress
     from briarfork.routing import RouteTable
+    from briarfork.workspaces import Workspace
 
 DEFAULT_MAX_CONNECTIONS = 100
 
@@ -143,6 +146,19 @@
         """Returns the serving entry VMs of a zone."""
         return [item for item in self._list_serving() if item.zone == zone]
 
+    def list_fast_entries(self) -> list[Member]:
+        """Returns the serving entry VMs of all zones, without those with slow links."""
+        return list(select_fast_members(self._list_serving()))
+
+    def count_serving(self) -> int:
+        """Returns the number of serving entry VMs."""
+        return len(self._list_serving())
+
+    def list_limits(self) -> Mapping[str, Workspace]:
+        """Returns the workspaces that have a quota, by name."""
+        workspaces = self._route_table.workspaces if self._route_table else None
+        return workspaces.limited if workspaces is not None else {}
+
     def order_entries(self, zone: str, region: str) -> list[Member]:
         """Returns the serving entry VMs of the zone, else of the region, else of any region.
 
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -111,7 +111,7 @@
         self._events = events
         view = GatewayView(settings.common, settings.location, settings.retry_limits, events)
         view.max_configuration_age_s = settings.max_configuration_age_s
-        self._gateway = Gateway(view, events)
+        self._gateway = Gateway(view, events, settings.quota_bounds)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -174,7 +174,10 @@
         upstream = HttpUpstream(
             gateway.connections, self._settings.common.limits.response_memory_bytes
         )
-        dispatcher = Dispatcher(gateway.view, gateway.permits, upstream, self._events)
+        dispatcher = Dispatcher(
+            gateway.view, gateway.permits, upstream, self._events, gateway.quotas
+        )
+        gateway.quotas.observe_decision = dispatcher.metrics.count_quota_decision
         gateway.connections.observer = ResponseFaultRecorder(
             self._events, gateway.permits, dispatcher.metrics.count_response_fault
         )
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -19,6 +19,7 @@
 from briarfork.gateway.location import Location
 from briarfork.gateway.retries import RetryLimits
 from briarfork.platform.units import parse_duration
+from briarfork.workspaces import QuotaBounds
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -128,6 +129,7 @@
         entry_ttl_s: Time after which the store removes the entry of a silent backend server.
         max_configuration_age_s: Age of the configuration from which keys are no longer accepted,
             infinite if they are accepted at any age.
+        quota_bounds: How closely the quotas of workspaces hold.
     """
 
     common: Settings
@@ -144,6 +146,7 @@
     fetch_pause_s: float
     entry_ttl_s: float
     max_configuration_age_s: float
+    quota_bounds: QuotaBounds
 
 
 def load_platform_settings(path: Path) -> PlatformSettings:
@@ -179,6 +182,7 @@
         lease_s = max(LEASE_S, parse_duration(boot.platform.min_ttl))
         entry_ttl_s = MISSED_HEARTBEATS * parse_duration(boot.heartbeat)
         max_configuration_age_s = _parse_configuration_age(bounds)
+        quota_bounds = _parse_quota_bounds(bounds)
     except ValueError as error:
         raise BadSettings([f"{path}: bounds: {error}"]) from error
     address, port = _split_address(boot.listen.front)
@@ -219,6 +223,7 @@
         fetch_pause_s=FETCH_PAUSE_FRACTION * propagation_s,
         entry_ttl_s=entry_ttl_s,
         max_configuration_age_s=max_configuration_age_s,
+        quota_bounds=quota_bounds,
     )
 
 
@@ -236,6 +241,19 @@
     return REVOKE_FRACTION * parse_duration(bounds.get("revoke", "5s"))
 
 
+def _parse_quota_bounds(bounds: dict[str, str]) -> QuotaBounds:
+    """Returns how closely quotas hold.
+
+    Raises:
+        ValueError: If a bound is malformed.
+    """
+    overshoot = float(bounds.get("quota_overshoot", "0.1"))
+    slack = float(bounds.get("quota_slack", "20"))
+    if not (0.0 <= overshoot <= 10.0 and 0.0 <= slack <= 1e6):
+        raise ValueError("quota_overshoot, quota_slack: expected numbers from 0 on")
+    return QuotaBounds(parse_duration(bounds.get("quota_window", "5s")), overshoot, slack)
+
+
 def _split_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- /dev/null
+++ b/src/briarfork/workspaces/attachments.py
@@ -0,0 +1,178 @@
+"""Which VMs an owner of credit counts, and which owner a VM is counted at.
+
+Every serving VM is entitled to the same part of each quota. Its entitlement is in the pool of one
+owner at a time, so that the pools never exceed the quota together, whichever VMs reach each other.
+An owner counts a VM only on the evidence of an echo: each answer carries a stamp of the owner's
+clock, which the next message of the VM returns. A message that was delayed on its way therefore
+attaches nobody.
+"""
+
+from __future__ import annotations
+
+import itertools
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+# A message with an older stamp does not renew an attachment. The stamp is at most one interval of
+# messages and one round trip to another region old, about 0.4 s.
+MAX_STAMP_AGE_S = 0.75
+# An attachment that is not renewed ends after this time.
+ATTACHMENT_S = 1.0
+# Time in which the end of an attachment at the owner of a zone reaches the owner of the fleet.
+REPORT_LAG_S = 0.5
+# An owner that answers nothing for this time is given up, which is two intervals of messages.
+SILENCE_S = 0.5
+# Messages without an answer that are remembered.
+MAX_UNANSWERED = 64
+
+
+def is_recent(stamp: float, now: float) -> bool:
+    """Returns whether a message with this stamp was sent recently.
+
+    Example:
+        >>> is_recent(9.5, now=10.0), is_recent(0.0, now=10.0)
+        (True, False)
+    """
+    return 0.0 <= now - stamp <= MAX_STAMP_AGE_S
+
+
+@dataclass(slots=True)
+class _Attached:
+    ends_at: float
+    entitled: int
+    vms: int
+
+
+class Attachments:
+    """The VMs that are attached to an owner, alone or through the owner of their zone.
+
+    Handles the loss, the freeze and the partition of many VMs at once.
+
+    Attributes:
+        entitled: Entitlements in the owner's pool.
+        vms: VMs that use the pool, also those whose entitlement may still be in another one.
+    """
+
+    def __init__(self) -> None:
+        self._attached: dict[str, _Attached] = {}
+        self.entitled = 0
+        self.vms = 0
+
+    def renew(self, peer: str, stamp: float, entitled: int, vms: int, now: float) -> bool:
+        """Attaches a peer if its message is recent, and returns whether it was."""
+        if not is_recent(stamp, now):
+            return False
+        self._attached[peer] = _Attached(now + ATTACHMENT_S, entitled, vms)
+        self._count()
+        return True
+
+    def release(self, peer: str) -> None:
+        """Removes the entitlements of a peer that leaves; its credit ends with its attachment."""
+        attached = self._attached.get(peer)
+        if attached is not None:
+            attached.entitled = attached.vms = 0
+            self._count()
+
+    def count(self, peer: str) -> tuple[int, int]:
+        """Returns the entitlements and the VMs that a peer has attached."""
+        attached = self._attached.get(peer)
+        return (attached.entitled, attached.vms) if attached is not None else (0, 0)
+
+    def pop_ended(self, now: float) -> Iterator[tuple[float, str]]:
+        """Removes ended attachments and yields the end and the peer of each, in order of ends."""
+        ended = sorted((item.ends_at, peer) for peer, item in self._attached.items())
+        for ends_at, peer in ended:
+            if ends_at > now:
+                return
+            # The owner accounts for the time up to this end with the attachment still counted.
+            yield ends_at, peer
+            del self._attached[peer]
+            self._count()
+
+    def _count(self) -> None:
+        self.entitled = sum(item.entitled for item in self._attached.values())
+        self.vms = sum(item.vms for item in self._attached.values())
+
+
+class Attachment:
+    """The owner that a VM is attached to, as the VM knows it.
+
+    Handles the loss of an owner: the VM may use the credit of another owner at once, but its
+    entitlement counts there only when it can no longer count at the lost owner.
+
+    Attributes:
+        owner: Name of the owner, empty before the first one.
+        confirmed_until: Time until which the owner counts this VM at least.
+        round_trip_s: Time that the owner's last answer took, 0 if there was none.
+    """
+
+    def __init__(self) -> None:
+        self.owner = ""
+        self.confirmed_until = -math.inf
+        self.round_trip_s = 0.0
+        self._numbers = itertools.count(1)
+        self._sent: dict[int, float] = {}
+        self._stamp = 0.0
+        self._stamped_at = -math.inf
+        self._entitled_at = -math.inf
+        self._leave_number = 0
+        self._last_sent_at = -math.inf
+        self._waiting_since: float | None = None
+
+    def change_owner(self, owner: str) -> None:
+        """Starts an attachment to another owner."""
+        if self._stamped_at > -math.inf:
+            ends_at = self._stamped_at + MAX_STAMP_AGE_S + ATTACHMENT_S + REPORT_LAG_S
+            self._entitled_at = max(self._entitled_at, ends_at)
+        self.owner = owner
+        self.confirmed_until = -math.inf
+        self.round_trip_s = 0.0
+        self._sent.clear()
+        self._stamp, self._stamped_at = 0.0, -math.inf
+        self._last_sent_at, self._waiting_since = -math.inf, None
+
+    def leave(self) -> int:
+        """Returns the number of a message that tells the owner that this VM leaves it."""
+        self._leave_number = next(self._numbers)
+        return self._leave_number
+
+    def begin(self, now: float) -> tuple[int, float]:
+        """Returns the number and the stamp of the next message to the owner."""
+        number = next(self._numbers)
+        self._sent[number] = now
+        if len(self._sent) > MAX_UNANSWERED:
+            del self._sent[next(iter(self._sent))]
+        self._last_sent_at = now
+        if self._waiting_since is None:
+            self._waiting_since = now
+        return number, self._stamp
+
+    def confirm(self, number: int, stamp: float, attached: bool, now: float) -> None:
+        """Records an answer."""
+        if number == self._leave_number:
+            self._entitled_at = now
+        sent_at = self._sent.pop(number, None)
+        if sent_at is None:
+            return
+        self._waiting_since = min(self._sent.values(), default=None)
+        self.round_trip_s = now - sent_at
+        if stamp > self._stamp:
+            self._stamp, self._stamped_at = stamp, now
+        if attached:
+            self.confirmed_until = max(self.confirmed_until, sent_at + ATTACHMENT_S)
+
+    def is_entitled(self, now: float) -> bool:
+        """Returns whether this VM's entitlement is in no pool of an earlier owner."""
+        return now >= self._entitled_at
+
+    def is_silent(self, now: float) -> bool:
+        """Returns whether the owner has left messages without an answer for too long."""
+        return self._waiting_since is not None and now - self._waiting_since > SILENCE_S
+
+    def is_due(self, now: float, interval_s: float) -> bool:
+        """Returns whether the next message has to be sent to stay attached."""
+        return now - self._last_sent_at >= interval_s or not self._stamp
--- a/src/briarfork/workspaces/directory.py
+++ b/src/briarfork/workspaces/directory.py
@@ -16,6 +16,9 @@
 class WorkspaceDirectory:
     """The workspaces of one version of the configuration, with digests of their keys.
 
+    Attributes:
+        limited: The workspaces that have a quota, by name.
+
     Example:
         >>> from briarfork.workspaces.workspace import Workspace
         >>> directory = WorkspaceDirectory({"k-1": Workspace("acme")})
@@ -31,6 +34,10 @@
         """
         self._by_digest = {_digest(key): workspace for key, workspace in workspaces.items()}
 
+        self.limited = {
+            workspace.name: workspace for workspace in workspaces.values() if workspace.has_quota
+        }
+
     def find(self, key: str) -> Workspace | None:
         """Returns the workspace that holds a key, or None."""
         digest = _digest(key)
