Admit small workspaces in advance within the slack

In a test without a network, zones held all credit of small workspaces, and 3.4 % of requests at 0.6 of their limits were refused. Owners of zones now may be in advance by their part of the slack.

--- a/src/briarfork/gateway/quota_owners.py
+++ b/src/briarfork/gateway/quota_owners.py
@@ -36,10 +36,9 @@
 # Part of it for the owner of the fleet; the rest is for the way between the VM and its zone's
 # owner.
 FLEET_WAIT_S = 0.045
+# With a shorter round trip, requests wait for credit, so that more is left for distant zones.
+NEAR_ROUND_TRIP_S = 0.03
 MAX_WAITING = 1000
-# The first request of a workspace is admitted against the next grant only by owners with at least
-# this part of the VMs: there are 12 at most, and each admits one in 5 s.
-MIN_ADVANCE_SHARE = 0.08
 MAX_WAIT_S = 3600.0
 
 
@@ -78,6 +77,7 @@
     number: int
     reply: Reply
     attached: bool
+    fleet_vms: int
     expires_at: float
     granted: dict[str, int] = field(default_factory=dict)
     missing: dict[str, int] = field(default_factory=dict)
@@ -86,8 +86,10 @@
 class ZoneCreditOwner:
     """Admits the requests of a zone for one shard, with credit of the fleet's owner."""
 
-    def __init__(self, shard: int, links: CreditLinks, events: EventLog) -> None:
-        self.limits: Mapping[str, Workspace] = {}
+    def __init__(
+        self, shard: int, bounds: QuotaBounds, links: CreditLinks, events: EventLog
+    ) -> None:
+        self._bounds = bounds
         self._shard = shard
         self._links = links
         self._events = events
@@ -109,15 +111,15 @@
             attached = self._vms.renew(peer, ask.stamp, min(ask.entitled, 1), 1, now)
         if attached and not self._fleet.owner:
             self.maintain(now)
-        waiting = _WaitingAsk(ask.number, reply, attached, now + FLEET_WAIT_S)
-        may_advance = self._vms.vms >= MIN_ADVANCE_SHARE * fleet_vms
+        waiting = _WaitingAsk(ask.number, reply, attached, fleet_vms, now + FLEET_WAIT_S)
+        advance = self._compute_advance(fleet_vms)
         for entry in ask.entries:
             self._credit.give_back(entry.workspace, entry.returned)
             if not entry.wanted:
                 continue
             granted = 0
-            if entry.workspace in self.limits:
-                granted = self._credit.take(entry.workspace, entry.wanted, now, may_advance)
+            if entry.workspace in self._credit.limits:
+                granted = self._credit.take(entry.workspace, entry.wanted, now, advance)
                 waiting.missing[entry.workspace] = entry.wanted - granted
             waiting.granted[entry.workspace] = granted
         if any(self._credit.needs_credit(name, now) for name in waiting.missing):
@@ -128,6 +130,10 @@
         else:
             self._answer(waiting, now)
 
+    def set_limits(self, limits: Mapping[str, Workspace]) -> None:
+        """Replaces the workspaces that have a quota."""
+        self._credit.limits = limits
+
     def handle_answer(self, owner: str, answer: CreditAnswer, now: float) -> None:
         """Receives credit from the owner of the fleet."""
         was_attached = self._fleet.confirmed_until >= now
@@ -138,6 +144,7 @@
         supplies = [
             CreditSupply(item.workspace, item.granted, item.wait_s) for item in answer.grants
         ]
+        self._credit.is_near = self._fleet.round_trip_s <= NEAR_ROUND_TRIP_S
         self._credit.receive(supplies, self._fleet.confirmed_until, now)
         if not answer.attached:
             # The answer has brought a stamp, with which the next message attaches this VM.
@@ -168,14 +175,14 @@
         former = self._fleet.owner
         if former == owner:
             return
+        self._fleet.change_owner(owner)
+        self._asked_at = None
         if former:
             entries = self._build_entries(now)
             self._links.send(
                 former,
                 CreditAsk(self._fleet.leave(), self._shard, True, leaving=True, entries=entries),
             )
-        self._fleet.change_owner(owner)
-        self._asked_at = None
         if owner:
             self._events.record(
                 Event.QUOTA_OWNER_CHANGED, shard=self._shard, of="fleet", owner=owner, former=former
@@ -208,10 +215,14 @@
             self._credit.is_used_up(name, now) for name in missing
         )
 
+    def _compute_advance(self, fleet_vms: int) -> int:
+        return self._bounds.compute_advance(self._vms.vms / fleet_vms)
+
     def _retake(self, waiting: _WaitingAsk, now: float) -> None:
+        advance = self._compute_advance(waiting.fleet_vms)
         for name, missing in waiting.missing.items():
             if missing:
-                granted = self._credit.retake(name, missing, now)
+                granted = self._credit.retake(name, missing, now, advance)
                 waiting.granted[name] += granted
                 waiting.missing[name] -= granted
 
--- a/src/briarfork/gateway/quota_requester.py
+++ b/src/briarfork/gateway/quota_requester.py
@@ -136,10 +136,10 @@
 
     def _change_owner(self, owner: str) -> None:
         former = self._zone.owner
+        self._zone.change_owner(owner)
         if former:
             leave = CreditAsk(self._zone.leave(), self._shard, leaving=True)
             self._links.send(former, leave)
-        self._zone.change_owner(owner)
         self._source += 1
         self._is_attaching = False
         self._returned.clear()
--- a/src/briarfork/gateway/quotas.py
+++ b/src/briarfork/gateway/quotas.py
@@ -75,7 +75,7 @@
     def __init__(self, number: int, quotas: Quotas) -> None:
         links, events = quotas.links, quotas.events
         self.requester = CreditRequester(number, links, events, quotas.read_clock)
-        self.zone = ZoneCreditOwner(number, links, events)
+        self.zone = ZoneCreditOwner(number, quotas.bounds, links, events)
         self.fleet = FleetCreditOwner(number, quotas.bounds)
 
 
@@ -163,7 +163,7 @@
         for name, workspace in limits.items():
             parts[find_shard(name)][name] = workspace
         for shard, part in zip(self._shards, parts, strict=True):
-            shard.zone.limits = part
+            shard.zone.set_limits(part)
             shard.fleet.pool.set_limits(part)
         if limits:
             self._has_limits.set()
--- a/src/briarfork/workspaces/credit_pool.py
+++ b/src/briarfork/workspaces/credit_pool.py
@@ -40,7 +40,8 @@
     """Credit for the owner of a zone.
 
     Attributes:
-        wait_s: Time until the next credit, 0 if some was granted or the limit is not known.
+        wait_s: Time until the pool has the credit that is missing, 0 if it has enough or does not
+            know the workspace.
     """
 
     workspace: str
@@ -75,7 +76,8 @@
         self._updated_at = -math.inf
         # Time for which the pool has had all entitlements; buckets are refilled by it.
         self._clock = 0.0
-        self._grown_clock = 0.0
+        # Part of the VMs for which the buckets have got their start.
+        self._started_part = 0.0
         self._buckets: dict[str, _Bucket] = {}
         self._held: dict[str, dict[str, int]] = {}
 
@@ -85,6 +87,7 @@
         self._limits = limits
         for name in [name for name in self._buckets if name not in limits]:
             del self._buckets[name]
+        self._settle_all()
 
     def update(self, fleet_vms: int, now: float) -> None:
         """Accounts for the time until now and for attachments that have ended.
@@ -101,23 +104,26 @@
                     bucket.outstanding -= count
         self._advance(now)
         if fleet_vms < self._fleet_vms:
-            self._note_growth()
+            self._settle_all()
         self._fleet_vms = max(1, fleet_vms)
         if not self.attachments.vms:
             # What the VMs use elsewhere is not known here, so a later pool starts anew.
             self._buckets.clear()
             self._held.clear()
-            self._clock = self._grown_clock = 0.0
+            self._started_part = 0.0
 
     def attach(self, peer: str, stamp: float, entitled: int, vms: int, now: float) -> bool:
         """Attaches the owner of a zone if its message is recent, and returns whether it was."""
         if not is_recent(stamp, now):
             return False
         old_entitled, old_vms = self.attachments.count(peer)
-        if entitled > old_entitled or vms > old_vms:
+        is_growing = entitled > old_entitled or vms > old_vms
+        if is_growing:
             # The room that a pool gains is empty: its levels must not follow the new depth.
-            self._note_growth()
+            self._settle_all()
         self.attachments.renew(peer, stamp, entitled, vms, now)
+        if is_growing:
+            self._start_buckets()
         return True
 
     def exchange(self, peer: str, reports: Iterable[CreditReport]) -> list[CreditSupply]:
@@ -138,24 +144,34 @@
         bucket.outstanding -= closed
         bucket.level += report.returned - debt
         self._limit_level(bucket)
-        granted = self._choose_grant(bucket, report.wanted)
+        held[workspace.name] = before - closed
+        granted = self._choose_grant(bucket, held, report.wanted)
         bucket.level -= granted
         bucket.outstanding += granted
-        held[workspace.name] = before - closed + granted
+        held[workspace.name] += granted
         wait_s = 0.0
-        if report.wanted and not granted:
-            wait_s = self._compute_wait(bucket)
+        if report.wanted > granted + max(0.0, bucket.level):
+            wait_s = self._compute_wait(bucket, report.wanted - granted)
         return CreditSupply(workspace.name, granted, wait_s)
 
-    @staticmethod
-    def _choose_grant(bucket: _Bucket, wanted: int) -> int:
-        """Returns the credit to grant; half of a scarce level is left for other zones."""
-        available = int(max(0.0, bucket.level))
-        return min(wanted, max(1, available // 2)) if available else 0
+    def _choose_grant(self, bucket: _Bucket, held: dict[str, int], wanted: int) -> int:
+        """Returns the credit to grant.
 
-    def _compute_wait(self, bucket: _Bucket) -> float:
+        One request of each zone that holds none is left at the pool, or the zones that ask first
+        would hold the whole burst of a small workspace. Of a scarce level, half is left as well.
+        """
+        available = int(max(0.0, bucket.level))
+        if not available:
+            return 0
+        name = bucket.workspace.name
+        without = sum(1 for other in self._held.values() if not other.get(name))
+        at_least = 0 if held.get(name) else 1
+        free = available - without + at_least
+        return min(wanted, max(at_least, free // 2))
+
+    def _compute_wait(self, bucket: _Bucket, missing: int) -> float:
         rate_per_s = bucket.workspace.rate_per_s * self._share
-        return (1.0 - bucket.level) / rate_per_s if rate_per_s > 0.0 else UNKNOWN_WAIT_S
+        return (missing - bucket.level) / rate_per_s if rate_per_s > 0.0 else UNKNOWN_WAIT_S
 
     @property
     def _share(self) -> float:
@@ -164,10 +180,8 @@
     def _settle(self, workspace: Workspace) -> _Bucket:
         bucket = self._buckets.get(workspace.name)
         if bucket is None:
-            # A bucket that nobody has used since the pool grew last has been refilled since then.
-            refilled = workspace.rate_per_s * (self._clock - self._grown_clock)
-            bucket = _Bucket(workspace, self._compute_start(workspace) + refilled, self._clock)
-            self._buckets[workspace.name] = bucket
+            start = self._bounds.compute_start(workspace) * self._started_part
+            bucket = self._buckets[workspace.name] = _Bucket(workspace, start, self._clock)
         bucket.level += workspace.rate_per_s * (self._clock - bucket.clock)
         bucket.clock, bucket.workspace = self._clock, workspace
         self._limit_level(bucket)
@@ -175,16 +189,19 @@
 
     def _limit_level(self, bucket: _Bucket) -> None:
         depth = self._bounds.compute_depth(bucket.workspace) * self._share
-        depth = max(depth, self._compute_start(bucket.workspace))
+        depth = max(depth, self._bounds.compute_start(bucket.workspace) * self._started_part)
         bucket.level = min(bucket.level, max(0.0, depth - bucket.outstanding))
 
-    def _compute_start(self, workspace: Workspace) -> float:
+    def _start_buckets(self) -> None:
+        """Gives each bucket its start for the VMs that the pool has not had before."""
         part = min(1.0, self.attachments.vms / self._fleet_vms)
-        return self._bounds.compute_start(workspace) * part
-
-    def _note_growth(self) -> None:
-        self._settle_all()
-        self._grown_clock = self._clock
+        gained, self._started_part = part - self._started_part, max(part, self._started_part)
+        for name, workspace in self._limits.items():
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                self._settle(workspace)
+            elif gained > 0.0:
+                bucket.level += gained * self._bounds.compute_start(workspace)
 
     def _settle_all(self) -> None:
         for bucket in self._buckets.values():
--- a/src/briarfork/workspaces/quota_bounds.py
+++ b/src/briarfork/workspaces/quota_bounds.py
@@ -10,7 +10,8 @@
 
 # Part of the slack by which the depth of all buckets together exceeds the burst. Credit that zones
 # have fetched ahead counts against the depth, and a burst may be smaller than the number of zones.
-DEPTH_SLACK_FRACTION = 0.4
+# The rest of the slack is for requests that owners of zones admit against their next grant.
+DEPTH_SLACK_FRACTION = 0.35
 # Part of the overshoot that a pool may hold when it starts, because its predecessor's grants are
 # not known to it.
 START_OVERSHOOT_FRACTION = 0.5
@@ -49,6 +50,10 @@
         """
         return RETURN_OVERSHOOT_FRACTION * self.overshoot * self.window_s
 
+    def compute_advance(self, part: float) -> int:
+        """Returns how many requests an owner with this part of all VMs may be in advance."""
+        return int((1.0 - DEPTH_SLACK_FRACTION) * self.slack * min(1.0, part))
+
     def compute_limit(self, workspace: Workspace) -> float:
         """Returns the largest number of requests that may run in a window."""
         return self._compute_window(workspace) * (1.0 + self.overshoot) + self.slack
