--- a/src/briarfork/commands/explain.py
+++ b/src/briarfork/commands/explain.py
@@ -32,6 +32,7 @@
         "configuration_in_force",
         "remote_share_moved",
         "owner_unreachable",
+        "quota_owner_changed",
         "lines_left_out",
         "loop_delayed",
     }
--- a/src/briarfork/gateway/quota_links.py
+++ b/src/briarfork/gateway/quota_links.py
@@ -54,7 +54,7 @@
 
         It is this VM if no candidate answers, and empty while the stream to a candidate is opened.
         """
-        for member in self._rank(shard, fleet)[:MAX_CANDIDATES]:
+        for member in self.rank(shard, fleet)[:MAX_CANDIDATES]:
             if member.vm == self.vm:
                 return self.vm
             link = self._permits.open_link(member)
@@ -84,7 +84,8 @@
         except StreamClosed:
             return
 
-    def _rank(self, shard: int, fleet: bool) -> list[Member]:
+    def rank(self, shard: int, fleet: bool) -> list[Member]:
+        """Returns the candidates for the owner of a shard, the best first."""
         if self._view.members is not self._members:
             self._members = self._view.members
             self._ranked.clear()
--- a/src/briarfork/gateway/quota_owners.py
+++ b/src/briarfork/gateway/quota_owners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -30,7 +31,7 @@
 Reply = Callable[[CreditAnswer], None]
 
 # Interval at which an attachment is renewed.
-RENEW_S = 0.25
+RENEW_S = 0.2
 # Longest wait of a VM for a decision on credit.
 DECISION_S = 0.055
 # Part of it for the owner of the fleet; the rest is for the way between the VM and its zone's
@@ -97,6 +98,8 @@
         self._credit = ZoneCredit()
         self._fleet = Attachment()
         self._asked_at: float | None = None
+        # Time since when VMs have been attached without a break.
+        self._begun_at = math.inf
         self._waiting: list[_WaitingAsk] = []
 
     def handle_ask(
@@ -112,7 +115,7 @@
         if attached and not self._fleet.owner:
             self.maintain(now)
         waiting = _WaitingAsk(ask.number, reply, attached, fleet_vms, now + FLEET_WAIT_S)
-        advance = self._compute_advance(fleet_vms)
+        advance = self._compute_advance(fleet_vms, now)
         for entry in ask.entries:
             self._credit.give_back(entry.workspace, entry.returned)
             if not entry.wanted:
@@ -161,8 +164,10 @@
         self._drop_ended(now)
         self._answer_expired(now)
         if not self._vms.vms:
+            self._begun_at = math.inf
             self._change_owner("", now)
             return
+        self._begun_at = min(self._begun_at, now)
         if self._fleet.is_silent(now):
             self._links.avoid(self._fleet.owner, now)
         owner = self._links.find_owner(self._shard, True, now)
@@ -215,11 +220,11 @@
             self._credit.is_used_up(name, now) for name in missing
         )
 
-    def _compute_advance(self, fleet_vms: int) -> int:
-        return self._bounds.compute_advance(self._vms.vms / fleet_vms)
+    def _compute_advance(self, fleet_vms: int, now: float) -> int:
+        return self._bounds.compute_advance(self._vms.vms / fleet_vms, now - self._begun_at)
 
     def _retake(self, waiting: _WaitingAsk, now: float) -> None:
-        advance = self._compute_advance(waiting.fleet_vms)
+        advance = self._compute_advance(waiting.fleet_vms, now)
         for name, missing in waiting.missing.items():
             if missing:
                 granted = self._credit.retake(name, missing, now, advance)
--- a/src/briarfork/gateway/quota_requester.py
+++ b/src/briarfork/gateway/quota_requester.py
@@ -22,6 +22,8 @@
 
 # Credit is not used later than this after it was requested, as after a pause of this process.
 CREDIT_S = 1.0
+# The owner of a zone tells the owner of the fleet of an ended attachment with its next message.
+REPORT_LAG_S = RENEW_S + 0.1
 # Workspaces in one message.
 MAX_ENTRIES = 500
 
@@ -65,7 +67,7 @@
         self._links = links
         self._events = events
         self._read_clock = read_clock
-        self._zone = Attachment()
+        self._zone = Attachment(REPORT_LAG_S)
         self._source = 0
         self._collected: dict[str, Futures] = {}
         self._returned: dict[str, int] = {}
--- a/src/briarfork/workspaces/attachments.py
+++ b/src/briarfork/workspaces/attachments.py
@@ -18,14 +18,13 @@
     from collections.abc import Iterator
 
 # A message with an older stamp does not renew an attachment. The stamp is at most one interval of
-# messages and one round trip to another region old, about 0.4 s.
-MAX_STAMP_AGE_S = 0.75
-# An attachment that is not renewed ends after this time.
-ATTACHMENT_S = 1.0
-# Time in which the end of an attachment at the owner of a zone reaches the owner of the fleet.
-REPORT_LAG_S = 0.5
-# An owner that answers nothing for this time is given up, which is two intervals of messages.
-SILENCE_S = 0.5
+# messages and one round trip to another region old, 0.31 s.
+MAX_STAMP_AGE_S = 0.5
+# An attachment that is not renewed ends after this time, four intervals of messages. Both times
+# add up to the time for which the entitlements of a lost owner are in no pool.
+ATTACHMENT_S = 0.8
+# An owner that answers nothing for this time is given up.
+SILENCE_S = 0.4
 # Messages without an answer that are remembered.
 MAX_UNANSWERED = 64
 
@@ -110,7 +109,14 @@
         round_trip_s: Time that the owner's last answer took, 0 if there was none.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, report_lag_s: float = 0.0) -> None:
+        """Creates an attachment to no owner.
+
+        Args:
+            report_lag_s: Time that an owner needs to report the end of an attachment to the owner
+                of the pool, 0 if it is this owner.
+        """
+        self._report_lag_s = report_lag_s
         self.owner = ""
         self.confirmed_until = -math.inf
         self.round_trip_s = 0.0
@@ -126,7 +132,7 @@
     def change_owner(self, owner: str) -> None:
         """Starts an attachment to another owner."""
         if self._stamped_at > -math.inf:
-            ends_at = self._stamped_at + MAX_STAMP_AGE_S + ATTACHMENT_S + REPORT_LAG_S
+            ends_at = self._stamped_at + MAX_STAMP_AGE_S + ATTACHMENT_S + self._report_lag_s
             self._entitled_at = max(self._entitled_at, ends_at)
         self.owner = owner
         self.confirmed_until = -math.inf
--- a/src/briarfork/workspaces/credit_pool.py
+++ b/src/briarfork/workspaces/credit_pool.py
@@ -17,8 +17,8 @@
     from briarfork.workspaces.quota_bounds import QuotaBounds
     from briarfork.workspaces.workspace import Workspace
 
-# Wait that is named while a pool has no rate, as all its VMs may still count in another pool.
-UNKNOWN_WAIT_S = 1.0
+# Part of its VMs whose entitlements a pool has when it is known whether a quota is used up.
+KNOWN_PART = 0.9
 
 
 class CreditReport(NamedTuple):
@@ -170,8 +170,11 @@
         return min(wanted, max(at_least, free // 2))
 
     def _compute_wait(self, bucket: _Bucket, missing: int) -> float:
+        if self.attachments.entitled < KNOWN_PART * self.attachments.vms:
+            # Entitlements are still in the pool of a lost owner, so this one may not be used up.
+            return 0.0
         rate_per_s = bucket.workspace.rate_per_s * self._share
-        return (missing - bucket.level) / rate_per_s if rate_per_s > 0.0 else UNKNOWN_WAIT_S
+        return (missing - bucket.level) / rate_per_s if rate_per_s > 0.0 else 0.0
 
     @property
     def _share(self) -> float:
--- a/src/briarfork/workspaces/quota_bounds.py
+++ b/src/briarfork/workspaces/quota_bounds.py
@@ -10,8 +10,12 @@
 
 # Part of the slack by which the depth of all buckets together exceeds the burst. Credit that zones
 # have fetched ahead counts against the depth, and a burst may be smaller than the number of zones.
-# The rest of the slack is for requests that owners of zones admit against their next grant.
-DEPTH_SLACK_FRACTION = 0.35
+DEPTH_SLACK_FRACTION = 0.25
+# Part of the slack for requests that owners of zones admit against their next grant. The rest is
+# for such requests of owners that are lost, which nobody pays for.
+ADVANCE_SLACK_FRACTION = 0.65
+# In its first window, an owner of a zone may be in advance by this part only.
+NEW_OWNER_PART = 0.5
 # Part of the overshoot that a pool may hold when it starts, because its predecessor's grants are
 # not known to it.
 START_OVERSHOOT_FRACTION = 0.5
@@ -50,9 +54,10 @@
         """
         return RETURN_OVERSHOOT_FRACTION * self.overshoot * self.window_s
 
-    def compute_advance(self, part: float) -> int:
+    def compute_advance(self, part: float, age_s: float) -> int:
         """Returns how many requests an owner with this part of all VMs may be in advance."""
-        return int((1.0 - DEPTH_SLACK_FRACTION) * self.slack * min(1.0, part))
+        requests = ADVANCE_SLACK_FRACTION * self.slack * min(1.0, part)
+        return int(requests if age_s > self.window_s else NEW_OWNER_PART * requests)
 
     def compute_limit(self, workspace: Workspace) -> float:
         """Returns the largest number of requests that may run in a window."""
--- a/tests/gateway/quota_fleet.py
+++ b/tests/gateway/quota_fleet.py
@@ -132,6 +132,7 @@
         self.admitted: dict[str, list[float]] = defaultdict(list)
         self.outcomes: dict[str, int] = defaultdict(int)
         self.waits: list[float] = []
+        self.messages = 0
         self._members: dict[str, Member] = {}
         zones = list(REGIONS)
         for number in range(vms):
@@ -190,6 +191,7 @@
         return now - since <= SILENCE_S
 
     def deliver(self, source: str, target: str, handle: Callable[[Node], None]) -> None:
+        self.messages += 1
         if source not in self.nodes or target not in self.nodes:
             return
         zones = self.nodes[source].zone, self.nodes[target].zone
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,6 +10,7 @@
 
 from briarfork.errors import BadSettings
 from briarfork.platform.settings import load_platform_settings
+from briarfork.workspaces import QuotaBounds
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -49,6 +50,20 @@
         assert common.limits.body_memory_bytes == 50 * 1024 * 1024
         assert common.limits.response_memory_bytes == 44 * 1024 * 1024
 
+    def test_quota_bounds_are_converted(self, tmp_path: Path) -> None:
+        """Guards against quotas that hold less closely than the settings say."""
+        bounds = ["quota_window=2500ms", "quota_overshoot=0.2", "quota_slack=7"]
+        settings = load_platform_settings(write_settings(tmp_path, BOOT | {"bounds": bounds}))
+        assert settings.quota_bounds == QuotaBounds(2.5, 0.2, 7.0)
+        settings = load_platform_settings(write_settings(tmp_path, BOOT))
+        assert settings.quota_bounds == QuotaBounds(5.0, 0.1, 20.0)
+
+    @pytest.mark.parametrize("bound", ["quota_window=x", "quota_overshoot=nan", "quota_slack=-1"])
+    def test_malformed_quota_bounds_are_rejected(self, tmp_path: Path, bound: str) -> None:
+        """Guards against a gateway that starts without a bound on quotas."""
+        with pytest.raises(BadSettings):
+            load_platform_settings(write_settings(tmp_path, BOOT | {"bounds": [bound]}))
+
     def test_every_invalid_key_is_reported(self, tmp_path: Path) -> None:
         """Guards against operators who learn of only one error at a time."""
         body = BOOT | {"zone": 5, "listen": {"front": "x"}, "internal_ports": [1]}
