--- a/src/briarfork/workspaces/credit_pool.py
+++ b/src/briarfork/workspaces/credit_pool.py
@@ -18,7 +18,7 @@
     from briarfork.workspaces.workspace import Workspace
 
 # Part of its VMs whose entitlements a pool has when it is known whether a quota is used up.
-KNOWN_PART = 0.9
+KNOWN_PART = 0.5
 
 
 class CreditReport(NamedTuple):
