--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -141,6 +141,12 @@
     CAPACITY_SHARED = EventDefinition(
         5040, "info", "Requests for slots were refused; the workspaces with the most are named."
     )
+    QUOTA_REFUSED = EventDefinition(
+        5030, "info", "A request was refused because of the quota of its workspace."
+    )
+    QUOTA_OWNER_CHANGED = EventDefinition(
+        5031, "info", "This VM gets the credit of a shard of the quotas from another VM."
+    )
 
 
 class LogRateLimiter:
--- a/src/briarfork/commands/explain.py
+++ b/src/briarfork/commands/explain.py
@@ -33,6 +33,7 @@
         "remote_share_moved",
         "owner_unreachable",
         "capacity_shared",
+        "quota_owner_changed",
         "lines_left_out",
         "loop_delayed",
     }
