Run pipelined idempotent requests before their turn

Cause: requests of a connection ran one after the other, so a fast lookup waited for the slow one ahead of it. A malformed head also discarded the requests that had arrived in the same read, and its 400 was sent for the first of them.

Change: requests without a body on routes that may run more than once run in tasks of their own, at most 16 of a connection, and the handler of the connection takes their responses in order. The window (requests/pipeline.py) is bounded by a count and bytes for each connection and by half of the VM's memory for responses. Responses ahead of their turn never wait for memory and are dropped if a response in its turn needs it. What is left is cancelled when the connection ends. Deadlines count from when the head was read. The HTTP parser returns one message at a time.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -128,6 +128,12 @@
     RESPONSE_FAULTY = EventDefinition(
         5022, "warning", "A connection was closed because of the bytes that its server sent."
     )
+    REQUEST_AHEAD_DROPPED = EventDefinition(
+        5030, "info", "A pipelined request was ended for its memory; it runs again in its turn."
+    )
+    REQUEST_AHEAD_CANCELLED = EventDefinition(
+        5031, "info", "A pipelined request was ended because its connection closes."
+    )
 
 
 class LogRateLimiter:
--- a/src/briarfork/border/graceful_server.py
+++ b/src/briarfork/border/graceful_server.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http import HttpRequestParser
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import _ErrInfo
@@ -47,15 +48,31 @@
         "_last_body",
         "_lost",
         "_max_head_bytes",
+        "_noted_count",
     )
 
     def __init__(
         self, manager: web.Server, *, max_head_bytes: int = MAX_HEAD_BYTES, **options: Any
     ) -> None:
         super().__init__(manager, loop=asyncio.get_running_loop(), **options)
+        # The HTTP library discards the messages that it parsed in the same call before an error.
+        # With a limit of one message, requests ahead of a malformed one are answered.
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=self.max_line_size,
+            max_field_size=self.max_field_size,
+            max_headers=self.max_headers,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=options.get("auto_decompress", True),
+            max_msg_queue_size=1,
+        )
         self._max_head_bytes = max_head_bytes
         self._head_bytes = 0
         self._answered_count = 0
+        # Requests that have been read and passed to `note_read`.
+        self._noted_count = 0
         self._has_partial_head = False
         self._is_draining = False
         self._is_ending = False
@@ -90,13 +107,32 @@
         count = self._request_count
         was_in_body = self._is_in_body
         super().data_received(data)
-        self._note_parsed(count)
+        self._note_parsed()
+        self._parse_rest(count, was_in_body)
         if data and self._request_count == count and not was_in_body:
             self._has_partial_head = True
             self._head_bytes += len(data)
             if self._head_bytes > self._max_head_bytes:
                 self._reject_head()
 
+    def _parse_rest(self, count: int, was_in_body: bool) -> None:
+        """Parses the messages behind the first one of the bytes that were received.
+
+        Args:
+            count: Number of requests before that message.
+            was_in_body: Whether its head had been received before.
+        """
+        while (self._request_count > count or was_in_body) and not self._is_in_body:
+            if self._parser is None or len(self._messages) >= self._max_msg_queue_size:
+                return
+            if self._messages and isinstance(self._messages[-1][0], _ErrInfo):
+                self._is_ending = True
+                return
+            count, was_in_body = self._request_count, False
+            self._parser.message_consumed()
+            super().data_received(b"")
+            self._note_parsed()
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
@@ -104,9 +140,10 @@
         is_last = self._request_count == self._answered_count + 1 and not self._has_partial_head
         if self.is_stopping and is_last and not resp.prepared:
             resp.force_close()
-        count = self._request_count
+        if not (request.keep_alive if resp.keep_alive is None else resp.keep_alive):
+            self.cancel_following()
         resp, is_lost = await super().finish_response(request, resp, start_time)
-        self._note_parsed(count)
+        self._note_parsed()
         self._answered_count += 1
         await self._wait_until_read()
         if not is_lost and not resp.keep_alive and not self._is_in_body:
@@ -117,9 +154,20 @@
             self._close_idle()
         return resp, is_lost
 
+    def note_read(self, count: int) -> None:
+        """Is called when requests have been read.
+
+        Args:
+            count: Number of the newest requests in the queue that were not there before.
+        """
+
+    def cancel_following(self) -> None:
+        """Is called when no further response will be written than the one in progress."""
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Ends the request in progress."""
         self._lost.set()
+        self.cancel_following()
         super().connection_lost(exc)
 
     def _process_keepalive(self) -> None:
@@ -136,12 +184,15 @@
         """Whether the body of the last request is still arriving."""
         return self._last_body is not None and not self._last_body.is_eof()
 
-    def _note_parsed(self, count: int) -> None:
-        """Records the newest request if more than the given number have been parsed."""
-        if self._request_count > count:
+    def _note_parsed(self) -> None:
+        """Records the requests that have been parsed since the last call."""
+        count = self._request_count - self._noted_count
+        if count:
+            self._noted_count = self._request_count
             self._last_body = self._messages[-1][1]
             self._has_partial_head = False
             self._head_bytes = 0
+            self.note_read(count)
 
     async def _wait_until_read(self) -> None:
         """Waits while the send buffer is full; the peer could fill the memory with requests."""
@@ -157,10 +208,9 @@
     def _reject_head(self) -> None:
         """Answers a head that is too long, as the HTTP library answers one it cannot parse."""
         error = LineTooLong(b"head", self._max_head_bytes)
-        count = self._request_count
         self._request_count += 1
         self._messages.append((_ErrInfo(status=400, exc=error, message=""), EMPTY_PAYLOAD))
-        self._note_parsed(count)
+        self._note_parsed()
         self._is_ending = True
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -88,12 +88,20 @@
             NotRun: If the request did not run.
             OutcomeUnknown: If the request may have run and there is no response.
         """
+        try:
+            return await self._handle(request, source)
+        except NotRun as error:
+            if not request.earlier.may_have_run:
+                raise
+            raise OutcomeUnknown(f"ran before its turn, then: {error.detail}") from error
+
+    async def _handle(self, request: Request, source: BodySource | None) -> Response:
         route = self._find_route(request)
         progress = self._start(request, route)
         outcome = "cancelled"
         response = None
         try:
-            admitted = await self._admission.admit(request, route)
+            admitted = request.earlier.admitted or await self._admission.admit(request, route)
             progress.admit(admitted)
             if admitted.workspace is not None:
                 request = replace(request, workspace=admitted.workspace.name)
@@ -106,6 +114,10 @@
         finally:
             progress.release_responses(response)
             progress.refund_unused()
+            if progress.may_have_run:
+                # Its credit is used up, but one request of a caller counts once.
+                request.earlier.may_have_run = True
+                request.earlier.admitted = progress.admitted
             self._finish(request, progress, outcome)
 
     def break_off(self) -> None:
@@ -119,11 +131,16 @@
         """Whether a route table is loaded, so that requests can be routed."""
         return self._view.has_route_table
 
+    @property
+    def held_response_bytes(self) -> int:
+        """Memory that responses hold or have reserved."""
+        return self._upstream.held_bytes
+
     def update_gauges(self) -> None:
         """Updates the gauges from the current state."""
         table = self._view.require_route_table()
         self.metrics.set_version(table.version)
-        self.metrics.set_response_bytes(self._upstream.held_bytes)
+        self.metrics.set_response_bytes(self.held_response_bytes)
         for service in table.services:
             budget = self._find_retry_budget(service).level
             self.metrics.set_gauges(
@@ -135,10 +152,12 @@
 
     def _start(self, request: Request, route: Route) -> Progress:
         now = time.monotonic()
-        wait_s = route.timeout_s
+        started = now if request.turn is None else request.turn.read_at
+        expires_at = now + route.timeout_s
         if request.caller_timeout_s is not None:
-            wait_s = min(wait_s, request.caller_timeout_s)
-        progress = Progress(route, self._round_robin.choose(route), Deadline(now + wait_s), now)
+            expires_at = min(expires_at, started + request.caller_timeout_s)
+        progress = Progress(route, self._round_robin.choose(route), Deadline(expires_at), started)
+        progress.unproven_attempts += request.earlier.may_have_run
         self._find_retry_budget(progress.service).earn()
         return progress
 
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -60,6 +60,12 @@
             "Requests that a planned stop left without a whole response.",
             registry=self._registry,
         )
+        self._requests_ahead = Counter(
+            "briarfork_requests_ahead",
+            "Pipelined requests that ran ahead of their turn, and those of them that were ended.",
+            ["event"],
+            registry=self._registry,
+        )
         self._response_faults = Counter(
             "briarfork_response_faults",
             "Connections to backend servers closed because of the bytes that arrived.",
@@ -124,6 +130,10 @@
         """Counts requests that were cut at the end of a planned stop."""
         self._cut_requests.inc(count)
 
+    def count_request_ahead(self, event: str) -> None:
+        """Counts a request that runs ahead of its turn: "started", "dropped" or "cancelled"."""
+        self._requests_ahead.labels(event).inc()
+
     def count_response_fault(self, fault: ResponseFault) -> None:
         """Counts a connection that was closed because of what its server sent."""
         self._response_faults.labels(fault.value).inc()
--- a/src/briarfork/gateway/request.py
+++ b/src/briarfork/gateway/request.py
@@ -13,9 +13,25 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from briarfork.gateway.admission import Admitted
+    from briarfork.requests import Turn
+
 BodyPart = bytes | bytearray
 
 
+@dataclass(slots=True, eq=False)
+class EarlierRun:
+    """What is left of a run of a request that was ended before its turn, to run again later.
+
+    Attributes:
+        may_have_run: Whether a server may have run the request.
+        admitted: What it was admitted as; its credit is used up if a server may have run it.
+    """
+
+    may_have_run: bool = False
+    admitted: Admitted | None = field(default=None, repr=False)
+
+
 @dataclass(frozen=True, slots=True)
 class Request:
     """A request.
@@ -31,6 +47,8 @@
         respond_by: Monotonic time after which a response no longer reaches the caller.
         credential: The caller's key, empty if there is none. It never leaves this VM.
         workspace: Name of the caller's workspace once it is known, empty if it has none.
+        turn: Its place in the order of its connection, None if that does not matter.
+        earlier: What is left of a run that was ended before its turn.
     """
 
     request_id: str
@@ -44,6 +62,8 @@
     respond_by: float = math.inf
     credential: str = field(default="", repr=False)
     workspace: str = ""
+    turn: Turn | None = field(default=None, repr=False, compare=False)
+    earlier: EarlierRun = field(default_factory=EarlierRun, repr=False, compare=False)
 
     @property
     def path(self) -> str:
--- a/src/briarfork/gateway/response_bodies.py
+++ b/src/briarfork/gateway/response_bodies.py
@@ -16,6 +16,7 @@
     from briarfork.gateway.request import BodyPart
     from briarfork.requests import HeldResponse
     from briarfork.requests import ResponseMemory
+    from briarfork.requests import Turn
 
 # By how much a response of unknown length grows at a time.
 GROWTH_BYTES = 4 * PART_BYTES
@@ -43,9 +44,9 @@
         self.memory = memory
         self._granted: dict[int, asyncio.Future[None]] = {}
 
-    def open(self, service: str, server: str) -> ResponseBody:
+    def open(self, service: str, server: str, turn: Turn | None = None) -> ResponseBody:
         """Returns a body without bytes; its owner has to release it."""
-        return ResponseBody(self, self.memory.open(service, server))
+        return ResponseBody(self, self.memory.open(service, server, turn))
 
     async def reserve(self, held: HeldResponse, size_bytes: int, grows: bool) -> None:
         """Waits until a response may take more memory.
@@ -54,7 +55,8 @@
             ResponseDropped: If it is longer than the limit, or given up.
         """
         self.wake(self.memory.request(held, size_bytes, grows))
-        if held.wanted_bytes and not held.is_given_up:
+        # One that is given up ahead of its turn waits for the cancellation of its request.
+        if held.wanted_bytes and (held.is_ahead or not held.is_given_up):
             future = asyncio.get_running_loop().create_future()
             self._granted[held.number] = future
             try:
@@ -69,8 +71,14 @@
             )
 
     def wake(self, changed: list[HeldResponse]) -> None:
-        """Resumes the responses that have got memory or are given up."""
+        """Resumes the responses that have got memory or are given up.
+
+        The request of a response that is given up ahead of its turn is ended.
+        """
         for held in changed:
+            if held.is_given_up and held.turn is not None and held.is_ahead:
+                held.turn.drop()
+                continue
             future = self._granted.get(held.number)
             if future is not None and not future.done():
                 future.set_result(None)
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -12,7 +12,8 @@
 
 from briarfork.border.events import Event
 from briarfork.border.graceful_server import LINGER_S
-from briarfork.border.http_server import HttpConnectionHandler
+from briarfork.border.pipelining import TURN
+from briarfork.border.pipelining import PipelinedConnection
 from briarfork.entry.forward import HOP_BY_HOP_HEADERS
 from briarfork.errors import ERROR_RESPONSES
 from briarfork.errors import BriarforkError
@@ -22,6 +23,7 @@
 from briarfork.platform import names
 from briarfork.platform.bodies import HttpBody
 from briarfork.platform.delivery import CallerResponse
+from briarfork.platform.pipelines import read_host
 
 if TYPE_CHECKING:
     import asyncio
@@ -29,6 +31,7 @@
     from briarfork.border.events import EventLog
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
+    from briarfork.platform.pipelines import CallerPipelines
 
 MS_PER_S = 1000.0
 MAX_HEADER_LINE_BYTES = 16384
@@ -63,6 +66,8 @@
 # Longer deadlines of callers, up to any number of digits, count as this one.
 MAX_CALLER_TIMEOUT_S = 86_400.0
 MAX_DEADLINE_DIGITS = 12
+# What has been read of a request, which is read once even if it runs again in its turn.
+READ_REQUEST = web.RequestKey("read_request", Request)
 # A request without a response gets an error response this long before its caller gives up.
 CALLER_MARGIN_S = 0.03
 
@@ -79,7 +84,8 @@
         request_id = http_request.headers.get(names.ATTEMPT_ID, "")
         source = HttpBody(http_request) if http_request.body_exists else None
         try:
-            request = self._read_head(http_request, request_id)
+            request = http_request.get(READ_REQUEST) or self._read_head(http_request, request_id)
+            http_request[READ_REQUEST] = request
             response: web.StreamResponse = CallerResponse(
                 request,
                 await self._dispatcher.handle(request, source),
@@ -100,7 +106,8 @@
         Raises:
             NotRun: If the request is malformed or exceeds a limit.
         """
-        received = time.monotonic()
+        turn = http_request.get(TURN)
+        received = time.monotonic() if turn is None else turn.read_at
         limits = self._gateway.view.require_route_table().limits
         size = sum(len(name) + len(value) for name, value in http_request.raw_headers)
         if size > limits.header_bytes:
@@ -114,8 +121,7 @@
             raise NotRun(ErrorKind.BAD_REQUEST, "request target: expected an absolute path")
         return Request(
             request_id=request_id,
-            host=http_request.headers.get("Host", "").rpartition(":")[0]
-            or http_request.headers.get("Host", ""),
+            host=read_host(http_request.headers.get("Host", "")),
             method=http_request.method,
             target=target,
             headers=tuple(
@@ -129,6 +135,7 @@
                 received + caller_timeout_s - CALLER_MARGIN_S if caller_timeout_s else math.inf
             ),
             credential=_read_credential(http_request),
+            turn=turn,
         )
 
     def _build_error(
@@ -150,7 +157,7 @@
         return response
 
 
-class CallerConnection(HttpConnectionHandler):
+class CallerConnection(PipelinedConnection):
     """A caller's connection to a gateway.
 
     It is closed if it stays idle for too long, or if the headers of a request do not arrive in
@@ -159,10 +166,11 @@
 
     __slots__ = ("_gateway", "_header_s", "_header_timer")
 
-    def __init__(self, gateway: Gateway, manager: web.Server) -> None:
+    def __init__(self, gateway: Gateway, manager: web.Server, pipelines: CallerPipelines) -> None:
         limits = gateway.view.caller_limits
         super().__init__(
             manager,
+            pipelining=pipelines,
             keepalive_timeout=limits.idle_s,
             lingering_time=LINGER_S,
             read_bufsize=READ_BUFFER_BYTES,
--- a/src/briarfork/platform/delivery.py
+++ b/src/briarfork/platform/delivery.py
@@ -48,13 +48,13 @@
 
         Without a body, the length of the response to HEAD or of status 304 is not known.
         """
-        size = sum(map(len, self._parts))
+        size = self.held_bytes
         if size or not (request.method == "HEAD" or self.status == HTTPStatus.NOT_MODIFIED):
             self.content_length = size
         try:
             return await super().prepare(request)
         except BaseException:
-            self._drop_body()
+            self.drop_body()
             raise
 
     async def write_eof(self, data: bytes = b"") -> None:
@@ -64,10 +64,10 @@
                 await self._write_body()
             await super().write_eof(data)
         finally:
-            self._drop_body()
+            self.drop_body()
 
     async def _write_body(self) -> None:
-        if sum(map(len, self._parts)) <= PART_BYTES:
+        if self.held_bytes <= PART_BYTES:
             # A short body fits the buffer of the connection, so writing it does not wait.
             for part in self._parts:
                 await self.write(part)
@@ -87,7 +87,12 @@
                 self._req.transport.abort()
             raise ConnectionResetError("the caller does not read") from error
 
-    def _drop_body(self) -> None:
+    @property
+    def held_bytes(self) -> int:
+        """Length of the body that has not been freed."""
+        return sum(map(len, self._parts))
+
+    def drop_body(self) -> None:
         """Frees the memory of the body; aiohttp keeps a response until the next request."""
         self._parts = ()
         self._release()
--- a/src/briarfork/platform/servers.py
+++ b/src/briarfork/platform/servers.py
@@ -14,6 +14,7 @@
 from briarfork.platform.endpoints import build_lookup_app
 from briarfork.platform.endpoints import build_metrics_app
 from briarfork.platform.endpoints import build_ready_app
+from briarfork.platform.pipelines import CallerPipelines
 
 if TYPE_CHECKING:
     from briarfork.gateway.dispatch import Dispatcher
@@ -39,6 +40,7 @@
         self._dispatcher = dispatcher
         handler = CallerRequestHandler(gateway, dispatcher)
         self._callers = GracefulServer(handler.handle, handler_cancellation=True)
+        self._pipelines = CallerPipelines(gateway, dispatcher)
         self._auxiliary: list[GracefulServer] = []
         self._runners: list[web.AppRunner] = []
 
@@ -50,7 +52,7 @@
         """
         settings, gateway = self._settings, self._gateway
         await self._callers.listen(
-            lambda: CallerConnection(gateway, self._callers),
+            lambda: CallerConnection(gateway, self._callers, self._pipelines),
             settings.common.address,
             settings.common.ports.entry,
             backlog=LISTEN_BACKLOG,
--- a/src/briarfork/platform/upstream.py
+++ b/src/briarfork/platform/upstream.py
@@ -104,7 +104,7 @@
         attempt = Attempt(deadline)
         now = time.monotonic()
         timeout_s = min(deadline.remaining_s(now) + RESPONSE_MARGIN_S, request.respond_by - now)
-        body = self._responses.open(service, server.name)
+        body = self._responses.open(service, server.name, request.turn)
         try:
             with (
                 ExitStack() as stack,
--- a/src/briarfork/requests/__init__.py
+++ b/src/briarfork/requests/__init__.py
@@ -20,6 +20,9 @@
 from briarfork.requests.deadline import Deadline
 from briarfork.requests.download import Download
 from briarfork.requests.download import ResponseHead
+from briarfork.requests.pipeline import AheadBudget
+from briarfork.requests.pipeline import PipelineWindow
+from briarfork.requests.pipeline import Turn
 from briarfork.requests.response_memory import DropReason
 from briarfork.requests.response_memory import HeldResponse
 from briarfork.requests.response_memory import ResponseDropped
@@ -29,6 +32,7 @@
     "HEDGE_RATIO",
     "RETRY_RATIO",
     "RETRY_RULES",
+    "AheadBudget",
     "Attempt",
     "AttemptResult",
     "BodyMemory",
@@ -40,6 +44,7 @@
     "FailedAttempt",
     "HedgeBudget",
     "HeldResponse",
+    "PipelineWindow",
     "Reservation",
     "ResponseDropped",
     "ResponseHead",
@@ -47,6 +52,7 @@
     "RetryBudget",
     "SendForbidden",
     "StoredResponse",
+    "Turn",
     "digest_body",
     "digest_request",
     "validate_idempotency_key",
--- a/src/briarfork/requests/response_memory.py
+++ b/src/briarfork/requests/response_memory.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from briarfork.requests.pipeline import Turn
+
 # Responses up to this size never wait and are not counted against the shares of their servers.
 SMALL_RESPONSE_BYTES: Final = 4096
 
@@ -51,6 +53,7 @@
         wanted_bytes: Bytes that it still waits for, 0 if it does not wait.
         grows: Whether its length is unknown and its end has not been read.
         is_given_up: Whether it has to be dropped, so that others can end.
+        turn: Place of its request in the order of its connection, None if that does not matter.
     """
 
     owners: tuple[Owner, Owner]
@@ -59,6 +62,12 @@
     wanted_bytes: int = 0
     grows: bool = False
     is_given_up: bool = False
+    turn: Turn | None = None
+
+    @property
+    def is_ahead(self) -> bool:
+        """Whether it is ahead of its turn, so that it can be dropped and its request run again."""
+        return self.turn is not None and self.turn.is_ahead
 
     @property
     def is_large(self) -> bool:
@@ -109,7 +118,8 @@
     for the next one; the same holds for servers. A single response may exceed the share of its
     service and server. A response of unknown length grows; the younger ones leave room in the share
     for the oldest. If all that could make room wait for memory themselves, the largest one of them
-    is given up.
+    is given up. Responses ahead of their turn never wait: those that find no memory are given up,
+    and those that hold memory are given up if another response waits for it.
 
     Example:
         >>> memory = ResponseMemory(capacity_bytes=100_000)
@@ -134,6 +144,7 @@
         self.limit_bytes = min(capacity_bytes // 2, limit_bytes or capacity_bytes)
         self._numbers = itertools.count()
         self._held: dict[int, HeldResponse] = {}
+        self._used_bytes = 0
         self._waiting: list[HeldResponse] = []
         # Of responses that count against the shares.
         self._large_bytes = 0
@@ -145,16 +156,17 @@
     @property
     def used_bytes(self) -> int:
         """Granted bytes, above the capacity only by `SMALL_RESPONSE_BYTES` for each response."""
-        return sum(item.held_bytes for item in self._held.values())
+        return self._used_bytes
 
     @property
     def waiting(self) -> int:
         """Number of waiting responses."""
         return len(self._waiting)
 
-    def open(self, service: str, server: str) -> HeldResponse:
+    def open(self, service: str, server: str, turn: Turn | None = None) -> HeldResponse:
         """Returns a response that holds nothing yet."""
-        return HeldResponse((("service", service), ("server", server)), next(self._numbers))
+        owners = (("service", service), ("server", server))
+        return HeldResponse(owners, next(self._numbers), turn=turn)
 
     def request(
         self, response: HeldResponse, size_bytes: int, grows: bool = False
@@ -191,7 +203,9 @@
         """Keeps only the memory that a whole response needs."""
         self._forget(response)
         response.grows = False
-        response.held_bytes = min(response.held_bytes, size_bytes)
+        unused_bytes = max(0, response.held_bytes - size_bytes)
+        response.held_bytes -= unused_bytes
+        self._used_bytes -= unused_bytes
         self._count(response)
         return self._settle()
 
@@ -200,6 +214,7 @@
         self._forget(response)
         if response in self._waiting:
             self._waiting.remove(response)
+        self._used_bytes -= response.held_bytes
         response.held_bytes = response.wanted_bytes = 0
         self._held.pop(response.number, None)
         return self._settle()
@@ -213,9 +228,9 @@
         growth = _Growth([*large, *self._waiting])
         blocked: set[Owner] = set()
         for response in list(self._waiting):
-            if response.is_given_up or not blocked.isdisjoint(response.owners):
+            if response.is_given_up:
                 continue
-            if any(
+            if not blocked.isdisjoint(response.owners) or any(
                 growth.is_kept_back(response, owner, self._compute_share(owner))
                 for owner in response.owners
             ):
@@ -227,16 +242,50 @@
                 self._grant(response)
                 changed.append(response)
                 continue
-            victim = self._find_victim(full)
-            if victim is not None:
-                self._waiting.remove(victim)
-                victim.is_given_up = True
-                changed.append(victim)
+            if response.is_ahead:
+                continue
+            if not self._give_up_ahead(response, full, changed):
+                victim = self._find_victim(full)
+                if victim is not None:
+                    self._give_up(victim, changed)
             if not full:
                 break
             blocked.update(full)
+        for response in [item for item in self._waiting if item.is_ahead]:
+            self._give_up(response, changed)
         return changed
 
+    def _give_up(self, response: HeldResponse, changed: list[HeldResponse]) -> None:
+        if response in self._waiting:
+            self._waiting.remove(response)
+        response.is_given_up = True
+        changed.append(response)
+
+    def _give_up_ahead(
+        self, waiting: HeldResponse, full: list[Owner], changed: list[HeldResponse]
+    ) -> bool:
+        """Gives up the newest responses ahead of their turn, as many as make room for another.
+
+        Args:
+            waiting: The response that waits for memory.
+            full: The owners that hold their whole share, none if the memory as a whole is full.
+            changed: Is extended by the responses that are given up now.
+
+        Returns:
+            Whether some are being given up, so that memory becomes free.
+        """
+        room = 0
+        for item in reversed(self._held.values()):
+            if room >= waiting.added_bytes:
+                break
+            is_holder = item.is_large and (not full or not set(full).isdisjoint(item.owners))
+            if item is waiting or not (is_holder and item.is_ahead):
+                continue
+            room += item.held_bytes
+            if not item.is_given_up:
+                self._give_up(item, changed)
+        return room > 0
+
     def _find_victim(self, full: list[Owner]) -> HeldResponse | None:
         """Returns the response to give up so that others can end, None if one of them will.
 
@@ -267,6 +316,7 @@
     def _grant(self, response: HeldResponse) -> None:
         self._forget(response)
         response.held_bytes += response.wanted_bytes
+        self._used_bytes += response.wanted_bytes
         response.wanted_bytes = 0
         self._held[response.number] = response
         self._count(response)
--- a/tests/border/test_http_server.py
+++ b/tests/border/test_http_server.py
@@ -9,8 +9,11 @@
 from aiohttp import web
 
 from briarfork.border.events import EventLog
+from briarfork.gateway.dispatch import Dispatcher
 from briarfork.platform import names
 from briarfork.platform.callers import CallerConnection
+from briarfork.platform.pipelines import CallerPipelines
+from tests.gateway.harness import ScriptedUpstream
 from tests.gateway.harness import build_gateway
 
 ADDRESS = "127.62.9.8"
@@ -26,8 +29,11 @@
         gateway = build_gateway()
         gateway.events = EventLog("test")
         manager = web.Server(fail)
+        pipelines = CallerPipelines(
+            gateway, Dispatcher(gateway.view, gateway.permits, ScriptedUpstream(), gateway.events)
+        )
         server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(gateway, manager), ADDRESS, 0
+            lambda: CallerConnection(gateway, manager, pipelines), ADDRESS, 0
         )
         url = f"http://{ADDRESS}:{server.sockets[0].getsockname()[1]}/a/x"
         handler = logbook.TestHandler()
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -17,6 +17,7 @@
 from briarfork.platform import names
 from briarfork.platform.callers import CallerConnection
 from briarfork.platform.callers import CallerRequestHandler
+from briarfork.platform.pipelines import CallerPipelines
 from briarfork.routing import CallerLimits
 from briarfork.routing import RequestKind
 from tests.gateway.harness import RESPONSE
@@ -85,7 +86,7 @@
     dispatcher = Dispatcher(gateway.view, permits, upstream, EventLog("test"))
     handler = CallerRequestHandler(gateway, dispatcher)
     server = GracefulServer(handler.handle, handler_cancellation=True)
-    connection = CallerConnection(gateway, server)
+    connection = CallerConnection(gateway, server, CallerPipelines(gateway, dispatcher))
     listener = await server.listen(lambda: connection, ADDRESS, 0)
     reader, writer = await asyncio.open_connection(*listener.sockets[0].getsockname()[:2])
     yield Caller(reader, writer, upstream, connection, server)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -17,6 +17,7 @@
 from briarfork.platform.callers import CallerConnection
 from briarfork.platform.callers import CallerRequestHandler
 from briarfork.platform.delivery import LATE_PART_S
+from briarfork.platform.pipelines import CallerPipelines
 from tests.gateway.harness import ScriptedPermits
 from tests.gateway.harness import ScriptedUpstream
 from tests.gateway.harness import build_gateway
@@ -61,9 +62,10 @@
         ]
         dispatcher = Dispatcher(gateway.view, self.permits, self.upstream, EventLog("test"))
         handler = CallerRequestHandler(gateway, dispatcher)
+        pipelines = CallerPipelines(gateway, dispatcher)
         self.server = GracefulServer(handler.handle, handler_cancellation=True)
         self._listener = await self.server.listen(
-            lambda: CallerConnection(gateway, self.server), ADDRESS, 0
+            lambda: CallerConnection(gateway, self.server, pipelines), ADDRESS, 0
         )
         port = self._listener.sockets[0].getsockname()[1]
         self.reader, self.writer = await asyncio.open_connection(ADDRESS, port)
--- a/tests/platform/test_odd_messages.py
+++ b/tests/platform/test_odd_messages.py
@@ -15,6 +15,7 @@
 from briarfork.platform import upstream
 from briarfork.platform.callers import CallerConnection
 from briarfork.platform.callers import CallerRequestHandler
+from briarfork.platform.pipelines import CallerPipelines
 from briarfork.platform.upstream import HttpUpstream
 from briarfork.pools import NO_REPORT
 from briarfork.pools import ServerReport
@@ -55,9 +56,10 @@
             gateway.view, self.permits, HttpUpstream(self._connections), EventLog("test")
         )
         handler = CallerRequestHandler(gateway, dispatcher)
+        pipelines = CallerPipelines(gateway, dispatcher)
         manager = web.Server(handler.handle, handler_cancellation=True)
         self._callers = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(gateway, manager), HOST, 0
+            lambda: CallerConnection(gateway, manager, pipelines), HOST, 0
         )
 
     async def send(self, target: bytes = TARGET, headers: bytes = b"") -> tuple[int, bytes]:
--- a/tests/platform/test_stops.py
+++ b/tests/platform/test_stops.py
@@ -22,6 +22,7 @@
 from briarfork.platform import names
 from briarfork.platform.callers import CallerConnection
 from briarfork.platform.callers import CallerRequestHandler
+from briarfork.platform.pipelines import CallerPipelines
 from tests.gateway.harness import RESPONSE
 from tests.gateway.harness import ScriptedPermits
 from tests.gateway.harness import ScriptedUpstream
@@ -149,7 +150,8 @@
         self.dispatcher = Dispatcher(self.gateway.view, permits, self.upstream, EventLog("test"))
         handler = CallerRequestHandler(self.gateway, self.dispatcher)
         self.server = GracefulServer(handler.handle, handler_cancellation=True)
-        self.connection = ReadingConnection(self.gateway, self.server)
+        pipelines = CallerPipelines(self.gateway, self.dispatcher)
+        self.connection = ReadingConnection(self.gateway, self.server, pipelines)
         self.end = end
         self.read_at_stop = 0
 
