Keep the faults of empty lines and of interim bodies as they were

Change: empty lines before a status line are skipped, as before the check, and a body behind an informational response that declares one is still a fault of framing.

--- a/src/briarfork/border/framing.py
+++ b/src/briarfork/border/framing.py
@@ -152,10 +152,12 @@
         Raises:
             InvalidFraming: If it is not that of a status line.
         """
-        missing = STATUS_LINE_BYTES - len(self._head_start)
-        if missing > 0:
-            self._head_start += data[start : min(end, start + missing)]
-            is_complete = is_whole or len(self._head_start) == STATUS_LINE_BYTES
+        if len(self._head_start) < STATUS_LINE_BYTES:
+            # Empty lines before a status line are counted as part of the head (`is_too_long`).
+            self._head_start = (self._head_start + data[start:end]).lstrip(b"\r\n")
+            self._head_start = self._head_start[:STATUS_LINE_BYTES]
+            is_complete = len(self._head_start) == STATUS_LINE_BYTES
+            is_complete |= is_whole and bool(self._head_start)
             if is_complete and not STATUS_LINE.match(self._head_start):
                 raise InvalidFraming
         if is_whole:
