--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -147,6 +147,12 @@
     QUOTA_OWNER_CHANGED = EventDefinition(
         5031, "info", "This VM gets the credit of a shard of the quotas from another VM."
     )
+    REQUEST_AHEAD_DROPPED = EventDefinition(
+        5023, "info", "A pipelined request was ended for its memory; it runs again in its turn."
+    )
+    REQUEST_AHEAD_CANCELLED = EventDefinition(
+        5024, "info", "A pipelined request was ended because its connection closes."
+    )
 
 
 class LogRateLimiter:
