--- a/src/briarfork/pools/__init__.py
+++ b/src/briarfork/pools/__init__.py
@@ -1,7 +1,7 @@
 """Pools of backend servers: slots, permits and server selection."""
 
-from briarfork.pools.evacuations import Evacuations
 from briarfork.pools.demand import RefusalCause
+from briarfork.pools.evacuations import Evacuations
 from briarfork.pools.instance import Instance
 from briarfork.pools.inventory import Inventory
 from briarfork.pools.local import LocalPool
