Forget removed servers after their time where the store is never restored

Cause: a removed server was remembered for as long as an older entry of it was held back, also with a store that names no era. There the memory ended after 60 s before, and a heartbeat of the server was used from then on. The test of the longer memory did not begin an era, so it asked for the same of stores that are never restored.

Change: the memory lasts longer only after a restore. The test begins an era and checks the same as before; a further one guards the time without a restore.

--- a/src/briarfork/pools/entry_order.py
+++ b/src/briarfork/pools/entry_order.py
@@ -63,6 +63,7 @@
     _removed: dict[str, RemovedServer] = field(default_factory=dict)
     _held: dict[str, HeldEntry] = field(default_factory=dict)
     _checked_at: float = 0.0
+    _is_restored: bool = False
 
     def is_late(self, entry: Instance, known: Instance | None) -> bool:
         """Returns whether an entry may have been written before what is known of its server.
@@ -86,8 +87,12 @@
         held = self._held.get(entry.name)
         self._held[entry.name] = HeldEntry(entry, held.since if held else now)
 
-    def restart_held(self, now: float) -> None:
-        """Lets held entries last anew, after a restore of the store gave them time to expire."""
+    def begin_era(self, now: float) -> None:
+        """Lets held entries last anew, as a restore of the store gives them time to expire."""
+        self._is_restored = True
+        self._restart_held(now)
+
+    def _restart_held(self, now: float) -> None:
         self._held = {name: HeldEntry(item.instance, now) for name, item in self._held.items()}
 
     def release(self, name: str) -> None:
@@ -125,14 +130,14 @@
             entry_ttl_s: Time after which an entry without heartbeats is removed, in seconds.
         """
         if now - self._checked_at > MAX_CHECK_GAP_S:
-            self.restart_held(now)
+            self._restart_held(now)
         self._checked_at = now
         oldest = now - REMOVED_SERVER_MEMORY_S
-        # A held entry that is listed again has to be recognized for as long as it is held.
+        # After a restore, a held entry that is listed again has to be recognized while it is held.
         self._removed = {
             name: item
             for name, item in self._removed.items()
-            if item.at > oldest or name in self._held
+            if item.at > oldest or (self._is_restored and name in self._held)
         }
         lasts_from = now - entry_ttl_s - EXPIRY_MARGIN_S
         return [item.instance for item in self._held.values() if item.since <= lasts_from]
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -99,7 +99,7 @@
         Args:
             now: Time, in seconds on the monotonic clock.
         """
-        self._order.restart_held(now)
+        self._order.begin_era(now)
         # Servers that the copy lacks get a grace period of their own.
         self._lapsed_until.clear()
 
--- a/tests/pools/test_entry_order.py
+++ b/tests/pools/test_entry_order.py
@@ -247,7 +247,17 @@
         """Guards against a removal that is forgotten while the entry of the copy is held."""
         inventory = build_inventory(build_server(4))
         inventory.remove("i-1", store_healthy=True, now=1.0, recovered_at=0.0)
+        inventory.begin_era(100.0)
         assert not inventory.put(build_server(4), 100.0)
         check_until(inventory, 100.0, 101.0)
         assert not inventory.put(build_server(4), 101.0)
         assert not is_usable(inventory)
+
+    def test_removal_is_forgotten_after_its_time_without_a_restore(self) -> None:
+        """Guards against a server that is held back longer where the store is never restored."""
+        inventory = build_inventory(build_server(4))
+        inventory.remove("i-1", store_healthy=True, now=1.0, recovered_at=0.0)
+        assert not inventory.put(build_server(4), 56.0)
+        check_until(inventory, 56.0, 61.5)
+        assert inventory.put(build_server(5), 61.5)
+        assert is_usable(inventory)
