Register again when a store that named no era names its first one

Cause: the first era was taken for that of the start, also after hours of responses without an era. The leases were given up, but the registration heard of it only with its next renewal, up to a third of the lease time later, and no event told of the change.

Change: the first era is a change if the store has responded without one.

--- a/src/briarfork/platform/store_era.py
+++ b/src/briarfork/platform/store_era.py
@@ -57,6 +57,8 @@
 
     def __init__(self, events: EventLog) -> None:
         self.current = NO_ERA
+        # Whether the store has responded without an era.
+        self._was_unnamed = False
         self._events = events
         self._ended = asyncio.Event()
         self._listeners: list[Callable[[], None]] = []
@@ -74,6 +76,7 @@
         """
         era = parse_era(header)
         era = sent_in if era is None else era
+        self._was_unnamed = self._was_unnamed or era == NO_ERA
         if era > self.current:
             self._advance(era)
         return era
@@ -119,7 +122,7 @@
         earlier, self.current = self.current, era
         self._ended.set()
         self._ended = asyncio.Event()
-        if earlier == NO_ERA:
+        if not self._was_unnamed and earlier == NO_ERA:
             # The first response of a process tells the era and changes nothing.
             return
         self._events.record(Event.STORE_ERA_CHANGED, before=earlier, after=era)
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -25,6 +25,7 @@
 from briarfork.platform.store import StoreClient
 from briarfork.platform.store_era import EraEnded
 from briarfork.platform.store_era import StaleResponse
+from briarfork.platform.store_era import StoreEra
 from briarfork.platform.store_era import parse_era
 from briarfork.platform.watcher import StoreWatcher
 from tests.platform.test_odd_store import OWN
@@ -123,6 +124,19 @@
     return vm
 
 
+class TestStoreEra:
+    @pytest.mark.parametrize(("earlier", "changes"), [([None], 1), (["7"], 0), ([], 0)])
+    def test_first_era_after_responses_without_one_is_a_change(
+        self, earlier: list[str | None], changes: int
+    ) -> None:
+        """Guards against a late registration where only a restored store names its era."""
+        era, calls = StoreEra(EventLog("test")), list[int]()
+        era.subscribe(lambda: calls.append(era.current))
+        for header in (*earlier, "7"):
+            era.observe(header, era.current)
+        assert (era.current, len(calls)) == (7, changes)
+
+
 class TestStoreClient:
     async def test_era_is_read_from_errors(self, store: KeyValueStore, client: StoreClient) -> None:
         """Guards against a restore that is noticed only once the store answers a call."""
