Give time to register anew when the store fails after its restore

Cause: members and servers that a restored store lacks were kept for a time that went on while the store was down again. When it was back, the first VM that listed it dropped those that had not registered yet, so slots changed their owner.

Change: after an outage that follows the restore, the time of a lease starts anew for members, and the grace period of an outage for servers. Without a restore nothing changes, which the test checks as well.

--- a/src/briarfork/membership/registered.py
+++ b/src/briarfork/membership/registered.py
@@ -64,6 +64,15 @@
         """
         self._era_began_at = now
 
+    def record_outage(self, ended_at: float) -> None:
+        """Gives the time to register anew, as nobody can register during an outage of the store.
+
+        Args:
+            ended_at: Time at which the outage ended, in seconds on the monotonic clock.
+        """
+        if self._kept or self._held:
+            self._era_began_at = max(self._era_began_at, ended_at)
+
     def replace(self, shown: Mapping[str, Member | None], now: float) -> None:
         """Applies all entries that the store shows.
 
--- a/src/briarfork/platform/store_contents.py
+++ b/src/briarfork/platform/store_contents.py
@@ -71,6 +71,8 @@
         self._era = listing.position.era
         if is_first_of_era:
             self._begin_era(now)
+        else:
+            self._record_outage()
         present = {item.key for item in listing.items}
         self._remove_missing_servers(present, now)
         if MEMBER_PREFIX + self.gateway.settings.vm not in present:
@@ -157,6 +159,13 @@
         self.members.begin_era(now)
         self.gateway.view.inventory.begin_era(now)
 
+    def _record_outage(self) -> None:
+        """Gives VMs and servers that a restored store lacks the time that an outage took."""
+        ended_at = self.health.find_recovery()
+        if -math.inf < self._era_began_at < ended_at:
+            self.members.record_outage(ended_at)
+            self.gateway.view.inventory.extend_lapsed(ended_at + LAPSED_ENTRY_GRACE_S)
+
     def _remove_missing_servers(self, present: set[str], now: float) -> None:
         inventory = self.gateway.view.inventory
         # Servers that the copy lacks write their entries again with one of their next heartbeats.
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -103,6 +103,14 @@
         # Servers that the copy lacks get a grace period of their own.
         self._lapsed_until.clear()
 
+    def extend_lapsed(self, until: float) -> None:
+        """Keeps servers whose entries have disappeared for longer, in which they can register.
+
+        Args:
+            until: Earliest end of their grace periods, in seconds on the monotonic clock.
+        """
+        self._lapsed_until = {name: max(end, until) for name, end in self._lapsed_until.items()}
+
     def remove(
         self,
         name: str,
--- a/tests/membership/test_registered.py
+++ b/tests/membership/test_registered.py
@@ -39,6 +39,18 @@
         members.expire(16.9)
         assert set(members.current) == {"vm-1", "vm-2"}
 
+    def test_time_starts_anew_after_an_outage(self) -> None:
+        """Guards against a store that fails after its restore, so that no VM can register."""
+        members = build_members()
+        members.begin_era(10.0)
+        members.replace({"vm-1": ONE}, 10.0)
+        members.record_outage(18.0)
+        members.replace({"vm-1": ONE}, 18.1)
+        members.expire(21.9)
+        assert set(members.current) == {"vm-1", "vm-2"}
+        members.expire(22.0)
+        assert set(members.current) == {"vm-1"}
+
     def test_entry_from_before_its_restart_is_not_used(self) -> None:
         """Guards against ports of a process that has ended, which the copy brings back."""
         members = build_members()
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from base64 import b64encode
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -21,12 +22,18 @@
 from briarfork.gateway.view import GatewayView
 from briarfork.platform import names
 from briarfork.platform.registration import Registration
+from briarfork.platform.registration_records import encode_member
 from briarfork.platform.settings import load_platform_settings
+from briarfork.platform.store import Listing
 from briarfork.platform.store import StoreClient
+from briarfork.platform.store_contents import StoreContents
 from briarfork.platform.store_era import EraEnded
 from briarfork.platform.store_era import StaleResponse
 from briarfork.platform.store_era import StoreEra
+from briarfork.platform.store_era import StorePosition
 from briarfork.platform.store_era import parse_era
+from briarfork.platform.store_health import StoreHealth
+from briarfork.platform.store_messages import Item
 from briarfork.platform.watcher import StoreWatcher
 from tests.platform.test_odd_store import OWN
 from tests.platform.test_settings import BOOT
@@ -100,6 +107,10 @@
     return Gateway(view, events)
 
 
+def list_servers(gateway: Gateway) -> list[str]:
+    return gateway.view.inventory.list_names()
+
+
 @pytest_asyncio.fixture
 async def vm(tmp_path: Path, store: KeyValueStore) -> AsyncIterator[VmHarness]:
     settings, events = load_settings(tmp_path), EventLog("test")
@@ -190,6 +201,45 @@
         assert store.calls == before
 
 
+class TestStoreContents:
+    @pytest.mark.parametrize(("era", "is_kept"), [(2, True), (1, False)])
+    def test_outage_gives_time_to_register_only_after_a_restore(
+        self, era: int, is_kept: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against slots that change their owner as the store fails after its restore.
+
+        Without a restore, VMs and servers are removed as ever.
+        """
+        now_s, events = [100.0], EventLog("test")
+        monkeypatch.setattr(time, "monotonic", lambda: now_s[0])
+        settings, health = load_settings(tmp_path), StoreHealth(events)
+        gateway = build_gateway(settings)
+        contents = StoreContents(settings, gateway, health, events)
+        other = replace(OWN, vm="vm-other")
+        values = {
+            SERVER_KEY: json.dumps(build_entry(1)).encode(),
+            names.MEMBER_PREFIX + other.vm: encode_member(other),
+        }
+        items = [Item(key, 10, b64encode(value).decode()) for key, value in values.items()]
+        contents.replace(Listing(items, StorePosition(1, 10)))
+        for lasts_s in (0.0, 20.0):
+            # The entries expire in a first outage, and the store fails again before the VM and the
+            # server have registered.
+            health.record_failure("down")
+            now_s[0] += lasts_s
+            health.record_failure("down")
+            health.record_response()
+            now_s[0] += 0.1
+            contents.replace(Listing([], StorePosition(era, 11)))
+        contents.expire(now_s[0])
+        assert (other.vm in contents.members.current) == is_kept
+        assert (SERVER_KEY.removeprefix(names.SERVER_PREFIX) in list_servers(gateway)) == is_kept
+        now_s[0] += settings.lease_s
+        contents.expire(now_s[0])
+        assert not contents.members.current
+        assert not list_servers(gateway)
+
+
 class TestRestoredStore:
     async def test_vm_registers_again_and_keeps_what_the_copy_lacks(
         self, store: KeyValueStore, running: VmHarness
