End an evacuation whose key is deleted before the first listing of an era

Cause: a restored store that lacks the key of an evacuation may have had it: an operator who deletes the key within the second or two before a VM lists the store leaves no trace in the listing. The VM took the key for lost and kept the evacuation for good, although the operator had ended it.

Change: a VM that keeps evacuations whose keys it has not seen in this era reads the changes of the evacuation keys since the lowest revision that it knew. A deletion after the revision known for a key ends the evacuation. A store without that history changes nothing. No call is made without such an evacuation, so none without a restore.

--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -137,15 +137,22 @@
                 raise failure
             after = page.items[-1].key
 
-    async def watch(self, prefix: str, after: StorePosition) -> Events:
-        """Waits for changes after a position; returns none if none occur within the watch time.
+    async def watch(
+        self, prefix: str, after: StorePosition, *, wait_s: float | None = None
+    ) -> Events:
+        """Waits for changes after a position; returns none if none occur within the time.
+
+        Args:
+            prefix: Prefix of the keys.
+            after: The position.
+            wait_s: Longest time to wait, by default that of the settings.
 
         Raises:
             EraEnded: If the era of the position has ended.
             HistoryUnavailable: If the changes are no longer available.
             StoreUnavailable: If the call fails.
         """
-        wait_s = self._timeouts.watch_s
+        wait_s = self._timeouts.watch_s if wait_s is None else wait_s
         params = {
             "prefix": prefix,
             "after": str(after.revision),
--- a/src/briarfork/platform/store_contents.py
+++ b/src/briarfork/platform/store_contents.py
@@ -102,6 +102,14 @@
             self.gateway.evacuate(self.evacuations.zones)
             self.gateway.refresh()
 
+    def end_unseen_evacuations(self, events: list[Item]) -> None:
+        """Ends evacuations whose keys were deleted between a restore and the first listing."""
+        for item in events:
+            if item.deleted and item.key.startswith(EVACUATION_PREFIX):
+                zone = item.key.removeprefix(EVACUATION_PREFIX)
+                self.evacuations.end_unseen(zone, item.revision)
+        self.apply([])
+
     def expire(self, now: float) -> None:
         """Removes what was kept after an outage or a restore of the store, and uses what lasts.
 
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -5,11 +5,13 @@
 import asyncio
 import math
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
 from briarfork.border.store import StoreUnavailable
 from briarfork.hashing import hash_to_fraction
+from briarfork.platform.names import EVACUATION_PREFIX
 from briarfork.platform.store import HistoryUnavailable
 from briarfork.platform.store_contents import StoreContents
 from briarfork.platform.store_era import EraEnded
@@ -30,6 +32,8 @@
 CHECK_INTERVAL_S = 1.0
 # After a restore of the store, the VMs read all keys again over this time.
 ERA_SPREAD_S = 0.3
+# Changes of the past are returned at once; without any, the call ends after this time.
+DELETIONS_WAIT_S = 0.05
 
 
 class StoreWatcher:
@@ -56,6 +60,7 @@
                 self.contents.replace(listing)
                 self.contents.record_configuration_shown(started)
                 self._is_view_current = True
+                await self._read_missed_deletions(listing.position)
                 await self._follow(listing.position)
             except* HistoryUnavailable:
                 self._events.record(Event.HISTORY_LOST)
@@ -66,6 +71,23 @@
                 self._is_view_current = False
                 await asyncio.sleep(RETRY_S)
 
+    async def _read_missed_deletions(self, position: StorePosition) -> None:
+        """Reads whether evacuations that a listing lacks were ended since the store's restore.
+
+        The copy may have had a key that was deleted before this VM listed it. If the store cannot
+        tell, the evacuations go on.
+
+        Raises:
+            EraEnded: If the era of the position has ended.
+        """
+        revision = self.contents.evacuations.find_unseen_revision()
+        if revision is None or revision >= position.revision:
+            return
+        after = StorePosition(position.era, revision)
+        with suppress(HistoryUnavailable, StoreUnavailable):
+            changes = await self._store.watch(EVACUATION_PREFIX, after, wait_s=DELETIONS_WAIT_S)
+            self.contents.end_unseen_evacuations(changes.events)
+
     async def _follow(self, position: StorePosition) -> None:
         """Applies all changes after a position.
 
--- a/src/briarfork/pools/evacuations.py
+++ b/src/briarfork/pools/evacuations.py
@@ -75,6 +75,18 @@
         self._returned.pop(zone, None)
         self._end(zone, self._last_revisions.get(zone, revision))
 
+    def find_unseen_revision(self) -> int | None:
+        """Returns the lowest known revision of the keys not seen in this era, None if all were."""
+        return min((self._last_revisions[zone] for zone in self._unseen), default=None)
+
+    def end_unseen(self, zone: str, revision: int) -> None:
+        """Applies a deletion before the first listing of this era, if it is newer than the key.
+
+        It was made in this era, or in the earlier one after the last write that this VM knew.
+        """
+        if zone in self._unseen and revision > self._last_revisions[zone]:
+            self._end(zone, revision)
+
     def list_kept(self) -> list[str]:
         """Returns the evacuated zones whose keys the restored store has not shown yet."""
         return sorted(self._unseen)
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -273,6 +273,19 @@
         await store.put(SERVER_KEY, build_entry(9))
         await wait_until(running.has_usable_server, 2.0)
 
+    async def test_evacuation_that_ends_before_the_first_listing(
+        self, store: KeyValueStore, running: VmHarness
+    ) -> None:
+        """Guards against a zone without requests for good, as the VM lists the keys late."""
+        await store.put(EVACUATION_KEY, {})
+        await wait_until(lambda: running.contents.evacuations.zones == {"a"}, 2.0)
+        store.down = True
+        await store.restore(store.take_copy())
+        await store.delete(EVACUATION_KEY)
+        store.down = False
+        await wait_until(lambda: not running.contents.evacuations.zones, REGISTERED_S)
+        await wait_until(running.has_usable_server, REGISTERED_S)
+
     async def test_two_restores_within_three_seconds(
         self, store: KeyValueStore, running: VmHarness
     ) -> None:
--- a/tests/pools/test_evacuations.py
+++ b/tests/pools/test_evacuations.py
@@ -45,6 +45,20 @@
         evacuations.end("a", 17)
         assert evacuations.zones == set()
 
+    @pytest.mark.parametrize(("revision", "zones"), [(21, set()), (20, {"a"}), (12, {"a"})])
+    def test_ends_with_a_deletion_before_the_first_listing(
+        self, revision: int, zones: set[str]
+    ) -> None:
+        """Guards against an evacuation that never ends, and one that an older deletion ends."""
+        evacuations = Evacuations()
+        evacuations.start("a", 20)
+        assert evacuations.find_unseen_revision() is None
+        evacuations.begin_era()
+        evacuations.replace({}, 25)
+        assert evacuations.find_unseen_revision() == 20
+        evacuations.end_unseen("a", revision)
+        assert evacuations.zones == zones
+
 
 class TestEndedEvacuation:
     @pytest.mark.parametrize(("by_listing", "shown"), [(False, 20), (False, 18), (True, 25)])
