--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -12,6 +12,7 @@
 from briarfork.border.store import StoreUnavailable
 from briarfork.hashing import hash_to_fraction
 from briarfork.platform.currency import CurrencyCheck
+from briarfork.platform.names import EVACUATION_PREFIX
 from briarfork.platform.store import HistoryUnavailable
 from briarfork.platform.store_contents import StoreContents
 from briarfork.platform.store_era import EraEnded
@@ -32,6 +33,8 @@
 CHECK_INTERVAL_S = 1.0
 # After a restore of the store, the VMs read all keys again over this time.
 ERA_SPREAD_S = 0.3
+# Changes of the past are returned at once; without any, the call ends after this time.
+DELETIONS_WAIT_S = 0.05
 
 
 class StoreWatcher:
@@ -60,6 +63,7 @@
                 self._currency.record_listing(listing.position.revision, started)
                 self._publish_currency()
                 self._is_view_current = True
+                await self._read_missed_deletions(listing.position)
                 async with asyncio.TaskGroup() as group:
                     group.create_task(self._follow(listing.position))
                     if self._is_strict:
@@ -73,6 +77,23 @@
                 self._is_view_current = False
                 await asyncio.sleep(RETRY_S)
 
+    async def _read_missed_deletions(self, position: StorePosition) -> None:
+        """Reads whether evacuations that a listing lacks were ended since the store's restore.
+
+        The copy may have had a key that was deleted before this VM listed it. If the store cannot
+        tell, the evacuations go on.
+
+        Raises:
+            EraEnded: If the era of the position has ended.
+        """
+        revision = self.contents.evacuations.find_unseen_revision()
+        if revision is None or revision >= position.revision:
+            return
+        after = StorePosition(position.era, revision)
+        with suppress(HistoryUnavailable, StoreUnavailable):
+            changes = await self._store.watch(EVACUATION_PREFIX, after, wait_s=DELETIONS_WAIT_S)
+            self.contents.end_unseen_evacuations(changes.events)
+
     async def _follow(self, position: StorePosition) -> None:
         """Applies all changes after a position.
 
