Return credit once, and not lose it to cancellation

A requester returned the credit of an answer that came twice, or so late that it had forgotten the ask; so a request that had run gave its credit back, or credit returned seconds after its bucket was refilled. Credit of a caller that left after the owner had decided, and before its task resumed, was lost.

Answers without a known ask are dropped, credit is returned only within max_return_age_s, and acquire gives back a decision that comes together with the end of its wait.

--- a/src/briarfork/gateway/quota_requester.py
+++ b/src/briarfork/gateway/quota_requester.py
@@ -61,9 +61,15 @@
     """
 
     def __init__(
-        self, shard: int, links: CreditLinks, events: EventLog, read_clock: Callable[[], float]
+        self,
+        shard: int,
+        links: CreditLinks,
+        events: EventLog,
+        read_clock: Callable[[], float],
+        max_return_age_s: float,
     ) -> None:
         self._shard = shard
+        self._max_return_age_s = max_return_age_s
         self._links = links
         self._events = events
         self._read_clock = read_clock
@@ -111,11 +117,12 @@
         if owner != self._zone.owner:
             return
         sent = self._sent.pop(answer.number, None)
-        if sent is None or now - sent.sent_at <= CREDIT_S:
-            for grant in answer.grants:
-                futures = sent.futures.get(grant.workspace, []) if sent is not None else []
-                self._decide(grant, futures)
+        # Credit of an answer that came twice, or too late to be used, is not returned.
         if sent is not None:
+            age_s = now - sent.sent_at
+            if age_s <= CREDIT_S:
+                for grant in answer.grants:
+                    self._decide(grant, sent.futures.get(grant.workspace, []), age_s)
             self._resolve_all(sent)
         if answer.attached:
             self._is_attaching = False
@@ -126,14 +133,14 @@
         if self._returned:
             self._schedule_flush()
 
-    def _decide(self, grant: CreditGrant, futures: Futures) -> None:
+    def _decide(self, grant: CreditGrant, futures: Futures, age_s: float) -> None:
         """Passes the credit of one workspace on; what nobody waits for any more is returned."""
         left = grant.granted
         for future in futures:
             if not future.done():
                 future.set_result(Decision(left > 0, grant.wait_s, self._source))
                 left = max(0, left - 1)
-        if left:
+        if left and age_s <= self._max_return_age_s:
             self._returned[grant.workspace] = self._returned.get(grant.workspace, 0) + left
 
     def _change_owner(self, owner: str) -> None:
--- a/src/briarfork/gateway/quotas.py
+++ b/src/briarfork/gateway/quotas.py
@@ -29,6 +29,7 @@
     from briarfork.border.messages import Message
     from briarfork.gateway.permits import GatewayPermits
     from briarfork.gateway.quota_owners import Reply
+    from briarfork.gateway.quota_requester import Decision
     from briarfork.gateway.view import GatewayView
     from briarfork.workspaces import QuotaBounds
     from briarfork.workspaces import Workspace
@@ -74,7 +75,9 @@
 
     def __init__(self, number: int, quotas: Quotas) -> None:
         links, events = quotas.links, quotas.events
-        self.requester = CreditRequester(number, links, events, quotas.read_clock)
+        self.requester = CreditRequester(
+            number, links, events, quotas.read_clock, quotas.bounds.max_return_age_s
+        )
         self.zone = ZoneCreditOwner(number, quotas.bounds, links, events)
         self.fleet = FleetCreditOwner(number, quotas.bounds)
 
@@ -125,12 +128,7 @@
         Raises:
             NotRun: If the quota is used up, or nothing is known of it in time.
         """
-        shard = self._shards[find_shard(workspace.name)]
-        try:
-            async with asyncio.timeout(DECISION_S):
-                decision = await shard.requester.request(workspace.name)
-        except TimeoutError:
-            decision = UNDECIDED
+        decision = await self._request_decision(workspace.name)
         if decision.granted:
             self.observe_decision(workspace.name, "granted")
             return QuotaCredit(self, workspace.name, self.read_clock(), decision.source)
@@ -150,6 +148,20 @@
         )
         raise error
 
+    async def _request_decision(self, workspace: str) -> Decision:
+        asked_at = self.read_clock()
+        future = self._shards[find_shard(workspace)].requester.request(workspace)
+        try:
+            async with asyncio.timeout(DECISION_S):
+                return await future
+        except (TimeoutError, asyncio.CancelledError) as error:
+            # The decision can come in the iteration of the event loop in which the wait ends.
+            if future.done() and not future.cancelled() and future.result().granted:
+                QuotaCredit(self, workspace, asked_at, future.result().source).give_back()
+            if isinstance(error, TimeoutError):
+                return UNDECIDED
+            raise
+
     def give_back(self, credit: QuotaCredit) -> None:
         """Returns credit if it is recent enough."""
         if self.read_clock() - credit.granted_at <= self.bounds.max_return_age_s:
