Keep an entitlement out of a pool until each lost owner has let it go

The answer of one former owner to a leave message ended the wait for all of them, so a VM or zone that changed owners twice within 1.3 s could be entitled in two pools. A VM that left the owner of a zone was entitled elsewhere before that owner had reported the leave to the owner of the fleet. A VM kept a stamp from before its owner's machine started, and was then never attached again while it asked for attachment after each answer.

Each lost owner has its own end, an answer to a leave frees the entitlement after the report of the zone's owner, and an answer that does not attach replaces the stamp.

The three new tests fail before this change and pass with it, as do tests/workspaces and tests/gateway.

--- a/src/briarfork/workspaces/attachments.py
+++ b/src/briarfork/workspaces/attachments.py
@@ -124,8 +124,9 @@
         self._sent: dict[int, float] = {}
         self._stamp = 0.0
         self._stamped_at = -math.inf
-        self._entitled_at = -math.inf
-        self._leave_number = 0
+        # Times at which lost owners no longer count this VM, by the numbers of the messages that
+        # told them; 0 for an owner that has not been told.
+        self._lost_until: dict[int, float] = {}
         self._last_sent_at = -math.inf
         self._waiting_since: float | None = None
 
@@ -133,7 +134,7 @@
         """Starts an attachment to another owner."""
         if self._stamped_at > -math.inf:
             ends_at = self._stamped_at + MAX_STAMP_AGE_S + ATTACHMENT_S + self._report_lag_s
-            self._entitled_at = max(self._entitled_at, ends_at)
+            self._lost_until[0] = max(ends_at, self._lost_until.get(0, -math.inf))
         self.owner = owner
         self.confirmed_until = -math.inf
         self.round_trip_s = 0.0
@@ -143,8 +144,10 @@
 
     def leave(self) -> int:
         """Returns the number of a message that tells the owner that this VM leaves it."""
-        self._leave_number = next(self._numbers)
-        return self._leave_number
+        number = next(self._numbers)
+        if 0 in self._lost_until:
+            self._lost_until[number] = self._lost_until.pop(0)
+        return number
 
     def begin(self, now: float) -> tuple[int, float]:
         """Returns the number and the stamp of the next message to the owner."""
@@ -159,21 +162,26 @@
 
     def confirm(self, number: int, stamp: float, attached: bool, now: float) -> None:
         """Records an answer."""
-        if number == self._leave_number:
-            self._entitled_at = now
+        ends_at = self._lost_until.get(number) if number else None
+        if ends_at is not None:
+            # The owner of a zone reports the leave with its next message.
+            self._lost_until[number] = min(ends_at, now + self._report_lag_s)
         sent_at = self._sent.pop(number, None)
         if sent_at is None:
             return
         self._waiting_since = min(self._sent.values(), default=None)
         self.round_trip_s = now - sent_at
-        if stamp > self._stamp:
+        if stamp > self._stamp or not attached:
+            # The clock of an owner starts anew with its machine.
             self._stamp, self._stamped_at = stamp, now
         if attached:
             self.confirmed_until = max(self.confirmed_until, sent_at + ATTACHMENT_S)
 
     def is_entitled(self, now: float) -> bool:
         """Returns whether this VM's entitlement is in no pool of an earlier owner."""
-        return now >= self._entitled_at
+        for number in [n for n, ends_at in self._lost_until.items() if ends_at <= now]:
+            del self._lost_until[number]
+        return not self._lost_until
 
     def is_silent(self, now: float) -> bool:
         """Returns whether the owner has left messages without an answer for too long."""
--- a/tests/workspaces/test_credit.py
+++ b/tests/workspaces/test_credit.py
@@ -160,6 +160,41 @@
         attachment.confirm(attachment.leave(), 100.1, False, 100.1)
         assert attachment.is_entitled(100.1)
 
+    def attach(self, attachment: Attachment, owner: str, now: float) -> None:
+        attachment.change_owner(owner)
+        number, _ = attachment.begin(now)
+        attachment.confirm(number, now, True, now)
+
+    def test_an_answer_to_one_leave_does_not_end_the_wait_for_another_owner(self) -> None:
+        """Guards against an entitlement in two pools if two owners change within a second."""
+        attachment = Attachment()
+        self.attach(attachment, "o-1", 100.0)
+        attachment.change_owner("o-2")
+        attachment.leave()
+        number, _ = attachment.begin(100.5)
+        attachment.confirm(number, 100.5, True, 100.5)
+        attachment.change_owner("o-3")
+        attachment.confirm(attachment.leave(), 100.6, False, 100.6)
+        assert not attachment.is_entitled(100.6)
+        assert attachment.is_entitled(101.31)
+
+    def test_a_leave_counts_when_the_owner_of_the_zone_has_reported_it(self) -> None:
+        """Guards against an entitlement in two pools until the owner of the zone reports."""
+        attachment = Attachment(report_lag_s=0.3)
+        self.attach(attachment, "o-1", 100.0)
+        attachment.change_owner("o-2")
+        attachment.confirm(attachment.leave(), 100.1, False, 100.1)
+        assert not attachment.is_entitled(100.2)
+        assert attachment.is_entitled(100.41)
+
+    def test_a_clock_that_starts_anew_is_followed(self) -> None:
+        """Guards against a VM that is never attached again after its owner's machine started."""
+        attachment = Attachment()
+        self.attach(attachment, "o-1", 100.0)
+        number, _ = attachment.begin(100.2)
+        attachment.confirm(number, 3.0, False, 100.2)
+        assert attachment.begin(100.2)[1] == 3.0
+
 
 class TestZoneCredit:
     def supply(self, credit: ZoneCredit, granted: int, now: float) -> None:
