Report the credit of all workspaces in turn

A message of a zone's owner carries at most 500 reports, and always those of the same workspaces, so with more active ones the others got no credit. Reported workspaces now move to the end of the order.

The new test fails before this change and passes with it.

--- a/src/briarfork/workspaces/zone_credit.py
+++ b/src/briarfork/workspaces/zone_credit.py
@@ -194,6 +194,8 @@
             if wanted or stock.used or stock.returned:
                 reports.append(CreditReport(workspace, wanted, stock.used, stock.returned))
                 stock.used = stock.returned = 0
+                # The last in order, so that workspaces beyond one message come with the next.
+                self._stocks[workspace] = self._stocks.pop(workspace)
             elif not target:
                 del self._stocks[workspace]
         return reports
--- a/tests/workspaces/test_credit.py
+++ b/tests/workspaces/test_credit.py
@@ -230,6 +230,17 @@
         assert (report.returned, report.wanted) == (5, 0)
         assert credit.build_reports(106.0) == []
 
+    def test_each_of_many_workspaces_is_reported(self) -> None:
+        """Guards against workspaces that never get credit because others fill the messages."""
+        credit = ZoneCredit()
+        names = [f"w-{number}" for number in range(1200)]
+        reported: set[str] = set()
+        for _ in range(3):
+            for name in names:
+                credit.take(name, 1, 100.0, advance=1)
+            reported.update(report.workspace for report in credit.build_reports(100.0))
+        assert reported == set(names)
+
     def test_waits_grow_with_the_refused(self) -> None:
         """Guards against refused callers that all come back before the refill."""
         credit = ZoneCredit()
