End credit of lost answers and of limits that were removed

A zone that lost its stream and came back within 0.8 s renewed its attachment, so credit granted in an answer that it never got counted against the depth of the bucket for good. Credit of a limit that was removed and set again was taken off a bucket to which it had not been added, which then was too deep.

The first message after a loss has no stamp; credit held before it ends with the time of an attachment. Credit goes with the limit that it was granted for.

The two new tests fail before this change and pass with it, as do tests/workspaces and tests/gateway.

--- a/src/briarfork/workspaces/credit_pool.py
+++ b/src/briarfork/workspaces/credit_pool.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from briarfork.workspaces.attachments import ATTACHMENT_S
 from briarfork.workspaces.attachments import Attachments
 from briarfork.workspaces.attachments import is_recent
 
@@ -81,6 +82,8 @@
         self._started_part = 0.0
         self._buckets: dict[str, _Bucket] = {}
         self._held: dict[str, dict[str, int]] = {}
+        # Credit of peers that started anew, with the time at which it ends.
+        self._former: list[tuple[float, dict[str, int]]] = []
 
     def set_limits(self, limits: Mapping[str, Workspace]) -> None:
         """Replaces the workspaces that have a quota; new limits apply from now on."""
@@ -88,6 +91,8 @@
         self._limits = limits
         for name in [name for name in self._buckets if name not in limits]:
             del self._buckets[name]
+            for held in (*self._held.values(), *(held for _, held in self._former)):
+                held.pop(name, None)
         self._settle_all()
 
     def update(self, fleet_vms: int, now: float) -> None:
@@ -99,10 +104,10 @@
         """
         for ends_at, peer in self.attachments.pop_ended(now):
             self._advance(ends_at)
-            for name, count in self._held.pop(peer, {}).items():
-                bucket = self._buckets.get(name)
-                if bucket is not None:
-                    bucket.outstanding -= count
+            self._end_credit(self._held.pop(peer, {}))
+        for _, held in (item for item in self._former if item[0] <= now):
+            self._end_credit(held)
+        self._former = [item for item in self._former if item[0] > now]
         self._advance(now)
         if fleet_vms < self._fleet_vms:
             self._settle_all()
@@ -114,10 +119,14 @@
             # start in a window, however often its VMs leave and come back.
             self._buckets.clear()
             self._held.clear()
+            self._former.clear()
             self._started_part = 0.0
 
     def attach(self, peer: str, stamp: float, entitled: int, vms: int, now: float) -> bool:
         """Attaches the owner of a zone if its message is recent, and returns whether it was."""
+        if not stamp and peer in self._held:
+            # The peer lost its stream or was restarted, so it may not have got its last grants.
+            self._former.append((now + ATTACHMENT_S, self._held.pop(peer)))
         if not is_recent(stamp, now):
             return False
         old_entitled, old_vms = self.attachments.count(peer)
@@ -214,6 +223,12 @@
             elif gained > 0.0:
                 bucket.level += gained * self._bounds.compute_start(workspace)
 
+    def _end_credit(self, held: Mapping[str, int]) -> None:
+        for name, count in held.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.outstanding -= count
+
     def _settle_all(self) -> None:
         for bucket in self._buckets.values():
             self._settle(bucket.workspace)
--- a/tests/workspaces/test_credit.py
+++ b/tests/workspaces/test_credit.py
@@ -146,6 +146,38 @@
         (supply,) = pool.exchange("z-1", [CreditReport("acme", 4)])
         assert supply.granted >= 3
 
+    def test_credit_of_lost_answers_ends(self) -> None:
+        """Guards against a bucket that shrinks with each stream that a zone loses."""
+        pool = build_pool(100.0, *PEERS)
+        now = 100.0
+        for _ in range(60):
+            now += 0.1
+            keep(pool, now, *PEERS)
+            pool.exchange("z-1", [CreditReport("acme", 2)])
+        pool.attach("z-1", 0.0, 1, 1, now)
+        for _ in range(20):
+            now += 0.1
+            keep(pool, now, *PEERS)
+        (supply,) = pool.exchange("z-2", [CreditReport("acme", 40)])
+        assert supply.granted >= BOUNDS.compute_depth(ACME) / 2 - 2
+
+    def test_a_limit_that_comes_back_does_not_deepen_its_bucket(self) -> None:
+        """Guards against credit that is taken off a bucket to which it was never added."""
+        pool = build_pool(100.0, *PEERS)
+        for tick in range(1, 60):
+            keep(pool, 100.0 + 0.1 * tick, *PEERS)
+        (lost,) = pool.exchange("z-1", [CreditReport("acme", 100)])
+        pool.set_limits({})
+        pool.set_limits({"acme": ACME})
+        pool.exchange("z-2", [CreditReport("acme", 1)])
+        for tick in range(60, 160):
+            keep(pool, 100.0 + 0.1 * tick, *PEERS[1:])
+        granted = 0
+        for peer in PEERS[1:] * 10:
+            granted += pool.exchange(peer, [CreditReport("acme", 100)])[0].granted
+        assert lost.granted >= 10
+        assert granted <= BOUNDS.compute_depth(ACME) * 2 / 3
+
     def test_a_late_return_adds_nothing(self) -> None:
         """Guards against credit that is returned after its bucket was refilled."""
         pool = build_pool(100.0, *PEERS)
