Let VMs with fast links own credit even if only one is left

With one fast VM left, all VMs of the zone count as candidates, and small VMs on links of 10 Mbit/s became owners.

Change: candidates with fast links go first, in the same order on all VMs. Owners of slots are chosen as before.

--- a/src/briarfork/gateway/quota_links.py
+++ b/src/briarfork/gateway/quota_links.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.border.streams import StreamClosed
+from briarfork.membership import put_fast_members_first
 from briarfork.membership import rank_members
 
 if TYPE_CHECKING:
@@ -101,5 +102,6 @@
             else:
                 members = self._view.order_entries(location.zone, location.region)
                 ranked = rank_members(f"credit|{shard}|{location.zone}", members)
-            self._ranked[key] = ranked
+            # A decision on credit may take 55 ms, and a body on a slow link takes longer.
+            self._ranked[key] = put_fast_members_first(ranked)
         return self._ranked[key]
--- a/src/briarfork/membership/__init__.py
+++ b/src/briarfork/membership/__init__.py
@@ -1,5 +1,6 @@
 """Membership of entry VMs and the replicated list of all VMs."""
 
+from briarfork.membership.capacity import put_fast_members_first
 from briarfork.membership.capacity import select_fast_members
 from briarfork.membership.directory import Directory
 from briarfork.membership.directory import ListedVm
@@ -18,6 +19,7 @@
     "MemberState",
     "RegisteredMembers",
     "Roster",
+    "put_fast_members_first",
     "rank_members",
     "select_fast_members",
 ]
--- a/src/briarfork/membership/capacity.py
+++ b/src/briarfork/membership/capacity.py
@@ -26,8 +26,21 @@
     """
     if not all(member.link_mbps and member.cores for member in members):
         return members
-    fastest = max((member.link_mbps for member in members), default=0.0)
-    fast = [member for member in members if member.link_mbps >= FAST_LINK_FRACTION * fastest]
+    fast = [member for member in members if not _is_slow(member, members)]
     cores = sum(member.cores for member in members)
     has_cores = sum(member.cores for member in fast) >= MIN_PROCESSOR_FRACTION * cores
     return fast if has_cores and len(fast) >= MIN_FAST_MEMBERS else members
+
+
+def put_fast_members_first(members: Sequence[Member]) -> list[Member]:
+    """Returns the members in the same order, but those with slow links after the others.
+
+    For work of few bytes that must not wait behind bodies on a slow link, and that a single VM of a
+    zone can do.
+    """
+    return sorted(members, key=lambda member: _is_slow(member, members))
+
+
+def _is_slow(member: Member, members: Sequence[Member]) -> bool:
+    fastest = max((item.link_mbps for item in members), default=0.0)
+    return member.link_mbps < FAST_LINK_FRACTION * fastest
--- a/tests/membership/test_capacity.py
+++ b/tests/membership/test_capacity.py
@@ -6,6 +6,7 @@
 
 from briarfork.membership import Member
 from briarfork.membership import MemberState
+from briarfork.membership import put_fast_members_first
 from briarfork.membership import select_fast_members
 
 BODY_BITS = 60_000 * 8
@@ -68,3 +69,11 @@
     def test_empty_zone_has_no_members(self) -> None:
         """Guards against an error while all VMs of a zone are down."""
         assert select_fast_members([]) == []
+
+
+class TestOrder:
+    def test_last_fast_member_goes_before_slow_ones(self) -> None:
+        """Guards against decisions behind bodies on slow links once one of two fast VMs stops."""
+        zone = build_zone(fast=1, slow=3)
+        ordered = put_fast_members_first([*zone[1:], zone[0]])
+        assert ordered == [zone[0], *zone[1:]]
