Space forecasts only by more urgent requests that wait

Cause: the forecast of a refusal was 1.5 times as long for each more urgent class and priority that was ever requested, so that Retry-After stayed longer than before after the urgent requests had ended, also without workspaces. Change: only classes and priorities with waiting requests count. Without any, a new urgent request is served next, and no band is to be kept.

--- a/src/briarfork/pools/backlog.py
+++ b/src/briarfork/pools/backlog.py
@@ -102,9 +102,12 @@
         return Ahead(requests, work_s, own_wait_s)
 
     def count_more_urgent(self, request: SlotRequest) -> int:
-        """Returns how many more urgent classes and priorities have been requested so far."""
+        """Returns how many more urgent classes and priorities have waiting requests."""
         own = get_queue_rank(request)
-        return sum(queue_rank < own for queue_rank in self._wait_queues)
+        return sum(
+            queue_rank < own and bool(wait_queue)
+            for queue_rank, wait_queue in self._wait_queues.items()
+        )
 
     def remove_late(self, forecast: WaitForecast, now: float) -> list[tuple[SlotRequest, Ahead]]:
         """Removes and returns the overtaken requests that will not get a slot in time.
--- a/src/briarfork/pools/forecast.py
+++ b/src/briarfork/pools/forecast.py
@@ -78,7 +78,7 @@
 
     Args:
         wait_s: Expected wait of a new request.
-        more_urgent: Number of more urgent classes and priorities.
+        more_urgent: Number of more urgent classes and priorities that have waiting requests.
 
     Example:
         >>> compute_retry_s(0.2, 0), compute_retry_s(0.2, 1)
--- a/tests/pools/test_wait_queue.py
+++ b/tests/pools/test_wait_queue.py
@@ -190,3 +190,16 @@
             assert isinstance(refusal, Refusal)
             waits.append(refusal.wait_s)
         assert waits[1] >= 1.5 * waits[0]
+
+    def test_former_urgent_callers_do_not_delay_others(self) -> None:
+        """Guards against a longer Retry-After because of urgent requests of an hour ago."""
+        queue = build_queue()
+        queue.submit(build_request("urgent", expires_at=0.15), 0.1)
+        queue.poll(0.2)
+        now = 3600.0
+        for number in range(20):
+            queue.submit(build_request(f"b-{number}", priority=1, expires_at=3700.0), now)
+        (refusal,) = queue.submit(build_request("x", priority=1, expires_at=now + 0.1), now)
+        assert isinstance(refusal, Refusal)
+        ahead = queue._backlog.measure_ahead(build_request("x", priority=1), now)
+        assert refusal.wait_s == queue._build_forecast().compute_wait_s(ahead)
