Replace a waiting request whose permit is requested again

Cause: a second request under the name of a waiting permit, with another workspace or object, left the first one in its flow or under its object. When that was served, the queue raised KeyError, in the task of the owner that polls all queues. Change: the earlier request is removed. A request that is sent again unchanged, as after a lost stream, keeps its place as before.

--- a/src/briarfork/pools/wait_queue.py
+++ b/src/briarfork/pools/wait_queue.py
@@ -53,7 +53,11 @@
         return self._expiry_heap[0][0]
 
     def add(self, request: SlotRequest) -> None:
-        """Adds a request at the end of its workspace's flow."""
+        """Adds a request at the end of its workspace's flow.
+
+        A requester may send a request again after it lost its stream; it keeps its place then.
+        """
+        self._remove_changed(request)
         flow = self._flows.get(request.workspace)
         if flow is None:
             flow = self._flows[request.workspace] = Flow()
@@ -61,6 +65,15 @@
         self._flow_by_permit[request.permit] = flow
         heapq.heappush(self._expiry_heap, (request.expires_at, request.permit))
 
+    def _remove_changed(self, request: SlotRequest) -> None:
+        """Removes an earlier request of the same permit that names another workspace or object."""
+        flow = self._flow_by_permit.get(request.permit)
+        if flow is None:
+            return
+        _, earlier = flow.arrivals[request.permit]
+        if (earlier.workspace, earlier.object_key) != (request.workspace, request.object_key):
+            self.remove(request.permit)
+
     def serve(self, permit: str, now: float) -> None:
         """Removes a request that gets a slot, and charges its flow for the slot."""
         first_tag = min(flow.start_tag for flow in self._flows.values() if flow.arrivals)
--- a/tests/pools/test_wait_queue.py
+++ b/tests/pools/test_wait_queue.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -90,6 +92,19 @@
         fill(queue, 3, "huge", float("inf"))
         assert len(serve(queue, 6)) == 6
 
+    @pytest.mark.parametrize(("workspace", "object_key"), [("b", "x"), ("a", "y")])
+    def test_permit_requested_again_is_served_once(self, workspace: str, object_key: str) -> None:
+        """Guards against a peer that ends the owner's process by reusing the name of a permit."""
+        queue = WaitQueue()
+        queue.add(replace(build_request("p", "a"), object_key="x"))
+        queue.add(replace(build_request("p", workspace), object_key=object_key))
+        queue.add(build_request("q", "a"))
+        for request in queue.iterate_cached({"s": None}, {"x": {"s"}, "y": {"s"}}):
+            queue.serve(request.permit, 0.0)
+        assert serve(queue, 1) == ["a"]
+        assert not queue
+        assert not list(queue)
+
     @settings(max_examples=50, deadline=None, derandomize=True)
     @given(
         events=st.lists(
