Limit the pause that counts in the interval between slots

Cause: a pause of all servers counted in full in the interval between two slots of a workspace. After 2 s, the interval was 0.41 s at the fourth slot and 0.17 s at the tenth, though slots came every 5 ms, so that requests of this workspace behind another one were expected to wait too long. Change: at most the window of 0.5 s counts. Flows with slots further apart have no known interval as before (fewer than 4 recent slots).

The new test fails before.

--- a/src/briarfork/pools/flow.py
+++ b/src/briarfork/pools/flow.py
@@ -72,7 +72,8 @@
     def charge(self, now: float) -> None:
         """Moves the start tag on by one request that gets a slot."""
         self.start_tag += 1.0 / self.weight
-        passed_s = max(0.0, now - self._progress_at)
+        # A longer pause, as when all servers back off, says nothing about the slots that follow it.
+        passed_s = min(PROGRESS_WINDOW_S, max(0.0, now - self._progress_at))
         decay = math.exp(-passed_s / PROGRESS_WINDOW_S)
         self._recent_slots = decay * self._recent_slots + 1.0
         self._recent_s = decay * self._recent_s + passed_s
--- a/tests/pools/test_wait_queue.py
+++ b/tests/pools/test_wait_queue.py
@@ -21,6 +21,7 @@
 from briarfork.pools import ServerAddress
 from briarfork.pools import SlotRequest
 from briarfork.pools.backlog import Ahead
+from briarfork.pools.flow import Flow
 from briarfork.pools.forecast import WaitForecast
 from briarfork.pools.wait_queue import WaitQueue
 
@@ -151,6 +152,26 @@
             serve(queue, 1)
 
 
+class TestIntervalOfSlots:
+    def test_pause_of_the_servers_is_soon_forgotten(self) -> None:
+        """Guards against refusals for a second after servers that were all paused serve again."""
+        flow = Flow()
+        for number in range(100):
+            flow.add(number, build_request(str(number)), 0.0)
+        now = 0.0
+        for number in range(20):
+            now += 0.005
+            flow.charge(now)
+            flow.remove(str(number))
+        now += 2.0
+        for number in range(20, 30):
+            now += 0.005
+            flow.charge(now)
+            flow.remove(str(number))
+        # 0.5 s and 10 slots at intervals of 0.005 s.
+        assert flow.compute_interval_s(now) < 0.06
+
+
 class TestWaitForecast:
     def test_waiting_request_keeps_a_margin(self) -> None:
         """Guards against a refusal after a wait because run times vary."""
