Don't order waiting requests while no slot is free

Cause: a request for full servers listed the waiting requests whose objects are cached before it was known that no slot is free, which is the usual case under load and cost more than before workspaces. Change: the queue is ordered only for free slots.

The new test fails before. pytest tests/pools tests/gateway passes.

--- a/src/briarfork/pools/granting.py
+++ b/src/briarfork/pools/granting.py
@@ -45,10 +45,13 @@
             free: Servers that can accept a request of the class; full ones are removed.
             now: Time, in seconds.
         """
+        if not free:
+            # The usual case under load: the order of the waiting requests is not needed.
+            return []
         cached = wait_queue.iterate_cached(free, self._placement.objects.servers)
         find_caching = self._placement.find_caching_server
         granted = self._grant_in_order(wait_queue, cached, free, find_caching, now)
-        if not wait_queue:
+        if not wait_queue or not free:
             return granted
         self._placement.update_health(free, now)
         others = wait_queue.iterate_in_order()
@@ -64,8 +67,6 @@
     ) -> list[Grant]:
         """Grants slots to requests in order and removes full servers."""
         granted: list[Grant] = []
-        if not free:
-            return granted
         for request in requests:
             server = find_server(request, free, now)
             if server is None:
--- a/tests/pools/test_cost.py
+++ b/tests/pools/test_cost.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import NoReturn
 
 import pytest
 
@@ -107,6 +108,19 @@
 
         assert count_calls(exchange) <= 2 * rounds * MAX_CALLS_PER_MS
 
+    def test_request_for_full_servers_does_not_order_the_queue(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against owners that sort long queues for each request although no slot is free."""
+        queue = build_full_queue(100, frozenset())
+
+        def order(*_: object) -> NoReturn:
+            pytest.fail("the queue was ordered")
+
+        monkeypatch.setattr(WaitQueue, "iterate_cached", order)
+        monkeypatch.setattr(WaitQueue, "iterate_in_order", order)
+        assert queue.submit(build_request(10_000), 0.0) == []
+
     @pytest.mark.parametrize("workspaces", [0, 80])
     def test_slots_that_become_free_at_once_do_not_reorder_the_queue(self, workspaces: int) -> None:
         """Guards against owners that stop for seconds when many servers are in service again."""
