State plainly what the refusal cache and a test guard against

Cause: one sentence on the refusal cache was hard to read, and a test claimed that a process ends where grants stop. Change: both are reworded; no code changes.

Result: pytest tests/pools tests/gateway passes. A run before failed in tests/gateway/test_permits.py (a test address was probably in use by another run on this machine; not examined).

--- a/src/briarfork/gateway/refusals.py
+++ b/src/briarfork/gateway/refusals.py
@@ -38,8 +38,8 @@
 class RefusalCache:
     """Caches refusals for a short time, so that full zones are not asked again at once.
 
-    A refusal counts for one workspace only: what the slots are short for is the load of one, and
-    the others may still get their share.
+    A refusal counts for one workspace only: the burst of one must not refuse the others, which may
+    still get their share.
     """
 
     def __init__(self) -> None:
--- a/tests/pools/test_wait_queue.py
+++ b/tests/pools/test_wait_queue.py
@@ -95,7 +95,7 @@
 
     @pytest.mark.parametrize(("workspace", "object_key"), [("b", "x"), ("a", "y")])
     def test_permit_requested_again_is_served_once(self, workspace: str, object_key: str) -> None:
-        """Guards against a peer that ends the owner's process by reusing the name of a permit."""
+        """Guards against a peer whose reuse of a permit's name stops the owner's grants."""
         queue = WaitQueue()
         queue.add(replace(build_request("p", "a"), object_key="x"))
         queue.add(replace(build_request("p", workspace), object_key=object_key))
