--- a/tests/pools/test_wait_queue.py
+++ b/tests/pools/test_wait_queue.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -19,6 +21,7 @@
 from briarfork.pools import ServerAddress
 from briarfork.pools import SlotRequest
 from briarfork.pools.backlog import Ahead
+from briarfork.pools.flow import Flow
 from briarfork.pools.forecast import WaitForecast
 from briarfork.pools.wait_queue import WaitQueue
 
@@ -90,6 +93,19 @@
         fill(queue, 3, "huge", float("inf"))
         assert len(serve(queue, 6)) == 6
 
+    @pytest.mark.parametrize(("workspace", "object_key"), [("b", "x"), ("a", "y")])
+    def test_permit_requested_again_is_served_once(self, workspace: str, object_key: str) -> None:
+        """Guards against a peer whose reuse of a permit's name stops the owner's grants."""
+        queue = WaitQueue()
+        queue.add(replace(build_request("p", "a"), object_key="x"))
+        queue.add(replace(build_request("p", workspace), object_key=object_key))
+        queue.add(build_request("q", "a"))
+        for request in queue.iterate_cached({"s": None}, {"x": {"s"}, "y": {"s"}}):
+            queue.serve(request.permit, 0.0)
+        assert serve(queue, 1) == ["a"]
+        assert not queue
+        assert not list(queue)
+
     @settings(max_examples=50, deadline=None, derandomize=True)
     @given(
         events=st.lists(
@@ -136,6 +152,26 @@
             serve(queue, 1)
 
 
+class TestIntervalOfSlots:
+    def test_pause_of_the_servers_is_soon_forgotten(self) -> None:
+        """Guards against refusals for a second after servers that were all paused serve again."""
+        flow = Flow()
+        for number in range(100):
+            flow.add(number, build_request(str(number)), 0.0)
+        now = 0.0
+        for number in range(20):
+            now += 0.005
+            flow.charge(now)
+            flow.remove(str(number))
+        now += 2.0
+        for number in range(20, 30):
+            now += 0.005
+            flow.charge(now)
+            flow.remove(str(number))
+        # 0.5 s and 10 slots at intervals of 0.005 s.
+        assert flow.compute_interval_s(now) < 0.06
+
+
 class TestWaitForecast:
     def test_waiting_request_keeps_a_margin(self) -> None:
         """Guards against a refusal after a wait because run times vary."""
@@ -190,3 +226,16 @@
             assert isinstance(refusal, Refusal)
             waits.append(refusal.wait_s)
         assert waits[1] >= 1.5 * waits[0]
+
+    def test_former_urgent_callers_do_not_delay_others(self) -> None:
+        """Guards against a longer Retry-After because of urgent requests of an hour ago."""
+        queue = build_queue()
+        queue.submit(build_request("urgent", expires_at=0.15), 0.1)
+        queue.poll(0.2)
+        now = 3600.0
+        for number in range(20):
+            queue.submit(build_request(f"b-{number}", priority=1, expires_at=3700.0), now)
+        (refusal,) = queue.submit(build_request("x", priority=1, expires_at=now + 0.1), now)
+        assert isinstance(refusal, Refusal)
+        ahead = queue._backlog.measure_ahead(build_request("x", priority=1), now)
+        assert refusal.wait_s == queue._build_forecast().compute_wait_s(ahead)
