Apply limits only when they have changed

The watcher refreshes the gateway after each batch of entries of servers, which hashed the names of all workspaces and settled all their buckets each time. A refresh with the same limits now does nothing.

The new test fails before this change and passes with it, as do tests/workspaces and tests/gateway.

--- a/src/briarfork/gateway/quotas.py
+++ b/src/briarfork/gateway/quotas.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from briarfork.border.events import EventLog
     from briarfork.border.messages import CreditAsk
@@ -119,6 +120,7 @@
         self.observe_decision: Callable[[str, str], None] = lambda workspace, decision: None
         self._view = view
         self._fleet_size = FleetSize()
+        self._limits: Mapping[str, Workspace] = {}
         self._has_limits = asyncio.Event()
         self._shards = [_Shard(number, self) for number in range(QUOTA_SHARDS)]
 
@@ -171,6 +173,10 @@
     def refresh(self) -> None:
         """Applies the limits of a new configuration."""
         limits = self._view.list_limits()
+        if limits is self._limits:
+            # Called after each change of servers as well, which changes no limit.
+            return
+        self._limits = limits
         parts: list[dict[str, Workspace]] = [{} for _ in self._shards]
         for name, workspace in limits.items():
             parts[find_shard(name)][name] = workspace
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -13,6 +13,7 @@
 from briarfork.errors import ErrorKind
 from briarfork.gateway.quotas import QuotaRefused
 from briarfork.gateway.quotas import find_shard
+from briarfork.workspaces import CreditPool
 from briarfork.workspaces import Workspace
 from tests.gateway.quota_fleet import BOUNDS
 from tests.gateway.quota_fleet import REGIONS
@@ -75,7 +76,7 @@
 
         run_virtually(main)
 
-    def test_the_sum_without_a_quota_is_not_sent(self) -> None:
+    def test_nothing_runs_or_is_sent_without_a_quota(self) -> None:
         """Guards against messages and tasks of a configuration without quotas."""
 
         async def main() -> None:
@@ -88,6 +89,23 @@
 
         run_virtually(main)
 
+    def test_a_refresh_without_new_limits_is_free(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against work for 10,000 workspaces at each change of a server."""
+        applied: list[int] = []
+        monkeypatch.setattr(CreditPool, "set_limits", lambda _, limits: applied.append(len(limits)))
+
+        async def main() -> None:
+            fleet = Fleet(1, SMALL)
+            quotas = fleet.nodes["vm-0"].quotas
+            calls = len(applied)
+            quotas.refresh()
+            assert len(applied) == calls > 0
+            fleet.nodes["vm-0"].apply(2, MEDIUM)
+            assert len(applied) == 2 * calls
+            await fleet.close()
+
+        run_virtually(main)
+
     def test_refusals_name_a_wait(self) -> None:
         """Guards against refused callers that are not told when to come back."""
 
