End a run ahead when its connection is lost as its turn comes

Cause: between the turn of a request and the first step of its handler, no one ended its run: it was no longer ahead, and the cancelled handler task had not begun to wait for it. A complete response was lost in the same way while the handler began to wait. Change: connection_lost ends the run of every unanswered request, and a cancelled handler frees a response that is complete.

--- a/src/briarfork/border/pipelining.py
+++ b/src/briarfork/border/pipelining.py
@@ -124,7 +124,13 @@
     def cancel_following(self) -> None:
         """Cancels the requests that run ahead; their responses will not be written."""
         for number in self._window.close():
-            self._end_run(self._unanswered[number], AheadEvent.CANCELLED)
+            self._end_ahead(self._unanswered[number], AheadEvent.CANCELLED)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends all requests, also a run whose turn has come and that no handler waits for yet."""
+        super().connection_lost(exc)
+        for read in self._unanswered.values():
+            self._end_run(read)
 
     def close(self) -> None:
         """Closes the connection after the response in progress."""
@@ -177,7 +183,7 @@
         try:
             await asyncio.wait({task})
         except asyncio.CancelledError:
-            task.cancel()
+            self._end_run(read)
             raise
         response = task.result() if read.dropped is None else None
         return await request_handler(request) if response is None else response
@@ -238,16 +244,20 @@
     def _drop(self, number: int) -> None:
         """Ends a run ahead; the request runs again when its turn comes."""
         self._window.drop(number)
-        self._end_run(self._unanswered[number], AheadEvent.DROPPED)
+        self._end_ahead(self._unanswered[number], AheadEvent.DROPPED)
 
-    def _end_run(self, read: _ReadRequest, event: AheadEvent) -> None:
-        """Cancels a run ahead, or frees its response if there is one."""
-        task, read.task = read.task, None
-        assert task is not None
+    def _end_ahead(self, read: _ReadRequest, event: AheadEvent) -> None:
+        """Ends the run of a request that is ahead of its turn."""
         assert read.request is not None
         read.turn.end_ahead()
-        read.dropped = task
         self._pipelining.record(read.request, event)
+        self._end_run(read)
+
+    def _end_run(self, read: _ReadRequest) -> None:
+        """Cancels the run of a request, if it has one, or frees its response."""
+        if read.task is None:
+            return
+        task, read.task, read.dropped = read.task, None, read.task
         if not task.done():
             self._ending_tasks.add(task)
             task.add_done_callback(self._ending_tasks.discard)
--- a/tests/platform/test_pipelines.py
+++ b/tests/platform/test_pipelines.py
@@ -7,6 +7,9 @@
 from contextlib import suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
 
 from briarfork.border.events import EventLog
 from briarfork.border.graceful_server import GracefulServer
@@ -224,3 +227,40 @@
             assert harness.upstream.running == 1
             assert harness.upstream.ended["/a/2000"] == "cancelled"
             assert await read_responses(reader, 1) == [(200, "/a/100")]
+
+    @pytest.mark.parametrize("behind", ["/a/10", "/a/2000"])
+    @pytest.mark.parametrize("is_handler_started", [False, True])
+    async def test_caller_leaves_when_the_turn_of_a_run_comes(
+        self, behind: str, is_handler_started: bool
+    ) -> None:
+        """Guards against a run ahead that ends with neither its connection nor its handler."""
+        async with PipelineHarness() as harness:
+            await harness.warm_up()
+            await harness.connect(build_get("/a/100") + build_get(behind))
+            while harness.upstream.running < 2:
+                await asyncio.sleep(0.01)
+            connection = next(
+                connection
+                for connection in harness.server._transports
+                if connection.has_unanswered_request
+            )
+            transport, take = connection.transport, connection._request_factory
+            assert transport is not None
+            assert take is not None
+
+            def take_and_lose(*arguments: Any) -> Any:
+                request = take(*arguments)
+                if is_handler_started:
+                    asyncio.get_running_loop().call_soon(transport.abort)
+                else:
+                    transport.abort()
+                return request
+
+            connection._request_factory = take_and_lose
+            async with asyncio.timeout(0.5):
+                while connection.connected:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.01)
+            assert harness.upstream.running == 0
+            if harness.upstream.ended[behind] == "answered":
+                assert behind in harness.upstream.released
