Parse all requests behind a declined upgrade

Cause: the parser returns one message at a time now, and the bytes behind an upgrade are parsed by the HTTP library when its response is written. Only the first request of them was parsed; the others waited for further bytes. Change: the rest is parsed after such a response, as after received bytes.

--- a/src/briarfork/border/graceful_server.py
+++ b/src/briarfork/border/graceful_server.py
@@ -108,14 +108,14 @@
         was_in_body = self._is_in_body
         super().data_received(data)
         self._note_parsed()
-        self._parse_rest(count, was_in_body)
+        self._parse_rest(count, was_in_body=was_in_body)
         if data and self._request_count == count and not was_in_body:
             self._has_partial_head = True
             self._head_bytes += len(data)
             if self._head_bytes > self._max_head_bytes:
                 self._reject_head()
 
-    def _parse_rest(self, count: int, was_in_body: bool) -> None:
+    def _parse_rest(self, count: int, *, was_in_body: bool) -> None:
         """Parses the messages behind the first one of the bytes that were received.
 
         Args:
@@ -142,8 +142,12 @@
             resp.force_close()
         if not (request.keep_alive if resp.keep_alive is None else resp.keep_alive):
             self.cancel_following()
+        count, was_upgraded = self._request_count, self._upgraded
         resp, is_lost = await super().finish_response(request, resp, start_time)
         self._note_parsed()
+        if was_upgraded:
+            # The HTTP library has parsed one message of the bytes behind a declined upgrade.
+            self._parse_rest(count, was_in_body=False)
         self._answered_count += 1
         await self._wait_until_read()
         if not is_lost and not resp.keep_alive and not self._is_in_body:
--- a/tests/platform/test_pipelines.py
+++ b/tests/platform/test_pipelines.py
@@ -182,6 +182,15 @@
             assert started[2] - started[0] >= 0.1
             assert started[3] - started[2] >= 0.05
 
+    async def test_requests_behind_an_upgrade_are_answered(self) -> None:
+        """Guards against requests that are parsed only when the caller sends more bytes."""
+        async with PipelineHarness() as harness:
+            upgrade = build_get("/a/10", "Connection: Upgrade\r\nUpgrade: websocket\r\n")
+            targets = [f"/a/10?{number}" for number in range(4)]
+            reader, _ = await harness.connect(upgrade + b"".join(map(build_get, targets)))
+            expected = [(200, target) for target in ("/a/10", *targets)]
+            assert await read_responses(reader, 5) == expected
+
     async def test_number_of_concurrent_requests_is_bounded(self) -> None:
         """Guards against one caller that takes all slots."""
         async with PipelineHarness() as harness:
