Cancel a run ahead that finds no memory instead of failing its server

Cause: the run is ended while its body asks for memory, after which it no longer counts as ahead of its turn; the body therefore failed as given up before the cancellation arrived. The attempt counted as a failure of the server and used the retry budget. Change: whether the response is ahead is read before memory is requested. Result: the body waits for the cancellation, as its comment says; the new test failed before.

--- a/src/briarfork/gateway/response_bodies.py
+++ b/src/briarfork/gateway/response_bodies.py
@@ -54,9 +54,11 @@
         Raises:
             ResponseDropped: If it is longer than the limit, or given up.
         """
+        is_ahead = held.is_ahead
         self.wake(self.memory.request(held, size_bytes, grows))
-        # One that is given up ahead of its turn waits for the cancellation of its request.
-        if held.wanted_bytes and (held.is_ahead or not held.is_given_up):
+        # One that is given up ahead of its turn waits for the cancellation of its request, after
+        # which it no longer counts as ahead.
+        if held.wanted_bytes and (is_ahead or not held.is_given_up):
             future = asyncio.get_running_loop().create_future()
             self._granted[held.number] = future
             try:
