Keep what was admitted in advance until it is paid

In a zone near the owner of the fleet, a workspace with little demand keeps no credit, so the zone's owner forgot it with the next message while the quota was used up, and with it the requests that it had admitted in advance and the demand. It then admitted as many again: 200 of 200 requests in 10 s with an advance of 2.

A workspace is forgotten when it was not seen for 5 s and has paid, or when its quota is removed; otherwise a removed one would ask for credit forever.

The first new test fails before this change (200 == 2) and passes with it; the second guards the removal that the change relies on. tests/workspaces and tests/gateway passed; one earlier run of them failed in tests/gateway/test_permits.py only, which passed alone and in the next run.

--- a/src/briarfork/gateway/quota_owners.py
+++ b/src/briarfork/gateway/quota_owners.py
@@ -135,7 +135,7 @@
 
     def set_limits(self, limits: Mapping[str, Workspace]) -> None:
         """Replaces the workspaces that have a quota."""
-        self._credit.limits = limits
+        self._credit.set_limits(limits)
 
     def handle_answer(self, owner: str, answer: CreditAnswer, now: float) -> None:
         """Receives credit from the owner of the fleet."""
--- a/src/briarfork/workspaces/zone_credit.py
+++ b/src/briarfork/workspaces/zone_credit.py
@@ -101,6 +101,12 @@
         self.is_near = False
         self._stocks: dict[str, _Stock] = {}
 
+    def set_limits(self, limits: Mapping[str, Workspace]) -> None:
+        """Replaces the workspaces that have a quota, and forgets those that have none any more."""
+        self.limits = limits
+        for name in [name for name in self._stocks if name not in limits]:
+            del self._stocks[name]
+
     def take(self, workspace: str, count: int, now: float, advance: int = 0) -> int:
         """Takes credit for requests and returns for how many there was some.
 
@@ -196,7 +202,8 @@
                 stock.used = stock.returned = 0
                 # The last in order, so that workspaces beyond one message come with the next.
                 self._stocks[workspace] = self._stocks.pop(workspace)
-            elif not target:
+            elif not target and not stock.level and now - stock.seen_at > SEEN_S:
+                # Until then, it holds what was admitted in advance and that the quota is used up.
                 del self._stocks[workspace]
         return reports
 
--- a/tests/workspaces/test_credit.py
+++ b/tests/workspaces/test_credit.py
@@ -295,6 +295,27 @@
         assert (report.returned, report.wanted) == (5, 0)
         assert credit.build_reports(106.0) == []
 
+    def test_requests_in_advance_are_bounded_in_a_near_zone(self) -> None:
+        """Guards against requests in advance that are forgotten while the quota is used up."""
+        credit = ZoneCredit()
+        credit.is_near = True
+        admitted = 0
+        for tick in range(200):
+            now = 100.0 + 0.05 * tick
+            admitted += credit.take("acme", 1, now, advance=2)
+            credit.build_reports(now)
+            credit.receive([CreditSupply("acme", 0, 0.5)], now + 0.8, now)
+            credit.build_reports(now)
+        assert admitted == 2
+
+    def test_a_workspace_without_a_quota_is_forgotten(self) -> None:
+        """Guards against messages that ask for credit of a removed quota forever."""
+        credit = ZoneCredit()
+        credit.set_limits({"acme": ACME})
+        credit.take("acme", 1, 100.0, advance=1)
+        credit.set_limits({})
+        assert credit.build_reports(106.0) == []
+
     def test_each_of_many_workspaces_is_reported(self) -> None:
         """Guards against workspaces that never get credit because others fill the messages."""
         credit = ZoneCredit()
