Free the memory of ended connections of callers at once

Cause: the window of a connection refers to its connection, and so do the requests that were not answered. Change: a closed window forgets the function of its owner, and a lost connection its requests.

--- a/src/briarfork/border/pipelining.py
+++ b/src/briarfork/border/pipelining.py
@@ -110,7 +110,8 @@
         self._window.learn(self._pipelining.measure(resp))
         result = await super().finish_response(request, resp, start_time)
         self._window.remove_first()
-        del self._unanswered[next(iter(self._unanswered))]
+        if self._unanswered:
+            del self._unanswered[next(iter(self._unanswered))]
         self._start_ahead()
         return result
 
@@ -131,6 +132,8 @@
         super().connection_lost(exc)
         for read in self._unanswered.values():
             self._end_run(read)
+        # They refer to the connection, whose memory would be freed only by the garbage collector.
+        self._unanswered.clear()
 
     def close(self) -> None:
         """Closes the connection after the response in progress."""
@@ -166,8 +169,8 @@
         request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     ) -> tuple[web.StreamResponse, bool]:
         """Handles the request whose turn it is, or takes the response of its run ahead."""
-        read = next(iter(self._unanswered.values()))
-        if read.task is not None or read.dropped is not None:
+        read = next(iter(self._unanswered.values()), None)
+        if read is not None and (read.task is not None or read.dropped is not None):
             request_handler = partial(self._take_response, read, request_handler)
         return await super()._handle_request(request, start_time, request_handler)
 
--- a/src/briarfork/requests/pipeline.py
+++ b/src/briarfork/requests/pipeline.py
@@ -269,6 +269,8 @@
         """Starts no more requests; returns those that are ahead, which have to be cancelled."""
         self._is_closed = True
         self._budget.stop_waiting(self._on_room)
+        # It refers to the owner of the window.
+        self._on_room = lambda: None
         ahead = []
         for offset, item in enumerate(self._queue):
             if item.is_ahead:
--- a/tests/platform/test_pipelines.py
+++ b/tests/platform/test_pipelines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import time
 from contextlib import suppress
 from dataclasses import replace
@@ -273,3 +274,23 @@
             assert harness.upstream.running == 0
             if harness.upstream.ended[behind] == "answered":
                 assert behind in harness.upstream.released
+
+    @pytest.mark.parametrize("behind", [[], ["/a/10"]])
+    async def test_connection_is_freed_when_its_caller_leaves(self, behind: list[str]) -> None:
+        """Guards against memory of ended connections that waits for the garbage collector."""
+        async with PipelineHarness() as harness:
+            targets = ["/a/0", *behind]
+            gc.collect()
+            gc.disable()
+            try:
+                reader, writer = await harness.connect(b"".join(map(build_get, targets)))
+                assert (await read_responses(reader, 1))[0] == (200, "/a/0")
+                await asyncio.sleep(0.05)
+                writer.close()
+                async with asyncio.timeout(0.5):
+                    while harness.server._transports or harness.upstream.running:
+                        await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
+                assert not [item for item in gc.get_objects() if type(item) is CallerConnection]
+            finally:
+                gc.enable()
