Fetch credit ahead for random arrivals, and let new owners of small zones be in advance

Change: credit is fetched ahead for two standard deviations above the mean. A new owner may be in advance by one request where an established one may. The depth exceeds the burst by a fifth of the slack in place of a quarter, which pays for it.

--- a/src/briarfork/workspaces/quota_bounds.py
+++ b/src/briarfork/workspaces/quota_bounds.py
@@ -10,7 +10,7 @@
 
 # Part of the slack by which the depth of all buckets together exceeds the burst. Credit that zones
 # have fetched ahead counts against the depth, and a burst may be smaller than the number of zones.
-DEPTH_SLACK_FRACTION = 0.25
+DEPTH_SLACK_FRACTION = 0.2
 # Part of the slack for requests that owners of zones admit against their next grant. The rest is
 # for such requests of owners that are lost, which nobody pays for.
 ADVANCE_SLACK_FRACTION = 0.65
@@ -57,7 +57,11 @@
     def compute_advance(self, part: float, age_s: float) -> int:
         """Returns how many requests an owner with this part of all VMs may be in advance."""
         requests = ADVANCE_SLACK_FRACTION * self.slack * min(1.0, part)
-        return int(requests if age_s > self.window_s else NEW_OWNER_PART * requests)
+        if age_s > self.window_s:
+            return int(requests)
+        # Without any, each request of a zone far from the fleet's owner would be refused unless
+        # credit had been fetched ahead for it.
+        return max(min(1, int(requests)), int(NEW_OWNER_PART * requests))
 
     def compute_limit(self, workspace: Workspace) -> float:
         """Returns the largest number of requests that may run in a window."""
--- a/src/briarfork/workspaces/zone_credit.py
+++ b/src/briarfork/workspaces/zone_credit.py
@@ -17,6 +17,9 @@
 
 # Credit is fetched ahead for this time: two round trips to another region.
 PREFETCH_S = 0.25
+# Standard deviations of the requests in that time for which credit is fetched ahead as well.
+# Requests come at random, so with the mean alone every second workspace ran short.
+PREFETCH_DEVIATIONS = 2.0
 # A further request within one round trip is admitted in advance.
 MIN_PREFETCH = 1
 # Requests of the last second up to which a workspace has no credit fetched ahead in a near zone.
@@ -80,7 +83,8 @@
         if is_near and self.demand < NEAR_DEMAND:
             return 0
         demand_per_s = max(self.demand / MEAN_S, self.recent_demand / RISE_S)
-        return max(self.least, math.ceil(demand_per_s * PREFETCH_S))
+        expected = demand_per_s * PREFETCH_S
+        return max(self.least, math.ceil(expected + PREFETCH_DEVIATIONS * math.sqrt(expected)))
 
 
 class ZoneCredit:
