--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -16,7 +16,9 @@
 ERA_HEADER = "Store-Era"
 FIRST_REVISION = 10
 LEASE_POLL_INTERVAL_S = 0.05
+# A page ends with the item that reaches one of these limits.
 PAGE_ITEMS = 500
+PAGE_BYTES = 10**6
 
 
 @dataclass(slots=True)
@@ -216,8 +218,18 @@
     async def _list_range(self, request: web.Request) -> web.Response:
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-        page = [self.items[key].to_json() for key in keys[:PAGE_ITEMS]]
-        return self._respond(items=page, has_more=len(keys) > PAGE_ITEMS)
+        page = self._select_page(keys)
+        return self._respond(items=[i.to_json() for i in page], has_more=len(keys) > len(page))
+
+    def _select_page(self, keys: list[str]) -> list[Item]:
+        page: list[Item] = []
+        size = 0
+        for key in keys[:PAGE_ITEMS]:
+            page.append(self.items[key])
+            size += len(self.items[key].value)
+            if size >= PAGE_BYTES:
+                break
+        return page
 
     async def _watch(self, request: web.Request) -> web.Response:
         prefix, after = request.query["prefix"], int(request.query["after"])
