--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -6,7 +6,6 @@
 import itertools
 import json
 import os
-import re
 import resource
 import sys
 import time
@@ -25,6 +24,7 @@
 from tests.standins.gateway import VmSettings
 from tests.standins.gateway import build_settings
 from tests.standins.gateway import is_ready
+from tests.standins.gateway import read_peak_mb
 from tests.standins.key_value import KeyValueStore
 
 if TYPE_CHECKING:
@@ -38,7 +38,6 @@
 # Limit of the process, so that it cannot take the memory of the machine.
 HARD_LIMIT_MB = 4 * MEMORY_MB
 BYTES_PER_MB = 1024 * 1024
-KB_PER_MB = 1024
 START_TIMEOUT_S = 15.0
 HOST = "endless.example"
 ADDRESS = f"{NETWORK}.9"
@@ -128,9 +127,7 @@
 
     def measure_peak_mb(self) -> float:
         """Returns the largest resident memory of the gateway so far."""
-        status = Path(f"/proc/{self.gateway.pid}/status").read_text()
-        found = re.search(r"VmHWM:\s+(\d+) kB", status)
-        return int(found[1]) / KB_PER_MB if found else float("inf")
+        return read_peak_mb(self.gateway.pid) or float("inf")
 
     async def call_large(self) -> Counter[str]:
         """Requests a response of the second server once."""
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -22,6 +22,7 @@
 from tests.standins.gateway import VmSettings
 from tests.standins.gateway import build_settings
 from tests.standins.gateway import is_ready
+from tests.standins.gateway import read_peak_mb
 from tests.standins.key_value import KeyValueStore
 from tests.standins.link import Conditions
 from tests.standins.link import Link
@@ -38,7 +39,6 @@
 HOST = "soak.example"
 SERVER_PORT, STORE_PORT = 9000, 8642
 VM_MEMORY_MB = 200
-KB_PER_MB = 1024
 MISSED_HEARTBEATS = 3
 NS_PER_MS = 10**6
 EVACUATE_S, RECOVERY_S = 5.0, 15.0
@@ -231,16 +231,10 @@
     def read_peak_memory(self) -> None:
         """Records the highest resident memory of each gateway process so far."""
         for vm in self.vms.values():
-            if vm.process is None:
-                continue
-            try:
-                status = Path(f"/proc/{vm.process.pid}/status").read_text()
-            except OSError:
-                continue
-            # A process that has exited has no memory.
-            kilobytes = int(status.partition("VmHWM:")[2].split()[0]) if "VmHWM" in status else 0
-            peak_mb = max(self.ledger.peak_memory_mb.get(vm.name, 0.0), kilobytes / KB_PER_MB)
-            self.ledger.peak_memory_mb[vm.name] = peak_mb
+            if vm.process is not None:
+                known_mb = self.ledger.peak_memory_mb.get(vm.name, 0.0)
+                peak_mb = max(known_mb, read_peak_mb(vm.process.pid))
+                self.ledger.peak_memory_mb[vm.name] = peak_mb
 
     def signal(self, vm: Vm, number: signal.Signals) -> None:
         """Sends a signal to the gateway process of a VM."""
--- a/tests/standins/gateway.py
+++ b/tests/standins/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 from briarfork.platform import names
@@ -15,6 +16,7 @@
 DRAIN_S, APPLY_S, GRACE_S = 2.5, 2.5, 6.0
 BOUNDS = [f"grace={GRACE_S:.0f}s", f"drain={DRAIN_S}s", f"config_apply={APPLY_S}s", "ttl_max=5s"]
 READY_TIMEOUT_S = 0.5
+KB_PER_MB = 1024
 
 
 @dataclass(frozen=True)
@@ -68,3 +70,13 @@
             return b" 200 " in line
     except (OSError, TimeoutError):
         return False
+
+
+def read_peak_mb(pid: int) -> float:
+    """Returns the highest resident memory of a process so far, 0 once it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0
+    # A process that has exited and was not waited for has no memory.
+    return int(status.partition("VmHWM:")[2].split()[0]) / KB_PER_MB if "VmHWM" in status else 0.0
