Log how much of the store is read and when memory is high

Cause: the hypotheses on processes that end beside large records (docs/incidents/large-records.md) could not be told apart by their logs: no line had the memory of the process, or the size and time of a reading of the store. A process that is killed cannot log its end.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -50,6 +50,9 @@
     REQUESTS_CUT = EventDefinition(
         1008, "warning", "A planned stop has ended before all requests had a whole response."
     )
+    MEMORY_HIGH = EventDefinition(
+        1009, "warning", "The peak memory of the process has passed a share of the VM's limit."
+    )
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
     CONFIGURATION_IN_FORCE = EventDefinition(
@@ -97,6 +100,9 @@
         "warning",
         "The restored store lacks or contradicts what this VM knows; the VM keeps what it knows.",
     )
+    STORE_READ = EventDefinition(
+        3010, "info", "All keys of the store were read, or a large response of changes."
+    )
     PEER_CONNECTED = EventDefinition(4001, "info", "A stream to another process is open.")
     PEER_LOST = EventDefinition(4002, "info", "A stream to another process has ended.")
     PEER_PROTOCOL_ERROR = EventDefinition(
--- a/src/briarfork/platform/main.py
+++ b/src/briarfork/platform/main.py
@@ -19,6 +19,7 @@
 from briarfork.border.events import LogRateLimiter
 from briarfork.border.events import install_json_handler
 from briarfork.border.loop_monitor import LoopMonitor
+from briarfork.border.memory import MemoryMonitor
 from briarfork.border.program import EXIT_STATUSES
 from briarfork.border.supervision import run_supervised
 from briarfork.entry.response_faults import ResponseFaultRecorder
@@ -130,6 +131,7 @@
             monitor = LoopMonitor(
                 self._events, self._gateway.busy_times, dispatcher.metrics.observe_loop_delay
             )
+            memory_monitor = MemoryMonitor(self._events, self._settings.memory_mb)
             servers = GatewayServers(self._settings, self._gateway, dispatcher)
             await servers.open(store)
             self._events.record(Event.STARTED, entry=self._settings.common.ports.entry)
@@ -138,7 +140,7 @@
                     run_supervised(registration.run, self._events)
                 )
                 tasks = [group.create_task(self._gateway.run())]
-                for run in (watcher.run, watcher.expire, monitor.run):
+                for run in (watcher.run, watcher.expire, monitor.run, memory_monitor.run):
                     tasks.append(group.create_task(run_supervised(run, self._events)))
                 await self._stopping.wait()
                 registration_task.cancel()
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -122,6 +122,7 @@
         metrics: Address and port of the metrics.
         cores: Processor of this VM in cores, 0 if unknown.
         link_mbps: Bandwidth of this VM in Mbit/s, 0 if unknown.
+        memory_mb: Memory above which the platform kills the process.
         grace_s: Time between SIGTERM and SIGKILL.
         lookup_ttl_s: Time-to-live of a lookup response.
         lease_s: Time-to-live of this VM's registration without a renewal.
@@ -140,6 +141,7 @@
     metrics: tuple[str, int]
     cores: float
     link_mbps: float
+    memory_mb: int
     grace_s: float
     lookup_ttl_s: float
     lease_s: float
@@ -217,6 +219,7 @@
         metrics=(boot.ip, boot.internal_ports[1]),
         cores=boot.limits.cpu_share * boot.limits.cores,
         link_mbps=boot.limits.link_mbps,
+        memory_mb=boot.limits.memory_mb,
         grace_s=grace_s,
         lookup_ttl_s=ttl_s,
         lease_s=lease_s,
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -17,6 +18,8 @@
 import msgspec
 
 from briarfork.border.connector import DirectConnector
+from briarfork.border.events import Event
+from briarfork.border.memory import read_memory
 from briarfork.border.responses import read_body
 from briarfork.border.sending import SingleSendGuard
 from briarfork.border.sending import build_send_trace
@@ -44,6 +47,10 @@
 MS_PER_S = 1000
 # A page has 1 MB of values, in base64; a watch returns all changes since a revision.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# A response of changes from this size on is logged.
+LOGGED_CHANGES_BYTES = 256 * 1024
+# A long listing is also logged after each part of this size: a process may end before the last one.
+LOGGED_LISTING_BYTES = 32 * 1024 * 1024
 
 
 class HistoryUnavailable(Exception):
@@ -69,10 +76,34 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply(Generic[ResponseT]):
-    """The decoded response to a call and its era."""
+    """The decoded response to a call, its era and the size of its body."""
 
     body: ResponseT
     era: int
+    size_bytes: int
+
+
+@dataclass(slots=True)
+class StoreReading:
+    """How much was read from the store.
+
+    Attributes:
+        started: Time at which the reading began, in seconds on the monotonic clock.
+        responses: Number of responses.
+        keys: Number of keys in them.
+        size_bytes: Size of their bodies.
+    """
+
+    started: float
+    responses: int = 0
+    keys: int = 0
+    size_bytes: int = 0
+
+    def add(self, size_bytes: int, keys: int) -> None:
+        """Adds a response."""
+        self.responses += 1
+        self.keys += keys
+        self.size_bytes += size_bytes
 
 
 class StoreClient:
@@ -90,6 +121,7 @@
     def __init__(self, settings: Settings, events: EventLog) -> None:
         self._url = settings.store_url
         self._timeouts = settings.timeouts
+        self._events = events
         self.health = StoreHealth(events)
         self.era = StoreEra(events)
         self._session = aiohttp.ClientSession(
@@ -119,6 +151,8 @@
         """
         items: list[Item] = []
         position: StorePosition | None = None
+        reading = StoreReading(time.monotonic())
+        next_logged_bytes = LOGGED_LISTING_BYTES
         after = ""
         while True:
             params = {"prefix": prefix} | ({"after": after} if after else {})
@@ -126,10 +160,15 @@
             reply = await self._call("GET", "/v1/kv-range", Page, era=era, params=params)
             page = reply.body
             items += page.items
+            reading.add(reply.size_bytes, len(page.items))
+            if reading.size_bytes >= next_logged_bytes:
+                self._log_reading("part of a listing", reading)
+                next_logged_bytes += LOGGED_LISTING_BYTES
             # A watch from the revision of the first page includes changes made between pages.
             position = position or StorePosition(reply.era, page.store_revision)
             if not page.has_more or not page.items:
                 self.health.record_view()
+                self._log_reading("listing", reading)
                 return Listing(items, position)
             if page.items[-1].key <= after:
                 failure = StoreUnavailable(f"GET /v1/kv-range: pages repeat after key {after}")
@@ -153,6 +192,7 @@
             StoreUnavailable: If the call fails.
         """
         wait_s = self._timeouts.watch_s if wait_s is None else wait_s
+        started = time.monotonic()
         params = {
             "prefix": prefix,
             "after": str(after.revision),
@@ -168,8 +208,25 @@
             params=params,
         )
         self.health.record_view()
+        if reply.size_bytes >= LOGGED_CHANGES_BYTES:
+            reading = StoreReading(started)
+            reading.add(reply.size_bytes, len(reply.body.events))
+            self._log_reading("changes", reading)
         return reply.body
 
+    def _log_reading(self, kind: str, reading: StoreReading) -> None:
+        memory = read_memory()
+        self._events.record(
+            Event.STORE_READ,
+            kind=kind,
+            responses=reading.responses,
+            keys=reading.keys,
+            size_bytes=reading.size_bytes,
+            elapsed_ms=round((time.monotonic() - reading.started) * MS_PER_S),
+            resident_mb=round(memory.resident_mb),
+            peak_mb=round(memory.peak_mb),
+        )
+
     async def read_revision(self, era: int, *, stale: bool = True) -> int:
         """Returns a revision that the store has reached in an era.
 
@@ -284,7 +341,7 @@
         # The era may have ended while the body was read.
         self.era.check(found, era)
         self.health.record_response()
-        return Reply(decoded, found)
+        return Reply(decoded, found, len(body))
 
 
 def _decode_response(call: str, status: int, body: bytes, expected: type[ResponseT]) -> ResponseT:
