Read the store page by page within a bounded amount of memory

What callers saw: 503 no_configuration from VMs that were killed and came back while the store held large records; each of these VMs exceeded its memory while it read all keys and was killed again. A running VM did so after an outage of the store or a loss of its history.

Cause: the memory of a reading was chosen by the writers of the store. A listing gathered all pages, with values in base64 beside their decoded bytes, before any was used; a watch decoded all changes of up to 8 MiB, and a longer response was never accepted but asked for again for ever. A server's entry also kept names of any length.

Change: each page is decoded into entries without their values before the next one is read, and applied as it arrives, so that the configuration is in force with the first page and a missing server is removed once its place in the order of keys has passed. Changes are followed from the first page on and overrule later pages: a long listing may take longer than the store keeps its history. Changes of over 4 MiB are read by a listing instead (changes_too_long, 3011). A page that fails is read again alone. The VM is ready after its first complete listing. Names of servers, zones and VMs have at most 1,024 characters.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -103,6 +103,11 @@
     STORE_READ = EventDefinition(
         3010, "info", "All keys of the store were read, or a large response of changes."
     )
+    CHANGES_TOO_LONG = EventDefinition(
+        3011,
+        "notice",
+        "The changes of the store are too long for one response; all data is read page by page.",
+    )
     PEER_CONNECTED = EventDefinition(4001, "info", "A stream to another process is open.")
     PEER_LOST = EventDefinition(4002, "info", "A stream to another process has ended.")
     PEER_PROTOCOL_ERROR = EventDefinition(
--- a/src/briarfork/border/responses.py
+++ b/src/briarfork/border/responses.py
@@ -58,6 +58,10 @@
         aiohttp.ClientPayloadError: If the body is incomplete.
     """
     parts: list[bytes] = []
+    size = response.content_length or 0
+    if size > max_bytes:
+        response.close()
+        raise ResponseTooLong(f"the body has {size} bytes, more than {max_bytes}")
     size = 0
     async for part in response.content.iter_any():
         parts.append(part)
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -31,6 +31,8 @@
         self.settings = view.settings
         self.events = events
         self.draining = False
+        # Whether all keys of the store have been read once.
+        self.is_synchronized = False
         self.view = view
         self.slots = SlotManager(view.settings, events, view, slow_start=False)
         self.permits = GatewayPermits(self.view, self.slots)
@@ -47,7 +49,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether this VM accepts new callers."""
-        return self.view.has_route_table and not self.draining
+        return self.is_synchronized and self.view.has_route_table and not self.draining
 
     def apply_route_table(self, table: RouteTable) -> None:
         """Replaces the route table if the given one is newer."""
--- a/src/briarfork/membership/registered.py
+++ b/src/briarfork/membership/registered.py
@@ -88,15 +88,25 @@
             else:
                 self._end(name, now)
         for name, member in shown.items():
-            if member is None:
-                continue
-            known = self.current.get(name)
-            if self._is_of_copy(name, member, is_registering):
-                self._held[name] = member
-            elif is_registering and known is not None and known.supersedes(member):
-                self._kept[name] = member
-            else:
-                self.put(name, member)
+            if member is not None:
+                self.show(name, member, now)
+
+    def show(self, name: str, member: Member, now: float) -> None:
+        """Applies an entry that a listing shows.
+
+        Args:
+            name: Name of the member.
+            member: The member.
+            now: Time, in seconds on the monotonic clock.
+        """
+        is_registering = now < self._era_began_at + self.lease_s
+        known = self.current.get(name)
+        if self._is_of_copy(name, member, is_registering):
+            self._held[name] = member
+        elif is_registering and known is not None and known.supersedes(member):
+            self._kept[name] = member
+        else:
+            self.put(name, member)
 
     def put(self, name: str, member: Member) -> None:
         """Applies an entry that was written."""
--- a/src/briarfork/platform/registration_records.py
+++ b/src/briarfork/platform/registration_records.py
@@ -12,7 +12,6 @@
 from briarfork.membership import Member
 from briarfork.membership import MemberState
 from briarfork.platform.records import InvalidRecord
-from briarfork.platform.records import NonEmptyStr
 from briarfork.platform.records import decode_record
 from briarfork.platform.units import parse_duration
 from briarfork.pools import Instance
@@ -27,11 +26,16 @@
 MEMBER_PORTS = ("entry", "permits")
 
 
+# Other writers may write names of a megabyte, and a VM keeps the names of all servers.
+Name = Annotated[str, Meta(min_length=1, max_length=1024)]
+Address = Annotated[str, Meta(max_length=64, pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+
+
 class InstanceInfo(msgspec.Struct, frozen=True):
     """Attributes of a backend server that do not change while it runs."""
 
-    service: NonEmptyStr
-    zone: NonEmptyStr
+    service: Name
+    zone: Name
     slots: Slots
 
 
@@ -65,7 +69,7 @@
         born: Start time in Unix milliseconds.
     """
 
-    address: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    address: Address
     info: InstanceInfo
     status: InstanceStatus
     born: Int64 = 0
@@ -83,13 +87,13 @@
 class MemberRecord(msgspec.Struct, frozen=True):
     """The entry of an entry VM, with the fields of `Member`."""
 
-    vm: NonEmptyStr
-    address: str
-    zone: NonEmptyStr
+    vm: Name
+    address: Name
+    zone: Name
     incarnation: Int64
     version: Int64
     state: MemberState
-    ports: dict[str, Port]
+    ports: Annotated[dict[Name, Port], Meta(max_length=16)]
     serving: bool = False
     cores: NonNegativeFloat = 0.0
     link_mbps: NonNegativeFloat = 0.0
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -18,14 +17,16 @@
 import msgspec
 
 from briarfork.border.connector import DirectConnector
-from briarfork.border.events import Event
-from briarfork.border.memory import read_memory
+from briarfork.border.responses import ResponseTooLong
 from briarfork.border.responses import read_body
 from briarfork.border.sending import SingleSendGuard
 from briarfork.border.sending import build_send_trace
 from briarfork.border.store import StoreUnavailable
+from briarfork.platform.listing import LAST_KEY
+from briarfork.platform.listing import Page
 from briarfork.platform.names import NO_KEYS_PREFIX
 from briarfork.platform.names import STORE_ERA
+from briarfork.platform.store_entries import read_entries
 from briarfork.platform.store_era import Lease
 from briarfork.platform.store_era import StaleResponse
 from briarfork.platform.store_era import StoreEra
@@ -33,30 +34,37 @@
 from briarfork.platform.store_health import StoreHealth
 from briarfork.platform.store_messages import Events
 from briarfork.platform.store_messages import GrantedLease
-from briarfork.platform.store_messages import Page
+from briarfork.platform.store_messages import RangePage
+from briarfork.platform.store_reading import StoreReading
 from briarfork.platform.units import format_duration
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from types import TracebackType
 
     from briarfork.border.events import EventLog
     from briarfork.border.settings import Settings
-    from briarfork.platform.store_messages import Item
+    from briarfork.platform.store_entries import StoreEntry
 
 ResponseT = TypeVar("ResponseT")
 MS_PER_S = 1000
-# A page has 1 MB of values, in base64; a watch returns all changes since a revision.
+# A page has 1 MB of values and at most one value of 1 MB beyond that, in base64.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-# A response of changes from this size on is logged.
-LOGGED_CHANGES_BYTES = 256 * 1024
-# A long listing is also logged after each part of this size: a process may end before the last one.
-LOGGED_LISTING_BYTES = 32 * 1024 * 1024
+# A watch returns all changes since a revision, whose size nothing bounds. Those that are longer
+# than this are read page by page.
+MAX_CHANGES_BYTES = 4 * 1024 * 1024
+PAGE_RETRIES = 2
+PAGE_RETRY_PAUSE_S = 0.3
 
 
 class HistoryUnavailable(Exception):
     """The changes after a revision are no longer available, so all keys must be read again."""
 
 
+class ChangesTooLong(Exception):
+    """The changes after a revision are too long for a response, so all keys must be read again."""
+
+
 class LeaseExpired(Exception):
     """The lease has expired."""
 
@@ -67,11 +75,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Listing:
-    """All keys with a prefix, and the position after which to watch for changes."""
+class Changes:
+    """What has changed after a position.
+
+    Attributes:
+        entries: Entries of the changed keys that concern a gateway.
+        position: Position up to which the changes are complete.
+        has_events: Whether any key has changed.
+    """
 
-    items: list[Item]
+    entries: list[StoreEntry]
     position: StorePosition
+    has_events: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,29 +98,6 @@
     size_bytes: int
 
 
-@dataclass(slots=True)
-class StoreReading:
-    """How much was read from the store.
-
-    Attributes:
-        started: Time at which the reading began, in seconds on the monotonic clock.
-        responses: Number of responses.
-        keys: Number of keys in them.
-        size_bytes: Size of their bodies.
-    """
-
-    started: float
-    responses: int = 0
-    keys: int = 0
-    size_bytes: int = 0
-
-    def add(self, size_bytes: int, keys: int) -> None:
-        """Adds a response."""
-        self.responses += 1
-        self.keys += keys
-        self.size_bytes += size_bytes
-
-
 class StoreClient:
     """Client for the store; each call has a timeout and is sent at most once.
 
@@ -142,43 +134,61 @@
     ) -> None:
         await self._session.close()
 
-    async def list_keys(self, prefix: str) -> Listing:
-        """Returns all keys with a prefix, all of one era.
+    async def list_pages(self, prefix: str) -> AsyncIterator[Page]:
+        """Yields the entries of all keys with a prefix page by page, all of one era.
+
+        Each page is decoded before the next one is read, so that the memory which a listing takes
+        does not depend on the size of the values. Pages are not a snapshot, so a page that fails is
+        read again without those before it.
 
         Raises:
             EraEnded: If the era changed between two pages.
-            StoreUnavailable: If the call fails.
+            StoreUnavailable: If the calls for a page fail.
         """
-        items: list[Item] = []
         position: StorePosition | None = None
-        reading = StoreReading(time.monotonic())
-        next_logged_bytes = LOGGED_LISTING_BYTES
+        reading = StoreReading(self._events)
         after = ""
         while True:
-            params = {"prefix": prefix} | ({"after": after} if after else {})
-            era = position.era if position else None
-            reply = await self._call("GET", "/v1/kv-range", Page, era=era, params=params)
-            page = reply.body
-            items += page.items
-            reading.add(reply.size_bytes, len(page.items))
-            if reading.size_bytes >= next_logged_bytes:
-                self._log_reading("part of a listing", reading)
-                next_logged_bytes += LOGGED_LISTING_BYTES
+            reply = await self._read_page(prefix, after, position)
+            is_first = position is None
             # A watch from the revision of the first page includes changes made between pages.
-            position = position or StorePosition(reply.era, page.store_revision)
-            if not page.has_more or not page.items:
+            position = position or StorePosition(reply.era, reply.body.store_revision)
+            items = reply.body.items
+            is_last = not reply.body.has_more or not items
+            reading.add_page(reply.size_bytes, len(items), is_last)
+            if is_last:
                 self.health.record_view()
-                self._log_reading("listing", reading)
-                return Listing(items, position)
-            if page.items[-1].key <= after:
+            elif items[-1].key <= after:
                 failure = StoreUnavailable(f"GET /v1/kv-range: pages repeat after key {after}")
                 self.health.record_failure(failure.detail)
                 raise failure
-            after = page.items[-1].key
+            last_key = LAST_KEY if is_last else items[-1].key
+            yield Page(read_entries(items), last_key, position, is_first, is_last)
+            if is_last:
+                return
+            after = items[-1].key
+
+    async def _read_page(
+        self, prefix: str, after: str, position: StorePosition | None
+    ) -> Reply[RangePage]:
+        """Returns the page after a key; later pages are tried several times.
+
+        Raises:
+            EraEnded: If the era of the position has ended.
+            StoreUnavailable: If all tries fail.
+        """
+        params = {"prefix": prefix} | ({"after": after} if after else {})
+        era = position.era if position else None
+        for _ in range(PAGE_RETRIES if position else 0):
+            try:
+                return await self._call("GET", "/v1/kv-range", RangePage, era=era, params=params)
+            except StoreUnavailable:
+                await asyncio.sleep(PAGE_RETRY_PAUSE_S)
+        return await self._call("GET", "/v1/kv-range", RangePage, era=era, params=params)
 
     async def watch(
         self, prefix: str, after: StorePosition, *, wait_s: float | None = None
-    ) -> Events:
+    ) -> Changes:
         """Waits for changes after a position; returns none if none occur within the time.
 
         Args:
@@ -187,12 +197,13 @@
             wait_s: Longest time to wait, by default that of the settings.
 
         Raises:
+            ChangesTooLong: If the changes are longer than a response may be.
             EraEnded: If the era of the position has ended.
             HistoryUnavailable: If the changes are no longer available.
             StoreUnavailable: If the call fails.
         """
         wait_s = self._timeouts.watch_s if wait_s is None else wait_s
-        started = time.monotonic()
+        reading = StoreReading(self._events)
         params = {
             "prefix": prefix,
             "after": str(after.revision),
@@ -206,26 +217,13 @@
             timeout_s=wait_s + self._timeouts.store_s,
             errors={HTTPStatus.GONE: HistoryUnavailable},
             params=params,
+            max_bytes=MAX_CHANGES_BYTES,
+            too_long=ChangesTooLong,
         )
         self.health.record_view()
-        if reply.size_bytes >= LOGGED_CHANGES_BYTES:
-            reading = StoreReading(started)
-            reading.add(reply.size_bytes, len(reply.body.events))
-            self._log_reading("changes", reading)
-        return reply.body
-
-    def _log_reading(self, kind: str, reading: StoreReading) -> None:
-        memory = read_memory()
-        self._events.record(
-            Event.STORE_READ,
-            kind=kind,
-            responses=reading.responses,
-            keys=reading.keys,
-            size_bytes=reading.size_bytes,
-            elapsed_ms=round((time.monotonic() - reading.started) * MS_PER_S),
-            resident_mb=round(memory.resident_mb),
-            peak_mb=round(memory.peak_mb),
-        )
+        reading.add_changes(reply.size_bytes, len(reply.body.events))
+        position = StorePosition(after.era, reply.body.store_revision)
+        return Changes(read_entries(reply.body.events), position, bool(reply.body.events))
 
     async def read_revision(self, era: int, *, stale: bool = True) -> int:
         """Returns a revision that the store has reached in an era.
@@ -239,7 +237,7 @@
             StoreUnavailable: If the call fails.
         """
         params = {"prefix": NO_KEYS_PREFIX} | ({"stale_ok": "1"} if stale else {})
-        reply = await self._call("GET", "/v1/kv-range", Page, era=era, params=params)
+        reply = await self._call("GET", "/v1/kv-range", RangePage, era=era, params=params)
         return reply.body.store_revision
 
     async def create_lease(self, ttl_s: float) -> Lease:
@@ -295,6 +293,8 @@
         era: int | None = None,
         timeout_s: float | None = None,
         errors: StatusErrors = NO_ERRORS,
+        max_bytes: int = MAX_RESPONSE_BYTES,
+        too_long: type[Exception] | None = None,
         **options: Any,
     ) -> Reply[ResponseT]:
         """Returns the decoded response to a call.
@@ -307,6 +307,8 @@
             timeout_s: Longest time for the call, by default that of the settings.
             errors: The errors that statuses mean in response to this call. Other failures mean that
                 the store is unavailable.
+            max_bytes: Longest body of the response.
+            too_long: The error that a longer body means, None if the store is then unavailable.
             options: Further arguments of the HTTP request.
 
         Raises:
@@ -318,17 +320,21 @@
         self.calls += 1
         call = f"{method} {path}"
         try:
-            async with asyncio.timeout(timeout_s or self._timeouts.store_s):
-                async with self._session.request(
+            async with (
+                asyncio.timeout(timeout_s or self._timeouts.store_s),
+                self._session.request(
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
-                ) as response:
-                    found = self.era.observe(response.headers.get(STORE_ERA), sent_in)
-                    self.era.check(found, era)
-                    body = await read_body(response, MAX_RESPONSE_BYTES)
-                    if response.status in errors:
-                        raise errors[response.status]
-                    decoded = _decode_response(call, response.status, body, expected)
+                ) as response,
+            ):
+                found = self.era.observe(response.headers.get(STORE_ERA), sent_in)
+                self.era.check(found, era)
+                body = await read_body(response, max_bytes)
+                if response.status in errors:
+                    raise errors[response.status]
+                decoded = _decode_response(call, response.status, body, expected)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
+            if too_long is not None and isinstance(error, ResponseTooLong):
+                raise too_long(call) from error
             failure = StoreUnavailable(f"{call}: {str(error) or type(error).__name__}")
             self.health.record_failure(failure.detail)
             raise failure from error
--- a/src/briarfork/platform/store_contents.py
+++ b/src/briarfork/platform/store_contents.py
@@ -9,32 +9,31 @@
 
 from briarfork.border.busy_times import Work
 from briarfork.border.events import Event
+from briarfork.membership import Member
 from briarfork.membership import RegisteredMembers
-from briarfork.platform.configuration_record import decode_configuration
+from briarfork.platform.listing import Listing
 from briarfork.platform.names import CONFIGURATION_KEY
 from briarfork.platform.names import EVACUATION_PREFIX
 from briarfork.platform.names import MEMBER_PREFIX
 from briarfork.platform.names import SERVER_PREFIX
-from briarfork.platform.records import InvalidRecord
-from briarfork.platform.registration_records import decode_instance
-from briarfork.platform.registration_records import decode_member
 from briarfork.pools import Evacuations
+from briarfork.pools import Instance
 from briarfork.pools.inventory import LAPSED_ENTRY_GRACE_S
 from briarfork.registry import Registry
+from briarfork.routing import RouteTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from briarfork.border.events import EventLog
     from briarfork.gateway.process import Gateway
-    from briarfork.membership import Member
+    from briarfork.platform.listing import Page
     from briarfork.platform.settings import PlatformSettings
-    from briarfork.platform.store import Listing
+    from briarfork.platform.store_entries import StoreEntry
+    from briarfork.platform.store_era import StorePosition
     from briarfork.platform.store_health import StoreHealth
-    from briarfork.platform.store_messages import Item
-    from briarfork.pools import Instance
 
-HANDLERS: Registry[Callable[[StoreContents, Item], None]] = Registry("key prefix")
+HANDLERS: Registry[Callable[[StoreContents, StoreEntry], None]] = Registry("key prefix")
 
 
 class StoreContents:
@@ -58,56 +57,61 @@
         self.own_entry_removed = asyncio.Event()
         self._events = events
         self._entry_ttl_s = settings.entry_ttl_s
-        # Era of the latest listing, None before the first one, and when the latest era began here.
+        # Eras of the latest listing and of the latest complete one, None before the first one, and
+        # when the latest era began here.
         self._era: int | None = None
+        self._listed_era: int | None = None
         self._era_began_at = -math.inf
         # Whether the store has shown this VM's configuration or a newer one in this era.
         self._has_configuration = True
+        # The listing in progress, None if there is none.
+        self._listing: Listing | None = None
 
-    def replace(self, listing: Listing) -> None:
-        """Applies a listing of all keys."""
+    @property
+    def is_listing(self) -> bool:
+        """Whether a listing has begun and has not ended."""
+        return self._listing is not None
+
+    def is_new_era(self, era: int) -> bool:
+        """Returns whether an era is not that of the latest complete listing."""
+        return self._listed_era is not None and self._listed_era != era
+
+    def apply_page(self, page: Page) -> None:
+        """Applies a page of a listing of all keys, and what the listing shows to be missing."""
         now = time.monotonic()
-        is_first_of_era = self._era is not None and self._era != listing.position.era
-        self._era = listing.position.era
-        if is_first_of_era:
-            self._begin_era(now)
-        else:
-            self._record_outage()
-        present = {item.key for item in listing.items}
-        self._remove_missing_servers(present, now)
-        if MEMBER_PREFIX + self.gateway.settings.vm not in present:
-            self.own_entry_removed.set()
-        zones = {
-            item.key.removeprefix(EVACUATION_PREFIX): item.revision
-            for item in listing.items
-            if item.key.startswith(EVACUATION_PREFIX)
-        }
-        self.evacuations.replace(zones, listing.position.revision)
-        self.members.replace(self._decode_members(listing.items), now)
-        listed = (EVACUATION_PREFIX, MEMBER_PREFIX)
-        self.apply([item for item in listing.items if not item.key.startswith(listed)])
-        if is_first_of_era:
+        if self._listing is None or page.is_first:
+            self._listing = self._begin_listing(page.position, now)
+        listing = self._listing
+        entries = listing.add_page(page.entries)
+        self._remove_missing_servers(listing.keys, page.last_key, now)
+        self._show_page(entries, now)
+        if page.is_last:
+            self._finish_listing(listing, now)
+        # The entries of the other kinds have been shown.
+        shown = (EVACUATION_PREFIX, MEMBER_PREFIX)
+        self._apply([entry for entry in entries if entry.prefix not in shown])
+        if page.is_last and listing.is_first_of_era:
             self._log_overruled()
 
-    def apply(self, items: list[Item]) -> None:
-        """Applies changes, or items of a listing."""
+    def apply(self, entries: list[StoreEntry]) -> None:
+        """Applies changes."""
+        if self._listing is not None:
+            self._listing.add_changes(entries)
+        self._apply(entries)
+
+    def _apply(self, entries: list[StoreEntry]) -> None:
         with self.gateway.busy_times.measure(Work.CHANGES):
-            for item in items:
-                prefix = next(
-                    (name for name in HANDLERS.names() if item.key.startswith(name)), None
-                )
-                if prefix is not None:
-                    HANDLERS.get(prefix)(self, item)
+            for entry in entries:
+                HANDLERS.get(entry.prefix)(self, entry)
             self.gateway.replace_members(self.members.current)
             self.gateway.evacuate(self.evacuations.zones)
             self.gateway.refresh()
 
-    def end_unseen_evacuations(self, events: list[Item]) -> None:
+    def end_unseen_evacuations(self, entries: list[StoreEntry]) -> None:
         """Ends evacuations whose keys were deleted between a restore and the first listing."""
-        for item in events:
-            if item.deleted and item.key.startswith(EVACUATION_PREFIX):
-                zone = item.key.removeprefix(EVACUATION_PREFIX)
-                self.evacuations.end_unseen(zone, item.revision)
+        for entry in entries:
+            if entry.deleted and entry.prefix == EVACUATION_PREFIX:
+                self.evacuations.end_unseen(entry.name, entry.revision)
         self.apply([])
 
     def expire(self, now: float) -> None:
@@ -122,9 +126,10 @@
         if self.gateway.view.inventory.expire(now, self._entry_ttl_s):
             self.gateway.refresh()
 
-    def log_ignored_record(self, error: InvalidRecord) -> None:
-        """Logs that an invalid record is ignored."""
-        self._events.record(Event.RECORD_IGNORED, fault=error.detail)
+    def log_if_invalid(self, entry: StoreEntry) -> None:
+        """Logs that a record is ignored if it is invalid."""
+        if entry.error is not None:
+            self._events.record(Event.RECORD_IGNORED, fault=entry.error.detail)
 
     def log_held_entry(self, instance: Instance) -> None:
         """Logs that an entry older than what is known of its server is not used for now."""
@@ -151,14 +156,6 @@
             in_force = self.gateway.view.require_route_table().version
             self._has_configuration = self._has_configuration or version >= in_force
 
-    def decode_member(self, item: Item) -> Member | None:
-        """Returns the entry VM of an entry, None if the entry is invalid, which is logged."""
-        try:
-            return decode_member(item.decode())
-        except InvalidRecord as error:
-            self.log_ignored_record(error)
-            return None
-
     def _begin_era(self, now: float) -> None:
         """Prepares for a listing of a store that was restored from an older copy."""
         self._era_began_at = now
@@ -167,6 +164,35 @@
         self.members.begin_era(now)
         self.gateway.view.inventory.begin_era(now)
 
+    def _begin_listing(self, position: StorePosition, now: float) -> Listing:
+        is_first_of_era = self.is_new_era(position.era)
+        if is_first_of_era and self._era != position.era:
+            self._begin_era(now)
+        elif not is_first_of_era:
+            self._record_outage()
+        self._era = position.era
+        return Listing(position, is_first_of_era)
+
+    def _show_page(self, entries: list[StoreEntry], now: float) -> None:
+        """Applies the evacuations and entry VMs of a page, before the listing has ended."""
+        for entry in entries:
+            if entry.prefix == EVACUATION_PREFIX:
+                self.evacuations.show(entry.name, entry.revision)
+            elif isinstance(entry.record, Member):
+                self.members.show(entry.name, entry.record, now)
+            elif entry.prefix == MEMBER_PREFIX:
+                self.log_if_invalid(entry)
+
+    def _finish_listing(self, listing: Listing, now: float) -> None:
+        """Removes the evacuations and entry VMs that the store no longer holds."""
+        self._listing = None
+        self._listed_era = listing.position.era
+        if MEMBER_PREFIX + self.gateway.settings.vm not in listing.keys:
+            self.own_entry_removed.set()
+        self.evacuations.replace(listing.evacuations, listing.position.revision)
+        self.members.replace(listing.members, now)
+        self.gateway.is_synchronized = True
+
     def _record_outage(self) -> None:
         """Gives VMs and servers that a restored store lacks the time that an outage took."""
         ended_at = self.health.find_recovery()
@@ -174,27 +200,21 @@
             self.members.record_outage(ended_at)
             self.gateway.view.inventory.extend_lapsed(ended_at + LAPSED_ENTRY_GRACE_S)
 
-    def _remove_missing_servers(self, present: set[str], now: float) -> None:
+    def _remove_missing_servers(self, present: set[str], last_key: str, now: float) -> None:
+        """Removes the servers without an entry, as far as the listing is complete."""
         inventory = self.gateway.view.inventory
         # Servers that the copy lacks write their entries again with one of their next heartbeats.
         grace_s = max(self._entry_ttl_s, LAPSED_ENTRY_GRACE_S)
         is_restored = now < self._era_began_at + grace_s
         for name in inventory.list_names():
-            if SERVER_PREFIX + name in present:
+            key = SERVER_PREFIX + name
+            if key in present or key > last_key:
                 continue
             if is_restored:
                 inventory.remove(name, False, now, self._era_began_at, grace_s)
             else:
                 inventory.remove(name, self.health.is_healthy(), now, self.health.find_recovery())
 
-    def _decode_members(self, items: list[Item]) -> dict[str, Member | None]:
-        members: dict[str, Member | None] = {}
-        for item in items:
-            if item.key.startswith(MEMBER_PREFIX):
-                name = item.key.removeprefix(MEMBER_PREFIX)
-                members[name] = self.decode_member(item)
-        return members
-
     def _log_overruled(self) -> None:
         fields = {
             "evacuations_kept": self.evacuations.list_kept(),
@@ -208,57 +228,46 @@
 
 
 @HANDLERS.register(CONFIGURATION_KEY)
-def apply_configuration(contents: StoreContents, item: Item) -> None:
+def apply_configuration(contents: StoreContents, entry: StoreEntry) -> None:
     """Applies a configuration; a removed or invalid one leaves the current one in effect."""
-    if item.deleted:
-        return
-    try:
-        table = decode_configuration(item.decode())
-    except InvalidRecord as error:
-        contents.log_ignored_record(error)
-        return
-    contents.gateway.apply_route_table(table)
-    contents.record_configuration(table.version)
+    contents.log_if_invalid(entry)
+    if isinstance(entry.record, RouteTable):
+        contents.gateway.apply_route_table(entry.record)
+        contents.record_configuration(entry.record.version)
 
 
 @HANDLERS.register(EVACUATION_PREFIX)
-def apply_evacuation(contents: StoreContents, item: Item) -> None:
+def apply_evacuation(contents: StoreContents, entry: StoreEntry) -> None:
     """Starts or ends the evacuation of a zone."""
-    zone = item.key.removeprefix(EVACUATION_PREFIX)
-    if item.deleted:
-        contents.evacuations.end(zone, item.revision)
+    if entry.deleted:
+        contents.evacuations.end(entry.name, entry.revision)
     else:
-        contents.evacuations.start(zone, item.revision)
+        contents.evacuations.start(entry.name, entry.revision)
 
 
 @HANDLERS.register(SERVER_PREFIX)
-def apply_server(contents: StoreContents, item: Item) -> None:
+def apply_server(contents: StoreContents, entry: StoreEntry) -> None:
     """Adds, updates or removes a backend server; an invalid entry removes the server."""
-    name = item.key.removeprefix(SERVER_PREFIX)
     now = time.monotonic()
-    inventory = contents.gateway.view.inventory
-    if item.deleted:
-        inventory.remove(name, contents.health.is_healthy(), now, contents.health.find_recovery())
-        return
-    try:
-        instance = decode_instance(name, item.decode(), now)
-    except InvalidRecord as error:
-        contents.log_ignored_record(error)
-        inventory.withdraw(name, now)
-        return
-    if not inventory.put(instance, now):
-        contents.log_held_entry(instance)
+    inventory, health = contents.gateway.view.inventory, contents.health
+    if entry.deleted:
+        inventory.remove(entry.name, health.is_healthy(), now, health.find_recovery())
+    elif isinstance(entry.record, Instance):
+        if not inventory.put(entry.record, now):
+            contents.log_held_entry(entry.record)
+    else:
+        contents.log_if_invalid(entry)
+        inventory.withdraw(entry.name, now)
 
 
 @HANDLERS.register(MEMBER_PREFIX)
-def apply_member(contents: StoreContents, item: Item) -> None:
+def apply_member(contents: StoreContents, entry: StoreEntry) -> None:
     """Adds, updates or removes an entry VM."""
-    name = item.key.removeprefix(MEMBER_PREFIX)
-    if item.deleted:
-        contents.members.remove(name, time.monotonic())
-        if name == contents.gateway.settings.vm:
+    if entry.deleted:
+        contents.members.remove(entry.name, time.monotonic())
+        if entry.name == contents.gateway.settings.vm:
             contents.own_entry_removed.set()
         return
-    member = contents.decode_member(item)
-    if member is not None:
-        contents.members.put(name, member)
+    contents.log_if_invalid(entry)
+    if isinstance(entry.record, Member):
+        contents.members.put(entry.name, entry.record)
--- a/src/briarfork/platform/store_messages.py
+++ b/src/briarfork/platform/store_messages.py
@@ -28,7 +28,7 @@
             return b""
 
 
-class Page(msgspec.Struct, frozen=True):
+class RangePage(msgspec.Struct, frozen=True):
     """One page of a range query."""
 
     items: list[Item]
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -13,6 +13,7 @@
 from briarfork.hashing import hash_to_fraction
 from briarfork.platform.currency import CurrencyCheck
 from briarfork.platform.names import EVACUATION_PREFIX
+from briarfork.platform.store import ChangesTooLong
 from briarfork.platform.store import HistoryUnavailable
 from briarfork.platform.store_contents import StoreContents
 from briarfork.platform.store_era import EraEnded
@@ -20,8 +21,11 @@
 from briarfork.platform.store_era import StorePosition
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from briarfork.border.events import EventLog
     from briarfork.gateway.process import Gateway
+    from briarfork.platform.listing import Page
     from briarfork.platform.settings import PlatformSettings
     from briarfork.platform.store import StoreClient
 
@@ -54,22 +58,15 @@
         self._is_strict = settings.max_configuration_age_s != math.inf
 
     async def run(self) -> None:
-        """Reads all keys, then watches for changes; starts over if the history or store is lost."""
+        """Reads all keys, then watches for changes; starts over if a watch cannot go on."""
         while True:
             try:
-                started = time.monotonic()
-                listing = await self._store.list_keys(ALL_KEYS)
-                self.contents.replace(listing)
-                self._currency.record_listing(listing.position.revision, started)
-                self._publish_currency()
-                self._is_view_current = True
-                await self._read_missed_deletions(listing.position)
-                async with asyncio.TaskGroup() as group:
-                    group.create_task(self._follow(listing.position))
-                    if self._is_strict:
-                        group.create_task(self._check_currency(listing.position.era))
+                await self._list_and_follow()
             except* HistoryUnavailable:
                 self._events.record(Event.HISTORY_LOST)
+            except* ChangesTooLong:
+                self._events.record(Event.CHANGES_TOO_LONG)
+                await asyncio.sleep(RETRY_S)
             except* EraEnded:
                 self._is_view_current = False
                 await asyncio.sleep(self._era_pause_s)
@@ -77,6 +74,44 @@
                 self._is_view_current = False
                 await asyncio.sleep(RETRY_S)
 
+    async def _list_and_follow(self) -> None:
+        """Reads all keys, and applies all changes from the first page on.
+
+        Raises:
+            EraEnded: If the era changed during the listing.
+            ExceptionGroup: With ChangesTooLong, EraEnded, HistoryUnavailable or StoreUnavailable.
+            StoreUnavailable: If the listing fails.
+        """
+        started = time.monotonic()
+        pages = self._store.list_pages(ALL_KEYS)
+        first = await anext(pages)
+        is_new_era = self.contents.is_new_era(first.position.era)
+        self.contents.apply_page(first)
+        async with asyncio.TaskGroup() as group:
+            listing = group.create_task(self._finish_listing(pages, first, started))
+            if first.is_last or is_new_era:
+                await listing
+            # A long listing may take longer than the store keeps its history.
+            group.create_task(self._follow(first.position))
+            if self._is_strict:
+                group.create_task(self._check_currency(first.position.era))
+
+    async def _finish_listing(
+        self, pages: AsyncIterator[Page], first: Page, started: float
+    ) -> None:
+        """Applies the pages after the first one, and what a complete listing shows.
+
+        Raises:
+            EraEnded: If the era of the first page has ended.
+            StoreUnavailable: If the listing fails.
+        """
+        async for page in pages:
+            self.contents.apply_page(page)
+        self._currency.record_listing(first.position.revision, started)
+        self._publish_currency()
+        self._is_view_current = True
+        await self._read_missed_deletions(first.position)
+
     async def _read_missed_deletions(self, position: StorePosition) -> None:
         """Reads whether evacuations that a listing lacks were ended since the store's restore.
 
@@ -90,15 +125,15 @@
         if revision is None or revision >= position.revision:
             return
         after = StorePosition(position.era, revision)
-        with suppress(HistoryUnavailable, StoreUnavailable):
+        with suppress(ChangesTooLong, HistoryUnavailable, StoreUnavailable):
             changes = await self._store.watch(EVACUATION_PREFIX, after, wait_s=DELETIONS_WAIT_S)
-            self.contents.end_unseen_evacuations(changes.events)
+            self.contents.end_unseen_evacuations(changes.entries)
 
     async def _follow(self, position: StorePosition) -> None:
         """Applies all changes after a position.
 
         Raises:
-            ExceptionGroup: With EraEnded, HistoryUnavailable or StoreUnavailable.
+            ExceptionGroup: With ChangesTooLong, EraEnded, HistoryUnavailable or StoreUnavailable.
         """
         while True:
             async with asyncio.TaskGroup() as group:
@@ -106,12 +141,12 @@
                 check = group.create_task(self._check_watch(position))
                 changes = await watch
                 check.cancel()
-            position = StorePosition(position.era, changes.store_revision)
-            if changes.events:
-                self.contents.apply(changes.events)
+            position = changes.position
+            if changes.entries:
+                self.contents.apply(changes.entries)
             self._currency.record_applied(position.revision)
             self._publish_currency()
-            if changes.events:
+            if changes.has_events:
                 await self._store.era.wait_for_end(position.era, self._settings.fetch_pause_s)
 
     async def _check_watch(self, position: StorePosition) -> None:
@@ -127,6 +162,9 @@
         missed_changes = False
         while True:
             await self._store.era.wait_for_end(position.era, CHECK_INTERVAL_S)
+            if self.contents.is_listing:
+                # The pages show that the store answers, and may hold up other responses.
+                continue
             try:
                 latest = await self._store.read_revision(position.era)
             except StaleResponse:
--- a/src/briarfork/pools/evacuations.py
+++ b/src/briarfork/pools/evacuations.py
@@ -54,15 +54,24 @@
         for zone in [zone for zone in self._returned if zone not in shown]:
             del self._returned[zone]
         for zone, key_revision in shown.items():
-            if self._is_of_copy(zone, key_revision):
-                self._returned[zone] = key_revision
-            else:
-                self.start(zone, key_revision)
+            self.show(zone, key_revision)
         for zone in self.zones - shown.keys() - self._unseen:
             # The key may have been written again since it was seen last.
             self._end(zone, revision)
         self._is_copy_read = True
 
+    def show(self, zone: str, key_revision: int) -> None:
+        """Applies an evacuation that a listing shows.
+
+        Args:
+            zone: The zone.
+            key_revision: Revision of its key.
+        """
+        if self._is_of_copy(zone, key_revision):
+            self._returned[zone] = key_revision
+        else:
+            self.start(zone, key_revision)
+
     def start(self, zone: str, revision: int) -> None:
         """Applies a key that was written in this era."""
         self.zones.add(zone)
