Extend the timeout of a call to the store while its response arrives

Cause: the timeout of a second held for the whole response. A page with one value of 1 MiB takes 2.2 s on a link of 5 Mbit/s. The check of a held watch also took a long response for a lost one.

A watch whose response arrives is not replaced, and none is checked while pages arrive.

--- a/src/briarfork/border/responses.py
+++ b/src/briarfork/border/responses.py
@@ -50,9 +50,16 @@
     """A body that is longer than its reader accepts."""
 
 
-async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse, max_bytes: int, on_part: Callable[[], None] | None = None
+) -> bytes:
     """Returns the complete body.
 
+    Args:
+        response: The response.
+        max_bytes: Longest body to accept.
+        on_part: Called after each part of the body.
+
     Raises:
         ResponseTooLong: If the body is longer than the limit; its connection is closed.
         aiohttp.ClientPayloadError: If the body is incomplete.
@@ -69,6 +76,8 @@
         if size > max_bytes:
             response.close()
             raise ResponseTooLong(f"the body is longer than {max_bytes} bytes")
+        if on_part is not None:
+            on_part()
     return b"".join(parts)
 
 
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import base64
+import math
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -36,10 +38,12 @@
 from briarfork.platform.store_messages import GrantedLease
 from briarfork.platform.store_messages import RangePage
 from briarfork.platform.store_reading import StoreReading
+from briarfork.platform.transfer import Transfer
 from briarfork.platform.units import format_duration
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Callable
     from types import TracebackType
 
     from briarfork.border.events import EventLog
@@ -108,6 +112,8 @@
         health: What the calls show about the store.
         era: The era of the store.
         calls: Number of calls so far.
+        changes_received_at: Time at which a part of the response to a watch last arrived, in
+            seconds on the monotonic clock.
     """
 
     def __init__(self, settings: Settings, events: EventLog) -> None:
@@ -122,6 +128,7 @@
             trace_configs=[build_send_trace()],
         )
         self.calls = 0
+        self.changes_received_at = -math.inf
 
     async def __aenter__(self) -> StoreClient:
         return self
@@ -217,6 +224,7 @@
             timeout_s=wait_s + self._timeouts.store_s,
             errors={HTTPStatus.GONE: HistoryUnavailable},
             params=params,
+            on_part=self._record_changes_received,
             max_bytes=MAX_CHANGES_BYTES,
             too_long=ChangesTooLong,
         )
@@ -225,6 +233,9 @@
         position = StorePosition(after.era, reply.body.store_revision)
         return Changes(read_entries(reply.body.events), position, bool(reply.body.events))
 
+    def _record_changes_received(self) -> None:
+        self.changes_received_at = time.monotonic()
+
     async def read_revision(self, era: int, *, stale: bool = True) -> int:
         """Returns a revision that the store has reached in an era.
 
@@ -292,6 +303,7 @@
         expected: type[ResponseT],
         era: int | None = None,
         timeout_s: float | None = None,
+        on_part: Callable[[], None] | None = None,
         errors: StatusErrors = NO_ERRORS,
         max_bytes: int = MAX_RESPONSE_BYTES,
         too_long: type[Exception] | None = None,
@@ -304,7 +316,9 @@
             path: Path of the call.
             expected: Type of the response.
             era: Era on which the call depends, None if it depends on none.
-            timeout_s: Longest time for the call, by default that of the settings.
+            timeout_s: Longest time until the body of the response begins, and between two of its
+                parts; by default that of the settings.
+            on_part: Called after each part of the body.
             errors: The errors that statuses mean in response to this call. Other failures mean that
                 the store is unavailable.
             max_bytes: Longest body of the response.
@@ -319,16 +333,17 @@
         self.era.check(sent_in, era)
         self.calls += 1
         call = f"{method} {path}"
+        transfer = Transfer(timeout_s or self._timeouts.store_s, self._timeouts.store_s, on_part)
         try:
             async with (
-                asyncio.timeout(timeout_s or self._timeouts.store_s),
+                transfer.timeout,
                 self._session.request(
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
                 ) as response,
             ):
                 found = self.era.observe(response.headers.get(STORE_ERA), sent_in)
                 self.era.check(found, era)
-                body = await read_body(response, max_bytes)
+                body = await read_body(response, max_bytes, transfer.extend)
                 if response.status in errors:
                     raise errors[response.status]
                 decoded = _decode_response(call, response.status, body, expected)
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -161,6 +161,7 @@
         """
         missed_changes = False
         while True:
+            checked_at = time.monotonic()
             await self._store.era.wait_for_end(position.era, CHECK_INTERVAL_S)
             if self.contents.is_listing:
                 # The pages show that the store answers, and may hold up other responses.
@@ -171,6 +172,9 @@
                 # A stale read may still show the era before.
                 continue
             has_changes = latest > position.revision
+            if self._store.changes_received_at > checked_at:
+                # The response is long and still arriving.
+                has_changes = False
             if has_changes and missed_changes:
                 reason = f"the watch after revision {position.revision} returned no changes"
                 self._store.health.record_failure(reason)
--- a/tests/platform/test_large_records.py
+++ b/tests/platform/test_large_records.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 import sys
@@ -23,6 +24,8 @@
 from tests.standins.gateway import is_ready
 from tests.standins.gateway import read_peak_mb
 from tests.standins.key_value import KeyValueStore
+from tests.standins.link import Conditions
+from tests.standins.link import Link
 
 if TYPE_CHECKING:
     from asyncio.subprocess import Process
@@ -32,7 +35,7 @@
 # Runs beside each other use different addresses.
 NETWORK = f"127.64.{os.getpid() % 254 + 1}"
 STORE_PORT = 8642
-STORE_ADDRESS, ADDRESS = f"{NETWORK}.1", f"{NETWORK}.9"
+STORE_ADDRESS, LINK_ADDRESS, ADDRESS = f"{NETWORK}.1", f"{NETWORK}.2", f"{NETWORK}.9"
 MEMORY_MB = 300
 MEMORY_CHECK_S = 0.01
 # A value may have 1 MiB; the other fields of the entry take less than 1 KiB.
@@ -42,6 +45,9 @@
 # The bound `stable_window` of the platform: a VM is up to date this long after the store is back.
 STABLE_WINDOW_S = 4.0
 SILENCE_S = 1.5
+# The slowest links of VMs have 5 Mbit/s, on which a value of 1 MiB takes 2.2 s.
+SLOW_LINK_BYTES_PER_S = 5e6 / 8
+FEW_LARGE_RECORDS = 4
 REQUEST = b"GET /new/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
 
@@ -69,11 +75,14 @@
         self._work = work
         self._guard: asyncio.Task[None] | None = None
         self._process: Process | None = None
+        self._conditions = Conditions()
+        self._link = Link((STORE_ADDRESS, STORE_PORT), lambda _: self._conditions)
         self.store = KeyValueStore()
         self.peak_mb = 0.0
 
     async def start_store(self) -> None:
         await self.store.start(STORE_ADDRESS, STORE_PORT)
+        await self._link.start(LINK_ADDRESS, STORE_PORT)
         await self.store.put(names.CONFIGURATION_KEY, build_configuration(1, "/old/"))
 
     async def add_large_records(self, count: int, field: str = "version") -> None:
@@ -81,8 +90,11 @@
         for number in range(count):
             await self.store.write({f"{names.SERVER_PREFIX}h{number:04}": (value, 0)}, [])
 
-    async def start_gateway(self) -> None:
-        vm = VmSettings("vm-1", "a", ADDRESS, f"{STORE_ADDRESS}:{STORE_PORT}", MEMORY_MB)
+    async def start_gateway(self, bytes_per_s: float = math.inf) -> None:
+        """Starts the gateway, whose link to the store has a bandwidth."""
+        self._conditions.bytes_per_s = bytes_per_s
+        store = STORE_ADDRESS if bytes_per_s == math.inf else LINK_ADDRESS
+        vm = VmSettings("vm-1", "a", ADDRESS, f"{store}:{STORE_PORT}", MEMORY_MB)
         settings = build_settings(vm, {"a": "north"})
         # The entries do not change, so they must not lapse while the store is watched.
         settings["heartbeat"] = f"{100 * HEARTBEAT_S}s"
@@ -121,6 +133,11 @@
                         return
                 await asyncio.sleep(0.05)
 
+    async def close(self) -> None:
+        await self.kill_gateway()
+        await self._link.close()
+        await self.store.close()
+
     async def kill_gateway(self) -> None:
         if self._guard is not None:
             self._guard.cancel()
@@ -128,6 +145,9 @@
             self._process.send_signal(signal.SIGKILL)
             await self._process.wait()
 
+    def has_logged(self, event: str) -> bool:
+        return f'"name":"{event}"' in (self._work / "log").read_text()
+
     def check(self) -> None:
         """Checks that the gateway runs and has not exceeded its memory."""
         assert self.peak_mb <= MEMORY_MB
@@ -149,8 +169,7 @@
     try:
         yield harness
     finally:
-        await harness.kill_gateway()
-        await harness.store.close()
+        await harness.close()
 
 
 class TestLargeRecords:
@@ -189,3 +208,24 @@
             await asyncio.sleep(SILENCE_S)
             harness.store.end_silence()
             await harness.wait_until_new_route_is_known(STABLE_WINDOW_S)
+
+
+class TestSlowLink:
+    async def test_vm_with_a_slow_link_starts(self, tmp_path: Path) -> None:
+        """Guards against a VM that gives each page up because it takes longer than a second."""
+        async with run_harness(tmp_path) as harness:
+            await harness.add_large_records(FEW_LARGE_RECORDS)
+            await harness.start_gateway(SLOW_LINK_BYTES_PER_S)
+            await harness.wait_until_ready()
+
+    async def test_long_changes_are_no_loss_of_the_store(self, tmp_path: Path) -> None:
+        """Guards against a watch that is given up while its response still arrives."""
+        async with run_harness(tmp_path) as harness:
+            await harness.start_gateway(SLOW_LINK_BYTES_PER_S)
+            await harness.wait_until_ready()
+            value = build_large_entry()
+            keys = (f"{names.SERVER_PREFIX}h1", f"{names.SERVER_PREFIX}h2")
+            await harness.store.write({key: (value, 0) for key in keys}, [])
+            await harness.store.put(names.CONFIGURATION_KEY, build_configuration(2, "/new/"))
+            await harness.wait_until_new_route_is_known(START_TIMEOUT_S)
+            assert not harness.has_logged("store_lost")
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -30,6 +31,7 @@
         delay_s: Minimum delay in seconds.
         jitter_s: Upper bound of the random additional delay, in seconds.
         loss: Probability that a segment is lost.
+        bytes_per_s: Bandwidth of each direction of a stream.
         cut: Whether streams are reset and new ones rejected.
         silent_up: Whether data from the connecting side to the target is held back.
         silent_down: Whether data from the target to the connecting side is held back.
@@ -38,6 +40,7 @@
     delay_s: float = 0.0
     jitter_s: float = 0.0
     loss: float = 0.0
+    bytes_per_s: float = math.inf
     cut: bool = False
     silent_up: bool = False
     silent_down: bool = False
@@ -138,6 +141,7 @@
                     raise ConnectionResetError("the link is cut or a side has closed")
                 writer.write(data)
                 await writer.drain()
+                await asyncio.sleep(len(data) / conditions.bytes_per_s)
 
         async with asyncio.TaskGroup() as group:
             group.create_task(deliver())
