Test listings beside changes, and changes that are too long for a response

Cause: nothing tested how pages and changes of a watch that arrive by turns come together, or which responses of a watch are replaced by a listing.

--- a/tests/platform/test_large_records.py
+++ b/tests/platform/test_large_records.py
@@ -41,6 +41,8 @@
 # A value may have 1 MiB; the other fields of the entry take less than 1 KiB.
 TEXT_BYTES = 1024 * 1024 - 1024
 LARGE_RECORDS = 250
+# Keys that one call may write.
+MAX_WRITES = 32
 START_TIMEOUT_S = 20.0
 # The bound `stable_window` of the platform: a VM is up to date this long after the store is back.
 STABLE_WINDOW_S = 4.0
@@ -196,6 +198,19 @@
             harness.store.end_silence()
             await harness.wait_until_new_route_is_known(STABLE_WINDOW_S)
 
+    async def test_many_changes_at_once_are_read_page_by_page(self, tmp_path: Path) -> None:
+        """Guards against a response to a watch that takes the memory, or counts as a lost store."""
+        async with run_harness(tmp_path) as harness:
+            await harness.start_gateway()
+            await harness.wait_until_ready()
+            value = build_large_entry()
+            keys = [f"{names.SERVER_PREFIX}h{number:04}" for number in range(MAX_WRITES)]
+            await harness.store.write({key: (value, 0) for key in keys}, [])
+            await harness.store.put(names.CONFIGURATION_KEY, build_configuration(2, "/new/"))
+            await harness.wait_until_new_route_is_known(START_TIMEOUT_S)
+            assert harness.has_logged("changes_too_long")
+            assert not harness.has_logged("store_lost")
+
     async def test_running_vm_reads_all_keys_again(self, tmp_path: Path) -> None:
         """Guards against a VM that exceeds its memory after the store has lost its history."""
         async with run_harness(tmp_path) as harness:
