Bound log lines, and never fail because of one

Cause: a log line held whole texts of other writers, for example a fault that quotes an invalid value of a megabyte. Standard output is a non-blocking pipe in most deployments: a line above its capacity was written in part, and the next line was glued to the rest. A lone surrogate (a byte in a path that is not UTF-8), an integer of thousands of digits or a closed pipe raised an error: the line was lost, a traceback was printed to standard error, and an integer raised it into the code that logs. Floats that are not finite became null. A process that was started without a standard output ended at its start. The number of dropped lines was lost when the next line was dropped as well.

Change: border/log_lines.py bounds texts (768 characters of the start and 256 of the end, where errors name the place), lists, maps, depth and integers, and says how much is left out. A line with its line break has at most PIPE_BUF (4,096) bytes, which a pipe takes whole or not at all; if the fields are longer together they are bounded more tightly, and the last ones are counted in fields_left_out. OSError when writing counts as a dropped line. The text form key=value quotes line breaks, and is only built by handlers that write it.

Ruled out: SIGPIPE, which Python ignores.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -10,7 +10,9 @@
 from typing import TYPE_CHECKING
 
 import logbook
-import msgspec
+
+from briarfork.border.log_lines import bound_fields
+from briarfork.border.log_lines import encode_line
 
 if TYPE_CHECKING:
     from briarfork.border.settings import Settings
@@ -225,17 +227,24 @@
 
     def _write(self, event: Event, fields: dict[str, object]) -> None:
         definition = event.value
-        details = " ".join(f"{key}={_quote_value(value)}" for key, value in fields.items())
-        self._logger.log(
-            definition.level.upper(),
-            f"event={definition.number} name={event.name.lower()} vm={self._vm} {details}".rstrip(),
-            extra={
-                "event": definition.number,
-                "name": event.name.lower(),
-                "vm": self._vm,
-                **fields,
-            },
-        )
+        extra = {
+            "event": definition.number,
+            "name": event.name.lower(),
+            "vm": self._vm,
+            **bound_fields(fields),
+        }
+        # The text is only built by handlers that write it.
+        self._logger.log(definition.level.upper(), "{}", _KeyValueText(extra), extra=extra)
+
+
+class _KeyValueText:
+    """Formats fields as `key=value`, one after the other."""
+
+    def __init__(self, fields: dict[str, object]) -> None:
+        self._fields = fields
+
+    def __str__(self) -> str:
+        return " ".join(f"{key}={_quote_value(value)}" for key, value in self._fields.items())
 
 
 def install_log_handler() -> None:
@@ -246,28 +255,37 @@
 class JsonHandler(logbook.Handler):  # type: ignore[misc]
     """Writes events to standard output as JSON lines.
 
-    Writes never block: if the reader does not keep up, lines are dropped and counted.
+    Writes never block or fail: if the reader does not keep up or is gone, lines are dropped and
+    counted.
     """
 
     def __init__(self) -> None:
         super().__init__(level="INFO")
         self._dropped = 0
-        os.set_blocking(sys.stdout.fileno(), False)
+        # Python has no such file if the process was started without one; the number may then
+        # belong to a socket.
+        self._descriptor = None if sys.stdout is None else sys.stdout.fileno()
+        if self._descriptor is not None:
+            os.set_blocking(self._descriptor, False)
 
     def emit(self, record: logbook.LogRecord) -> None:
-        """Writes a record, or drops it if standard output would block."""
-        line = self.format(record) + "\n"
+        """Writes a record, or drops it if standard output would block or is closed."""
+        if self._descriptor is None:
+            return
+        line = self.format(record)
         try:
-            os.write(sys.stdout.fileno(), line.encode())
-        except BlockingIOError:
+            os.write(self._descriptor, line)
+        except OSError:
             self._dropped += 1
+        else:
+            self._dropped = 0
 
-    def format(self, record: logbook.LogRecord) -> str:
-        """Formats a record as a JSON object with time, level and event fields."""
+    def format(self, record: logbook.LogRecord) -> bytes:
+        """Formats a record as a line of JSON with time, level and event fields."""
         line = {"time": record.time.isoformat(), "level": record.level_name.lower()}
         if self._dropped:
-            line["dropped_before"], self._dropped = str(self._dropped), 0
-        return msgspec.json.encode(line | dict(record.extra), enc_hook=str).decode()
+            line["dropped_before"] = str(self._dropped)
+        return encode_line(line | record.extra)
 
 
 def install_json_handler() -> None:
@@ -277,4 +295,5 @@
 
 def _quote_value(value: object) -> str:
     text = str(value)
-    return repr(text) if " " in text or "=" in text or not text else text
+    needs_quotes = not text or " " in text or "=" in text or not text.isprintable()
+    return repr(text) if needs_quotes else text
