Refuse a configuration whose version is above 2^63 - 1

The version was decoded without an upper bound, up to 4,300 digits. From about 10^308 on, Gauge.set raised OverflowError ("int too large to convert to float"), so the metrics address answered 500 for as long as the configuration was in force. Versions only rise, so no later configuration with an ordinary version could replace it until the process ended.

Change: the version is at most 2^63 - 1, like priorities and the numbers of server entries. The configuration before stays in force, and record_ignored names the field. Versions increase in uneven steps, but the operator's store accepts only valid configurations, and no step leads there. The bound is in the record, not in the gauge, because a gauge that caps its value would leave the version in force.

--- a/src/briarfork/platform/configuration_record.py
+++ b/src/briarfork/platform/configuration_record.py
@@ -28,6 +28,9 @@
 # Messages between VMs carry priorities, and they have no longer integers.
 Priority = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 PositiveInt = Annotated[int, Meta(ge=1)]
+# Metrics convert versions to floats, which integers without a bound overflow. A version far above
+# those of the operator would also keep out every later configuration.
+Version = Annotated[int, Meta(ge=1, le=2**63 - 1)]
 NonNegative = Annotated[float, Meta(ge=0, le=1e9)]
 # Text that can be sent as the value of a header. "$" would also match before a last line break.
 HeaderValue = Annotated[
@@ -165,7 +168,7 @@
 class ConfigurationRecord(msgspec.Struct, frozen=True):
     """The whole configuration."""
 
-    version: PositiveInt
+    version: Version
     routes: Columns
     services: Columns
     limits: LimitsRow = LimitsRow()
--- a/tests/platform/test_configuration_record.py
+++ b/tests/platform/test_configuration_record.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from briarfork.gateway.metrics import GatewayMetrics
 from briarfork.platform.configuration_record import decode_configuration
 from briarfork.platform.records import InvalidRecord
 from briarfork.routing import RequestKind
@@ -84,6 +85,19 @@
         with pytest.raises(InvalidRecord):
             decode_configuration(json.dumps(build_configuration(**changes)).encode())
 
+    @pytest.mark.parametrize("version", [0, 2**63, 10**309])
+    def test_version_out_of_range_is_rejected(self, version: int) -> None:
+        """Guards against a version that no later one exceeds, or that metrics cannot show."""
+        with pytest.raises(InvalidRecord):
+            decode_configuration(json.dumps(build_configuration() | {"version": version}).encode())
+
+    def test_largest_version_is_shown_in_the_metrics(self) -> None:
+        """Guards against a metrics address that fails because of a version."""
+        body = build_configuration() | {"version": 2**63 - 1}
+        metrics = GatewayMetrics()
+        metrics.set_version(decode_configuration(json.dumps(body).encode()).version)
+        assert b"briarfork_configuration_version 9.22" in metrics.render()
+
     def test_two_routes_with_the_same_prefix_are_rejected(self) -> None:
         """Guards against a route that depends on the order of rows."""
         body = build_configuration()
