Log when a VM is ready for the first time

Cause: no line said whether, or after which time, a VM became ready. A VM that was killed while it read the store, one that read the same page again for ever and one that a request only found too early looked alike in the logs.

Change: ready (1010) is logged once, with the time since the start of the process, the version of the configuration and the memory. The start is that of the process according to Linux, so the imports count as well. `briarfork explain` shows it, and memory_high, before a request.

Result: the new test fails without the call at the end of a listing and of changes, and passes with it.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -55,6 +55,7 @@
     MEMORY_HIGH = EventDefinition(
         1009, "warning", "The peak memory of the process has passed a share of the VM's limit."
     )
+    READY = EventDefinition(1010, "notice", "The VM is ready for callers for the first time.")
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
     CONFIGURATION_IN_FORCE = EventDefinition(
--- a/src/briarfork/commands/explain.py
+++ b/src/briarfork/commands/explain.py
@@ -24,6 +24,8 @@
 CONTEXT_EVENTS = frozenset(
     {
         "started",
+        "ready",
+        "memory_high",
         "stopping",
         "stopped",
         "store_lost",
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -6,6 +6,9 @@
 import time
 from typing import TYPE_CHECKING
 
+from briarfork.border.events import Event
+from briarfork.border.memory import read_memory
+from briarfork.border.process_age import read_process_age
 from briarfork.border.streams import serve
 from briarfork.border.supervision import run_supervised
 from briarfork.entry.connections import ServerConnections
@@ -21,6 +24,8 @@
     from briarfork.membership import Member
     from briarfork.routing import RouteTable
 
+MS_PER_S = 1000
+
 
 class Gateway:
     """Holds the view, the slots that this VM owns and the permits and credit that it holds."""
@@ -33,6 +38,8 @@
         self.draining = False
         # Whether all keys of the store have been read once.
         self.is_synchronized = False
+        # Time from the start of the process until this VM was first ready, None before that.
+        self.ready_after_s: float | None = None
         self.view = view
         self.slots = SlotManager(view.settings, events, view, slow_start=False)
         self.permits = GatewayPermits(self.view, self.slots)
@@ -51,6 +58,20 @@
         """Whether this VM accepts new callers."""
         return self.is_synchronized and self.view.has_route_table and not self.draining
 
+    def log_first_readiness(self) -> None:
+        """Logs that this VM is ready, once; a VM that is killed before has no such line."""
+        if self.ready_after_s is not None or not self.is_ready:
+            return
+        self.ready_after_s = read_process_age()
+        memory = read_memory()
+        self.events.record(
+            Event.READY,
+            since_start_ms=round(self.ready_after_s * MS_PER_S),
+            configuration=self.view.require_route_table().version,
+            resident_mb=round(memory.resident_mb),
+            peak_mb=round(memory.peak_mb),
+        )
+
     def apply_route_table(self, table: RouteTable) -> None:
         """Replaces the route table if the given one is newer."""
         if self.view.apply_route_table(table):
--- a/src/briarfork/platform/store_contents.py
+++ b/src/briarfork/platform/store_contents.py
@@ -106,6 +106,7 @@
             self.gateway.replace_members(self.members.current)
             self.gateway.evacuate(self.evacuations.zones)
             self.gateway.refresh()
+        self.gateway.log_first_readiness()
 
     def end_unseen_evacuations(self, entries: list[StoreEntry]) -> None:
         """Ends evacuations whose keys were deleted between a restore and the first listing."""
--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -7,6 +7,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import logbook
+import psutil
 import pytest
 import pytest_asyncio
 
@@ -33,6 +35,8 @@
 SILENCE_S = 1.0
 # At half a second a page, listing them takes longer than the grace period of expired entries.
 SLOW_LISTING_KEYS = 6
+# The start time of a process has a resolution of 10 ms.
+CLOCK_TOLERANCE_MS = 100.0
 BOUNDS = ["drain=2s"]
 CONFIGURATION = {
     "version": 3,
@@ -87,6 +91,23 @@
     await store.close()
 
 
+class TestReadiness:
+    async def test_first_readiness_is_logged_once(self, harness: WatcherHarness) -> None:
+        """Guards against a log that cannot tell a VM that never became ready from one that did."""
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            await harness.wait_until_ready()
+            await harness.store.put(names.CONFIGURATION_KEY, CONFIGURATION | {"version": 4})
+            async with asyncio.timeout(STABLE_WINDOW_S):
+                while harness.gateway.view.require_route_table().version < 4:
+                    await asyncio.sleep(0.01)
+        (ready,) = [item.extra for item in handler.records if item.extra["name"] == "ready"]
+        assert ready["configuration"] == CONFIGURATION["version"]
+        process = psutil.Process()
+        age_ms = (time.time() - process.create_time()) * 1000
+        assert 0 < ready["since_start_ms"] <= age_ms + CLOCK_TOLERANCE_MS
+
+
 class TestSilentStore:
     @pytest.mark.parametrize("change_before", [True, False], ids=["new watch", "held watch"])
     async def test_configuration_is_in_force_soon_after_a_silence(
