Raise the revision of the store's stand-in with each change only

What was seen: store_lost with "the watch after revision 13 returned no changes", some seconds after a start, and a new listing, while the stand-in of the store answered every call.

Cause: the stand-in raised its revision when a lease without keys expired, and when keys were deleted that do not exist, without an event. A VM that reads the revision sees a change that its watch does not return, and takes the watch for lost.

Change: a write that changes nothing keeps the revision.

The new test failed before (revision 13 in place of 12) and passes now. The check of a watch is unchanged: it is right whenever the revision rises with each change only.

--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -20,6 +20,7 @@
 from tests.platform.test_settings import BOOT
 from tests.standins import key_value
 from tests.standins.key_value import KeyValueStore
+from tests.standins.key_value import Lease
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -129,6 +130,19 @@
         await asyncio.sleep(2.5)
         assert harness.store.full_calls == before
 
+    async def test_lease_without_keys_expires_without_a_change(
+        self, harness: WatcherHarness
+    ) -> None:
+        """Guards against a stand-in whose revision rises without a change that a watch returns."""
+        await harness.wait_until_ready()
+        await asyncio.sleep(0.1)
+        before, revision = harness.store.full_calls, harness.store.revision
+        harness.store.leases[1] = Lease(ttl_s=0.0, expires_at=time.monotonic())
+        await asyncio.sleep(2.5)
+        assert not harness.store.leases
+        assert harness.store.revision == revision
+        assert harness.store.full_calls == before
+
 
 class TestLateWrites:
     """Writes that take effect seconds after the store's answer to them was lost."""
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -128,6 +128,14 @@
         return await self.write({}, [key])
 
     async def write(self, puts: dict[str, tuple[bytes, int]], deletes: list[str]) -> int:
+        """Writes and deletes keys in one revision, if that changes anything.
+
+        Returns:
+            The store's revision.
+        """
+        if not puts and not any(key in self.items for key in deletes):
+            # A revision without an event looks to a watch like a change that it has missed.
+            return self.revision
         self.revision += 1
         for key, (value, lease) in puts.items():
             self.items[key] = Item(key, value, self.revision, lease)
