Extend the timeout of the programs' reads while the response arrives

What callers saw: an entry VM with a slow link that has no configuration for ever while the store holds a few large changes, and none of the platform's list of VMs once it takes longer than a second.

Cause: as in the gateway, the timeout of a second held for the whole response. A page with three changes of 1 MB takes 5 s on a link of 5 Mbit/s, and the list of 6,200 VMs 2 s. The same page was read again for ever.

Writes keep their timeout: callers wait for them.

--- a/src/briarfork/border/platform.py
+++ b/src/briarfork/border/platform.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -10,6 +9,7 @@
 
 from briarfork.border.messages import ListedVm
 from briarfork.border.responses import read_body
+from briarfork.border.transfer import Transfer
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 
@@ -38,11 +38,11 @@
         Raises:
             BriarforkError: With kind `store_unavailable` if the platform does not respond.
         """
+        transfer = Transfer(self._timeouts.store_s, self._timeouts.store_s)
         try:
-            async with asyncio.timeout(self._timeouts.store_s):
-                async with self._session.get(f"{self._url}/vms") as response:
-                    response.raise_for_status()
-                    body = await read_body(response, MAX_RESPONSE_BYTES)
+            async with transfer.timeout, self._session.get(f"{self._url}/vms") as response:
+                response.raise_for_status()
+                body = await read_body(response, MAX_RESPONSE_BYTES, transfer.extend)
             return msgspec.json.decode(body, type=_VmListBody).vms
         except (
             aiohttp.ClientError,
--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -13,6 +12,7 @@
 
 from briarfork.border.responses import read_body
 from briarfork.border.sending import SingleSendGuard
+from briarfork.border.transfer import Transfer
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 
@@ -58,7 +58,10 @@
 
 
 class Store:
-    """Client of the key-value service; every call has a timeout."""
+    """Client of the key-value service.
+
+    Every call has a timeout. That of a read is extended while its response arrives.
+    """
 
     def __init__(self, settings: Settings, session: aiohttp.ClientSession) -> None:
         self._url = settings.store_url
@@ -148,15 +151,20 @@
         self, method: str, path: str, timeout_s: float | None = None, **options: Any
     ) -> tuple[int, dict[str, Any]]:
         self.calls += 1
+        transfer = Transfer(timeout_s or self._timeouts.store_s, self._timeouts.store_s)
         try:
-            async with asyncio.timeout(timeout_s or self._timeouts.store_s):
-                async with self._session.request(
+            async with (
+                transfer.timeout,
+                self._session.request(
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
-                ) as response:
-                    if response.status not in EXPECTED_STATUSES:
-                        raise StoreUnavailable(f"{method} {path}: status {response.status}")
-                    body = await read_body(response, MAX_RESPONSE_BYTES)
-                    return response.status, json.loads(body)
+                ) as response,
+            ):
+                if response.status not in EXPECTED_STATUSES:
+                    raise StoreUnavailable(f"{method} {path}: status {response.status}")
+                # Responses to writes are short, and callers wait for them.
+                on_part = transfer.extend if method == "GET" else None
+                body = await read_body(response, MAX_RESPONSE_BYTES, on_part)
+                return response.status, json.loads(body)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
             detail = str(error) or type(error).__name__
             raise StoreUnavailable(f"{method} {path}: {detail}") from error
--- a/src/briarfork/platform/transfer.py
+++ b/src/briarfork/border/transfer.py
@@ -1,4 +1,4 @@
-"""The timeout of a call to the store, whose response may be long."""
+"""The timeout of a call to the store or the platform, whose response may be long."""
 
 from __future__ import annotations
 
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -24,6 +24,7 @@
 from briarfork.border.sending import SingleSendGuard
 from briarfork.border.sending import build_send_trace
 from briarfork.border.store import StoreUnavailable
+from briarfork.border.transfer import Transfer
 from briarfork.platform.listing import LAST_KEY
 from briarfork.platform.listing import Page
 from briarfork.platform.names import NO_KEYS_PREFIX
@@ -38,7 +39,6 @@
 from briarfork.platform.store_messages import GrantedLease
 from briarfork.platform.store_messages import RangePage
 from briarfork.platform.store_reading import StoreReading
-from briarfork.platform.transfer import Transfer
 from briarfork.platform.units import format_duration
 
 if TYPE_CHECKING:
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Self
 
 import yaml
 
@@ -117,7 +118,7 @@
             self.list_urls[zone] = f"http://{address}:{port}"
             await self._wait_for_port(address, port)
 
-    async def __aenter__(self) -> LinkedCluster:
+    async def __aenter__(self) -> Self:
         await super().__aenter__()
         return self
 
