Treat odd answers of the store to the programs as an outage

What callers saw: an administration request answered as internal, with unknown outcome, where the store had sent an answer without the expected fields; drafts listed without end while a store sends the same page again.

Cause: Store picked fields out of undecoded JSON, so an odd answer raised KeyError or TypeError, past every caller that handles an outage.

Change: the answers are validated models; one that does not fit raises StoreUnavailable. Entries must follow the key after which they were asked for. Records that are nested too deeply to decode count as invalid.

--- a/src/briarfork/admin/drafts.py
+++ b/src/briarfork/admin/drafts.py
@@ -123,7 +123,7 @@
 def _decode(entry: Entry) -> Draft:
     try:
         return msgspec.json.decode(entry.value, type=Draft)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+    except (msgspec.ValidationError, msgspec.DecodeError, RecursionError) as error:
         raise BriarforkError(
             ErrorKind.INVALID_CONFIGURATION, f"{entry.key}: expected a valid draft: {error}"
         ) from error
--- a/src/briarfork/admin/main.py
+++ b/src/briarfork/admin/main.py
@@ -18,6 +18,7 @@
 from briarfork.border.program import run_service
 from briarfork.border.sending import build_send_trace
 from briarfork.border.store import Store
+from briarfork.border.supervision import run_supervised
 
 if TYPE_CHECKING:
     from briarfork.border.events import EventLog
@@ -46,7 +47,7 @@
             settings.address,
             settings.ports.admin,
         )
-        snapshots = group.create_task(manager.snapshot_writer.run())
+        snapshots = group.create_task(run_supervised(manager.snapshot_writer.run, events))
         events.record(Event.STARTED, admin=settings.ports.admin)
         await stopping.wait()
         if cut := await server.stop(time.monotonic() + settings.timeouts.stop_s):
--- a/src/briarfork/border/changelog.py
+++ b/src/briarfork/border/changelog.py
@@ -131,7 +131,7 @@
 def _decode(value: str) -> Change:
     try:
         return msgspec.json.decode(value, type=Change)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+    except (msgspec.ValidationError, msgspec.DecodeError, RecursionError) as error:
         raise BriarforkError(
             ErrorKind.INVALID_CONFIGURATION, f"the store contains an invalid change: {error}"
         ) from error
--- a/src/briarfork/border/snapshots.py
+++ b/src/briarfork/border/snapshots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from typing import TypeVar
 
 import msgspec
 
@@ -23,6 +24,8 @@
 # The previous snapshot is retained because another process may still be reading it.
 RETAINED_SNAPSHOTS = 2
 
+RecordT = TypeVar("RecordT")
+
 
 class SnapshotEntry(msgspec.Struct, frozen=True):
     """Generation of a complete snapshot and the SHA-256 hashes of its parts."""
@@ -62,7 +65,8 @@
 
         Raises:
             StoreUnavailable: If the store does not respond.
-            BriarforkError: With kind `invalid_configuration` if every snapshot is damaged.
+            BriarforkError: With kind `invalid_configuration` if the list of the snapshots or every
+                snapshot is damaged.
         """
         manifest, _ = await self._read_manifest()
         last_error: BriarforkError | None = None
@@ -119,7 +123,7 @@
         entry = await self._store.get(MANIFEST_KEY)
         if entry is None:
             return Manifest([]), ABSENT
-        return msgspec.json.decode(entry.value, type=Manifest), entry.revision
+        return _decode(MANIFEST_KEY, entry.value, Manifest), entry.revision
 
     async def _read_parts(self, entry: SnapshotEntry) -> Snapshot:
         parts = []
@@ -133,7 +137,7 @@
                     f"found {'none' if stored is None else 'a different hash'}",
                 )
             parts.append(stored.value)
-        return msgspec.json.decode("".join(parts), type=Snapshot)
+        return _decode(build_part_key(entry.generation, 0), "".join(parts), Snapshot)
 
     async def _write_part(self, key: str, part: str) -> bool:
         """Creates a part; returns False if the key already has different content."""
@@ -151,5 +155,14 @@
                 await self._store.delete(stored.key, stored.revision)
 
 
+def _decode(key: str, value: str, expected: type[RecordT]) -> RecordT:
+    try:
+        return msgspec.json.decode(value, type=expected)
+    except (msgspec.ValidationError, msgspec.DecodeError, RecursionError) as error:
+        raise BriarforkError(
+            ErrorKind.INVALID_CONFIGURATION, f"{key}: expected a valid record: {error}"
+        ) from error
+
+
 def _compute_hash(part: str) -> str:
     return hashlib.sha256(part.encode()).hexdigest()
--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from http import HTTPStatus
+from itertools import pairwise
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import TypeVar
 
 import aiohttp
+import msgspec
 
 from briarfork.border.responses import read_body
 from briarfork.border.sending import SingleSendGuard
@@ -20,9 +22,9 @@
     from briarfork.border.settings import Settings
 
 ABSENT = 0
-# A range has up to 100 entries, and a part of a snapshot 250,000 characters.
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
-EXPECTED_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT})
+
+BodyT = TypeVar("BodyT")
 
 
 class StoreUnavailable(BriarforkError):
@@ -40,8 +42,7 @@
         self.found = found
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True):
     """Key with its value and the revision of its last write."""
 
     key: str
@@ -49,14 +50,46 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """Entries with a key prefix, and the store revision at which they were read."""
 
     entries: list[Entry]
     revision: int
 
 
+class _StoredValue(msgspec.Struct, frozen=True):
+    value: str
+    revision: int
+
+
+class _Revision(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    lease: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """The response to a call, whose name is for error messages."""
+
+    call: str
+    status: int
+    body: bytes
+
+    def decode(self, expected: type[BodyT]) -> BodyT:
+        """Decodes the body.
+
+        Raises:
+            StoreUnavailable: If the body is not of the expected type.
+        """
+        try:
+            return msgspec.json.decode(self.body, type=expected)
+        except (msgspec.ValidationError, msgspec.DecodeError, RecursionError) as error:
+            raise StoreUnavailable(f"{self.call}: {error}") from error
+
+
 class Store:
     """Client of the key-value service.
 
@@ -75,10 +108,11 @@
         Raises:
             StoreUnavailable: If the store does not respond.
         """
-        status, body = await self._call("GET", f"/kv/{key}")
-        if status == HTTPStatus.NOT_FOUND:
+        reply = await self._call("GET", f"/kv/{key}", HTTPStatus.NOT_FOUND)
+        if reply.status == HTTPStatus.NOT_FOUND:
             return None
-        return Entry(key, body["value"], body["revision"])
+        stored = reply.decode(_StoredValue)
+        return Entry(key, stored.value, stored.revision)
 
     async def put(self, key: str, value: str, expect: int, lease: str | None = None) -> int:
         """Writes a value if the key has the expected revision.
@@ -91,10 +125,11 @@
             StoreUnavailable: If the store does not respond; the write may have taken effect.
         """
         request = {"value": value, "expect": expect, "lease": lease}
-        status, body = await self._call("PUT", f"/kv/{key}", json=request)
-        if status == HTTPStatus.CONFLICT:
-            raise StoreConflict(key, expect, body["revision"])
-        return int(body["revision"])
+        reply = await self._call("PUT", f"/kv/{key}", HTTPStatus.CONFLICT, json=request)
+        revision = reply.decode(_Revision).revision
+        if reply.status == HTTPStatus.CONFLICT:
+            raise StoreConflict(key, expect, revision)
+        return revision
 
     async def delete(self, key: str, expect: int) -> None:
         """Deletes a key if it has the expected revision.
@@ -104,9 +139,9 @@
             StoreUnavailable: If the store does not respond; the delete may have taken effect.
         """
         params = {"expect": str(expect)}
-        status, body = await self._call("DELETE", f"/kv/{key}", params=params)
-        if status == HTTPStatus.CONFLICT:
-            raise StoreConflict(key, expect, body["revision"])
+        reply = await self._call("DELETE", f"/kv/{key}", HTTPStatus.CONFLICT, params=params)
+        if reply.status == HTTPStatus.CONFLICT:
+            raise StoreConflict(key, expect, reply.decode(_Revision).revision)
 
     async def list_range(self, prefix: str, after: str = "", limit: int = 100) -> Listing:
         """Returns a page of the entries with a key prefix, ordered by key.
@@ -120,8 +155,11 @@
             StoreUnavailable: If the store does not respond.
         """
         params = {"prefix": prefix, "after": after, "limit": str(limit)}
-        _, body = await self._call("GET", "/range", params=params)
-        return _parse_listing(body)
+        listing = (await self._call("GET", "/range", params=params)).decode(Listing)
+        keys = [entry.key for entry in listing.entries]
+        if any(key <= previous for previous, key in pairwise([after, *keys])):
+            raise StoreUnavailable(f"GET /range: entries repeat after key {after!r}")
+        return listing
 
     async def watch(self, prefix: str, after: int) -> Listing:
         """Waits for writes to keys with a prefix after a store revision.
@@ -135,8 +173,8 @@
         wait_s = self._timeouts.watch_s
         params = {"prefix": prefix, "after": str(after), "timeout_s": str(wait_s)}
         timeout_s = wait_s + self._timeouts.store_s
-        _, body = await self._call("GET", "/watch", timeout_s=timeout_s, params=params)
-        return _parse_listing(body)
+        reply = await self._call("GET", "/watch", timeout_s=timeout_s, params=params)
+        return reply.decode(Listing)
 
     async def create_lease(self, ttl_s: float) -> str:
         """Creates a lease and returns its name.
@@ -144,13 +182,32 @@
         Raises:
             StoreUnavailable: If the store does not respond.
         """
-        _, body = await self._call("POST", "/leases", json={"ttl_s": ttl_s})
-        return str(body["lease"])
+        reply = await self._call("POST", "/leases", json={"ttl_s": ttl_s})
+        return reply.decode(_Lease).lease
 
     async def _call(
-        self, method: str, path: str, timeout_s: float | None = None, **options: Any
-    ) -> tuple[int, dict[str, Any]]:
+        self,
+        method: str,
+        path: str,
+        other_status: HTTPStatus = HTTPStatus.OK,
+        timeout_s: float | None = None,
+        **options: Any,
+    ) -> _Reply:
+        """Calls the store.
+
+        Args:
+            method: HTTP method.
+            path: Path of the call.
+            other_status: Status that is a proper response besides 200.
+            timeout_s: Longest time until the body of the response begins, and between two of its
+                parts; by default that of the settings.
+            options: Further options of the request.
+
+        Raises:
+            StoreUnavailable: If the store does not respond properly.
+        """
         self.calls += 1
+        call = f"{method} {path}"
         transfer = Transfer(timeout_s or self._timeouts.store_s, self._timeouts.store_s)
         try:
             async with (
@@ -159,17 +216,12 @@
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
                 ) as response,
             ):
-                if response.status not in EXPECTED_STATUSES:
-                    raise StoreUnavailable(f"{method} {path}: status {response.status}")
+                if response.status not in (HTTPStatus.OK, other_status):
+                    raise StoreUnavailable(f"{call}: status {response.status}")
                 # Responses to writes are short, and callers wait for them.
                 on_part = transfer.extend if method == "GET" else None
                 body = await read_body(response, MAX_RESPONSE_BYTES, on_part)
-                return response.status, json.loads(body)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
+                return _Reply(call, response.status, body)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             detail = str(error) or type(error).__name__
-            raise StoreUnavailable(f"{method} {path}: {detail}") from error
-
-
-def _parse_listing(body: dict[str, Any]) -> Listing:
-    entries = [Entry(item["key"], item["value"], item["revision"]) for item in body["entries"]]
-    return Listing(entries, body["revision"])
+            raise StoreUnavailable(f"{call}: {detail}") from error
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 import pytest_asyncio
 
+from briarfork.admin.drafts import Draft
 from briarfork.border.events import Event
 from briarfork.border.store import StoreUnavailable
 from briarfork.errors import BriarforkError
@@ -66,6 +69,50 @@
         harness.assert_generations(2)
 
 
+ODD_ANSWERS = {
+    "no fields": (200, "{}"),
+    "list": (200, "[]"),
+    "entry without fields": (200, '{"entries": [{}], "revision": 1}'),
+    "text as revision": (200, '{"entries": [], "value": "", "revision": "x"}'),
+    "nested": (200, "[" * 100_000),
+    "missing": (404, "{}"),
+}
+
+
+class TestOddAnswers:
+    @pytest.mark.parametrize("answer", ODD_ANSWERS.values(), ids=ODD_ANSWERS.keys())
+    async def test_odd_answer_counts_as_an_outage(
+        self, harness: AdminHarness, answer: tuple[int, str]
+    ) -> None:
+        """Guards against an odd answer that ends the process, or is reported as internal."""
+        manager = await harness.start()
+        harness.state.mode, harness.state.odd_answer = "odd", answer
+        with pytest.raises(StoreUnavailable):
+            await submit(manager, "during", edit_site("north-a", drain=True))
+        harness.events.recorded.clear()
+        writer = asyncio.create_task(manager.snapshot_writer.run())
+        manager.snapshot_writer.notify_change()
+        async with asyncio.timeout(10):
+            while Event.SNAPSHOT_FAILED not in harness.events.recorded and not writer.done():
+                await asyncio.sleep(0.01)
+        assert not writer.done()
+        writer.cancel()
+        harness.state.mode = "up"
+        result = await submit(manager, "during", edit_site("north-a", drain=True))
+        assert result.generation == 2
+
+    async def test_listing_ends_if_entries_repeat(self, harness: AdminHarness) -> None:
+        """Guards against a listing of drafts without end, which holds ever more of them."""
+        manager = await harness.start()
+        draft = msgspec.json.encode(Draft("d", "mari", "-", "test", None, {}, 1)).decode()
+        entries = [{"key": f"drafts/{n:03}", "value": draft, "revision": 1} for n in range(100)]
+        body = json.dumps({"entries": entries, "revision": 1})
+        harness.state.mode, harness.state.odd_answer = "odd", (200, body)
+        async with asyncio.timeout(10):
+            with pytest.raises(StoreUnavailable, match="repeat"):
+                await manager.list_drafts()
+
+
 class TestSlowStore:
     async def test_change_is_accepted_once_if_every_call_is_slow(
         self, harness: AdminHarness
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -8,6 +8,7 @@
 - "slow": each call is delayed by `delay_s`
 - "lose": the responses to the next `count` writes are lost after the write took effect
 - "late": the next `count` writes are applied after `delay_s`, even if the caller has given up
+- "odd": each call is answered with the `status` and the text `body`
 - "hold": the next `count` responses to `method` are held back until the mode changes
 
 `GET /calls` returns the number of calls; a waiting watch counts as one. `GET /held` responds once a
@@ -55,6 +56,7 @@
         late_handled: Number of delayed writes that have been processed.
         hold: Number of upcoming responses to hold back.
         hold_method: Method whose responses are held back.
+        odd_answer: Status and body of the mode "odd".
         held: Set once a response is held back.
         released: Set when the mode changes, which sends the held responses.
         write_condition: Notified after each write.
@@ -71,6 +73,7 @@
     late_handled: int = 0
     hold: int = 0
     hold_method: str = ""
+    odd_answer: tuple[int, str] = (200, "")
     held: asyncio.Event = field(default_factory=asyncio.Event)
     released: asyncio.Event = field(default_factory=asyncio.Event)
     write_condition: asyncio.Condition = field(default_factory=asyncio.Condition)
@@ -198,6 +201,7 @@
     state.late = int(body.get("count", 1)) if state.mode == "late" else 0
     state.hold = int(body.get("count", 1)) if state.mode == "hold" else 0
     state.hold_method = body.get("method", "GET")
+    state.odd_answer = (int(body.get("status", 200)), body.get("body", ""))
     state.released.set()
     state.held, state.released = asyncio.Event(), asyncio.Event()
     return web.json_response({})
@@ -243,6 +247,9 @@
         await asyncio.sleep(HANG_S)
     if state.mode in ("down", "refuse"):
         _abort_connection(request)
+    if state.mode == "odd":
+        status, text = state.odd_answer
+        return web.Response(status=status, text=text)
     if state.mode == "slow":
         await asyncio.sleep(state.delay_s)
     if state.late > 0 and request.method in ("PUT", "DELETE"):
