Read fewer entries of the store where a page is too long

What callers saw: no configuration, and administration requests answered with store_unavailable, for ever, while the store holds many large changes or drafts.

Cause: a page was asked for by a number of entries, 64 or 100, whose values may have 1 MB each. A response above 32 MiB was given up and the same page asked for again. The same held for a watch whose changes were longer. A reader also held a page of up to 32 MiB and everything decoded from it at once.

Change: a response has at most 4 MiB, enough for any single value. A page that is longer is asked for again with half the entries, and later pages grow by one entry each. Listings say whether more may follow, because a short page no longer means the last one. After a watch whose changes are too long the follower reads page by page. A read of the admin process verifies the last known change with its first page only, so that pages of one entry make progress too.

--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -11,7 +11,6 @@
 from briarfork.admin.reader import TimelineReader
 from briarfork.admin.snapshots import SnapshotWriter
 from briarfork.admin.teams import find_team
-from briarfork.border.changelog import PAGE_SIZE
 from briarfork.border.changelog import ChangeLog
 from briarfork.border.documents import check_document
 from briarfork.border.events import Event
@@ -89,9 +88,9 @@
         changes: list[Change] = []
         while len(changes) < limit:
             last = changes[-1].generation if changes else after
-            page, _ = await self._log.read_after(last)
-            changes += page
-            if len(page) < PAGE_SIZE:
+            page = await self._log.read_after(last)
+            changes += page.changes
+            if not page.has_more:
                 break
         return changes[:limit]
 
--- a/src/briarfork/admin/drafts.py
+++ b/src/briarfork/admin/drafts.py
@@ -20,7 +20,6 @@
     from briarfork.timeline import Change
 
 KEY_PREFIX = "drafts/"
-PAGE_SIZE = 100
 # Writes are retried if the response is lost; creating and deleting a draft are idempotent.
 MAX_ATTEMPTS = 3
 
@@ -93,11 +92,11 @@
         drafts: list[Draft] = []
         after = ""
         while True:
-            entries = (await self._store.list_range(KEY_PREFIX, after, PAGE_SIZE)).entries
-            drafts += [_decode(entry) for entry in entries]
-            if len(entries) < PAGE_SIZE:
+            page = await self._store.list_range(KEY_PREFIX, after)
+            drafts += [_decode(entry) for entry in page.entries]
+            if not page.has_more:
                 return drafts
-            after = entries[-1].key
+            after = page.entries[-1].key
 
     async def delete_accepted(self, change_id: str) -> None:
         """Deletes the draft of an accepted change.
--- a/src/briarfork/admin/reader.py
+++ b/src/briarfork/admin/reader.py
@@ -7,7 +7,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from briarfork.border.changelog import PAGE_SIZE
 from briarfork.border.events import Event
 from briarfork.border.store import StoreUnavailable
 from briarfork.errors import BriarforkError
@@ -49,19 +48,20 @@
         """
         if self._timeline.generation == 0:
             await self._read_snapshot()
-        while True:
-            known = self._timeline.generation
-            changes, _ = await self._log.read_after(max(0, known - 1))
-            found = changes[0].generation if changes else 0
-            if known and found != known:
-                raise self._report_divergence(
-                    known, found or await self._log.find_latest_generation(known)
-                )
-            self._append(changes)
-            if len(changes) < PAGE_SIZE:
-                compact_timeline(self._timeline, time.time())
-                self._last_read_at = time.monotonic()
-                return self._timeline
+        known = self._timeline.generation
+        page = await self._log.read_after(max(0, known - 1))
+        found = page.changes[0].generation if page.changes else 0
+        if known and found != known:
+            raise self._report_divergence(
+                known, found or await self._log.find_latest_generation(known)
+            )
+        self._append(page.changes)
+        while page.has_more:
+            page = await self._log.read_after(self._timeline.generation)
+            self._append(page.changes)
+        compact_timeline(self._timeline, time.time())
+        self._last_read_at = time.monotonic()
+        return self._timeline
 
     async def _read_snapshot(self) -> None:
         try:
--- a/src/briarfork/border/changelog.py
+++ b/src/briarfork/border/changelog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -35,21 +36,37 @@
     return f"{KEY_PREFIX}{generation:0{GENERATION_DIGITS}d}"
 
 
+@dataclass(frozen=True, slots=True)
+class ChangePage:
+    """Some changes, in order of generation.
+
+    Attributes:
+        changes: The changes.
+        revision: Store revision at which they were read.
+        has_more: Whether the store may hold later changes.
+    """
+
+    changes: list[Change]
+    revision: int
+    has_more: bool
+
+
 class ChangeLog:
     """Reads and appends changes in the store."""
 
     def __init__(self, store: Store) -> None:
         self._store = store
 
-    async def read_after(self, generation: int) -> tuple[list[Change], int]:
-        """Returns a page of changes after a generation, and the store revision.
+    async def read_after(self, generation: int) -> ChangePage:
+        """Returns a page of changes after a generation.
 
         Raises:
             StoreUnavailable: If the store does not respond.
             BriarforkError: With kind `invalid_configuration` if a stored change is invalid.
         """
         listing = await self._store.list_range(KEY_PREFIX, build_change_key(generation), PAGE_SIZE)
-        return [_decode(entry.value) for entry in listing.entries], listing.revision
+        changes = [_decode(entry.value) for entry in listing.entries]
+        return ChangePage(changes, listing.revision, listing.has_more)
 
     async def find_latest_generation(self, known: int) -> int:
         """Returns the highest generation in the store, up to a known generation.
@@ -76,6 +93,7 @@
             The new changes and the store revision.
 
         Raises:
+            ResponseTooLarge: If the new changes have to be read page by page.
             StoreUnavailable: If the store does not respond.
             BriarforkError: With kind `invalid_configuration` if a stored change is invalid.
         """
--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from briarfork.border.responses import ResponseTooLong
 from briarfork.border.responses import read_body
 from briarfork.border.sending import SingleSendGuard
 from briarfork.border.transfer import Transfer
@@ -22,7 +23,9 @@
     from briarfork.border.settings import Settings
 
 ABSENT = 0
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# A value of 1 MB takes up to 3 MB as escaped JSON.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_PAGE_ENTRIES = 100
 
 BodyT = TypeVar("BodyT")
 
@@ -34,6 +37,10 @@
         super().__init__(ErrorKind.STORE_UNAVAILABLE, detail)
 
 
+class ResponseTooLarge(StoreUnavailable):
+    """Raised when a response is longer than this client accepts."""
+
+
 class StoreConflict(BriarforkError):
     """Raised when a compare-and-swap finds a revision other than the expected one."""
 
@@ -51,10 +58,17 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Entries with a key prefix, and the store revision at which they were read."""
+    """Entries with a key prefix, and the store revision at which they were read.
+
+    Attributes:
+        entries: The entries.
+        revision: The store revision.
+        has_more: Whether the store may hold further entries, of which the next page has some.
+    """
 
     entries: list[Entry]
     revision: int
+    has_more: bool = False
 
 
 class _StoredValue(msgspec.Struct, frozen=True):
@@ -100,6 +114,8 @@
         self._url = settings.store_url
         self._timeouts = settings.timeouts
         self._session = session
+        # Falls while pages are too long, so that large values do not cost a call in vain each time.
+        self._page_entries = MAX_PAGE_ENTRIES
         self.calls = 0
 
     async def get(self, key: str) -> Entry | None:
@@ -143,9 +159,14 @@
         if reply.status == HTTPStatus.CONFLICT:
             raise StoreConflict(key, expect, reply.decode(_Revision).revision)
 
-    async def list_range(self, prefix: str, after: str = "", limit: int = 100) -> Listing:
+    async def list_range(
+        self, prefix: str, after: str = "", limit: int = MAX_PAGE_ENTRIES
+    ) -> Listing:
         """Returns a page of the entries with a key prefix, ordered by key.
 
+        A page has fewer entries than asked for if their values are large, so that the memory for a
+        page does not depend on what the store holds.
+
         Args:
             prefix: Prefix of the keys.
             after: Key after which the page starts.
@@ -154,12 +175,27 @@
         Raises:
             StoreUnavailable: If the store does not respond.
         """
+        limit = min(limit, self._page_entries)
+        while True:
+            try:
+                listing = await self._read_page(prefix, after, limit)
+            except ResponseTooLarge:
+                if limit == 1:
+                    raise
+                limit //= 2
+                self._page_entries = limit
+            else:
+                self._page_entries = min(MAX_PAGE_ENTRIES, self._page_entries + 1)
+                return listing
+
+    async def _read_page(self, prefix: str, after: str, limit: int) -> Listing:
         params = {"prefix": prefix, "after": after, "limit": str(limit)}
-        listing = (await self._call("GET", "/range", params=params)).decode(Listing)
+        reply = await self._call("GET", "/range", params=params)
+        listing = reply.decode(Listing)
         keys = [entry.key for entry in listing.entries]
         if any(key <= previous for previous, key in pairwise([after, *keys])):
             raise StoreUnavailable(f"GET /range: entries repeat after key {after!r}")
-        return listing
+        return Listing(listing.entries, listing.revision, len(keys) >= limit)
 
     async def watch(self, prefix: str, after: int) -> Listing:
         """Waits for writes to keys with a prefix after a store revision.
@@ -168,6 +204,7 @@
             The written entries; empty if there is no write within the watch timeout.
 
         Raises:
+            ResponseTooLarge: If the written entries have to be read page by page.
             StoreUnavailable: If the store does not respond.
         """
         wait_s = self._timeouts.watch_s
@@ -222,6 +259,8 @@
                 on_part = transfer.extend if method == "GET" else None
                 body = await read_body(response, MAX_RESPONSE_BYTES, on_part)
                 return _Reply(call, response.status, body)
+        except ResponseTooLong as error:
+            raise ResponseTooLarge(f"{call}: {error}") from error
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             detail = str(error) or type(error).__name__
             raise StoreUnavailable(f"{call}: {detail}") from error
--- a/src/briarfork/entry/follower.py
+++ b/src/briarfork/entry/follower.py
@@ -13,6 +13,7 @@
 from briarfork.border.messages import VmList
 from briarfork.border.messages import split_changes
 from briarfork.border.messages import split_records
+from briarfork.border.store import ResponseTooLarge
 from briarfork.errors import BriarforkError
 
 if TYPE_CHECKING:
@@ -99,17 +100,26 @@
                 self._process.control.send(VmList(part, removed, more))
 
     async def _read_and_watch(self) -> None:
-        """Forwards stored and new changes until the store is restored to an older state."""
+        """Forwards stored and new changes, until all have to be read again.
+
+        That is so if the store was restored to an older state, or if the new changes are too long
+        for one response.
+        """
         revision = 0
         while True:
-            changes, revision = await self._log.read_after(self._generation)
+            page = await self._log.read_after(self._generation)
             self._set_reachable(True)
-            if not changes:
+            revision = page.revision
+            if not page.changes:
                 break
-            self._forward_changes(changes)
+            self._forward_changes(page.changes)
         await self._report_generation()
         while True:
-            changes, current_revision = await self._log.watch(revision)
+            try:
+                changes, current_revision = await self._log.watch(revision)
+            except ResponseTooLarge:
+                self._process.events.record(Event.CHANGES_TOO_LONG)
+                return
             self._set_reachable(True)
             if current_revision < revision:
                 # The store was restored to an older state and counts revisions from there.
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,7 @@
 import pytest_asyncio
 
 from briarfork.admin.drafts import Draft
+from briarfork.border.changelog import build_change_key
 from briarfork.border.events import Event
 from briarfork.border.store import StoreUnavailable
 from briarfork.errors import BriarforkError
@@ -32,6 +34,8 @@
 
 SITES = ["north-a", "north-b", "south-a", "south-b", "west-a"]
 HOUR_S = 3600.0
+# Values up to 1 MB; two of the second kind do not fit in a response, because they are escaped.
+LARGE_TEXTS = ["x" * 990_000, "\u00e4" * 495_000]
 
 
 @pytest_asyncio.fixture
@@ -113,6 +117,29 @@
                 await manager.list_drafts()
 
 
+class TestLargeValues:
+    async def test_all_changes_are_read(self, harness: AdminHarness) -> None:
+        """Guards against a page that is too long for a response and is asked for again for ever."""
+        timeline = await (await harness.start()).read_timeline()
+        change = timeline.list_after(0, 1)[0]
+        for generation in range(2, 32):
+            reason = LARGE_TEXTS[generation % 2]
+            previous_hash = change.compute_hash()
+            change = replace(
+                change,
+                generation=generation,
+                change_id=f"large-{generation}",
+                reason=reason,
+                edits={},
+                previous_hash=previous_hash,
+            )
+            value = msgspec.json.encode(change).decode()
+            harness.state.items[build_change_key(generation)] = Item(value, generation, None)
+        async with asyncio.timeout(30):
+            timeline = await harness.create_manager().read_timeline()
+        assert timeline.generation == 31
+
+
 class TestSlowStore:
     async def test_change_is_accepted_once_if_every_call_is_slow(
         self, harness: AdminHarness
