--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
 from dataclasses import dataclass
 from http import HTTPStatus
+from itertools import pairwise
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import TypeVar
 
 import aiohttp
+import msgspec
 
+from briarfork.border.responses import ResponseTooLong
 from briarfork.border.responses import read_body
 from briarfork.border.sending import SingleSendGuard
+from briarfork.border.transfer import Transfer
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 
@@ -20,9 +23,11 @@
     from briarfork.border.settings import Settings
 
 ABSENT = 0
-# A range has up to 100 entries, and a part of a snapshot 250,000 characters.
-MAX_RESPONSE_BYTES = 32 * 1024 * 1024
-EXPECTED_STATUSES = frozenset({HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT})
+# A value of 1 MB takes up to 3 MB as escaped JSON.
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_PAGE_ENTRIES = 100
+
+BodyT = TypeVar("BodyT")
 
 
 class StoreUnavailable(BriarforkError):
@@ -32,6 +37,10 @@
         super().__init__(ErrorKind.STORE_UNAVAILABLE, detail)
 
 
+class ResponseTooLarge(StoreUnavailable):
+    """Raised when a response is longer than this client accepts."""
+
+
 class StoreConflict(BriarforkError):
     """Raised when a compare-and-swap finds a revision other than the expected one."""
 
@@ -40,8 +49,7 @@
         self.found = found
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(msgspec.Struct, frozen=True):
     """Key with its value and the revision of its last write."""
 
     key: str
@@ -49,21 +57,65 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """Entries with a key prefix, and the store revision at which they were read."""
+class Listing(msgspec.Struct, frozen=True):
+    """Entries with a key prefix, and the store revision at which they were read.
+
+    Attributes:
+        entries: The entries.
+        revision: The store revision.
+        has_more: Whether the store may hold further entries, of which the next page has some.
+    """
 
     entries: list[Entry]
     revision: int
+    has_more: bool = False
+
+
+class _StoredValue(msgspec.Struct, frozen=True):
+    value: str
+    revision: int
+
+
+class _Revision(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    lease: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """The response to a call, whose name is for error messages."""
+
+    call: str
+    status: int
+    body: bytes
+
+    def decode(self, expected: type[BodyT]) -> BodyT:
+        """Decodes the body.
+
+        Raises:
+            StoreUnavailable: If the body is not of the expected type.
+        """
+        try:
+            return msgspec.json.decode(self.body, type=expected)
+        except (msgspec.ValidationError, msgspec.DecodeError, RecursionError) as error:
+            raise StoreUnavailable(f"{self.call}: {error}") from error
 
 
 class Store:
-    """Client of the key-value service; every call has a timeout."""
+    """Client of the key-value service.
+
+    Every call has a timeout. That of a read is extended while its response arrives.
+    """
 
     def __init__(self, settings: Settings, session: aiohttp.ClientSession) -> None:
         self._url = settings.store_url
         self._timeouts = settings.timeouts
         self._session = session
+        # Falls while pages are too long, so that large values do not cost a call in vain each time.
+        self._page_entries = MAX_PAGE_ENTRIES
         self.calls = 0
 
     async def get(self, key: str) -> Entry | None:
@@ -72,10 +124,11 @@
         Raises:
             StoreUnavailable: If the store does not respond.
         """
-        status, body = await self._call("GET", f"/kv/{key}")
-        if status == HTTPStatus.NOT_FOUND:
+        reply = await self._call("GET", f"/kv/{key}", HTTPStatus.NOT_FOUND)
+        if reply.status == HTTPStatus.NOT_FOUND:
             return None
-        return Entry(key, body["value"], body["revision"])
+        stored = reply.decode(_StoredValue)
+        return Entry(key, stored.value, stored.revision)
 
     async def put(self, key: str, value: str, expect: int, lease: str | None = None) -> int:
         """Writes a value if the key has the expected revision.
@@ -88,10 +141,11 @@
             StoreUnavailable: If the store does not respond; the write may have taken effect.
         """
         request = {"value": value, "expect": expect, "lease": lease}
-        status, body = await self._call("PUT", f"/kv/{key}", json=request)
-        if status == HTTPStatus.CONFLICT:
-            raise StoreConflict(key, expect, body["revision"])
-        return int(body["revision"])
+        reply = await self._call("PUT", f"/kv/{key}", HTTPStatus.CONFLICT, json=request)
+        revision = reply.decode(_Revision).revision
+        if reply.status == HTTPStatus.CONFLICT:
+            raise StoreConflict(key, expect, revision)
+        return revision
 
     async def delete(self, key: str, expect: int) -> None:
         """Deletes a key if it has the expected revision.
@@ -101,13 +155,18 @@
             StoreUnavailable: If the store does not respond; the delete may have taken effect.
         """
         params = {"expect": str(expect)}
-        status, body = await self._call("DELETE", f"/kv/{key}", params=params)
-        if status == HTTPStatus.CONFLICT:
-            raise StoreConflict(key, expect, body["revision"])
+        reply = await self._call("DELETE", f"/kv/{key}", HTTPStatus.CONFLICT, params=params)
+        if reply.status == HTTPStatus.CONFLICT:
+            raise StoreConflict(key, expect, reply.decode(_Revision).revision)
 
-    async def list_range(self, prefix: str, after: str = "", limit: int = 100) -> Listing:
+    async def list_range(
+        self, prefix: str, after: str = "", limit: int = MAX_PAGE_ENTRIES
+    ) -> Listing:
         """Returns a page of the entries with a key prefix, ordered by key.
 
+        A page has fewer entries than asked for if their values are large, so that the memory for a
+        page does not depend on what the store holds.
+
         Args:
             prefix: Prefix of the keys.
             after: Key after which the page starts.
@@ -116,9 +175,27 @@
         Raises:
             StoreUnavailable: If the store does not respond.
         """
+        limit = min(limit, self._page_entries)
+        while True:
+            try:
+                listing = await self._read_page(prefix, after, limit)
+            except ResponseTooLarge:
+                if limit == 1:
+                    raise
+                limit //= 2
+                self._page_entries = limit
+            else:
+                self._page_entries = min(MAX_PAGE_ENTRIES, self._page_entries + 1)
+                return listing
+
+    async def _read_page(self, prefix: str, after: str, limit: int) -> Listing:
         params = {"prefix": prefix, "after": after, "limit": str(limit)}
-        _, body = await self._call("GET", "/range", params=params)
-        return _parse_listing(body)
+        reply = await self._call("GET", "/range", params=params)
+        listing = reply.decode(Listing)
+        keys = [entry.key for entry in listing.entries]
+        if any(key <= previous for previous, key in pairwise([after, *keys])):
+            raise StoreUnavailable(f"GET /range: entries repeat after key {after!r}")
+        return Listing(listing.entries, listing.revision, len(keys) >= limit)
 
     async def watch(self, prefix: str, after: int) -> Listing:
         """Waits for writes to keys with a prefix after a store revision.
@@ -127,13 +204,14 @@
             The written entries; empty if there is no write within the watch timeout.
 
         Raises:
+            ResponseTooLarge: If the written entries have to be read page by page.
             StoreUnavailable: If the store does not respond.
         """
         wait_s = self._timeouts.watch_s
         params = {"prefix": prefix, "after": str(after), "timeout_s": str(wait_s)}
         timeout_s = wait_s + self._timeouts.store_s
-        _, body = await self._call("GET", "/watch", timeout_s=timeout_s, params=params)
-        return _parse_listing(body)
+        reply = await self._call("GET", "/watch", timeout_s=timeout_s, params=params)
+        return reply.decode(Listing)
 
     async def create_lease(self, ttl_s: float) -> str:
         """Creates a lease and returns its name.
@@ -141,27 +219,48 @@
         Raises:
             StoreUnavailable: If the store does not respond.
         """
-        _, body = await self._call("POST", "/leases", json={"ttl_s": ttl_s})
-        return str(body["lease"])
+        reply = await self._call("POST", "/leases", json={"ttl_s": ttl_s})
+        return reply.decode(_Lease).lease
 
     async def _call(
-        self, method: str, path: str, timeout_s: float | None = None, **options: Any
-    ) -> tuple[int, dict[str, Any]]:
+        self,
+        method: str,
+        path: str,
+        other_status: HTTPStatus = HTTPStatus.OK,
+        timeout_s: float | None = None,
+        **options: Any,
+    ) -> _Reply:
+        """Calls the store.
+
+        Args:
+            method: HTTP method.
+            path: Path of the call.
+            other_status: Status that is a proper response besides 200.
+            timeout_s: Longest time until the body of the response begins, and between two of its
+                parts; by default that of the settings.
+            options: Further options of the request.
+
+        Raises:
+            StoreUnavailable: If the store does not respond properly.
+        """
         self.calls += 1
+        call = f"{method} {path}"
+        transfer = Transfer(timeout_s or self._timeouts.store_s, self._timeouts.store_s)
         try:
-            async with asyncio.timeout(timeout_s or self._timeouts.store_s):
-                async with self._session.request(
+            async with (
+                transfer.timeout,
+                self._session.request(
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
-                ) as response:
-                    if response.status not in EXPECTED_STATUSES:
-                        raise StoreUnavailable(f"{method} {path}: status {response.status}")
-                    body = await read_body(response, MAX_RESPONSE_BYTES)
-                    return response.status, json.loads(body)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, RecursionError) as error:
+                ) as response,
+            ):
+                if response.status not in (HTTPStatus.OK, other_status):
+                    raise StoreUnavailable(f"{call}: status {response.status}")
+                # Responses to writes are short, and callers wait for them.
+                on_part = transfer.extend if method == "GET" else None
+                body = await read_body(response, MAX_RESPONSE_BYTES, on_part)
+                return _Reply(call, response.status, body)
+        except ResponseTooLong as error:
+            raise ResponseTooLarge(f"{call}: {error}") from error
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             detail = str(error) or type(error).__name__
-            raise StoreUnavailable(f"{method} {path}: {detail}") from error
-
-
-def _parse_listing(body: dict[str, Any]) -> Listing:
-    entries = [Entry(item["key"], item["value"], item["revision"]) for item in body["entries"]]
-    return Listing(entries, body["revision"])
+            raise StoreUnavailable(f"{call}: {detail}") from error
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 import pytest_asyncio
 
+from briarfork.admin.drafts import Draft
+from briarfork.border.changelog import build_change_key
 from briarfork.border.events import Event
 from briarfork.border.store import StoreUnavailable
 from briarfork.errors import BriarforkError
@@ -29,6 +34,8 @@
 
 SITES = ["north-a", "north-b", "south-a", "south-b", "west-a"]
 HOUR_S = 3600.0
+# Values up to 1 MB; two of the second kind do not fit in a response, because they are escaped.
+LARGE_TEXTS = ["x" * 990_000, "\u00e4" * 495_000]
 
 
 @pytest_asyncio.fixture
@@ -66,6 +73,73 @@
         harness.assert_generations(2)
 
 
+ODD_ANSWERS = {
+    "no fields": (200, "{}"),
+    "list": (200, "[]"),
+    "entry without fields": (200, '{"entries": [{}], "revision": 1}'),
+    "text as revision": (200, '{"entries": [], "value": "", "revision": "x"}'),
+    "nested": (200, "[" * 100_000),
+    "missing": (404, "{}"),
+}
+
+
+class TestOddAnswers:
+    @pytest.mark.parametrize("answer", ODD_ANSWERS.values(), ids=ODD_ANSWERS.keys())
+    async def test_odd_answer_counts_as_an_outage(
+        self, harness: AdminHarness, answer: tuple[int, str]
+    ) -> None:
+        """Guards against an odd answer that ends the process, or is reported as internal."""
+        manager = await harness.start()
+        harness.state.mode, harness.state.odd_answer = "odd", answer
+        with pytest.raises(StoreUnavailable):
+            await submit(manager, "during", edit_site("north-a", drain=True))
+        harness.events.recorded.clear()
+        writer = asyncio.create_task(manager.snapshot_writer.run())
+        manager.snapshot_writer.notify_change()
+        async with asyncio.timeout(10):
+            while Event.SNAPSHOT_FAILED not in harness.events.recorded and not writer.done():
+                await asyncio.sleep(0.01)
+        assert not writer.done()
+        writer.cancel()
+        harness.state.mode = "up"
+        result = await submit(manager, "during", edit_site("north-a", drain=True))
+        assert result.generation == 2
+
+    async def test_listing_ends_if_entries_repeat(self, harness: AdminHarness) -> None:
+        """Guards against a listing of drafts without end, which holds ever more of them."""
+        manager = await harness.start()
+        draft = msgspec.json.encode(Draft("d", "mari", "-", "test", None, {}, 1)).decode()
+        entries = [{"key": f"drafts/{n:03}", "value": draft, "revision": 1} for n in range(100)]
+        body = json.dumps({"entries": entries, "revision": 1})
+        harness.state.mode, harness.state.odd_answer = "odd", (200, body)
+        async with asyncio.timeout(10):
+            with pytest.raises(StoreUnavailable, match="repeat"):
+                await manager.list_drafts()
+
+
+class TestLargeValues:
+    async def test_all_changes_are_read(self, harness: AdminHarness) -> None:
+        """Guards against a page that is too long for a response and is asked for again for ever."""
+        timeline = await (await harness.start()).read_timeline()
+        change = timeline.list_after(0, 1)[0]
+        for generation in range(2, 32):
+            reason = LARGE_TEXTS[generation % 2]
+            previous_hash = change.compute_hash()
+            change = replace(
+                change,
+                generation=generation,
+                change_id=f"large-{generation}",
+                reason=reason,
+                edits={},
+                previous_hash=previous_hash,
+            )
+            value = msgspec.json.encode(change).decode()
+            harness.state.items[build_change_key(generation)] = Item(value, generation, None)
+        async with asyncio.timeout(30):
+            timeline = await harness.create_manager().read_timeline()
+        assert timeline.generation == 31
+
+
 class TestSlowStore:
     async def test_change_is_accepted_once_if_every_call_is_slow(
         self, harness: AdminHarness
