Count readings and failures of the store, memory and readiness

Cause: the metrics could not tell the hypotheses of docs/incidents/large-records.md apart. They had no memory, nothing of what is read from the store, no time to readiness and no descriptors; failures of the store had one line for the first of them only.

Change: counters of bytes, responses, keys and time of readings by kind, and of failed calls by call; gauges for the peak and the limit of memory and for the time from the start of the process to its first readiness. ProcessCollector of prometheus_client, a dependency already, adds resident memory, processor time, open descriptors and their limit under their usual names. The time of changes counts from the header of the response on, since a watch waits before it. All are read when the metrics are requested.

--- a/src/briarfork/border/memory.py
+++ b/src/briarfork/border/memory.py
@@ -18,6 +18,7 @@
 # cannot log that.
 LOGGED_SHARES = (0.5, 0.75, 0.9)
 KB_PER_MB = 1024
+BYTES_PER_MB = 1024 * KB_PER_MB
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/briarfork/gateway/metrics.py
+++ b/src/briarfork/gateway/metrics.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from prometheus_client.registry import Collector
+
     from briarfork.border.responses import ResponseFault
     from briarfork.pools import RefusalCause
     from briarfork.routing import Route
@@ -127,6 +129,10 @@
             registry=self._registry,
         )
 
+    def add_collector(self, collector: Collector) -> None:
+        """Adds metrics that are read when all metrics are rendered."""
+        self._registry.register(collector)
+
     def count_request(self, service: str, route: Route, outcome: str, elapsed_s: float) -> None:
         """Counts a finished request.
 
--- a/src/briarfork/platform/endpoints.py
+++ b/src/briarfork/platform/endpoints.py
@@ -5,12 +5,14 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+from prometheus_client import ProcessCollector
 
 from briarfork.platform import names
+from briarfork.platform.collectors import GatewayCollector
+from briarfork.platform.collectors import StoreCollector
 from briarfork.platform.units import format_duration
 
 if TYPE_CHECKING:
-    from briarfork.border.busy_times import BusyTimes
     from briarfork.gateway.dispatch import Dispatcher
     from briarfork.gateway.process import Gateway
     from briarfork.platform.store import StoreClient
@@ -31,14 +33,24 @@
 
 
 def build_metrics_app(
-    dispatcher: Dispatcher, store: StoreClient, busy_times: BusyTimes
+    dispatcher: Dispatcher, store: StoreClient, gateway: Gateway, memory_mb: int
 ) -> web.Application:
-    """Returns the application for the metrics."""
+    """Returns the application for the metrics.
+
+    Args:
+        dispatcher: Dispatcher, which holds the metrics of requests.
+        store: Client of the store.
+        gateway: The gateway.
+        memory_mb: Memory above which the platform kills the process.
+    """
+    dispatcher.metrics.add_collector(GatewayCollector(gateway, memory_mb))
+    dispatcher.metrics.add_collector(StoreCollector(store))
+    dispatcher.metrics.add_collector(ProcessCollector(registry=None))
 
     async def report(request: web.Request) -> web.Response:
         dispatcher.metrics.set_view_age(store.health.compute_view_age())
         dispatcher.metrics.set_store_era(store.era.current)
-        for work, total_s in busy_times.totals_s.items():
+        for work, total_s in gateway.busy_times.totals_s.items():
             dispatcher.metrics.set_busy_time(work.value, total_s)
         if dispatcher.has_configuration:
             dispatcher.update_gauges()
--- a/src/briarfork/platform/servers.py
+++ b/src/briarfork/platform/servers.py
@@ -57,7 +57,7 @@
             settings.common.ports.entry,
             backlog=LISTEN_BACKLOG,
         )
-        metrics = build_metrics_app(self._dispatcher, store, gateway.busy_times)
+        metrics = build_metrics_app(self._dispatcher, store, gateway, settings.memory_mb)
         await self._open_app(build_ready_app(gateway), settings.ready)
         await self._open_app(build_lookup_app(gateway, settings.lookup_ttl_s), settings.lookup)
         await self._open_app(metrics, settings.metrics)
--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -6,6 +6,7 @@
 import base64
 import math
 import time
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -37,8 +38,11 @@
 from briarfork.platform.store_messages import Events
 from briarfork.platform.store_messages import GrantedLease
 from briarfork.platform.store_messages import RangePage
+from briarfork.platform.store_reading import ReadingKind
+from briarfork.platform.store_reading import ReadingTotals
 from briarfork.platform.store_reading import StoreReading
 from briarfork.platform.transfer import Transfer
+from briarfork.platform.transfer import TransferTime
 from briarfork.platform.units import format_duration
 
 if TYPE_CHECKING:
@@ -57,6 +61,8 @@
 # A watch returns all changes since a revision, whose size nothing bounds. Those that are longer
 # than this are read page by page.
 MAX_CHANGES_BYTES = 4 * 1024 * 1024
+# The part of a path that names the call.
+CALL_PART = 2
 PAGE_RETRIES = 2
 PAGE_RETRY_PAUSE_S = 0.3
 
@@ -95,11 +101,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply(Generic[ResponseT]):
-    """The decoded response to a call, its era and the size of its body."""
+    """The decoded response to a call, its era, the size of its body and its time."""
 
     body: ResponseT
     era: int
     size_bytes: int
+    time: TransferTime
 
 
 class StoreClient:
@@ -112,6 +119,8 @@
         health: What the calls show about the store.
         era: The era of the store.
         calls: Number of calls so far.
+        failures: Number of failed calls so far, by call.
+        readings: How much was read so far, by kind.
         changes_received_at: Time at which a part of the response to a watch last arrived, in
             seconds on the monotonic clock.
     """
@@ -128,6 +137,8 @@
             trace_configs=[build_send_trace()],
         )
         self.calls = 0
+        self.failures: Counter[str] = Counter()
+        self.readings = {kind: ReadingTotals() for kind in ReadingKind}
         self.changes_received_at = -math.inf
 
     async def __aenter__(self) -> StoreClient:
@@ -153,7 +164,7 @@
             StoreUnavailable: If the calls for a page fail.
         """
         position: StorePosition | None = None
-        reading = StoreReading(self._events)
+        reading = StoreReading(self._events, self.readings[ReadingKind.LISTING])
         after = ""
         while True:
             reply = await self._read_page(prefix, after, position)
@@ -162,12 +173,12 @@
             position = position or StorePosition(reply.era, reply.body.store_revision)
             items = reply.body.items
             is_last = not reply.body.has_more or not items
-            reading.add_page(reply.size_bytes, len(items), is_last)
+            reading.add_page(reply.size_bytes, len(items), reply.time.call_s, is_last)
             if is_last:
                 self.health.record_view()
             elif items[-1].key <= after:
                 failure = StoreUnavailable(f"GET /v1/kv-range: pages repeat after key {after}")
-                self.health.record_failure(failure.detail)
+                self.record_failure("/v1/kv-range", failure.detail)
                 raise failure
             last_key = LAST_KEY if is_last else items[-1].key
             yield Page(read_entries(items), last_key, position, is_first, is_last)
@@ -210,7 +221,7 @@
             StoreUnavailable: If the call fails.
         """
         wait_s = self._timeouts.watch_s if wait_s is None else wait_s
-        reading = StoreReading(self._events)
+        reading = StoreReading(self._events, self.readings[ReadingKind.CHANGES])
         params = {
             "prefix": prefix,
             "after": str(after.revision),
@@ -229,7 +240,7 @@
             too_long=ChangesTooLong,
         )
         self.health.record_view()
-        reading.add_changes(reply.size_bytes, len(reply.body.events))
+        reading.add_changes(reply.size_bytes, len(reply.body.events), reply.time.body_s)
         position = StorePosition(after.era, reply.body.store_revision)
         return Changes(read_entries(reply.body.events), position, bool(reply.body.events))
 
@@ -296,6 +307,16 @@
         body = {"expected": [], "puts": [], "deletes": [key]}
         await self._call("POST", "/v1/kv-txn", dict[str, Any], json=body)
 
+    def record_failure(self, path: str, reason: str) -> None:
+        """Counts and reports that a call failed.
+
+        Args:
+            path: Path of the call, whose last part may be a number.
+            reason: Why it failed.
+        """
+        self.failures[path.split("/")[CALL_PART]] += 1
+        self.health.record_failure(reason)
+
     async def _call(
         self,
         method: str,
@@ -341,6 +362,7 @@
                     method, self._url + path, trace_request_ctx=SingleSendGuard(), **options
                 ) as response,
             ):
+                transfer.begin_body()
                 found = self.era.observe(response.headers.get(STORE_ERA), sent_in)
                 self.era.check(found, era)
                 body = await read_body(response, max_bytes, transfer.extend)
@@ -351,18 +373,18 @@
             if too_long is not None and isinstance(error, ResponseTooLong):
                 raise too_long(call) from error
             failure = StoreUnavailable(f"{call}: {str(error) or type(error).__name__}")
-            self.health.record_failure(failure.detail)
+            self.record_failure(path, failure.detail)
             raise failure from error
         except StaleResponse:
             # The store answers; this response was only late.
             raise
         except StoreUnavailable as error:
-            self.health.record_failure(error.detail)
+            self.record_failure(path, error.detail)
             raise
         # The era may have ended while the body was read.
         self.era.check(found, era)
         self.health.record_response()
-        return Reply(decoded, found, len(body))
+        return Reply(decoded, found, len(body), transfer.measure())
 
 
 def _decode_response(call: str, status: int, body: bytes, expected: type[ResponseT]) -> ResponseT:
--- a/src/briarfork/platform/transfer.py
+++ b/src/briarfork/platform/transfer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -13,6 +14,19 @@
 TRANSFER_S = 15.0
 
 
+@dataclass(frozen=True, slots=True)
+class TransferTime:
+    """How long a call took.
+
+    Attributes:
+        call_s: Time from the beginning of the call, in seconds.
+        body_s: Time from the header of the response on, in seconds.
+    """
+
+    call_s: float
+    body_s: float
+
+
 class Transfer:
     """The timeout of a call, which is extended while the body of its response arrives.
 
@@ -34,9 +48,19 @@
         """
         self._pause_s = pause_s
         self._on_part = on_part
-        self._expires_at = asyncio.get_running_loop().time() + timeout_s
+        self._began_at = self._body_began_at = asyncio.get_running_loop().time()
+        self._expires_at = self._began_at + timeout_s
         self.timeout = asyncio.timeout_at(self._expires_at)
 
+    def begin_body(self) -> None:
+        """Records that the header of the response has arrived."""
+        self._body_began_at = asyncio.get_running_loop().time()
+
+    def measure(self) -> TransferTime:
+        """Returns how long the call has taken so far."""
+        now = asyncio.get_running_loop().time()
+        return TransferTime(now - self._began_at, now - self._body_began_at)
+
     def extend(self) -> None:
         """Extends the timeout because a part of the body has arrived."""
         when = asyncio.get_running_loop().time() + self._pause_s
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -177,7 +177,7 @@
                 has_changes = False
             if has_changes and missed_changes:
                 reason = f"the watch after revision {position.revision} returned no changes"
-                self._store.health.record_failure(reason)
+                self._store.record_failure("/v1/kv-watch", reason)
                 raise StoreUnavailable(reason)
             missed_changes = has_changes
 
