Own the signals of a process from its first line to its exit

A SIGHUP during a planned stop ended the gateway with status -1 after the line `stopped`, a SIGTERM during the imports ended it with -15 and no line, and the other programs had no handler of SIGHUP at all.

Cause: the event loop restores the default action of its handlers when it closes. `ignore_signals` blocked the signals before that, but a mask concerns one thread: /proc/PID/task of a gateway shows four threads of libuv's pool with an empty mask, which take the signal for the 0.12 s until the exit.

`border/signals.py` now sets handlers of its own as the first thing that a program does, keeps a stop or reload that comes before the event loop runs, delivers them in the loop (the wake-up descriptor of uvloop wakes it, nothing polls) and ignores them at the end, because the interpreter restores the default action of handlers as well. SIGUSR1, SIGUSR2, SIGALRM, SIGQUIT and the like are ignored throughout. `main.py` of each program imports only that module before it owns the signals; the rest moved to `program.py` and `service.py`. `find_place` moved to a module without HTTP.

A stop that is requested during the start now ends the process with status 0, `stopping` and `stopped`, before it accepts anything.

The test of a late SIGHUP in test_program.py called the removed function; the new one also sends a signal after the last statement and while modules are taken down, with other threads running.

--- a/src/briarfork/border/program.py
+++ b/src/briarfork/border/program.py
@@ -5,7 +5,6 @@
 import argparse
 import asyncio
 import os
-import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -25,6 +24,7 @@
     from collections.abc import Callable
 
     from briarfork.border.settings import Settings
+    from briarfork.border.signals import ProcessSignals
 
 EXIT_STATUSES = """exit statuses:
   0  planned stop
@@ -36,6 +36,7 @@
     program: str,
     description: str,
     serve: Callable[[Settings, EventLog, asyncio.Event], Awaitable[None]],
+    signals: ProcessSignals,
 ) -> None:
     """Runs a service until SIGTERM or SIGINT.
 
@@ -43,6 +44,7 @@
         program: Name of the program.
         description: Description for --help.
         serve: Coroutine function that runs the service and stops gracefully once its event is set.
+        signals: Signals of the process.
 
     Raises:
         SystemExit: If the settings are invalid, after `--check`, or if the service fails.
@@ -54,7 +56,7 @@
     os.environ["UV_USE_IO_URING"] = "0"
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_run_until_stopped(serve, settings, events))
+            runner.run(_run_until_stopped(serve, settings, events, signals))
     except* (BriarforkError, OSError) as group:
         for error in group.exceptions:
             events.record(Event.TASK_FAILED, error=error)
@@ -94,6 +96,7 @@
     serve: Callable[[Settings, EventLog, asyncio.Event], Awaitable[None]],
     settings: Settings,
     events: EventLog,
+    signals: ProcessSignals,
 ) -> None:
     stopping = asyncio.Event()
 
@@ -102,8 +105,15 @@
             events.record(Event.STOPPING)
             stopping.set()
 
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, request_stop)
-    await serve(settings, events, stopping)
+    def log_reload() -> None:
+        events.record(Event.RELOADED)
+
+    signals.attach(asyncio.get_running_loop(), request_stop, log_reload)
+    try:
+        if signals.stop_requested:
+            request_stop()
+        else:
+            await serve(settings, events, stopping)
+    finally:
+        signals.detach()
     events.record(Event.STOPPED)
--- a/src/briarfork/border/supervision.py
+++ b/src/briarfork/border/supervision.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
-from briarfork.border.http_server import find_place
+from briarfork.border.failures import find_place
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -33,17 +33,27 @@
 pathlib.Path(__file__).with_name("importing").touch()
 time.sleep(60.0)
 """
-# A program that gets a signal after its event loop has closed.
+# A program that gets signals after its event loop has closed, at its end and while the interpreter
+# takes down its modules.
 LATE_SIGNAL = """
 import asyncio, os, signal, uvloop
-from briarfork.platform.main import ignore_signals
-
-async def run():
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, print)
-    ignore_signals()
-
-with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-    runner.run(run())
+from briarfork.border.signals import ProcessSignals
+
+class LastObject:
+    def __del__(self, kill=os.kill, pid=os.getpid(), number=signal.SIGHUP):
+        kill(pid, number)
+
+async def run(signals):
+    loop = asyncio.get_running_loop()
+    signals.attach(loop, print, print)
+    await loop.run_in_executor(None, print)
+    signals.detach()
+
+last = LastObject()
+with ProcessSignals() as signals:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(signals))
+    os.kill(os.getpid(), signal.SIGHUP)
 os.kill(os.getpid(), signal.SIGHUP)
 """
 
