Log the reason of each end of a process, whatever error it was

`main` logged only BriarforkError and OSError as `task_failed`; any other error left a traceback on standard error and no line. Its `sys.exit(1)` within `except*` became a group with another traceback, and bad settings had no line at all, so the logs of a VM could not tell why its process had ended.

`border/process.py` runs the event loop of all programs and logs each error of an end as `process_failed` (1010) with the exit status and the place.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -53,6 +53,9 @@
     MEMORY_HIGH = EventDefinition(
         1009, "warning", "The peak memory of the process has passed a share of the VM's limit."
     )
+    PROCESS_FAILED = EventDefinition(
+        1010, "error", "The process ends because of an error; `status` is its exit status."
+    )
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
     CONFIGURATION_IN_FORCE = EventDefinition(
--- a/src/briarfork/border/failures.py
+++ b/src/briarfork/border/failures.py
@@ -1,4 +1,4 @@
-"""Where an error was raised, for the lines of a log."""
+"""Errors and the places where they were raised, for the lines of a log."""
 
 from __future__ import annotations
 
@@ -14,3 +14,10 @@
     if not frames:
         return ""
     return f"{Path(frames[-1].filename).name}:{frames[-1].lineno} {frames[-1].name}"
+
+
+def list_errors(error: BaseException) -> list[BaseException]:
+    """Returns the errors of a group and its subgroups, or the error itself."""
+    if isinstance(error, BaseExceptionGroup):
+        return [leaf for part in error.exceptions for leaf in list_errors(part)]
+    return [error]
--- /dev/null
+++ b/src/briarfork/border/process.py
@@ -0,0 +1,57 @@
+"""The event loop of a process, and the reason and exit status of its end."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import traceback
+from enum import IntEnum
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from briarfork.border.events import Event
+from briarfork.border.failures import find_place
+from briarfork.border.failures import list_errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from briarfork.border.events import EventLog
+
+EXIT_STATUSES = """exit statuses:
+  0  planned stop
+  1  failure
+  2  bad settings or arguments"""
+
+
+class ExitStatus(IntEnum):
+    """Exit statuses of the programs that serve."""
+
+    STOPPED = 0
+    FAILED = 1
+    BAD_SETTINGS = 2
+
+
+def run_event_loop(run: Callable[[], Coroutine[None, None, None]], events: EventLog) -> ExitStatus:
+    """Runs a coroutine in an event loop of its own and logs the errors that end it."""
+    # libuv reads this when the loop is created; the platform does not allow io_uring.
+    os.environ["UV_USE_IO_URING"] = "0"
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run())
+    # Whatever ends the process must be in its log, also what is not an Exception.
+    except BaseException as error:
+        traceback.print_exception(error)
+        record_failure(error, ExitStatus.FAILED, events)
+        return ExitStatus.FAILED
+    return ExitStatus.STOPPED
+
+
+def record_failure(error: BaseException, status: ExitStatus, events: EventLog) -> None:
+    """Logs why the process ends; each error of a group has its own line."""
+    for part in list_errors(error):
+        events.record(
+            Event.PROCESS_FAILED, status=int(status), error=repr(part), place=find_place(part)
+        )
--- a/src/briarfork/border/program.py
+++ b/src/briarfork/border/program.py
@@ -4,20 +4,21 @@
 
 import argparse
 import asyncio
-import os
 import sys
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import uvloop
-
 from briarfork import __version__
 from briarfork.border.events import Event
 from briarfork.border.events import EventLog
 from briarfork.border.events import install_log_handler
+from briarfork.border.process import EXIT_STATUSES
+from briarfork.border.process import ExitStatus
+from briarfork.border.process import record_failure
+from briarfork.border.process import run_event_loop
 from briarfork.border.settings import load_settings
 from briarfork.errors import BadSettings
-from briarfork.errors import BriarforkError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -26,11 +27,6 @@
     from briarfork.border.settings import Settings
     from briarfork.border.signals import ProcessSignals
 
-EXIT_STATUSES = """exit statuses:
-  0  planned stop
-  1  failure
-  2  bad settings or arguments"""
-
 
 def run_service(
     program: str,
@@ -49,18 +45,12 @@
     Raises:
         SystemExit: If the settings are invalid, after `--check`, or if the service fails.
     """
-    settings = _read_settings(program, description)
     install_log_handler()
+    settings = _read_settings(program, description)
     events = EventLog(program, settings)
-    # libuv reads this when the loop is created. The platform forbids io_uring.
-    os.environ["UV_USE_IO_URING"] = "0"
-    try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_run_until_stopped(serve, settings, events, signals))
-    except* (BriarforkError, OSError) as group:
-        for error in group.exceptions:
-            events.record(Event.TASK_FAILED, error=error)
-        sys.exit(1)
+    status = run_event_loop(partial(_run_until_stopped, serve, settings, events, signals), events)
+    if status:
+        sys.exit(status)
 
 
 def build_parser(program: str, description: str) -> argparse.ArgumentParser:
@@ -86,7 +76,8 @@
     except BadSettings as error:
         for fault in error.faults:
             print(f"{program}: {fault}", file=sys.stderr)
-        sys.exit(error.response.exit_status)
+        record_failure(error, ExitStatus.BAD_SETTINGS, EventLog(program))
+        sys.exit(ExitStatus.BAD_SETTINGS)
     if arguments.check:
         sys.exit(0)
     return settings
--- a/src/briarfork/platform/program.py
+++ b/src/briarfork/platform/program.py
@@ -10,8 +10,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import uvloop
-
 from briarfork import __version__
 from briarfork.border.events import Event
 from briarfork.border.events import EventLog
@@ -19,11 +17,13 @@
 from briarfork.border.events import install_json_handler
 from briarfork.border.loop_monitor import LoopMonitor
 from briarfork.border.memory import MemoryMonitor
-from briarfork.border.program import EXIT_STATUSES
+from briarfork.border.process import EXIT_STATUSES
+from briarfork.border.process import ExitStatus
+from briarfork.border.process import record_failure
+from briarfork.border.process import run_event_loop
 from briarfork.border.supervision import run_supervised
 from briarfork.entry.response_faults import ResponseFaultRecorder
 from briarfork.errors import BadSettings
-from briarfork.errors import BriarforkError
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.gateway.process import Gateway
 from briarfork.gateway.view import GatewayView
@@ -58,21 +58,18 @@
     Raises:
         SystemExit: If the settings are invalid, after `--check`, or if the gateway fails.
     """
-    settings = _read_settings()
+    arguments = _parse_arguments()
+    if arguments.check:
+        sys.exit(_check_settings(arguments.settings))
     install_json_handler()
+    settings = _read_settings(arguments.settings)
     events = EventLog(PROGRAM, settings.common, LogRateLimiter(LINES_PER_S))
-    # libuv reads this when the loop is created; the platform does not allow io_uring.
-    os.environ["UV_USE_IO_URING"] = "0"
-    try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(GatewayProgram(settings, events, signals).run())
-    except* (BriarforkError, OSError) as group:
-        for error in group.exceptions:
-            events.record(Event.TASK_FAILED, error=error)
-        sys.exit(1)
+    status = run_event_loop(GatewayProgram(settings, events, signals).run, events)
+    if status:
+        sys.exit(status)
 
 
-def _read_settings() -> PlatformSettings:
+def _parse_arguments() -> argparse.Namespace:
     parser = argparse.ArgumentParser(
         prog=PROGRAM,
         description="Serves callers on an entry VM.",
@@ -92,15 +89,36 @@
     arguments = parser.parse_args()
     if arguments.settings is None:
         parser.error(f"expected a settings file or {SETTINGS_VARIABLE}")
+    return arguments
+
+
+def _check_settings(path: Path) -> ExitStatus:
+    """Prints the faults of a settings file."""
     try:
-        settings = load_platform_settings(Path(arguments.settings))
+        load_platform_settings(path)
     except BadSettings as error:
-        for fault in error.faults:
-            print(f"{PROGRAM}: {fault}", file=sys.stderr)
-        sys.exit(error.response.exit_status)
-    if arguments.check:
-        sys.exit(0)
-    return settings
+        _print_faults(error)
+        return ExitStatus.BAD_SETTINGS
+    return ExitStatus.STOPPED
+
+
+def _read_settings(path: Path) -> PlatformSettings:
+    """Returns the settings.
+
+    Raises:
+        SystemExit: If the file is invalid; the faults are printed and logged.
+    """
+    try:
+        return load_platform_settings(path)
+    except BadSettings as error:
+        _print_faults(error)
+        record_failure(error, ExitStatus.BAD_SETTINGS, EventLog(PROGRAM))
+        sys.exit(ExitStatus.BAD_SETTINGS)
+
+
+def _print_faults(error: BadSettings) -> None:
+    for fault in error.faults:
+        print(f"{PROGRAM}: {fault}", file=sys.stderr)
 
 
 class GatewayProgram:
--- /dev/null
+++ b/tests/platform/test_ends.py
@@ -0,0 +1,117 @@
+"""Ends of the gateway: each has its reason in the log and a documented status."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from briarfork.platform.settings import SETTINGS_VARIABLE
+from tests.standins.gateway import VmSettings
+from tests.standins.gateway import build_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+SOURCES = Path(__file__).parent.parent.parent / "src"
+# Runs beside each other use different addresses.
+NETWORK = f"127.66.{os.getpid() % 254 + 1}"
+ADDRESS, STORE = f"{NETWORK}.1", f"{NETWORK}.2:8642"
+# An address for documentation, which no machine has.
+FOREIGN_ADDRESS = "192.0.2.1"
+TIMEOUT_S = 15.0
+POLL_S = 0.02
+FAILING_PROGRAM = """
+from briarfork.border.signals import ProcessSignals
+from briarfork.platform import program
+
+async def fail(*_):
+    raise RuntimeError("not expected")
+
+program.GatewayServers.{method} = fail
+with ProcessSignals() as signals:
+    program.run_program(signals)
+"""
+
+
+class GatewayProcess:
+    """A gateway with a settings file, and its log."""
+
+    def __init__(self, work: Path) -> None:
+        self.path = work / "vm.json"
+        self._log = work / "log"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def build_settings(self, address: str = ADDRESS) -> bytes:
+        settings = build_settings(VmSettings("vm-1", "a", address, STORE, 200), {"a": "north"})
+        return json.dumps(settings | {"bounds": ["grace=1s"]}).encode()
+
+    def start(self, *arguments: str) -> None:
+        with self._log.open("wb") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, *(arguments or (str(SOURCES / "run_gateway.py"),))],
+                env={"PYTHONPATH": str(SOURCES), SETTINGS_VARIABLE: str(self.path)},
+                stdout=log,
+                stderr=subprocess.DEVNULL,
+            )
+
+    def wait_until_logged(self, event: str) -> dict[str, Any]:
+        """Returns the first line of an event."""
+        assert self._process is not None
+        deadline = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < deadline:
+            if lines := [line for line in self.read_log() if line["name"] == event]:
+                return lines[0]
+            assert self._process.poll() is None, self.read_log()
+            time.sleep(POLL_S)
+        raise AssertionError(f"no line {event} in {self.read_log()}")
+
+    def read_log(self) -> list[dict[str, Any]]:
+        return [json.loads(line) for line in self._log.read_bytes().splitlines()]
+
+    def stop(self) -> None:
+        assert self._process is not None
+        self._process.terminate()
+
+    def wait(self) -> int:
+        assert self._process is not None
+        return self._process.wait(TIMEOUT_S)
+
+    def close(self) -> None:
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+
+@pytest.fixture
+def gateway(tmp_path: Path) -> Iterator[GatewayProcess]:
+    gateway = GatewayProcess(tmp_path)
+    yield gateway
+    gateway.close()
+
+
+class TestFailure:
+    def test_unexpected_error_has_a_line_with_its_place(self, gateway: GatewayProcess) -> None:
+        """Guards against an end whose only reason is a traceback on standard error."""
+        gateway.path.write_bytes(gateway.build_settings())
+        gateway.start("-c", FAILING_PROGRAM.format(method="open"))
+        assert gateway.wait() == 1
+        [line] = [line for line in gateway.read_log() if line["name"] == "process_failed"]
+        assert (line["status"], line["vm"]) == (1, "vm-1")
+        assert "not expected" in line["error"]
+        assert " fail" in line["place"]
+
+    def test_address_that_cannot_be_bound_is_named(self, gateway: GatewayProcess) -> None:
+        """Guards against an end without a line if a listening socket cannot be opened."""
+        gateway.path.write_bytes(gateway.build_settings(FOREIGN_ADDRESS))
+        gateway.start()
+        assert gateway.wait() == 1
+        [line] = [line for line in gateway.read_log() if line["name"] == "process_failed"]
+        assert FOREIGN_ADDRESS in line["error"]
