Wait a short time at a start for a port that is not free

A gateway that found one of its ports or its address in use ended with status 1 at once, and the platform had to start it again. The port for permits was opened after `started`, in an unsupervised task whose error ended the process with the requests that it was serving.

Ruled out: old connections that linger after a kill.

Listening sockets are now tried for 3 s on EADDRINUSE and EADDRNOTAVAIL, as other servers do. A stop in that time ends the start with status 0; the port for callers is opened last, so that none has been accepted by then. The task behind the port for permits is supervised like the others.

Open: the product's other programs wait for a port as well, but a stop in these 3 s is carried out only after them.

--- a/src/briarfork/border/graceful_server.py
+++ b/src/briarfork/border/graceful_server.py
@@ -14,6 +14,8 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import _ErrInfo
 
+from briarfork.border.listening import listen_when_free
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -265,8 +267,9 @@
         backlog: int = 128,
     ) -> asyncio.Server:
         """Opens the listening socket."""
-        self._listener = await asyncio.get_running_loop().create_server(
-            build_connection, address, port, backlog=backlog
+        loop = asyncio.get_running_loop()
+        self._listener = await listen_when_free(
+            lambda: loop.create_server(build_connection, address, port, backlog=backlog)
         )
         return self._listener
 
--- a/src/briarfork/border/streams.py
+++ b/src/briarfork/border/streams.py
@@ -7,6 +7,7 @@
 
 import msgpack
 
+from briarfork.border.listening import listen_when_free
 from briarfork.border.messages import decode
 from briarfork.border.messages import encode
 from briarfork.errors import BriarforkError
@@ -167,4 +168,4 @@
         finally:
             stream.abort()
 
-    return await asyncio.start_server(handle_connection, address, port)
+    return await listen_when_free(lambda: asyncio.start_server(handle_connection, address, port))
--- a/src/briarfork/platform/program.py
+++ b/src/briarfork/platform/program.py
@@ -15,6 +15,7 @@
 from briarfork.border.events import EventLog
 from briarfork.border.events import LogRateLimiter
 from briarfork.border.events import install_json_handler
+from briarfork.border.listening import open_unless_stopped
 from briarfork.border.loop_monitor import LoopMonitor
 from briarfork.border.memory import MemoryMonitor
 from briarfork.border.process import EXIT_STATUSES
@@ -160,14 +161,21 @@
             )
             memory_monitor = MemoryMonitor(self._events, self._settings.memory_mb)
             servers = GatewayServers(self._settings, self._gateway, dispatcher)
-            await servers.open(store)
+            if not await open_unless_stopped(servers.open(store), self._stopping):
+                return
             self._events.record(Event.STARTED, entry=self._settings.common.ports.entry)
             async with asyncio.TaskGroup() as group:
                 registration_task = group.create_task(
                     run_supervised(registration.run, self._events)
                 )
-                tasks = [group.create_task(self._gateway.run())]
-                for run in (watcher.run, watcher.expire, monitor.run, memory_monitor.run):
+                tasks = []
+                for run in (
+                    self._gateway.run,
+                    watcher.run,
+                    watcher.expire,
+                    monitor.run,
+                    memory_monitor.run,
+                ):
                     tasks.append(group.create_task(run_supervised(run, self._events)))
                 await self._stopping.wait()
                 registration_task.cancel()
--- a/src/briarfork/platform/servers.py
+++ b/src/briarfork/platform/servers.py
@@ -51,16 +51,17 @@
             store: Client of the store, for the metrics.
         """
         settings, gateway = self._settings, self._gateway
+        metrics = build_metrics_app(self._dispatcher, store, gateway.busy_times)
+        await self._open_app(build_ready_app(gateway), settings.ready)
+        await self._open_app(build_lookup_app(gateway, settings.lookup_ttl_s), settings.lookup)
+        await self._open_app(metrics, settings.metrics)
+        # Callers come last, so that none is accepted if a stop is requested before.
         await self._callers.listen(
             lambda: CallerConnection(gateway, self._callers, self._pipelines),
             settings.common.address,
             settings.common.ports.entry,
             backlog=LISTEN_BACKLOG,
         )
-        metrics = build_metrics_app(self._dispatcher, store, gateway.busy_times)
-        await self._open_app(build_ready_app(gateway), settings.ready)
-        await self._open_app(build_lookup_app(gateway, settings.lookup_ttl_s), settings.lookup)
-        await self._open_app(metrics, settings.metrics)
 
     async def drain(self, deadline: float) -> int:
         """Serves the requests that have been read and closes all connections.
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import time
@@ -14,6 +15,8 @@
 import pytest
 
 from briarfork.platform.settings import SETTINGS_VARIABLE
+from tests.standins.gateway import FRONT_PORT
+from tests.standins.gateway import INTERNAL_PORTS
 from tests.standins.gateway import VmSettings
 from tests.standins.gateway import build_settings
 
@@ -28,6 +31,8 @@
 FOREIGN_ADDRESS = "192.0.2.1"
 TIMEOUT_S = 15.0
 POLL_S = 0.02
+# The time for which a start waits for a file or a port is longer than this.
+SHORT_DELAY_S = 1.0
 FAILING_PROGRAM = """
 from briarfork.border.signals import ProcessSignals
 from briarfork.platform import program
@@ -115,3 +120,48 @@
         assert gateway.wait() == 1
         [line] = [line for line in gateway.read_log() if line["name"] == "process_failed"]
         assert FOREIGN_ADDRESS in line["error"]
+
+
+class TestPorts:
+    @pytest.mark.parametrize("port", [FRONT_PORT, *INTERNAL_PORTS])
+    def test_start_waits_for_a_port_that_becomes_free(
+        self, gateway: GatewayProcess, port: int
+    ) -> None:
+        """Guards against a start that fails because the previous process has not ended yet."""
+        gateway.path.write_bytes(gateway.build_settings())
+        with socket.create_server((ADDRESS, port)):
+            gateway.start()
+            time.sleep(SHORT_DELAY_S)
+        gateway.wait_until_logged("started")
+        deadline = time.monotonic() + TIMEOUT_S
+        while True:
+            try:
+                socket.create_connection((ADDRESS, port)).close()
+                break
+            except ConnectionRefusedError:
+                assert time.monotonic() < deadline
+                time.sleep(POLL_S)
+
+    def test_stop_ends_the_wait_for_a_port(self, gateway: GatewayProcess) -> None:
+        """Guards against a stop that waits for a start to fail, and then counts as a failure."""
+        gateway.path.write_bytes(gateway.build_settings())
+        with socket.create_server((ADDRESS, FRONT_PORT)):
+            gateway.start()
+            time.sleep(SHORT_DELAY_S)
+            gateway.stop()
+            assert gateway.wait() == 0
+        assert [line["name"] for line in gateway.read_log()] == ["stopping", "stopped"]
+
+    def test_restart_binds_ports_beside_connections_of_the_killed_process(
+        self, gateway: GatewayProcess
+    ) -> None:
+        """Guards against listening sockets without SO_REUSEADDR."""
+        gateway.path.write_bytes(gateway.build_settings())
+        gateway.start()
+        gateway.wait_until_logged("started")
+        kept = [socket.create_connection((ADDRESS, FRONT_PORT)) for _ in range(3)]
+        gateway.close()
+        gateway.start()
+        gateway.wait_until_logged("started")
+        for connection in kept:
+            connection.close()
