Read a settings file that is being written again before a start fails

The platform may replace the settings file at any time, also while a process starts. A file that was missing, empty or half-written at that moment ended the process with status 2.

A file that cannot be read or is not JSON, which a part of a JSON object never is, is now read again for 3 s, with one line `settings_unusable` (1011); then the process ends with status 2 and `process_failed`. A stop ends the wait with status 0. Other faults of the file still end the start at once, and `--check` does not wait. The product's other programs do not wait: their files are written by operators, and a part of a YAML file may be valid.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -56,6 +56,11 @@
     PROCESS_FAILED = EventDefinition(
         1010, "error", "The process ends because of an error; `status` is its exit status."
     )
+    SETTINGS_UNUSABLE = EventDefinition(
+        1011,
+        "warning",
+        "The settings file is missing or incomplete; it is read again for a short time.",
+    )
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
     CONFIGURATION_IN_FORCE = EventDefinition(
--- a/src/briarfork/platform/program.py
+++ b/src/briarfork/platform/program.py
@@ -35,6 +35,7 @@
 from briarfork.platform.servers import GatewayServers
 from briarfork.platform.settings import SETTINGS_VARIABLE
 from briarfork.platform.settings import load_platform_settings
+from briarfork.platform.settings_file import read_settings_file
 from briarfork.platform.store import StoreClient
 from briarfork.platform.upstream import HttpUpstream
 from briarfork.platform.watcher import StoreWatcher
@@ -63,7 +64,7 @@
     if arguments.check:
         sys.exit(_check_settings(arguments.settings))
     install_json_handler()
-    settings = _read_settings(arguments.settings)
+    settings = _read_settings(arguments.settings, signals)
     events = EventLog(PROGRAM, settings.common, LogRateLimiter(LINES_PER_S))
     status = run_event_loop(GatewayProgram(settings, events, signals).run, events)
     if status:
@@ -103,18 +104,25 @@
     return ExitStatus.STOPPED
 
 
-def _read_settings(path: Path) -> PlatformSettings:
+def _read_settings(path: Path, signals: ProcessSignals) -> PlatformSettings:
     """Returns the settings.
 
     Raises:
-        SystemExit: If the file is invalid; the faults are printed and logged.
+        SystemExit: If the file is invalid, whose faults are printed and logged, or if a stop was
+            requested before it was complete.
     """
+    events = EventLog(PROGRAM)
     try:
-        return load_platform_settings(path)
+        settings = read_settings_file(path, signals, events)
     except BadSettings as error:
         _print_faults(error)
-        record_failure(error, ExitStatus.BAD_SETTINGS, EventLog(PROGRAM))
+        record_failure(error, ExitStatus.BAD_SETTINGS, events)
         sys.exit(ExitStatus.BAD_SETTINGS)
+    if settings is None:
+        events.record(Event.STOPPING)
+        events.record(Event.STOPPED)
+        sys.exit(ExitStatus.STOPPED)
+    return settings
 
 
 def _print_faults(error: BadSettings) -> None:
--- a/src/briarfork/platform/settings.py
+++ b/src/briarfork/platform/settings.py
@@ -57,6 +57,10 @@
 RESPONSE_MEMORY_FRACTION = 0.22
 
 
+class IncompleteSettings(BadSettings):
+    """Raised if a settings file is missing or is not JSON, as while it is being written."""
+
+
 class Listen(msgspec.Struct, frozen=True):
     """Addresses that this process listens on."""
 
@@ -155,14 +159,15 @@
     """Reads and checks a settings file of the platform.
 
     Raises:
+        IncompleteSettings: If the file cannot be read or is not JSON.
         BadSettings: Lists every invalid key with the file and the expected value.
     """
     try:
         body = msgspec.json.decode(path.read_bytes())
     except OSError as error:
-        raise BadSettings([f"{path}: expected a readable file: {error.strerror}"]) from error
+        raise IncompleteSettings([f"{path}: expected a readable file: {error.strerror}"]) from error
     except msgspec.DecodeError as error:
-        raise BadSettings([f"{path}: expected JSON: {error}"]) from error
+        raise IncompleteSettings([f"{path}: expected JSON: {error}"]) from error
     errors = [f"{path}: {error_text}" for error_text in _find_errors(body, BootFile, "")]
     if errors:
         raise BadSettings(errors)
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -165,3 +165,37 @@
         gateway.wait_until_logged("started")
         for connection in kept:
             connection.close()
+
+
+class TestSettingsFile:
+    @pytest.mark.parametrize("part", [None, 0, 300])
+    def test_start_waits_for_a_file_that_is_being_written(
+        self, gateway: GatewayProcess, part: int | None
+    ) -> None:
+        """Guards against an end because the file is missing, empty or half-written for a moment."""
+        settings = gateway.build_settings()
+        if part is not None:
+            gateway.path.write_bytes(settings[:part])
+        gateway.start()
+        gateway.wait_until_logged("settings_unusable")
+        gateway.path.write_bytes(settings)
+        gateway.wait_until_logged("started")
+
+    def test_file_that_stays_incomplete_ends_with_its_reason(self, gateway: GatewayProcess) -> None:
+        """Guards against an end whose reason is not in the log, and a wait without end."""
+        gateway.path.write_bytes(b"{")
+        gateway.start()
+        assert gateway.wait() == 2
+        assert [line["name"] for line in gateway.read_log()] == [
+            "settings_unusable",
+            "process_failed",
+        ]
+        assert gateway.read_log()[1]["status"] == 2
+
+    def test_stop_ends_the_wait_for_a_file(self, gateway: GatewayProcess) -> None:
+        """Guards against a stop that counts as a failure because the file is missing."""
+        gateway.start()
+        gateway.wait_until_logged("settings_unusable")
+        gateway.stop()
+        assert gateway.wait() == 0
+        assert [line["name"] for line in gateway.read_log()][1:] == ["stopping", "stopped"]
