Go on with a stop whose deregistration fails in an unexpected way

`GatewayProgram._drain` ran in the task group of the gateway, and an error of `deregister` other than those of the store cancelled it: the process ended with status 1 at once and cut the requests in progress. No real cause of such an error is known.

The step is now run with `run_logged`, the part of `run_supervised` that runs a coroutine once: `task_failed`, and the stop goes on.

tests/platform/test_ends.py::TestStop: before 1 of 1 failed (status 1), after 1 of 1 passed.

--- a/src/briarfork/border/supervision.py
+++ b/src/briarfork/border/supervision.py
@@ -32,15 +32,26 @@
         pause_s: Pause before the next start, in seconds.
     """
     while True:
-        try:
-            await run()
+        if await run_logged(run, events):
             return
-        # Whatever one task meets, the requests that other tasks serve must go on.
-        except Exception as error:
-            events.record(
-                Event.TASK_FAILED,
-                task=getattr(run, "__qualname__", repr(run)),
-                error=repr(error),
-                place=find_place(error),
-            )
         await asyncio.sleep(pause_s)
+
+
+async def run_logged(run: Callable[[], Awaitable[None]], events: EventLog) -> bool:
+    """Runs a coroutine once and logs an unexpected error instead of raising it.
+
+    Returns:
+        Whether it returned without an error.
+    """
+    try:
+        await run()
+    # Whatever one task meets, the requests that other tasks serve must go on.
+    except Exception as error:
+        events.record(
+            Event.TASK_FAILED,
+            task=getattr(run, "__qualname__", repr(run)),
+            error=repr(error),
+            place=find_place(error),
+        )
+        return False
+    return True
--- a/src/briarfork/platform/program.py
+++ b/src/briarfork/platform/program.py
@@ -22,6 +22,7 @@
 from briarfork.border.process import ExitStatus
 from briarfork.border.process import record_failure
 from briarfork.border.process import run_event_loop
+from briarfork.border.supervision import run_logged
 from briarfork.border.supervision import run_supervised
 from briarfork.entry.response_faults import ResponseFaultRecorder
 from briarfork.errors import BadSettings
@@ -239,7 +240,7 @@
         self._gateway.draining = True
         self._gateway.view.stops_at = deadline - BREAK_OFF_S
         accept_until = now + ACCEPT_FRACTION * self._settings.grace_s
-        await registration.deregister()
+        await run_logged(registration.deregister, self._events)
         await asyncio.sleep(max(0.0, accept_until - time.monotonic()))
         cut = await servers.drain(deadline)
         if cut:
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -33,6 +33,7 @@
 POLL_S = 0.02
 # The time for which a start waits for a file or a port is longer than this.
 SHORT_DELAY_S = 1.0
+REQUEST = b"GET /a/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 FAILING_PROGRAM = """
 from briarfork.border.signals import ProcessSignals
 from briarfork.platform import program
@@ -40,7 +41,7 @@
 async def fail(*_):
     raise RuntimeError("not expected")
 
-program.GatewayServers.{method} = fail
+program.{method} = fail
 with ProcessSignals() as signals:
     program.run_program(signals)
 """
@@ -106,7 +107,7 @@
     def test_unexpected_error_has_a_line_with_its_place(self, gateway: GatewayProcess) -> None:
         """Guards against an end whose only reason is a traceback on standard error."""
         gateway.path.write_bytes(gateway.build_settings())
-        gateway.start("-c", FAILING_PROGRAM.format(method="open"))
+        gateway.start("-c", FAILING_PROGRAM.format(method="GatewayServers.open"))
         assert gateway.wait() == 1
         [line] = [line for line in gateway.read_log() if line["name"] == "process_failed"]
         assert (line["status"], line["vm"]) == (1, "vm-1")
@@ -122,6 +123,22 @@
         assert FOREIGN_ADDRESS in line["error"]
 
 
+class TestStop:
+    def test_failed_deregistration_cuts_no_request(self, gateway: GatewayProcess) -> None:
+        """Guards against an error of one step of the stop that ends all requests in progress."""
+        gateway.path.write_bytes(gateway.build_settings())
+        gateway.start("-c", FAILING_PROGRAM.format(method="Registration.deregister"))
+        gateway.wait_until_logged("started")
+        with socket.create_connection((ADDRESS, FRONT_PORT)) as caller:
+            caller.sendall(REQUEST[:20])
+            gateway.stop()
+            gateway.wait_until_logged("task_failed")
+            caller.sendall(REQUEST[20:])
+            assert caller.recv(1024).startswith(b"HTTP/1.1 503")
+        assert gateway.wait() == 0
+        assert gateway.read_log()[-1]["name"] == "stopped"
+
+
 class TestPorts:
     @pytest.mark.parametrize("port", [FRONT_PORT, *INTERNAL_PORTS])
     def test_start_waits_for_a_port_that_becomes_free(
