Start a background task again that ends by another task's cancellation

`run_supervised` let every CancelledError through. One that comes from a task or future which the background task awaited ends it without a line, and its task group does not notice: a VM would no longer follow the store or renew its lease until its next restart. Not seen in a run; found by reading.

It now counts as a failure, unless the supervised task itself is cancelled.

tests/border/test_supervision.py: the new test failed before with CancelledError; 3 of 3 pass after.

--- a/src/briarfork/border/supervision.py
+++ b/src/briarfork/border/supervision.py
@@ -46,7 +46,9 @@
     try:
         await run()
     # Whatever one task meets, the requests that other tasks serve must go on.
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
+        if isinstance(error, asyncio.CancelledError) and _is_cancelled():
+            raise
         events.record(
             Event.TASK_FAILED,
             task=getattr(run, "__qualname__", repr(run)),
@@ -55,3 +57,9 @@
         )
         return False
     return True
+
+
+def _is_cancelled() -> bool:
+    """Returns whether the current task itself is cancelled, and not only one that it awaited."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/tests/border/test_supervision.py
+++ b/tests/border/test_supervision.py
@@ -13,7 +13,7 @@
 class FailingTask:
     """Fails at its first runs, then returns."""
 
-    def __init__(self, *errors: Exception) -> None:
+    def __init__(self, *errors: BaseException) -> None:
         self.errors = list(errors)
 
     async def run(self) -> None:
@@ -32,6 +32,12 @@
         assert request.result() == "answered"
         assert task.errors == []
 
+    async def test_cancellation_of_something_else_does_not_end_the_task(self) -> None:
+        """Guards against a task that ends without a line, because it awaited a cancelled one."""
+        task = FailingTask(asyncio.CancelledError())
+        await run_supervised(task.run, EventLog("test"), pause_s=0.0)
+        assert task.errors == []
+
     async def test_cancellation_ends_the_task(self) -> None:
         """Guards against a planned stop that waits for a task which starts again."""
         supervised = asyncio.create_task(
