Exit within the grace even if a task ignores its cancellation

The task group of the gateway and the close of the event loop wait without bound for cancelled tasks. Trials with a task that swallows its cancellation, one that takes 5 s to clean up, and a session whose close hangs: all requests were answered, but the process was still there 3 s after its grace of 1 s, and only SIGKILL ended it. No such task is known in the gateway.

From the end of the drain on, a timer of the event loop exits with status 0 0.1 s before the end of the grace; `task_failed` names what each task that is left waits for. A thread of Python that does not end would still hold up the exit; the gateway starts none.

tests/platform/test_ends.py::TestStop: the new test failed before (still running after 15 s); 2 of 2 pass after.

--- a/src/briarfork/border/process.py
+++ b/src/briarfork/border/process.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import os
+import sys
 import traceback
 from enum import IntEnum
+from types import CoroutineType
 from typing import TYPE_CHECKING
+from typing import Any
 
 import uvloop
 
@@ -49,6 +52,38 @@
     return ExitStatus.STOPPED
 
 
+def bound_exit(delay_s: float, events: EventLog) -> None:
+    """Exits at the end of a planned stop even if a task does not end when it is cancelled.
+
+    Args:
+        delay_s: Time until the exit in seconds, after which only tasks without callers are left.
+        events: Log for the tasks that are left.
+    """
+    asyncio.get_running_loop().call_later(delay_s, _exit_beside_tasks, events)
+
+
+def _exit_beside_tasks(events: EventLog) -> None:
+    names = sorted(_name_awaited(task) for task in asyncio.all_tasks())
+    events.record(
+        Event.TASK_FAILED,
+        task=", ".join(names),
+        error="still running at the end of the planned stop",
+    )
+    events.record(Event.STOPPED)
+    sys.stderr.flush()
+    os._exit(ExitStatus.STOPPED)
+
+
+def _name_awaited(task: asyncio.Task[Any]) -> str:
+    """Returns the names of the coroutine functions that wait for each other in a task."""
+    names = []
+    coroutine: Any = task.get_coro()
+    while isinstance(coroutine, CoroutineType):
+        names.append(coroutine.__qualname__)
+        coroutine = coroutine.cr_await
+    return " > ".join(names)
+
+
 def record_failure(error: BaseException, status: ExitStatus, events: EventLog) -> None:
     """Logs why the process ends; each error of a group has its own line."""
     for part in list_errors(error):
--- a/src/briarfork/platform/program.py
+++ b/src/briarfork/platform/program.py
@@ -20,6 +20,7 @@
 from briarfork.border.memory import MemoryMonitor
 from briarfork.border.process import EXIT_STATUSES
 from briarfork.border.process import ExitStatus
+from briarfork.border.process import bound_exit
 from briarfork.border.process import record_failure
 from briarfork.border.process import run_event_loop
 from briarfork.border.supervision import run_logged
@@ -52,6 +53,8 @@
 ACCEPT_FRACTION = 0.4
 # Part of the grace period that is left for the process to exit.
 EXIT_MARGIN_S = 0.4
+# Part of it that is left when tasks that have not ended are given up.
+EXIT_RESERVE_S = 0.1
 MS_PER_S = 1000
 
 
@@ -188,7 +191,9 @@
                     tasks.append(group.create_task(run_supervised(run, self._events)))
                 await self._stopping.wait()
                 registration_task.cancel()
+                exit_by = time.monotonic() + self._settings.grace_s - EXIT_RESERVE_S
                 await self._drain(servers, registration)
+                bound_exit(max(0.0, exit_by - time.monotonic()), self._events)
                 for task in tasks:
                     task.cancel()
 
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -46,6 +46,22 @@
     program.run_program(signals)
 """
 
+STUBBORN_PROGRAM = """
+import asyncio
+from contextlib import suppress
+from briarfork.border.signals import ProcessSignals
+from briarfork.platform import program
+
+async def run_for_ever(*_):
+    while True:
+        with suppress(asyncio.CancelledError):
+            await asyncio.sleep(60.0)
+
+program.MemoryMonitor.run = run_for_ever
+with ProcessSignals() as signals:
+    program.run_program(signals)
+"""
+
 
 class GatewayProcess:
     """A gateway with a settings file, and its log."""
@@ -138,6 +154,19 @@
         assert gateway.wait() == 0
         assert gateway.read_log()[-1]["name"] == "stopped"
 
+    def test_task_that_does_not_end_does_not_hold_up_the_exit(
+        self, gateway: GatewayProcess
+    ) -> None:
+        """Guards against a stop that is ended by SIGKILL after its last response."""
+        gateway.path.write_bytes(gateway.build_settings())
+        gateway.start("-c", STUBBORN_PROGRAM)
+        gateway.wait_until_logged("started")
+        gateway.stop()
+        assert gateway.wait() == 0
+        line, last = gateway.read_log()[-2:]
+        assert (line["name"], last["name"]) == ("task_failed", "stopped")
+        assert "run_for_ever" in line["task"]
+
 
 class TestPorts:
     @pytest.mark.parametrize("port", [FRONT_PORT, *INTERNAL_PORTS])
