Drop log lines without a reader instead of failing at the exit

A gateway whose standard output and error had no reader any more went on serving, but each line failed with EPIPE, which the log library reports on standard error, and the planned stop ended with status 120: the interpreter could not flush standard error. With only standard output closed, each line left a traceback on standard error.

Lines are now dropped and counted on each error of the descriptor.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -263,11 +263,12 @@
         os.set_blocking(sys.stdout.fileno(), False)
 
     def emit(self, record: logbook.LogRecord) -> None:
-        """Writes a record, or drops it if standard output would block."""
+        """Writes a record, or drops it if standard output would block or has no reader."""
         line = self.format(record) + "\n"
         try:
             os.write(sys.stdout.fileno(), line.encode())
-        except BlockingIOError:
+        # An error here would be printed to standard error, which may have no reader either.
+        except OSError:
             self._dropped += 1
 
     def format(self, record: logbook.LogRecord) -> str:
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -38,10 +39,10 @@
 from briarfork.border.signals import ProcessSignals
 from briarfork.platform import program
 
-async def fail(*_):
+def fail(*_):
     raise RuntimeError("not expected")
 
-program.{method} = fail
+program.{function} = fail
 with ProcessSignals() as signals:
     program.run_program(signals)
 """
@@ -77,12 +78,16 @@
 
     def start(self, *arguments: str) -> None:
         with self._log.open("wb") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, *(arguments or (str(SOURCES / "run_gateway.py"),))],
-                env={"PYTHONPATH": str(SOURCES), SETTINGS_VARIABLE: str(self.path)},
-                stdout=log,
-                stderr=subprocess.DEVNULL,
-            )
+            command = list(arguments) or [str(SOURCES / "run_gateway.py")]
+            self._process = self.spawn(command, log.fileno(), subprocess.DEVNULL)
+
+    def spawn(self, command: list[str], stdout: int, stderr: int) -> subprocess.Popen[bytes]:
+        return subprocess.Popen(
+            [sys.executable, *command],
+            env={"PYTHONPATH": str(SOURCES), SETTINGS_VARIABLE: str(self.path)},
+            stdout=stdout,
+            stderr=stderr,
+        )
 
     def wait_until_logged(self, event: str) -> dict[str, Any]:
         """Returns the first line of an event."""
@@ -120,10 +125,13 @@
 
 
 class TestFailure:
-    def test_unexpected_error_has_a_line_with_its_place(self, gateway: GatewayProcess) -> None:
+    @pytest.mark.parametrize("function", ["GatewayView", "GatewayServers.open"])
+    def test_unexpected_error_has_a_line_with_its_place(
+        self, gateway: GatewayProcess, function: str
+    ) -> None:
         """Guards against an end whose only reason is a traceback on standard error."""
         gateway.path.write_bytes(gateway.build_settings())
-        gateway.start("-c", FAILING_PROGRAM.format(method="GatewayServers.open"))
+        gateway.start("-c", FAILING_PROGRAM.format(function=function))
         assert gateway.wait() == 1
         [line] = [line for line in gateway.read_log() if line["name"] == "process_failed"]
         assert (line["status"], line["vm"]) == (1, "vm-1")
@@ -143,7 +151,7 @@
     def test_failed_deregistration_cuts_no_request(self, gateway: GatewayProcess) -> None:
         """Guards against an error of one step of the stop that ends all requests in progress."""
         gateway.path.write_bytes(gateway.build_settings())
-        gateway.start("-c", FAILING_PROGRAM.format(method="Registration.deregister"))
+        gateway.start("-c", FAILING_PROGRAM.format(function="Registration.deregister"))
         gateway.wait_until_logged("started")
         with socket.create_connection((ADDRESS, FRONT_PORT)) as caller:
             caller.sendall(REQUEST[:20])
@@ -167,6 +175,18 @@
         assert (line["name"], last["name"]) == ("task_failed", "stopped")
         assert "run_for_ever" in line["task"]
 
+    def test_logs_without_a_reader_do_not_change_the_status(self, gateway: GatewayProcess) -> None:
+        """Guards against a planned stop that fails because its log cannot be written."""
+        gateway.path.write_bytes(gateway.build_settings())
+        reader, writer = os.pipe()
+        with gateway.spawn([str(SOURCES / "run_gateway.py")], writer, writer) as process:
+            os.close(writer)
+            assert b"started" in os.read(reader, 4096)
+            os.close(reader)
+            process.send_signal(signal.SIGHUP)
+            process.terminate()
+            assert process.wait(TIMEOUT_S) == 0
+
 
 class TestPorts:
     @pytest.mark.parametrize("port", [FRONT_PORT, *INTERNAL_PORTS])
