Log an error that arises while the gateway is built

`GatewayProgram` was created before the code that logs why a process ends. It is now created within it.

tests/platform/test_ends.py::TestFailure: the case `GatewayView` failed before (no line), 3 of 3 pass after.

--- a/src/briarfork/platform/program.py
+++ b/src/briarfork/platform/program.py
@@ -70,7 +70,7 @@
     install_json_handler()
     settings = _read_settings(arguments.settings, signals)
     events = EventLog(PROGRAM, settings.common, LogRateLimiter(LINES_PER_S))
-    status = run_event_loop(GatewayProgram(settings, events, signals).run, events)
+    status = run_event_loop(lambda: GatewayProgram(settings, events, signals).run(), events)
     if status:
         sys.exit(status)
 
