--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -55,7 +55,15 @@
     MEMORY_HIGH = EventDefinition(
         1009, "warning", "The peak memory of the process has passed a share of the VM's limit."
     )
-    READY = EventDefinition(1010, "notice", "The VM is ready for callers for the first time.")
+    PROCESS_FAILED = EventDefinition(
+        1010, "error", "The process ends because of an error; `status` is its exit status."
+    )
+    SETTINGS_UNUSABLE = EventDefinition(
+        1011,
+        "warning",
+        "The settings file is missing or incomplete; it is read again for a short time.",
+    )
+    READY = EventDefinition(1012, "notice", "The VM is ready for callers for the first time.")
     CHANGE_ACCEPTED = EventDefinition(2001, "notice", "A change was added to the timeline.")
     CHANGE_REFUSED = EventDefinition(2002, "warning", "A submitted change was refused.")
     CONFIGURATION_IN_FORCE = EventDefinition(
@@ -276,6 +284,7 @@
         line = self.format(record)
         try:
             os.write(self._descriptor, line)
+        # An error here would be printed to standard error, which may have no reader either.
         except OSError:
             self._dropped += 1
         else:
--- a/src/briarfork/border/program.py
+++ b/src/briarfork/border/program.py
@@ -4,38 +4,35 @@
 
 import argparse
 import asyncio
-import os
-import signal
 import sys
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-import uvloop
-
 from briarfork import __version__
 from briarfork.border.events import Event
 from briarfork.border.events import EventLog
 from briarfork.border.events import install_log_handler
+from briarfork.border.process import EXIT_STATUSES
+from briarfork.border.process import ExitStatus
+from briarfork.border.process import record_failure
+from briarfork.border.process import run_event_loop
 from briarfork.border.settings import load_settings
 from briarfork.errors import BadSettings
-from briarfork.errors import BriarforkError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
     from briarfork.border.settings import Settings
-
-EXIT_STATUSES = """exit statuses:
-  0  planned stop
-  1  failure
-  2  bad settings or arguments"""
+    from briarfork.border.signals import ProcessSignals
 
 
 def run_service(
     program: str,
     description: str,
     serve: Callable[[Settings, EventLog, asyncio.Event], Awaitable[None]],
+    signals: ProcessSignals,
 ) -> None:
     """Runs a service until SIGTERM or SIGINT.
 
@@ -43,22 +40,17 @@
         program: Name of the program.
         description: Description for --help.
         serve: Coroutine function that runs the service and stops gracefully once its event is set.
+        signals: Signals of the process.
 
     Raises:
         SystemExit: If the settings are invalid, after `--check`, or if the service fails.
     """
-    settings = _read_settings(program, description)
     install_log_handler()
+    settings = _read_settings(program, description)
     events = EventLog(program, settings)
-    # libuv reads this when the loop is created. The platform forbids io_uring.
-    os.environ["UV_USE_IO_URING"] = "0"
-    try:
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(_run_until_stopped(serve, settings, events))
-    except* (BriarforkError, OSError) as group:
-        for error in group.exceptions:
-            events.record(Event.TASK_FAILED, error=error)
-        sys.exit(1)
+    status = run_event_loop(partial(_run_until_stopped, serve, settings, events, signals), events)
+    if status:
+        sys.exit(status)
 
 
 def build_parser(program: str, description: str) -> argparse.ArgumentParser:
@@ -84,7 +76,8 @@
     except BadSettings as error:
         for fault in error.faults:
             print(f"{program}: {fault}", file=sys.stderr)
-        sys.exit(error.response.exit_status)
+        record_failure(error, ExitStatus.BAD_SETTINGS, EventLog(program))
+        sys.exit(ExitStatus.BAD_SETTINGS)
     if arguments.check:
         sys.exit(0)
     return settings
@@ -94,6 +87,7 @@
     serve: Callable[[Settings, EventLog, asyncio.Event], Awaitable[None]],
     settings: Settings,
     events: EventLog,
+    signals: ProcessSignals,
 ) -> None:
     stopping = asyncio.Event()
 
@@ -102,8 +96,15 @@
             events.record(Event.STOPPING)
             stopping.set()
 
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, request_stop)
-    await serve(settings, events, stopping)
+    def log_reload() -> None:
+        events.record(Event.RELOADED)
+
+    signals.attach(asyncio.get_running_loop(), request_stop, log_reload)
+    try:
+        if signals.stop_requested:
+            request_stop()
+        else:
+            await serve(settings, events, stopping)
+    finally:
+        signals.detach()
     events.record(Event.STOPPED)
--- a/src/briarfork/border/supervision.py
+++ b/src/briarfork/border/supervision.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
-from briarfork.border.http_server import find_place
+from briarfork.border.failures import find_place
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -32,15 +32,34 @@
         pause_s: Pause before the next start, in seconds.
     """
     while True:
-        try:
-            await run()
+        if await run_logged(run, events):
             return
-        # Whatever one task meets, the requests that other tasks serve must go on.
-        except Exception as error:
-            events.record(
-                Event.TASK_FAILED,
-                task=getattr(run, "__qualname__", repr(run)),
-                error=repr(error),
-                place=find_place(error),
-            )
         await asyncio.sleep(pause_s)
+
+
+async def run_logged(run: Callable[[], Awaitable[None]], events: EventLog) -> bool:
+    """Runs a coroutine once and logs an unexpected error instead of raising it.
+
+    Returns:
+        Whether it returned without an error.
+    """
+    try:
+        await run()
+    # Whatever one task meets, the requests that other tasks serve must go on.
+    except (Exception, asyncio.CancelledError) as error:
+        if isinstance(error, asyncio.CancelledError) and _is_cancelled():
+            raise
+        events.record(
+            Event.TASK_FAILED,
+            task=getattr(run, "__qualname__", repr(run)),
+            error=repr(error),
+            place=find_place(error),
+        )
+        return False
+    return True
+
+
+def _is_cancelled() -> bool:
+    """Returns whether the current task itself is cancelled, and not only one that it awaited."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
