Let the soak find processes that end beside large records

No seed of the soak found it: the store held only small records, an exceeded memory was only reported and not enforced, nothing checked that a killed VM gets ready again, and an exit with status -15 or after any stop was allowed.

A process that exceeds the memory of its VM is killed and counts as an exit. Probes show whether a VM in touch is ready and has the configuration in force; the bound for a VM that was killed is stable_window after its start, since it is in touch from then on. An exit is expected only with a status that a signal of the soak can give: a SIGTERM from 0.1 s after the start must give 0. Earlier signals may end a process, whose interpreter does not run yet.

Changed checks: "processes" is stricter as said. All others are as they were. The memory is checked each 20 ms, not 100 ms.

--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import signal
 import sys
 import time
@@ -17,6 +18,7 @@
 from briarfork.platform import names
 from briarfork.platform.settings import SETTINGS_VARIABLE
 from tests.soak.backend import Backend
+from tests.soak.ledger import FaultInterval
 from tests.soak.ledger import Ledger
 from tests.standins.gateway import HEARTBEAT_S
 from tests.standins.gateway import VmSettings
@@ -36,6 +38,8 @@
 SERVICES = ("lookups", "orders", "archive")
 SERVERS_PER_ZONE = 2
 SLOTS = 4
+# Routes of this service show which configuration is in force; it has no servers.
+PROBED_SERVICE = "probed"
 HOST = "soak.example"
 SERVER_PORT, STORE_PORT = 9000, 8642
 VM_MEMORY_MB = 200
@@ -43,6 +47,8 @@
 NS_PER_MS = 10**6
 EVACUATE_S, RECOVERY_S = 5.0, 15.0
 START_TIMEOUT_S = 15.0
+# No program can handle signals before its interpreter runs.
+INTERPRETER_START_S = 0.1
 RESTART_DELAY_S = 0.3
 ROUTE_COLUMNS = ["name", "host", "prefix", "kind", "timeout", "slo", "service", "max_attempts"]
 SERVICE_COLUMNS = ["name", "max_connections", "cold_start", "cold_per_s"]
@@ -59,7 +65,10 @@
         link: Proxy between the VM and the store.
         conditions: Conditions of that link.
         process: Latest process of the gateway.
-        stopping: Whether an exit of the process is expected.
+        started_at: Monotonic start time of the process.
+        expected_statuses: Statuses with which the process may exit.
+        peak_memory_mb: Highest resident memory of the process so far.
+        downtime: Time from the latest stop or end of a process to the start of the next.
         exit_watcher: Task that restarts the process when it exits.
     """
 
@@ -69,9 +78,20 @@
     link: Link
     conditions: Conditions
     process: Process | None = None
-    stopping: bool = False
+    started_at: float = 0.0
+    expected_statuses: set[int] = field(default_factory=set)
+    peak_memory_mb: float = 0.0
+    downtime: FaultInterval = field(default_factory=lambda: FaultInterval("none", 0.0, 0.0))
     exit_watcher: asyncio.Task[None] | None = None
 
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    @property
+    def age_s(self) -> float:
+        return time.monotonic() - self.started_at
+
 
 @dataclass
 class ServerEndpoint:
@@ -87,6 +107,7 @@
         sequence: Sequence number of the latest heartbeat.
         last_heartbeat: Monotonic time of the latest heartbeat.
         born: Start of the incarnation in Unix milliseconds.
+        large_fields: Further fields of its entry, which make it large.
     """
 
     address: str
@@ -98,6 +119,7 @@
     sequence: int = 0
     last_heartbeat: float = 0.0
     born: int = 0
+    large_fields: dict[str, str] = field(default_factory=dict)
 
 
 def read_unix_ms() -> int:
@@ -109,6 +131,7 @@
     endpoint.sequence += 1
     backend = endpoint.backend
     info = {"service": backend.service, "zone": backend.zone, "slots": backend.slots}
+    info |= endpoint.large_fields
     status = {"state": endpoint.state, "sequence": endpoint.sequence, "cold_remaining": "0ms"}
     address = f"{endpoint.address}:{SERVER_PORT}"
     return {"address": address, "info": info, "status": status, "born": endpoint.born}
@@ -132,6 +155,7 @@
         vms: Gateways by name.
         endpoints: Addresses of backend servers.
         version: Version of the latest configuration.
+        versions: All versions so far; each configuration has a route "/vN/" for each of them.
         configuration: The latest configuration.
         incarnations: Number of backend servers started so far.
     """
@@ -145,6 +169,7 @@
     vms: dict[str, Vm] = field(default_factory=dict)
     endpoints: list[ServerEndpoint] = field(default_factory=list)
     version: int = 0
+    versions: list[int] = field(default_factory=list)
     configuration: dict[str, Any] = field(default_factory=dict)
     incarnations: int = 0
 
@@ -192,7 +217,12 @@
             ["file", HOST, "/file/", "download", "6s", "1s", "archive", 2],
             ["move", HOST, "/move/", "idempotent", "3s", "0.6s", move_service, 2],
         ]
-        services = [[name, 200, "1s", 10.0] for name in SERVICES]
+        self.versions.append(self.version)
+        rows += [
+            [f"v{version}", HOST, f"/v{version}/", "idempotent", "1s", "0.5s", PROBED_SERVICE, 1]
+            for version in self.versions
+        ]
+        services = [[name, 200, "1s", 10.0] for name in (*SERVICES, PROBED_SERVICE)]
         self.configuration = {
             "version": self.version,
             "routes": {"columns": ROUTE_COLUMNS, "rows": rows},
@@ -200,6 +230,7 @@
         }
         await self.store.put(names.CONFIGURATION_KEY, self.configuration)
         self.ledger.configurations.append((time.monotonic(), move_service))
+        self.ledger.version_times[self.version] = time.monotonic()
 
     async def rewrite_configuration(self) -> None:
         """Writes the latest configuration again if the store holds an older one."""
@@ -218,7 +249,9 @@
     async def start_vm(self, vm: Vm) -> None:
         """Starts the gateway process of a VM, which is restarted whenever it exits."""
         path = self.work / f"{vm.name}.json"
-        vm.stopping = False
+        vm.expected_statuses, vm.peak_memory_mb = set(), 0.0
+        vm.started_at = vm.downtime.ended_at = time.monotonic()
+        self.ledger.start_times[vm.name].append(vm.started_at)
         vm.process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(ROOT / "src" / "run_gateway.py"),
@@ -228,19 +261,28 @@
         )
         vm.exit_watcher = asyncio.create_task(self._restart_on_exit(vm, vm.process))
 
-    def read_peak_memory(self) -> None:
-        """Records the highest resident memory of each gateway process so far."""
+    def enforce_memory_limit(self) -> None:
+        """Kills each process that has exceeded the memory of its VM, as the platform does."""
+        peaks_mb = self.ledger.peak_memory_mb
         for vm in self.vms.values():
-            if vm.process is not None:
-                known_mb = self.ledger.peak_memory_mb.get(vm.name, 0.0)
-                peak_mb = max(known_mb, read_peak_mb(vm.process.pid))
-                self.ledger.peak_memory_mb[vm.name] = peak_mb
+            if vm.process is None or not vm.is_running:
+                continue
+            vm.peak_memory_mb = max(vm.peak_memory_mb, read_peak_mb(vm.process.pid))
+            peaks_mb[vm.name] = max(peaks_mb.get(vm.name, 0.0), vm.peak_memory_mb)
+            if vm.peak_memory_mb > VM_MEMORY_MB:
+                vm.process.kill()
 
     def signal(self, vm: Vm, number: signal.Signals) -> None:
         """Sends a signal to the gateway process of a VM."""
-        if vm.process is not None and vm.process.returncode is None:
-            vm.stopping = vm.stopping or number in (signal.SIGKILL, signal.SIGTERM)
-            vm.process.send_signal(number)
+        if vm.process is None or not vm.is_running:
+            return
+        if number == signal.SIGTERM:
+            vm.expected_statuses.add(0)
+        if number == signal.SIGKILL or vm.age_s < INTERPRETER_START_S:
+            vm.expected_statuses.add(-number)
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self._start_downtime(vm)
+        vm.process.send_signal(number)
 
     async def register(self, endpoint: ServerEndpoint, now: float) -> None:
         """Writes the entry of a backend server, as its heartbeat does."""
@@ -269,12 +311,20 @@
 
     async def _restart_on_exit(self, vm: Vm, process: Process) -> None:
         code = await process.wait()
-        # A process that is stopped before its startup is complete is terminated by the signal.
-        if not vm.stopping or code not in (0, -signal.SIGKILL, -signal.SIGTERM):
-            self.ledger.unexpected_exits.append(f"{vm.name} exited unexpectedly with status {code}")
+        if code not in vm.expected_statuses:
+            self.ledger.unexpected_exits.append(
+                f"{vm.name} exited unexpectedly with status {code}, {vm.age_s:.2f} s after its "
+                f"start, peak memory {vm.peak_memory_mb:.0f} MB of {VM_MEMORY_MB}"
+            )
+        self._start_downtime(vm)
         await asyncio.sleep(RESTART_DELAY_S)
         await self.start_vm(vm)
 
+    def _start_downtime(self, vm: Vm) -> None:
+        if vm.downtime.ended_at < math.inf:
+            vm.downtime = FaultInterval("down", time.monotonic())
+            self.ledger.downtimes[vm.name].append(vm.downtime)
+
     async def _send_heartbeats(self) -> None:
         while True:
             now = time.monotonic()
--- a/tests/soak/extra_faults.py
+++ b/tests/soak/extra_faults.py
@@ -5,18 +5,17 @@
 import asyncio
 import math
 import signal
-import time
 from typing import TYPE_CHECKING
 
 from briarfork.platform import names
 from briarfork.registry import Registry
 from tests.soak.endless import ENDLESS_ANSWERS
 from tests.soak.environment import MISSED_HEARTBEATS
+from tests.soak.faults import STORE
 from tests.soak.faults import Fault
 from tests.soak.faults import choose_endpoint
 from tests.soak.faults import choose_vm
 from tests.soak.faults import draw_duration_s
-from tests.soak.faults import end_interval
 from tests.soak.faults import stop_gracefully
 from tests.soak.faults import wait_until_ready
 from tests.soak.ledger import RESTORED_STORE
@@ -26,6 +25,7 @@
     from random import Random
 
     from tests.soak.environment import SoakEnvironment
+    from tests.standins.key_value import StoreCopy
 
 EXTRA_FAULTS: Registry[Fault] = Registry("extra fault")
 RESTORE_FAULTS: Registry[Fault] = Registry("restore of the store")
@@ -43,12 +43,11 @@
     endpoint = choose_endpoint(environment, random)
     mode = random.choice(ENDLESS_ANSWERS)
     fault = f"endless {mode}"
-    interval = environment.ledger.start_fault(endpoint.backend.name, fault, time.monotonic())
     backend = endpoint.backend
-    backend.endless = mode
-    await asyncio.sleep(draw_duration_s(random))
-    backend.endless = ""
-    end_interval(interval)
+    with environment.ledger.record_fault([backend.name], fault):
+        backend.endless = mode
+        await asyncio.sleep(draw_duration_s(random))
+        backend.endless = ""
     return f"{backend.name} {fault}"
 
 
@@ -72,24 +71,30 @@
 @EXTRA_FAULTS.register("odd store answers")
 async def answer_oddly(environment: SoakEnvironment, random: Random) -> str:
     """Lets the store give answers that its calls do not have."""
-    interval = environment.ledger.start_fault("store", "odd answers", time.monotonic())
     status = random.choice((200, 404, 410, 412))
-    environment.store.odd_answer = (status, b"[" * random.choice((0, 100_000)))
-    await environment.store.delete(names.SERVER_PREFIX + "odd-1")
-    await asyncio.sleep(draw_duration_s(random))
-    environment.store.odd_answer = None
-    end_interval(interval)
+    with environment.ledger.record_fault([STORE], "odd answers"):
+        environment.store.odd_answer = (status, b"[" * random.choice((0, 100_000)))
+        await environment.store.delete(names.SERVER_PREFIX + "odd-1")
+        await asyncio.sleep(draw_duration_s(random))
+        environment.store.odd_answer = None
     return str(status)
 
 
 @RESTORE_FAULTS.register("store comes back older")
 async def restore_store(environment: SoakEnvironment, random: Random) -> str:
     """Restores the store from a copy; what was written since is written again by its writers."""
-    store = environment.store
-    copy = store.take_copy()
+    copy = environment.store.take_copy()
     age_s = random.uniform(*COPY_AGE_S)
     await asyncio.sleep(age_s)
-    interval = environment.ledger.start_fault(RESTORED_STORE, "older", time.monotonic())
+    with environment.ledger.record_fault([RESTORED_STORE], "older"):
+        await _restore_and_rewrite(environment, random, copy)
+    return f"{age_s:.1f} s"
+
+
+async def _restore_and_rewrite(
+    environment: SoakEnvironment, random: Random, copy: StoreCopy
+) -> None:
+    store = environment.store
     store.down = True
     await asyncio.sleep(random.uniform(*RESTORE_S))
     await store.restore(copy)
@@ -105,5 +110,3 @@
             await store.delete(key)
     await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_S)
     await environment.expire_ended_servers()
-    end_interval(interval)
-    return f"{age_s:.1f} s"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from briarfork.platform import names
@@ -16,6 +17,7 @@
 from tests.soak.environment import SERVICES
 from tests.soak.environment import ZONES
 from tests.soak.environment import build_next_entry
+from tests.soak.ledger import FaultInterval
 from tests.standins.gateway import DRAIN_S
 from tests.standins.gateway import GRACE_S
 from tests.standins.key_value import KeyValueStore
@@ -26,7 +28,6 @@
     from tests.soak.environment import ServerEndpoint
     from tests.soak.environment import SoakEnvironment
     from tests.soak.environment import Vm
-    from tests.soak.ledger import FaultInterval
 
 Fault = Callable[["SoakEnvironment", "Random"], Awaitable[str]]
 FAULTS: Registry[Fault] = Registry("fault")
@@ -51,6 +52,8 @@
 ADDRESS_REUSE_DELAY_S = 2.0
 # The platform's store does a write that got no response at most this much later.
 LATE_WRITE_S = 6.0
+# Longer than any bound on the time until a killed VM is ready.
+READY_TIMEOUT_S = 30.0
 # Time between the two resets of a link.
 RESET_INTERVAL_S = 0.2
 
@@ -66,16 +69,12 @@
 
 def choose_endpoint(environment: SoakEnvironment, random: Random) -> ServerEndpoint:
     """Returns an endpoint whose server is listed and does not leave."""
-    candidates = [
-        endpoint
-        for endpoint in environment.endpoints
-        if endpoint.state == "ready" and endpoint.listed and not endpoint.backend.leaving
-    ]
-    return random.choice(candidates)
+    return random.choice([item for item in environment.endpoints if is_steady(item)])
 
 
-def end_interval(interval: FaultInterval) -> None:
-    interval.ended_at = time.monotonic()
+def is_steady(endpoint: ServerEndpoint) -> bool:
+    """Returns whether the server of an endpoint is listed and does not leave."""
+    return endpoint.state == "ready" and endpoint.listed and not endpoint.backend.leaving
 
 
 async def inject_store_fault(
@@ -85,37 +84,35 @@
 
     Faults can overlap, so each one restores the defaults instead of the previous values.
     """
-    interval = environment.ledger.start_fault(STORE, kind, time.monotonic())
     defaults = KeyValueStore()
-    for name, value in fault.items():
-        setattr(environment.store, name, value)
-    await asyncio.sleep(draw_duration_s(random))
-    for name in fault:
-        setattr(environment.store, name, getattr(defaults, name))
-    end_interval(interval)
+    with environment.ledger.record_fault([STORE], kind):
+        for name, value in fault.items():
+            setattr(environment.store, name, value)
+        await asyncio.sleep(draw_duration_s(random))
+        for name in fault:
+            setattr(environment.store, name, getattr(defaults, name))
     return kind
 
 
+async def kill_vms(environment: SoakEnvironment, vms: list[Vm]) -> None:
+    """Kills VMs at the same moment and waits until all are ready again."""
+    with environment.ledger.record_fault([vm.name for vm in vms], "kill"):
+        for vm in vms:
+            environment.signal(vm, signal.SIGKILL)
+        for vm in vms:
+            await wait_until_ready(environment, vm)
+
+
 @FAULTS.register("kill")
 async def kill_vm(environment: SoakEnvironment, random: Random) -> str:
     vm = choose_vm(environment, random)
-    interval = environment.ledger.start_fault(vm.name, "kill", time.monotonic())
-    environment.signal(vm, signal.SIGKILL)
-    await wait_until_ready(environment, vm)
-    end_interval(interval)
+    await kill_vms(environment, [vm])
     return vm.name
 
 
 @FAULTS.register("kill all")
 async def kill_all_vms(environment: SoakEnvironment, random: Random) -> str:
-    now = time.monotonic()
-    intervals = [environment.ledger.start_fault(name, "kill", now) for name in environment.vms]
-    for vm in environment.vms.values():
-        environment.signal(vm, signal.SIGKILL)
-    for vm in environment.vms.values():
-        await wait_until_ready(environment, vm)
-    for interval in intervals:
-        end_interval(interval)
+    await kill_vms(environment, list(environment.vms.values()))
     return "all"
 
 
@@ -150,11 +147,10 @@
 @FAULTS.register("pause")
 async def pause_vm(environment: SoakEnvironment, random: Random) -> str:
     vm = choose_vm(environment, random)
-    interval = environment.ledger.start_fault(vm.name, "pause", time.monotonic())
-    environment.signal(vm, signal.SIGSTOP)
-    await asyncio.sleep(draw_duration_s(random))
-    environment.signal(vm, signal.SIGCONT)
-    end_interval(interval)
+    with environment.ledger.record_fault([vm.name], "pause"):
+        environment.signal(vm, signal.SIGSTOP)
+        await asyncio.sleep(draw_duration_s(random))
+        environment.signal(vm, signal.SIGCONT)
     return vm.name
 
 
@@ -170,11 +166,10 @@
     """Resets the connections of one VM to the store, or silences one of their directions."""
     vm = choose_vm(environment, random)
     mode = random.choice(("cut", "silent_up", "silent_down"))
-    interval = environment.ledger.start_fault(vm.name, mode, time.monotonic())
-    setattr(vm.conditions, mode, True)
-    await asyncio.sleep(draw_duration_s(random))
-    setattr(vm.conditions, mode, False)
-    end_interval(interval)
+    with environment.ledger.record_fault([vm.name], mode):
+        setattr(vm.conditions, mode, True)
+        await asyncio.sleep(draw_duration_s(random))
+        setattr(vm.conditions, mode, False)
     return f"{vm.name} {mode}"
 
 
@@ -191,11 +186,10 @@
 @FAULTS.register("silent store")
 async def silence_store(environment: SoakEnvironment, random: Random) -> str:
     """Leaves calls without a response and their connections open, also after the fault."""
-    interval = environment.ledger.start_fault(STORE, "silent", time.monotonic())
-    environment.store.start_silence()
-    await asyncio.sleep(draw_duration_s(random))
-    environment.store.end_silence()
-    end_interval(interval)
+    with environment.ledger.record_fault([STORE], "silent"):
+        environment.store.start_silence()
+        await asyncio.sleep(draw_duration_s(random))
+        environment.store.end_silence()
     return "silent"
 
 
@@ -214,21 +208,21 @@
 async def impair_server_link(environment: SoakEnvironment, random: Random) -> str:
     """Delays or resets the streams to a server, or silences one of their directions."""
     endpoint = choose_endpoint(environment, random)
-    interval = environment.ledger.start_fault(endpoint.backend.name, "link", time.monotonic())
+    name = endpoint.backend.name
     mode = random.choice(("delay_s", "reset", "silent_up", "silent_down"))
-    if mode == "delay_s":
-        endpoint.conditions.delay_s = random.uniform(0.1, 0.5)
-    elif mode == "reset":
-        endpoint.link.reset()
-        await asyncio.sleep(RESET_INTERVAL_S)
-        endpoint.link.reset()
-    else:
-        setattr(endpoint.conditions, mode, True)
-    await asyncio.sleep(draw_duration_s(random))
-    endpoint.conditions.delay_s = 0.0
-    endpoint.conditions.silent_up = endpoint.conditions.silent_down = False
-    end_interval(interval)
-    return f"{endpoint.backend.name} {mode}"
+    with environment.ledger.record_fault([name], "link"):
+        if mode == "delay_s":
+            endpoint.conditions.delay_s = random.uniform(0.1, 0.5)
+        elif mode == "reset":
+            endpoint.link.reset()
+            await asyncio.sleep(RESET_INTERVAL_S)
+            endpoint.link.reset()
+        else:
+            setattr(endpoint.conditions, mode, True)
+        await asyncio.sleep(draw_duration_s(random))
+        endpoint.conditions.delay_s = 0.0
+        endpoint.conditions.silent_up = endpoint.conditions.silent_down = False
+    return f"{name} {mode}"
 
 
 @FAULTS.register("server crash")
@@ -236,7 +230,8 @@
     """Stops a server without notice; its address is reused by a server of any service."""
     endpoint = choose_endpoint(environment, random)
     name = endpoint.backend.name
-    environment.ledger.start_fault(name, "crash", time.monotonic())
+    crash = FaultInterval("crash", time.monotonic())
+    environment.ledger.fault_intervals[name].append(crash)
     endpoint.listed = False
     endpoint.link.reset()
     await endpoint.backend.stop()
@@ -275,12 +270,11 @@
 async def inject_backend_fault(environment: SoakEnvironment, random: Random) -> str:
     endpoint = choose_endpoint(environment, random)
     mode = random.choice(list(BACKEND_FAULTS.names()))
-    interval = environment.ledger.start_fault(endpoint.backend.name, mode, time.monotonic())
     backend = endpoint.backend
-    backend.fault = mode
-    await asyncio.sleep(draw_duration_s(random))
-    backend.fault = ""
-    end_interval(interval)
+    with environment.ledger.record_fault([backend.name], mode):
+        backend.fault = mode
+        await asyncio.sleep(draw_duration_s(random))
+        backend.fault = ""
     return f"{backend.name} {mode}"
 
 
@@ -305,12 +299,9 @@
     key = names.EVACUATION_PREFIX + zone
     await environment.store.put(key, {})
     intervals = environment.ledger.evacuations[zone]
-    interval = environment.ledger.start_fault(
-        f"evacuation of {zone}", "evacuation", time.monotonic()
-    )
-    intervals.append(interval)
-    await asyncio.sleep(random.uniform(4.0, 8.0))
-    end_interval(interval)
+    with environment.ledger.record_fault([f"evacuation of {zone}"], "evacuation") as interval:
+        intervals.append(interval)
+        await asyncio.sleep(random.uniform(4.0, 8.0))
     # Evacuations of a zone can overlap; the key stays until the last one ends.
     if all(item.ended_at < math.inf for item in intervals):
         await environment.store.delete(key)
@@ -379,6 +370,8 @@
 
 
 async def wait_until_ready(environment: SoakEnvironment, vm: Vm) -> None:
-    """Waits until a restarted VM is ready; the recovery time is checked separately."""
-    while not await environment.is_ready(vm):
-        await asyncio.sleep(0.1)
+    """Waits for a time until a restarted VM is ready; whether it is, is checked separately."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await environment.is_ready(vm):
+                await asyncio.sleep(0.1)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import math
+import time
 from collections import defaultdict
+from contextlib import contextmanager
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
 
 # Subject of the faults in which the store comes back from an older copy.
 RESTORED_STORE = "restored store"
@@ -111,6 +118,37 @@
         return self.started_at <= end and self.ended_at >= start
 
 
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """What a probe of a VM showed.
+
+    Attributes:
+        vm: Name of the VM.
+        started_at: Monotonic time before the first question.
+        ended_at: Monotonic time after the last answer.
+        is_ready: Whether the VM said that it was ready.
+        version: The newest version of the configuration that was to be in force, 0 for none.
+        knows_version: Whether the VM knew the route of that version; also without an answer.
+    """
+
+    vm: str
+    started_at: float
+    ended_at: float
+    is_ready: bool
+    version: int
+    knows_version: bool
+
+
+@dataclass(slots=True)
+class LargeEntry:
+    """A live server whose entry in the store was large for a while."""
+
+    server: str
+    service: str
+    zone: str
+    interval: FaultInterval
+
+
 @dataclass
 class Ledger:
     """Record of one soak; all times are monotonic.
@@ -129,6 +167,12 @@
         unexpected_exits: Descriptions of processes that exited or failed to stop.
         wrong_bodies: Descriptions of request bodies that differ from those sent.
         peak_memory_mb: Highest resident memory of the processes of each VM, in megabytes.
+        start_times: Times at which processes were started, by VM.
+        downtimes: Times from the stop or end of a process to the start of the next, by VM.
+        version_times: Times at which configurations were acknowledged, by version.
+        probes: What probes of the VMs showed.
+        large_entries: Live servers whose entries were large.
+        late_starts: Descriptions of VMs with slow links that were not ready in time.
         own_delays: Times in which the event loop of the soak, with all callers and servers, stood
             still.
     """
@@ -148,12 +192,22 @@
     unexpected_exits: list[str] = field(default_factory=list)
     wrong_bodies: list[str] = field(default_factory=list)
     peak_memory_mb: dict[str, float] = field(default_factory=dict)
+    start_times: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    downtimes: dict[str, list[FaultInterval]] = field(default_factory=lambda: defaultdict(list))
+    version_times: dict[int, float] = field(default_factory=dict)
+    probes: list[Probe] = field(default_factory=list)
+    large_entries: list[LargeEntry] = field(default_factory=list)
+    late_starts: list[str] = field(default_factory=list)
     own_delays: list[FaultInterval] = field(default_factory=list)
 
-    def start_fault(self, subject: str, kind: str, now: float) -> FaultInterval:
-        interval = FaultInterval(kind, now)
-        self.fault_intervals[subject].append(interval)
-        return interval
+    @contextmanager
+    def record_fault(self, subjects: Iterable[str], kind: str) -> Iterator[FaultInterval]:
+        """Records a fault of some subjects for the duration of a block."""
+        interval = FaultInterval(kind, time.monotonic())
+        for subject in subjects:
+            self.fault_intervals[subject].append(interval)
+        yield interval
+        interval.ended_at = time.monotonic()
 
     def measure_own_delay_s(self, start: float, end: float) -> float:
         """Returns for how much of a time interval the soak itself stood still, in seconds."""
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -15,6 +15,8 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import uvloop
+
 from tests.soak.callers import LoadGenerator
 from tests.soak.environment import RECOVERY_S
 from tests.soak.environment import SoakEnvironment
@@ -22,14 +24,17 @@
 from tests.soak.extra_faults import RESTORE_FAULTS
 from tests.soak.faults import FAULTS
 from tests.soak.faults import LATE_FAULTS
-from tests.soak.faults import Fault
 from tests.soak.invariants import INVARIANTS
 from tests.soak.kept_callers import run_kept_callers
 from tests.soak.ledger import FaultInterval
+from tests.soak.readiness import STABLE_WINDOW_S
+from tests.soak.readiness import probe_vms
+from tests.soak.record_faults import RECORD_FAULTS
 from tests.soak.regressions import REGRESSIONS
 
 if TYPE_CHECKING:
     from briarfork.registry import Registry
+    from tests.soak.faults import Fault
     from tests.soak.ledger import Ledger
 
 REQUEST_RATE = 50.0
@@ -39,12 +44,19 @@
 # Recovery is complete once this share of the requests of a window is served.
 SERVED_SHARE = 0.95
 WINDOW_S = 2.0
-# Minimum and maximum time between the starts of two faults, which can overlap.
-FAULT_INTERVAL_S = (0.2, 2.0)
-LATE_FAULT_INTERVAL_S = (2.0, 5.0)
-EXTRA_FAULT_INTERVAL_S = (1.5, 4.0)
-RESTORE_INTERVAL_S = (3.0, 8.0)
-MEMORY_CHECK_INTERVAL_S = 0.1
+USUAL, LATE, RECORDS = "usual", "late", "records"
+# Faults by kind, each with the minimum and maximum time between the starts of two, which can
+# overlap. The kinds are drawn apart, so that a new one does not change the others of a seed.
+FAULT_KINDS: dict[str, tuple[Registry[Fault], tuple[float, float]]] = {
+    USUAL: (FAULTS, (0.2, 2.0)),
+    "extra": (EXTRA_FAULTS, (1.5, 4.0)),
+    "restore": (RESTORE_FAULTS, (3.0, 8.0)),
+    LATE: (LATE_FAULTS, (2.0, 5.0)),
+    RECORDS: (RECORD_FAULTS, (2.0, 4.0)),
+}
+# After the last fault the VMs are in touch for some probes.
+CALM_S = STABLE_WINDOW_S + 2.0
+MEMORY_CHECK_INTERVAL_S = 0.02
 DELAY_CHECK_INTERVAL_S = 0.05
 
 
@@ -56,14 +68,14 @@
         fault_s: Time in seconds during which faults are injected.
         network: Second octet of all loopback addresses.
         scale: Number of VMs, servers and requests as a multiple of the usual ones.
-        late_only: Whether only late messages are injected. Bounds in time are checked without other
-            faults, which excuse most misses.
+        kinds: Kinds of faults that are injected. With few of them, bounds in time are checked
+            without the faults that excuse most misses.
     """
 
     fault_s: float = 15.0
     network: int = 61
     scale: int = 1
-    late_only: bool = False
+    kinds: tuple[str, ...] = tuple(FAULT_KINDS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +123,7 @@
         self._fault_s = fault_s
 
     async def run(
-        self, registry: Registry[Fault], random: Random, interval_s: tuple[float, float]
+        self, registry: Registry[Fault], interval_s: tuple[float, float], random: Random
     ) -> None:
         """Starts faults of a registry at random intervals and waits until all have ended."""
         async with asyncio.TaskGroup() as faults:
@@ -136,7 +148,8 @@
     ):
         watch_tasks = [
             group.create_task(record_own_delays(environment.ledger)),
-            group.create_task(record_peak_memory(environment)),
+            group.create_task(enforce_memory_limits(environment)),
+            group.create_task(probe_vms(environment)),
         ]
         stop_event = asyncio.Event()
         load_task = group.create_task(
@@ -153,15 +166,12 @@
         started_at = time.monotonic()
         injector = FaultInjector(environment, settings.fault_s)
         async with asyncio.TaskGroup() as kinds:
-            if not settings.late_only:
-                kinds.create_task(injector.run(FAULTS, random, FAULT_INTERVAL_S))
-                extra_draws = Random(f"extra {seed}")
-                kinds.create_task(injector.run(EXTRA_FAULTS, extra_draws, EXTRA_FAULT_INTERVAL_S))
-                restore_draws = Random(f"restore {seed}")
-                kinds.create_task(injector.run(RESTORE_FAULTS, restore_draws, RESTORE_INTERVAL_S))
-            late_draws = Random(f"late {seed}")
-            kinds.create_task(injector.run(LATE_FAULTS, late_draws, LATE_FAULT_INTERVAL_S))
+            for name in settings.kinds:
+                draws = random if name == USUAL else Random(f"{name} {seed}")
+                kinds.create_task(injector.run(*FAULT_KINDS[name], draws))
+        calm_at = time.monotonic() + CALM_S
         recovery_s = await measure_recovery_s(environment)
+        await asyncio.sleep(calm_at - time.monotonic())
         stop_event.set()
         await load_task
         await kept_task
@@ -192,10 +202,10 @@
             ledger.own_delays.append(FaultInterval("own delay", due, now))
 
 
-async def record_peak_memory(environment: SoakEnvironment) -> None:
-    """Records the highest memory of the gateways, until cancelled."""
+async def enforce_memory_limits(environment: SoakEnvironment) -> None:
+    """Kills gateways that exceed the memory of their VMs, until cancelled."""
     while True:
-        environment.read_peak_memory()
+        environment.enforce_memory_limit()
         await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
 
 
@@ -218,7 +228,8 @@
     """Runs one soak with its logs in a separate folder."""
     work_dir = logs_dir / f"seed-{seed}"
     work_dir.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(soak(seed, settings, work_dir))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(soak(seed, settings, work_dir))
 
 
 def main() -> None:
@@ -235,13 +246,18 @@
         "--scale", type=int, default=1, help="VMs, servers and requests as a multiple of the usual"
     )
     parser.add_argument("--late", action="store_true", help="inject late messages only")
+    parser.add_argument(
+        "--records", action="store_true", help="inject faults beside large and odd records only"
+    )
     parser.add_argument("--logs", type=Path, help="folder for the logs; default: a temporary one")
     parser.add_argument(
         "--regressions", action="store_true", help="run the seeds that failed before"
     )
     arguments = parser.parse_args()
     logs_dir = arguments.logs or Path(tempfile.mkdtemp(prefix="briarfork-soak-"))
-    settings = SoakSettings(arguments.seconds, arguments.network, arguments.scale, arguments.late)
+    chosen = ((LATE, arguments.late), (RECORDS, arguments.records))
+    kinds = tuple(name for name, is_chosen in chosen if is_chosen) or tuple(FAULT_KINDS)
+    settings = SoakSettings(arguments.seconds, arguments.network, arguments.scale, kinds)
     failed = False
     seeds = range(arguments.first, arguments.first + arguments.seeds)
     for seed in REGRESSIONS if arguments.regressions else seeds:
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -8,10 +8,15 @@
 import time
 from dataclasses import dataclass
 from dataclasses import field
+from functools import lru_cache
+from typing import TYPE_CHECKING
 from typing import Any
 
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 # Written out: the cases in review/ run this module without the package.
 ERA_HEADER = "Store-Era"
 FIRST_REVISION = 10
@@ -19,6 +24,14 @@
 # A page ends with the item that reaches one of these limits.
 PAGE_ITEMS = 500
 PAGE_BYTES = 10**6
+# Shorter parts of a response are sent together.
+MIN_PART_BYTES = 65536
+
+
+@lru_cache(maxsize=64)
+def encode_value(value: bytes) -> bytes:
+    """Returns a value as it is sent; large ones are sent often."""
+    return base64.b64encode(value)
 
 
 @dataclass(slots=True)
@@ -35,17 +48,14 @@
     lease: int = 0
     deleted: bool = False
 
-    def to_json(self) -> dict[str, Any]:
+    def encode(self) -> list[bytes]:
+        """Returns the item as JSON in parts, of which equal values share the longest one."""
+        fields: dict[str, Any] = {"key": self.key, "revision": self.revision}
         if self.deleted:
-            return {"key": self.key, "revision": self.revision, "deleted": True}
-        value = base64.b64encode(self.value).decode()
-        return {
-            "key": self.key,
-            "value": value,
-            "revision": self.revision,
-            "created": self.revision,
-            "lease": self.lease,
-        }
+            return [json.dumps(fields | {"deleted": True}).encode()]
+        fields |= {"created": self.revision, "lease": self.lease}
+        start = json.dumps(fields).removesuffix("}")
+        return [f'{start}, "value": "'.encode(), encode_value(self.value), b'"}']
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,7 +229,7 @@
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
         page = self._select_page(keys)
-        return self._respond(items=[i.to_json() for i in page], has_more=len(keys) > len(page))
+        return self._respond("items", page, has_more=len(keys) > len(page))
 
     def _select_page(self, keys: list[str]) -> list[Item]:
         page: list[Item] = []
@@ -240,7 +250,7 @@
             events = [i for i in self.history if i.revision > after and i.key.startswith(prefix)]
             remaining_s = expires_at - time.monotonic()
             if events or remaining_s <= 0.0 or self.down:
-                return self._respond(events=[item.to_json() for item in events])
+                return self._respond("events", events)
             try:
                 async with asyncio.timeout(remaining_s), self.changed:
                     await self.changed.wait()
@@ -275,8 +285,26 @@
         lease.expires_at = time.monotonic() + lease.ttl_s
         return web.json_response({})
 
-    def _respond(self, **fields: Any) -> web.Response:
-        return web.json_response({**fields, "store_revision": self.revision})
+    def _respond(self, name: str, items: list[Item], **fields: Any) -> web.Response:
+        start = json.dumps({**fields, "store_revision": self.revision}).removesuffix("}")
+        parts = [f'{start}, "{name}": ['.encode()]
+        for number, item in enumerate(items):
+            parts += [b", "] * (number > 0) + item.encode()
+        parts.append(b"]}")
+        # The parts are sent one by one, so that many large values do not hold up other calls.
+        length = str(sum(len(part) for part in parts))
+        headers = {"Content-Length": length, "Content-Type": "application/json"}
+        return web.Response(body=_iterate(parts), headers=headers)
+
+
+async def _iterate(parts: list[bytes]) -> AsyncIterator[bytes]:
+    short = b""
+    for part in parts:
+        short += part
+        if len(short) >= MIN_PART_BYTES:
+            yield short
+            short = b""
+    yield short
 
 
 def _name_era(response: web.StreamResponse, era: int | None) -> web.StreamResponse:
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -137,7 +137,7 @@
                 await asyncio.sleep(deliver_at - loop.time())
                 while conditions.silent_up if upstream else conditions.silent_down:
                     await asyncio.sleep(SILENCE_POLL_INTERVAL_S)
-                if conditions.cut or not data:
+                if conditions.cut or not data or writer.is_closing():
                     raise ConnectionResetError("the link is cut or a side has closed")
                 writer.write(data)
                 await writer.drain()
