Replace a lost watch during a long listing

Cause: a silence swallowed the held watch and a page. The page was read again, but no watch was checked during the listing, whose pages may hold up other responses. The listing took 4.8 s, the checks after it 2 s more. The configuration's key had been listed before the silence.

Ruled out: the soak itself, which had stood still for 0.0 s, and a restart (the VM ran on).

Change: during a listing the pages show the store's revision. A watch is lost if they show a newer one for a second and two further pages, and no part of a response to the watch has arrived. No calls are added.

--- a/src/briarfork/platform/store.py
+++ b/src/briarfork/platform/store.py
@@ -112,6 +112,8 @@
         health: What the calls show about the store.
         era: The era of the store.
         calls: Number of calls so far.
+        pages_read: Number of pages of listings so far.
+        page_revision: Revision of the store that the latest page showed.
         changes_received_at: Time at which a part of the response to a watch last arrived, in
             seconds on the monotonic clock.
     """
@@ -128,6 +130,8 @@
             trace_configs=[build_send_trace()],
         )
         self.calls = 0
+        self.pages_read = 0
+        self.page_revision = 0
         self.changes_received_at = -math.inf
 
     async def __aenter__(self) -> StoreClient:
@@ -157,6 +161,8 @@
         after = ""
         while True:
             reply = await self._read_page(prefix, after, position)
+            self.pages_read += 1
+            self.page_revision = reply.body.store_revision
             is_first = position is None
             # A watch from the revision of the first page includes changes made between pages.
             position = position or StorePosition(reply.era, reply.body.store_revision)
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -35,6 +35,10 @@
 # Interval at which a waiting watch is checked. Two checks and a listing fit into the time after an
 # outage of the store within which a VM must be up to date.
 CHECK_INTERVAL_S = 1.0
+# Interval at which a watch is checked by the pages of a listing, which takes no calls.
+PAGE_CHECK_INTERVAL_S = 0.25
+# On a slow link, the first changes may arrive after so many pages that were requested later.
+PAGES_BEFORE_CHANGES = 2
 # After a restore of the store, the VMs read all keys again over this time.
 ERA_SPREAD_S = 0.3
 # Changes of the past are returned at once; without any, the call ends after this time.
@@ -164,7 +168,8 @@
             checked_at = time.monotonic()
             await self._store.era.wait_for_end(position.era, CHECK_INTERVAL_S)
             if self.contents.is_listing:
-                # The pages show that the store answers, and may hold up other responses.
+                await self._check_watch_by_pages(position)
+                missed_changes = False
                 continue
             try:
                 latest = await self._store.read_revision(position.era)
@@ -176,11 +181,38 @@
                 # The response is long and still arriving.
                 has_changes = False
             if has_changes and missed_changes:
-                reason = f"the watch after revision {position.revision} returned no changes"
-                self._store.health.record_failure(reason)
-                raise StoreUnavailable(reason)
+                raise self._report_lost_watch(position)
             missed_changes = has_changes
 
+    async def _check_watch_by_pages(self, position: StorePosition) -> None:
+        """Checks that a watch after a position has no changes to return, until a listing ends.
+
+        The pages show the store's revision, and may hold up the responses to other calls.
+
+        Raises:
+            EraEnded: If the era of the position has ended.
+            StoreUnavailable: If the watch is lost.
+        """
+        missed_at, pages_read = math.inf, 0
+        while self.contents.is_listing:
+            await self._store.era.wait_for_end(position.era, PAGE_CHECK_INTERVAL_S)
+            now = time.monotonic()
+            has_changes = self._store.page_revision > position.revision
+            if not has_changes or self._store.changes_received_at > missed_at:
+                missed_at = math.inf
+            elif missed_at == math.inf:
+                missed_at, pages_read = now, self._store.pages_read
+            elif (
+                now >= missed_at + CHECK_INTERVAL_S
+                and self._store.pages_read >= pages_read + PAGES_BEFORE_CHANGES
+            ):
+                raise self._report_lost_watch(position)
+
+    def _report_lost_watch(self, position: StorePosition) -> StoreUnavailable:
+        reason = f"the watch after revision {position.revision} returned no changes"
+        self._store.health.record_failure(reason)
+        return StoreUnavailable(reason)
+
     async def _check_currency(self, era: int) -> None:
         """Reads the store's revision, so that this VM can show that its configuration is current.
 
--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -33,6 +33,7 @@
 SILENCE_S = 1.0
 # At half a second a page, listing them takes longer than the grace period of expired entries.
 SLOW_LISTING_KEYS = 6
+LONG_LISTING_KEYS, PAGE_DELAY_S = 30, 0.3
 BOUNDS = ["drain=2s"]
 CONFIGURATION = {
     "version": 3,
@@ -121,6 +122,27 @@
             while harness.gateway.view.require_route_table().version < 4:
                 await asyncio.sleep(0.01)
 
+    async def test_watch_that_is_lost_during_a_listing_is_replaced(
+        self, harness: WatcherHarness, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a lost watch that is not noticed until a long listing ends.
+
+        The listing has shown the configuration before it changes.
+        """
+        await harness.wait_until_ready()
+        for number in range(LONG_LISTING_KEYS):
+            await harness.store.put(f"{names.SERVER_PREFIX}new-{number}", build_entry(1))
+        monkeypatch.setattr(key_value, "PAGE_ITEMS", 1)
+        harness.store.delay_s = PAGE_DELAY_S
+        await harness.store.forget_history()
+        await asyncio.sleep(1.0)
+        harness.store.start_silence()
+        await harness.store.put(names.CONFIGURATION_KEY, CONFIGURATION | {"version": 4})
+        harness.store.end_silence()
+        async with asyncio.timeout(STABLE_WINDOW_S):
+            while harness.gateway.view.require_route_table().version < 4:
+                await asyncio.sleep(0.01)
+
     async def test_watch_without_changes_is_kept(self, harness: WatcherHarness) -> None:
         """Guards against listings while nothing changes, which all VMs would send."""
         await harness.wait_until_ready()
