--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -250,8 +250,6 @@
         """Starts the gateway process of a VM, which is restarted whenever it exits."""
         path = self.work / f"{vm.name}.json"
         vm.expected_statuses, vm.peak_memory_mb = set(), 0.0
-        vm.started_at = vm.downtime.ended_at = time.monotonic()
-        self.ledger.start_times[vm.name].append(vm.started_at)
         vm.process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(ROOT / "src" / "run_gateway.py"),
@@ -259,6 +257,8 @@
             stdout=(self.work / f"{vm.name}.log").open("ab"),
             stderr=asyncio.subprocess.STDOUT,
         )
+        vm.started_at = vm.downtime.ended_at = time.monotonic()
+        self.ledger.start_times[vm.name].append(vm.started_at)
         vm.exit_watcher = asyncio.create_task(self._restart_on_exit(vm, vm.process))
 
     def enforce_memory_limit(self) -> None:
