--- a/tests/soak/kept_callers.py
+++ b/tests/soak/kept_callers.py
@@ -109,11 +109,11 @@
         try:
             async with asyncio.timeout(1.0):
                 await asyncio.get_running_loop().sock_connect(connection, address)
-                reader, writer = await asyncio.open_connection(sock=connection)
         except (OSError, TimeoutError):
             connection.close()
             self._vm = ""
             return None
+        reader, writer = await asyncio.open_connection(sock=connection)
         self._connection = Connection(self._vm, reader, writer)
         return self._connection
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -173,6 +173,7 @@
         probes: What probes of the VMs showed.
         large_entries: Live servers whose entries were large.
         late_starts: Descriptions of VMs with slow links that were not ready in time.
+        processor_waits: Times in which a process was ready to run but had no processor, by VM.
         own_delays: Times in which the event loop of the soak, with all callers and servers, stood
             still.
     """
@@ -198,6 +199,9 @@
     probes: list[Probe] = field(default_factory=list)
     large_entries: list[LargeEntry] = field(default_factory=list)
     late_starts: list[str] = field(default_factory=list)
+    processor_waits: dict[str, list[FaultInterval]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     own_delays: list[FaultInterval] = field(default_factory=list)
 
     @contextmanager
@@ -217,6 +221,17 @@
             if item.overlaps(start, end)
         )
 
+    def add_processor_wait(self, vm: str, wait_s: float) -> None:
+        """Records that a VM had no processor for a time until now."""
+        if wait_s > 0.0:
+            now = time.monotonic()
+            self.processor_waits[vm].append(FaultInterval("wait", now - wait_s, now))
+
+    def measure_processor_wait_s(self, vm: str, start: float, end: float) -> float:
+        """Returns for how much of a time interval a VM had no processor, in seconds."""
+        waits = [item for item in self.processor_waits[vm] if item.overlaps(start, end)]
+        return sum(min(end, item.ended_at) - max(start, item.started_at) for item in waits)
+
     def has_kept_state(self, vm: str, start: float, end: float) -> bool:
         """Returns whether a VM neither restarted nor had a fault in a time interval."""
         restarted = any(start <= time_s <= end for time_s in self.restart_times.get(vm, []))
--- a/tests/standins/gateway.py
+++ b/tests/standins/gateway.py
@@ -17,6 +17,7 @@
 BOUNDS = [f"grace={GRACE_S:.0f}s", f"drain={DRAIN_S}s", f"config_apply={APPLY_S}s", "ttl_max=5s"]
 READY_TIMEOUT_S = 0.5
 KB_PER_MB = 1024
+NS_PER_S = 10**9
 
 
 @dataclass(frozen=True)
@@ -80,3 +81,11 @@
         return 0.0
     # A process that has exited and was not waited for has no memory.
     return int(status.partition("VmHWM:")[2].split()[0]) / KB_PER_MB if "VmHWM" in status else 0.0
+
+
+def read_processor_wait_s(pid: int) -> float:
+    """Returns for how long a process was ready to run but had no processor, 0 once it has ended."""
+    try:
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / NS_PER_S
+    except OSError:
+        return 0.0
