--- a/tests/bench/uploads.py
+++ b/tests/bench/uploads.py
@@ -19,8 +19,8 @@
 from briarfork.platform import names
 from briarfork.platform.configuration_record import LimitsRow
 from tests.soak.environment import HOST
-from tests.soak.environment import VM_MEMORY_MB
 from tests.soak.environment import SoakEnvironment
+from tests.soak.vms import VM_MEMORY_MB
 from tests.standins.gateway import FRONT_PORT
 
 if TYPE_CHECKING:
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -4,36 +4,29 @@
 
 import asyncio
 import json
-import math
-import signal
-import sys
 import time
 from dataclasses import dataclass
 from dataclasses import field
-from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
 from typing import Any
 
 from briarfork.platform import names
-from briarfork.platform.settings import SETTINGS_VARIABLE
 from tests.soak.backend import Backend
-from tests.soak.ledger import FaultInterval
 from tests.soak.ledger import Ledger
+from tests.soak.vms import VM_MEMORY_MB
+from tests.soak.vms import Vm
 from tests.standins.gateway import HEARTBEAT_S
 from tests.standins.gateway import VmSettings
 from tests.standins.gateway import build_settings
 from tests.standins.gateway import is_ready
-from tests.standins.gateway import read_peak_mb
-from tests.standins.gateway import read_processor_wait_s
 from tests.standins.key_value import KeyValueStore
 from tests.standins.link import Conditions
 from tests.standins.link import Link
 
 if TYPE_CHECKING:
-    from asyncio.subprocess import Process
+    from pathlib import Path
 
-ROOT = Path(__file__).parent.parent.parent
 ZONES = {"a": "north", "b": "north", "c": "south"}
 VMS = {"vm-1": "a", "vm-2": "a", "vm-3": "b", "vm-4": "c"}
 SERVICES = ("lookups", "orders", "archive")
@@ -43,59 +36,14 @@
 PROBED_SERVICE = "probed"
 HOST = "soak.example"
 SERVER_PORT, STORE_PORT = 9000, 8642
-VM_MEMORY_MB = 200
 MISSED_HEARTBEATS = 3
 NS_PER_MS = 10**6
 EVACUATE_S, RECOVERY_S = 5.0, 15.0
 START_TIMEOUT_S = 15.0
-# No program can handle signals before its interpreter runs.
-INTERPRETER_START_S = 0.1
-RESTART_DELAY_S = 0.3
 ROUTE_COLUMNS = ["name", "host", "prefix", "kind", "timeout", "slo", "service", "max_attempts"]
 SERVICE_COLUMNS = ["name", "max_connections", "cold_start", "cold_per_s"]
 
 
-@dataclass
-class Vm:
-    """A gateway process and its link to the store.
-
-    Attributes:
-        name: Name of the VM.
-        zone: Zone of the VM.
-        address: Loopback address of the VM.
-        link: Proxy between the VM and the store.
-        conditions: Conditions of that link.
-        process: Latest process of the gateway.
-        started_at: Monotonic start time of the process.
-        expected_statuses: Statuses with which the process may exit.
-        peak_memory_mb: Highest resident memory of the process so far.
-        processor_wait_s: For how long the process was ready to run but had no processor.
-        downtime: Time from the latest stop or end of a process to the start of the next.
-        exit_watcher: Task that restarts the process when it exits.
-    """
-
-    name: str
-    zone: str
-    address: str
-    link: Link
-    conditions: Conditions
-    process: Process | None = None
-    started_at: float = 0.0
-    expected_statuses: set[int] = field(default_factory=set)
-    peak_memory_mb: float = 0.0
-    processor_wait_s: float = 0.0
-    downtime: FaultInterval = field(default_factory=lambda: FaultInterval("none", 0.0, 0.0))
-    exit_watcher: asyncio.Task[None] | None = None
-
-    @property
-    def is_running(self) -> bool:
-        return self.process is not None and self.process.returncode is None
-
-    @property
-    def age_s(self) -> float:
-        return time.monotonic() - self.started_at
-
-
 @dataclass
 class ServerEndpoint:
     """An address of a backend server with its current incarnation.
@@ -195,12 +143,7 @@
     async def __aexit__(self, *_: object) -> None:
         self._heartbeat_task.cancel()
         for vm in self.vms.values():
-            if vm.exit_watcher is not None:
-                vm.exit_watcher.cancel()
-            if vm.process is not None and vm.process.returncode is None:
-                vm.process.kill()
-                await vm.process.wait()
-            await vm.link.close()
+            await vm.close()
         for endpoint in self.endpoints:
             await endpoint.link.close()
             await endpoint.backend.stop()
@@ -249,50 +192,6 @@
             if key not in present:
                 await self.store.delete(key)
 
-    async def start_vm(self, vm: Vm) -> None:
-        """Starts the gateway process of a VM, which is restarted whenever it exits."""
-        path = self.work / f"{vm.name}.json"
-        vm.expected_statuses, vm.peak_memory_mb, vm.processor_wait_s = set(), 0.0, 0.0
-        vm.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "src" / "run_gateway.py"),
-            env={SETTINGS_VARIABLE: str(path), "PATH": ""},
-            stdout=(self.work / f"{vm.name}.log").open("ab"),
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        vm.started_at = vm.downtime.ended_at = time.monotonic()
-        self.ledger.start_times[vm.name].append(vm.started_at)
-        vm.exit_watcher = asyncio.create_task(self._restart_on_exit(vm, vm.process))
-
-    def enforce_memory_limit(self) -> None:
-        """Kills each process that has exceeded the memory of its VM, as the platform does.
-
-        Also records for how long the processes had no processor.
-        """
-        peaks_mb = self.ledger.peak_memory_mb
-        for vm in self.vms.values():
-            if vm.process is None or not vm.is_running:
-                continue
-            vm.peak_memory_mb = max(vm.peak_memory_mb, read_peak_mb(vm.process.pid))
-            wait_s = read_processor_wait_s(vm.process.pid)
-            self.ledger.add_processor_wait(vm.name, wait_s - vm.processor_wait_s)
-            vm.processor_wait_s = max(vm.processor_wait_s, wait_s)
-            peaks_mb[vm.name] = max(peaks_mb.get(vm.name, 0.0), vm.peak_memory_mb)
-            if vm.peak_memory_mb > VM_MEMORY_MB:
-                vm.process.kill()
-
-    def signal(self, vm: Vm, number: signal.Signals) -> None:
-        """Sends a signal to the gateway process of a VM."""
-        if vm.process is None or not vm.is_running:
-            return
-        if number == signal.SIGTERM:
-            vm.expected_statuses.add(0)
-        if number == signal.SIGKILL or vm.age_s < INTERPRETER_START_S:
-            vm.expected_statuses.add(-number)
-        if number in (signal.SIGKILL, signal.SIGTERM):
-            self._start_downtime(vm)
-        vm.process.send_signal(number)
-
     async def register(self, endpoint: ServerEndpoint, now: float) -> None:
         """Writes the entry of a backend server, as its heartbeat does."""
         await self.write_entry(endpoint, build_next_entry(endpoint), now)
@@ -318,22 +217,6 @@
         endpoint.state, endpoint.sequence, endpoint.listed = "ready", 0, True
         endpoint.born = read_unix_ms()
 
-    async def _restart_on_exit(self, vm: Vm, process: Process) -> None:
-        code = await process.wait()
-        if code not in vm.expected_statuses:
-            self.ledger.unexpected_exits.append(
-                f"{vm.name} exited unexpectedly with status {code}, {vm.age_s:.2f} s after its "
-                f"start, peak memory {vm.peak_memory_mb:.0f} MB of {VM_MEMORY_MB}"
-            )
-        self._start_downtime(vm)
-        await asyncio.sleep(RESTART_DELAY_S)
-        await self.start_vm(vm)
-
-    def _start_downtime(self, vm: Vm) -> None:
-        if vm.downtime.ended_at < math.inf:
-            vm.downtime = FaultInterval("down", time.monotonic())
-            self.ledger.downtimes[vm.name].append(vm.downtime)
-
     async def _send_heartbeats(self) -> None:
         while True:
             now = time.monotonic()
@@ -367,13 +250,13 @@
         conditions = Conditions()
         link = Link((self._get_address(0, 1), STORE_PORT), lambda _: conditions)
         await link.start(store_address, STORE_PORT)
-        vm = Vm(name, zone, address, link, conditions)
+        vm = Vm(name, zone, address, self.work, self.ledger, link, conditions)
         settings = build_settings(
             VmSettings(name, zone, address, f"{store_address}:{STORE_PORT}", VM_MEMORY_MB), ZONES
         )
-        (self.work / f"{name}.json").write_text(json.dumps(settings))
+        vm.settings_path.write_text(json.dumps(settings))
         self.vms[name] = vm
-        await self.start_vm(vm)
+        await vm.start()
 
     def _get_address(self, part: int, number: int) -> str:
         return f"127.{self.network}.{part}.{number}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,7 +16,6 @@
 from tests.soak.backend import BACKEND_FAULTS
 from tests.soak.environment import SERVICES
 from tests.soak.environment import ZONES
-from tests.soak.environment import build_next_entry
 from tests.soak.ledger import FaultInterval
 from tests.standins.gateway import DRAIN_S
 from tests.standins.gateway import GRACE_S
@@ -27,13 +26,10 @@
 
     from tests.soak.environment import ServerEndpoint
     from tests.soak.environment import SoakEnvironment
-    from tests.soak.environment import Vm
+    from tests.soak.vms import Vm
 
 Fault = Callable[["SoakEnvironment", "Random"], Awaitable[str]]
 FAULTS: Registry[Fault] = Registry("fault")
-# Messages that arrive after newer ones. They are drawn apart from the other faults, which stay the
-# same for a seed.
-LATE_FAULTS: Registry[Fault] = Registry("late message")
 STORE = "store"
 INFO = {"service": "orders", "zone": "a", "slots": 4}
 STATUS = {"state": "ready", "sequence": 1}
@@ -50,8 +46,6 @@
 # Without a limit, a server gets about 3 requests a second.
 LIMIT_PER_S = 0.2
 ADDRESS_REUSE_DELAY_S = 2.0
-# The platform's store does a write that got no response at most this much later.
-LATE_WRITE_S = 6.0
 # Longer than any bound on the time until a killed VM is ready.
 READY_TIMEOUT_S = 30.0
 # Time between the two resets of a link.
@@ -98,7 +92,7 @@
     """Kills VMs at the same moment and waits until all are ready again."""
     with environment.ledger.record_fault([vm.name for vm in vms], "kill"):
         for vm in vms:
-            environment.signal(vm, signal.SIGKILL)
+            vm.signal(signal.SIGKILL)
         for vm in vms:
             await wait_until_ready(environment, vm)
 
@@ -129,7 +123,7 @@
     """Stops the process of a VM and waits until it has exited."""
     process = vm.process
     started_at = time.monotonic()
-    environment.signal(vm, signal.SIGTERM)
+    vm.signal(signal.SIGTERM)
     environment.ledger.restart_times[vm.name].append(started_at)
     if process is not None:
         try:
@@ -141,23 +135,23 @@
                 environment.ledger.unexpected_exits.append(
                     f"{vm.name} did not stop within {GRACE_S} s"
                 )
-            environment.signal(vm, signal.SIGKILL)
+            vm.signal(signal.SIGKILL)
 
 
 @FAULTS.register("pause")
 async def pause_vm(environment: SoakEnvironment, random: Random) -> str:
     vm = choose_vm(environment, random)
     with environment.ledger.record_fault([vm.name], "pause"):
-        environment.signal(vm, signal.SIGSTOP)
+        vm.signal(signal.SIGSTOP)
         await asyncio.sleep(draw_duration_s(random))
-        environment.signal(vm, signal.SIGCONT)
+        vm.signal(signal.SIGCONT)
     return vm.name
 
 
 @FAULTS.register("reload")
 async def reload_vm(environment: SoakEnvironment, random: Random) -> str:
     vm = choose_vm(environment, random)
-    environment.signal(vm, signal.SIGHUP)
+    vm.signal(signal.SIGHUP)
     return vm.name
 
 
@@ -323,52 +317,6 @@
     return str(record)
 
 
-@LATE_FAULTS.register("repeated refusals")
-async def repeat_refusals(environment: SoakEnvironment, random: Random) -> str:
-    """Lets the only listed server of a zone refuse some requests twice."""
-    endpoint = choose_endpoint(environment, random)
-    backend = endpoint.backend
-    others = [
-        item
-        for item in environment.endpoints
-        if (item.backend.service, item.backend.zone) == (backend.service, backend.zone)
-        and item is not endpoint
-        and item.state == "ready"
-        and item.listed
-    ]
-    for other in others:
-        other.listed = False
-        await environment.store.delete(names.SERVER_PREFIX + other.backend.name)
-    backend.refusing_twice = True
-    await asyncio.sleep(draw_duration_s(random))
-    backend.refusing_twice = False
-    for other in others:
-        other.listed = True
-    return backend.name
-
-
-@LATE_FAULTS.register("late heartbeat")
-async def write_heartbeat_late(environment: SoakEnvironment, random: Random) -> str:
-    """Lets a heartbeat of a server take effect after the server has left."""
-    endpoint = choose_endpoint(environment, random)
-    backend = endpoint.backend
-    late_entry = build_next_entry(endpoint)
-    mode = random.choice(("draining", "removed"))
-    if mode == "draining":
-        endpoint.state = "draining"
-        await environment.register(endpoint, time.monotonic())
-    else:
-        endpoint.listed = False
-        await environment.store.delete(names.SERVER_PREFIX + backend.name)
-    if not environment.store.down:
-        environment.ledger.drain_times[backend.name] = time.monotonic()
-    await asyncio.sleep(random.uniform(1.0, LATE_WRITE_S))
-    await environment.write_entry(endpoint, late_entry, time.monotonic())
-    await asyncio.sleep(DRAIN_S)
-    await replace_server(environment, endpoint)
-    return f"{backend.name} {mode}"
-
-
 async def wait_until_ready(environment: SoakEnvironment, vm: Vm) -> None:
     """Waits for a time until a restarted VM is ready; whether it is, is checked separately."""
     with suppress(TimeoutError):
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -10,9 +10,9 @@
 
 from briarfork.registry import Registry
 from tests.soak.environment import EVACUATE_S
-from tests.soak.environment import VM_MEMORY_MB
 from tests.soak.faults import STORE
 from tests.soak.ledger import StatementKind
+from tests.soak.vms import VM_MEMORY_MB
 from tests.standins.gateway import APPLY_S
 from tests.standins.gateway import DRAIN_S
 
--- a/tests/soak/main.py
+++ b/tests/soak/main.py
@@ -21,9 +21,9 @@
 from tests.soak.environment import RECOVERY_S
 from tests.soak.environment import SoakEnvironment
 from tests.soak.extra_faults import EXTRA_FAULTS
+from tests.soak.extra_faults import LATE_FAULTS
 from tests.soak.extra_faults import RESTORE_FAULTS
 from tests.soak.faults import FAULTS
-from tests.soak.faults import LATE_FAULTS
 from tests.soak.invariants import INVARIANTS
 from tests.soak.kept_callers import run_kept_callers
 from tests.soak.ledger import FaultInterval
@@ -215,7 +215,8 @@
 async def enforce_memory_limits(environment: SoakEnvironment) -> None:
     """Kills gateways that exceed the memory of their VMs, until cancelled."""
     while True:
-        environment.enforce_memory_limit()
+        for vm in environment.vms.values():
+            vm.enforce_memory_limit()
         await asyncio.sleep(MEMORY_CHECK_INTERVAL_S)
 
 
--- a/tests/soak/readiness.py
+++ b/tests/soak/readiness.py
@@ -21,8 +21,8 @@
     from collections.abc import Iterator
 
     from tests.soak.environment import SoakEnvironment
-    from tests.soak.environment import Vm
     from tests.soak.ledger import Ledger
+    from tests.soak.vms import Vm
 
 # The platform's `stable_window`: a VM that was disturbed, or killed and started again, is in touch
 # and must be ready this long afterwards.
--- a/tests/soak/record_faults.py
+++ b/tests/soak/record_faults.py
@@ -14,7 +14,6 @@
 
 from briarfork.platform import names
 from briarfork.registry import Registry
-from tests.soak.environment import INTERPRETER_START_S
 from tests.soak.extra_faults import restore_store
 from tests.soak.faults import INFO
 from tests.soak.faults import MALFORMED_RECORDS
@@ -30,13 +29,14 @@
 from tests.soak.ledger import FaultInterval
 from tests.soak.ledger import LargeEntry
 from tests.soak.readiness import STABLE_WINDOW_S
+from tests.soak.vms import INTERPRETER_START_S
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from random import Random
 
     from tests.soak.environment import SoakEnvironment
-    from tests.soak.environment import Vm
+    from tests.soak.vms import Vm
 
 RECORD_FAULTS: Registry[Fault] = Registry("fault beside large or odd records")
 # A value may have 1 MiB; the other fields of an entry take less than 1 KiB.
@@ -236,7 +236,7 @@
 async def send_signals_in_series(environment: SoakEnvironment, random: Random) -> str:
     """Repeats SIGHUP through a planned stop, a start, a stop soon after it, and a run."""
     vm = choose_vm(environment, random)
-    reloads = asyncio.create_task(_repeat_reloads(environment, vm, random))
+    reloads = asyncio.create_task(_repeat_reloads(vm, random))
     ages_s = []
     try:
         await stop_gracefully(environment, vm)
@@ -250,10 +250,10 @@
     return f"{vm.name}, stopped {ages_s[0]:.2f} s after its start"
 
 
-async def _repeat_reloads(environment: SoakEnvironment, vm: Vm, random: Random) -> None:
+async def _repeat_reloads(vm: Vm, random: Random) -> None:
     while True:
         if vm.age_s >= INTERPRETER_START_S:
-            environment.signal(vm, signal.SIGHUP)
+            vm.signal(signal.SIGHUP)
         await asyncio.sleep(random.uniform(*RELOAD_INTERVAL_S))
 
 
