--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -4,75 +4,46 @@
 
 import asyncio
 import json
-import signal
-import sys
 import time
 from dataclasses import dataclass
 from dataclasses import field
-from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
 from typing import Any
 
 from briarfork.platform import names
-from briarfork.platform.settings import SETTINGS_VARIABLE
 from tests.soak.backend import Backend
 from tests.soak.ledger import Ledger
+from tests.soak.vms import VM_MEMORY_MB
+from tests.soak.vms import Vm
 from tests.standins.gateway import HEARTBEAT_S
 from tests.standins.gateway import VmSettings
 from tests.standins.gateway import build_settings
 from tests.standins.gateway import is_ready
-from tests.standins.gateway import read_peak_mb
 from tests.standins.key_value import KeyValueStore
 from tests.standins.link import Conditions
 from tests.standins.link import Link
 
 if TYPE_CHECKING:
-    from asyncio.subprocess import Process
+    from pathlib import Path
 
-ROOT = Path(__file__).parent.parent.parent
 ZONES = {"a": "north", "b": "north", "c": "south"}
 VMS = {"vm-1": "a", "vm-2": "a", "vm-3": "b", "vm-4": "c"}
 SERVICES = ("lookups", "orders", "archive")
 SERVERS_PER_ZONE = 2
 SLOTS = 4
+# Routes of this service show which configuration is in force; it has no servers.
+PROBED_SERVICE = "probed"
 HOST = "soak.example"
 SERVER_PORT, STORE_PORT = 9000, 8642
-VM_MEMORY_MB = 200
 MISSED_HEARTBEATS = 3
 NS_PER_MS = 10**6
 EVACUATE_S, RECOVERY_S = 5.0, 15.0
 START_TIMEOUT_S = 15.0
-RESTART_DELAY_S = 0.3
 ROUTE_COLUMNS = ["name", "host", "prefix", "kind", "timeout", "slo", "service", "max_attempts"]
 SERVICE_COLUMNS = ["name", "max_connections", "cold_start", "cold_per_s"]
 
 
-@dataclass
-class Vm:
-    """A gateway process and its link to the store.
-
-    Attributes:
-        name: Name of the VM.
-        zone: Zone of the VM.
-        address: Loopback address of the VM.
-        link: Proxy between the VM and the store.
-        conditions: Conditions of that link.
-        process: Latest process of the gateway.
-        stopping: Whether an exit of the process is expected.
-        exit_watcher: Task that restarts the process when it exits.
-    """
-
-    name: str
-    zone: str
-    address: str
-    link: Link
-    conditions: Conditions
-    process: Process | None = None
-    stopping: bool = False
-    exit_watcher: asyncio.Task[None] | None = None
-
-
 @dataclass
 class ServerEndpoint:
     """An address of a backend server with its current incarnation.
@@ -87,6 +58,7 @@
         sequence: Sequence number of the latest heartbeat.
         last_heartbeat: Monotonic time of the latest heartbeat.
         born: Start of the incarnation in Unix milliseconds.
+        large_fields: Further fields of its entry, which make it large.
     """
 
     address: str
@@ -98,6 +70,7 @@
     sequence: int = 0
     last_heartbeat: float = 0.0
     born: int = 0
+    large_fields: dict[str, str] = field(default_factory=dict)
 
 
 def read_unix_ms() -> int:
@@ -109,6 +82,7 @@
     endpoint.sequence += 1
     backend = endpoint.backend
     info = {"service": backend.service, "zone": backend.zone, "slots": backend.slots}
+    info |= endpoint.large_fields
     status = {"state": endpoint.state, "sequence": endpoint.sequence, "cold_remaining": "0ms"}
     address = f"{endpoint.address}:{SERVER_PORT}"
     return {"address": address, "info": info, "status": status, "born": endpoint.born}
@@ -132,6 +106,7 @@
         vms: Gateways by name.
         endpoints: Addresses of backend servers.
         version: Version of the latest configuration.
+        versions: All versions so far; each configuration has a route "/vN/" for each of them.
         configuration: The latest configuration.
         incarnations: Number of backend servers started so far.
     """
@@ -145,6 +120,7 @@
     vms: dict[str, Vm] = field(default_factory=dict)
     endpoints: list[ServerEndpoint] = field(default_factory=list)
     version: int = 0
+    versions: list[int] = field(default_factory=list)
     configuration: dict[str, Any] = field(default_factory=dict)
     incarnations: int = 0
 
@@ -167,12 +143,7 @@
     async def __aexit__(self, *_: object) -> None:
         self._heartbeat_task.cancel()
         for vm in self.vms.values():
-            if vm.exit_watcher is not None:
-                vm.exit_watcher.cancel()
-            if vm.process is not None and vm.process.returncode is None:
-                vm.process.kill()
-                await vm.process.wait()
-            await vm.link.close()
+            await vm.close()
         for endpoint in self.endpoints:
             await endpoint.link.close()
             await endpoint.backend.stop()
@@ -192,7 +163,12 @@
             ["file", HOST, "/file/", "download", "6s", "1s", "archive", 2],
             ["move", HOST, "/move/", "idempotent", "3s", "0.6s", move_service, 2],
         ]
-        services = [[name, 200, "1s", 10.0] for name in SERVICES]
+        self.versions.append(self.version)
+        rows += [
+            [f"v{version}", HOST, f"/v{version}/", "idempotent", "1s", "0.5s", PROBED_SERVICE, 1]
+            for version in self.versions
+        ]
+        services = [[name, 200, "1s", 10.0] for name in (*SERVICES, PROBED_SERVICE)]
         self.configuration = {
             "version": self.version,
             "routes": {"columns": ROUTE_COLUMNS, "rows": rows},
@@ -200,6 +176,7 @@
         }
         await self.store.put(names.CONFIGURATION_KEY, self.configuration)
         self.ledger.configurations.append((time.monotonic(), move_service))
+        self.ledger.version_times[self.version] = time.monotonic()
 
     async def rewrite_configuration(self) -> None:
         """Writes the latest configuration again if the store holds an older one."""
@@ -215,33 +192,6 @@
             if key not in present:
                 await self.store.delete(key)
 
-    async def start_vm(self, vm: Vm) -> None:
-        """Starts the gateway process of a VM, which is restarted whenever it exits."""
-        path = self.work / f"{vm.name}.json"
-        vm.stopping = False
-        vm.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "src" / "run_gateway.py"),
-            env={SETTINGS_VARIABLE: str(path), "PATH": ""},
-            stdout=(self.work / f"{vm.name}.log").open("ab"),
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        vm.exit_watcher = asyncio.create_task(self._restart_on_exit(vm, vm.process))
-
-    def read_peak_memory(self) -> None:
-        """Records the highest resident memory of each gateway process so far."""
-        for vm in self.vms.values():
-            if vm.process is not None:
-                known_mb = self.ledger.peak_memory_mb.get(vm.name, 0.0)
-                peak_mb = max(known_mb, read_peak_mb(vm.process.pid))
-                self.ledger.peak_memory_mb[vm.name] = peak_mb
-
-    def signal(self, vm: Vm, number: signal.Signals) -> None:
-        """Sends a signal to the gateway process of a VM."""
-        if vm.process is not None and vm.process.returncode is None:
-            vm.stopping = vm.stopping or number in (signal.SIGKILL, signal.SIGTERM)
-            vm.process.send_signal(number)
-
     async def register(self, endpoint: ServerEndpoint, now: float) -> None:
         """Writes the entry of a backend server, as its heartbeat does."""
         await self.write_entry(endpoint, build_next_entry(endpoint), now)
@@ -267,14 +217,6 @@
         endpoint.state, endpoint.sequence, endpoint.listed = "ready", 0, True
         endpoint.born = read_unix_ms()
 
-    async def _restart_on_exit(self, vm: Vm, process: Process) -> None:
-        code = await process.wait()
-        # A process that is stopped before its startup is complete is terminated by the signal.
-        if not vm.stopping or code not in (0, -signal.SIGKILL, -signal.SIGTERM):
-            self.ledger.unexpected_exits.append(f"{vm.name} exited unexpectedly with status {code}")
-        await asyncio.sleep(RESTART_DELAY_S)
-        await self.start_vm(vm)
-
     async def _send_heartbeats(self) -> None:
         while True:
             now = time.monotonic()
@@ -308,13 +250,13 @@
         conditions = Conditions()
         link = Link((self._get_address(0, 1), STORE_PORT), lambda _: conditions)
         await link.start(store_address, STORE_PORT)
-        vm = Vm(name, zone, address, link, conditions)
+        vm = Vm(name, zone, address, self.work, self.ledger, link, conditions)
         settings = build_settings(
             VmSettings(name, zone, address, f"{store_address}:{STORE_PORT}", VM_MEMORY_MB), ZONES
         )
-        (self.work / f"{name}.json").write_text(json.dumps(settings))
+        vm.settings_path.write_text(json.dumps(settings))
         self.vms[name] = vm
-        await self.start_vm(vm)
+        await vm.start()
 
     def _get_address(self, part: int, number: int) -> str:
         return f"127.{self.network}.{part}.{number}"
