Bound the memory that the streams of all peers hold together

Each stream at the permits port may hold an incomplete message of 4 MiB (twice, in the buffer and in the unpacker) and 4 MiB of unsent answers; any number of peers can connect, and nothing bounded the sum. Streams that had ended also kept theirs: the task group of their handler refers to its exceptions, whose frames refer to the stream, until the garbage collector runs (Python 3.11).

A StreamMemory of 12 MiB counts what all accepted streams of a gateway hold and closes those that hold most; `peer_memory_exceeded` names the peer. An aborted stream drops its bytes. Accepted connections have receive buffers of 64 KB and stop reading at 16 KB, as one read can take a whole receive buffer. Ruled out: a bound for connections, since silent streams end after 0.8 s (200 of them: 61 MB), and shorter messages, since one with the names of all workspaces may have 1 MiB.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -115,6 +115,9 @@
     )
     MEMBER_CHANGED = EventDefinition(4004, "info", "The state of a member has changed.")
     LIST_CHANGED = EventDefinition(4005, "info", "The list of VMs has changed.")
+    PEER_MEMORY_EXCEEDED = EventDefinition(
+        4010, "warning", "The streams of peers held too much memory; the largest one was closed."
+    )
     REQUEST_FAILED = EventDefinition(5001, "info", "A request was answered with an error.")
     ANSWER_CUT = EventDefinition(
         5002, "warning", "A backend server truncated a response; the caller's connection was reset."
--- a/src/briarfork/border/streams.py
+++ b/src/briarfork/border/streams.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import msgpack
@@ -17,9 +19,15 @@
     from collections.abc import Callable
 
     from briarfork.border.messages import Message
+    from briarfork.border.stream_memory import StreamMemory
 
 READ_CHUNK_BYTES = 65536
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+# Unread bytes above which the transport of an accepted stream stops reading; the transport may hold
+# twice as many and one read.
+UNREAD_BYTES = 16384
+# A peer can send so much in each round trip; permit messages take some hundred bytes.
+RECEIVE_BUFFER_BYTES = 65536
 
 
 class StreamClosed(BriarforkError):
@@ -40,16 +48,35 @@
     buffer holds more than `MAX_MESSAGE_BYTES`.
     """
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        memory: StreamMemory | None = None,
+    ) -> None:
+        """Creates a stream on an open connection.
+
+        Args:
+            reader: Reader of the connection.
+            writer: Writer of the connection.
+            memory: Bound for what this stream and others hold together, None for no such bound.
+        """
         self._reader = reader
         self._writer = writer
+        self._memory = memory
         self._unpacker = _build_unpacker()
         self._buffer = bytearray()
         self._consumed_bytes = 0
+        self._is_aborted = False
         self.bytes_sent = 0
         self.bytes_received = 0
         self.peer = str(writer.get_extra_info("peername"))
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of incomplete messages, which are kept twice, and of messages not sent yet."""
+        return 2 * len(self._buffer) + self._writer.transport.get_write_buffer_size()
+
     def send(self, message: Message) -> None:
         """Queues a message for sending.
 
@@ -64,6 +91,7 @@
         data = encode(message)
         self.bytes_sent += len(data)
         self._writer.write(data)
+        self._count_memory()
 
     async def receive(self, timeout_s: float) -> Message:
         """Waits for the next message and returns it.
@@ -82,8 +110,19 @@
         return decode(data)
 
     def abort(self) -> None:
-        """Closes the stream immediately and discards unsent messages."""
+        """Closes the stream immediately and discards what it holds.
+
+        The exceptions that end its handler refer to the stream until the garbage collector runs.
+        """
         self._writer.transport.abort()
+        self._is_aborted = True
+        self._reader = asyncio.StreamReader()
+        self._buffer = bytearray()
+        self._unpacker, self._consumed_bytes = _build_unpacker(), 0
+
+    def _count_memory(self) -> None:
+        if self._memory is not None:
+            self._memory.update(self)
 
     def _pop_frame(self) -> bytes | None:
         """Removes and returns the next encoded value, or None if more bytes are needed.
@@ -113,6 +152,8 @@
             data = await self._reader.read(READ_CHUNK_BYTES)
         except OSError as error:
             raise StreamClosed(f"{self.peer}: {error}") from error
+        if self._is_aborted:
+            raise StreamClosed(f"{self.peer}: stream was aborted")
         if not data:
             raise StreamClosed(f"{self.peer}: connection closed by peer")
         if len(self._buffer) + len(data) > MAX_MESSAGE_BYTES:
@@ -123,6 +164,7 @@
         self.bytes_received += len(data)
         self._buffer += data
         self._unpacker.feed(data)
+        self._count_memory()
 
 
 def _build_unpacker() -> msgpack.Unpacker:
@@ -153,18 +195,49 @@
 
 
 async def serve(
-    address: str, port: int, handler: Callable[[MessageStream], Awaitable[None]]
+    address: str,
+    port: int,
+    handler: Callable[[MessageStream], Awaitable[None]],
+    memory: StreamMemory | None = None,
 ) -> asyncio.Server:
     """Starts a server that handles each stream in its own task.
 
     The stream is closed when its handler returns.
+
+    Args:
+        address: IP address to listen on.
+        port: Port to listen on.
+        handler: Handles a stream until it ends.
+        memory: Bound for what all streams hold together, None for no such bound.
     """
 
     async def handle_connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        stream = MessageStream(reader, writer)
+        stream = MessageStream(reader, writer, memory)
         try:
             await handler(stream)
         finally:
             stream.abort()
+            if memory is not None:
+                memory.remove(stream)
+
+    if memory is None:
+        return await asyncio.start_server(handle_connection, address, port)
+    listener = _open_listener(address, port)
+    return await asyncio.start_server(handle_connection, sock=listener, limit=UNREAD_BYTES)
+
 
-    return await asyncio.start_server(handle_connection, address, port)
+def _open_listener(address: str, port: int) -> socket.socket:
+    """Returns a socket whose accepted connections have small receive buffers.
+
+    Their bytes count towards the memory of the VM, and one read can take all of them.
+    """
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    with suppress(OSError):
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    try:
+        listener.bind((address, port))
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from briarfork.border.events import Event
+from briarfork.border.stream_memory import StreamMemory
 from briarfork.border.streams import serve
 from briarfork.border.supervision import run_supervised
 from briarfork.entry.connections import ServerConnections
@@ -21,6 +23,10 @@
     from briarfork.membership import Member
     from briarfork.routing import RouteTable
 
+# Memory for incomplete and unsent messages of all peers; messages of a usual size need a small part
+# of it, even if hundreds of peers connect at once.
+PEER_MEMORY_BYTES = 12 * 1024 * 1024
+
 
 class Gateway:
     """Holds the view, the slots that this VM owns and the permits and credit that it holds."""
@@ -79,7 +85,12 @@
 
     async def run(self) -> None:
         """Runs the tasks for slots, permits and connections until cancelled."""
-        permits = await serve(self.settings.address, self.settings.ports.permits, self.slots.serve)
+        permits = await serve(
+            self.settings.address,
+            self.settings.ports.permits,
+            self.slots.serve,
+            StreamMemory(PEER_MEMORY_BYTES, self._log_closed_stream),
+        )
         try:
             async with asyncio.TaskGroup() as group:
                 for run in (
@@ -92,6 +103,9 @@
         finally:
             permits.close()
 
+    def _log_closed_stream(self, peer: str, held_bytes: int) -> None:
+        self.events.record(Event.PEER_MEMORY_EXCEEDED, peer=peer, held_bytes=held_bytes)
+
     def _update_cold_servers(self) -> None:
         now = time.monotonic()
         services = self.view.require_route_table().services
