Keep short texts only of the objects and workspaces that others name

An owner of slots keeps 96 object keys for each server, and the keys, workspaces and servers to avoid of up to 4,096 waiting requests and 4,096 early declarations. All tables bound the number of entries; a caller's key may have 16 KB, a peer's any field 4 MiB.

A text of more than 128 characters is kept as a digest that is the same on every VM; callers' keys are shortened when they are read, so that all VMs rank servers and zones alike. Permits and names in messages have bounds that no VM's own names reach, and of the servers to avoid the known ones are kept. Ruled out: rejecting long keys or workspaces, which are valid.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -33,6 +33,9 @@
 
 RecordT = TypeVar("RecordT")
 Count = Annotated[int, Meta(ge=0)]
+# A name in the store has at most 1,024 characters; that of a permit adds a time and a number to it.
+Name = Annotated[str, Meta(max_length=1024)]
+PermitName = Annotated[str, Meta(max_length=1200)]
 # Bounds of what one message about quotas may say of a workspace, and of its number of workspaces.
 CreditCount = Annotated[int, Meta(ge=0, le=1_000_000)]
 WaitS = Annotated[float, Meta(ge=0, le=3600)]
@@ -95,8 +98,8 @@
     """
 
     name = "hello"
-    vm: str
-    zone: str
+    vm: Name
+    zone: Name
     incarnation: int = 0
 
 
@@ -232,7 +235,7 @@
     """
 
     name = "permit_request"
-    permit: str
+    permit: PermitName
     service: str
     site: str
     request_class: RequestClass
@@ -318,10 +321,10 @@
     """
 
     name = "permit_held"
-    permit: str
-    service: str
-    site: str
-    vm: str
+    permit: PermitName
+    service: Name
+    site: Name
+    vm: Name
     request_class: RequestClass
     object_key: str = ""
     limit_per_s: float = math.inf
--- a/src/briarfork/entry/slot_client.py
+++ b/src/briarfork/entry/slot_client.py
@@ -25,6 +25,7 @@
 from briarfork.entry.slots import SlotView
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
+from briarfork.hashing import shorten_text
 from briarfork.pools import NO_REPORT
 from briarfork.pools import Grant
 from briarfork.pools import Refusal
@@ -337,7 +338,7 @@
             priority=priority,
             object_key=object_key,
             asked_at=time.monotonic(),
-            workspace=workspace,
+            workspace=shorten_text(workspace),
             weight=weight,
         )
 
--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -11,6 +11,8 @@
 from typing import Any
 from typing import Protocol
 
+import msgspec
+
 from briarfork.border.busy_times import BusyTimes
 from briarfork.border.busy_times import Work
 from briarfork.border.events import Event
@@ -30,6 +32,7 @@
 from briarfork.border.streams import StreamTimeout
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
+from briarfork.hashing import shorten_text
 from briarfork.pools import NO_REPORT
 from briarfork.pools import Grant
 from briarfork.pools import PermitQueue
@@ -152,6 +155,11 @@
             decisions = queue.submit(slot_request, now)
         self._notify_requesters(decisions)
 
+    def select_known(self, key: SlotKey, names: Iterable[str]) -> frozenset[str]:
+        """Returns those of some names that are names of servers of slots that this VM owns."""
+        queue = self._queues.get(key)
+        return frozenset() if queue is None else queue.select_known(names)
+
     def find_queue(self, key: SlotKey) -> PermitQueue | None:
         """Returns the queue of slots that this VM owns, or None."""
         return self._queues.get(key)
@@ -341,12 +349,12 @@
         requester=requester,
         request_class=message.request_class,
         expires_at=time.monotonic() + message.wait_ms / MS_PER_S,
-        avoid=frozenset(message.avoid),
+        avoid=manager.select_known((message.service, message.site), message.avoid),
         hedge=message.hedge,
         priority=message.priority,
-        object_key=message.object_key,
+        object_key=shorten_text(message.object_key),
         asked_at=time.monotonic(),
-        workspace=message.workspace,
+        workspace=shorten_text(message.workspace),
         weight=message.weight,
     )
 
@@ -377,7 +385,8 @@
 @HANDLERS.register(PermitHeld.name)
 def handle_held(manager: SlotManager, sender: Sender, message: PermitHeld) -> None:
     """Adopts a permit that the former owner granted."""
-    manager.adopt(sender[0], message)
+    object_key = shorten_text(message.object_key)
+    manager.adopt(sender[0], msgspec.structs.replace(message, object_key=object_key))
 
 
 @HANDLERS.register(CreditAsk.name)
--- a/src/briarfork/hashing.py
+++ b/src/briarfork/hashing.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import Final
 
 import xxhash
 
 # Keeps the fraction of the largest hash below 1.
 HASH_RANGE: Final = 2**64 + 1
+# Longer texts of others are kept as digests.
+MAX_KEPT_CHARS: Final = 128
+DIGEST_BYTES: Final = 32
 
 
 def hash_text(text: str) -> int:
@@ -33,3 +37,17 @@
         True
     """
     return (hash_text(text) + 1) / HASH_RANGE
+
+
+def shorten_text(text: str) -> str:
+    """Returns a text itself, or a digest in its place if it is long; the same on every VM.
+
+    What others name (objects, workspaces) is kept in tables whose number of entries is bounded.
+
+    Example:
+        >>> shorten_text("object-1"), len(shorten_text("x" * 16_000))
+        ('object-1', 64)
+    """
+    if len(text) <= MAX_KEPT_CHARS:
+        return text
+    return hashlib.blake2b(text.encode(), digest_size=DIGEST_BYTES).hexdigest()
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -21,6 +21,7 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.gateway.request import Request
+from briarfork.hashing import shorten_text
 from briarfork.platform import names
 from briarfork.platform.bodies import HttpBody
 from briarfork.platform.delivery import CallerResponse
@@ -132,7 +133,7 @@
                 for name, value in http_request.headers.items()
                 if name.lower() not in DROPPED_HEADERS
             ),
-            object_key=http_request.headers.get(names.AFFINITY_KEY, ""),
+            object_key=shorten_text(http_request.headers.get(names.AFFINITY_KEY, "")),
             caller_timeout_s=caller_timeout_s,
             respond_by=(
                 received + caller_timeout_s - CALLER_MARGIN_S if caller_timeout_s else math.inf
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -92,6 +92,10 @@
         """Number of slots of all servers that accept new requests."""
         return self._slots.total
 
+    def select_known(self, names: Iterable[str]) -> frozenset[str]:
+        """Returns those of some names that are names of servers."""
+        return frozenset(name for name in names if name in self._servers)
+
     def set_capacity(self, capacity: SiteCapacity, mixed: bool) -> None:
         """Applies the configured capacity of one server."""
         self._slots.set_capacity(capacity, mixed)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -40,8 +40,10 @@
 
     requested: asyncio.Event
     granted: asyncio.Event
+    object_key: str
 
     async def acquire(self, request: SlotRequirements) -> Permit:
+        self.object_key = request.object_key
         self.requested.set()
         await self.granted.wait()
         return await super().acquire(request)
@@ -104,6 +106,20 @@
         assert harness.upstream.sent == ["i-0"]
 
 
+class TestObjectKey:
+    @pytest.mark.parametrize(
+        ("key", "kept_chars"), [(b"k" * 15_000, 64), (b"object-1", 8), (b"\xc3\xa9", 1)]
+    )
+    async def test_long_key_is_kept_as_a_digest(
+        self, harness: CallerHarness, key: bytes, kept_chars: int
+    ) -> None:
+        """Guards against tables of objects that are as large as the headers of callers."""
+        header = f"\r\n{names.AFFINITY_KEY}: ".encode() + key
+        harness.writer.write(REQUEST.replace(b"\r\n\r\n", header + b"\r\n\r\n"))
+        await harness.permits.requested.wait()
+        assert len(harness.permits.object_key) == kept_chars
+
+
 class TestMemoryOfResponse:
     @pytest.mark.parametrize("caller", ["reads", "leaves", "stalls"])
     async def test_is_held_until_the_caller_has_it_leaves_or_stalls(
--- a/tests/platform/test_peer_memory.py
+++ b/tests/platform/test_peer_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import time
 from collections.abc import AsyncIterator
 from collections.abc import Callable
@@ -13,10 +14,13 @@
 
 from briarfork.border.messages import CreditAsk
 from briarfork.border.messages import CreditEntry
+from briarfork.border.messages import Heartbeat
 from briarfork.border.messages import Hello
+from briarfork.border.messages import PermitHeld
 from briarfork.border.messages import encode
 from briarfork.border.streams import MAX_MESSAGE_BYTES
 from briarfork.border.streams import READ_CHUNK_BYTES
+from briarfork.configuration import RequestClass
 from tests.platform.test_large_records import ADDRESS
 from tests.platform.test_large_records import run_harness
 from tests.standins.gateway import INTERNAL_PORTS
@@ -31,6 +35,7 @@
 HOLD_S = 1.0
 ASK_INTERVAL_S = 0.2
 WORKSPACES, WORKSPACE_CHARS = 500, 1000
+KEY_CHARS, DECLARATION_INTERVAL_S = 100_000, 0.05
 Parts = AsyncIterator[bytes]
 
 
@@ -55,6 +60,16 @@
         await asyncio.sleep(ASK_INTERVAL_S)
 
 
+async def send_large_declarations() -> Parts:
+    yield encode(Hello("peer", "a"))
+    for number in itertools.count():
+        permit = f"{id(asyncio.current_task())}-{number}"
+        held = PermitHeld(permit, "other", "a", "server", RequestClass.SHORT, "k" * KEY_CHARS)
+        yield encode(held)
+        yield encode(Heartbeat())
+        await asyncio.sleep(DECLARATION_INTERVAL_S)
+
+
 async def run_peer(build_parts: Callable[[], Parts], until: float) -> None:
     """Sends parts, and connects again each time the gateway closes the stream."""
     while time.monotonic() < until:
@@ -74,7 +89,13 @@
 
 class TestPeerMemory:
     @pytest.mark.parametrize(
-        "build_parts", [send_half_hello, send_half_message, send_asks_without_reading]
+        "build_parts",
+        [
+            send_half_hello,
+            send_half_message,
+            send_asks_without_reading,
+            send_large_declarations,
+        ],
     )
     async def test_peers_together_have_a_bound(
         self, tmp_path: Path, build_parts: Callable[[], Parts]
