Accept object keys with bytes that are not UTF-8

The HTTP library gives such bytes as surrogates, which can be neither hashed nor sent to another VM: a request of a sticky route got 500 (`task_failed`, UnicodeEncodeError in hash_text) before anything was sent. The existing test of such a key has no sticky route and scripted permits.

The bytes are escaped when the key is read; the header goes to the server as it is.

--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -133,7 +133,7 @@
                 for name, value in http_request.headers.items()
                 if name.lower() not in DROPPED_HEADERS
             ),
-            object_key=shorten_text(http_request.headers.get(names.AFFINITY_KEY, "")),
+            object_key=_read_object_key(http_request.headers.get(names.AFFINITY_KEY, "")),
             caller_timeout_s=caller_timeout_s,
             respond_by=(
                 received + caller_timeout_s - CALLER_MARGIN_S if caller_timeout_s else math.inf
@@ -251,6 +251,12 @@
     return min(int(digits or "0") / MS_PER_S, MAX_CALLER_TIMEOUT_S)
 
 
+def _read_object_key(header: str) -> str:
+    """Returns the key of the object; bytes that are not UTF-8 are escaped, long keys shortened."""
+    text = header.encode(errors="surrogateescape").decode(errors="backslashreplace")
+    return shorten_text(text)
+
+
 def _read_credential(http_request: web.BaseRequest) -> str:
     """Returns the caller's key, empty if there is none, more than one, or a malformed one."""
     keys = http_request.headers.getall(names.CREDENTIAL, [])
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -13,6 +13,7 @@
 from briarfork.border.graceful_server import GracefulServer
 from briarfork.gateway.dispatch import Dispatcher
 from briarfork.gateway.request import Response
+from briarfork.hashing import hash_text
 from briarfork.platform import names
 from briarfork.platform.callers import CallerConnection
 from briarfork.platform.callers import CallerRequestHandler
@@ -119,6 +120,13 @@
         await harness.permits.requested.wait()
         assert len(harness.permits.object_key) == kept_chars
 
+    async def test_key_that_is_not_utf_8_can_be_sent(self, harness: CallerHarness) -> None:
+        """Guards against an answer 500 because a key cannot be hashed or sent to another VM."""
+        header = f"\r\n{names.AFFINITY_KEY}: ".encode() + b"\xff"
+        harness.writer.write(REQUEST.replace(b"\r\n\r\n", header + b"\r\n\r\n"))
+        await harness.permits.requested.wait()
+        assert hash_text(harness.permits.object_key)
+
 
 class TestMemoryOfResponse:
     @pytest.mark.parametrize("caller", ["reads", "leaves", "stalls"])
