--- a/src/briarfork/gateway/process.py
+++ b/src/briarfork/gateway/process.py
@@ -9,6 +9,7 @@
 from briarfork.border.events import Event
 from briarfork.border.memory import read_memory
 from briarfork.border.process_age import read_process_age
+from briarfork.border.stream_memory import StreamMemory
 from briarfork.border.streams import serve
 from briarfork.border.supervision import run_supervised
 from briarfork.entry.connections import ServerConnections
@@ -25,6 +26,9 @@
     from briarfork.routing import RouteTable
 
 MS_PER_S = 1000
+# Memory for incomplete and unsent messages of all peers; messages of a usual size need a small part
+# of it, even if hundreds of peers connect at once.
+PEER_MEMORY_BYTES = 12 * 1024 * 1024
 
 
 class Gateway:
@@ -100,7 +104,12 @@
 
     async def run(self) -> None:
         """Runs the tasks for slots, permits and connections until cancelled."""
-        permits = await serve(self.settings.address, self.settings.ports.permits, self.slots.serve)
+        permits = await serve(
+            self.settings.address,
+            self.settings.ports.permits,
+            self.slots.serve,
+            StreamMemory(PEER_MEMORY_BYTES, self._log_closed_stream),
+        )
         try:
             async with asyncio.TaskGroup() as group:
                 for run in (
@@ -113,6 +122,9 @@
         finally:
             permits.close()
 
+    def _log_closed_stream(self, peer: str, held_bytes: int) -> None:
+        self.events.record(Event.PEER_MEMORY_EXCEEDED, peer=peer, held_bytes=held_bytes)
+
     def _update_cold_servers(self) -> None:
         now = time.monotonic()
         services = self.view.require_route_table().services
--- a/src/briarfork/platform/callers.py
+++ b/src/briarfork/platform/callers.py
@@ -21,6 +21,7 @@
 from briarfork.errors import ErrorKind
 from briarfork.errors import NotRun
 from briarfork.gateway.request import Request
+from briarfork.hashing import shorten_text
 from briarfork.platform import names
 from briarfork.platform.bodies import HttpBody
 from briarfork.platform.delivery import CallerResponse
@@ -132,7 +133,7 @@
                 for name, value in http_request.headers.items()
                 if name.lower() not in DROPPED_HEADERS
             ),
-            object_key=http_request.headers.get(names.AFFINITY_KEY, ""),
+            object_key=_read_object_key(http_request.headers.get(names.AFFINITY_KEY, "")),
             caller_timeout_s=caller_timeout_s,
             respond_by=(
                 received + caller_timeout_s - CALLER_MARGIN_S if caller_timeout_s else math.inf
@@ -250,6 +251,12 @@
     return min(int(digits or "0") / MS_PER_S, MAX_CALLER_TIMEOUT_S)
 
 
+def _read_object_key(header: str) -> str:
+    """Returns the key of the object; bytes that are not UTF-8 are escaped, long keys shortened."""
+    text = header.encode(errors="surrogateescape").decode(errors="backslashreplace")
+    return shorten_text(text)
+
+
 def _read_credential(http_request: web.BaseRequest) -> str:
     """Returns the caller's key, empty if there is none, more than one, or a malformed one."""
     keys = http_request.headers.getall(names.CREDENTIAL, [])
