Send changes between the programs of a VM as fast as they are taken

What callers saw: an entry VM that stays at an old generation, or without a configuration, for ever, after a restart beside many large changes. Its control process logged "send buffer is full" and then "peer_lost" every half second.

Cause: the control process sent its whole timeline to a new entry process in one go, and the follower all pages of the store to the control process. Above 4 MiB the stream is closed, and the next one begins at the first change again.

Ruled out: a larger buffer, because control has 32 MB for all it does, and the writers of the store choose the amount.

Change: the next batch is sent when the receiver has reported the generation of the last one, which the control process's heartbeats do already and those of the entry process do now, or after a heartbeat interval, so that an entry process of an earlier version gets one batch with each heartbeat. A control process that has restarted no longer sends what its entry process has confirmed. A batch is measured alone, not with all changes after it.

--- a/src/briarfork/border/messages.py
+++ b/src/briarfork/border/messages.py
@@ -105,7 +105,8 @@
     """Signals that the sender is alive and carries its state changes.
 
     Attributes:
-        generation: Latest generation of the sender's timeline.
+        generation: Latest generation of the sender's timeline. That of an entry process confirms
+            the changes that its control process has sent.
         members: Member records that changed since the last heartbeat on this stream.
         listed: Records of the VM list that changed since then.
         load: Loads received by the sender since then.
@@ -419,21 +420,27 @@
     return message
 
 
-def split_changes(changes: list[Change]) -> list[list[Change]]:
-    """Splits changes into batches of at most 64 changes and 1 MiB.
+def take_batch(changes: list[Change]) -> list[Change]:
+    """Returns the first changes that fit one message: up to 64 changes and 1 MiB.
 
     A change larger than 1 MiB is a batch of its own.
     """
-    batches: list[list[Change]] = []
+    batch: list[Change] = []
     size = 0
-    for change in changes:
-        change_bytes = len(msgspec.msgpack.encode(change))
-        full = len(batches[-1]) == MAX_CHANGES_PER_MESSAGE if batches else True
-        if full or size + change_bytes > MAX_BATCH_BYTES:
-            batches.append([])
-            size = 0
-        batches[-1].append(change)
-        size += change_bytes
+    for change in changes[:MAX_CHANGES_PER_MESSAGE]:
+        size += len(msgspec.msgpack.encode(change))
+        if batch and size > MAX_BATCH_BYTES:
+            break
+        batch.append(change)
+    return batch
+
+
+def split_changes(changes: list[Change]) -> list[list[Change]]:
+    """Splits changes into batches that fit one message each."""
+    batches: list[list[Change]] = []
+    while changes:
+        batches.append(take_batch(changes))
+        changes = changes[len(batches[-1]) :]
     return batches
 
 
--- a/src/briarfork/control/handlers.py
+++ b/src/briarfork/control/handlers.py
@@ -18,7 +18,7 @@
 from briarfork.border.messages import StoreState
 from briarfork.border.messages import Summary
 from briarfork.border.messages import VmList
-from briarfork.border.messages import split_changes
+from briarfork.border.messages import take_batch
 from briarfork.border.streams import StreamClosed
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
@@ -70,19 +70,23 @@
     node.accept_members(message.members, link)
     node.accept_listed(message.listed, link)
     node.accept_load(message.load, link)
+    if link.vm == node.settings.vm:
+        # After a restart of this process the entry process may be ahead; the store has its changes.
+        link.confirmed = message.generation
+        link.has_updates.set()
+        return
     link.generation = message.generation
     if message.generation > node.timeline.generation:
         _request_changes(node, link)
-    if link.vm != node.settings.vm:
-        link.check_digests(node, message)
+    link.check_digests(node, message)
 
 
 @HANDLERS.register(Pull.name)
 def handle_pull(node: ControlNode, link: PeerLink, message: Pull) -> None:
     """Sends the changes that the peer lacks."""
     changes = node.timeline.list_after(max(0, message.after), MAX_CHANGES_PER_MESSAGE)
-    for batch in split_changes(changes)[:1]:
-        link.stream.send(Changes(batch))
+    if changes:
+        link.stream.send(Changes(take_batch(changes)))
 
 
 def _request_changes(node: ControlNode, link: PeerLink) -> None:
--- a/src/briarfork/control/link.py
+++ b/src/briarfork/control/link.py
@@ -36,6 +36,7 @@
         zone: Availability zone of the peer; empty until known.
         incarnation: Incarnation of the peer's control process.
         generation: Last generation that the peer reported.
+        confirmed: Last generation that the entry process of this VM reported.
         has_updates: Set when there are updates to send before the next heartbeat.
         members: Member records to send, by VM.
         removed: Names of removed members; used only for the entry process.
@@ -52,6 +53,7 @@
     zone: str = ""
     incarnation: int = 0
     generation: int = 0
+    confirmed: int = 0
     has_updates: asyncio.Event = field(default_factory=asyncio.Event)
     members: dict[str, Member] = field(default_factory=dict)
     removed: set[str] = field(default_factory=set)
--- a/src/briarfork/control/local.py
+++ b/src/briarfork/control/local.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import time
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
@@ -11,8 +13,8 @@
 from briarfork.border.messages import Follow
 from briarfork.border.messages import Members
 from briarfork.border.messages import VmList
-from briarfork.border.messages import split_changes
 from briarfork.border.messages import split_records
+from briarfork.border.messages import take_batch
 from briarfork.border.streams import StreamClosed
 from briarfork.control.handlers import handle
 from briarfork.control.link import PeerLink
@@ -31,6 +33,7 @@
         self._node = node
         self._link = link
         self._generation = 0
+        self._changes_sent_at = -math.inf
         self._members_sent = False
         self._list_sent = False
         self._following: bool | None = None
@@ -53,12 +56,23 @@
             self._link.has_updates.clear()
 
     def _send_changes(self) -> None:
-        timeline = self._node.timeline
-        while self._generation < timeline.generation:
-            changes = timeline.list_after(self._generation, MAX_CHANGES_PER_MESSAGE)
-            for batch in split_changes(changes):
-                self._link.stream.send(Changes(batch))
-            self._generation = changes[-1].generation
+        """Sends one batch of changes, once the entry process has taken the one before.
+
+        A whole timeline of large changes does not fit in the send buffer of the stream. An entry
+        process of an earlier version confirms nothing and gets a batch with each heartbeat.
+        """
+        now = time.monotonic()
+        timeline, confirmed = self._node.timeline, self._link.confirmed
+        is_due = now >= self._changes_sent_at + self._node.settings.timeouts.heartbeat_s
+        if self._generation > confirmed and not is_due:
+            return
+        self._generation = max(self._generation, confirmed)
+        if self._generation >= timeline.generation:
+            return
+        batch = take_batch(timeline.list_after(self._generation, MAX_CHANGES_PER_MESSAGE))
+        self._link.stream.send(Changes(batch))
+        self._generation = batch[-1].generation
+        self._changes_sent_at = now
 
     def _send_members(self) -> None:
         """Sends the whole roster once, then only differences."""
--- a/src/briarfork/entry/control_link.py
+++ b/src/briarfork/entry/control_link.py
@@ -36,6 +36,7 @@
 def handle_changes(process: EntryProcess, message: Changes) -> None:
     """Adds accepted changes to the timeline."""
     process.view.accept_changes(message.changes)
+    process.control.send(Heartbeat(process.view.timeline.generation))
     process.refresh_slots()
 
 
@@ -75,7 +76,8 @@
 
 @HANDLERS.register(Heartbeat.name)
 def handle_heartbeat(process: EntryProcess, message: Heartbeat) -> None:
-    """Updates the headroom of sites from the loads that other VMs have reported."""
+    """Updates the headroom of sites, and what the control process is known to have accepted."""
+    process.control.record_accepted(message.generation)
     process.accept_load(message.load)
 
 
@@ -88,6 +90,24 @@
         self._leaving = False
         self._received_members: list[Member] = []
         self._received_vms: list[ListedVm] = []
+        self._accepted_generation = 0
+        self._has_accepted = asyncio.Event()
+
+    def record_accepted(self, generation: int) -> None:
+        """Records the generation of the control process."""
+        self._accepted_generation = generation
+        self._has_accepted.set()
+
+    async def wait_until_accepted(self, generation: int) -> None:
+        """Waits until the control process has a generation, for a heartbeat interval at most."""
+        try:
+            async with asyncio.timeout(self._process.settings.timeouts.heartbeat_s):
+                while self._accepted_generation < generation:
+                    self._has_accepted.clear()
+                    await self._has_accepted.wait()
+        except TimeoutError:
+            # It may never take the changes, because it knows another history.
+            return
 
     def collect_members(self, message: Members) -> list[Member] | None:
         """Returns the members of all parts after the last part, else None."""
@@ -139,6 +159,7 @@
         settings = self._process.settings
         self._stream = stream
         self._received_members, self._received_vms = [], []
+        self._accepted_generation = 0
         stream.send(Hello(settings.vm, settings.zone))
         if self._leaving:
             stream.send(Leaving())
@@ -163,5 +184,5 @@
 
     async def _send_heartbeats(self, stream: MessageStream) -> None:
         while True:
-            stream.send(Heartbeat())
+            stream.send(Heartbeat(self._process.view.timeline.generation))
             await asyncio.sleep(self._process.settings.timeouts.heartbeat_s)
--- a/src/briarfork/entry/follower.py
+++ b/src/briarfork/entry/follower.py
@@ -112,7 +112,7 @@
             revision = page.revision
             if not page.changes:
                 break
-            self._forward_changes(page.changes)
+            await self._forward_changes(page.changes)
         await self._report_generation()
         while True:
             try:
@@ -125,13 +125,14 @@
                 # The store was restored to an older state and counts revisions from there.
                 return
             revision = current_revision
-            self._forward_changes(changes)
-
-    def _forward_changes(self, changes: list[Change]) -> None:
-        if changes:
-            self._generation = max(self._generation, changes[-1].generation)
-            for batch in split_changes(changes):
-                self._process.control.send(Changes(batch))
+            await self._forward_changes(changes)
+
+    async def _forward_changes(self, changes: list[Change]) -> None:
+        """Sends changes batch by batch, because the send buffer of the stream is bounded."""
+        for batch in split_changes(changes):
+            self._process.control.send(Changes(batch))
+            self._generation = max(self._generation, batch[-1].generation)
+            await self._process.control.wait_until_accepted(batch[-1].generation)
 
     async def _report_generation(self) -> None:
         """Lets the control process compare the store with its own changes, which may be newer."""
--- a/tests/capacity/store.py
+++ b/tests/capacity/store.py
@@ -54,6 +54,9 @@
     def send(self, message: Message) -> None:
         """Discards a message to the control process."""
 
+    async def wait_until_accepted(self, generation: int) -> None:
+        """Returns at once."""
+
 
 def list_followers(size: int, zones: int) -> list[Member]:
     members = [build_member(number, zones) for number in range(size)]
--- a/tests/control/test_large_changes.py
+++ b/tests/control/test_large_changes.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import pytest
 
 from briarfork.border.changelog import build_change_key
 from briarfork.timeline import Change
@@ -23,6 +24,7 @@
 # The slowest links of VMs have 5 Mbit/s.
 SLOW_LINK_BYTES_PER_S = 5e6 / 8
 FEW_CHANGES = 3
+MANY_CHANGES = 40
 # A VM must take a configuration within this time after it can reach the store again.
 IN_FORCE_S = 12.0
 
@@ -75,3 +77,23 @@
             await cluster.restart("control", "entry")
             await cluster.wait_for_generation(generation, IN_FORCE_S)
             cluster.check_processes()
+
+
+class TestLargeChanges:
+    @pytest.mark.parametrize("programs", [("control", "entry"), ("entry",), ("control",)])
+    async def test_restarted_programs_get_all_changes(
+        self, tmp_path: Path, programs: tuple[str, ...]
+    ) -> None:
+        """Guards against changes that overflow the stream between the programs of a VM for ever."""
+        async with LargeChangesCluster(tmp_path) as cluster:
+            await cluster.submit_all()
+            generation = await cluster.add_large_changes(MANY_CHANGES)
+            vm, start = cluster.vms[0], 0
+            if "control" in programs:
+                start = len(cluster.read_log(vm, "control"))
+            await cluster.restart(*programs)
+            accepted = f"change_accepted .*generation={generation} "
+            async with asyncio.timeout(IN_FORCE_S):
+                await cluster.wait_for_event(vm, "control", accepted, start)
+                await cluster.wait_for_generation(generation)
+            cluster.check_processes()
