Ignore invalid entries of the list of VMs one by one

What callers saw: after one odd entry in the platform's list of VMs, the control processes of all VMs ended within 5 s, or all entry processes lost the stream to their control process every half second and were shown as not serving.

Cause: the list was decoded as a whole and its values used as they were. An address with a label of more than 63 characters raises UnicodeError when it is dialled, which nothing handles: it cancels the task group of briarfork-control. A backend server without the port "http" raised KeyError in the entry process each time the list was sent to it. A port that is no 64-bit integer made the whole list unreadable, without a log line.

Change: each entry is validated by itself, at the border: name, IP address, ports of its role. An invalid one is logged (4020) and leaves the VM as it was. A list that cannot be read is logged (4021, 4022). A control process ignores members without a usable address or ports, and an entry process servers without a port, which VMs of earlier versions pass on.

--- a/src/briarfork/border/events.py
+++ b/src/briarfork/border/events.py
@@ -115,6 +115,11 @@
     )
     MEMBER_CHANGED = EventDefinition(4004, "info", "The state of a member has changed.")
     LIST_CHANGED = EventDefinition(4005, "info", "The list of VMs has changed.")
+    VM_IGNORED = EventDefinition(
+        4020, "warning", "Entries of the list of VMs are invalid and change nothing."
+    )
+    LIST_LOST = EventDefinition(4021, "warning", "The list of VMs could not be read.")
+    LIST_BACK = EventDefinition(4022, "notice", "The list of VMs could be read again.")
     REQUEST_FAILED = EventDefinition(5001, "info", "A request was answered with an error.")
     ANSWER_CUT = EventDefinition(
         5002, "warning", "A backend server truncated a response; the caller's connection was reset."
--- a/src/briarfork/control/node.py
+++ b/src/briarfork/control/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from ipaddress import ip_address
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
@@ -31,6 +32,7 @@
 
 ENTRY_ROLE = "entry"
 LEAVING_STATE = "leaving"
+MAX_PORT = 65535
 PORT_NAMES = {"entry", "permits", "control"}
 MAX_FLOODED_RECORDS = 100
 MS_PER_SECOND = 1000
@@ -119,12 +121,10 @@
         """Merges member records and forwards those that are new.
 
         Records of VMs that are neither live nor listed are stale copies that another VM has not
-        removed yet. Records that lack a port are unusable. Both are ignored.
+        removed yet. Records that lack a port or an IP address are unusable. Both are ignored.
         """
         records = [
-            record
-            for record in records
-            if not self._is_stale(record) and record.ports.keys() >= PORT_NAMES
+            record for record in records if not self._is_stale(record) and _is_usable(record)
         ]
         if source is not None and records:
             self._settled_at = 0.0
@@ -253,6 +253,16 @@
         return Member(vm.vm, vm.address, vm.zone, 0, 0, state, vm.ports)
 
 
+def _is_usable(record: Member) -> bool:
+    try:
+        ip_address(record.address)
+    except ValueError:
+        return False
+    return record.ports.keys() >= PORT_NAMES and all(
+        0 < port <= MAX_PORT for port in record.ports.values()
+    )
+
+
 def _build_own_member(settings: Settings) -> Member:
     ports = {
         "entry": settings.ports.entry,
--- a/src/briarfork/entry/follower.py
+++ b/src/briarfork/entry/follower.py
@@ -37,7 +37,9 @@
         self._instructions_changed = asyncio.Event()
         self._generation = 0
         self._known_vms: dict[str, ListedVm] | None = None
+        self._faulty_vms: set[str] = set()
         self._reachable = True
+        self._listed = True
 
     def set_enabled(self, enabled: bool, generation: int) -> None:
         """Starts to follow after a generation, or stops.
@@ -80,13 +82,35 @@
         while True:
             await self._enabled.wait()
             try:
-                vms = {vm.vm: vm for vm in await self._platform.list_vms()}
-            except BriarforkError:
-                pass
+                listing = await self._platform.list_vms()
+            except BriarforkError as error:
+                self._set_listed(False, error)
             else:
-                self._forward_list(vms)
+                self._set_listed(True)
+                self._report_faults(listing.faults)
+                self._forward_list(listing.vms | self._find_unchanged(listing.faults))
             await asyncio.sleep(self._process.settings.timeouts.list_s)
 
+    def _set_listed(self, listed: bool, error: BriarforkError | None = None) -> None:
+        if listed != self._listed:
+            self._listed = listed
+            event = Event.LIST_BACK if listed else Event.LIST_LOST
+            self._process.events.record(event, reason=error or "none")
+
+    def _report_faults(self, faults: dict[str, str]) -> None:
+        """Logs which entries are invalid when that changes, with the first one."""
+        if faults.keys() != self._faulty_vms:
+            self._faulty_vms = set(faults)
+            for vm, fault in list(faults.items())[:1]:
+                self._process.events.record(
+                    Event.VM_IGNORED, member=vm, fault=fault, entries=len(faults)
+                )
+
+    def _find_unchanged(self, faults: dict[str, str]) -> dict[str, ListedVm]:
+        """Returns the VMs that stay as they were, because their entries are invalid now."""
+        known = self._known_vms or {}
+        return {vm: known[vm] for vm in faults if vm in known}
+
     def _forward_list(self, vms: dict[str, ListedVm]) -> None:
         known, self._known_vms = self._known_vms, vms
         if known is None:
--- a/src/briarfork/entry/view.py
+++ b/src/briarfork/entry/view.py
@@ -67,7 +67,8 @@
         self.listed_vms = listed_vms
         self._servers = {}
         for vm in listed_vms:
-            if vm.role == BACKEND_ROLE and vm.state == LIVE_STATE:
+            # A VM of an earlier version passes on entries without a port.
+            if vm.role == BACKEND_ROLE and vm.state == LIVE_STATE and "http" in vm.ports:
                 address = ServerAddress(vm.vm, vm.address, vm.ports["http"])
                 self._servers.setdefault((vm.service, vm.site), []).append(address)
 
