Keep a control process running whatever one peer sends

What callers saw: briarfork-control ended with a traceback after a peer that it had dialled sent a change whose document is nested 700 levels deep.

Cause: a handler that fails with anything but BriarforkError cancelled the task group of all peers, which ends the process. The tasks of the entry process are supervised, those of the control process were not.

Change: an unexpected error of a handler is logged (task_failed, with its place) and ends the stream that brought the message. The task of each peer, and the one that starts them, are supervised. find_place moves to a module without aiohttp, which the control process must not import.

--- a/src/briarfork/border/http_server.py
+++ b/src/briarfork/border/http_server.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import traceback
 from http import HTTPStatus
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from aiohttp.http_exceptions import LineTooLong
 
+from briarfork.border.error_place import find_place
 from briarfork.border.events import Event
 from briarfork.border.graceful_server import GracefulConnection
 from briarfork.errors import BriarforkError
@@ -66,13 +65,3 @@
         response = self.build_error_response(request, error)
         response.force_close()
         return response
-
-
-def find_place(error: BaseException | None) -> str:
-    """Returns the file, line and function where an error, or the first of a group, was raised."""
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    frames = traceback.extract_tb(error.__traceback__) if error else []
-    if not frames:
-        return ""
-    return f"{Path(frames[-1].filename).name}:{frames[-1].lineno} {frames[-1].name}"
--- a/src/briarfork/border/supervision.py
+++ b/src/briarfork/border/supervision.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from briarfork.border.error_place import find_place
 from briarfork.border.events import Event
-from briarfork.border.http_server import find_place
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/src/briarfork/control/handlers.py
+++ b/src/briarfork/control/handlers.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from briarfork.border.error_place import find_place
 from briarfork.border.events import Event
 from briarfork.border.messages import MAX_CHANGES_PER_MESSAGE
 from briarfork.border.messages import Changes
@@ -38,12 +39,23 @@
 
     Raises:
         BriarforkError: With kind `peer_protocol` if a control process does not accept messages
-            of this type.
+            of this type, or the handler fails.
     """
     if message.name not in HANDLERS.names():
         raise BriarforkError(ErrorKind.PEER_PROTOCOL, f"unexpected message {message.name!r}")
     node.record_contact(link.vm)
-    HANDLERS.get(message.name)(node, link, message)
+    try:
+        HANDLERS.get(message.name)(node, link, message)
+    except BriarforkError:
+        raise
+    # Whatever one peer sends, only its stream ends.
+    except Exception as error:
+        node.events.record(
+            Event.TASK_FAILED, task=message.name, error=repr(error), place=find_place(error)
+        )
+        raise BriarforkError(
+            ErrorKind.PEER_PROTOCOL, f"{message.name}: the message could not be processed"
+        ) from error
 
 
 @HANDLERS.register(Hello.name)
--- a/src/briarfork/control/main.py
+++ b/src/briarfork/control/main.py
@@ -9,6 +9,7 @@
 from briarfork.border.events import Event
 from briarfork.border.program import run_service
 from briarfork.border.streams import serve
+from briarfork.border.supervision import run_supervised
 from briarfork.control.local import serve_entry_process
 from briarfork.control.node import ControlNode
 from briarfork.control.peers import maintain_peers
@@ -30,7 +31,7 @@
     local = await serve(settings.address, settings.ports.local, partial(serve_entry_process, node))
     events.record(Event.STARTED, control=settings.ports.control)
     async with asyncio.TaskGroup() as group:
-        peers_task = group.create_task(maintain_peers(node))
+        peers_task = group.create_task(run_supervised(partial(maintain_peers, node), events))
         await stopping.wait()
         await _leave_and_wait_for_entry(node)
         peers_task.cancel()
--- a/src/briarfork/control/peers.py
+++ b/src/briarfork/control/peers.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import random
+from functools import partial
 from typing import TYPE_CHECKING
 
 from briarfork.border.events import Event
 from briarfork.border.messages import Hello
 from briarfork.border.streams import StreamClosed
 from briarfork.border.streams import connect
+from briarfork.border.supervision import run_supervised
 from briarfork.control.handlers import handle
 from briarfork.control.link import PeerLink
 from briarfork.errors import BriarforkError
@@ -66,7 +68,8 @@
                 tasks.pop(target).cancel()
             for target, vm in targets.items():
                 if target not in tasks:
-                    tasks[target] = group.create_task(_maintain_peer(node, vm, *target))
+                    run = partial(_maintain_peer, node, vm, *target)
+                    tasks[target] = group.create_task(run_supervised(run, node.events))
             node.check_members()
             try:
                 async with asyncio.timeout(node.settings.timeouts.heartbeat_s):
