Bound the pages of drafts and changes in the administration interface

GET /v1/drafts read all drafts into memory, whatever the limit asked for, and GET /v1/changes up to 1,000 changes. Both may have 1 MB each, and teams choose how many and how large they are, so one request could make briarfork-admin hold more than 1 GB.

Change: drafts are read page by page after the change id that the caller names. A page ends once 4 MiB of stored values have been read, with "next" as before. The interface already allows short pages, and `briarfork history` follows "next".

--- a/src/briarfork/admin/changes.py
+++ b/src/briarfork/admin/changes.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from briarfork.admin.drafts import Draft
+from briarfork.admin.drafts import DraftPage
 from briarfork.admin.drafts import DraftStore
 from briarfork.admin.reader import TimelineReader
 from briarfork.admin.snapshots import SnapshotWriter
@@ -37,6 +38,10 @@
 # Longest time between the validation of a change and its write. A process that was paused in
 # between validates the change again, so no ramp starts further in the past than this.
 MAX_VALIDATION_AGE_S = 5.0
+# Length of the stored values from which on a page of changes or drafts ends. Callers choose their
+# number and size.
+MAX_PAGE_CHARACTERS = 4 * 1024 * 1024
+MAX_PAGE_DRAFTS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,14 +87,18 @@
     async def list_changes(self, after: int, limit: int) -> list[Change]:
         """Returns at most `limit` changes after a generation, including compacted ones.
 
+        There are fewer if they are large.
+
         Raises:
             StoreUnavailable: If the store does not respond.
         """
         changes: list[Change] = []
-        while len(changes) < limit:
+        size = 0
+        while len(changes) < limit and size < MAX_PAGE_CHARACTERS:
             last = changes[-1].generation if changes else after
             page = await self._log.read_after(last)
             changes += page.changes
+            size += page.size
             if not page.has_more:
                 break
         return changes[:limit]
@@ -161,17 +170,29 @@
         await self._drafts.delete_accepted(change_id)
         return generation
 
-    async def list_drafts(self) -> list[Draft]:
-        """Returns the drafts pending approval and deletes the drafts of accepted changes."""
-        drafts = await self._drafts.list_all()
-        timeline = await self.read_timeline()
-        pending = []
-        for draft in drafts:
-            if timeline.find_change(draft.change_id) is None:
-                pending.append(draft)
-            else:
-                await self._drafts.delete_accepted(draft.change_id)
-        return pending
+    async def list_drafts(self, after: str = "", limit: int = MAX_PAGE_DRAFTS) -> DraftPage:
+        """Returns drafts pending approval and deletes the drafts of accepted changes.
+
+        Args:
+            after: Change id after which the page starts.
+            limit: Largest number of drafts; there are fewer if they are large.
+        """
+        pending: list[Draft] = []
+        size = 0
+        while True:
+            page = await self._drafts.read_page(after)
+            timeline = await self.read_timeline()
+            size += page.size
+            for draft in page.drafts:
+                if len(pending) == limit:
+                    return DraftPage(pending, size, after)
+                after = draft.change_id
+                if timeline.find_change(after) is None:
+                    pending.append(draft)
+                else:
+                    await self._drafts.delete_accepted(after)
+            if page.next_after is None or size >= MAX_PAGE_CHARACTERS:
+                return DraftPage(pending, size, page.next_after)
 
     async def withdraw(
         self, generation: int, request: WithdrawalModel, team: Team, dry_run: bool
--- a/src/briarfork/admin/drafts.py
+++ b/src/briarfork/admin/drafts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -44,6 +45,21 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class DraftPage:
+    """Some drafts, ordered by change id.
+
+    Attributes:
+        drafts: The drafts.
+        size: Length of the stored values that were read, in characters.
+        next_after: Change id after which the next page starts, None on the last page.
+    """
+
+    drafts: list[Draft]
+    size: int
+    next_after: str | None
+
+
 class DraftStore:
     """Reads and writes drafts in the store."""
 
@@ -83,20 +99,15 @@
         entry = await self._store.get(f"{KEY_PREFIX}{change_id}")
         return None if entry is None else _decode(entry)
 
-    async def list_all(self) -> list[Draft]:
-        """Returns all drafts, ordered by change id.
+    async def read_page(self, after: str) -> DraftPage:
+        """Returns a page of the drafts after a change id.
 
         Raises:
             StoreUnavailable: If the store does not respond.
         """
-        drafts: list[Draft] = []
-        after = ""
-        while True:
-            page = await self._store.list_range(KEY_PREFIX, after)
-            drafts += [_decode(entry) for entry in page.entries]
-            if not page.has_more:
-                return drafts
-            after = page.entries[-1].key
+        page = await self._store.list_range(KEY_PREFIX, f"{KEY_PREFIX}{after}" if after else "")
+        drafts = [_decode(entry) for entry in page.entries]
+        return DraftPage(drafts, page.size, drafts[-1].change_id if page.has_more else None)
 
     async def delete_accepted(self, change_id: str) -> None:
         """Deletes the draft of an accepted change.
--- a/src/briarfork/admin/http.py
+++ b/src/briarfork/admin/http.py
@@ -74,10 +74,9 @@
         """Lists drafts."""
         after = request.query.get("after", "")
         limit = parse_number(request.query, "limit", DEFAULT_PAGE_SIZE, MAX_PAGE_SIZE)
-        drafts = [draft for draft in await self._manager.list_drafts() if draft.change_id > after]
-        more = len(drafts) > limit
-        page = msgspec.to_builtins(drafts[:limit])
-        return web.json_response({"drafts": page, "next": page[-1]["change_id"] if more else None})
+        page = await self._manager.list_drafts(after, limit)
+        drafts = msgspec.to_builtins(page.drafts)
+        return web.json_response({"drafts": drafts, "next": page.next_after})
 
     async def withdraw(self, request: web.Request) -> web.Response:
         """Withdraws a scheduled change."""
--- a/src/briarfork/border/changelog.py
+++ b/src/briarfork/border/changelog.py
@@ -43,11 +43,13 @@
     Attributes:
         changes: The changes.
         revision: Store revision at which they were read.
+        size: Length of the stored values, in characters.
         has_more: Whether the store may hold later changes.
     """
 
     changes: list[Change]
     revision: int
+    size: int
     has_more: bool
 
 
@@ -66,7 +68,7 @@
         """
         listing = await self._store.list_range(KEY_PREFIX, build_change_key(generation), PAGE_SIZE)
         changes = [_decode(entry.value) for entry in listing.entries]
-        return ChangePage(changes, listing.revision, listing.has_more)
+        return ChangePage(changes, listing.revision, listing.size, listing.has_more)
 
     async def find_latest_generation(self, known: int) -> int:
         """Returns the highest generation in the store, up to a known generation.
--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -70,6 +70,11 @@
     revision: int
     has_more: bool = False
 
+    @property
+    def size(self) -> int:
+        """Length of the values, in characters."""
+        return sum(len(entry.value) for entry in self.entries)
+
 
 class _StoredValue(msgspec.Struct, frozen=True):
     value: str
