--- a/src/briarfork/control/handlers.py
+++ b/src/briarfork/control/handlers.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from briarfork.border.events import Event
+from briarfork.border.failures import find_place
 from briarfork.border.messages import MAX_CHANGES_PER_MESSAGE
 from briarfork.border.messages import Changes
 from briarfork.border.messages import Follow
@@ -18,7 +19,7 @@
 from briarfork.border.messages import StoreState
 from briarfork.border.messages import Summary
 from briarfork.border.messages import VmList
-from briarfork.border.messages import split_changes
+from briarfork.border.messages import take_batch
 from briarfork.border.streams import StreamClosed
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
@@ -38,12 +39,23 @@
 
     Raises:
         BriarforkError: With kind `peer_protocol` if a control process does not accept messages
-            of this type.
+            of this type, or the handler fails.
     """
     if message.name not in HANDLERS.names():
         raise BriarforkError(ErrorKind.PEER_PROTOCOL, f"unexpected message {message.name!r}")
     node.record_contact(link.vm)
-    HANDLERS.get(message.name)(node, link, message)
+    try:
+        HANDLERS.get(message.name)(node, link, message)
+    except BriarforkError:
+        raise
+    # Whatever one peer sends, only its stream ends.
+    except Exception as error:
+        node.events.record(
+            Event.TASK_FAILED, task=message.name, error=repr(error), place=find_place(error)
+        )
+        raise BriarforkError(
+            ErrorKind.PEER_PROTOCOL, f"{message.name}: the message could not be processed"
+        ) from error
 
 
 @HANDLERS.register(Hello.name)
@@ -70,19 +82,23 @@
     node.accept_members(message.members, link)
     node.accept_listed(message.listed, link)
     node.accept_load(message.load, link)
+    if link.vm == node.settings.vm:
+        # After a restart of this process the entry process may be ahead; the store has its changes.
+        link.confirmed = message.generation
+        link.has_updates.set()
+        return
     link.generation = message.generation
     if message.generation > node.timeline.generation:
         _request_changes(node, link)
-    if link.vm != node.settings.vm:
-        link.check_digests(node, message)
+    link.check_digests(node, message)
 
 
 @HANDLERS.register(Pull.name)
 def handle_pull(node: ControlNode, link: PeerLink, message: Pull) -> None:
     """Sends the changes that the peer lacks."""
     changes = node.timeline.list_after(max(0, message.after), MAX_CHANGES_PER_MESSAGE)
-    for batch in split_changes(changes)[:1]:
-        link.stream.send(Changes(batch))
+    if changes:
+        link.stream.send(Changes(take_batch(changes)))
 
 
 def _request_changes(node: ControlNode, link: PeerLink) -> None:
