--- a/src/briarfork/platform/program.py
+++ b/src/briarfork/platform/program.py
@@ -23,6 +23,7 @@
 from briarfork.border.process import bound_exit
 from briarfork.border.process import record_failure
 from briarfork.border.process import run_event_loop
+from briarfork.border.process_age import read_process_age
 from briarfork.border.supervision import run_logged
 from briarfork.border.supervision import run_supervised
 from briarfork.entry.response_faults import ResponseFaultRecorder
@@ -175,7 +176,12 @@
             servers = GatewayServers(self._settings, self._gateway, dispatcher)
             if not await open_unless_stopped(servers.open(store), self._stopping):
                 return
-            self._events.record(Event.STARTED, entry=self._settings.common.ports.entry)
+            self._events.record(
+                Event.STARTED,
+                entry=self._settings.common.ports.entry,
+                since_start_ms=round(read_process_age() * MS_PER_S),
+                memory_limit_mb=self._settings.memory_mb,
+            )
             async with asyncio.TaskGroup() as group:
                 registration_task = group.create_task(
                     run_supervised(registration.run, self._events)
