Keep slots only of services that have a route or servers

A VM kept a queue for each service of the configuration in each zone whose slots it owns, looked at all of them at each change of any server, and never removed one: neither those of services that a later configuration lacks nor the names of services and zones without servers.

Services without a route and without servers are left out, also at the metrics address; queues of such services that hold no permit and no request are removed, and so are empty zones and services of the inventory. Ruled out: leaving out services without servers or without a route, because a request or a moved route would then meet a new queue, which grants nothing for 0.5 s.

--- a/src/briarfork/entry/slots.py
+++ b/src/briarfork/entry/slots.py
@@ -119,7 +119,9 @@
 
     def refresh(self) -> None:
         """Applies the current plan, membership and list of servers to the queues."""
-        for key, capacity, mixed in self._view.list_capacities():
+        capacities = self._view.list_capacities()
+        self._discard_unused({key for key, _, _ in capacities})
+        for key, capacity, mixed in capacities:
             owner = self._view.find_owner(*key)
             if owner is None or owner.vm != self.settings.vm:
                 self._relinquish(key)
@@ -135,6 +137,13 @@
             if is_new:
                 self._adopt_early_declarations(key)
 
+    def _discard_unused(self, listed: set[SlotKey]) -> None:
+        """Discards the idle queues of slots that the configuration no longer has."""
+        unused = [key for key, queue in self._queues.items() if key not in listed and queue.is_idle]
+        for key in unused:
+            del self._queues[key]
+            del self._adoption_ends_at[key]
+
     def request_permit(
         self, key: SlotKey, slot_request: SlotRequest, on_decision: DecisionCallback
     ) -> None:
--- a/src/briarfork/gateway/dispatch.py
+++ b/src/briarfork/gateway/dispatch.py
@@ -147,7 +147,7 @@
         self.metrics.set_version(table.version)
         self.metrics.set_limits(self._view.list_limits())
         self.metrics.set_response_bytes(self.held_response_bytes)
-        for service in table.services:
+        for service in self._view.list_used_services():
             budget = self._find_retry_budget(service).level
             self.metrics.set_gauges(
                 service,
--- a/src/briarfork/gateway/view.py
+++ b/src/briarfork/gateway/view.py
@@ -104,13 +104,26 @@
 
     def list_capacities(self) -> list[tuple[SlotKey, SiteCapacity, bool]]:
         """Returns for each service and zone a server's capacity and if classes are mixed."""
-        services = self._route_table.services if self._route_table else {}
         return [
             ((name, zone), self._find_site_capacity(name, zone), False)
-            for name in services
+            for name in self.list_used_services()
             for zone in self.location.regions
         ]
 
+    def list_used_services(self) -> list[str]:
+        """Returns the configured services that have a route or servers.
+
+        A configuration may have 100,000 services that nobody uses.
+        """
+        table = self._route_table
+        if table is None:
+            return []
+        return [
+            name
+            for name in table.services
+            if name in table.routed_services or self.inventory.has_servers(name)
+        ]
+
     def find_capacity(self, key: SlotKey) -> tuple[SiteCapacity, bool]:
         """Returns the capacity of one server of a service and zone, and if classes are mixed."""
         return self._find_site_capacity(*key), False
--- a/src/briarfork/pools/inventory.py
+++ b/src/briarfork/pools/inventory.py
@@ -239,6 +239,10 @@
             self._evacuated_zones = set(zones)
             self._usable.clear()
 
+    def has_servers(self, service: str) -> bool:
+        """Returns whether a service has servers, which need not accept new requests."""
+        return service in self._names
+
     def list_zones(self, service: str) -> set[str]:
         """Returns the zones in which a service has servers that accept new requests."""
         return {zone for zone in self._names.get(service, ()) if self.list_usable(service, zone)}
@@ -290,7 +294,15 @@
         self._discard_usable(name)
         instance = self._instances.pop(name, None)
         if instance is not None:
-            del self._names[instance.service][instance.zone][name]
+            self._remove_name(instance)
+
+    def _remove_name(self, instance: Instance) -> None:
+        zones = self._names[instance.service]
+        del zones[instance.zone][instance.name]
+        if not zones[instance.zone]:
+            del zones[instance.zone]
+        if not zones:
+            del self._names[instance.service]
 
     def _is_usable(self, instance: Instance) -> bool:
         has_left = instance.draining or instance.name in self._leaving
--- a/src/briarfork/pools/queue.py
+++ b/src/briarfork/pools/queue.py
@@ -87,6 +87,11 @@
         """Number of waiting requests."""
         return len(self._backlog)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no permit is granted and no request waits."""
+        return not self.in_progress and not self.waiting
+
     @property
     def slots(self) -> int:
         """Number of slots of all servers that accept new requests."""
--- a/src/briarfork/routing/table.py
+++ b/src/briarfork/routing/table.py
@@ -34,6 +34,7 @@
     """Finds the route of a request by host and longest prefix.
 
     Attributes:
+        routed_services: Names of the services that routes name.
         workspaces: Workspaces by key, None if the configuration has none.
     """
 
@@ -49,8 +50,10 @@
         self.services = {service.name: service for service in services}
         self.limits = limits
         self.workspaces = workspaces
+        self.routed_services: set[str] = set()
         self._routes: dict[str, dict[str, Route]] = {}
         for route in routes:
+            self.routed_services.update(share.service for share in route.shares)
             self._routes.setdefault(route.host, {})[route.prefix] = route
 
     def find(self, host: str, path: str) -> Route | None:
