Close idle connections to the readiness check, lookups and metrics

Callers' connections have limits for idle time and for heads. Those of the other three ports had the HTTP library's default of 3,630 s, also before their first request and within a partly sent one, so that they could use up the VM's descriptors over an hour. Without a free descriptor a VM accepts nobody and loses the store.

Ruled out: a spinning accept or an ended task at the limit.

--- a/src/briarfork/platform/servers.py
+++ b/src/briarfork/platform/servers.py
@@ -25,6 +25,9 @@
 LISTEN_BACKLOG = 1024
 # Time in which requests that are broken off get their responses.
 BREAK_OFF_S = 0.1
+# Idle connections to the readiness check, lookups and metrics are closed after this time, also
+# those that have sent nothing or a part of a request: each holds one of the VM's descriptors.
+AUXILIARY_IDLE_S = 30.0
 # Time for the responses of the other servers after the callers' server has ended.
 AUXILIARY_STOP_S = 0.1
 
@@ -87,6 +90,9 @@
         runner = web.AppRunner(app)
         await runner.setup()
         server = GracefulServer.wrap(runner)
-        await server.listen(lambda: GracefulConnection(server, access_log=None), *address)
+        await server.listen(
+            lambda: GracefulConnection(server, access_log=None, keepalive_timeout=AUXILIARY_IDLE_S),
+            *address,
+        )
         self._runners.append(runner)
         self._auxiliary.append(server)
