Ask for fewer entries of the store after a page has failed

What callers saw: none yet; found while a store's stand-in took longer than the timeout to encode a page of 59 MB.

Cause: a page is halved when its response is too long. A store that needs longer than the timeout to begin such a response is never seen to be too long: the same page is asked for again for ever.

Change: after a call that failed the next page has half the entries, down to 4, as many as may fit in a response. Pages grow by a quarter, so that 14 of them reach the full number after an outage.

--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -26,6 +26,9 @@
 # A value of 1 MB takes up to 3 MB as escaped JSON.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 MAX_PAGE_ENTRIES = 100
+# A page of so few entries is not what makes a call fail.
+SMALL_PAGE_ENTRIES = 4
+PAGE_GROWTH = 1.25
 
 BodyT = TypeVar("BodyT")
 
@@ -189,8 +192,13 @@
                     raise
                 limit //= 2
                 self._page_entries = limit
+            except StoreUnavailable:
+                # The store may need longer than the timeout to begin a page of many large values.
+                self._page_entries = max(SMALL_PAGE_ENTRIES, limit // 2)
+                raise
             else:
-                self._page_entries = min(MAX_PAGE_ENTRIES, self._page_entries + 1)
+                larger = 1 + int(self._page_entries * PAGE_GROWTH)
+                self._page_entries = min(MAX_PAGE_ENTRIES, larger)
                 return listing
 
     async def _read_page(self, prefix: str, after: str, limit: int) -> Listing:
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import time
 from dataclasses import replace
@@ -151,6 +152,21 @@
             timeline = await harness.create_manager().read_timeline()
         assert timeline.generation == 31
 
+    async def test_slow_pages_become_smaller(self, harness: AdminHarness) -> None:
+        """Guards against a page that takes longer than its timeout and is asked for for ever."""
+        await harness.start()
+        for number in range(60):
+            harness.state.items[f"drafts/{number:03}"] = Item("", 100 + number, None)
+        harness.state.mode, harness.state.delay_s = "slow pages", STORE_TIMEOUT_S / 8
+        store = Store(harness.settings, harness.session)
+        found: list[str] = []
+        async with asyncio.timeout(30):
+            while len(found) < 60:
+                with contextlib.suppress(StoreUnavailable):
+                    page = await store.list_range("drafts/", found[-1] if found else "")
+                    found += [entry.key for entry in page.entries]
+        assert found == [f"drafts/{number:03}" for number in range(60)]
+
     async def test_pages_of_the_interface_are_bounded(self, patient_harness: AdminHarness) -> None:
         """Guards against a response with all drafts or changes, whose size callers choose."""
         harness = patient_harness
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -6,6 +6,7 @@
 - "down": no response
 - "refuse": the connection is closed
 - "slow": each call is delayed by `delay_s`
+- "slow pages": each entry of a page takes `delay_s`
 - "lose": the responses to the next `count` writes are lost after the write took effect
 - "late": the next `count` writes are applied after `delay_s`, even if the caller has given up
 - "odd": each call is answered with the `status` and the text `body`
@@ -50,7 +51,7 @@
         revision: Revision of the latest write.
         calls: Number of calls by method and resource.
         mode: Injected fault; see the module docstring.
-        delay_s: Delay in seconds of the modes "slow" and "late".
+        delay_s: Delay in seconds of the modes "slow", "slow pages" and "late".
         lose: Number of upcoming writes whose responses are lost.
         late: Number of upcoming writes to delay.
         late_handled: Number of delayed writes that have been processed.
@@ -143,6 +144,8 @@
     state = request.app[STATE]
     entries = state.list_items(request.query["prefix"], request.query.get("after", ""))
     limit = int(request.query.get("limit", "100"))
+    if state.mode == "slow pages":
+        await asyncio.sleep(state.delay_s * min(limit, len(entries)))
     return web.json_response({"entries": entries[:limit], "revision": state.revision})
 
 
