Refuse a change that is larger than a value of the store

What callers saw: a change or draft of more than 1 MB, which the interface accepts up to 4 MiB, was written five or three times and answered with store_unavailable, retryable and of unknown outcome, although the store can never take it.

Change: a value of more than 1 MB is not sent to the store; the answer is body_too_large, not run. The stand-in of the store refuses such values with status 413, as docs/design.md says ("holds values up to 1 MB"), and says how it bounds pages.

Result: test_change_over_the_size_of_a_value_is_refused failed before for a change and a draft ("PUT /kv/changes/: status 413"), passes now.

--- a/src/briarfork/border/store.py
+++ b/src/briarfork/border/store.py
@@ -25,6 +25,7 @@
 ABSENT = 0
 # A value of 1 MB takes up to 3 MB as escaped JSON.
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_VALUE_BYTES = 1_000_000
 MAX_PAGE_ENTRIES = 100
 # A page of so few entries is not what makes a call fail.
 SMALL_PAGE_ENTRIES = 4
@@ -145,9 +146,17 @@
             The new revision of the key.
 
         Raises:
+            BriarforkError: With kind `body_too_large` if the store takes no value of this size.
+                Nothing was written then.
             StoreConflict: If the key has another revision.
             StoreUnavailable: If the store does not respond; the write may have taken effect.
         """
+        size_bytes = len(value.encode())
+        if size_bytes > MAX_VALUE_BYTES:
+            raise BriarforkError(
+                ErrorKind.BODY_TOO_LARGE,
+                f"{key}: expected a value of at most {MAX_VALUE_BYTES} bytes, found {size_bytes}",
+            )
         request = {"value": value, "expect": expect, "lease": lease}
         reply = await self._call("PUT", f"/kv/{key}", HTTPStatus.CONFLICT, json=request)
         revision = reply.decode(_Revision).revision
--- a/tests/admin/test_store_faults.py
+++ b/tests/admin/test_store_faults.py
@@ -152,6 +152,22 @@
             timeline = await harness.create_manager().read_timeline()
         assert timeline.generation == 31
 
+    @pytest.mark.parametrize("approval", ["none", "required"])
+    async def test_change_over_the_size_of_a_value_is_refused(
+        self, harness: AdminHarness, approval: str
+    ) -> None:
+        """Guards against a change of unknown outcome that the store can never take."""
+        manager = await harness.start(approval=approval)
+        blocks = [
+            {"prefix": f"10.{number // 256}.{number % 256}.0/24", "region": "north"}
+            for number in range(30_000)
+        ]
+        edits = {"base": {**harness.initial_base, "client_blocks": blocks}}
+        with pytest.raises(BriarforkError) as caught:
+            await submit(manager, "huge", edits)
+        assert caught.value.kind is ErrorKind.BODY_TOO_LARGE
+        harness.assert_generations(1)
+
     async def test_slow_pages_become_smaller(self, harness: AdminHarness) -> None:
         """Guards against a page that takes longer than its timeout and is asked for for ever."""
         await harness.start()
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,5 +1,8 @@
 """Stand-in for the platform's key-value service.
 
+Values have at most 1 MB. A page has as many entries as its call asks for, whatever their size,
+and a watch returns all changes at once: the interface in docs/design.md names no other bound.
+
 `POST /fault` sets the fault to inject, `mode`:
 
 - "up": no fault
@@ -32,6 +35,7 @@
     from aiohttp.typedefs import Handler
 
 HANG_S = 60.0
+MAX_VALUE_BYTES = 1_000_000
 
 
 @dataclass(slots=True)
@@ -117,6 +121,8 @@
     key = request.match_info["key"]
     item = state.items.get(key)
     revision = item.revision if item else 0
+    if len(body["value"].encode()) > MAX_VALUE_BYTES:
+        return web.json_response({"error": "the value is too large"}, status=413)
     if body["expect"] != revision:
         return web.json_response({"revision": revision}, status=409)
     if body.get("lease") and body["lease"] not in state.leases:
