Ask a peer for changes only once while its response arrives

What callers saw: a VM that has to take large changes from a peer over a slow link gets each of them several times, and is up to date three times later than the link allows.

Cause: each heartbeat of the peer, one a second, asked for the changes after the own generation again, although the response to the last request, up to 1 MiB, takes 1.7 s on a link of 5 Mbit/s.

Change: the same changes are asked for again only after the time after which a silent peer counts as lost.

--- a/src/briarfork/control/handlers.py
+++ b/src/briarfork/control/handlers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -104,12 +105,15 @@
 def _request_changes(node: ControlNode, link: PeerLink) -> None:
     """Requests missing changes.
 
-    A peer is asked to send them. The entry process of this VM reads the store again instead.
+    A peer is asked to send them, and not again while its response may still arrive: a response may
+    take longer than a heartbeat interval. The entry process of this VM reads the store again
+    instead.
     """
-    generation = node.timeline.generation
+    generation, now = node.timeline.generation, time.monotonic()
     if link.vm == node.settings.vm:
         link.stream.send(Follow(True, generation))
-    else:
+    elif link.requested != generation or now > link.requested_at + node.settings.timeouts.silence_s:
+        link.requested, link.requested_at = generation, now
         link.stream.send(Pull(generation))
 
 
--- a/src/briarfork/control/link.py
+++ b/src/briarfork/control/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -37,6 +38,8 @@
         incarnation: Incarnation of the peer's control process.
         generation: Last generation that the peer reported.
         confirmed: Last generation that the entry process of this VM reported.
+        requested: Generation after which changes were last requested from the peer.
+        requested_at: Time of that request, in seconds on the monotonic clock.
         has_updates: Set when there are updates to send before the next heartbeat.
         members: Member records to send, by VM.
         removed: Names of removed members; used only for the entry process.
@@ -54,6 +57,8 @@
     incarnation: int = 0
     generation: int = 0
     confirmed: int = 0
+    requested: int = -1
+    requested_at: float = -math.inf
     has_updates: asyncio.Event = field(default_factory=asyncio.Event)
     members: dict[str, Member] = field(default_factory=dict)
     removed: set[str] = field(default_factory=set)
--- a/tests/control/test_large_changes.py
+++ b/tests/control/test_large_changes.py
@@ -24,16 +24,20 @@
 # The slowest links of VMs have 5 Mbit/s.
 SLOW_LINK_BYTES_PER_S = 5e6 / 8
 FEW_CHANGES = 3
+# They take 6.4 s on a slow link.
+PEER_CHANGES = 4
+# Heartbeats, and a change that was on its way when a stream ended.
+MAX_REPEATED_PART = 1.3
 MANY_CHANGES = 40
 # A VM must take a configuration within this time after it can reach the store again.
 IN_FORCE_S = 12.0
 
 
 class LargeChangesCluster(LinkedCluster):
-    """One VM, beside a store to which changes are written directly."""
+    """A few VMs, beside a store to which changes are written directly."""
 
-    def __init__(self, work: Path) -> None:
-        super().__init__(work, ZONES[:1], network=NETWORK)
+    def __init__(self, work: Path, zones: int = 1) -> None:
+        super().__init__(work, ZONES[:zones], network=NETWORK)
 
     async def add_large_changes(self, count: int) -> int:
         """Adds changes of nearly 1 MB each and returns the last generation."""
@@ -56,15 +60,18 @@
         return change.generation
 
     async def restart(self, *programs: str) -> None:
-        """Kills and starts programs of the VM."""
-        vm = self.vms[0]
+        """Kills and starts programs of the last VM."""
+        vm = self.vms[-1]
         for program in programs:
             vm.processes[program].send_signal(signal.SIGKILL)
             await asyncio.to_thread(vm.processes[program].wait)
         self.start(vm, programs)
 
+    def count_peer_bytes(self) -> int:
+        return sum(link.forwarded_bytes for link in self.control_links.values())
+
     def check_processes(self) -> None:
-        assert all(process.poll() is None for process in self.vms[0].processes.values())
+        assert all(process.poll() is None for process in self.vms[-1].processes.values())
 
 
 class TestSlowLink:
@@ -78,6 +85,22 @@
             await cluster.wait_for_generation(generation, IN_FORCE_S)
             cluster.check_processes()
 
+    async def test_vm_gets_changes_from_a_peer(self, tmp_path: Path) -> None:
+        """Guards against a VM that asks for the same changes again while they arrive."""
+        async with LargeChangesCluster(tmp_path, zones=2) as cluster:
+            await cluster.submit_all()
+            generation = await cluster.add_large_changes(PEER_CHANGES)
+            await cluster.wait_for_generation(generation)
+            for conditions in cluster.list_conditions(ZONES[1]):
+                conditions.bytes_per_s = SLOW_LINK_BYTES_PER_S
+            cluster.platform_conditions[ZONES[1]].silent_up = True
+            before = cluster.count_peer_bytes()
+            await cluster.restart("control", "entry")
+            await cluster.wait_for_generation(generation, IN_FORCE_S)
+            received = cluster.count_peer_bytes() - before
+            assert received <= MAX_REPEATED_PART * PEER_CHANGES * len(LARGE_REASON)
+            cluster.check_processes()
+
 
 class TestLargeChanges:
     @pytest.mark.parametrize("programs", [("control", "entry"), ("entry",), ("control",)])
--- a/tests/standins/link.py
+++ b/tests/standins/link.py
@@ -59,11 +59,15 @@
         target: Address and port to connect to.
         select_conditions: Returns the conditions for the source address of a stream.
         seed: Seed of the random delays and losses.
+
+    Attributes:
+        forwarded_bytes: Number of bytes delivered so far, in both directions.
     """
 
     def __init__(
         self, target: tuple[str, int], select_conditions: Callable[[str], Conditions], seed: int = 1
     ) -> None:
+        self.forwarded_bytes = 0
         self._target = target
         self._select_conditions = select_conditions
         self._random = random.Random(seed)
@@ -139,6 +143,7 @@
                     await asyncio.sleep(SILENCE_POLL_INTERVAL_S)
                 if conditions.cut or not data:
                     raise ConnectionResetError("the link is cut or a side has closed")
+                self.forwarded_bytes += len(data)
                 writer.write(data)
                 await writer.drain()
                 await asyncio.sleep(len(data) / conditions.bytes_per_s)
