Dial a seed peer only while no stream to it is open

What callers saw: control processes of VMs that name each other as seed peers opened a stream to each other every quarter to half second, for as long as they ran, and refused it: "peer_lost ... duplicate stream" in the logs of both.

Cause: the task of a seed peer starts without the peer's name and kept dialling without asking whether a stream to it is open, also after its records had named it.

Change: the task looks its name up by the address before it dials, which it does only while no stream is open.

--- a/src/briarfork/control/peers.py
+++ b/src/briarfork/control/peers.py
@@ -90,7 +90,7 @@
     targets = {}
     for peer in node.settings.peers:
         address, _, port = peer.rpartition(":")
-        if not node.roster.has_address(address, int(port)):
+        if node.roster.find_by_address(address, int(port)) is None:
             targets[address, int(port)] = ""
     for member in node.roster.list_neighbours():
         targets[member.address, member.ports["control"]] = member.vm
@@ -100,9 +100,12 @@
 
 async def _maintain_peer(node: ControlNode, vm: str, address: str, port: int) -> None:
     settings = node.settings
-    pause_s = settings.timeouts.reconnect_s
+    pause_s, name = settings.timeouts.reconnect_s, vm
     while True:
-        if not vm or not node.is_linked(vm):
+        if not name or not node.is_linked(name):
+            # The name of a seed peer becomes known with its first records.
+            name = vm or node.roster.find_by_address(address, port) or ""
+        if not name or not node.is_linked(name):
             try:
                 stream = await connect(address, port, settings.timeouts.connect_s, settings.address)
             except StreamClosed:
--- a/src/briarfork/membership/roster.py
+++ b/src/briarfork/membership/roster.py
@@ -146,12 +146,12 @@
         """Returns the record of a VM, or None if it is unknown."""
         return self._members.get(vm)
 
-    def has_address(self, address: str, port: int) -> bool:
-        """Returns whether a control address belongs to a member that has announced itself."""
-        return any(
-            member.incarnation and member.address == address and member.ports["control"] == port
-            for member in self._members.values()
-        )
+    def find_by_address(self, address: str, port: int) -> str | None:
+        """Returns the member that has announced itself with a control address, None if none has."""
+        for member in self._members.values():
+            if (member.address, member.ports["control"]) == (address, port) and member.incarnation:
+                return member.vm
+        return None
 
     def list_all(self, buckets: set[int] | None = None) -> list[Member]:
         """Returns all members, or those in the given buckets of the digest, sorted by name."""
--- a/tests/control/test_faults.py
+++ b/tests/control/test_faults.py
@@ -58,6 +58,16 @@
     return re.findall(rf"member_changed .*member={vm} state=(\w+)", log)
 
 
+class TestSeedPeers:
+    async def test_linked_peers_are_not_dialled_again(self, cluster: LinkedCluster) -> None:
+        """Guards against streams to seed peers that are opened and refused twice a second."""
+        await asyncio.sleep(SILENCE_S)
+        start = {vm.name: len(cluster.read_log(vm, "control")) for vm in cluster.vms}
+        await asyncio.sleep(SILENCE_S)
+        logs = [cluster.read_log(vm, "control")[start[vm.name] :] for vm in cluster.vms]
+        assert not any("duplicate stream" in log for log in logs)
+
+
 class TestControlProcess:
     async def test_entry_keeps_serving_while_control_restarts(self, cluster: LinkedCluster) -> None:
         """Guards against failed or incomplete lookups while the control process restarts."""
