--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,11 +1,15 @@
 """Stand-in for the platform's key-value service.
 
+Values have at most 1 MB. A page has as many entries as its call asks for, whatever their size,
+and a watch returns all changes at once: the interface in docs/design.md names no other bound.
+
 `POST /fault` sets the fault to inject, `mode`:
 
 - "up": no fault
 - "down": no response
 - "refuse": the connection is closed
 - "slow": each call is delayed by `delay_s`
+- "slow pages": each entry of a page takes `delay_s`
 - "lose": the responses to the next `count` writes are lost after the write took effect
 - "late": the next `count` writes are applied after `delay_s`, even if the caller has given up
 - "odd": each call is answered with the `status` and the text `body`
@@ -31,6 +35,7 @@
     from aiohttp.typedefs import Handler
 
 HANG_S = 60.0
+MAX_VALUE_BYTES = 1_000_000
 
 
 @dataclass(slots=True)
@@ -50,7 +55,7 @@
         revision: Revision of the latest write.
         calls: Number of calls by method and resource.
         mode: Injected fault; see the module docstring.
-        delay_s: Delay in seconds of the modes "slow" and "late".
+        delay_s: Delay in seconds of the modes "slow", "slow pages" and "late".
         lose: Number of upcoming writes whose responses are lost.
         late: Number of upcoming writes to delay.
         late_handled: Number of delayed writes that have been processed.
@@ -116,6 +121,8 @@
     key = request.match_info["key"]
     item = state.items.get(key)
     revision = item.revision if item else 0
+    if len(body["value"].encode()) > MAX_VALUE_BYTES:
+        return web.json_response({"error": "the value is too large"}, status=413)
     if body["expect"] != revision:
         return web.json_response({"revision": revision}, status=409)
     if body.get("lease") and body["lease"] not in state.leases:
@@ -143,6 +150,8 @@
     state = request.app[STATE]
     entries = state.list_items(request.query["prefix"], request.query.get("after", ""))
     limit = int(request.query.get("limit", "100"))
+    if state.mode == "slow pages":
+        await asyncio.sleep(state.delay_s * min(limit, len(entries)))
     return web.json_response({"entries": entries[:limit], "revision": state.revision})
 
 
