Let a listing end beside a watch that fails

The watch runs in a task group with the listing, so each failure of one watch (a lost response, a status 503, changes of over 4 MiB, a loss of history) cancelled the listing, which began anew at its first page. A listing that takes longer than the time between two failures never ended: a VM that started was never ready, and a running one never read the last keys.

A watch that fails is sent again while the listing goes on. If its changes cannot be read, the VM reads the operator's keys, follows from there and reads all keys again once the listing has ended.

The stand-in can refuse watches. Command: pytest tests/platform/test_watcher.py

--- a/src/briarfork/platform/names.py
+++ b/src/briarfork/platform/names.py
@@ -30,6 +30,8 @@
 LOOKUP_PATH: Final = "/v1/resolve"
 
 CONFIGURATION_KEY: Final = "op/config"
+# The configuration and the evacuations.
+OPERATOR_PREFIX: Final = "op/"
 EVACUATION_PREFIX: Final = "op/evacuate/"
 SERVER_PREFIX: Final = "servers/"
 MEMBER_PREFIX: Final = "briarfork/members/"
--- a/src/briarfork/platform/watcher.py
+++ b/src/briarfork/platform/watcher.py
@@ -13,6 +13,8 @@
 from briarfork.hashing import hash_to_fraction
 from briarfork.platform.currency import CurrencyCheck
 from briarfork.platform.names import EVACUATION_PREFIX
+from briarfork.platform.names import OPERATOR_PREFIX
+from briarfork.platform.store import Changes
 from briarfork.platform.store import ChangesTooLong
 from briarfork.platform.store import HistoryUnavailable
 from briarfork.platform.store_contents import StoreContents
@@ -56,6 +58,8 @@
         self._settings = settings
         self._store = store
         self._is_view_current = False
+        # Why changes were skipped during the listing in progress, None if none were.
+        self._skipped: Exception | None = None
         self._currency = CurrencyCheck()
         self._era_pause_s = ERA_SPREAD_S * hash_to_fraction(settings.common.vm)
         # Only then is it worth a call to know that the configuration is the current one.
@@ -87,6 +91,7 @@
             StoreUnavailable: If the listing fails.
         """
         started = time.monotonic()
+        self._skipped = None
         pages = self._store.list_pages(ALL_KEYS)
         first = await anext(pages)
         is_new_era = self.contents.is_new_era(first.position.era)
@@ -96,7 +101,7 @@
             if first.is_last or is_new_era:
                 await listing
             # A long listing may take longer than the store keeps its history.
-            group.create_task(self._follow(first.position))
+            group.create_task(self._follow(first.position, listing))
             if self._is_strict:
                 group.create_task(self._check_currency(first.position.era))
 
@@ -106,7 +111,9 @@
         """Applies the pages after the first one, and what a complete listing shows.
 
         Raises:
+            ChangesTooLong: If changes were skipped during the listing for that reason.
             EraEnded: If the era of the first page has ended.
+            HistoryUnavailable: If changes were skipped during the listing for that reason.
             StoreUnavailable: If the listing fails.
         """
         async for page in pages:
@@ -115,6 +122,8 @@
         self._publish_currency()
         self._is_view_current = True
         await self._read_missed_deletions(first.position)
+        if self._skipped is not None:
+            raise self._skipped
 
     async def _read_missed_deletions(self, position: StorePosition) -> None:
         """Reads whether evacuations that a listing lacks were ended since the store's restore.
@@ -133,18 +142,19 @@
             changes = await self._store.watch(EVACUATION_PREFIX, after, wait_s=DELETIONS_WAIT_S)
             self.contents.end_unseen_evacuations(changes.entries)
 
-    async def _follow(self, position: StorePosition) -> None:
+    async def _follow(self, position: StorePosition, listing: asyncio.Task[None]) -> None:
         """Applies all changes after a position.
 
+        Args:
+            position: The position.
+            listing: Task of the listing, which may go on meanwhile.
+
         Raises:
+            EraEnded: If the era of the position has ended.
             ExceptionGroup: With ChangesTooLong, EraEnded, HistoryUnavailable or StoreUnavailable.
         """
         while True:
-            async with asyncio.TaskGroup() as group:
-                watch = group.create_task(self._store.watch(ALL_KEYS, position))
-                check = group.create_task(self._check_watch(position))
-                changes = await watch
-                check.cancel()
+            changes = await self._wait_beside(listing, position)
             position = changes.position
             if changes.entries:
                 self.contents.apply(changes.entries)
@@ -153,6 +163,53 @@
             if changes.has_events:
                 await self._store.era.wait_for_end(position.era, self._settings.fetch_pause_s)
 
+    async def _wait_beside(self, listing: asyncio.Task[None], position: StorePosition) -> Changes:
+        """Waits for changes; a watch that fails does not end the listing that goes on beside it.
+
+        Otherwise a listing that takes longer than the time between two failures would never end.
+        Changes that cannot be read are skipped during a listing, but for those of the operator. All
+        keys are then read again after the listing.
+
+        Raises:
+            EraEnded: If the era of the position has ended.
+            ExceptionGroup: With ChangesTooLong, EraEnded, HistoryUnavailable or StoreUnavailable.
+        """
+        while True:
+            skipped: Exception | None = None
+            try:
+                return await self._wait_for_changes(position)
+            except* (ChangesTooLong, HistoryUnavailable) as errors:
+                if listing.done():
+                    raise
+                self._skipped = skipped = errors.exceptions[0]
+            except* StoreUnavailable:
+                if listing.done():
+                    raise
+            if skipped is not None:
+                with suppress(StoreUnavailable):
+                    return await self._read_operator_keys(position)
+            await self._store.era.wait_for_end(position.era, RETRY_S)
+
+    async def _wait_for_changes(self, position: StorePosition) -> Changes:
+        async with asyncio.TaskGroup() as group:
+            watch = group.create_task(self._store.watch(ALL_KEYS, position))
+            check = group.create_task(self._check_watch(position))
+            changes = await watch
+            check.cancel()
+        return changes
+
+    async def _read_operator_keys(self, position: StorePosition) -> Changes:
+        """Returns what the operator has written, in place of the changes after a position.
+
+        Raises:
+            EraEnded: If the era of the position has ended.
+            StoreUnavailable: If the calls fail.
+        """
+        pages = [page async for page in self._store.list_pages(OPERATOR_PREFIX)]
+        self._store.era.require(position.era)
+        entries = [entry for page in pages for entry in page.entries]
+        return Changes(entries, pages[0].position, has_events=True)
+
     async def _check_watch(self, position: StorePosition) -> None:
         """Checks that a watch after a position has no changes to return.
 
--- a/tests/platform/test_watcher.py
+++ b/tests/platform/test_watcher.py
@@ -16,6 +16,7 @@
 from briarfork.gateway.process import Gateway
 from briarfork.gateway.view import GatewayView
 from briarfork.platform import names
+from briarfork.platform import store as store_client
 from briarfork.platform.settings import load_platform_settings
 from briarfork.platform.store import StoreClient
 from briarfork.platform.watcher import StoreWatcher
@@ -37,6 +38,10 @@
 # At half a second a page, listing them takes longer than the grace period of expired entries.
 SLOW_LISTING_KEYS = 6
 LONG_LISTING_KEYS, PAGE_DELAY_S = 30, 0.3
+SHORT_PAGE_DELAY_S, FAULT_INTERVAL_S = 0.1, 1.0
+# Time for the watch to be found lost, and for the listing several times over.
+LISTED_S = 15.0
+MAX_CHANGES_BYTES = 20_000
 # The start time of a process has a resolution of 10 ms.
 CLOCK_TOLERANCE_MS = 100.0
 BOUNDS = ["drain=2s"]
@@ -292,6 +297,51 @@
         assert time.monotonic() - listed_at < 1.0
 
 
+class TestLongListing:
+    """A listing of three seconds beside a watch that cannot go on, again and again."""
+
+    async def fail_watches(self, store: KeyValueStore) -> None:
+        while True:
+            store.watch_failures = 1
+            await store.put(names.SERVER_PREFIX + "i-1", build_entry(store.revision))
+            await asyncio.sleep(FAULT_INTERVAL_S)
+
+    async def write_too_much(self, store: KeyValueStore) -> None:
+        while True:
+            entry = build_entry(store.revision) | {"text": "x" * MAX_CHANGES_BYTES}
+            await store.put(names.SERVER_PREFIX + "i-1", entry)
+            await asyncio.sleep(FAULT_INTERVAL_S)
+
+    async def lose_history(self, store: KeyValueStore) -> None:
+        while True:
+            await store.put(names.SERVER_PREFIX + "i-1", build_entry(store.revision))
+            await store.forget_history()
+            await asyncio.sleep(FAULT_INTERVAL_S)
+
+    @pytest.mark.parametrize("fault", ["fail_watches", "write_too_much", "lose_history"])
+    async def test_listing_ends_beside_a_watch_that_fails(
+        self, harness: WatcherHarness, monkeypatch: pytest.MonkeyPatch, fault: str
+    ) -> None:
+        """Guards against a listing that each failure of the watch begins anew, so it never ends."""
+        await harness.wait_until_ready()
+        monkeypatch.setattr(store_client, "MAX_CHANGES_BYTES", MAX_CHANGES_BYTES)
+        monkeypatch.setattr(key_value, "PAGE_ITEMS", 1)
+        harness.store.start_silence()
+        for number in range(LONG_LISTING_KEYS):
+            await harness.store.put(f"{names.SERVER_PREFIX}new-{number:02}", build_entry(1))
+        await harness.store.forget_history()
+        harness.store.end_silence()
+        harness.store.delay_s = SHORT_PAGE_DELAY_S
+        running = asyncio.create_task(getattr(self, fault)(harness.store))
+        inventory = harness.gateway.view.inventory
+        try:
+            async with asyncio.timeout(LISTED_S):
+                while f"new-{LONG_LISTING_KEYS - 1}" not in inventory.list_names():
+                    await asyncio.sleep(0.05)
+        finally:
+            running.cancel()
+
+
 class TestStoreWatcher:
     async def test_servers_are_known_when_the_gateway_is_ready(
         self, harness: WatcherHarness
--- a/tests/standins/key_value.py
+++ b/tests/standins/key_value.py
@@ -89,6 +89,7 @@
         delay_s: Delay before each response, in seconds.
         odd_answer: Status and body with which every call is answered, None for proper responses.
         lose: Number of upcoming writes whose responses are lost after the write took effect.
+        watch_failures: Number of upcoming watches that are answered with status 503.
         calls: Number of calls so far.
         full_calls: Number of calls so far other than stale reads, which cost a tenth.
         era: Number that all answers carry, None for a store that tells none. It rises when the
@@ -108,6 +109,7 @@
     delay_s: float = 0.0
     odd_answer: tuple[int, bytes] | None = None
     lose: int = 0
+    watch_failures: int = 0
     calls: int = 0
     full_calls: int = 0
     era: int | None = None
@@ -250,6 +252,9 @@
         return page
 
     async def _watch(self, request: web.Request) -> web.Response:
+        if self.watch_failures:
+            self.watch_failures -= 1
+            return web.Response(status=503)
         prefix, after = request.query["prefix"], int(request.query["after"])
         expires_at = time.monotonic() + int(request.query["wait_ms"]) / 1000.0
         era = self.era
