Count the time to register from the end of the first listing after a restore

The era began with the first page of the listing. A listing that took longer than the lease, or that an outage interrupted, ended VMs that the copy lacks, so slots changed their owners until the watch that follows showed the entries; and servers that could not register in the outage were removed at once.

--- a/src/briarfork/platform/store_contents.py
+++ b/src/briarfork/platform/store_contents.py
@@ -82,6 +82,9 @@
         if self._listing is None or page.is_first:
             self._listing = self._begin_listing(page.position, now)
         listing = self._listing
+        if listing.is_first_of_era:
+            # VMs that register behind the pages are only seen once the listing has ended.
+            self.members.begin_era(now)
         entries = listing.add_page(page.entries)
         self._remove_missing_servers(listing.keys, page.last_key, now)
         self._show_page(entries, now)
@@ -169,7 +172,7 @@
         is_first_of_era = self.is_new_era(position.era)
         if is_first_of_era and self._era != position.era:
             self._begin_era(now)
-        elif not is_first_of_era:
+        else:
             self._record_outage()
         self._era = position.era
         return Listing(position, is_first_of_era)
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -242,6 +242,54 @@
         assert not contents.members.current
         assert not list_servers(gateway)
 
+    def test_vm_of_an_unfinished_listing_keeps_its_time_to_register(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against slots that change their owner as a listing outlasts the lease of a VM.
+
+        The listing of a restored store has shown the key range of the VM before it registers again.
+        """
+        now_s, events = [100.0], EventLog("test")
+        monkeypatch.setattr(time, "monotonic", lambda: now_s[0])
+        settings, health = load_settings(tmp_path), StoreHealth(events)
+        contents = StoreContents(settings, build_gateway(settings), health, events)
+        other = replace(OWN, vm="vm-other")
+        key = names.MEMBER_PREFIX + other.vm
+        item = Item(key, 10, b64encode(encode_member(other)).decode())
+        contents.apply_page(Page(read_entries([item]), LAST_KEY, StorePosition(1, 10), True, True))
+        restored = StorePosition(2, 8)
+        contents.apply_page(Page([], names.CONFIGURATION_KEY, restored, True, False))
+        now_s[0] += settings.lease_s + 0.5
+        contents.apply_page(Page([], LAST_KEY, restored, False, True))
+        assert other.vm in contents.members.current
+        now_s[0] += settings.lease_s
+        contents.expire(now_s[0])
+        assert not contents.members.current
+
+    def test_outage_during_a_listing_gives_servers_time_to_register(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against servers that end as the store fails within a listing after its restore."""
+        now_s, events = [100.0], EventLog("test")
+        monkeypatch.setattr(time, "monotonic", lambda: now_s[0])
+        settings, health = load_settings(tmp_path), StoreHealth(events)
+        gateway = build_gateway(settings)
+        contents = StoreContents(settings, gateway, health, events)
+        item = Item(SERVER_KEY, 10, b64encode(json.dumps(build_entry(1)).encode()).decode())
+        contents.apply_page(Page(read_entries([item]), LAST_KEY, StorePosition(1, 10), True, True))
+        restored = StorePosition(2, 8)
+        contents.apply_page(Page([], SERVER_KEY, restored, True, False))
+        health.record_failure("down")
+        now_s[0] += 20.0
+        health.record_failure("down")
+        health.record_response()
+        contents.apply_page(Page([], LAST_KEY, restored, True, True))
+        contents.expire(now_s[0])
+        assert list_servers(gateway)
+        now_s[0] += settings.entry_ttl_s
+        contents.expire(now_s[0])
+        assert not list_servers(gateway)
+
 
 class TestRestoredStore:
     async def test_vm_registers_again_and_keeps_what_the_copy_lacks(
