End the handler of a stream that its own message has closed

A stream that is closed because of the bytes it has just received got a new reader, from which its handler then read until the timeout of silence. Its requester was kept as one that may still run.

TestStreamMemory in tests/border/test_streams.py failed before with StreamTimeout; all 14 cases of the file pass now.

--- a/src/briarfork/border/streams.py
+++ b/src/briarfork/border/streams.py
@@ -149,12 +149,13 @@
         return data
 
     async def _read_more(self) -> None:
+        # What the stream has just received may have closed it.
+        self._require_open()
         try:
             data = await self._reader.read(READ_CHUNK_BYTES)
         except OSError as error:
             raise StreamClosed(f"{self.peer}: {error}") from error
-        if self._is_aborted:
-            raise StreamClosed(f"{self.peer}: stream was aborted")
+        self._require_open()
         if not data:
             raise StreamClosed(f"{self.peer}: connection closed by peer")
         if len(self._buffer) + len(data) > MAX_MESSAGE_BYTES:
@@ -167,6 +168,10 @@
         self._unpacker.feed(data)
         self._count_memory()
 
+    def _require_open(self) -> None:
+        if self._is_aborted:
+            raise StreamClosed(f"{self.peer}: stream was aborted")
+
 
 def _build_unpacker() -> msgpack.Unpacker:
     return msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
--- a/tests/border/test_streams.py
+++ b/tests/border/test_streams.py
@@ -20,9 +20,11 @@
 from briarfork.border.messages import decode
 from briarfork.border.messages import encode
 from briarfork.border.messages import split_changes
+from briarfork.border.stream_memory import StreamMemory
 from briarfork.border.streams import MAX_MESSAGE_BYTES
 from briarfork.border.streams import MessageStream
 from briarfork.border.streams import StreamClosed
+from briarfork.border.streams import StreamTimeout
 from briarfork.errors import BriarforkError
 from briarfork.errors import ErrorKind
 from tests.membership.fleet import build_member
@@ -34,6 +36,7 @@
 
 HEARTBEAT = Heartbeat(3, [build_member("vm-1")], digests=(1, 2**64 - 1))
 HELLO = Hello("vm-1", "north-a", 5)
+MAX_HELD_BYTES = 16
 MAX_ALLOCATED_BYTES = 2 * 1024 * 1024
 MSGPACK_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.floats() | st.text(),
@@ -42,9 +45,21 @@
 )
 
 
+class FakeTransport:
+    """Fake of a transport without bytes that were not sent."""
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def abort(self) -> None:
+        """Does nothing."""
+
+
 class FakeWriter:
     """Fake of `asyncio.StreamWriter` for streams that only receive."""
 
+    transport = FakeTransport()
+
     def get_extra_info(self, _: str) -> str:
         return "peer"
 
@@ -101,6 +116,20 @@
             feeder.cancel()
 
 
+class TestStreamMemory:
+    async def test_stream_that_is_closed_by_what_it_receives_ends_at_once(self) -> None:
+        """Guards against a handler that waits for a stream which its own message has closed."""
+        reader = asyncio.StreamReader()
+        closed: list[str] = []
+        memory = StreamMemory(MAX_HELD_BYTES, lambda peer, _: closed.append(peer))
+        stream = MessageStream(reader, FakeWriter(), memory)  # type: ignore[arg-type]
+        reader.feed_data(encode(HELLO)[:-1])
+        with pytest.raises(StreamClosed) as caught:
+            await stream.receive(timeout_s=1.0)
+        assert not isinstance(caught.value, StreamTimeout)
+        assert closed == ["peer"]
+
+
 class TestDecoder:
     @given(st.binary(max_size=200))
     def test_rejects_arbitrary_bytes(self, data: bytes) -> None:
