Answer a body that is nested too deeply as a bad request

What callers saw: internal, with unknown outcome, and task_failed in the log, for a POST whose body is nested 100,000 levels deep. Decoding it raises RecursionError, which is no ValueError.

Change: it is answered as a body that is not JSON.

Result: the new case of test_errors_have_a_documented_kind failed before and passes now; all of tests/admin/test_http.py pass.

--- a/src/briarfork/admin/http.py
+++ b/src/briarfork/admin/http.py
@@ -195,7 +195,7 @@
 async def _read_json(request: web.Request) -> Any:
     try:
         return await request.json()
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BriarforkError(ErrorKind.BAD_REQUEST, f"body: expected JSON: {error}") from error
 
 
--- a/tests/admin/test_http.py
+++ b/tests/admin/test_http.py
@@ -225,6 +225,7 @@
             ("GET", "/v1/changes?after=-1", {}, "bad_request"),
             ("GET", "/v1/changes?since=nan", {}, "bad_request"),
             ("POST", "/v1/changes", {"data": b"{"}, "bad_request"),
+            ("POST", "/v1/changes", {"data": b"[" * 100_000}, "bad_request"),
             ("POST", "/v1/changes", {"json": {}}, "invalid_configuration"),
             ("POST", "/v1/changes", {"data": b" " * (MAX_BODY_BYTES + 1)}, "body_too_large"),
             ("POST", "/v1/drafts/none/approve", {"json": {"approver": "a"}}, "unknown_path"),
