Keep the watcher running if a figure about the process cannot be read

The end of the first listing logs the age and the memory of the process. Only a file that cannot be opened was provided for; one with other content raised an error there, after which the watcher began anew each half second and never followed the changes.

--- a/src/briarfork/border/memory.py
+++ b/src/briarfork/border/memory.py
@@ -35,13 +35,14 @@
 
 
 def read_memory() -> MemoryUse:
-    """Returns the memory of this process according to Linux, zeros on other systems."""
+    """Returns the memory of this process according to Linux, zeros if the system does not tell."""
     try:
         lines = STATUS_FILE.read_text().splitlines()
-    except OSError:
+        fields = dict(line.split(":", 1) for line in lines if line.startswith("Vm"))
+        return MemoryUse(_parse_mb(fields.get("VmRSS")), _parse_mb(fields.get("VmHWM")))
+    # The figures are only logged: a listing must not fail for want of them.
+    except (OSError, ValueError, IndexError):
         return MemoryUse()
-    fields = dict(line.split(":", 1) for line in lines if line.startswith("Vm"))
-    return MemoryUse(_parse_mb(fields.get("VmRSS")), _parse_mb(fields.get("VmHWM")))
 
 
 def _parse_mb(text: str | None) -> float:
--- a/src/briarfork/border/process_age.py
+++ b/src/briarfork/border/process_age.py
@@ -16,12 +16,13 @@
 def read_process_age() -> float:
     """Returns the time since this process was started, in seconds.
 
-    On systems other than Linux, the time before the import of this module is not included.
+    Where the system does not tell, the time before the import of this module is not included.
     """
     try:
         # The name of the program is in parentheses and may contain spaces.
         fields = STAT_FILE.read_text().rpartition(")")[2].split()
-    except OSError:
+        started_s = int(fields[START_FIELD]) / os.sysconf("SC_CLK_TCK")
+    # The figure is only logged: a listing must not fail for want of it.
+    except (OSError, ValueError, IndexError):
         return time.monotonic() - _imported_at
-    started_s = int(fields[START_FIELD]) / os.sysconf("SC_CLK_TCK")
     return time.clock_gettime(time.CLOCK_BOOTTIME) - started_s
