Log why a process ends before its traceback is printed

A traceback that could not be written to standard error (no reader, or a full pipe that does not block, as with both outputs in one pipe) raised an error before the line process_failed was written, so the log did not say that or why the process ended.

tests/border/test_process_ends.py failed before without the line and passes now.

--- a/src/briarfork/border/process.py
+++ b/src/briarfork/border/process.py
@@ -6,6 +6,7 @@
 import os
 import sys
 import traceback
+from contextlib import suppress
 from enum import IntEnum
 from types import CoroutineType
 from typing import TYPE_CHECKING
@@ -46,8 +47,10 @@
             runner.run(run())
     # Whatever ends the process must be in its log, also what is not an Exception.
     except BaseException as error:
-        traceback.print_exception(error)
         record_failure(error, ExitStatus.FAILED, events)
+        # Standard error may have no reader, or one that does not keep up.
+        with suppress(OSError):
+            traceback.print_exception(error)
         return ExitStatus.FAILED
     return ExitStatus.STOPPED
 
