Count a restore of the store within the first listing as a new era

What callers saw: nothing yet; found by the review. A restore between two pages of a VM's first listing was no new era, so VMs that the copy lacks were removed at once, and slots changed their owners.

Cause: the era was compared with that of the latest complete listing, of which there is none before the first one. Since pages are applied as they arrive, the era of the first pages counts.

Result: the new case of test_vm_of_an_unfinished_listing_keeps_its_time_to_register failed before and passes now.

--- a/src/briarfork/platform/store_contents.py
+++ b/src/briarfork/platform/store_contents.py
@@ -73,8 +73,12 @@
         return self._listing is not None
 
     def is_new_era(self, era: int) -> bool:
-        """Returns whether an era is not that of the latest complete listing."""
-        return self._listed_era is not None and self._listed_era != era
+        """Returns whether an era is not that of the latest complete listing.
+
+        Before there is one, the pages of the first listing count.
+        """
+        known = self._era if self._listed_era is None else self._listed_era
+        return known is not None and known != era
 
     def apply_page(self, page: Page) -> None:
         """Applies a page of a listing of all keys, and what the listing shows to be missing."""
--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -242,12 +242,14 @@
         assert not contents.members.current
         assert not list_servers(gateway)
 
+    @pytest.mark.parametrize("is_listed", [True, False], ids=["later", "first listing"])
     def test_vm_of_an_unfinished_listing_keeps_its_time_to_register(
-        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+        self, is_listed: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against slots that change their owner as a listing outlasts the lease of a VM.
 
         The listing of a restored store has shown the key range of the VM before it registers again.
+        The restore also comes between two pages of the first listing.
         """
         now_s, events = [100.0], EventLog("test")
         monkeypatch.setattr(time, "monotonic", lambda: now_s[0])
@@ -256,7 +258,8 @@
         other = replace(OWN, vm="vm-other")
         key = names.MEMBER_PREFIX + other.vm
         item = Item(key, 10, b64encode(encode_member(other)).decode())
-        contents.apply_page(Page(read_entries([item]), LAST_KEY, StorePosition(1, 10), True, True))
+        entries, position = read_entries([item]), StorePosition(1, 10)
+        contents.apply_page(Page(entries, item.key, position, True, is_listed))
         restored = StorePosition(2, 8)
         contents.apply_page(Page([], names.CONFIGURATION_KEY, restored, True, False))
         now_s[0] += settings.lease_s + 0.5
