--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -625,10 +625,16 @@
 
 
 def build_request_head(
-    request_id: str, method: str, target: str, deadline_ms: int, length: int = 0, key: str = ""
+    request_id: str,
+    method: str,
+    target: str,
+    deadline_ms: int,
+    length: int = 0,
+    key: str = "",
+    host: str = HOST,
 ) -> bytes:
     """Returns the head of a request."""
-    lines = [f"{method} {target} HTTP/1.1", f"Host: {HOST}",
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}",
              f"X-Briarfork-Attempt-Id: {request_id}",
              f"X-Briarfork-Deadline-Ms: {deadline_ms}"]  # fmt: skip
     if key:
@@ -677,14 +683,14 @@
         await self.store.put(f"servers/{name}", server.build_entry())
         return server
 
-    async def start_gateways(self, zones: list[str], store_port: int | None = None) -> None:
-        port = store_port or (self.proxy.port if self.proxy else self.store.port)
+    async def start_gateways(self, zones: list[str], ready_s: float = 15.0) -> None:
+        port = self.proxy.port if self.proxy else self.store.port
         for number, zone in enumerate(zones):
             gateway = Gateway(self.folder, f"front-{zone}-{number + 1}", zone, self.zones, port)
             self.gateways.append(gateway)
             await gateway.start()
         for gateway in self.gateways:
-            if not await gateway.wait_until_ready():
+            if not await gateway.wait_until_ready(ready_s):
                 raise RuntimeError(f"{gateway.name} does not become ready")
 
     def list_runs(self) -> list[Run]:
